--- /dev/null
+++ b/integration/path_test.go
@@ -0,0 +1,103 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/standin"
+)
+
+// TestRequestFromCallerToTarget drives the whole path with separate processes.
+func TestRequestFromCallerToTarget(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za")
+	first := d.addEntry("entry-a1", "za")
+	second := d.addEntry("entry-a2", "za")
+	d.addSmallTargets()
+	d.apply(smallFleet)
+	d.waitInForce(5 * time.Second)
+	for _, entry := range []*entryProcess{first, second} {
+		d.waitServed(entry.url() + "/booking/1")
+		resp, err := http.Get(entry.url() + "/booking/dock?bytes=")
+		must(t, err)
+		var reply standin.Reply
+		must(t, json.NewDecoder(resp.Body).Decode(&reply))
+		must(t, resp.Body.Close())
+		if reply.Path != "/booking/dock" || resp.Header.Get("X-Arbutus-Outcome") != "ran" {
+			t.Errorf("reply %+v, headers %v", reply, resp.Header)
+		}
+	}
+}
+
+// TestLinkSilentForGoodWhileNewConnectionsWork silences the entry's open
+// connection to control. The next change must come in force over a new one.
+func TestLinkSilentForGoodWhileNewConnectionsWork(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za")
+	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
+	d.addEntry("entry-a1", "za", relay.address)
+	d.apply(smallFleet)
+	d.waitInForce(5 * time.Second)
+	relay.setSilent(true)
+	time.Sleep(3 * time.Second)
+	relay.setSilent(false)
+	d.apply(smallFleet + "// changed")
+	d.waitInForce(3 * time.Second)
+}
+
+// TestPlannedStopOfAnEntryUnderLoadCutsNoRequest stops an entry by SIGTERM
+// while requests run. Each must get its whole answer.
+func TestPlannedStopOfAnEntryUnderLoadCutsNoRequest(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za")
+	entry := d.addEntry("entry-a1", "za")
+	d.addSmallTargets()
+	d.apply(smallFleet)
+	d.waitServed(entry.url() + "/booking/1")
+	const requests = 12
+	var group sync.WaitGroup
+	failures := make(chan error, requests)
+	for i := range requests {
+		group.Go(func() {
+			resp, err := http.Get(fmt.Sprintf("%s/booking/%d?sleep_ms=800", entry.url(), i))
+			if err != nil {
+				failures <- err
+				return
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				failures <- fmt.Errorf("status %s", resp.Status)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	entry.stop(10 * time.Second)
+	group.Wait()
+	close(failures)
+	for err := range failures {
+		t.Error(err)
+	}
+}
+
+// TestTargetAnswersLateThroughARelay delays a target's answers; the entry
+// must still give the whole answer.
+func TestTargetAnswersLateThroughARelay(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za")
+	entry := d.addEntry("entry-a1", "za")
+	targets := d.addSmallTargets()
+	d.apply(smallFleet)
+	d.waitServed(entry.url() + "/booking/1")
+	relay := newTCPRelay(t, targets["booking-a-1"].Address())
+	relay.toClient.delayNS.Store(int64(300 * time.Millisecond))
+	resp, err := http.Get("http://" + relay.address + "/booking/late?bytes=100000")
+	must(t, err)
+	defer resp.Body.Close()
+	if resp.ContentLength != 100000 {
+		t.Errorf("content length %d", resp.ContentLength)
+	}
+}
--- /dev/null
+++ b/internal/connection/link/call.go
@@ -0,0 +1,224 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+)
+
+// MaxMessageBytes bounds one request or response.
+const MaxMessageBytes = 16 << 20
+
+// abandoned is the stream error code of a call that was given up.
+const abandoned quic.StreamErrorCode = 1
+
+// Kind is the type of a call.
+type Kind string
+
+// Errors of this package.
+var (
+	// ErrClosed says that this process is stopping.
+	ErrClosed = errors.New("link is closed")
+	// ErrTooLarge says that a message is above MaxMessageBytes.
+	ErrTooLarge = errors.New("link message is too large")
+	// ErrNoAnswer says that the request may have been carried out.
+	ErrNoAnswer = errors.New("no answer, the call may have been carried out")
+)
+
+// Codes of faults that the link itself raises.
+const (
+	CodeInternal    = "internal"
+	CodeUnknownKind = "unknown_kind"
+	CodeMalformed   = "malformed"
+	CodeNotLeader   = "not_leader"
+)
+
+// Fault is an error answer of the peer.
+type Fault struct {
+	Code    string `cbor:"1,keyasint"`
+	Message string `cbor:"2,keyasint"`
+	// Leader is the link address of the leader with CodeNotLeader, if known.
+	Leader string `cbor:"3,keyasint,omitempty"`
+}
+
+// Error formats the fault.
+func (f *Fault) Error() string { return f.Code + ": " + f.Message }
+
+type request struct {
+	Kind  Kind            `cbor:"1,keyasint"`
+	Stamp timeline.Stamp  `cbor:"2,keyasint"`
+	Body  cbor.RawMessage `cbor:"3,keyasint"`
+}
+
+type response struct {
+	Stamp timeline.Stamp  `cbor:"1,keyasint"`
+	Fault *Fault          `cbor:"2,keyasint,omitempty"`
+	Body  cbor.RawMessage `cbor:"3,keyasint,omitempty"`
+}
+
+// Handle registers a typed handler.
+func Handle[Req, Resp any](n *Node, kind Kind, serve func(context.Context, Peer, Req) (Resp, error)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[kind] = func(ctx context.Context, peer Peer, body []byte) (any, error) {
+		var req Req
+		if err := cbor.Unmarshal(body, &req); err != nil {
+			return nil, &Fault{Code: CodeMalformed, Message: err.Error()}
+		}
+		return serve(ctx, peer, req)
+	}
+}
+
+// Call makes one call and waits for its answer until the context ends. A
+// refusal by the peer is returned as a *Fault. An error that wraps
+// ErrNoAnswer leaves open whether the peer acted.
+func Call[Req, Resp any](ctx context.Context, n *Node, address string, kind Kind, req Req) (Resp, error) {
+	var resp Resp
+	body, err := n.call(ctx, address, kind, req)
+	if err != nil {
+		return resp, logging.At(err, string(kind), address)
+	}
+	if err := cbor.Unmarshal(body, &resp); err != nil {
+		return resp, logging.At(fmt.Errorf("decode answer: %w", err), string(kind), address)
+	}
+	return resp, nil
+}
+
+func (n *Node) call(ctx context.Context, address string, kind Kind, req any) ([]byte, error) {
+	body, err := cbor.Marshal(req)
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	message, err := cbor.Marshal(request{Kind: kind, Stamp: n.recorder.Now(), Body: body})
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	if len(message) > MaxMessageBytes {
+		return nil, ErrTooLarge
+	}
+	connection, err := n.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := connection.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("open stream: %w", err)
+	}
+	return n.exchange(ctx, stream, message)
+}
+
+// exchange sends a request on a new stream and reads its response.
+func (n *Node) exchange(ctx context.Context, stream *quic.Stream, message []byte) ([]byte, error) {
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(abandoned)
+		stream.CancelWrite(abandoned)
+	})
+	defer stop()
+	if _, err := stream.Write(message); err != nil {
+		return nil, fmt.Errorf("%w: write: %w", ErrNoAnswer, err)
+	}
+	if err := stream.Close(); err != nil {
+		return nil, fmt.Errorf("%w: close: %w", ErrNoAnswer, err)
+	}
+	var answer response
+	if err := readMessage(stream, &answer); err != nil {
+		return nil, fmt.Errorf("%w: read: %w", ErrNoAnswer, err)
+	}
+	n.recorder.Observe(answer.Stamp)
+	if answer.Fault != nil {
+		return nil, answer.Fault
+	}
+	return answer.Body, nil
+}
+
+func readMessage(reader io.Reader, into any) error {
+	data, err := io.ReadAll(io.LimitReader(reader, MaxMessageBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(data) > MaxMessageBytes {
+		return ErrTooLarge
+	}
+	return cbor.Unmarshal(data, into)
+}
+
+// acceptConnections serves incoming connections until the node is closed.
+func (n *Node) acceptConnections() {
+	for {
+		connection, err := n.listener.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		go n.acceptStreams(connection)
+	}
+}
+
+func (n *Node) acceptStreams(connection *quic.Conn) {
+	peer := Peer{Address: connection.RemoteAddr().String()}
+	if chain := connection.ConnectionState().TLS.PeerCertificates; len(chain) > 0 {
+		peer.ID = chain[0].Subject.CommonName
+	}
+	for {
+		stream, err := connection.AcceptStream(connection.Context())
+		if err != nil {
+			return
+		}
+		go n.serveStream(stream, peer)
+	}
+}
+
+// requestTimeout bounds the arrival of a request on an open stream.
+const requestTimeout = 10 * time.Second
+
+func (n *Node) serveStream(stream *quic.Stream, peer Peer) {
+	defer stream.Close()
+	// The deadline cannot fail on an open stream.
+	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
+	var req request
+	if err := readMessage(stream, &req); err != nil {
+		stream.CancelWrite(abandoned)
+		return
+	}
+	n.recorder.Observe(req.Stamp)
+	answer := n.answer(stream.Context(), peer, req)
+	answer.Stamp = n.recorder.Now()
+	message, err := cbor.Marshal(answer)
+	if err != nil {
+		n.log.Error("encode link answer", "kind", req.Kind, logging.Err(err))
+		stream.CancelWrite(abandoned)
+		return
+	}
+	if _, err := stream.Write(message); err != nil {
+		n.log.Debug("link answer was not taken", "kind", req.Kind, "peer", peer.ID, logging.Err(err))
+	}
+}
+
+func (n *Node) answer(ctx context.Context, peer Peer, req request) response {
+	n.mu.Lock()
+	handler := n.handlers[req.Kind]
+	n.mu.Unlock()
+	if handler == nil {
+		return response{Fault: &Fault{Code: CodeUnknownKind, Message: string(req.Kind)}}
+	}
+	value, err := handler(ctx, peer, req.Body)
+	if err != nil {
+		var fault *Fault
+		if errors.As(err, &fault) {
+			return response{Fault: fault}
+		}
+		return response{Fault: &Fault{Code: CodeInternal, Message: err.Error()}}
+	}
+	body, err := cbor.Marshal(value)
+	if err != nil {
+		return response{Fault: &Fault{Code: CodeInternal, Message: err.Error()}}
+	}
+	return response{Body: body}
+}
--- /dev/null
+++ b/internal/connection/message/message.go
@@ -0,0 +1,82 @@
+// Package message defines the calls between the processes of the system.
+package message
+
+import (
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+// Calls from an entry to a control process.
+const (
+	// WatchKind asks for changes: Watch, answered by WatchAnswer.
+	WatchKind link.Kind = "control.watch"
+	// ReportKind tells the leader what an entry sees: Report, answered by ReportAnswer.
+	ReportKind link.Kind = "control.report"
+)
+
+// Watch asks for the changes after a revision. The control process holds
+// the call until there are some, for at most WaitMS.
+type Watch struct {
+	// Entry describes the asking entry; it is registered at its first call.
+	Entry view.Entry `cbor:"1,keyasint"`
+	// Revision and Version are in force in the entry.
+	Revision uint64 `cbor:"2,keyasint"`
+	Version  uint64 `cbor:"3,keyasint"`
+	WaitMS   int    `cbor:"4,keyasint"`
+}
+
+// WatchAnswer carries the changes, or none.
+type WatchAnswer struct {
+	Delta *view.Delta `cbor:"1,keyasint,omitempty"`
+}
+
+// Report is what an entry sees, sent once a second and when a VM has drained.
+type Report struct {
+	EntryID string `cbor:"1,keyasint"`
+	Zone    string `cbor:"2,keyasint"`
+	// Incarnation differs between runs of one entry.
+	Incarnation string `cbor:"3,keyasint"`
+	// Revision and Version are in force in the entry.
+	Revision uint64 `cbor:"4,keyasint"`
+	Version  uint64 `cbor:"5,keyasint"`
+	// Drained lists VMs that get no new work from this entry and have none
+	// of its requests in flight, under the epoch named.
+	Drained []DrainedVM `cbor:"6,keyasint,omitempty"`
+	// Usage is the use of each service since the last report.
+	Usage []ServiceUsage `cbor:"7,keyasint,omitempty"`
+	// Targets lists the targets of the zone that the entry has heard.
+	Targets []TargetHealth `cbor:"8,keyasint,omitempty"`
+}
+
+// DrainedVM confirms a drain.
+type DrainedVM struct {
+	VM    string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+}
+
+// ServiceUsage is the use of one service in one entry over one report interval.
+type ServiceUsage struct {
+	Service string `cbor:"1,keyasint"`
+	// Arrived, Ran, Refused and Spilled count requests.
+	Arrived uint64 `cbor:"2,keyasint"`
+	Ran     uint64 `cbor:"3,keyasint"`
+	Refused uint64 `cbor:"4,keyasint"`
+	Spilled uint64 `cbor:"5,keyasint"`
+	// BusySlots is the mean number of slots in use.
+	BusySlots float64 `cbor:"6,keyasint"`
+	// Queued is the number of requests that wait now.
+	Queued int `cbor:"7,keyasint"`
+}
+
+// TargetHealth is what an entry knows of a target.
+type TargetHealth struct {
+	VM string `cbor:"1,keyasint"`
+	// Live says that its lease runs; Suspected that it failed requests of late.
+	Live      bool `cbor:"2,keyasint"`
+	Suspected bool `cbor:"3,keyasint,omitempty"`
+	Leaving   bool `cbor:"4,keyasint,omitempty"`
+	InFlight  int  `cbor:"5,keyasint,omitempty"`
+}
+
+// ReportAnswer acknowledges a report.
+type ReportAnswer struct{}
--- /dev/null
+++ b/internal/process/adminhttp/adminhttp.go
@@ -0,0 +1,123 @@
+// Package adminhttp serves the administrative port of a process over
+// HTTPS: metrics, readiness, the time line and whatever the program adds.
+// Every route but the health checks asks for an operator's token.
+package adminhttp
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gin-gonic/gin"
+
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+)
+
+const headerTimeout = 5 * time.Second
+
+// operatorKey is the gin context key of the operator's claims.
+const operatorKey = "operator"
+
+// Fault is the body of every refused administrative call.
+type Fault struct {
+	// Code is stable and made for scripts.
+	Code string `json:"code"`
+	// Message is made for people.
+	Message string `json:"message"`
+	// Leader is the operator address of the leader, where another process
+	// has to be asked.
+	Leader string `json:"leader,omitempty"`
+}
+
+// Server is the administrative port of one process.
+type Server struct {
+	// Engine takes further routes; add them before Start.
+	Engine *gin.Engine
+
+	ring  *keys.Ring
+	http  *http.Server
+	log   *slog.Logger
+	ready atomic.Bool
+}
+
+// New returns a server with the routes that every process has.
+func New(ring *keys.Ring, recorder *timeline.Recorder, log *slog.Logger) *Server {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Use(gin.Recovery())
+	server := &Server{Engine: engine, ring: ring, log: log}
+	server.http = &http.Server{Handler: engine, ReadHeaderTimeout: headerTimeout, TLSConfig: ring.ServerTLS(),
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	engine.GET("/readyz", server.serveReady)
+	engine.GET("/metrics", server.Require(keys.Viewer), func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
+	engine.GET("/v1/timeline", server.Require(keys.Viewer), func(c *gin.Context) {
+		since, _ := strconv.ParseUint(c.Query("since"), 10, 64)
+		c.JSON(http.StatusOK, recorder.Since(since))
+	})
+	return server
+}
+
+// SetReady sets what the readiness check answers.
+func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
+
+func (s *Server) serveReady(c *gin.Context) {
+	if !s.ready.Load() {
+		c.String(http.StatusServiceUnavailable, "not ready\n")
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+// Require lets only bearers of a token with the role pass.
+func (s *Server) Require(role keys.Role) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		token, found := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
+		if !found {
+			c.AbortWithStatusJSON(http.StatusUnauthorized, Fault{Code: "no_token", Message: "expected a bearer token"})
+			return
+		}
+		claims, err := s.ring.CheckToken(token, time.Now())
+		if err != nil {
+			c.AbortWithStatusJSON(http.StatusUnauthorized, Fault{Code: "bad_token", Message: err.Error()})
+			return
+		}
+		if !claims.Role.Allows(role) {
+			c.AbortWithStatusJSON(http.StatusForbidden, Fault{Code: "forbidden", Message: "role " + string(claims.Role) + " may not do this, expected " + string(role)})
+			return
+		}
+		c.Set(operatorKey, claims)
+	}
+}
+
+// Caller returns the claims of the operator whose call passed Require.
+func Caller(c *gin.Context) keys.Claims {
+	claims, _ := c.MustGet(operatorKey).(keys.Claims)
+	return claims
+}
+
+// Start listens and serves until Stop.
+func (s *Server) Start(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return logging.At(err, "listen for operators", address)
+	}
+	go func() {
+		if err := s.http.ServeTLS(listener, "", ""); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("administrative port failed", logging.Err(err))
+		}
+	}()
+	return nil
+}
+
+// Stop ends the server gracefully.
+func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
--- /dev/null
+++ b/internal/process/control/documents.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/gin-gonic/gin"
+
+	"arbutusward.example/arbutusward/internal/jsonc"
+	"arbutusward.example/arbutusward/internal/process/adminhttp"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/state"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/version/fleet"
+)
+
+// versionHeader names the version of a document that is sent.
+const versionHeader = "X-Arbutus-Version"
+
+func (s *Server) registerDocuments() {
+	engine := s.admin.Engine
+	engine.POST("/v1/documents", s.admin.Require(keys.Operator), s.postDocument)
+	engine.GET("/v1/documents/current", s.admin.Require(keys.Viewer), s.getDocument)
+}
+
+// SubmitRefusal is the answer to a document that was not accepted.
+type SubmitRefusal struct {
+	adminhttp.Fault
+	// Problems lists what does not validate.
+	Problems jsonc.Problems `json:"problems,omitempty"`
+	// Winner is the submission that took the base, with code "conflict".
+	Winner *state.Submission `json:"winner,omitempty"`
+}
+
+// postDocument takes a document as the body; ?base names the version it
+// was made from, ?file its name for problems.
+func (s *Server) postDocument(c *gin.Context) {
+	base, err := strconv.ParseUint(c.DefaultQuery("base", "0"), 10, 64)
+	if err != nil {
+		c.JSON(http.StatusBadRequest, SubmitRefusal{Fault: adminhttp.Fault{Code: "bad_base", Message: "expected ?base= as a version number"}})
+		return
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, jsonc.MaxBytes))
+	if err != nil {
+		c.JSON(http.StatusRequestEntityTooLarge, SubmitRefusal{Fault: adminhttp.Fault{Code: "too_large", Message: err.Error()}})
+		return
+	}
+	if _, err := fleet.Parse(c.DefaultQuery("file", "document"), text); err != nil {
+		s.refuseDocument(c, err)
+		return
+	}
+	submit := state.Submit{Base: base, Text: text, By: adminhttp.Caller(c).Subject}
+	answer, err := propose[state.SubmitAnswer](c.Request.Context(), s, state.SubmitDocument, submit)
+	if err != nil {
+		s.failSubmit(c, err, answer)
+		return
+	}
+	if !answer.Repeated {
+		s.recorder.Record(timeline.Event{Kind: timeline.VersionAccepted, Version: answer.Submission.Version, Cause: "submitted by " + submit.By})
+	}
+	c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) refuseDocument(c *gin.Context, err error) {
+	s.recorder.Record(timeline.Event{Kind: timeline.VersionRefused, Cause: err.Error()})
+	refusal := SubmitRefusal{Fault: adminhttp.Fault{Code: "invalid", Message: "the document does not validate"}}
+	errors.As(err, &refusal.Problems)
+	c.JSON(http.StatusUnprocessableEntity, refusal)
+}
+
+// failSubmit answers a submission that was not accepted.
+func (s *Server) failSubmit(c *gin.Context, err error, answer state.SubmitAnswer) {
+	var result *state.Result
+	if errors.As(err, &result) && result.Code == state.Conflict {
+		s.recorder.Record(timeline.Event{Kind: timeline.VersionRefused, Cause: result.Message})
+		refusal := SubmitRefusal{Fault: adminhttp.Fault{Code: "conflict", Message: result.Message}, Winner: &answer.Submission}
+		c.JSON(http.StatusConflict, refusal)
+		return
+	}
+	failProposal(c, err)
+}
+
+// failProposal answers an operator's call whose command was not accepted.
+func failProposal(c *gin.Context, err error) {
+	var notLeader *replica.NotLeaderError
+	var result *state.Result
+	switch {
+	case errors.As(err, &notLeader):
+		c.JSON(http.StatusMisdirectedRequest, adminhttp.Fault{Code: "not_leader", Message: err.Error(), Leader: notLeader.Admin})
+	case errors.As(err, &result) && result.Code == state.NotFound:
+		c.JSON(http.StatusNotFound, adminhttp.Fault{Code: string(result.Code), Message: result.Message})
+	case errors.As(err, &result):
+		c.JSON(http.StatusConflict, adminhttp.Fault{Code: string(result.Code), Message: result.Message})
+	default:
+		c.JSON(http.StatusServiceUnavailable, adminhttp.Fault{Code: "unknown_result", Message: err.Error()})
+	}
+}
+
+func (s *Server) getDocument(c *gin.Context) {
+	f := s.machine.Fleet()
+	if f.Version == 0 {
+		c.JSON(http.StatusNotFound, adminhttp.Fault{Code: "no_document", Message: "no document was accepted yet"})
+		return
+	}
+	c.Header(versionHeader, strconv.FormatUint(f.Version, 10))
+	c.Data(http.StatusOK, "application/json", f.Text)
+}
--- /dev/null
+++ b/internal/process/entry/server.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"arbutusward.example/arbutusward/internal/connection/announce"
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/connection/targetconn"
+	"arbutusward.example/arbutusward/internal/process/adminhttp"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/settings"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/request"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+const (
+	// headerTimeout bounds the arrival of a request's header.
+	headerTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 32 << 10
+	// expiryInterval is the time between looks for ended leases.
+	expiryInterval = 200 * time.Millisecond
+	// defaultDrain is the time between refusing readiness and closing the
+	// callers' port.
+	defaultDrain = 2 * time.Second
+)
+
+// Server is one entry process.
+type Server struct {
+	settings *settings.Entry
+	node     *link.Node
+	admin    *adminhttp.Server
+	recorder *timeline.Recorder
+	log      *slog.Logger
+
+	follower *Follower
+	targets  *announce.Table
+	handler  *request.Handler
+	callers  *http.Server
+	announce *http.Server
+	// dirty wakes the control goroutine to rebuild the table.
+	dirty  chan struct{}
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New wires an entry process; Start makes it serve.
+func New(s *settings.Entry, ring *keys.Ring, node *link.Node, admin *adminhttp.Server, recorder *timeline.Recorder, log *slog.Logger) *Server {
+	server := &Server{settings: s, node: node, admin: admin, recorder: recorder, log: log, dirty: make(chan struct{}, 1)}
+	self := view.Entry{ID: s.ID, Zone: s.Zone, Link: s.Link, Admin: s.Admin}
+	server.follower = NewFollower(self, node, s.Control, recorder, log, server.markDirty)
+	server.targets = announce.NewTable(recorder, server.markDirty)
+	server.handler = request.NewHandler(targetconn.NewClient(), recorder, log)
+	engine := gin.New()
+	engine.Use(gin.Recovery())
+	server.targets.Register(engine, ring)
+	server.callers = server.newHTTP(server.handler)
+	server.announce = server.newHTTP(engine)
+	return server
+}
+
+func (s *Server) newHTTP(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
+}
+
+// markDirty asks for a rebuild of the table; it never blocks.
+func (s *Server) markDirty() {
+	select {
+	case s.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Start serves callers, targets, processes and operators.
+func (s *Server) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.node.Serve()
+	s.run(func() { s.follower.Run(ctx) })
+	s.run(func() { s.control(ctx) })
+	if err := s.listen(s.callers, s.settings.Callers); err != nil {
+		return err
+	}
+	if err := s.listen(s.announce, s.settings.Announce); err != nil {
+		return err
+	}
+	s.recorder.Record(timeline.Event{Kind: timeline.ProcessStarted})
+	return s.admin.Start(s.settings.Admin)
+}
+
+func (s *Server) run(work func()) {
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		work()
+	}()
+}
+
+func (s *Server) listen(server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return logging.At(err, "listen", address)
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("port failed", "address", address, logging.Err(err))
+		}
+	}()
+	return nil
+}
+
+// control is the one goroutine that owns the entry's knowledge: it joins
+// view and targets into a table whenever one of them changed.
+func (s *Server) control(ctx context.Context) {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.targets.Expire(now)
+		case <-s.dirty:
+			s.rebuild()
+		}
+	}
+}
+
+func (s *Server) rebuild() {
+	current := s.follower.View()
+	s.handler.SetTable(request.NewTable(current, s.targets.Snapshot()))
+	s.admin.SetReady(current.Version > 0)
+}
+
+// Stop ends the process gracefully: readiness is refused first, so that
+// the balancer looks elsewhere, then the requests in flight end.
+func (s *Server) Stop(ctx context.Context) error {
+	s.recorder.Record(timeline.Event{Kind: timeline.ProcessStopping})
+	s.admin.SetReady(false)
+	drain := time.Duration(s.settings.DrainMS) * time.Millisecond
+	if drain == 0 {
+		drain = defaultDrain
+	}
+	pause(ctx, drain)
+	callersErr := s.callers.Shutdown(ctx)
+	announceErr := s.announce.Shutdown(ctx)
+	s.cancel()
+	s.done.Wait()
+	return errors.Join(callersErr, announceErr, s.admin.Stop(ctx), s.node.Close())
+}
--- /dev/null
+++ b/internal/process/lifecycle/lifecycle.go
@@ -0,0 +1,137 @@
+// Package lifecycle runs a program: settings, logger, keys and recorder are
+// provided to fx, the program starts, and SIGTERM or SIGINT stops it
+// gracefully.
+package lifecycle
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
+
+	"arbutusward.example/arbutusward/internal/jsonc"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/settings"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+)
+
+// Exit codes of all programs.
+const (
+	ExitDone         = 0
+	ExitFailed       = 1
+	ExitBadInput     = 2
+	ExitConflict     = 3
+	ExitNotReachable = 4
+	ExitRefused      = 5
+)
+
+// Times of a process.
+const (
+	startTimeout = 15 * time.Second
+	// stopTimeout is the longest graceful stop.
+	stopTimeout = 10 * time.Minute
+)
+
+// Identity is what a process is called and where it stands.
+type Identity struct {
+	Program, ID, Zone, KeysDir string
+}
+
+// Program describes one server program.
+type Program[S any] struct {
+	// Name is the name of the binary.
+	Name  string
+	Usage string
+	// Identity reads the identity from the settings.
+	Identity func(*S) Identity
+	// Options wires the program; *S, *keys.Ring, *timeline.Recorder and
+	// *slog.Logger are provided.
+	Options fx.Option
+}
+
+// Main runs the program with the process's arguments and exits.
+func Main[S any](p Program[S]) {
+	command := &cli.Command{
+		Name:  p.Name,
+		Usage: p.Usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "settings file, JSON with comments", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return run(ctx, p, c.String("settings"), c.Bool("check"))
+		},
+	}
+	err := command.Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var problems jsonc.Problems
+	if errors.As(err, &problems) {
+		os.Exit(ExitBadInput)
+	}
+	os.Exit(ExitFailed)
+}
+
+func run[S any](ctx context.Context, p Program[S], path string, checkOnly bool) error {
+	loaded, err := settings.Load[S](path)
+	if err != nil || checkOnly {
+		return err
+	}
+	identity := p.Identity(loaded)
+	log := logging.New(os.Stderr, identity.Program, identity.ID, identity.Zone)
+	// Libraries that use the standard logger, such as quic-go, end here too.
+	slog.SetDefault(log)
+	ring, err := keys.Load(identity.KeysDir)
+	if err != nil {
+		return logging.At(err, "load keys", identity.KeysDir)
+	}
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(loaded, ring, log, timeline.NewRecorder(identity.ID, identity.Zone)),
+		p.Options,
+	)
+	return runApp(ctx, app, log)
+}
+
+// runApp starts the app, waits for a signal and stops it.
+func runApp(ctx context.Context, app *fx.App, log *slog.Logger) error {
+	startCtx, cancelStart := context.WithTimeout(ctx, app.StartTimeout())
+	defer cancelStart()
+	if err := app.Start(startCtx); err != nil {
+		return err
+	}
+	log.Info("started")
+	signal := <-app.Wait()
+	log.Info("stopping", "signal", fmt.Sprint(signal.Signal))
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancelStop()
+	if err := app.Stop(stopCtx); err != nil {
+		return err
+	}
+	log.Info("stopped")
+	return nil
+}
+
+// Service is a part of a program that starts and stops with it.
+type Service interface {
+	Start() error
+	Stop(ctx context.Context) error
+}
+
+// Attach ties a service to the app's life.
+func Attach(lc fx.Lifecycle, service Service) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return service.Start() },
+		OnStop:  service.Stop,
+	})
+}
--- /dev/null
+++ b/internal/process/settings/types.go
@@ -0,0 +1,86 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+)
+
+// Entry is the settings file of arbutus-entry.
+type Entry struct {
+	// ID names the entry; it stays the same across restarts.
+	ID string `json:"id" validate:"required"`
+	// Zone is the availability zone of the entry VM.
+	Zone string `json:"zone" validate:"required"`
+	// KeysDir is the folder with ca.pem, node.pem and node.key.
+	KeysDir string `json:"keys_dir" validate:"required"`
+	// DataDir is the folder for files that outlive the process; "" on a
+	// VM without a disk.
+	DataDir string `json:"data_dir"`
+	// Callers is the address that serves callers over HTTP.
+	Callers string `json:"callers" validate:"required,hostname_port"`
+	// Announce is the address that takes target announcements over HTTP.
+	Announce string `json:"announce" validate:"required,hostname_port"`
+	// Link is the UDP address for other processes of the system.
+	Link string `json:"link" validate:"required,hostname_port"`
+	// Admin is the address of metrics, readiness and the time line (HTTPS).
+	Admin string `json:"admin" validate:"required,hostname_port"`
+	// Control lists the link addresses of the control processes.
+	Control []string `json:"control" validate:"required,min=1,dive,hostname_port"`
+	// DrainMS is the time for which readiness is refused before the
+	// callers' port closes at a planned stop, in ms; default 2000.
+	DrainMS int `json:"drain_ms" validate:"min=0,max=600000"`
+}
+
+// Control is the settings file of arbutus-control.
+type Control struct {
+	// ID names the control process and its disk; a replaced disk needs a new one.
+	ID string `json:"id" validate:"required"`
+	// Zone is the availability zone of the control VM.
+	Zone string `json:"zone" validate:"required"`
+	// KeysDir is the folder with ca.pem, node.pem and node.key.
+	KeysDir string `json:"keys_dir" validate:"required"`
+	// DataDir is the folder for the replicated log and snapshots.
+	DataDir string `json:"data_dir" validate:"required"`
+	// Link is the UDP address for other processes of the system.
+	Link string `json:"link" validate:"required,hostname_port"`
+	// Admin is the address for operators (HTTPS).
+	Admin string `json:"admin" validate:"required,hostname_port"`
+	// Members lists the first voters of a new deployment. It is read only
+	// while the data folder is empty; later members change through the log.
+	Members []Member `json:"members" validate:"dive"`
+	// Join says that an empty data folder joins as a learner, and waits to
+	// be added by an operator, in place of founding a deployment.
+	Join bool `json:"join"`
+	// Platform is the base URL of the platform's API, "" for none.
+	Platform string `json:"platform" validate:"omitempty,url"`
+}
+
+// Member is one control process as named in settings.
+type Member struct {
+	ID   string `json:"id" validate:"required"`
+	Link string `json:"link" validate:"required,hostname_port"`
+	// Admin is the member's operator address, told to operators that
+	// reach a follower.
+	Admin string `json:"admin" validate:"required,hostname_port"`
+}
+
+// Console is the settings file of arbutus-console.
+type Console struct {
+	// ID names the console process.
+	ID string `json:"id" validate:"required"`
+	// KeysDir is the folder with ca.pem, node.pem and node.key.
+	KeysDir string `json:"keys_dir" validate:"required"`
+	// Listen is the address of the console's pages (HTTPS).
+	Listen string `json:"listen" validate:"required,hostname_port"`
+	// Control lists the operator addresses of the control processes.
+	Control []string `json:"control" validate:"required,min=1,dive,hostname_port"`
+	// SessionMinutes is the time after which an idle session ends, in
+	// minutes; default 30.
+	SessionMinutes int `json:"session_minutes" validate:"min=0,max=1440"`
+}
+
+// jsonName names a field as the settings file does.
+func jsonName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return name
+}
--- /dev/null
+++ b/internal/process/state/entries.go
@@ -0,0 +1,41 @@
+package state
+
+import "arbutusward.example/arbutusward/internal/version/view"
+
+// EntryRemoval is the body of a RemoveEntry command.
+type EntryRemoval struct {
+	ID string `cbor:"1,keyasint"`
+	// Attestation is the operator's statement that the entry is powered off.
+	Attestation string `cbor:"2,keyasint"`
+}
+
+// applyRegisterEntry records an entry: from now on its silence blocks
+// moves and reboots in its zone.
+func applyRegisterEntry(m *Machine, c position, entry view.Entry) Result {
+	f := &m.data.Fleet
+	if known, ok := f.Entries[entry.ID]; ok {
+		if known.Entry == entry {
+			return okResult(entry)
+		}
+		if known.Zone != entry.Zone {
+			return refuse(Refused, "entry %q is registered in zone %s, not %s", entry.ID, known.Zone, entry.Zone)
+		}
+	}
+	f.Entries[entry.ID] = KnownEntry{Entry: entry, Changed: c.index}
+	f.Revision = c.index
+	return okResult(entry)
+}
+
+// applyRemoveEntry forgets an entry that is known to be powered off.
+func applyRemoveEntry(m *Machine, c position, removal EntryRemoval) Result {
+	f := &m.data.Fleet
+	if _, known := f.Entries[removal.ID]; !known {
+		return refuse(NotFound, "entry %q is not registered", removal.ID)
+	}
+	if removal.Attestation == "" {
+		return refuse(Refused, "removing an entry needs the statement that it is powered off")
+	}
+	delete(f.Entries, removal.ID)
+	f.bury(c.index, ItemEntry, removal.ID)
+	return okResult(removal)
+}
--- /dev/null
+++ b/internal/process/state/fleet.go
@@ -0,0 +1,187 @@
+package state
+
+import (
+	"fmt"
+
+	"arbutusward.example/arbutusward/internal/version/fleet"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+const (
+	// maxTombstones bounds the removals that deltas can name; an entry
+	// that is further behind gets a full delta.
+	maxTombstones = 4096
+	// maxSubmissions bounds the answered submissions that are remembered.
+	maxSubmissions = 1024
+)
+
+// Fleet is the published part of the state. A published value is immutable.
+type Fleet struct {
+	// Revision is the log index of the newest change of this value.
+	Revision uint64 `cbor:"1,keyasint"`
+	// Version numbers the accepted documents from 1.
+	Version uint64 `cbor:"2,keyasint"`
+	// VersionRevision is the log index at which Version was accepted.
+	VersionRevision uint64 `cbor:"3,keyasint"`
+	// Text is the accepted document as submitted; Document is its parsed form.
+	Text     []byte          `cbor:"4,keyasint"`
+	Document *fleet.Document `cbor:"-"`
+	Digest   string          `cbor:"5,keyasint"`
+	// Submissions remembers the newest accepted submissions, oldest first.
+	Submissions []Submission             `cbor:"6,keyasint"`
+	VMs         map[string]OwnedVM       `cbor:"7,keyasint"`
+	Services    map[string]PlacedService `cbor:"8,keyasint"`
+	Entries     map[string]KnownEntry    `cbor:"9,keyasint"`
+	Tombstones  []Tombstone              `cbor:"10,keyasint"`
+	// Horizon is the revision since which all removals are in Tombstones.
+	Horizon uint64 `cbor:"11,keyasint"`
+}
+
+// Submission is one accepted document.
+type Submission struct {
+	Version uint64 `cbor:"1,keyasint" json:"version"`
+	Base    uint64 `cbor:"2,keyasint" json:"base"`
+	Digest  string `cbor:"3,keyasint" json:"digest"`
+	By      string `cbor:"4,keyasint" json:"by"`
+	AtMS    int64  `cbor:"5,keyasint" json:"at_ms"`
+}
+
+// OwnedVM is the ownership of a VM with the revision of its last change.
+type OwnedVM struct {
+	view.VM
+	Changed uint64 `cbor:"20,keyasint" json:"changed"`
+	// SinceMS is when the VM came into its pool, in Unix milliseconds.
+	SinceMS int64 `cbor:"21,keyasint" json:"since_ms"`
+}
+
+// PlacedService is a service with the revision of its last change.
+type PlacedService struct {
+	Service fleet.Service `cbor:"1,keyasint"`
+	Changed uint64        `cbor:"2,keyasint"`
+}
+
+// KnownEntry is a registered entry with the revision of its last change.
+type KnownEntry struct {
+	view.Entry
+	Changed uint64 `cbor:"20,keyasint" json:"changed"`
+}
+
+// ItemKind is the type of a removed item.
+type ItemKind uint8
+
+// Types of removed items.
+const (
+	ItemVM ItemKind = iota + 1
+	ItemService
+	ItemEntry
+)
+
+// Tombstone records a removal for deltas.
+type Tombstone struct {
+	Revision uint64   `cbor:"1,keyasint"`
+	Item     ItemKind `cbor:"2,keyasint"`
+	Name     string   `cbor:"3,keyasint"`
+}
+
+func emptyFleet() Fleet {
+	return Fleet{VMs: map[string]OwnedVM{}, Services: map[string]PlacedService{}, Entries: map[string]KnownEntry{}}
+}
+
+// reparse restores the parsed document from its text.
+func (f *Fleet) reparse() error {
+	if f.Version == 0 {
+		return nil
+	}
+	document, err := parseAccepted(f.Text)
+	if err != nil {
+		return fmt.Errorf("parse document of version %d: %w", f.Version, err)
+	}
+	f.Document = document
+	return nil
+}
+
+// bury records a removal.
+func (f *Fleet) bury(revision uint64, item ItemKind, name string) {
+	f.Revision = revision
+	tombstones := append([]Tombstone{}, f.Tombstones...)
+	tombstones = append(tombstones, Tombstone{Revision: revision, Item: item, Name: name})
+	if surplus := len(tombstones) - maxTombstones; surplus > 0 {
+		f.Horizon = tombstones[surplus-1].Revision
+		tombstones = tombstones[surplus:]
+	}
+	f.Tombstones = tombstones
+}
+
+// setVM stores a VM under a new revision.
+func (f *Fleet) setVM(revision uint64, vm OwnedVM) {
+	vm.Changed = revision
+	f.VMs[vm.Name] = vm
+	f.Revision = revision
+}
+
+// DeltaFor returns what an entry of the zone needs to come from a revision
+// to this value, or nil if nothing changed.
+func (f *Fleet) DeltaFor(zone string, from uint64) *view.Delta {
+	if from >= f.Revision {
+		return nil
+	}
+	full := from == 0 || from < f.Horizon
+	if full {
+		from = 0
+	}
+	delta := &view.Delta{From: from, To: f.Revision, Full: full, Version: f.Version, SparePool: f.sparePool()}
+	for _, service := range f.Services {
+		if service.Changed > from {
+			delta.Services = append(delta.Services, service.Service)
+		}
+	}
+	for _, vm := range f.VMs {
+		if vm.Changed > from && vm.Zone == zone {
+			delta.VMs = append(delta.VMs, vm.VM)
+		}
+	}
+	for _, entry := range f.Entries {
+		if entry.Changed > from {
+			delta.Entries = append(delta.Entries, entry.Entry)
+		}
+	}
+	if !full {
+		f.addGone(delta)
+	}
+	return delta
+}
+
+// addGone adds the removals after the delta's start.
+func (f *Fleet) addGone(delta *view.Delta) {
+	for _, stone := range f.Tombstones {
+		if stone.Revision <= delta.From {
+			continue
+		}
+		switch stone.Item {
+		case ItemVM:
+			if _, again := f.VMs[stone.Name]; !again {
+				delta.GoneVMs = append(delta.GoneVMs, stone.Name)
+			}
+		case ItemService:
+			if _, again := f.Services[stone.Name]; !again {
+				delta.GoneServices = append(delta.GoneServices, stone.Name)
+			}
+		case ItemEntry:
+			if _, again := f.Entries[stone.Name]; !again {
+				delta.GoneEntries = append(delta.GoneEntries, stone.Name)
+			}
+		}
+	}
+}
+
+func (f *Fleet) sparePool() string {
+	if f.Document == nil {
+		return ""
+	}
+	for _, pool := range f.Document.Pools {
+		if pool.Spare {
+			return pool.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/process/state/machine.go
@@ -0,0 +1,116 @@
+package state
+
+import (
+	"fmt"
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"arbutusward.example/arbutusward/internal/version/fleet"
+)
+
+// Machine is the replicated state machine. Apply, Snapshot and Restore are
+// called by one goroutine; the other methods are safe for concurrent use.
+type Machine struct {
+	appliers map[Kind]applier
+
+	// data is owned by the applying goroutine; mu guards it only against
+	// readers of the parts that are not published.
+	mu   sync.RWMutex
+	data data
+
+	published atomic.Pointer[Fleet]
+	// changed is closed and replaced whenever a new Fleet is published.
+	changed atomic.Pointer[chan struct{}]
+}
+
+// data is the whole replicated state, as written to snapshots.
+type data struct {
+	Fleet Fleet `cbor:"1,keyasint"`
+}
+
+// NewMachine returns the state before the first command.
+func NewMachine() *Machine {
+	m := &Machine{appliers: appliers()}
+	m.data.Fleet = emptyFleet()
+	signal := make(chan struct{})
+	m.changed.Store(&signal)
+	m.publish()
+	return m
+}
+
+// Apply carries out a command; see replica.StateMachine.
+func (m *Machine) Apply(index uint64, entry []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	result := m.apply(index, entry)
+	if m.data.Fleet.Revision == index {
+		m.publish()
+	}
+	encoded, err := cbor.Marshal(result)
+	if err != nil {
+		panic(fmt.Sprintf("result does not marshal: %v", err))
+	}
+	return encoded
+}
+
+func (m *Machine) apply(index uint64, entry []byte) Result {
+	var command Command
+	if err := cbor.Unmarshal(entry, &command); err != nil {
+		return refuse(Malformed, "decode command: %v", err)
+	}
+	apply, known := m.appliers[command.Kind]
+	if !known {
+		return refuse(Malformed, "unknown command %q", command.Kind)
+	}
+	return apply(m, position{index: index, atMS: command.AtMS}, command.Body)
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return cbor.Marshal(m.data)
+}
+
+// Restore replaces the whole state.
+func (m *Machine) Restore(_ uint64, snapshot []byte) error {
+	restored := data{Fleet: emptyFleet()}
+	if err := cbor.Unmarshal(snapshot, &restored); err != nil {
+		return fmt.Errorf("decode state snapshot: %w", err)
+	}
+	if err := restored.Fleet.reparse(); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.data = restored
+	m.publish()
+	return nil
+}
+
+// Fleet returns the newest published state; it is immutable.
+func (m *Machine) Fleet() *Fleet { return m.published.Load() }
+
+// Changed returns a channel that is closed at the next publication. Take
+// it before Fleet, so that no change is missed.
+func (m *Machine) Changed() <-chan struct{} { return *m.changed.Load() }
+
+// publish makes the current fleet visible to readers.
+func (m *Machine) publish() {
+	copied := m.data.Fleet
+	copied.VMs = maps.Clone(copied.VMs)
+	copied.Entries = maps.Clone(copied.Entries)
+	copied.Services = maps.Clone(copied.Services)
+	m.published.Store(&copied)
+	signal := make(chan struct{})
+	previous := m.changed.Swap(&signal)
+	close(*previous)
+}
+
+// parseAccepted parses a document that was validated before it was accepted.
+func parseAccepted(text []byte) (*fleet.Document, error) {
+	return fleet.Parse("accepted document", text)
+}
