Contracts between the packages of the request plane

Cause: several people build them at once. Nothing was measured; make lint and the integration tests pass.

--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -60,7 +60,7 @@
 	self := view.Entry{ID: s.ID, Zone: s.Zone, Link: s.Link, Admin: s.Admin}
 	server.follower = NewFollower(self, node, s.Control, recorder, log, server.markDirty)
 	server.targets = announce.NewTable(recorder, server.markDirty)
-	server.handler = request.NewHandler(targetconn.NewClient(), recorder, log)
+	server.handler = request.NewHandler(targetconn.NewClient(), nil, recorder, log)
 	engine := gin.New()
 	engine.Use(gin.Recovery())
 	server.targets.Register(engine, ring)
@@ -139,7 +139,7 @@
 
 func (s *Server) rebuild() {
 	current := s.follower.View()
-	s.handler.SetTable(request.NewTable(current, s.targets.Snapshot()))
+	s.handler.SetTable(request.NewTable(current, s.targets.Snapshot(), 1))
 	s.admin.SetReady(current.Version > 0)
 }
 
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -15,19 +15,22 @@
 	"arbutusward.example/arbutusward/internal/connection/targetconn"
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/request/claim"
 )
 
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	table    atomic.Pointer[Table]
 	client   *targetconn.Client
+	claimer  claim.Claimer
 	recorder *timeline.Recorder
 	log      *slog.Logger
 }
 
 // NewHandler returns a handler that refuses everything until SetTable.
-func NewHandler(client *targetconn.Client, recorder *timeline.Recorder, log *slog.Logger) *Handler {
-	return &Handler{client: client, recorder: recorder, log: log}
+// Without a claimer, keyed non-idempotent requests are refused.
+func NewHandler(client *targetconn.Client, claimer claim.Claimer, recorder *timeline.Recorder, log *slog.Logger) *Handler {
+	return &Handler{client: client, claimer: claimer, recorder: recorder, log: log}
 }
 
 // SetTable replaces the knowledge for all requests that begin from now on.
@@ -67,6 +70,10 @@
 		h.refuse(w, id, service.Name, http.StatusRequestEntityTooLarge, NotRun, "the request body is too large or was cut")
 		return
 	}
+	if h.claimer == nil && r.Header.Get(claim.KeyHeader) != "" {
+		h.refuse(w, id, service.Name, http.StatusServiceUnavailable, NotRun, "no claims can be made")
+		return
+	}
 	if len(found.targets) == 0 {
 		h.refuse(w, id, service.Name, http.StatusServiceUnavailable, NotRun, "no target of the service is live")
 		return
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -23,8 +23,9 @@
 	targets []announce.Target
 }
 
-// NewTable joins the view with the announced targets.
-func NewTable(v *view.View, targets *announce.Snapshot) *Table {
+// NewTable joins the view with the announced targets. The slots of each VM
+// are shared by the number of live entries of the zone, at least 1.
+func NewTable(v *view.View, targets *announce.Snapshot, liveEntries int) *Table {
 	table := &Table{View: v}
 	for _, service := range v.Services {
 		table.routes = append(table.routes, route{service: service, targets: targetsOf(service, v, targets)})
