Integration harness: ports below the ephemeral range

Likeliest: a port chosen from the ephemeral range was taken by an outgoing connection before the program bound it. Change: ports come from 12000 to 32000 and are checked for TCP and UDP.

--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -179,7 +180,7 @@
 	d.t.Helper()
 	var members []settings.Member
 	for i := range zones {
-		members = append(members, settings.Member{ID: fmt.Sprintf("control-%d", i+1), Link: freeUDP(d.t), Admin: freeTCP(d.t)})
+		members = append(members, settings.Member{ID: fmt.Sprintf("control-%d", i+1), Link: freePort(d.t), Admin: freePort(d.t)})
 	}
 	for i, zone := range zones {
 		d.startControl(settings.Control{ID: members[i].ID, Zone: zone, Link: members[i].Link, Admin: members[i].Admin, Members: members})
@@ -209,8 +210,8 @@
 			control = append(control, c.settings.Link)
 		}
 	}
-	s := settings.Entry{ID: id, Zone: zone, KeysDir: filepath.Join(d.dir, id), Callers: freeTCP(d.t), Announce: freeTCP(d.t),
-		Link: freeUDP(d.t), Admin: freeTCP(d.t), Control: control, DrainMS: 300}
+	s := settings.Entry{ID: id, Zone: zone, KeysDir: filepath.Join(d.dir, id), Callers: freePort(d.t), Announce: freePort(d.t),
+		Link: freePort(d.t), Admin: freePort(d.t), Control: control, DrainMS: 300}
 	must(d.t, keys.Issue(d.dir+"/ca", s.KeysDir, id))
 	e := &entryProcess{process: d.newProcess("arbutus-entry", id, s), settings: s}
 	d.entries[id] = e
@@ -344,22 +345,37 @@
 	}
 }
 
-// freeTCP returns a loopback address whose port was free a moment ago.
-func freeTCP(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
+// Ports for the programs lie below the system's ephemeral ports, so that no
+// outgoing connection takes one between its choice and its use.
+const (
+	lowestPort  = 12000
+	highestPort = 32000
+)
 
-// freeUDP returns a loopback address whose port was free a moment ago.
-func freeUDP(t *testing.T) string {
+// nextPort counts the ports handed out; runs at once start at other places.
+var nextPort atomic.Int64
+
+// freePort returns a loopback address that is free for TCP and UDP.
+func freePort(t *testing.T) string {
 	t.Helper()
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	must(t, err)
-	defer socket.Close()
-	return socket.LocalAddr().String()
+	start := int64(os.Getpid()) * 137
+	for range highestPort - lowestPort {
+		port := lowestPort + (start+nextPort.Add(1))%(highestPort-lowestPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		socket, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err != nil {
+			continue
+		}
+		_ = socket.Close()
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // smallFleet is a document of two zones with two pools and two services.
