Planners for waves, moves and the reserve; executor on the leader

Cause: the thin path had neither maintenance waves nor moves; ownership could change by a bare command that checked no budget. The commands change-phase and commit-move are replaced by step-move and step-wave, which leave no way around the checks. A VM that is declared again gets an epoch above all of its earlier ones. Ruled out: marking unplanned losses in the log, since a zone that is cut off could then not take its own VMs back into service.

--- /dev/null
+++ b/internal/process/control/drain.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"maps"
+	"sort"
+
+	"arbutusward.example/arbutusward/internal/connection/message"
+	"arbutusward.example/arbutusward/internal/process/state"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+// all returns the last observation of each entry.
+func (o *observers) all() map[string]observation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.entries)
+}
+
+// unconfirmed returns the registered entries of a VM's zone that have not
+// confirmed its drain. A confirmation holds if it stands in the newest
+// report of the entry's present run, names the VM's epoch, and the entry
+// works by the revision that made the VM drain or a later one. A silent
+// entry has not confirmed.
+func unconfirmed(f *state.Fleet, vm state.OwnedVM, reports map[string]message.Report) []string {
+	if vm.Phase != view.Draining {
+		return []string{"none asked: the VM is " + string(vm.Phase)}
+	}
+	var missing []string
+	for id, entry := range f.Entries {
+		if entry.Zone != vm.Zone {
+			continue
+		}
+		report, heard := reports[id]
+		if !heard || report.Revision < vm.Changed || !confirms(report, vm) {
+			missing = append(missing, id)
+		}
+	}
+	sort.Strings(missing)
+	return missing
+}
+
+func confirms(report message.Report, vm state.OwnedVM) bool {
+	for _, drained := range report.Drained {
+		if drained.VM == vm.Name && drained.Epoch == vm.Epoch {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/process/control/executor_input.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/message"
+	"arbutusward.example/arbutusward/internal/process/state"
+	"arbutusward.example/arbutusward/internal/version/plan"
+)
+
+const (
+	// reportLife is the time for which a report speaks for its entry.
+	reportLife = 3 * time.Second
+	// lossConfirm is the time after which a target that is not live counts
+	// as lost.
+	lossConfirm = 10 * time.Second
+)
+
+// sights keeps since when each VM has been live, or not. It belongs to one
+// goroutine.
+type sights struct {
+	live    map[string]time.Time
+	missing map[string]time.Time
+}
+
+func newSights() *sights {
+	return &sights{live: map[string]time.Time{}, missing: map[string]time.Time{}}
+}
+
+// note stores whether a VM is live now and returns since when.
+func (s *sights) note(vm string, live bool, now time.Time) (liveSince, missingSince time.Time) {
+	if live {
+		delete(s.missing, vm)
+		if s.live[vm].IsZero() {
+			s.live[vm] = now
+		}
+	} else {
+		delete(s.live, vm)
+		if s.missing[vm].IsZero() {
+			s.missing[vm] = now
+		}
+	}
+	return s.live[vm], s.missing[vm]
+}
+
+// planInput builds the planners' snapshot.
+func (s *Server) planInput(f *state.Fleet, seen *sights, calls *platformCalls, now time.Time) plan.Input {
+	reports := freshReports(s.observers.all(), f, now)
+	in := plan.Input{NowMS: now.UnixMilli(), Document: f.Document, Zones: zoneSights(f, reports), Moves: f.Moves, BusySlots: busySlots(reports)}
+	desired := map[string]string{}
+	for _, vm := range f.Document.VMs {
+		desired[vm.Name] = vm.Pool
+	}
+	live := liveTargets(reports)
+	for _, owned := range f.VMs {
+		vm := plan.VM{VM: owned.VM, Desired: desired[owned.Name], SinceMS: owned.SinceMS}
+		liveSince, missingSince := seen.note(vm.Name, live[vm.Name], now)
+		vm.Health = health(live[vm.Name], in.Zones[vm.Zone], missingSince, now)
+		if !liveSince.IsZero() {
+			vm.LiveSinceMS = liveSince.UnixMilli()
+		}
+		vm.Unconfirmed = unconfirmed(f, owned, reports)
+		vm.Drained = len(vm.Unconfirmed) == 0
+		if calls != nil {
+			vm.Platform = calls.sight(vm.Name)
+		}
+		in.VMs = append(in.VMs, vm)
+	}
+	sort.Slice(in.VMs, func(i, j int) bool { return in.VMs[i].Name < in.VMs[j].Name })
+	for _, run := range f.Runs {
+		in.Runs = append(in.Runs, run)
+	}
+	sort.Slice(in.Runs, func(i, j int) bool { return in.Runs[i].ID < in.Runs[j].ID })
+	return in
+}
+
+// freshReports returns the newest report of each registered entry that is
+// not silent.
+func freshReports(seen map[string]observation, f *state.Fleet, now time.Time) map[string]message.Report {
+	fresh := map[string]message.Report{}
+	for id := range f.Entries {
+		last := seen[id]
+		if last.report.Incarnation != "" && now.Sub(last.reportedAt) <= reportLife {
+			fresh[id] = last.report
+		}
+	}
+	return fresh
+}
+
+func zoneSights(f *state.Fleet, reports map[string]message.Report) map[string]plan.ZoneSight {
+	zones := map[string]plan.ZoneSight{}
+	for id, entry := range f.Entries {
+		zone := zones[entry.Zone]
+		zone.Entries++
+		if _, heard := reports[id]; !heard {
+			zone.Silent = append(zone.Silent, id)
+		}
+		zones[entry.Zone] = zone
+	}
+	for _, zone := range zones {
+		sort.Strings(zone.Silent)
+	}
+	return zones
+}
+
+// liveTargets returns the VMs that an entry holds for live and none suspects.
+func liveTargets(reports map[string]message.Report) map[string]bool {
+	live := map[string]bool{}
+	doubted := map[string]bool{}
+	for _, report := range reports {
+		for _, target := range report.Targets {
+			live[target.VM] = live[target.VM] || target.Live
+			doubted[target.VM] = doubted[target.VM] || target.Suspected || target.Leaving
+		}
+	}
+	for vm := range doubted {
+		if doubted[vm] {
+			delete(live, vm)
+		}
+	}
+	return live
+}
+
+func health(live bool, zone plan.ZoneSight, missingSince, now time.Time) plan.Health {
+	switch {
+	case live && zone.Visible():
+		return plan.Up
+	case !live && zone.Visible() && now.Sub(missingSince) >= lossConfirm:
+		return plan.Down
+	}
+	return plan.Unsure
+}
+
+// busySlots sums the use of each service over all entries.
+func busySlots(reports map[string]message.Report) map[string]float64 {
+	busy := map[string]float64{}
+	for _, report := range reports {
+		for _, usage := range report.Usage {
+			busy[usage.Service] += usage.BusySlots
+		}
+	}
+	return busy
+}
--- a/internal/process/control/observers.go
+++ b/internal/process/control/observers.go
@@ -17,6 +17,8 @@
 type observation struct {
 	report  message.Report
 	heardAt time.Time
+	// reportedAt is when the last report came; Drained holds for it alone.
+	reportedAt time.Time
 }
 
 func newObservers() *observers { return &observers{entries: map[string]observation{}} }
@@ -31,7 +33,8 @@
 func (o *observers) note(report message.Report) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.entries[report.EntryID] = observation{report: report, heardAt: time.Now()}
+	now := time.Now()
+	o.entries[report.EntryID] = observation{report: report, heardAt: now, reportedAt: now}
 }
 
 // noteRevision stores the revision that a watch acknowledged.
--- /dev/null
+++ b/internal/process/control/plan.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gin-gonic/gin"
+
+	"arbutusward.example/arbutusward/internal/jsonc"
+	"arbutusward.example/arbutusward/internal/process/adminhttp"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/version/fleet"
+	"arbutusward.example/arbutusward/internal/version/plan"
+	"arbutusward.example/arbutusward/internal/version/plan/capacity"
+	"arbutusward.example/arbutusward/internal/version/plan/cost"
+)
+
+func (s *Server) registerPlan() {
+	engine := s.admin.Engine
+	engine.POST("/v1/plan", s.admin.Require(keys.Viewer), s.postPlan)
+	engine.GET("/v1/capacity", s.admin.Require(keys.Viewer), s.getCapacity)
+}
+
+// postPlan says what a document would change, and what that costs.
+func (s *Server) postPlan(c *gin.Context) {
+	text, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, jsonc.MaxBytes))
+	if err != nil {
+		c.JSON(http.StatusRequestEntityTooLarge, SubmitRefusal{Fault: adminhttp.Fault{Code: "too_large", Message: err.Error()}})
+		return
+	}
+	document, err := fleet.Parse(c.DefaultQuery("file", "document"), text)
+	if err != nil {
+		s.refuseDocument(c, err)
+		return
+	}
+	in, ok := s.confirmedSnapshot(c)
+	if ok {
+		c.JSON(http.StatusOK, cost.Compare(in, document))
+	}
+}
+
+// getCapacity reports margins, the reserve and why each VM is kept.
+func (s *Server) getCapacity(c *gin.Context) {
+	in, ok := s.confirmedSnapshot(c)
+	if ok {
+		c.JSON(http.StatusOK, capacity.Plan(in))
+	}
+}
+
+// confirmedSnapshot returns the newest snapshot if this process leads, and
+// answers the call otherwise.
+func (s *Server) confirmedSnapshot(c *gin.Context) (*plan.Input, bool) {
+	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
+		failProposal(c, err)
+		return nil, false
+	}
+	in := s.snapshot.Load()
+	if in == nil {
+		in = &plan.Input{}
+	}
+	return in, true
+}
+
+// noteMetrics sets the gauges of budgets and waves.
+func noteMetrics(in *plan.Input, gate *plan.Gate) {
+	for _, service := range in.Document.Services {
+		setGauge(fmt.Sprintf(`arbutus_budget_margin_slots{service=%q}`, service.Name), gate.Margin(service.Pool))
+	}
+	count := map[plan.StepState]int{}
+	for i := range in.Runs {
+		for state, vms := range in.Runs[i].Count() {
+			if in.Runs[i].Open() {
+				count[state] += vms
+			}
+		}
+	}
+	states := []plan.StepState{plan.Pending, plan.Draining, plan.Rebooting, plan.Settling, plan.Done, plan.Lost, plan.Skipped}
+	for _, state := range states {
+		setGauge(fmt.Sprintf(`arbutus_wave_vms{state=%q}`, state), count[state])
+	}
+}
+
+// noteReserve sets the gauges of the reserve.
+func noteReserve(result capacity.Result) {
+	for _, pool := range result.Pools {
+		setGauge(fmt.Sprintf(`arbutus_reserve_vms{pool=%q}`, pool.Pool), pool.ReserveVMs)
+	}
+}
+
+func setGauge(name string, value int) {
+	metrics.GetOrCreateGauge(name, nil).Set(float64(value))
+}
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
@@ -13,6 +14,7 @@
 	"arbutusward.example/arbutusward/internal/process/settings"
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/version/plan"
 )
 
 // Server is one control process.
@@ -26,12 +28,18 @@
 	log       *slog.Logger
 	observers *observers
 	stop      chan struct{}
+
+	// outlook and snapshot are the executor's last plan and what it saw.
+	outlook  atomic.Pointer[outlook]
+	snapshot atomic.Pointer[plan.Input]
+	// followed is closed once leadership is no longer followed.
+	followed chan struct{}
 }
 
 // New wires a control process; Start makes it serve.
 func New(s *settings.Control, r replica.Replica, m *state.Machine, n *link.Node, a *adminhttp.Server, rec *timeline.Recorder, log *slog.Logger) *Server {
 	return &Server{settings: s, replica: r, machine: m, node: n, admin: a, recorder: rec, log: log,
-		observers: newObservers(), stop: make(chan struct{})}
+		observers: newObservers(), stop: make(chan struct{}), followed: make(chan struct{})}
 }
 
 // Start serves entries and operators.
@@ -39,6 +47,9 @@
 	s.registerLink()
 	s.registerDocuments()
 	s.registerStatus()
+	s.registerWaves()
+	s.registerMoves()
+	s.registerPlan()
 	s.node.Serve()
 	go s.followLeadership()
 	if err := s.admin.Start(s.settings.Admin); err != nil {
@@ -54,16 +65,26 @@
 	s.recorder.Record(timeline.Event{Kind: timeline.ProcessStopping})
 	s.admin.SetReady(false)
 	close(s.stop)
+	<-s.followed
 	return errors.Join(s.admin.Stop(ctx), s.replica.Stop(), s.node.Close())
 }
 
-// followLeadership notes when this process begins and ends to lead.
+// followLeadership notes when this process begins and ends to lead, and
+// runs the executor in between.
 func (s *Server) followLeadership() {
+	defer close(s.followed)
+	var running *executor
 	for {
 		select {
 		case leads := <-s.replica.LeaderChanges():
+			running.stop()
+			running = nil
 			s.noteLeadership(leads)
+			if leads {
+				running = s.startExecutor()
+			}
 		case <-s.stop:
+			running.stop()
 			return
 		}
 	}
@@ -75,6 +96,8 @@
 		kind = timeline.LeaderElected
 	}
 	s.observers.clear()
+	s.outlook.Store(nil)
+	s.snapshot.Store(nil)
 	s.recorder.Record(timeline.Event{Kind: kind})
 	s.log.Info(string(kind), "term", s.replica.Status().Term)
 }
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -89,6 +89,7 @@
 	s.node.Serve()
 	s.run(func() { s.follower.Run(ctx) })
 	s.run(func() { s.control(ctx) })
+	s.run(func() { s.reportLoop(ctx) })
 	if err := s.listen(s.callers, s.settings.Callers); err != nil {
 		return err
 	}
--- a/internal/process/state/command.go
+++ b/internal/process/state/command.go
@@ -14,8 +14,12 @@
 	SubmitDocument Kind = "submit-document"
 	RegisterEntry  Kind = "register-entry"
 	RemoveEntry    Kind = "remove-entry"
-	ChangePhase    Kind = "change-phase"
-	CommitMove     Kind = "commit-move"
+	StepMove       Kind = "step-move"
+	StartWave      Kind = "start-wave"
+	ControlWave    Kind = "control-wave"
+	StepWave       Kind = "step-wave"
+	NoteLosses     Kind = "note-losses"
+	EndWave        Kind = "end-wave"
 )
 
 // applier carries out one kind of command.
@@ -27,8 +31,12 @@
 		SubmitDocument: typed(applySubmit),
 		RegisterEntry:  typed(applyRegisterEntry),
 		RemoveEntry:    typed(applyRemoveEntry),
-		ChangePhase:    typed(applyChangePhase),
-		CommitMove:     typed(applyCommitMove),
+		StepMove:       typed(applyStepMove),
+		StartWave:      typed(applyStartWave),
+		ControlWave:    typed(applyControlWave),
+		StepWave:       typed(applyStepWave),
+		NoteLosses:     typed(applyNoteLosses),
+		EndWave:        typed(applyEndWave),
 	}
 }
 
--- a/internal/process/state/document.go
+++ b/internal/process/state/document.go
@@ -111,7 +111,8 @@
 	for _, vm := range f.Document.VMs {
 		owned, known := f.VMs[vm.Name]
 		if !known {
-			owned = OwnedVM{VM: view.VM{Name: vm.Name, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, Epoch: 1, Phase: view.Serving}, SinceMS: c.atMS}
+			// No earlier VM of the name can have had an epoch above the index.
+			owned = OwnedVM{VM: view.VM{Name: vm.Name, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, Epoch: c.index, Phase: view.Serving}, SinceMS: c.atMS}
 		}
 		if known && owned.Slots == vm.Slots && owned.Connections == vm.Connections {
 			continue
--- a/internal/process/state/fleet.go
+++ b/internal/process/state/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"arbutusward.example/arbutusward/internal/version/fleet"
+	"arbutusward.example/arbutusward/internal/version/plan"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
@@ -35,6 +36,9 @@
 	Tombstones  []Tombstone              `cbor:"10,keyasint"`
 	// Horizon is the revision since which all removals are in Tombstones.
 	Horizon uint64 `cbor:"11,keyasint"`
+	// Runs holds the wave runs by ID, Moves the moves under way by VM.
+	Runs  map[string]plan.WaveRun `cbor:"12,keyasint"`
+	Moves map[string]plan.Move    `cbor:"13,keyasint"`
 }
 
 // Submission is one accepted document.
@@ -84,7 +88,8 @@
 }
 
 func emptyFleet() Fleet {
-	return Fleet{VMs: map[string]OwnedVM{}, Services: map[string]PlacedService{}, Entries: map[string]KnownEntry{}}
+	return Fleet{VMs: map[string]OwnedVM{}, Services: map[string]PlacedService{}, Entries: map[string]KnownEntry{},
+		Runs: map[string]plan.WaveRun{}, Moves: map[string]plan.Move{}}
 }
 
 // reparse restores the parsed document from its text.
--- a/internal/process/state/machine.go
+++ b/internal/process/state/machine.go
@@ -104,6 +104,8 @@
 	copied.VMs = maps.Clone(copied.VMs)
 	copied.Entries = maps.Clone(copied.Entries)
 	copied.Services = maps.Clone(copied.Services)
+	copied.Runs = maps.Clone(copied.Runs)
+	copied.Moves = maps.Clone(copied.Moves)
 	m.published.Store(&copied)
 	signal := make(chan struct{})
 	previous := m.changed.Swap(&signal)
--- /dev/null
+++ b/internal/process/state/moves.go
@@ -0,0 +1,96 @@
+package state
+
+import (
+	"arbutusward.example/arbutusward/internal/version/plan"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+// applyStepMove carries out one step of a VM's move. The proposer of a
+// commit vouches that every entry of the VM's zone has confirmed the drain
+// under the epoch.
+func applyStepMove(m *Machine, c position, step plan.MoveStep) Result {
+	f := &m.data.Fleet
+	vm, result, ok := f.vmAt(step.VM, step.Epoch)
+	if !ok {
+		return result
+	}
+	if step.Kind == plan.StartMove {
+		return f.startMove(c, vm, step)
+	}
+	move, moving := f.Moves[step.VM]
+	if !moving || move.Epoch != vm.Epoch || vm.Phase != view.Draining {
+		return refuse(Conflict, "VM %q is %s at epoch %d and not on its way", vm.Name, vm.Phase, vm.Epoch)
+	}
+	switch step.Kind {
+	case plan.CommitMove:
+		return f.commitMove(c, vm, move, step)
+	case plan.CancelMove:
+		return f.endMove(c, vm, vm.Pool, vm.SinceMS)
+	case plan.RetireVM:
+		return f.retire(c, vm, move)
+	}
+	return refuse(Malformed, "unknown step %q of a move", step.Kind)
+}
+
+// startMove marks a VM as draining for its move.
+func (f *Fleet) startMove(c position, vm OwnedVM, step plan.MoveStep) Result {
+	if step.Pool == vm.Pool {
+		return refuse(Refused, "VM %q is in pool %s already", vm.Name, vm.Pool)
+	}
+	if f.desiredPool(vm.Name) != step.Pool {
+		return refuse(Refused, "the document names pool %q for VM %q, not %q", f.desiredPool(vm.Name), vm.Name, step.Pool)
+	}
+	if refusal, refused := f.checkLeave(vm); refused {
+		return refusal
+	}
+	vm.Phase = view.Draining
+	vm.Epoch++
+	f.setVM(c.index, vm)
+	f.Moves[vm.Name] = plan.Move{VM: vm.Name, From: vm.Pool, To: step.Pool, Epoch: vm.Epoch, Cause: step.Cause, AtMS: c.atMS}
+	return okResult(vm.VM)
+}
+
+// desiredPool returns the pool that the document names for a VM.
+func (f *Fleet) desiredPool(name string) string {
+	if f.Document == nil {
+		return ""
+	}
+	for i := range f.Document.VMs {
+		if f.Document.VMs[i].Name == name {
+			return f.Document.VMs[i].Pool
+		}
+	}
+	return ""
+}
+
+// commitMove gives a drained VM to its new pool.
+func (f *Fleet) commitMove(c position, vm OwnedVM, move plan.Move, step plan.MoveStep) Result {
+	if move.To != step.Pool || !f.hasPool(move.To) {
+		return refuse(Conflict, "VM %q is on its way to pool %q, not %q", vm.Name, move.To, step.Pool)
+	}
+	return f.endMove(c, vm, move.To, c.atMS)
+}
+
+// endMove lets a VM serve a pool under a new epoch.
+func (f *Fleet) endMove(c position, vm OwnedVM, pool string, sinceMS int64) Result {
+	delete(f.Moves, vm.Name)
+	vm.Pool = pool
+	vm.SinceMS = sinceMS
+	vm.Phase = view.Serving
+	vm.Epoch++
+	f.setVM(c.index, vm)
+	return okResult(vm.VM)
+}
+
+// retire removes a drained VM that the document no longer names.
+func (f *Fleet) retire(c position, vm OwnedVM, move plan.Move) Result {
+	if move.To != "" || f.desiredPool(vm.Name) != "" {
+		return refuse(Conflict, "VM %q is still declared", vm.Name)
+	}
+	delete(f.Moves, vm.Name)
+	delete(f.VMs, vm.Name)
+	f.bury(c.index, ItemVM, vm.Name)
+	vm.Phase = view.Retired
+	vm.Epoch++
+	return okResult(vm.VM)
+}
--- /dev/null
+++ b/internal/process/state/waves.go
@@ -0,0 +1,301 @@
+package state
+
+import (
+	"fmt"
+	"maps"
+
+	"arbutusward.example/arbutusward/internal/version/plan"
+	"arbutusward.example/arbutusward/internal/version/plan/wave"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+// maxClosedRuns bounds the closed wave runs that are remembered.
+const maxClosedRuns = 16
+
+// WaveStart is the body of a StartWave command.
+type WaveStart struct {
+	Wave string `cbor:"1,keyasint"`
+	By   string `cbor:"2,keyasint"`
+}
+
+// WaveControl is the body of a ControlWave command.
+type WaveControl struct {
+	Wave   string         `cbor:"1,keyasint"`
+	Status plan.RunStatus `cbor:"2,keyasint"`
+	By     string         `cbor:"3,keyasint"`
+}
+
+// WaveEnd is the body of an EndWave command.
+type WaveEnd struct {
+	Run string `cbor:"1,keyasint"`
+}
+
+// applyStartWave opens a run of a declared wave. A run that is open already
+// is the answer again.
+func applyStartWave(m *Machine, c position, start WaveStart) Result {
+	f := &m.data.Fleet
+	if run, open := f.openRun(start.Wave); open {
+		return okResult(run)
+	}
+	vms, declared := f.waveVMs(start.Wave)
+	if !declared {
+		return refuse(NotFound, "wave %q is not declared", start.Wave)
+	}
+	run := plan.WaveRun{ID: fmt.Sprintf("%s-%d", start.Wave, c.index), Wave: start.Wave, Status: plan.Running,
+		By: start.By, StartedMS: c.atMS, Width: wave.FirstWidth, VMs: map[string]plan.Progress{}}
+	for _, name := range vms {
+		run.VMs[name] = plan.Progress{State: plan.Pending, SinceMS: c.atMS}
+	}
+	f.setRun(c.index, run)
+	f.forgetRuns()
+	return okResult(run)
+}
+
+// openRun returns the run of a wave that is running or paused.
+func (f *Fleet) openRun(name string) (plan.WaveRun, bool) {
+	for _, run := range f.Runs {
+		if run.Wave == name && (run.Status == plan.Running || run.Status == plan.Paused) {
+			return run, true
+		}
+	}
+	return plan.WaveRun{}, false
+}
+
+// waveVMs returns the VMs that are in the pools of a declared wave.
+func (f *Fleet) waveVMs(name string) ([]string, bool) {
+	if f.Document == nil {
+		return nil, false
+	}
+	for _, declared := range f.Document.Waves {
+		if declared.Name != name {
+			continue
+		}
+		pools := map[string]bool{}
+		for _, pool := range declared.Pools {
+			pools[pool] = true
+		}
+		var vms []string
+		for _, vm := range f.VMs {
+			if pools[vm.Pool] {
+				vms = append(vms, vm.Name)
+			}
+		}
+		return vms, true
+	}
+	return nil, false
+}
+
+// setRun stores a run under a new revision.
+func (f *Fleet) setRun(revision uint64, run plan.WaveRun) {
+	f.Runs[run.ID] = run
+	f.Revision = revision
+}
+
+// forgetRuns drops the oldest closed runs above the limit.
+func (f *Fleet) forgetRuns() {
+	for len(f.Runs) > maxClosedRuns {
+		oldest := ""
+		for id, run := range f.Runs {
+			if !run.Open() && (oldest == "" || run.StartedMS < f.Runs[oldest].StartedMS || run.StartedMS == f.Runs[oldest].StartedMS && id < oldest) {
+				oldest = id
+			}
+		}
+		if oldest == "" {
+			return
+		}
+		delete(f.Runs, oldest)
+	}
+}
+
+// applyControlWave pauses, resumes or aborts the open run of a wave.
+func applyControlWave(m *Machine, c position, control WaveControl) Result {
+	f := &m.data.Fleet
+	run, open := f.openRun(control.Wave)
+	if !open {
+		return refuse(NotFound, "wave %q has no open run", control.Wave)
+	}
+	switch control.Status {
+	case plan.Running, plan.Paused:
+		run.Status = control.Status
+	case plan.Aborted:
+		run.Status = control.Status
+		run.EndedMS = c.atMS
+	default:
+		return refuse(Malformed, "a run can't be set to %q", control.Status)
+	}
+	f.setRun(c.index, run)
+	return okResult(run)
+}
+
+// applyEndWave closes a run of which every VM is done.
+func applyEndWave(m *Machine, c position, end WaveEnd) Result {
+	f := &m.data.Fleet
+	run, known := f.Runs[end.Run]
+	if !known || run.Status != plan.Running {
+		return refuse(Conflict, "run %q is not running", end.Run)
+	}
+	for name, progress := range run.VMs {
+		if progress.State != plan.Done && progress.State != plan.Skipped {
+			return refuse(Conflict, "VM %q of run %q is %s", name, end.Run, progress.State)
+		}
+	}
+	run.Status = plan.Ended
+	run.EndedMS = c.atMS
+	f.setRun(c.index, run)
+	return okResult(run)
+}
+
+// applyNoteLosses tells a run of unplanned losses. More losses than before
+// narrow the run and hold it for a while.
+func applyNoteLosses(m *Machine, c position, losses wave.Losses) Result {
+	f := &m.data.Fleet
+	run, known := f.Runs[losses.Run]
+	if !known {
+		return refuse(NotFound, "run %q is not known", losses.Run)
+	}
+	if losses.Count > run.Losses {
+		narrow(&run, c)
+	}
+	run.Losses = losses.Count
+	f.setRun(c.index, run)
+	return okResult(run)
+}
+
+func narrow(run *plan.WaveRun, c position) {
+	run.Width = wave.WidthAfterLoss
+	run.Streak = 0
+	run.HoldUntilMS = c.atMS + wave.LossHold.Milliseconds()
+}
+
+// stepRules lists the states that a VM may go to from each state.
+var stepRules = map[plan.StepState][]plan.StepState{
+	plan.Pending:   {plan.Draining, plan.Skipped},
+	plan.Draining:  {plan.Rebooting, plan.Pending, plan.Skipped},
+	plan.Rebooting: {plan.Settling, plan.Lost, plan.Skipped},
+	plan.Settling:  {plan.Done, plan.Lost, plan.Skipped},
+	plan.Lost:      {plan.Settling, plan.Skipped},
+}
+
+// phases maps the progress of a VM in a run to its phase.
+var phases = map[plan.StepState]view.Phase{
+	plan.Pending:   view.Serving,
+	plan.Draining:  view.Draining,
+	plan.Rebooting: view.Rebooting,
+	plan.Settling:  view.Settling,
+	plan.Lost:      view.Lost,
+	plan.Done:      view.Serving,
+}
+
+// applyStepWave takes a VM of a run to its next state under a new epoch.
+func applyStepWave(m *Machine, c position, step plan.WaveStep) Result {
+	f := &m.data.Fleet
+	run, known := f.Runs[step.Run]
+	if !known {
+		return refuse(NotFound, "run %q is not known", step.Run)
+	}
+	progress, listed := run.VMs[step.VM]
+	if !listed || !allowed(progress.State, step.To) {
+		return refuse(Conflict, "VM %q is %q in run %s and can't become %s", step.VM, progress.State, run.ID, step.To)
+	}
+	if step.To == plan.Skipped {
+		return f.skipVM(c, run, step)
+	}
+	vm, result, ok := f.vmAt(step.VM, step.Epoch)
+	if !ok {
+		return result
+	}
+	if refusal, refused := f.checkWaveStep(&run, progress, vm, step.To); refused {
+		return refusal
+	}
+	vm.Phase = phases[step.To]
+	vm.Epoch++
+	f.setVM(c.index, vm)
+	next := plan.Progress{State: step.To, Epoch: vm.Epoch, Order: progress.Order, SinceMS: c.atMS}
+	if step.To == plan.Rebooting {
+		next.Order = fmt.Sprintf("%s/%s/%d", run.ID, vm.Name, vm.Epoch)
+	}
+	f.recordProgress(c, run, step, next)
+	return okResult(next)
+}
+
+func allowed(from, to plan.StepState) bool {
+	for _, state := range stepRules[from] {
+		if state == to {
+			return true
+		}
+	}
+	return false
+}
+
+// skipVM leaves out a VM that is no longer in the fleet.
+func (f *Fleet) skipVM(c position, run plan.WaveRun, step plan.WaveStep) Result {
+	if _, known := f.VMs[step.VM]; known {
+		return refuse(Conflict, "VM %q is still in the fleet", step.VM)
+	}
+	next := plan.Progress{State: plan.Skipped, SinceMS: c.atMS}
+	f.recordProgress(c, run, step, next)
+	return okResult(next)
+}
+
+// checkWaveStep refuses a step that newer state no longer allows.
+func (f *Fleet) checkWaveStep(run *plan.WaveRun, progress plan.Progress, vm OwnedVM, to plan.StepState) (Result, bool) {
+	if to == plan.Draining {
+		if run.Status != plan.Running {
+			return refuse(Refused, "run %s is %s", run.ID, run.Status), true
+		}
+		return f.checkLeave(vm)
+	}
+	if progress.Epoch != vm.Epoch || phases[progress.State] != vm.Phase {
+		return refuse(Conflict, "VM %q was taken over: %s at epoch %d", vm.Name, vm.Phase, vm.Epoch), true
+	}
+	return Result{}, false
+}
+
+// checkLeave refuses to take a VM out of service if the VMs that stay would
+// not carry their pool's promise by plan alone. The planner has looked at
+// failures besides; this is the part that the state can vouch for.
+func (f *Fleet) checkLeave(vm OwnedVM) (Result, bool) {
+	if vm.Phase != view.Serving {
+		return refuse(Refused, "VM %q is %s, it has to serve to be drained", vm.Name, vm.Phase), true
+	}
+	promised := plan.Promised(f.Document)[vm.Pool]
+	left := f.servingSlots(vm.Pool) - vm.Slots
+	if promised > 0 && left < promised {
+		return refuse(Refused, "pool %s promises %d slots and would keep %d", vm.Pool, promised, left), true
+	}
+	return Result{}, false
+}
+
+// servingSlots returns the slots of a pool's serving VMs.
+func (f *Fleet) servingSlots(pool string) int {
+	slots := 0
+	for _, vm := range f.VMs {
+		if vm.Pool == pool && vm.Phase == view.Serving {
+			slots += vm.Slots
+		}
+	}
+	return slots
+}
+
+// recordProgress stores a VM's progress and paces the run by it.
+func (f *Fleet) recordProgress(c position, run plan.WaveRun, step plan.WaveStep, next plan.Progress) {
+	run.VMs = maps.Clone(run.VMs)
+	run.VMs[step.VM] = next
+	switch step.To {
+	case plan.Done:
+		widen(&run)
+	case plan.Lost:
+		run.Losses++
+		narrow(&run, c)
+	}
+	f.setRun(c.index, run)
+}
+
+// widen doubles the width once as many VMs have come back.
+func widen(run *plan.WaveRun) {
+	run.Streak++
+	if run.Streak >= run.Width {
+		run.Width *= 2
+		run.Streak = 0
+	}
+}
--- /dev/null
+++ b/internal/version/plan/moves/plan.go
@@ -0,0 +1,124 @@
+package moves
+
+import (
+	"fmt"
+	"sort"
+
+	"arbutusward.example/arbutusward/internal/version/plan"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+// Result is what the planner proposes.
+type Result struct {
+	Steps []plan.MoveStep
+	// Blocked says why VMs that should move do not.
+	Blocked []plan.Blocked
+}
+
+// planner plans the moves of one snapshot.
+type planner struct {
+	in     *plan.Input
+	gate   *plan.Gate
+	dwellS map[string]int
+	result Result
+}
+
+// Plan proposes the next steps of all moves. The gate is shared with other
+// planners and notes what is taken out.
+func Plan(in *plan.Input, gate *plan.Gate) Result {
+	p := &planner{in: in, gate: gate, dwellS: map[string]int{}}
+	if in.Document == nil {
+		return p.result
+	}
+	for _, pool := range in.Document.Pools {
+		p.dwellS[pool.Name] = pool.MinDwellS
+	}
+	for i := range in.VMs {
+		vm := &in.VMs[i]
+		if move, moving := in.Moves[vm.Name]; moving {
+			p.advance(vm, move)
+		}
+	}
+	for _, vm := range p.candidates() {
+		p.start(vm)
+	}
+	return p.result
+}
+
+func (p *planner) step(kind plan.MoveKind, vm *plan.VM, pool, cause string) {
+	step := plan.MoveStep{Kind: kind, VM: vm.Name, Epoch: vm.Epoch, Pool: pool, Cause: cause}
+	p.result.Steps = append(p.result.Steps, step)
+}
+
+func (p *planner) blocked(vm *plan.VM, format string, args ...any) {
+	p.result.Blocked = append(p.result.Blocked, plan.Blocked{VM: vm.Name, Reason: fmt.Sprintf(format, args...)})
+}
+
+// advance commits or cancels a move under way.
+func (p *planner) advance(vm *plan.VM, move plan.Move) {
+	switch {
+	case vm.Desired != move.To:
+		p.cancel(vm, "the document now names pool "+quoted(vm.Desired))
+	case p.gate.Margin(vm.Pool) < 0 && vm.Health == plan.Up:
+		p.cancel(vm, "an unplanned loss needs the VM's slots")
+	case !vm.Drained:
+		p.blocked(vm, "draining, not confirmed by %v", vm.Unconfirmed)
+	case move.To == "":
+		p.step(plan.RetireVM, vm, "", "drained")
+	default:
+		p.step(plan.CommitMove, vm, move.To, "every entry of the zone has confirmed the drain")
+	}
+}
+
+func (p *planner) cancel(vm *plan.VM, cause string) {
+	p.gate.GiveBack(vm)
+	p.step(plan.CancelMove, vm, vm.Pool, cause)
+}
+
+func quoted(pool string) string {
+	if pool == "" {
+		return "none"
+	}
+	return pool
+}
+
+// candidates returns the serving VMs that are not in their desired pool:
+// first those that go to the pool with the smallest margin.
+func (p *planner) candidates() []*plan.VM {
+	var found []*plan.VM
+	for i := range p.in.VMs {
+		vm := &p.in.VMs[i]
+		_, moving := p.in.Moves[vm.Name]
+		if vm.Phase == view.Serving && vm.Desired != vm.Pool && !moving {
+			found = append(found, vm)
+		}
+	}
+	need := func(vm *plan.VM) int {
+		if vm.Desired == "" {
+			return 1 << 30
+		}
+		return p.gate.Margin(vm.Desired)
+	}
+	sort.SliceStable(found, func(i, j int) bool { return need(found[i]) < need(found[j]) })
+	return found
+}
+
+// start marks a VM as leaving if its old pool keeps its budgets without it.
+func (p *planner) start(vm *plan.VM) {
+	zone := p.in.Zones[vm.Zone]
+	dwellMS := int64(p.dwellS[vm.Pool]) * 1000
+	if left := vm.SinceMS + dwellMS - p.in.NowMS; left > 0 && vm.Desired != "" {
+		p.blocked(vm, "came into pool %s less than its minimal dwell ago, %d s are left", vm.Pool, (left+999)/1000)
+		return
+	}
+	if !zone.Visible() {
+		p.blocked(vm, "zone %s is not seen by %d entries, silent: %v", vm.Zone, zone.Entries, zone.Silent)
+		return
+	}
+	if reason, ok := p.gate.MayLeave(vm); !ok {
+		p.blocked(vm, "%s", reason)
+		return
+	}
+	p.gate.TakeOut(vm)
+	p.step(plan.StartMove, vm, vm.Desired, "the document names pool "+quoted(vm.Desired))
+}
--- /dev/null
+++ b/internal/version/plan/types.go
@@ -0,0 +1,137 @@
+package plan
+
+// Move is a VM on its way to another pool. It is part of the replicated state.
+type Move struct {
+	VM   string `cbor:"1,keyasint" json:"vm"`
+	From string `cbor:"2,keyasint" json:"from"`
+	// To is the new pool, "" for a VM that leaves the fleet.
+	To string `cbor:"3,keyasint" json:"to"`
+	// Epoch is the VM's epoch while it drains for this move.
+	Epoch uint64 `cbor:"4,keyasint" json:"epoch"`
+	Cause string `cbor:"5,keyasint" json:"cause"`
+	AtMS  int64  `cbor:"6,keyasint" json:"at_ms"`
+}
+
+// RunStatus is the state of a wave run.
+type RunStatus string
+
+// States of a wave run.
+const (
+	Running RunStatus = "running"
+	Paused  RunStatus = "paused"
+	Aborted RunStatus = "aborted"
+	Ended   RunStatus = "ended"
+)
+
+// StepState is the progress of one VM in a wave run.
+type StepState string
+
+// Progress of a VM. A VM that is Done or Skipped is never taken again.
+const (
+	Pending   StepState = "pending"
+	Draining  StepState = "draining"
+	Rebooting StepState = "rebooting"
+	Settling  StepState = "settling"
+	Done      StepState = "done"
+	// Lost is a VM that did not come back from its reboot.
+	Lost StepState = "lost"
+	// Skipped is a VM that left the fleet during the run.
+	Skipped StepState = "skipped"
+)
+
+// Out says whether the VM is taken out by the wave.
+func (s StepState) Out() bool { return s == Draining || s == Rebooting || s == Settling }
+
+// Progress is what a wave run has done with one VM.
+type Progress struct {
+	State StepState `cbor:"1,keyasint" json:"state"`
+	// Epoch is the VM's epoch in this state.
+	Epoch uint64 `cbor:"2,keyasint" json:"epoch"`
+	// Order is the idempotency key of the reboot.
+	Order string `cbor:"3,keyasint,omitempty" json:"order,omitempty"`
+	// SinceMS is when the VM came into this state, in Unix milliseconds.
+	SinceMS int64 `cbor:"4,keyasint" json:"since_ms"`
+}
+
+// WaveRun is one run of a declared wave. It is part of the replicated
+// state; a value is never changed after publication.
+type WaveRun struct {
+	ID        string    `cbor:"1,keyasint" json:"id"`
+	Wave      string    `cbor:"2,keyasint" json:"wave"`
+	Status    RunStatus `cbor:"3,keyasint" json:"status"`
+	By        string    `cbor:"4,keyasint" json:"by"`
+	StartedMS int64     `cbor:"5,keyasint" json:"started_ms"`
+	EndedMS   int64     `cbor:"6,keyasint" json:"ended_ms,omitempty"`
+	// Width bounds the VMs out at once; it doubles after as many VMs came back.
+	Width int `cbor:"7,keyasint" json:"width"`
+	// Streak counts the VMs that came back since the width changed.
+	Streak int `cbor:"8,keyasint" json:"streak"`
+	// Losses is the number of unplanned losses in the run's pools that the
+	// run has reacted to.
+	Losses int `cbor:"9,keyasint" json:"losses"`
+	// HoldUntilMS is when the run may take further VMs after a loss.
+	HoldUntilMS int64               `cbor:"10,keyasint" json:"hold_until_ms,omitempty"`
+	VMs         map[string]Progress `cbor:"11,keyasint" json:"vms"`
+}
+
+// Open says whether the run still has something to do.
+func (r *WaveRun) Open() bool {
+	if r.Status == Running || r.Status == Paused {
+		return true
+	}
+	for _, progress := range r.VMs {
+		if progress.State.Out() || progress.State == Lost {
+			return true
+		}
+	}
+	return false
+}
+
+// Count returns the number of VMs in each state.
+func (r *WaveRun) Count() map[StepState]int {
+	count := map[StepState]int{}
+	for _, progress := range r.VMs {
+		count[progress.State]++
+	}
+	return count
+}
+
+// WaveStep takes one VM of a run from its state to another.
+type WaveStep struct {
+	Run string `cbor:"1,keyasint"`
+	VM  string `cbor:"2,keyasint"`
+	// Epoch is the VM's epoch that the planner saw.
+	Epoch uint64    `cbor:"3,keyasint"`
+	To    StepState `cbor:"4,keyasint"`
+	// Cause says why, for the time line.
+	Cause string `cbor:"5,keyasint"`
+}
+
+// MoveKind is the type of a move's step.
+type MoveKind string
+
+// Steps of a move.
+const (
+	StartMove  MoveKind = "start"
+	CommitMove MoveKind = "commit"
+	CancelMove MoveKind = "cancel"
+	// RetireVM removes a drained VM from the fleet.
+	RetireVM MoveKind = "retire"
+)
+
+// MoveStep is one step of the move of a VM.
+type MoveStep struct {
+	Kind MoveKind `cbor:"1,keyasint"`
+	VM   string   `cbor:"2,keyasint"`
+	// Epoch is the VM's epoch that the planner saw.
+	Epoch uint64 `cbor:"3,keyasint"`
+	// Pool is the new pool, "" if the VM leaves the fleet.
+	Pool  string `cbor:"4,keyasint"`
+	Cause string `cbor:"5,keyasint"`
+}
+
+// Blocked says why a VM cannot be taken at this moment.
+type Blocked struct {
+	VM     string `json:"vm"`
+	Reason string `json:"reason"`
+}
