--- a/cmd/arbutusctl/main.go
+++ b/cmd/arbutusctl/main.go
@@ -28,7 +28,8 @@
 		},
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
-			validateCommand(), applyCommand(), statusCommand(), timelineCommand(), keysCommand(),
+			validateCommand(), planCommand(), applyCommand(), statusCommand(), capacityCommand(),
+			waveCommand(), moveCommand(), entryCommand(), timelineCommand(), keysCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/internal/process/control/executor.go
+++ b/internal/process/control/executor.go
@@ -32,8 +32,10 @@
 	platform *platformCalls
 	// reserveAt is when the reserve was last planned.
 	reserveAt time.Time
-	cancel    context.CancelFunc
-	done      chan struct{}
+	// load is the smoothed use of the pools.
+	load   moves.Load
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 // startExecutor begins to plan.
@@ -82,7 +84,8 @@
 	gate := plan.NewGate(&in)
 	moved := moves.Plan(&in, gate)
 	waved := wave.Plan(&in, gate)
-	e.server.outlook.Store(&outlook{moves: moved.Blocked, waves: waved.Blocked})
+	e.load = e.load.Observe(&in)
+	e.server.outlook.Store(&outlook{moves: moved.Blocked, waves: waved.Blocked, proposals: moves.Propose(&in, e.load)})
 	noteMetrics(&in, plan.NewGate(&in))
 	if now.Sub(e.reserveAt) >= reserveInterval {
 		e.reserveAt = now
--- a/internal/process/control/moves.go
+++ b/internal/process/control/moves.go
@@ -13,6 +13,7 @@
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/version/plan"
+	"arbutusward.example/arbutusward/internal/version/plan/moves"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
@@ -27,6 +28,9 @@
 type MoveReport struct {
 	Moves   []plan.Move    `json:"moves"`
 	Blocked []plan.Blocked `json:"blocked"`
+	// Proposals are changes of the document that lasting shifts of load
+	// call for; nothing moves by them alone.
+	Proposals []moves.Proposal `json:"proposals"`
 }
 
 // EntryRemovalOrder takes a dead entry out. Either Attestation states that
@@ -49,13 +53,14 @@
 		failProposal(c, err)
 		return
 	}
-	report := MoveReport{Moves: []plan.Move{}, Blocked: []plan.Blocked{}}
+	report := MoveReport{Moves: []plan.Move{}, Blocked: []plan.Blocked{}, Proposals: []moves.Proposal{}}
 	for _, move := range s.machine.Fleet().Moves {
 		report.Moves = append(report.Moves, move)
 	}
 	sort.Slice(report.Moves, func(i, j int) bool { return report.Moves[i].VM < report.Moves[j].VM })
 	if seen := s.outlook.Load(); seen != nil {
 		report.Blocked = append(report.Blocked, seen.moves...)
+		report.Proposals = append(report.Proposals, seen.proposals...)
 	}
 	c.JSON(http.StatusOK, report)
 }
--- a/internal/process/control/waves.go
+++ b/internal/process/control/waves.go
@@ -11,12 +11,14 @@
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/version/plan"
+	"arbutusward.example/arbutusward/internal/version/plan/moves"
 )
 
 // outlook is what the last plan could not do, and why. It is immutable.
 type outlook struct {
-	moves []plan.Blocked
-	waves map[string][]plan.Blocked
+	moves     []plan.Blocked
+	waves     map[string][]plan.Blocked
+	proposals []moves.Proposal
 }
 
 // WaveReport is an operator's view of the runs of a wave.
--- a/internal/version/plan/capacity/reserve.go
+++ b/internal/version/plan/capacity/reserve.go
@@ -89,8 +89,9 @@
 	shares    bool
 	members   []*member
 	kept      int
-	// byRack holds the kept slots of each rack.
-	byRack map[string]int
+	// byRack holds the kept slots of each rack, rackTotal those of all pools.
+	byRack    map[string]int
+	rackTotal map[string]int
 	// largest is the size of the pool's largest VM.
 	largest int
 }
@@ -125,8 +126,9 @@
 		return p
 	}
 	promised := plan.Promised(in.Document)
+	total := map[string]int{}
 	for _, declared := range in.Document.Pools {
-		pool := &poolState{name: declared.Name, need: promised[declared.Name], tolerance: declared.Tolerate, byRack: map[string]int{}}
+		pool := &poolState{name: declared.Name, need: promised[declared.Name], tolerance: declared.Tolerate, byRack: map[string]int{}, rackTotal: total}
 		p.pools[pool.name] = pool
 		p.order = append(p.order, pool)
 		if declared.Spare {
@@ -193,29 +195,38 @@
 	one.role, one.reason = role, reason
 	s.kept += one.vm.Slots
 	s.byRack[one.vm.Rack] += one.vm.Slots
+	s.rackTotal[one.vm.Rack] += one.vm.Slots
 }
 
 func (s *poolState) release(one *member) {
 	one.role, one.reason = Surplus, ""
 	s.kept -= one.vm.Slots
 	s.byRack[one.vm.Rack] -= one.vm.Slots
+	s.rackTotal[one.vm.Rack] -= one.vm.Slots
 }
 
 // free returns the pool's best VM that is not kept: one in the rack with
-// the fewest kept slots.
+// the fewest kept slots of the pool, and then of all pools.
 func (s *poolState) free() *member {
 	var best *member
 	for _, one := range s.members {
 		if one.role != Surplus {
 			continue
 		}
-		if best == nil || s.byRack[one.vm.Rack] < s.byRack[best.vm.Rack] {
+		if best == nil || s.emptier(one.vm.Rack, best.vm.Rack) {
 			best = one
 		}
 	}
 	return best
 }
 
+func (s *poolState) emptier(a, b string) bool {
+	if s.byRack[a] != s.byRack[b] {
+		return s.byRack[a] < s.byRack[b]
+	}
+	return s.rackTotal[a] < s.rackTotal[b]
+}
+
 // chooseNeeded keeps VMs for the promise and the use, spread over racks.
 func (p *planner) chooseNeeded(pool *poolState) {
 	for pool.kept < pool.need {
--- a/internal/version/plan/capacity/result.go
+++ b/internal/version/plan/capacity/result.go
@@ -55,43 +55,27 @@
 	return found
 }
 
-// lowerBound returns the VMs that any reserve needs: the largest loss of one
-// rack with needed VMs spread as evenly as the pools' racks allow, and the
-// further VMs, in VMs of the largest size.
+// lowerBound returns the reserve in VMs that no plan can do with less: even
+// if every pool could lend to every other and the kept VMs were spread
+// evenly, the tolerated racks would take their share of them, and the
+// further VMs theirs.
 func (p *planner) lowerBound() int {
-	largest := 0
-	further := 0
+	need, largest, further, racks := 0, 0, 0, math.MaxInt
 	for _, pool := range p.order {
+		need += pool.need
 		largest = max(largest, pool.largest)
-		further = max(further, pool.tolerance.VMs*pool.smallest())
-	}
-	if largest == 0 {
-		return 0
-	}
-	worst := 0
-	for _, rack := range p.racks {
-		slots := 0
-		for _, pool := range p.rackPools[rack] {
-			slots += pool.unavoidable(rack)
+		if pool.need > 0 {
+			further = max(further, pool.tolerance.VMs*pool.smallest())
+			racks = min(racks, pool.tolerance.Racks)
 		}
-		worst = max(worst, slots)
 	}
-	return int(math.Ceil(float64(worst+further) / float64(largest)))
-}
-
-// unavoidable returns the needed slots that must stand in a rack because
-// the pool's other racks can't hold them all.
-func (s *poolState) unavoidable(rack string) int {
-	if s.tolerance.Racks == 0 {
+	if largest == 0 || need == 0 {
 		return 0
 	}
-	elsewhere := 0
-	for _, one := range s.members {
-		if one.role != Absent && one.vm.Rack != rack {
-			elsewhere += one.vm.Slots
-		}
-	}
-	return max(0, s.need-elsewhere)
+	racks = min(racks, len(p.racks)-1)
+	left := float64(len(p.racks)-racks) / float64(len(p.racks))
+	kept := float64(need+further) / left
+	return int(math.Ceil((kept - float64(need)) / float64(largest)))
 }
 
 func (s *poolState) smallest() int {
