Control-level tests of drains, moves and waves with played entries

Cause: the confirmation of drains was not covered by a test. Change: a control process in the test talks over real links to entries that the test plays and to the stand-in platform, which now remembers all orders and can fail and repair a VM. A VM that is given back while it is not live is no capacity for the gate. Seen to fail: without the epoch in a confirmation, with silence taken for a confirmation, without the comparison of the desired pool, and with a new key for each platform call.

--- /dev/null
+++ b/internal/process/control/executor_test.go
@@ -0,0 +1,303 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/connection/message"
+	"arbutusward.example/arbutusward/internal/process/adminhttp"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/settings"
+	"arbutusward.example/arbutusward/internal/process/state"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/standin"
+	"arbutusward.example/arbutusward/internal/version/plan"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+// executorDocument is one zone with two pools of four VMs; the pool of VM
+// b-4 is filled in.
+const executorDocument = `{
+  "schema": 1, "deployment": "executor",
+  "zones": [{"name": "za", "racks": ["r1", "r2"]}],
+  "pools": [{"name": "a", "tolerate": {}, "min_dwell_s": 1}, {"name": "b", "tolerate": {}, "min_dwell_s": 1}],
+  "vms": [
+    {"name": "a", "count": 4, "pool": "a", "zone": "za", "rack": "r1", "cpu_cores": 1, "memory_gib": 1},
+    {"name": "b", "count": 3, "pool": "b", "zone": "za", "rack": "r2", "cpu_cores": 1, "memory_gib": 1},
+    {"name": "b-4", "pool": %q, "zone": "za", "rack": "r2", "cpu_cores": 1, "memory_gib": 1}
+  ],
+  "services": [
+    {"name": "a", "pool": "a", "path_prefix": "/a/", "class": "interactive", "deadline_ms": 100, "budget": {"promised_slots": 16}},
+    {"name": "b", "pool": "b", "path_prefix": "/b/", "class": "interactive", "deadline_ms": 100, "budget": {"promised_slots": 16}}
+  ],
+  "waves": [{"name": "w", "pools": ["a"], "settle_s": 1}],
+  "weights": {"buffer": 1, "rollout": 1, "moves": 1}
+}`
+
+// leading is a replica of one process whose leadership the test changes.
+type leading struct {
+	*replica.Solo
+	changes chan bool
+}
+
+// LeaderChanges delivers what the test decides.
+func (l *leading) LeaderChanges() <-chan bool { return l.changes }
+
+// bench is a control process with entries that are played by the test.
+type bench struct {
+	t        *testing.T
+	dir      string
+	server   *Server
+	replica  *leading
+	platform *standin.Platform
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, dir: t.TempDir(), platform: standin.NewPlatform(200 * time.Millisecond)}
+	b.must(keys.Init(b.dir + "/ca"))
+	platformServer := httptest.NewServer(b.platform.Handler())
+	t.Cleanup(platformServer.Close)
+	node, ring, recorder := b.node("control-1")
+	s := &settings.Control{ID: "control-1", Zone: "za", Link: node.Address(), Admin: "127.0.0.1:0", Platform: platformServer.URL}
+	machine := state.NewMachine()
+	log := slog.New(slog.DiscardHandler)
+	solo := replica.NewSolo(replica.Member{ID: s.ID, Link: s.Link, Admin: s.Admin}, machine)
+	b.replica = &leading{Solo: solo, changes: make(chan bool, 1)}
+	b.replica.changes <- true
+	b.server = New(s, b.replica, machine, node, adminhttp.New(ring, recorder, log), recorder, log)
+	b.must(b.server.Start())
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := b.server.Stop(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	b.apply("b")
+	return b
+}
+
+func (b *bench) must(err error) {
+	b.t.Helper()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// node makes keys and a link for a process.
+func (b *bench) node(id string) (*link.Node, *keys.Ring, *timeline.Recorder) {
+	b.t.Helper()
+	folder := filepath.Join(b.dir, id)
+	b.must(keys.Issue(b.dir+"/ca", folder, id))
+	ring, err := keys.Load(folder)
+	b.must(err)
+	recorder := timeline.NewRecorder(id, "za")
+	node, err := link.Listen("127.0.0.1:0", ring, recorder, slog.New(slog.DiscardHandler))
+	b.must(err)
+	return node, ring, recorder
+}
+
+// apply submits the document with b-4 in a pool.
+func (b *bench) apply(pool string) {
+	b.t.Helper()
+	submit := state.Submit{Base: b.server.machine.Fleet().Version, Text: fmt.Appendf(nil, executorDocument, pool)}
+	_, err := propose[state.SubmitAnswer](context.Background(), b.server, state.SubmitDocument, submit)
+	b.must(err)
+}
+
+func (b *bench) startWave() {
+	b.t.Helper()
+	_, err := propose[plan.WaveRun](context.Background(), b.server, state.StartWave, state.WaveStart{Wave: "w"})
+	b.must(err)
+}
+
+func (b *bench) vm(name string) state.OwnedVM { return b.server.machine.Fleet().VMs[name] }
+
+// playedEntry reports over a link as an entry would.
+type playedEntry struct {
+	b    *bench
+	node *link.Node
+	self view.Entry
+	mu   sync.Mutex
+	// confirm is the epoch that is confirmed for a draining VM.
+	confirm func(vm state.OwnedVM) (epoch uint64, ok bool)
+	silent  bool
+	// dead lists VMs whose targets the entry does not hold for live.
+	dead map[string]bool
+}
+
+func (b *bench) entry(id string) *playedEntry {
+	b.t.Helper()
+	node, _, _ := b.node(id)
+	e := &playedEntry{b: b, node: node, self: view.Entry{ID: id, Zone: "za", Link: node.Address()}, dead: map[string]bool{}, confirm: confirmAll}
+	ctx, cancel := context.WithCancel(context.Background())
+	_, err := link.Call[message.Watch, message.WatchAnswer](ctx, node, b.server.node.Address(), message.WatchKind, message.Watch{Entry: e.self})
+	b.must(err)
+	var done sync.WaitGroup
+	done.Go(func() { e.run(ctx) })
+	b.t.Cleanup(func() {
+		cancel()
+		done.Wait()
+		_ = node.Close()
+	})
+	return e
+}
+
+func confirmAll(vm state.OwnedVM) (uint64, bool) { return vm.Epoch, true }
+
+func confirmNothing(state.OwnedVM) (uint64, bool) { return 0, false }
+
+func (e *playedEntry) set(change func(*playedEntry)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e)
+}
+
+func (e *playedEntry) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if report, ok := e.report(); ok {
+			// A failed report is silence, which the tests ask for too.
+			_, _ = link.Call[message.Report, message.ReportAnswer](ctx, e.node, e.b.server.node.Address(), message.ReportKind, report)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (e *playedEntry) report() (message.Report, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := e.b.server.machine.Fleet()
+	report := message.Report{EntryID: e.self.ID, Zone: "za", Incarnation: "run-1", Revision: f.Revision, Version: f.Version}
+	for _, vm := range f.VMs {
+		report.Targets = append(report.Targets, message.TargetHealth{VM: vm.Name, Live: !e.dead[vm.Name]})
+		if epoch, ok := e.confirm(vm); ok && vm.Phase == view.Draining {
+			report.Drained = append(report.Drained, message.DrainedVM{VM: vm.Name, Epoch: epoch})
+		}
+	}
+	return report, !e.silent
+}
+
+func (b *bench) eventually(limit time.Duration, what string, check func() bool) {
+	b.t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	b.t.Fatalf("not within %s: %s; outlook %+v", limit, what, b.server.outlook.Load())
+}
+
+// holds checks that something stays true.
+func (b *bench) holds(during time.Duration, what string, check func() bool) {
+	b.t.Helper()
+	for deadline := time.Now().Add(during); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if !check() {
+			b.t.Fatalf("%s does not hold", what)
+		}
+	}
+}
+
+// TestMoveNeedsEveryEntrysConfirmationUnderItsEpoch has one entry confirm
+// nothing, then an older epoch, then fall silent. It fails if unconfirmed
+// leaves out one of these looks.
+func TestMoveNeedsEveryEntrysConfirmationUnderItsEpoch(t *testing.T) {
+	b := newBench(t)
+	b.entry("entry-1")
+	second := b.entry("entry-2")
+	second.set(func(e *playedEntry) { e.confirm = confirmNothing })
+	b.apply("a")
+	draining := func() bool { return b.vm("b-4").Phase == view.Draining && b.vm("b-4").Pool == "b" }
+	b.eventually(5*time.Second, "b-4 drains", draining)
+	b.holds(time.Second, "draining without a confirmation", draining)
+	second.set(func(e *playedEntry) {
+		e.confirm = func(vm state.OwnedVM) (uint64, bool) { return vm.Epoch - 1, true }
+	})
+	b.holds(time.Second, "draining on the confirmation of an older epoch", draining)
+	second.set(func(e *playedEntry) { e.silent = true })
+	b.holds(reportLife+time.Second, "draining while an entry is silent", draining)
+	second.set(func(e *playedEntry) { e.silent, e.confirm = false, confirmAll })
+	b.eventually(5*time.Second, "b-4 serves pool a", func() bool {
+		return b.vm("b-4").Phase == view.Serving && b.vm("b-4").Pool == "a"
+	})
+}
+
+// TestDocumentChangedBackCancelsTheMove fails without the comparison of the
+// desired pool in moves.Plan.
+func TestDocumentChangedBackCancelsTheMove(t *testing.T) {
+	b := newBench(t)
+	b.entry("entry-1").set(func(e *playedEntry) { e.confirm = confirmNothing })
+	b.apply("a")
+	b.eventually(5*time.Second, "b-4 drains", func() bool { return b.vm("b-4").Phase == view.Draining })
+	epoch := b.vm("b-4").Epoch
+	b.apply("b")
+	b.eventually(5*time.Second, "b-4 serves pool b again", func() bool {
+		vm := b.vm("b-4")
+		return vm.Phase == view.Serving && vm.Pool == "b" && vm.Epoch > epoch
+	})
+}
+
+// TestSilentEntryBlocksUntilAnOperatorRemovesIt fails if silence counts as
+// a confirmation, or if a removal does not end the wait.
+func TestSilentEntryBlocksUntilAnOperatorRemovesIt(t *testing.T) {
+	b := newBench(t)
+	b.entry("entry-1")
+	second := b.entry("entry-2")
+	second.set(func(e *playedEntry) { e.confirm = confirmNothing })
+	b.apply("a")
+	b.eventually(5*time.Second, "b-4 drains", func() bool { return b.vm("b-4").Phase == view.Draining })
+	second.set(func(e *playedEntry) { e.silent = true })
+	b.holds(reportLife+time.Second, "draining", func() bool { return b.vm("b-4").Phase == view.Draining })
+	removal := state.EntryRemoval{ID: "entry-2", Attestation: "the VM was taken out of its rack"}
+	_, err := propose[state.EntryRemoval](context.Background(), b.server, state.RemoveEntry, removal)
+	b.must(err)
+	b.eventually(5*time.Second, "b-4 serves pool a", func() bool { return b.vm("b-4").Pool == "a" })
+}
+
+// TestNewLeaderEndsAWaveWithoutASecondReboot takes the lead away and gives
+// it back while VMs reboot, so that orders are repeated. It fails if the key
+// of an order changes from call to call.
+func TestNewLeaderEndsAWaveWithoutASecondReboot(t *testing.T) {
+	b := newBench(t)
+	b.entry("entry-1")
+	for i := 1; i <= 4; i++ {
+		target, err := b.platform.Add(standin.TargetConfig{VM: fmt.Sprintf("a-%d", i)})
+		b.must(err)
+		t.Cleanup(target.Kill)
+	}
+	b.startWave()
+	stop := func() bool {
+		for _, run := range b.server.machine.Fleet().Runs {
+			return run.Count()[plan.Rebooting] > 0
+		}
+		return false
+	}
+	b.eventually(5*time.Second, "a VM reboots", stop)
+	for range 3 {
+		b.replica.changes <- false
+		b.replica.changes <- true
+		time.Sleep(planInterval + 100*time.Millisecond)
+	}
+	b.eventually(40*time.Second, "the run has ended", func() bool {
+		for _, run := range b.server.machine.Fleet().Runs {
+			return run.Status == plan.Ended
+		}
+		return false
+	})
+	for i := 1; i <= 4; i++ {
+		if boots := b.platform.Info(fmt.Sprintf("a-%d", i)).Boots; boots != 2 {
+			t.Errorf("a-%d has booted %d times, expected its first start and one reboot", i, boots)
+		}
+	}
+}
--- a/internal/process/state/trace_test.go
+++ b/internal/process/state/trace_test.go
@@ -49,8 +49,8 @@
 	breaches, beyond int
 	// unsafe counts seconds in which the worst tolerated loss, had it come
 	// then, would have broken a budget. It is counted while nothing has failed.
-	unsafe int
-	reboots          map[string]int
+	unsafe  int
+	reboots map[string]int
 }
 
 func newTrace(t *testing.T, file string, seed uint64) *trace {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -33,6 +33,8 @@
 	config TargetConfig
 	target *Target
 	info   VMInfo
+	// orders holds the idempotency keys of all orders carried out.
+	orders map[string]bool
 }
 
 // Platform is a set of stand-in VMs that reboot on order.
@@ -57,7 +59,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms[config.VM] = &vm{config: config, target: target, info: VMInfo{VM: config.VM, State: Running, Boots: 1}}
+	p.vms[config.VM] = &vm{config: config, target: target, orders: map[string]bool{},
+		info: VMInfo{VM: config.VM, State: Running, Boots: 1}}
 	return target, nil
 }
 
@@ -71,6 +74,35 @@
 	return nil
 }
 
+// Info returns the state of a VM.
+func (p *Platform) Info(name string) VMInfo {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if machine := p.vms[name]; machine != nil {
+		return machine.info
+	}
+	return VMInfo{}
+}
+
+// Fail ends a VM at once, as a failure does; Repair starts it again.
+func (p *Platform) Fail(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if machine := p.vms[name]; machine != nil {
+		powerOff(machine)
+	}
+}
+
+// Repair starts a VM that failed.
+func (p *Platform) Repair(name string) {
+	p.mu.Lock()
+	machine := p.vms[name]
+	p.mu.Unlock()
+	if machine != nil {
+		p.boot(machine)
+	}
+}
+
 // Handler serves the platform's protocol:
 //
 //	GET  /platform/v1/vms/{vm}            VMInfo
@@ -101,9 +133,10 @@
 
 // reboot carries an order out once; the target's requests are cut.
 func (p *Platform) reboot(machine *vm, order string) {
-	if order != "" && order == machine.info.LastOrder {
+	if order != "" && machine.orders[order] {
 		return
 	}
+	machine.orders[order] = true
 	powerOff(machine)
 	machine.info.State = Rebooting
 	machine.info.LastOrder = order
--- a/internal/version/plan/gate.go
+++ b/internal/version/plan/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"arbutusward.example/arbutusward/internal/version/fleet"
@@ -118,10 +119,7 @@
 
 // without copies racks and leaves out one VM of a size.
 func without(racks map[string][]int, rack string, slots int) map[string][]int {
-	copied := make(map[string][]int, len(racks))
-	for name, values := range racks {
-		copied[name] = values
-	}
+	copied := maps.Clone(racks)
 	values := slices.Clone(racks[rack])
 	if i := slices.Index(values, slots); i >= 0 {
 		values = slices.Delete(values, i, i+1)
@@ -168,10 +166,13 @@
 // GiveBack notes that a VM serves its pool again.
 func (g *Gate) GiveBack(vm *VM) {
 	pool := g.pool(vm.Pool)
-	pool.counted = without(pool.counted, vm.Rack, -1)
+	pool.out--
+	if vm.Health != Up {
+		return
+	}
+	pool.counted = maps.Clone(pool.counted)
 	pool.counted[vm.Rack] = append(slices.Clone(pool.counted[vm.Rack]), vm.Slots)
 	pool.slots += vm.Slots
-	pool.out--
 }
 
 // Margin returns the slots of a pool above its promise after the losses
