Job planner: rooms in worker records in place of maps

Ruled out for now: an index by free room (only queues need it). Change: one record a worker, found once.

--- a/internal/version/jobplan/planner.go
+++ b/internal/version/jobplan/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sort"
 
 	"arbutusward.example/arbutusward/internal/version/fleet"
@@ -16,17 +15,9 @@
 type planner struct {
 	input *Input
 	plan  Plan
-	// room is what is free on each worker, teamHeld what each team holds.
-	room     map[string]fleet.Resources
+	// teamHeld is what each team holds.
 	teamHeld map[string]fleet.Resources
-	// running lists the running jobs of each worker.
-	running map[string][]*Job
-	workers map[string]*Worker
-	// freeing counts what ordered tasks will give back, by worker.
-	freeing map[string]fleet.Resources
-	// probing marks workers on probe that got their one task.
-	probing map[string]bool
-	index   *roomIndex
+	workers  *workerIndex
 }
 
 // Make returns the next steps.
@@ -40,35 +31,25 @@
 }
 
 func newPlanner(input *Input) *planner {
-	p := &planner{
-		input:    input,
-		room:     make(map[string]fleet.Resources, len(input.Workers)),
-		teamHeld: map[string]fleet.Resources{},
-		running:  map[string][]*Job{},
-		workers:  make(map[string]*Worker, len(input.Workers)),
-		freeing:  map[string]fleet.Resources{},
-		probing:  map[string]bool{},
-	}
-	for i := range input.Workers {
-		worker := &input.Workers[i]
-		p.workers[worker.Name] = worker
-		p.room[worker.Name] = worker.Capacity
-	}
+	p := &planner{input: input, teamHeld: map[string]fleet.Resources{}, workers: newWorkerIndex(input.Workers)}
 	for i := range input.Jobs {
 		if job := &input.Jobs[i]; job.Phase == Running {
 			p.addRunning(job)
 		}
 	}
-	p.index = newRoomIndex(input.Workers, p.room)
 	return p
 }
 
 func (p *planner) addRunning(job *Job) {
-	p.room[job.Worker] = Sub(p.room[job.Worker], job.Held)
 	p.teamHeld[job.Team] = Add(p.teamHeld[job.Team], job.Held)
-	p.running[job.Worker] = append(p.running[job.Worker], job)
+	worker := p.workers.byName[job.Worker]
+	if worker == nil {
+		return
+	}
+	worker.room = Sub(worker.room, job.Held)
+	worker.running = append(worker.running, job)
 	if job.Order != NoOrder {
-		p.freeing[job.Worker] = Add(p.freeing[job.Worker], job.Held)
+		worker.freeing = Add(worker.freeing, job.Held)
 	}
 }
 
@@ -92,7 +73,7 @@
 		if failed[key] && !job.Urgent {
 			continue
 		}
-		if worker := p.choose(job, demand); worker != "" {
+		if worker := p.choose(job, demand); worker != nil {
 			p.place(job, worker, demand)
 			continue
 		}
@@ -147,7 +128,7 @@
 	if !Fits(demand, quota) {
 		return fmt.Sprintf("needs %s, the quota of team %q is %s", describe(demand), job.Team, describe(quota))
 	}
-	if !p.index.everFits(job, demand) {
+	if !p.workers.everFits(job, demand) {
 		return fmt.Sprintf("needs %s, no worker of its pools has as much for jobs", describe(demand))
 	}
 	return ""
@@ -157,37 +138,26 @@
 	return fmt.Sprintf("%.3g cores, %.3g GiB, %d accelerators", r.CPUCores, r.MemoryGiB, r.Accelerators)
 }
 
-func (p *planner) place(job *Job, worker string, demand fleet.Resources) {
-	p.plan.Placements = append(p.plan.Placements, Placement{Job: job.ID, Worker: worker, Hold: demand})
-	p.room[worker] = Sub(p.room[worker], demand)
+func (p *planner) place(job *Job, worker *workerState, demand fleet.Resources) {
+	p.plan.Placements = append(p.plan.Placements, Placement{Job: job.ID, Worker: worker.Name, Hold: demand})
+	worker.room = Sub(worker.room, demand)
+	worker.placed = true
 	p.teamHeld[job.Team] = Add(p.teamHeld[job.Team], demand)
-	if p.workers[worker].Quarantined {
-		p.probing[worker] = true
-	}
 }
 
 // choose returns the open worker with the least room in which the demand
-// fits, or "". Best fit keeps large rooms whole for large jobs.
-func (p *planner) choose(job *Job, demand fleet.Resources) string {
-	best, bestLeft := "", 0.0
-	for _, worker := range p.index.candidates(job) {
-		if !p.mayTake(worker, job) || !Fits(demand, p.room[worker.Name]) {
+// fits, or nil. Best fit keeps large rooms whole for large jobs.
+func (p *planner) choose(job *Job, demand fleet.Resources) *workerState {
+	var best *workerState
+	bestLeft := 0.0
+	for _, worker := range p.workers.candidates(job) {
+		if !Fits(demand, worker.room) || !worker.mayTake(job) {
 			continue
 		}
-		left := dominantShare(Sub(p.room[worker.Name], demand), worker.Capacity)
-		if best == "" || left < bestLeft {
-			best, bestLeft = worker.Name, left
+		left := dominantShare(Sub(worker.room, demand), worker.Capacity)
+		if best == nil || left < bestLeft {
+			best, bestLeft = worker, left
 		}
 	}
 	return best
 }
-
-func (p *planner) mayTake(worker *Worker, job *Job) bool {
-	if !worker.Open || worker.Silent || slices.Contains(job.AvoidWorkers, worker.Name) {
-		return false
-	}
-	if !worker.Quarantined {
-		return true
-	}
-	return worker.Probe && !job.Urgent && !p.probing[worker.Name] && len(p.running[worker.Name]) == 0
-}
--- a/internal/version/jobplan/preempt.go
+++ b/internal/version/jobplan/preempt.go
@@ -47,7 +47,7 @@
 func (p *planner) clearClosedWorkers() {
 	for i := range p.input.Jobs {
 		job := &p.input.Jobs[i]
-		worker := p.workers[job.Worker]
+		worker := p.workers.byName[job.Worker]
 		if job.Phase != Running || job.Order != NoOrder || worker == nil || worker.Open {
 			continue
 		}
@@ -58,24 +58,17 @@
 // relieveOverload asks the task that is furthest above what it is charged
 // for to go where the reported use is close to the worker's memory.
 func (p *planner) relieveOverload() {
-	names := make([]string, 0, len(p.running))
-	for name := range p.running {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
-		worker := p.workers[name]
-		if worker == nil || !worker.Open {
-			continue
+	for _, worker := range p.workers.all {
+		if worker.Open {
+			p.relieve(worker)
 		}
-		p.relieve(worker)
 	}
 }
 
-func (p *planner) relieve(worker *Worker) {
+func (p *planner) relieve(worker *workerState) {
 	used := 0.0
 	var worst *Job
-	for _, job := range p.running[worker.Name] {
+	for _, job := range worker.running {
 		if job.Order != NoOrder {
 			return
 		}
@@ -84,7 +77,7 @@
 			worst = job
 		}
 	}
-	if used > overloadShare*worker.Capacity.MemoryGiB && excess(worst) > 0 {
+	if used > overloadShare*worker.Capacity.MemoryGiB && worst != nil && excess(worst) > 0 {
 		p.order(worst, Checkpoint, fmt.Sprintf("its worker uses %.3g of %.3g GiB", used, worker.Capacity.MemoryGiB))
 	}
 }
@@ -95,54 +88,47 @@
 // makeRoom asks the fewest tasks to yield so that the urgent job fits on
 // one worker. Tasks asked before count as room to come.
 func (p *planner) makeRoom(job *Job, demand fleet.Resources) {
-	var best []*Job
-	var bestWorker *Worker
-	for _, worker := range p.index.candidates(job) {
-		if !p.mayTake(worker, job) {
+	var victims []*Job
+	var chosen *workerState
+	for _, worker := range p.workers.candidates(job) {
+		if !worker.mayTake(job) {
 			continue
 		}
-		coming := Add(p.room[worker.Name], p.freeing[worker.Name])
+		coming := Add(worker.room, worker.freeing)
 		if Fits(demand, coming) {
-			p.reserve(worker.Name, demand)
+			worker.freeing = Sub(worker.freeing, demand)
 			return
 		}
-		victims := p.victims(worker, demand, coming)
-		if victims != nil && (best == nil || len(victims) < len(best)) {
-			best, bestWorker = victims, worker
+		found := worker.victims(demand, coming)
+		if found != nil && (victims == nil || len(found) < len(victims)) {
+			victims, chosen = found, worker
 		}
 	}
-	if best == nil {
+	if chosen == nil {
 		return
 	}
-	for _, victim := range best {
+	for _, victim := range victims {
 		p.order(victim, Checkpoint, "urgent job "+job.ID+" needs the room")
 		victim.Order = Checkpoint
-		p.freeing[bestWorker.Name] = Add(p.freeing[bestWorker.Name], victim.Held)
+		chosen.freeing = Add(chosen.freeing, victim.Held)
 	}
-	p.reserve(bestWorker.Name, demand)
-}
-
-// reserve keeps room that is to come from being promised twice.
-func (p *planner) reserve(worker string, demand fleet.Resources) {
-	p.freeing[worker] = Sub(p.freeing[worker], demand)
+	chosen.freeing = Sub(chosen.freeing, demand)
 }
 
-// victims returns tasks of a worker that together make room, youngest
+// victims returns tasks of the worker that together make room, youngest
 // first since they lose the least work, or nil if there are not enough.
-func (p *planner) victims(worker *Worker, demand, room fleet.Resources) []*Job {
+func (w *workerState) victims(demand, room fleet.Resources) []*Job {
 	var yielding []*Job
-	for _, job := range p.running[worker.Name] {
+	for _, job := range w.running {
 		if !job.Urgent && job.Order == NoOrder {
 			yielding = append(yielding, job)
 		}
 	}
 	sort.SliceStable(yielding, func(i, j int) bool { return yielding[i].StartedMS > yielding[j].StartedMS })
-	var chosen []*Job
-	for _, job := range yielding {
-		chosen = append(chosen, job)
+	for i, job := range yielding {
 		room = Add(room, job.Held)
 		if Fits(demand, room) {
-			return chosen
+			return yielding[:i+1]
 		}
 	}
 	return nil
