--- a/cmd/arbutus-control/main.go
+++ b/cmd/arbutus-control/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"log/slog"
+	"os"
 
 	"go.uber.org/fx"
 
@@ -11,7 +12,9 @@
 	"arbutusward.example/arbutusward/internal/process/control"
 	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/process/lifecycle"
+	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/replica/driver"
 	"arbutusward.example/arbutusward/internal/process/settings"
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/process/timeline"
@@ -35,7 +38,23 @@
 	return link.Listen(s.Link, ring, recorder, log)
 }
 
-func newReplica(s *settings.Control, machine *state.Machine) replica.Replica {
-	self := replica.Member{ID: s.ID, Link: s.Link, Admin: s.Admin}
-	return replica.NewSolo(self, machine)
+func newReplica(s *settings.Control, machine *state.Machine, node *link.Node, recorder *timeline.Recorder, log *slog.Logger) (replica.Replica, error) {
+	var founders []replica.Member
+	for _, m := range s.Members {
+		founders = append(founders, replica.Member{ID: m.ID, Link: m.Link, Admin: m.Admin})
+	}
+	return driver.Open(driver.Options{
+		Self:     replica.Member{ID: s.ID, Link: s.Link, Admin: s.Admin},
+		Founders: founders,
+		Join:     s.Join,
+		Dir:      s.DataDir,
+		Machine:  machine,
+		Node:     node,
+		Recorder: recorder,
+		Log:      log,
+		Fatal: func(err error) {
+			log.Error("the replica cannot go on", logging.Err(err))
+			os.Exit(lifecycle.ExitFailed)
+		},
+	})
 }
--- /dev/null
+++ b/internal/process/replica/datadir/files.go
@@ -0,0 +1,81 @@
+package datadir
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"arbutusward.example/arbutusward/internal/process/logging"
+)
+
+// lockName is the name of the file that marks the folder as in use.
+const lockName = "lock"
+
+// ErrInUse says that another process uses the folder.
+var ErrInUse = errors.New("the data folder is in use by another process")
+
+// Lock is the hold of one process on a data folder. The kernel drops it
+// when the process ends, however it ends.
+type Lock struct{ file *os.File }
+
+// Acquire creates the folder if needed and locks it.
+func Acquire(dir string) (*Lock, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, logging.At(err, "make data folder", dir)
+	}
+	file, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, logging.At(err, "open lock", dir)
+	}
+	err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		err = ErrInUse
+	}
+	if err != nil {
+		return nil, logging.At(errors.Join(err, file.Close()), "lock data folder", dir)
+	}
+	return &Lock{file: file}, nil
+}
+
+// Release frees the folder.
+func (l *Lock) Release() error { return l.file.Close() }
+
+// Replace writes a file so that after a crash there is the old content or
+// the new one, whole.
+func Replace(path string, data []byte) error {
+	temporary := path + ".tmp"
+	if err := writeSynced(temporary, data); err != nil {
+		return logging.At(err, "write file", temporary)
+	}
+	// The content is synced before the name points to it: a crash between
+	// the two must not leave an empty file under the name.
+	if err := os.Rename(temporary, path); err != nil {
+		return logging.At(err, "rename file", path)
+	}
+	// The new name lasts only once the folder is synced.
+	return Sync(filepath.Dir(path))
+}
+
+func writeSynced(path string, data []byte) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err := file.Write(data); err != nil {
+		return errors.Join(err, file.Close())
+	}
+	if err := file.Sync(); err != nil {
+		return errors.Join(err, file.Close())
+	}
+	return file.Close()
+}
+
+// Sync makes the names in a folder durable.
+func Sync(dir string) error {
+	folder, err := os.Open(dir)
+	if err != nil {
+		return logging.At(err, "open folder", dir)
+	}
+	return logging.At(errors.Join(folder.Sync(), folder.Close()), "sync folder", dir)
+}
--- /dev/null
+++ b/internal/process/replica/datadir/identity.go
@@ -0,0 +1,58 @@
+package datadir
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"arbutusward.example/arbutusward/internal/process/logging"
+)
+
+// identityName is the name of the identity file.
+const identityName = "identity.json"
+
+// ErrOtherIdentity says that the folder belongs to another process.
+var ErrOtherIdentity = errors.New("the data folder belongs to another id")
+
+// Identity ties a data folder to a process for good.
+type Identity struct {
+	ID string `json:"id"`
+	// Disk is random; an emptied folder gets another.
+	Disk string `json:"disk"`
+	// Founding holds the disk of each first member that has asked for the
+	// founding of the deployment, the own included; nil in a member that
+	// has joined later.
+	Founding map[string]string `json:"founding,omitempty"`
+}
+
+// LoadIdentity reads the folder's identity; in an empty folder it makes one.
+func LoadIdentity(dir, id string) (*Identity, error) {
+	data, err := os.ReadFile(filepath.Join(dir, identityName))
+	if errors.Is(err, os.ErrNotExist) {
+		identity := &Identity{ID: id, Disk: rand.Text()}
+		return identity, identity.Save(dir)
+	}
+	if err != nil {
+		return nil, logging.At(err, "read identity", dir)
+	}
+	var identity Identity
+	if err := json.Unmarshal(data, &identity); err != nil {
+		return nil, logging.At(fmt.Errorf("decode identity: %w", err), "read identity", dir)
+	}
+	if identity.ID != id {
+		return nil, logging.At(fmt.Errorf("%w: it is %q, the settings say %q", ErrOtherIdentity, identity.ID, id), "check identity", dir)
+	}
+	return &identity, nil
+}
+
+// Save writes the identity durably.
+func (i *Identity) Save(dir string) error {
+	data, err := json.Marshal(i)
+	if err != nil {
+		return fmt.Errorf("encode identity: %w", err)
+	}
+	return Replace(filepath.Join(dir, identityName), data)
+}
--- /dev/null
+++ b/internal/process/replica/driver/errors.go
@@ -0,0 +1,19 @@
+package driver
+
+import "errors"
+
+// Errors of this package.
+var (
+	// ErrTooLarge says that a command is above MaxCommandBytes.
+	ErrTooLarge = errors.New("the command is too large")
+	// ErrReplacedDisk says that the id is known with another disk.
+	ErrReplacedDisk = errors.New("this id is known with another disk; a replaced disk needs a new id and join: true")
+	// ErrOtherMembers says that the settings of two first members differ.
+	ErrOtherMembers = errors.New("the settings of the first members name different members")
+	// ErrNotFounding says that a process is not one of the first members.
+	ErrNotFounding = errors.New("this process is not one of the first members")
+	// ErrOtherProcess says that another id answers at a member's address.
+	ErrOtherProcess = errors.New("another process answers at this address")
+	// ErrNotMember says that a message bears another name than its sender.
+	ErrNotMember = errors.New("the message's sender is not the peer")
+)
--- /dev/null
+++ b/internal/process/replica/driver/founding.go
@@ -0,0 +1,182 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/replica/datadir"
+)
+
+// Calls of founding and joining.
+const (
+	// FoundKind asks a first member to confirm another one's disk.
+	FoundKind link.Kind = "replica.found"
+	// IdentifyKind asks a process for its id and disk.
+	IdentifyKind link.Kind = "replica.identify"
+)
+
+// codeReplacedDisk is the fault that answers a known id with another disk.
+const codeReplacedDisk = "replaced_disk"
+
+// FoundRequest names the asking process, its disk and the first members.
+type FoundRequest struct {
+	Identity
+	Members []string `cbor:"3,keyasint"`
+}
+
+// IdentifyRequest asks for an Identity.
+type IdentifyRequest struct{}
+
+// Identity is the id and the disk of a process.
+type Identity struct {
+	ID   string `cbor:"1,keyasint"`
+	Disk string `cbor:"2,keyasint"`
+}
+
+// registrar keeps the disks of the first members. Every first member must
+// have recorded a process's disk before that process votes. So a process
+// that lost its disk finds at least one member that knows the old one, and
+// is refused, where a majority alone might not know.
+type registrar struct {
+	dir  string
+	join bool
+	// founders are the ids of the first members by the settings, sorted.
+	founders []string
+
+	mu       sync.Mutex
+	identity *datadir.Identity
+}
+
+func newRegistrar(o *Options, identity *datadir.Identity) *registrar {
+	r := &registrar{dir: o.Dir, join: o.Join, identity: identity}
+	for _, m := range o.Founders {
+		r.founders = append(r.founders, m.ID)
+	}
+	slices.Sort(r.founders)
+	return r
+}
+
+func (r *registrar) register(node *link.Node) {
+	link.Handle(node, FoundKind, r.serveFound)
+	link.Handle(node, IdentifyKind, func(context.Context, link.Peer, IdentifyRequest) (Identity, error) {
+		return r.self(), nil
+	})
+}
+
+func (r *registrar) self() Identity { return Identity{ID: r.identity.ID, Disk: r.identity.Disk} }
+
+// serveFound records the asker's disk and answers with the own.
+func (r *registrar) serveFound(_ context.Context, peer link.Peer, request FoundRequest) (Identity, error) {
+	if peer.ID != request.ID {
+		return Identity{}, logging.At(ErrNotMember, "confirm founding", peer.ID)
+	}
+	err := r.record(request.Identity, request.Members)
+	if errors.Is(err, ErrReplacedDisk) {
+		return Identity{}, &link.Fault{Code: codeReplacedDisk, Message: err.Error()}
+	}
+	return r.self(), logging.At(err, "confirm founding", peer.ID)
+}
+
+// record notes a disk durably, or refuses it.
+func (r *registrar) record(asker Identity, members []string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, ok := r.identity.Founding[asker.ID]; ok {
+		if known != asker.Disk {
+			return ErrReplacedDisk
+		}
+		return nil
+	}
+	if r.join || !slices.Contains(r.founders, asker.ID) {
+		return ErrNotFounding
+	}
+	if !slices.Equal(members, r.founders) {
+		return fmt.Errorf("%w: %v and %v", ErrOtherMembers, members, r.founders)
+	}
+	if r.identity.Founding == nil {
+		r.identity.Founding = map[string]string{}
+	}
+	r.identity.Founding[asker.ID] = asker.Disk
+	// Synced before the answer: the asker votes once all have answered.
+	return r.identity.Save(r.dir)
+}
+
+// disk returns the recorded disk of a first member.
+func (r *registrar) disk(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.identity.Founding[id]
+}
+
+// found returns the first members with their disks once all of them have
+// confirmed this process. It repeats until then.
+func (d *Driver) found(ctx context.Context) ([]replica.Member, error) {
+	if !slices.Contains(d.registrar.founders, d.options.Self.ID) {
+		return nil, logging.At(ErrNotFounding, "found", d.options.Self.ID)
+	}
+	if err := d.registrar.record(d.registrar.self(), d.registrar.founders); err != nil {
+		return nil, err
+	}
+	members := slices.Clone(d.options.Founders)
+	for i := range members {
+		if err := d.confirmWith(ctx, members[i]); err != nil {
+			return nil, err
+		}
+		members[i].Disk = d.registrar.disk(members[i].ID)
+	}
+	return members, nil
+}
+
+// confirmWith asks one first member until it confirms this process's disk.
+func (d *Driver) confirmWith(ctx context.Context, member replica.Member) error {
+	for member.ID != d.options.Self.ID {
+		err := d.confirmOnce(ctx, member)
+		if err == nil {
+			return nil
+		}
+		var fault *link.Fault
+		if errors.As(err, &fault) && fault.Code == codeReplacedDisk {
+			return logging.At(ErrReplacedDisk, "found", member.ID)
+		}
+		d.options.Log.Warn("a first member has not confirmed the founding", logging.Err(err))
+		select {
+		case <-time.After(foundingPause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (d *Driver) confirmOnce(ctx context.Context, member replica.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	request := FoundRequest{Identity: d.registrar.self(), Members: d.registrar.founders}
+	answer, err := link.Call[FoundRequest, Identity](ctx, d.options.Node, member.Link, FoundKind, request)
+	if err != nil {
+		return err
+	}
+	if answer.ID != member.ID {
+		return logging.At(fmt.Errorf("%w: %q", ErrOtherProcess, answer.ID), "found", member.ID)
+	}
+	return logging.At(d.registrar.record(answer, d.registrar.founders), "record disk", member.ID)
+}
+
+// identify asks a joining process for its disk.
+func (d *Driver) identify(ctx context.Context, member replica.Member) (string, error) {
+	answer, err := link.Call[IdentifyRequest, Identity](ctx, d.options.Node, member.Link, IdentifyKind, IdentifyRequest{})
+	if err != nil {
+		return "", err
+	}
+	if answer.ID != member.ID {
+		return "", logging.At(fmt.Errorf("%w: %q", ErrOtherProcess, answer.ID), "identify", member.ID)
+	}
+	return answer.Disk, nil
+}
--- /dev/null
+++ b/internal/process/replica/driver/metrics.go
@@ -0,0 +1,13 @@
+package driver
+
+import "github.com/VictoriaMetrics/metrics"
+
+// Metrics of the replica of this process.
+var (
+	termGauge     = metrics.GetOrCreateGauge("arbutus_replica_term", nil)
+	commitGauge   = metrics.GetOrCreateGauge("arbutus_replica_commit_index", nil)
+	logGauge      = metrics.GetOrCreateGauge("arbutus_replica_log_bytes", nil)
+	snapshotGauge = metrics.GetOrCreateGauge("arbutus_replica_snapshot_bytes", nil)
+	syncSeconds   = metrics.GetOrCreateSummary("arbutus_replica_fsync_seconds")
+	droppedCount  = metrics.GetOrCreateCounter("arbutus_replica_messages_dropped_total")
+)
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -70,6 +70,9 @@
 	Admin string `cbor:"3,keyasint" json:"admin"`
 	// Learner receives the log and does not vote.
 	Learner bool `cbor:"4,keyasint,omitempty" json:"learner,omitempty"`
+	// Disk identifies the member's data folder. A member that comes back
+	// with another disk must not vote.
+	Disk string `cbor:"5,keyasint,omitempty" json:"disk,omitempty"`
 }
 
 // Status describes a replica.
--- /dev/null
+++ b/internal/process/replica/snapshot/chunks.go
@@ -0,0 +1,53 @@
+package snapshot
+
+// ChunkBytes is the size of one chunk of a transfer.
+const ChunkBytes = 1 << 20
+
+// MaxBytes bounds an encoded snapshot.
+const MaxBytes = 1 << 30
+
+// Chunk is a part of an encoded snapshot.
+type Chunk struct {
+	// Transfer differs between transfers.
+	Transfer uint64 `cbor:"1,keyasint"`
+	Offset   int    `cbor:"2,keyasint"`
+	Total    int    `cbor:"3,keyasint"`
+	Data     []byte `cbor:"4,keyasint"`
+}
+
+// Cut returns the chunks of an encoded snapshot.
+func Cut(transfer uint64, encoded []byte) []Chunk {
+	var chunks []Chunk
+	for offset := 0; offset < len(encoded); offset += ChunkBytes {
+		end := min(offset+ChunkBytes, len(encoded))
+		chunks = append(chunks, Chunk{Transfer: transfer, Offset: offset, Total: len(encoded), Data: encoded[offset:end]})
+	}
+	return chunks
+}
+
+// Assembler joins the chunks of one transfer at a time; a new transfer
+// drops the one before.
+type Assembler struct {
+	transfer uint64
+	data     []byte
+}
+
+// Add takes the next chunk. It returns the snapshot and its encoded form
+// once it is whole.
+func (a *Assembler) Add(chunk *Chunk) (*Snapshot, []byte, error) {
+	if chunk.Offset == 0 {
+		a.transfer = chunk.Transfer
+		a.data = nil
+	}
+	if chunk.Transfer != a.transfer || chunk.Offset != len(a.data) || chunk.Total > MaxBytes {
+		return nil, nil, ErrOutOfOrder
+	}
+	a.data = append(a.data, chunk.Data...)
+	if len(a.data) < chunk.Total {
+		return nil, nil, nil
+	}
+	whole := a.data
+	a.data = nil
+	s, err := Decode(whole)
+	return s, whole, err
+}
--- /dev/null
+++ b/internal/process/replica/snapshot/snapshot.go
@@ -0,0 +1,88 @@
+package snapshot
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/replica/core"
+	"arbutusward.example/arbutusward/internal/process/replica/datadir"
+)
+
+// FileName is the name of the snapshot in the data folder.
+const FileName = "replica.snapshot"
+
+// headerBytes is the size of the magic and the checksum.
+const headerBytes = 8
+
+var (
+	magic     = []byte("AWS1")
+	castTable = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// Snapshot is the state of the machine after an entry.
+type Snapshot struct {
+	Meta core.SnapshotMeta `cbor:"1,keyasint"`
+	Data []byte            `cbor:"2,keyasint"`
+}
+
+// Encode returns the bytes of the file.
+func Encode(s *Snapshot) ([]byte, error) {
+	body, err := cbor.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	out := make([]byte, headerBytes, headerBytes+len(body))
+	copy(out, magic)
+	binary.LittleEndian.PutUint32(out[4:], crc32.Checksum(body, castTable))
+	return append(out, body...), nil
+}
+
+// Decode checks and reads the bytes of a file.
+func Decode(data []byte) (*Snapshot, error) {
+	if len(data) < headerBytes || !bytes.Equal(data[:4], magic) {
+		return nil, ErrCorrupt
+	}
+	body := data[headerBytes:]
+	if binary.LittleEndian.Uint32(data[4:]) != crc32.Checksum(body, castTable) {
+		return nil, ErrCorrupt
+	}
+	var s Snapshot
+	if err := cbor.Unmarshal(body, &s); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	return &s, nil
+}
+
+// Save replaces the snapshot in the folder. It is synced when Save returns;
+// only then may the log forget what it covers.
+func Save(dir string, encoded []byte) error {
+	return datadir.Replace(filepath.Join(dir, FileName), encoded)
+}
+
+// Read returns the encoded snapshot of the folder, or ErrNone.
+func Read(dir string) ([]byte, error) {
+	path := filepath.Join(dir, FileName)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, ErrNone
+	}
+	return data, logging.At(err, "read snapshot", path)
+}
+
+// Load returns the snapshot of the folder, or ErrNone.
+func Load(dir string) (*Snapshot, error) {
+	data, err := Read(dir)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Decode(data)
+	return s, logging.At(err, "decode snapshot", dir)
+}
--- /dev/null
+++ b/internal/process/replica/wal/wal.go
@@ -0,0 +1,158 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/replica/core"
+	"arbutusward.example/arbutusward/internal/process/replica/datadir"
+)
+
+// FileName is the name of the log in the data folder.
+const FileName = "replica.log"
+
+// Contents is what a log holds.
+type Contents struct {
+	Base    core.Position
+	State   core.HardState
+	Entries []core.Entry
+	// TornBytes is the size of the tail that was cut.
+	TornBytes int
+}
+
+// Log is an open log. It is not safe for concurrent use.
+type Log struct {
+	dir   string
+	file  *os.File
+	size  int64
+	state core.HardState
+}
+
+// Open reads the log in the folder, cuts a torn tail, and opens it for
+// appending. A missing file is an empty log.
+func Open(dir string) (*Log, *Contents, error) {
+	path := filepath.Join(dir, FileName)
+	data, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, nil, logging.At(err, "read log", path)
+	}
+	contents, size, err := Decode(data)
+	if err != nil {
+		return nil, nil, logging.At(err, "read log", path)
+	}
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, nil, logging.At(err, "open log", path)
+	}
+	l := &Log{dir: dir, file: file, size: int64(size), state: contents.State}
+	if err := l.cut(); err != nil {
+		return nil, nil, logging.At(errors.Join(err, file.Close()), "cut the torn tail", path)
+	}
+	return l, contents, nil
+}
+
+// cut ends the file after its last whole frame. The cut is synced: a new
+// frame must not be followed by remains of an old one.
+func (l *Log) cut() error {
+	if err := l.file.Truncate(l.size); err != nil {
+		return err
+	}
+	if _, err := l.file.Seek(l.size, 0); err != nil {
+		return err
+	}
+	if err := l.file.Sync(); err != nil {
+		return err
+	}
+	return datadir.Sync(l.dir)
+}
+
+// Decode reads the frames of a log and returns the size of the whole ones.
+func Decode(data []byte) (*Contents, int, error) {
+	contents := &Contents{}
+	offset := 0
+	for offset < len(data) {
+		frame, size, err := decodeFrame(data[offset:])
+		if err != nil {
+			if holdsFrame(data[offset+1:]) {
+				return nil, 0, fmt.Errorf("%w: byte %d", ErrCorrupt, offset)
+			}
+			contents.TornBytes = len(data) - offset
+			return contents, offset, nil
+		}
+		if err := contents.add(frame); err != nil {
+			return nil, 0, fmt.Errorf("%w: byte %d", err, offset)
+		}
+		offset += size
+	}
+	return contents, offset, nil
+}
+
+// add applies one frame.
+func (c *Contents) add(frame *Frame) error {
+	if frame.Base != nil {
+		c.Base = *frame.Base
+		c.Entries = nil
+	}
+	if frame.State != nil {
+		c.State = *frame.State
+	}
+	for _, entry := range frame.Entries {
+		next := c.Base.Index + uint64(len(c.Entries)) + 1
+		if entry.Index <= c.Base.Index || entry.Index > next {
+			return ErrGap
+		}
+		c.Entries = append(c.Entries[:entry.Index-c.Base.Index-1], entry)
+	}
+	return nil
+}
+
+// Append writes one frame and syncs it.
+func (l *Log) Append(frame *Frame) error {
+	data, err := encodeFrame(frame)
+	if err != nil {
+		return err
+	}
+	if _, err := l.file.Write(data); err != nil {
+		return logging.At(err, "write log", l.file.Name())
+	}
+	// Only after this may a vote or an acknowledgement leave.
+	if err := l.file.Sync(); err != nil {
+		return logging.At(err, "sync log", l.file.Name())
+	}
+	l.size += int64(len(data))
+	if frame.State != nil {
+		l.state = *frame.State
+	}
+	return nil
+}
+
+// Rewrite replaces the log by one that begins after base. A snapshot that
+// covers base must be synced before.
+func (l *Log) Rewrite(base core.Position, entries []core.Entry) error {
+	state := l.state
+	data, err := encodeFrame(&Frame{Base: &base, State: &state, Entries: entries})
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(l.dir, FileName)
+	if err := datadir.Replace(path, data); err != nil {
+		return err
+	}
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_APPEND, 0o600)
+	if err != nil {
+		return logging.At(err, "open log", path)
+	}
+	previous := l.file
+	l.file = file
+	l.size = int64(len(data))
+	return previous.Close()
+}
+
+// Bytes returns the size of the file.
+func (l *Log) Bytes() int64 { return l.size }
+
+// Close closes the file.
+func (l *Log) Close() error { return l.file.Close() }
