Merge the replicated log and the planners; tasks gate reboots and moves

Cause: jobs, planners and the log were built apart. Change: both merged; a VM is neither rebooted nor given away while a task runs on it (new test, fails without the check); the job runner lives for a term.

--- a/integration/job_test.go
+++ b/integration/job_test.go
@@ -166,3 +166,42 @@
 		t.Errorf("job %+v, expected one lost attempt", ended)
 	}
 }
+
+// TestControlKilledWhileJobsRunLosesNoneAndRunsNoneTwiceAtOnce kills control
+// with kill -9 among jobs and cancels a team's jobs in one wave after.
+func TestControlKilledWhileJobsRunLosesNoneAndRunsNoneTwiceAtOnce(t *testing.T) {
+	d := newJobDeployment(t, "za", "za", "zb")
+	stopWatch := d.watchTwins()
+	var jobs []state.JobSpec
+	for i := range 16 {
+		jobs = append(jobs, spec(fmt.Sprintf("job-%d", i), "sort", 1, "run=1500"))
+	}
+	d.submit(jobs...)
+	status, err := d.status()
+	must(t, err)
+	d.controls[status.Replica.Leader].kill()
+	for _, job := range jobs[:8] {
+		d.waitJob(job.ID, jobplan.Done, 30*time.Second)
+	}
+	for i := range 300 {
+		jobs = append(jobs, spec(fmt.Sprintf("more-%d", i), "wave", 1, "run=60000"))
+	}
+	d.submit(jobs[16:]...)
+	var cancelled state.JobCancellationAnswer
+	d.call(http.MethodPost, "/v1/jobs/cancel", state.JobCancellation{Team: "divers", Kind: "wave"}, &cancelled)
+	if cancelled.Cancelled+cancelled.Stopping != 300 {
+		t.Errorf("cancelled %+v, expected 300 in all", cancelled)
+	}
+	for _, job := range jobs[:16] {
+		d.waitJob(job.ID, jobplan.Done, 30*time.Second)
+	}
+	eventually(t, 15*time.Second, "all cancelled jobs have stopped", func() error {
+		var active []state.Job
+		d.call(http.MethodGet, "/v1/jobs", nil, &active)
+		if len(active) > 0 {
+			return fmt.Errorf("%d jobs are active", len(active))
+		}
+		return nil
+	})
+	stopWatch()
+}
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
@@ -14,6 +15,7 @@
 	"arbutusward.example/arbutusward/internal/process/settings"
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/version/plan"
 )
 
 // Server is one control process.
@@ -27,14 +29,20 @@
 	log       *slog.Logger
 	observers *observers
 	stop      chan struct{}
-	// endTerm ends what runs only while this process leads; nil otherwise.
-	endTerm context.CancelFunc
+	// stopJobs ends the job runner of the present term.
+	stopJobs context.CancelFunc
+
+	// outlook and snapshot are the executor's last plan and what it saw.
+	outlook  atomic.Pointer[outlook]
+	snapshot atomic.Pointer[plan.Input]
+	// followed is closed once leadership is no longer followed.
+	followed chan struct{}
 }
 
 // New wires a control process; Start makes it serve.
 func New(s *settings.Control, r replica.Replica, m *state.Machine, n *link.Node, a *adminhttp.Server, rec *timeline.Recorder, log *slog.Logger) *Server {
 	return &Server{settings: s, replica: r, machine: m, node: n, admin: a, recorder: rec, log: log,
-		observers: newObservers(), stop: make(chan struct{})}
+		observers: newObservers(), stop: make(chan struct{}), stopJobs: func() {}, followed: make(chan struct{})}
 }
 
 // Start serves entries and operators.
@@ -43,6 +51,9 @@
 	s.registerDocuments()
 	s.registerStatus()
 	s.registerJobs()
+	s.registerWaves()
+	s.registerMoves()
+	s.registerPlan()
 	s.node.Serve()
 	go s.followLeadership()
 	if err := s.admin.Start(s.settings.Admin); err != nil {
@@ -58,50 +69,54 @@
 	s.recorder.Record(timeline.Event{Kind: timeline.ProcessStopping})
 	s.admin.SetReady(false)
 	close(s.stop)
+	<-s.followed
 	return errors.Join(s.admin.Stop(ctx), s.replica.Stop(), s.node.Close())
 }
 
-// followLeadership notes when this process begins and ends to lead.
+// followLeadership notes when this process begins and ends to lead, and
+// runs the executor in between.
 func (s *Server) followLeadership() {
+	defer close(s.followed)
+	var running *executor
 	for {
 		select {
 		case leads := <-s.replica.LeaderChanges():
+			running.stop()
+			running = nil
+			s.stopJobs()
 			s.noteLeadership(leads)
+			if leads {
+				running = s.startExecutor()
+				s.startJobs()
+			}
 		case <-s.stop:
-			s.endLeadership()
+			s.stopJobs()
+			running.stop()
 			return
 		}
 	}
 }
 
 func (s *Server) noteLeadership(leads bool) {
-	s.endLeadership()
 	kind := timeline.LeaderLost
 	if leads {
 		kind = timeline.LeaderElected
 	}
 	s.observers.clear()
-	if leads {
-		s.beginLeadership()
-	}
+	s.outlook.Store(nil)
+	s.snapshot.Store(nil)
 	s.recorder.Record(timeline.Event{Kind: kind})
 	s.log.Info(string(kind), "term", s.replica.Status().Term)
 }
 
-// beginLeadership starts what only the leader runs.
-func (s *Server) beginLeadership() {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.endTerm = cancel
-	if s.settings.Platform != "" {
-		go newJobRunner(s, workerapi.NewHTTP(s.settings.Platform)).run(ctx)
-	}
-}
-
-func (s *Server) endLeadership() {
-	if s.endTerm != nil {
-		s.endTerm()
-		s.endTerm = nil
+// startJobs runs jobs until stopJobs.
+func (s *Server) startJobs() {
+	if s.settings.Platform == "" {
+		return
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stopJobs = cancel
+	go newJobRunner(s, workerapi.NewHTTP(s.settings.Platform)).run(ctx)
 }
 
 // propose makes, replicates and applies one command and decodes its result.
--- a/internal/process/state/command.go
+++ b/internal/process/state/command.go
@@ -14,12 +14,16 @@
 	SubmitDocument Kind = "submit-document"
 	RegisterEntry  Kind = "register-entry"
 	RemoveEntry    Kind = "remove-entry"
-	ChangePhase    Kind = "change-phase"
-	CommitMove     Kind = "commit-move"
 	SubmitJobs     Kind = "submit-jobs"
 	StepJobs       Kind = "step-jobs"
 	ReportTasks    Kind = "report-tasks"
 	CancelJobs     Kind = "cancel-jobs"
+	StepMove       Kind = "step-move"
+	StartWave      Kind = "start-wave"
+	ControlWave    Kind = "control-wave"
+	StepWave       Kind = "step-wave"
+	NoteLosses     Kind = "note-losses"
+	EndWave        Kind = "end-wave"
 )
 
 // applier carries out one kind of command.
@@ -31,12 +35,16 @@
 		SubmitDocument: typed(applySubmit),
 		RegisterEntry:  typed(applyRegisterEntry),
 		RemoveEntry:    typed(applyRemoveEntry),
-		ChangePhase:    typed(applyChangePhase),
-		CommitMove:     typed(applyCommitMove),
 		SubmitJobs:     typed(applySubmitJobs),
 		StepJobs:       typed(applyStepJobs),
 		ReportTasks:    typed(applyReportTasks),
 		CancelJobs:     typed(applyCancelJobs),
+		StepMove:       typed(applyStepMove),
+		StartWave:      typed(applyStartWave),
+		ControlWave:    typed(applyControlWave),
+		StepWave:       typed(applyStepWave),
+		NoteLosses:     typed(applyNoteLosses),
+		EndWave:        typed(applyEndWave),
 	}
 }
 
--- a/internal/process/state/jobs.go
+++ b/internal/process/state/jobs.go
@@ -304,6 +304,14 @@
 	return quotas
 }
 
+// checkIdle refuses what would end a VM's tasks.
+func (s *jobState) checkIdle(vm string) (Result, bool) {
+	if count := len(s.onWorker[vm]); count > 0 {
+		return refuse(Refused, "VM %q still runs %d tasks", vm, count), true
+	}
+	return Result{}, false
+}
+
 func (s *jobState) heldOn(worker string) fleet.Resources {
 	var held fleet.Resources
 	for _, job := range s.onWorker[worker] {
--- a/internal/process/state/jobs_test.go
+++ b/internal/process/state/jobs_test.go
@@ -8,6 +8,7 @@
 
 	"arbutusward.example/arbutusward/internal/version/fleet"
 	"arbutusward.example/arbutusward/internal/version/jobplan"
+	"arbutusward.example/arbutusward/internal/version/plan"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
@@ -20,6 +21,7 @@
   "services": [],
   "teams": [{"name": "red", "quota": {"cpu_cores": 20, "memory_gib": 32, "accelerators": 4}},
             {"name": "blue", "quota": {"cpu_cores": 6, "memory_gib": 32, "accelerators": 1}}],
+  "waves": [{"name": "all", "pools": ["p"]}],
   "weights": {"buffer": 1, "rollout": 1, "moves": 1}
 }`
 
@@ -115,13 +117,15 @@
 	apply[TaskReportsAnswer](d, ReportTasks, TaskReports{Reports: reports})
 }
 
+// togglePhase drains a VM by the wave, or takes the drain back.
 func (d *driver) togglePhase(t *rapid.T) {
+	run := apply[plan.WaveRun](d, StartWave, WaveStart{Wave: "all"})
 	vm := d.m.Fleet().VMs[fmt.Sprintf("w-%d", rapid.IntRange(1, 4).Draw(t, "vm"))]
-	phase := view.Draining
+	to := plan.Draining
 	if vm.Phase == view.Draining {
-		phase = view.Serving
+		to = plan.Pending
 	}
-	apply[view.VM](d, ChangePhase, PhaseChange{VM: vm.Name, Epoch: vm.Epoch, Phase: phase})
+	apply[plan.Progress](d, StepWave, plan.WaveStep{Run: run.ID, VM: vm.Name, Epoch: vm.Epoch, To: to})
 }
 
 func (d *driver) checkInvariants(accepted map[string]bool) {
@@ -193,3 +197,21 @@
 		t.Error("other content under the same ID was accepted")
 	}
 }
+
+// TestVMIsNotRebootedWhileATaskRunsOnIt drains a worker with a task.
+func TestVMIsNotRebootedWhileATaskRunsOnIt(t *testing.T) {
+	d := newDriver(t, jobFleet)
+	spec := JobSpec{ID: "j", Team: "red", Kind: "k", Declared: fleet.Resources{CPUCores: 1}}
+	apply[JobSubmissionAnswer](d, SubmitJobs, JobSubmission{Jobs: []JobSpec{spec}})
+	d.plan()
+	job, _ := d.m.JobView("j")
+	run := apply[plan.WaveRun](d, StartWave, WaveStart{Wave: "all"})
+	drain := plan.WaveStep{Run: run.ID, VM: job.Worker, Epoch: 1, To: plan.Draining}
+	apply[plan.Progress](d, StepWave, drain)
+	reboot := plan.WaveStep{Run: run.ID, VM: job.Worker, Epoch: 2, To: plan.Rebooting}
+	if _, err := tryApply[plan.Progress](d, StepWave, reboot); err == nil {
+		t.Error("the VM was rebooted under its task")
+	}
+	apply[TaskReportsAnswer](d, ReportTasks, TaskReports{Reports: []TaskReport{{Job: "j", Epoch: 1, Outcome: TaskStopped}}})
+	apply[plan.Progress](d, StepWave, reboot)
+}
