Entry plane: reports, views, zone leases, claims and batch requests

Cause: an entry knew only the targets it heard itself, started from nothing after a restart, sent no reports, and claims and batch requests were stubs.

Change: leases are told among zone peers by change with a digest per answer; a view is trusted once the leader confirms it, or after a hold-off from disk or a zone peer; reports carry changes with a digest; claims and batch requests are replicated tables behind the link.

Ruled out: pushing leases (a delayed push would lengthen a lease; a poll counts from when it was asked), learning control addresses from control (the settings decide, so that a fault relay or a firewall is not gone around).

--- a/internal/connection/announce/announce.go
+++ b/internal/connection/announce/announce.go
@@ -1,18 +1,17 @@
 // Package announce takes the announcements of targets and keeps their
-// leases. It publishes immutable snapshots of the live targets.
+// leases, those that this entry heard itself and those that its zone peers
+// vouch for. It publishes immutable snapshots of the targets.
+//
+// The entry that heard a target holds its lease. A peer learns of changes
+// only; one digest in each answer vouches for the leases that did not
+// change, so that the cost follows the changes and not the fleet.
 package announce
 
 import (
-	"maps"
-	"net"
-	"net/http"
-	"sync"
-	"sync/atomic"
+	"cmp"
+	"slices"
 	"time"
 
-	"github.com/gin-gonic/gin"
-
-	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 )
 
@@ -20,20 +19,34 @@
 const (
 	LeaseTime    = 2500 * time.Millisecond
 	NextInterval = 800 * time.Millisecond
+	// VouchTime is the remaining life that an entry vouches for in one
+	// answer to a peer. Leases with less are named one by one, so a lease
+	// never ends later at a peer than at its holder.
+	VouchTime = 1200 * time.Millisecond
 )
 
-// maxAnnouncementBytes bounds the body of one announcement.
-const maxAnnouncementBytes = 64 << 10
-
 // Announcement is what a target says of itself, as JSON.
 type Announcement struct {
-	VM       string   `json:"vm"`
-	Address  string   `json:"address"`
-	Services []string `json:"services"`
+	VM       string   `json:"vm" cbor:"1,keyasint"`
+	Address  string   `json:"address" cbor:"2,keyasint"`
+	Services []string `json:"services" cbor:"3,keyasint"`
 	// Incarnation differs between runs of one target.
-	Incarnation string `json:"incarnation"`
+	Incarnation string `json:"incarnation" cbor:"4,keyasint"`
 	// Leaving says that the target takes no new work.
-	Leaving bool `json:"leaving,omitempty"`
+	Leaving bool `json:"leaving,omitempty" cbor:"5,keyasint,omitempty"`
+	// StartedMS is when this run of the target began, in Unix milliseconds.
+	// The newest run of a VM wins; equal times are ordered by Incarnation.
+	StartedMS int64 `json:"started_ms,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// same says that nothing changed between two announcements.
+func (a *Announcement) same(b *Announcement) bool {
+	return a.Address == b.Address && a.Leaving == b.Leaving && a.compareRun(b) == 0 && slices.Equal(a.Services, b.Services)
+}
+
+// compareRun orders the runs of one VM's targets, the newer above.
+func (a *Announcement) compareRun(b *Announcement) int {
+	return cmp.Or(cmp.Compare(a.StartedMS, b.StartedMS), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
 // Lease is the answer to an announcement.
@@ -43,120 +56,54 @@
 	NextMS int64 `json:"next_ms"`
 }
 
-// Target is a target with a lease.
-type Target struct {
+// Record is a lease as its holder tells it to peers.
+type Record struct {
 	Announcement
 	// Pool is the pool whose token the target bears.
-	Pool string
-	// Expires is the end of the lease on the monotonic clock.
-	Expires time.Time
-}
-
-// Live says whether the target may get new work.
-func (t *Target) Live(now time.Time) bool { return !t.Leaving && now.Before(t.Expires) }
-
-// Snapshot is an immutable set of targets by VM.
-type Snapshot struct{ Targets map[string]Target }
-
-// Table keeps the leases of one entry. It is safe for concurrent use.
-type Table struct {
-	recorder *timeline.Recorder
-	// onChange is called after a target joined, left or changed.
-	onChange func()
-
-	mu        sync.Mutex
-	targets   map[string]Target
-	published atomic.Pointer[Snapshot]
-}
-
-// NewTable returns an empty table.
-func NewTable(recorder *timeline.Recorder, onChange func()) *Table {
-	t := &Table{recorder: recorder, onChange: onChange, targets: map[string]Target{}}
-	t.published.Store(&Snapshot{Targets: map[string]Target{}})
-	return t
-}
-
-// Snapshot returns the newest published targets.
-func (t *Table) Snapshot() *Snapshot { return t.published.Load() }
-
-// Accept stores an announcement from a target that bears a pool's token.
-func (t *Table) Accept(a Announcement, pool string) Lease {
-	t.mu.Lock()
-	known, renewed := t.targets[a.VM]
-	changed := !renewed || known.Leaving != a.Leaving || known.Address != a.Address || known.Incarnation != a.Incarnation
-	t.targets[a.VM] = Target{Announcement: a, Pool: pool, Expires: time.Now().Add(LeaseTime)}
-	t.publishLocked()
-	t.mu.Unlock()
-	if changed {
-		t.recordChange(a)
-		t.onChange()
-	}
-	return Lease{LeaseMS: LeaseTime.Milliseconds(), NextMS: NextInterval.Milliseconds()}
-}
-
-func (t *Table) recordChange(a Announcement) {
-	kind := timeline.TargetJoined
-	if a.Leaving {
-		kind = timeline.TargetLeaving
-	}
-	t.recorder.Record(timeline.Event{Kind: kind, VM: a.VM, Peer: a.Address})
+	Pool string `cbor:"20,keyasint"`
+	// Stamp is when the holder heard this content first.
+	Stamp timeline.Stamp `cbor:"21,keyasint"`
 }
 
-// Expire drops targets whose lease ended.
-func (t *Table) Expire(now time.Time) {
-	t.mu.Lock()
-	var lost []Target
-	for vm, target := range t.targets {
-		if !now.Before(target.Expires) {
-			lost = append(lost, target)
-			delete(t.targets, vm)
-		}
+// compare orders two records of one VM: the newer run, then what was heard later.
+func (r *Record) compare(other *Record) int {
+	if order := r.compareRun(&other.Announcement); order != 0 {
+		return order
 	}
-	if len(lost) > 0 {
-		t.publishLocked()
+	if r.Stamp == other.Stamp {
+		return 0
 	}
-	t.mu.Unlock()
-	for _, target := range lost {
-		t.recorder.Record(timeline.Event{Kind: timeline.TargetLost, VM: target.VM, Peer: target.Address, Cause: "lease ended"})
-	}
-	if len(lost) > 0 {
-		t.onChange()
+	if r.Stamp.Before(other.Stamp) {
+		return -1
 	}
+	return 1
 }
 
-func (t *Table) publishLocked() {
-	t.published.Store(&Snapshot{Targets: maps.Clone(t.targets)})
-}
+// Target is a target with a lease.
+type Target struct {
+	Announcement
+	// Pool is the pool whose token the target bears.
+	Pool string
+	// Expires is the end of the lease on the monotonic clock when the
+	// target was published; Live knows of renewals since.
+	Expires time.Time
 
-// Register adds the announcement route to an engine.
-func (t *Table) Register(engine *gin.Engine, ring *keys.Ring) {
-	engine.POST("/v1/targets", func(c *gin.Context) { t.serve(c, ring) })
+	// leases are those on which the target stands; any one suffices.
+	leases []*lease
 }
 
-func (t *Table) serve(c *gin.Context, ring *keys.Ring) {
-	claims, err := ring.CheckToken(bearer(c), time.Now())
-	if err != nil || claims.Role != keys.Target {
-		c.JSON(http.StatusUnauthorized, gin.H{"code": "bad_token", "message": "expected the token of a pool's targets"})
-		return
-	}
-	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxAnnouncementBytes)
-	var a Announcement
-	if err := c.ShouldBindJSON(&a); err != nil {
-		c.JSON(http.StatusBadRequest, gin.H{"code": "malformed", "message": err.Error()})
-		return
-	}
-	if _, _, err := net.SplitHostPort(a.Address); err != nil || a.VM == "" {
-		c.JSON(http.StatusBadRequest, gin.H{"code": "malformed", "message": "expected vm and address as host:port"})
-		return
-	}
-	c.JSON(http.StatusOK, t.Accept(a, claims.Subject))
+// Live says whether the target may get new work.
+func (t *Target) Live(now time.Time) bool {
+	return !t.Leaving && t.LeaseRuns(now)
 }
 
-func bearer(c *gin.Context) string {
-	const prefix = "Bearer "
-	header := c.GetHeader("Authorization")
-	if len(header) <= len(prefix) {
-		return ""
+// LeaseRuns says whether the target, leaving or not, was heard of late.
+func (t *Target) LeaseRuns(now time.Time) bool {
+	if t.leases == nil {
+		return now.Before(t.Expires)
 	}
-	return header[len(prefix):]
+	return anyRuns(t.leases, now)
 }
+
+// Snapshot is an immutable set of targets by VM.
+type Snapshot struct{ Targets map[string]Target }
--- a/internal/connection/message/message.go
+++ b/internal/connection/message/message.go
@@ -2,6 +2,9 @@
 package message
 
 import (
+	"fmt"
+	"hash/fnv"
+
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
@@ -23,11 +26,18 @@
 	Revision uint64 `cbor:"2,keyasint"`
 	Version  uint64 `cbor:"3,keyasint"`
 	WaitMS   int    `cbor:"4,keyasint"`
+	// Confirm asks the leader to confirm that it leads before it answers.
+	Confirm bool `cbor:"5,keyasint,omitempty"`
+	// Registered says that this run of the entry has been in a view. If it
+	// is not registered now, it was removed and is not registered again.
+	Registered bool `cbor:"6,keyasint,omitempty"`
 }
 
 // WatchAnswer carries the changes, or none.
 type WatchAnswer struct {
 	Delta *view.Delta `cbor:"1,keyasint,omitempty"`
+	// Confirmed says that nothing newer was accepted when the call came.
+	Confirmed bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Report is what an entry sees, sent once a second and when a VM has drained.
@@ -44,8 +54,14 @@
 	Drained []DrainedVM `cbor:"6,keyasint,omitempty"`
 	// Usage is the use of each service since the last report.
 	Usage []ServiceUsage `cbor:"7,keyasint,omitempty"`
-	// Targets lists the targets of the zone that the entry has heard.
+	// Targets lists the targets of the zone whose health changed since the
+	// last report, or with Full all. Kept reports hold all of them.
 	Targets []TargetHealth `cbor:"8,keyasint,omitempty"`
+	// GoneTargets lists VMs that the entry no longer knows.
+	GoneTargets []string `cbor:"9,keyasint,omitempty"`
+	Full        bool     `cbor:"10,keyasint,omitempty"`
+	// TargetsDigest is DigestTargets of all targets.
+	TargetsDigest uint64 `cbor:"11,keyasint"`
 }
 
 // DrainedVM confirms a drain.
@@ -75,8 +91,25 @@
 	Live      bool `cbor:"2,keyasint"`
 	Suspected bool `cbor:"3,keyasint,omitempty"`
 	Leaving   bool `cbor:"4,keyasint,omitempty"`
-	InFlight  int  `cbor:"5,keyasint,omitempty"`
+	// InFlight is the number of the entry's requests on the VM. It is told
+	// only of VMs that are not serving, where a drain waits for it.
+	InFlight int `cbor:"5,keyasint,omitempty"`
+}
+
+// DigestTargets identifies a set of targets, whatever their order.
+func DigestTargets(targets []TargetHealth) uint64 {
+	var digest uint64
+	for _, target := range targets {
+		hash := fnv.New64a()
+		// Writing to a hash cannot fail.
+		_, _ = fmt.Fprintf(hash, "%s %t %t %t %d", target.VM, target.Live, target.Suspected, target.Leaving, target.InFlight)
+		digest ^= hash.Sum64()
+	}
+	return digest
 }
 
 // ReportAnswer acknowledges a report.
-type ReportAnswer struct{}
+type ReportAnswer struct {
+	// NeedFull asks for all targets in the next report.
+	NeedFull bool `cbor:"1,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/process/control/batch.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/connection/message"
+	"arbutusward.example/arbutusward/internal/process/state"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/request/batch"
+)
+
+// Times of a pull of batch requests.
+const (
+	// pullWait bounds how long a pull is held while there is nothing to lease.
+	pullWait = time.Second
+	// pullPoll is the time between looks for something to lease.
+	pullPoll = 50 * time.Millisecond
+	// maxPull bounds the requests leased at once, and so the answer's size.
+	maxPull = 16
+)
+
+func (s *Server) registerBatch() {
+	link.Handle(s.node, message.AcceptBatchKind, s.serveAcceptBatch)
+	link.Handle(s.node, message.PullBatchKind, s.servePullBatch)
+	link.Handle(s.node, message.FinishBatchKind, s.serveFinishBatch)
+	link.Handle(s.node, message.GetBatchKind, s.serveGetBatch)
+	link.Handle(s.node, message.CancelBatchKind, s.serveCancelBatch)
+}
+
+func (s *Server) serveAcceptBatch(ctx context.Context, _ link.Peer, request batch.Request) (message.BatchID, error) {
+	id, err := propose[string](ctx, s, state.AcceptBatch, request)
+	if err != nil {
+		return message.BatchID{}, asFault(err)
+	}
+	s.recorder.Record(timeline.Event{Kind: timeline.BatchAccepted, Request: id, Service: request.Service})
+	return message.BatchID{ID: id}, nil
+}
+
+// servePullBatch leases batch requests to an entry and renews those it
+// holds. Without either nothing is written to the log.
+func (s *Server) servePullBatch(ctx context.Context, peer link.Peer, pull batch.Pull) (batch.Leases, error) {
+	if peer.ID != pull.Entry {
+		return batch.Leases{}, errForeignEntry(peer, pull.Entry)
+	}
+	pull.Max = min(pull.Max, maxPull)
+	if err := s.awaitBatchWork(ctx, pull); err != nil {
+		return batch.Leases{}, err
+	}
+	if len(pull.Held) == 0 && !s.machine.BatchWork(pull, time.Now().UnixMilli()) {
+		return batch.Leases{}, nil
+	}
+	leases, err := propose[batch.Leases](ctx, s, state.LeaseBatch, pull)
+	if err != nil {
+		return batch.Leases{}, asFault(err)
+	}
+	return leases, nil
+}
+
+// awaitBatchWork holds a pull until it would change something, for at most
+// pullWait.
+func (s *Server) awaitBatchWork(ctx context.Context, pull batch.Pull) error {
+	deadline := time.Now().Add(pullWait)
+	for time.Now().Before(deadline) {
+		if err := s.requireLead(); err != nil {
+			return err
+		}
+		if s.machine.BatchWork(pull, time.Now().UnixMilli()) {
+			return nil
+		}
+		select {
+		case <-time.After(pullPoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (s *Server) serveFinishBatch(ctx context.Context, _ link.Peer, end batch.End) (message.Done, error) {
+	if _, err := propose[string](ctx, s, state.FinishBatch, end); err != nil {
+		return message.Done{}, asFault(err)
+	}
+	if job, known := s.machine.BatchJob(end.ID); known && job.EndedMS != 0 {
+		s.recorder.Record(timeline.Event{Kind: timeline.BatchEnded, Request: end.ID, Service: job.Service, Cause: string(job.State)})
+	}
+	return message.Done{}, nil
+}
+
+// serveGetBatch reads as the confirmed leader, so that a request that was
+// accepted is never said to be unknown.
+func (s *Server) serveGetBatch(ctx context.Context, _ link.Peer, id message.BatchID) (batch.Job, error) {
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return batch.Job{}, asFault(err)
+	}
+	job, known := s.machine.BatchJob(id.ID)
+	if !known {
+		return batch.Job{}, &link.Fault{Code: string(state.NotFound), Message: "no batch request has this ID, or it is past its retention"}
+	}
+	return job, nil
+}
+
+func (s *Server) serveCancelBatch(ctx context.Context, _ link.Peer, cancel batch.Cancel) (batch.States, error) {
+	states, err := propose[batch.States](ctx, s, state.CancelBatch, cancel)
+	if err != nil {
+		return batch.States{}, asFault(err)
+	}
+	return states, nil
+}
--- /dev/null
+++ b/internal/process/control/claims.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"context"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/connection/message"
+	"arbutusward.example/arbutusward/internal/process/state"
+)
+
+func (s *Server) registerClaims() {
+	link.Handle(s.node, message.ClaimKind, s.serveClaim)
+	link.Handle(s.node, message.FinishClaimKind, s.serveFinishClaim)
+	link.Handle(s.node, message.ReleaseClaimKind, s.serveReleaseClaim)
+}
+
+func (s *Server) serveClaim(ctx context.Context, peer link.Peer, command state.ClaimCommand) (state.ClaimAnswer, error) {
+	if peer.ID != command.Entry {
+		return state.ClaimAnswer{}, errForeignEntry(peer, command.Entry)
+	}
+	answer, err := propose[state.ClaimAnswer](ctx, s, state.ClaimKey, command)
+	if err != nil {
+		return state.ClaimAnswer{}, asFault(err)
+	}
+	return answer, nil
+}
+
+func (s *Server) serveFinishClaim(ctx context.Context, _ link.Peer, end state.ClaimEnd) (message.Done, error) {
+	return s.endClaim(ctx, state.FinishClaim, end)
+}
+
+func (s *Server) serveReleaseClaim(ctx context.Context, _ link.Peer, end state.ClaimEnd) (message.Done, error) {
+	return s.endClaim(ctx, state.ReleaseClaim, end)
+}
+
+// endClaim needs no check of the peer: the attempt is known to its entry alone.
+func (s *Server) endClaim(ctx context.Context, kind state.Kind, end state.ClaimEnd) (message.Done, error) {
+	if _, err := propose[string](ctx, s, kind, end); err != nil {
+		return message.Done{}, asFault(err)
+	}
+	return message.Done{}, nil
+}
--- a/internal/process/control/observers.go
+++ b/internal/process/control/observers.go
@@ -15,8 +15,11 @@
 
 // observation is what was last heard of an entry.
 type observation struct {
+	// report holds all targets, also when the last one told changes only.
 	report  message.Report
 	heardAt time.Time
+	// reportedAt is when the last report came; Drained holds for it alone.
+	reportedAt time.Time
 }
 
 func newObservers() *observers { return &observers{entries: map[string]observation{}} }
@@ -27,11 +30,40 @@
 	o.entries = map[string]observation{}
 }
 
-// note stores a report, unless a newer revision of the same run is known.
-func (o *observers) note(report message.Report) {
+// note stores a report. It returns false if the targets that are known of
+// the entry are not those that it reports about.
+func (o *observers) note(report message.Report) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.entries[report.EntryID] = observation{report: report, heardAt: time.Now()}
+	before := o.entries[report.EntryID].report
+	if !report.Full {
+		report.Targets = mergeTargets(before.Targets, report)
+	}
+	fits := message.DigestTargets(report.Targets) == report.TargetsDigest
+	now := time.Now()
+	o.entries[report.EntryID] = observation{report: report, heardAt: now, reportedAt: now}
+	return fits
+}
+
+// mergeTargets applies the changes of a report to the targets known before.
+func mergeTargets(known []message.TargetHealth, report message.Report) []message.TargetHealth {
+	if len(report.Targets) == 0 && len(report.GoneTargets) == 0 {
+		return known
+	}
+	replaced := make(map[string]bool, len(report.Targets)+len(report.GoneTargets))
+	for _, target := range report.Targets {
+		replaced[target.VM] = true
+	}
+	for _, vm := range report.GoneTargets {
+		replaced[vm] = true
+	}
+	merged := make([]message.TargetHealth, 0, len(known)+len(report.Targets))
+	for _, target := range known {
+		if !replaced[target.VM] {
+			merged = append(merged, target)
+		}
+	}
+	return append(merged, report.Targets...)
 }
 
 // noteRevision stores the revision that a watch acknowledged.
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/gin-gonic/gin"
-
 	"arbutusward.example/arbutusward/internal/connection/announce"
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/targetconn"
@@ -20,6 +20,7 @@
 	"arbutusward.example/arbutusward/internal/process/settings"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/request"
+	"arbutusward.example/arbutusward/internal/request/batch"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
@@ -45,30 +46,52 @@
 
 	follower *Follower
 	targets  *announce.Table
+	peers    *peers
+	reporter *reporter
 	handler  *request.Handler
+	batch    *batch.Runner
 	callers  *http.Server
 	announce *http.Server
 	// dirty wakes the control goroutine to rebuild the table.
 	dirty  chan struct{}
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	// stopping says that a graceful stop has begun.
+	stopping atomic.Bool
 }
 
 // New wires an entry process; Start makes it serve.
 func New(s *settings.Entry, ring *keys.Ring, node *link.Node, admin *adminhttp.Server, recorder *timeline.Recorder, log *slog.Logger) *Server {
 	server := &Server{settings: s, node: node, admin: admin, recorder: recorder, log: log, dirty: make(chan struct{}, 1)}
 	self := view.Entry{ID: s.ID, Zone: s.Zone, Link: s.Link, Admin: s.Admin}
-	server.follower = NewFollower(self, node, s.Control, recorder, log, server.markDirty)
-	server.targets = announce.NewTable(recorder, server.markDirty)
-	server.handler = request.NewHandler(targetconn.NewClient(), nil, recorder, log)
-	engine := gin.New()
-	engine.Use(gin.Recovery())
-	server.targets.Register(engine, ring)
-	server.callers = server.newHTTP(server.handler)
-	server.announce = server.newHTTP(engine)
+	incarnation := rand.Text()
+	leader := newControls(node, s.Control)
+	server.follower = newFollower(self, leader, viewFile{dir: s.DataDir}, recorder, log, server.markDirty)
+	server.targets = announce.NewTable(recorder, server.knowsVM, server.markDirty)
+	server.peers = newPeers(self, node, server.targets, server.follower, log, server.run)
+	server.handler = request.NewHandler(targetconn.NewClient(), newClaimer(leader, s.ID, incarnation, log), recorder, log)
+	server.reporter = &reporter{self: self, incarnation: incarnation, controls: leader, follower: server.follower,
+		targets: server.targets, handler: server.handler, log: log}
+	store := &batchStore{controls: leader, entry: s.ID, incarnation: incarnation}
+	server.batch = batch.NewRunner(store, server.handler, server.service, log)
+	server.callers = server.newHTTP(server.callerRoutes(batch.NewRoutes(store, server.service)))
+	server.announce = server.newHTTP(server.announceRoutes(ring))
 	return server
 }
 
+// knowsVM says whether a VM may announce itself: all before the first view.
+func (s *Server) knowsVM(vm string) bool {
+	current := s.follower.View()
+	_, known := current.VMs[vm]
+	return known || current.Version == 0
+}
+
+// service finds what batch requests need to know of a service.
+func (s *Server) service(name string) (batch.Service, bool) {
+	found, declared := s.follower.View().Services[name]
+	return batch.Service{IdempotentMethods: found.IdempotentMethods, Deadline: time.Duration(found.DeadlineMS) * time.Millisecond}, declared
+}
+
 func (s *Server) newHTTP(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
@@ -86,8 +109,12 @@
 func (s *Server) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
+	s.peers.register()
 	s.node.Serve()
 	s.run(func() { s.follower.Run(ctx) })
+	s.run(func() { s.peers.catchUp(ctx) })
+	s.run(func() { s.reporter.run(ctx) })
+	s.run(func() { s.batch.Run(ctx) })
 	s.run(func() { s.control(ctx) })
 	if err := s.listen(s.callers, s.settings.Callers); err != nil {
 		return err
@@ -125,28 +152,39 @@
 func (s *Server) control(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
+	liveEntries := 1
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			s.targets.Expire(now)
+			if live := 1 + s.targets.LivePeers(now); live != liveEntries {
+				liveEntries = live
+				s.rebuild(ctx, liveEntries)
+			}
 		case <-s.dirty:
-			s.rebuild()
+			s.rebuild(ctx, liveEntries)
 		}
 	}
 }
 
-func (s *Server) rebuild() {
+func (s *Server) rebuild(ctx context.Context, liveEntries int) {
 	current := s.follower.View()
-	s.handler.SetTable(request.NewTable(current, s.targets.Snapshot(), 1))
-	s.admin.SetReady(current.Version > 0)
+	if s.follower.Removed() {
+		// Control counts this entry as powered off: it must send no work.
+		current = view.Empty()
+	}
+	s.peers.reconcile(ctx, current)
+	s.handler.SetTable(request.NewTable(current, s.targets.Snapshot(), liveEntries))
+	s.admin.SetReady(current.Version > 0 && !s.stopping.Load())
 }
 
 // Stop ends the process gracefully: readiness is refused first, so that
 // the balancer looks elsewhere, then the requests in flight end.
 func (s *Server) Stop(ctx context.Context) error {
 	s.recorder.Record(timeline.Event{Kind: timeline.ProcessStopping})
+	s.stopping.Store(true)
 	s.admin.SetReady(false)
 	drain := time.Duration(s.settings.DrainMS) * time.Millisecond
 	if drain == 0 {
@@ -154,8 +192,9 @@
 	}
 	pause(ctx, drain)
 	callersErr := s.callers.Shutdown(ctx)
+	batchErr := s.batch.Stop(ctx)
 	announceErr := s.announce.Shutdown(ctx)
 	s.cancel()
 	s.done.Wait()
-	return errors.Join(callersErr, announceErr, s.admin.Stop(ctx), s.node.Close())
+	return errors.Join(callersErr, batchErr, announceErr, s.admin.Stop(ctx), s.node.Close())
 }
--- /dev/null
+++ b/internal/process/state/batchlease.go
@@ -0,0 +1,214 @@
+package state
+
+import (
+	"slices"
+
+	"arbutusward.example/arbutusward/internal/request/batch"
+	"arbutusward.example/arbutusward/internal/request/claim"
+)
+
+// applyLeaseBatch ends lost leases, renews those of the entry and grants
+// it new ones.
+func applyLeaseBatch(m *Machine, c position, pull batch.Pull) Result {
+	now := m.clock(c)
+	m.data.Claims.Incarnations[pull.Entry] = pull.Incarnation
+	m.forgetBatch(now)
+	m.sweepBatch(now)
+	answer := m.renewBatch(pull, now)
+	m.grantBatch(pull, now, &answer)
+	return okResult(answer)
+}
+
+// sweepBatch ends the leases that ran out and those of entries that
+// restarted or were removed.
+func (m *Machine) sweepBatch(now int64) {
+	for _, id := range m.data.Batch.runningSorted() {
+		job := m.data.Batch.Jobs[id]
+		if m.data.Claims.Incarnations[job.Entry] != job.Incarnation {
+			m.loseBatch(job, "the entry that ran it is gone")
+		} else if job.LeaseEndMS <= now {
+			m.loseBatch(job, "the lease of the entry that ran it ended")
+		}
+	}
+}
+
+// renewBatch renews the leases that the entry holds. A lease of its own
+// that it does not know was lost on the way and never began: it is told again.
+func (m *Machine) renewBatch(pull batch.Pull, now int64) batch.Leases {
+	var answer batch.Leases
+	t := &m.data.Batch
+	known := make(map[string]bool, len(pull.Held))
+	for _, hold := range pull.Held {
+		known[hold.ID] = true
+		job := t.Jobs[hold.ID]
+		if !t.Running[hold.ID] || job.Epoch != hold.Epoch {
+			answer.Lost = append(answer.Lost, hold.ID)
+			continue
+		}
+		if job.Cancelling {
+			answer.Cancelling = append(answer.Cancelling, hold.ID)
+		}
+		job.LeaseEndMS = now + batch.LeaseTime.Milliseconds()
+		t.Jobs[hold.ID] = job
+	}
+	for _, id := range t.runningSorted() {
+		job := t.Jobs[id]
+		if job.Entry == pull.Entry && !known[id] {
+			job.LeaseEndMS = now + batch.LeaseTime.Milliseconds()
+			t.Jobs[id] = job
+			answer.Jobs = append(answer.Jobs, job)
+		}
+	}
+	return answer
+}
+
+// grantBatch leases queued requests to the entry, oldest first.
+func (m *Machine) grantBatch(pull batch.Pull, now int64, answer *batch.Leases) {
+	t := &m.data.Batch
+	if t.Queued == 0 {
+		t.Queue = nil
+		return
+	}
+	var waiting []string
+	scanned := 0
+	for ; scanned < len(t.Queue) && scanned < maxBatchScan && len(answer.Jobs) < pull.Max; scanned++ {
+		job := t.Jobs[t.Queue[scanned]]
+		if job.State != batch.Queued {
+			continue
+		}
+		if job.NotBeforeMS > now {
+			waiting = append(waiting, job.ID)
+			continue
+		}
+		answer.Jobs = append(answer.Jobs, t.lease(job, pull, now))
+	}
+	t.Queue = append(slices.Clone(t.Queue[scanned:]), waiting...)
+}
+
+func (t *batchTable) lease(job batch.Job, pull batch.Pull, now int64) batch.Job {
+	job.State, job.Reason = batch.Running, ""
+	job.Entry, job.Incarnation = pull.Entry, pull.Incarnation
+	job.Attempts++
+	job.Epoch++
+	job.LeaseEndMS = now + batch.LeaseTime.Milliseconds()
+	t.Jobs[job.ID] = job
+	t.Running[job.ID] = true
+	t.Queued--
+	return job
+}
+
+// applyFinishBatch ends an attempt. The end of a lease that was lost is
+// refused, unless it turns an unknown result into a known one.
+func applyFinishBatch(m *Machine, c position, end batch.End) Result {
+	m.clock(c)
+	job, known := m.data.Batch.Jobs[end.ID]
+	if !known || job.Epoch != end.Epoch {
+		return refuse(Conflict, "the lease is over")
+	}
+	if job.State == batch.Unknown && end.Ran {
+		m.amendBatch(job, end)
+		return okResult(end.ID)
+	}
+	if job.State != batch.Running {
+		return refuse(Conflict, "the lease is over")
+	}
+	m.finishBatch(job, end)
+	return okResult(end.ID)
+}
+
+func (m *Machine) finishBatch(job batch.Job, end batch.End) {
+	switch {
+	case end.Ran:
+		answer, reason := keptAnswer(end.Answer)
+		m.endBatch(job, batch.Done, reason, answer)
+	case end.NotRun:
+		m.requeueBatch(job, end.Reason)
+	default:
+		m.loseBatch(job, end.Reason)
+	}
+}
+
+// amendBatch records the answer of a request that has ended as unknown.
+func (m *Machine) amendBatch(job batch.Job, end batch.End) {
+	t := &m.data.Batch
+	job.State = batch.Done
+	job.Answer, job.Reason = keptAnswer(end.Answer)
+	if job.Answer != nil {
+		t.AnswerBytes += job.Answer.Size()
+		t.AnswersDropped = 0
+	}
+	t.Jobs[job.ID] = job
+	t.bound()
+}
+
+func keptAnswer(answer *claim.Answer) (*claim.Answer, string) {
+	if answer == nil || answer.Size() > batch.MaxBodyBytes {
+		return nil, "the answer is too large to be kept"
+	}
+	return answer, ""
+}
+
+// applyCancelBatch cancels many requests at a cost linear in their number.
+func applyCancelBatch(m *Machine, c position, cancel batch.Cancel) Result {
+	m.clock(c)
+	states := make(map[string]batch.State, len(cancel.IDs))
+	for _, id := range cancel.IDs {
+		job, known := m.data.Batch.Jobs[id]
+		if !known {
+			continue
+		}
+		m.cancelOne(job)
+		states[id] = m.data.Batch.Jobs[id].State
+	}
+	return okResult(batch.States{States: states})
+}
+
+func (m *Machine) cancelOne(job batch.Job) {
+	switch job.State {
+	case batch.Queued:
+		m.endBatch(job, batch.Cancelled, "cancelled before it ran", nil)
+	case batch.Running:
+		job.Cancelling = true
+		m.data.Batch.Jobs[job.ID] = job
+	}
+}
+
+// batch.Job returns a batch request by its ID.
+func (m *Machine) BatchJob(id string) (batch.Job, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	job, known := m.data.Batch.Jobs[id]
+	return job, known
+}
+
+// BatchWork says that a pull would change something: a request can be
+// leased, or a lease is over, or one never reached the entry.
+func (m *Machine) BatchWork(pull batch.Pull, nowMS int64) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if pull.Max > 0 && m.data.Batch.due(nowMS) {
+		return true
+	}
+	for id := range m.data.Batch.Running {
+		job := m.data.Batch.Jobs[id]
+		alive := m.data.Claims.Incarnations[job.Entry] == job.Incarnation
+		untold := job.Entry == pull.Entry && !pull.Holds(id)
+		if !alive || job.LeaseEndMS <= nowMS || untold {
+			return true
+		}
+	}
+	return false
+}
+
+// due says that a queued request can be leased.
+func (t *batchTable) due(nowMS int64) bool {
+	if t.Queued == 0 {
+		return false
+	}
+	for _, id := range t.Queue[:min(len(t.Queue), maxBatchScan)] {
+		if job := t.Jobs[id]; job.State == batch.Queued && job.NotBeforeMS <= nowMS {
+			return true
+		}
+	}
+	return len(t.Queue) > maxBatchScan
+}
--- a/internal/process/state/command.go
+++ b/internal/process/state/command.go
@@ -16,6 +16,16 @@
 	RemoveEntry    Kind = "remove-entry"
 	ChangePhase    Kind = "change-phase"
 	CommitMove     Kind = "commit-move"
+
+	ClaimKey        Kind = "claim-key"
+	FinishClaim     Kind = "finish-claim"
+	ReleaseClaim    Kind = "release-claim"
+	NoteIncarnation Kind = "note-incarnation"
+
+	AcceptBatch Kind = "accept-batch"
+	LeaseBatch  Kind = "lease-batch"
+	FinishBatch Kind = "finish-batch"
+	CancelBatch Kind = "cancel-batch"
 )
 
 // applier carries out one kind of command.
@@ -29,6 +39,16 @@
 		RemoveEntry:    typed(applyRemoveEntry),
 		ChangePhase:    typed(applyChangePhase),
 		CommitMove:     typed(applyCommitMove),
+
+		ClaimKey:        typed(applyClaim),
+		FinishClaim:     typed(applyFinishClaim),
+		ReleaseClaim:    typed(applyReleaseClaim),
+		NoteIncarnation: typed(applyNoteIncarnation),
+
+		AcceptBatch: typed(applyAcceptBatch),
+		LeaseBatch:  typed(applyLeaseBatch),
+		FinishBatch: typed(applyFinishBatch),
+		CancelBatch: typed(applyCancelBatch),
 	}
 }
 
--- a/internal/process/state/entries.go
+++ b/internal/process/state/entries.go
@@ -36,6 +36,8 @@
 		return refuse(Refused, "removing an entry needs the statement that it is powered off")
 	}
 	delete(f.Entries, removal.ID)
+	// Its claims and batch leases have no owner any more.
+	delete(m.data.Claims.Incarnations, removal.ID)
 	f.bury(c.index, ItemEntry, removal.ID)
 	return okResult(removal)
 }
--- a/internal/process/state/machine.go
+++ b/internal/process/state/machine.go
@@ -28,13 +28,20 @@
 
 // data is the whole replicated state, as written to snapshots.
 type data struct {
-	Fleet Fleet `cbor:"1,keyasint"`
+	Fleet  Fleet      `cbor:"1,keyasint"`
+	Claims claimTable `cbor:"20,keyasint"`
+	Batch  batchTable `cbor:"21,keyasint"`
+	// ClockMS is the newest time of any claim or batch command; it never
+	// goes back when a leader with a slower clock takes over.
+	ClockMS int64 `cbor:"22,keyasint"`
 }
 
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
 	m := &Machine{appliers: appliers()}
 	m.data.Fleet = emptyFleet()
+	m.data.Claims = newClaimTable()
+	m.data.Batch = newBatchTable()
 	signal := make(chan struct{})
 	m.changed.Store(&signal)
 	m.publish()
@@ -77,7 +84,7 @@
 
 // Restore replaces the whole state.
 func (m *Machine) Restore(_ uint64, snapshot []byte) error {
-	restored := data{Fleet: emptyFleet()}
+	restored := data{Fleet: emptyFleet(), Claims: newClaimTable(), Batch: newBatchTable()}
 	if err := cbor.Unmarshal(snapshot, &restored); err != nil {
 		return fmt.Errorf("decode state snapshot: %w", err)
 	}
--- /dev/null
+++ b/internal/request/batch/runner.go
@@ -0,0 +1,238 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/request"
+	"arbutusward.example/arbutusward/internal/request/claim"
+)
+
+const (
+	// maxRuns is the number of batch requests that one entry runs at once.
+	maxRuns = 16
+	// pullTimeout bounds one pull.
+	pullTimeout = 5 * time.Second
+	// runnerPause is the time before a call that failed is made again.
+	runnerPause = 200 * time.Millisecond
+	// leaseMargin is how long before the end of its lease an idempotent
+	// request is given up, since another entry may take it over then.
+	leaseMargin = time.Second
+)
+
+// Dispatcher runs one request on a target.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, d request.Dispatch) request.Result
+}
+
+// Runner runs the batch requests that the store leases to this entry.
+type Runner struct {
+	store    Store
+	dispatch Dispatcher
+	lookup   Lookup
+	log      *slog.Logger
+
+	mu   sync.Mutex
+	runs map[string]*run
+	// stopping is closed by Stop; stopped once nothing runs any more.
+	stopping, stopped chan struct{}
+}
+
+// run is one lease and its attempt.
+type run struct {
+	job    Job
+	cancel context.CancelFunc
+	// leaseEnd is on the monotonic clock.
+	leaseEnd time.Time
+}
+
+// NewRunner returns a runner; Run makes it work.
+func NewRunner(store Store, dispatch Dispatcher, lookup Lookup, log *slog.Logger) *Runner {
+	return &Runner{store: store, dispatch: dispatch, lookup: lookup, log: log, runs: map[string]*run{},
+		stopping: make(chan struct{}), stopped: make(chan struct{})}
+}
+
+// Run pulls and runs batch requests until Stop, and then until those that
+// run have ended.
+func (r *Runner) Run(ctx context.Context) {
+	defer close(r.stopped)
+	for ctx.Err() == nil {
+		held := r.held()
+		limit := maxRuns - len(held)
+		if r.isStopping() {
+			if len(held) == 0 {
+				return
+			}
+			limit = 0
+		}
+		if err := r.pull(ctx, held, limit); err != nil && ctx.Err() == nil {
+			r.log.Warn("pull of batch requests failed", logging.Err(err))
+			r.pause(ctx)
+		}
+		r.dropEnded()
+	}
+}
+
+// Stop takes no new requests and waits for those that run.
+func (r *Runner) Stop(ctx context.Context) error {
+	close(r.stopping)
+	select {
+	case <-r.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Runner) isStopping() bool {
+	select {
+	case <-r.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Runner) pause(ctx context.Context) {
+	select {
+	case <-time.After(runnerPause):
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) held() []Hold {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := make([]Hold, 0, len(r.runs))
+	for _, running := range r.runs {
+		held = append(held, Hold{ID: running.job.ID, Epoch: running.job.Epoch})
+	}
+	return held
+}
+
+func (r *Runner) pull(ctx context.Context, held []Hold, limit int) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	askedAt := time.Now()
+	leases, err := r.store.Pull(ctx, held, limit)
+	if err != nil {
+		return err
+	}
+	r.renew(held, leases, askedAt.Add(LeaseTime))
+	for _, job := range leases.Jobs {
+		r.begin(job, askedAt.Add(LeaseTime))
+	}
+	return nil
+}
+
+// renew extends the leases that were held when the pull was made, and ends
+// the runs that should not go on.
+func (r *Runner) renew(held []Hold, leases Leases, leaseEnd time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, hold := range held {
+		if running := r.runs[hold.ID]; running != nil {
+			running.leaseEnd = leaseEnd
+		}
+	}
+	for _, id := range leases.Lost {
+		// Another entry may run an idempotent request now. A non-idempotent
+		// one is run by nobody else, and its answer is still welcome.
+		if running := r.runs[id]; running != nil && running.job.Idempotent {
+			running.cancel()
+		}
+	}
+	for _, id := range leases.Cancelling {
+		if running := r.runs[id]; running != nil {
+			running.cancel()
+		}
+	}
+}
+
+// dropEnded gives up idempotent runs whose lease could not be renewed.
+func (r *Runner) dropEnded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit := time.Now().Add(leaseMargin)
+	for _, running := range r.runs {
+		if running.job.Idempotent && running.leaseEnd.Before(limit) {
+			running.cancel()
+		}
+	}
+}
+
+func (r *Runner) begin(job Job, leaseEnd time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs[job.ID] != nil {
+		return
+	}
+	// Runs outlive the pull; they end by their deadline or by cancellation.
+	ctx, cancel := context.WithCancel(context.Background())
+	r.runs[job.ID] = &run{job: job, cancel: cancel, leaseEnd: leaseEnd}
+	go func() {
+		defer cancel()
+		r.finish(r.attempt(ctx, job, leaseEnd))
+	}()
+}
+
+// attempt runs a request once and returns its end.
+func (r *Runner) attempt(ctx context.Context, job Job, leaseEnd time.Time) End {
+	end := End{Hold: Hold{ID: job.ID, Epoch: job.Epoch}}
+	service, declared := r.lookup(job.Service)
+	switch {
+	case r.isStopping():
+		end.NotRun, end.Reason = true, "the entry is stopping"
+		return end
+	case !declared:
+		end.NotRun, end.Reason = true, "the service is not declared"
+		return end
+	case time.Now().After(leaseEnd.Add(-leaseMargin)):
+		end.NotRun, end.Reason = true, "the lease ended before the attempt"
+		return end
+	}
+	ctx, cancel := context.WithTimeout(ctx, service.Deadline)
+	defer cancel()
+	result := r.dispatch.Dispatch(ctx, request.Dispatch{ID: job.ID, Service: job.Service, Method: job.Method, URI: job.URI, Header: job.Header.Clone(), Body: job.Body, Caller: job.Caller})
+	end.Reason = result.Reason
+	switch {
+	case result.Outcome == request.Ran && result.Answer != nil:
+		end.Ran = true
+		end.Answer = keptAnswer(&claim.Answer{Status: result.Answer.Status, Header: result.Answer.Header, Body: result.Answer.Body})
+	case result.Outcome == request.NotRun:
+		end.NotRun = true
+	}
+	return end
+}
+
+// keptAnswer drops an answer that the store would not keep.
+func keptAnswer(answer *claim.Answer) *claim.Answer {
+	if answer.Size() > MaxBodyBytes {
+		return nil
+	}
+	return answer
+}
+
+// finish tells the end of an attempt until the store has answered. The
+// lease is renewed until then. A stopping entry gives up after LeaseTime;
+// the store then ends the lease by itself.
+func (r *Runner) finish(end End) {
+	begun := time.Now()
+	for !r.isStopping() || time.Since(begun) < LeaseTime {
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		err := r.store.Finish(ctx, end)
+		cancel()
+		if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrRefused) {
+			break
+		}
+		r.log.Warn("end of a batch request was not stored", "request", end.ID, logging.Err(err))
+		r.pause(context.Background())
+	}
+	r.mu.Lock()
+	delete(r.runs, end.ID)
+	r.mu.Unlock()
+}
--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -45,9 +45,9 @@
 
 // Answer is a recorded answer.
 type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status int         `cbor:"1,keyasint"`
+	Header http.Header `cbor:"2,keyasint"`
+	Body   []byte      `cbor:"3,keyasint"`
 }
 
 // Decision is the answer to a claim.
@@ -57,6 +57,8 @@
 	Token string
 	// Answer is set with Finished.
 	Answer *Answer
+	// Reason explains a state other than Granted and Finished.
+	Reason string
 }
 
 // Claimer makes and ends claims. Its methods are safe for concurrent use.
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -50,6 +50,7 @@
 	server      *http.Server
 	client      *http.Client
 	incarnation string
+	startedMS   int64
 	cancel      context.CancelFunc
 	done        sync.WaitGroup
 
@@ -68,7 +69,7 @@
 		return nil, fmt.Errorf("listen as target %s: %w", config.VM, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &Target{config: config, listener: listener, incarnation: rand.Text(), cancel: cancel,
+	t := &Target{config: config, listener: listener, incarnation: rand.Text(), startedMS: time.Now().UnixMilli(), cancel: cancel,
 		client: &http.Client{Timeout: announceTimeout}}
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
@@ -215,7 +216,7 @@
 	t.mu.Lock()
 	leaving := t.leaving
 	t.mu.Unlock()
-	body, err := json.Marshal(announce.Announcement{VM: t.config.VM, Address: address, Services: t.config.Services, Incarnation: t.incarnation, Leaving: leaving})
+	body, err := json.Marshal(announce.Announcement{VM: t.config.VM, Address: address, Services: t.config.Services, Incarnation: t.incarnation, StartedMS: t.startedMS, Leaving: leaving})
 	if err != nil {
 		return lease, err
 	}
