Request plane: admission, queue, choice, ejection, retries and outcomes

Cause: the handler picked a random target, queued nothing, and used net/http.Transport, which repeats requests by itself. Change: one scheduler over lasting worker, pool and service objects; fair bounded queues, spill onto the spare pool, levels of equal load for a choice in constant time, ejection with probes, a retry budget, keyed requests through claim.Claimer, and an HTTP/1.1 client of our own that counts the bytes that left. The entry checks leases at the moment of a dispatch.

Ruled out: net/http.Transport (replays); an entry-wide random choice.

--- /dev/null
+++ b/internal/connection/targetconn/exchange.go
@@ -0,0 +1,161 @@
+package targetconn
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"arbutusward.example/arbutusward/internal/process/logging"
+)
+
+// requestIDHeader names the request in both directions.
+const requestIDHeader = "X-Request-Id"
+
+// Send makes one attempt. It never sends the request a second time.
+func (p *Pool) Send(ctx context.Context, r Request) (*Answer, Exchange, error) {
+	if !wellFormed(r.Method) || !wellFormed(r.URI) {
+		return nil, Exchange{}, logging.At(ErrMalformedRequest, "write request", p.address)
+	}
+	c, reused, err := p.take(ctx, r.MaxIdle)
+	if err != nil {
+		return nil, Exchange{}, err
+	}
+	answer, keep, err := p.exchange(ctx, c, r)
+	exchange := Exchange{Sent: c.written > 0, Reused: reused}
+	if err != nil || !keep {
+		p.discard(c)
+	} else {
+		p.put(c)
+	}
+	return answer, exchange, err
+}
+
+// exchange writes the request and reads its answer. The second result says
+// that the connection may serve another request.
+func (p *Pool) exchange(ctx context.Context, c *conn, r Request) (*Answer, bool, error) {
+	deadline, _ := ctx.Deadline()
+	if err := c.begin(deadline, maxAnswerHeaderBytes+r.MaxAnswerBytes+1); err != nil {
+		return nil, false, logging.At(err, "prepare connection", p.address)
+	}
+	if ctx.Err() != nil || (r.Admit != nil && !r.Admit()) {
+		return nil, false, logging.At(ErrNotAdmitted, "write request", p.address)
+	}
+	// A cancelled exchange ends by the end of its connection.
+	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
+	answer, keep, err := p.converse(c, r)
+	if !stop() {
+		keep = false
+	}
+	if err != nil && ctx.Err() != nil {
+		err = errors.Join(ctx.Err(), err)
+	}
+	return answer, keep, err
+}
+
+func (p *Pool) converse(c *conn, r Request) (*Answer, bool, error) {
+	if err := writeRequest(c.writer, p.address, r); err != nil {
+		return nil, false, logging.At(errors.Join(ErrNoAnswer, err), "write request", p.address)
+	}
+	if err := p.awaitFirstByte(c, r); err != nil {
+		return nil, false, logging.At(errors.Join(ErrNoAnswer, err), "await answer", p.address)
+	}
+	answer, keep, err := readAnswer(c, r)
+	if isTimeout(err) && c.silence > 0 {
+		p.Retire()
+		err = errors.Join(ErrSilent, err)
+	}
+	if err != nil {
+		return nil, false, logging.At(err, "read answer", p.address)
+	}
+	if r.EchoID != "" && answer.Header.Get(requestIDHeader) != r.EchoID {
+		return nil, false, logging.At(ErrCrossedAnswer, "check answer", p.address)
+	}
+	return answer, keep && c.drained(), nil
+}
+
+// awaitFirstByte waits under the bound of silence. A silent connection
+// retires the older ones before the target itself is judged: something
+// between the two ends may have lost track of them.
+func (p *Pool) awaitFirstByte(c *conn, r Request) error {
+	c.silence = r.Silence
+	_, err := c.reader.Peek(1)
+	if !isTimeout(err) || r.Silence == 0 {
+		return err
+	}
+	p.Retire()
+	if !r.WaitOutSilence {
+		return errors.Join(ErrSilent, err)
+	}
+	c.silence = 0
+	_, err = c.reader.Peek(1)
+	return err
+}
+
+// readAnswer reads the final answer, whole.
+func readAnswer(c *conn, r Request) (*Answer, bool, error) {
+	response, err := readHeader(c, r.Method)
+	if err != nil {
+		return nil, false, err
+	}
+	defer response.Body.Close()
+	if response.ContentLength > r.MaxAnswerBytes && r.Method != http.MethodHead {
+		return nil, false, ErrAnswerTooLarge
+	}
+	if unframed(response, r.Method) {
+		return nil, false, ErrAnswerUnframed
+	}
+	body, err := readBody(response, r)
+	if err != nil {
+		return nil, false, err
+	}
+	header := response.Header
+	if r.Method == http.MethodHead && response.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	return &Answer{Status: response.StatusCode, Header: header, Body: body}, !response.Close, nil
+}
+
+// readHeader skips interim answers.
+func readHeader(c *conn, method string) (*http.Response, error) {
+	request := &http.Request{Method: method}
+	for range maxInterim {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, fmt.Errorf("header: %w", err)
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, ErrSwitched
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// unframed says that only the end of the connection ends the body.
+func unframed(response *http.Response, method string) bool {
+	if method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified {
+		return false
+	}
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+func readBody(response *http.Response, r Request) ([]byte, error) {
+	if r.Method == http.MethodHead {
+		return nil, nil
+	}
+	if length := response.ContentLength; length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, r.MaxAnswerBytes+1))
+	if err == nil && int64(len(body)) > r.MaxAnswerBytes {
+		return nil, ErrAnswerTooLarge
+	}
+	return body, err
+}
--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -1,34 +1,74 @@
-// Package targetconn sends requests to targets over HTTP and returns whole
-// answers only.
+// Package targetconn sends requests to targets over HTTP/1.1 and returns
+// whole answers only. It counts the bytes that left, never sends a request
+// twice, and discards a connection whose state is in doubt. The transport
+// of net/http is not used because it repeats requests by itself.
 package targetconn
 
 import (
-	"bytes"
-	"context"
 	"errors"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"time"
 )
 
-// ErrAnswerTooLarge says that a target's answer is above the service's bound.
-var ErrAnswerTooLarge = errors.New("the target's answer is too large")
+// Errors of an exchange.
+var (
+	// ErrAnswerTooLarge says that an answer is above the service's bound.
+	ErrAnswerTooLarge = errors.New("the target's answer is too large")
+	// ErrAnswerUnframed says that an answer has no length, so that a cut
+	// could not be told from its end.
+	ErrAnswerUnframed = errors.New("the target's answer has no length")
+	// ErrCrossedAnswer says that an answer belongs to another request.
+	ErrCrossedAnswer = errors.New("the target answered another request")
+	// ErrSilent says that the target made no progress within the bound.
+	ErrSilent = errors.New("the target made no progress")
+	// ErrNoAnswer says that not one byte of an answer arrived.
+	ErrNoAnswer = errors.New("no byte of an answer arrived")
+	// ErrNotAdmitted says that the request was withdrawn before its first byte.
+	ErrNotAdmitted = errors.New("withdrawn before the first byte")
+	// ErrNoConnection says that all connections of the target are in use.
+	ErrNoConnection = errors.New("all connections of the target are in use")
+	// ErrMalformedRequest says that the request can't be written safely.
+	ErrMalformedRequest = errors.New("malformed method or URI")
+	// ErrSwitched says that the target left HTTP.
+	ErrSwitched = errors.New("the target switched protocols")
+)
 
-// dialTimeout bounds a new connection to a target.
-const dialTimeout = time.Second
+// Bounds of connections.
+const (
+	// MaxIdle is the age at which an idle connection is closed.
+	MaxIdle = 2 * time.Second
+	// dialTimeout bounds a new connection to a target.
+	dialTimeout = time.Second
+	// maxAnswerHeaderBytes bounds the header of an answer.
+	maxAnswerHeaderBytes = 64 << 10
+	// maxInterim bounds the interim answers before the final one.
+	maxInterim = 5
+)
 
 // Request is one attempt at one target.
 type Request struct {
-	Address string
-	Method  string
+	Method string
 	// URI is the path with the query.
-	URI    string
+	URI string
+	// Header goes out without its hop-by-hop fields; it is not changed.
 	Header http.Header
 	Body   []byte
 	// MaxAnswerBytes bounds the answer's body.
 	MaxAnswerBytes int64
+	// MaxIdle bounds the idle age of a connection that is used again; 0
+	// asks for a new connection.
+	MaxIdle time.Duration
+	// Silence bounds the time without progress of the answer; 0 for no
+	// bound but the context's deadline. A silent connection retires all
+	// connections of the pool that were opened before.
+	Silence time.Duration
+	// WaitOutSilence keeps waiting for a silent answer until the deadline,
+	// for work that must not be repeated.
+	WaitOutSilence bool
+	// EchoID is the X-Request-Id that the answer must bear, "" for any.
+	EchoID string
+	// Admit is asked right before the first byte; nil admits.
+	Admit func() bool
 }
 
 // Answer is a whole answer.
@@ -38,41 +78,21 @@
 	Body   []byte
 }
 
-// Client holds the connections to all targets.
-type Client struct{ transport *http.Transport }
-
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return &Client{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     2 * time.Second,
-	}}
+// Exchange says how an attempt went.
+type Exchange struct {
+	// Sent says that at least one byte of the request left.
+	Sent bool
+	// Reused says that the connection had served a request before.
+	Reused bool
 }
 
-// Send makes one attempt. The second result says whether any byte of the
-// request may have reached the target.
-func (c *Client) Send(ctx context.Context, r Request) (*Answer, bool, error) {
-	outgoing, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.URI, bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, false, fmt.Errorf("make request: %w", err)
-	}
-	outgoing.Header = r.Header
-	response, err := c.transport.RoundTrip(outgoing)
-	if err != nil {
-		var dial *net.OpError
-		sent := !(errors.As(err, &dial) && dial.Op == "dial")
-		return nil, sent, fmt.Errorf("exchange: %w", err)
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, r.MaxAnswerBytes+1))
-	if err != nil {
-		return nil, true, fmt.Errorf("read answer: %w", err)
-	}
-	if int64(len(body)) > r.MaxAnswerBytes {
-		return nil, true, ErrAnswerTooLarge
-	}
-	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, true, nil
+// Client makes the pools of connections to targets.
+type Client struct{}
+
+// NewClient returns a client.
+func NewClient() *Client { return &Client{} }
+
+// NewPool returns an empty pool of at most limit connections to an address.
+func (c *Client) NewPool(address string, limit int) *Pool {
+	return &Pool{address: address, limit: limit}
 }
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -61,6 +61,7 @@
 	server.follower = NewFollower(self, node, s.Control, recorder, log, server.markDirty)
 	server.targets = announce.NewTable(recorder, server.markDirty)
 	server.handler = request.NewHandler(targetconn.NewClient(), nil, recorder, log)
+	server.handler.SetLeases(server.targets)
 	engine := gin.New()
 	engine.Use(gin.Recovery())
 	server.targets.Register(engine, ring)
@@ -113,7 +114,7 @@
 		return logging.At(err, "listen", address)
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(request.OutcomeListener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("port failed", "address", address, logging.Err(err))
 		}
 	}()
--- /dev/null
+++ b/internal/request/answer.go
@@ -0,0 +1,126 @@
+package request
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/targetconn"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+)
+
+const (
+	// writeTimeout bounds the sending of a large answer to a slow caller.
+	writeTimeout = 30 * time.Second
+	// largeAnswerBytes is the size from which the sending is bounded.
+	largeAnswerBytes = 64 << 10
+	// sampleEvery is the number of idempotent successes of which one is
+	// kept in the time line.
+	sampleEvery = 64
+	// ownHeaders is the prefix of headers that only the system sets.
+	ownHeaders = "X-Arbutus-"
+)
+
+// Refusal is the body of an answer that the system itself gives.
+type Refusal struct {
+	Outcome Outcome `json:"outcome"`
+	Reason  string  `json:"reason"`
+	Request string  `json:"request"`
+}
+
+// answer accounts for a result and sends it to the caller.
+func (h *Handler) answer(w http.ResponseWriter, r *http.Request, c *call, res result) {
+	h.account(c, &res)
+	if res.Outcome == Ran {
+		writeAnswer(w, r.Method, res.Answer)
+		return
+	}
+	writeRefusal(w, c.id, res)
+}
+
+// account counts a final result and records it in the time line.
+func (h *Handler) account(c *call, res *result) {
+	h.scheduler.ended(c.service, res.Outcome)
+	c.service.metrics.outcomes[res.Outcome].Inc()
+	event := timeline.Event{Request: c.id, Service: c.service.name, VM: res.VM, Cause: res.Reason}
+	switch res.Outcome {
+	case Ran:
+		c.service.metrics.seconds.Update((time.Duration(c.definition.DeadlineMS)*time.Millisecond - time.Until(c.deadline)).Seconds())
+		if c.repeatable && h.successes.Add(1)%sampleEvery != 0 {
+			return
+		}
+		event.Kind = timeline.RequestRan
+	case NotRun:
+		countRefusal(res.why)
+		event.Kind = timeline.RequestRefused
+	case Unknown:
+		event.Kind = timeline.RequestUnknown
+	}
+	h.recorder.Record(event)
+}
+
+// refuse answers a request that has no service.
+func (h *Handler) refuse(w http.ResponseWriter, id, service string, status int, why reason, retryAfterS int) {
+	countRefusal(why)
+	h.recorder.Record(timeline.Event{Kind: timeline.RequestRefused, Request: id, Service: service, Cause: string(why)})
+	writeRefusal(w, id, result{Result: Result{Outcome: NotRun, Reason: string(why), RetryAfterS: retryAfterS}, status: status})
+}
+
+// writeRefusal answers for the system itself.
+func writeRefusal(w http.ResponseWriter, id string, res result) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(OutcomeHeader, string(res.Outcome))
+	header.Set(ReasonHeader, res.Reason)
+	if res.RetryAfterS > 0 {
+		header.Set("Retry-After", strconv.Itoa(res.RetryAfterS))
+	}
+	w.WriteHeader(res.status)
+	// The caller may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(Refusal{Outcome: res.Outcome, Reason: res.Reason, Request: id})
+}
+
+// writeAnswer sends a target's whole answer to the caller.
+func writeAnswer(w http.ResponseWriter, method string, answer *targetconn.Answer) {
+	copyHeader(w.Header(), answer.Header)
+	w.Header().Set(OutcomeHeader, string(Ran))
+	switch {
+	case method == http.MethodHead:
+		if length := answer.Header.Get("Content-Length"); length != "" {
+			w.Header().Set("Content-Length", length)
+		}
+	case answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified:
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	w.WriteHeader(answer.Status)
+	writeBody(w, answer.Body)
+}
+
+// copyHeader copies a target's header without hop-by-hop fields and those
+// that the system sets itself.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if name == RequestIDHeader || targetconn.HopByHop(name) || strings.HasPrefix(name, ownHeaders) {
+			continue
+		}
+		to[name] = values
+	}
+	for _, name := range targetconn.ConnectionFields(from) {
+		delete(to, name)
+	}
+}
+
+// writeBody sends a body; a large one within a bound, so that a caller
+// that does not read can't hold it for good.
+func writeBody(w http.ResponseWriter, body []byte) {
+	if len(body) >= largeAnswerBytes {
+		controller := http.NewResponseController(w)
+		// A test's writer may have no connection to bound.
+		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	}
+	// The caller may be gone; there is nobody left to tell.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/request/bind.go
@@ -0,0 +1,160 @@
+package request
+
+import (
+	"maps"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/announce"
+	"arbutusward.example/arbutusward/internal/connection/targetconn"
+	"arbutusward.example/arbutusward/internal/version/fleet"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+// Defaults of a VM that its view does not size.
+const (
+	defaultSlots       = fleet.DefaultSlots
+	defaultConnections = fleet.DefaultConnections
+)
+
+// bind makes the scheduler work by a newer table and returns the services
+// by name. Workers, pools and services stay the same objects, so what is in
+// flight stays counted.
+func (s *scheduler) bind(t *Table, client *targetconn.Client) map[string]*service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.workers {
+		if _, known := t.View.VMs[name]; !known {
+			s.drop(s.workers[name])
+		}
+	}
+	for _, vm := range t.View.VMs {
+		s.bindWorker(t, vm, client)
+	}
+	s.bindServices(t)
+	now := time.Now()
+	for _, p := range s.pools {
+		s.pump(p, now)
+	}
+	return maps.Clone(s.services)
+}
+
+// drop stops new work on a VM that the view no longer names.
+func (s *scheduler) drop(w *worker) {
+	s.withdraw(w)
+	w.phase = view.Retired
+	if w.inFlight == 0 {
+		delete(s.workers, w.vm)
+	}
+}
+
+// withdraw takes a worker out of its pool.
+func (s *scheduler) withdraw(w *worker) {
+	if w.usable {
+		w.pool.workers--
+	}
+	w.usable = false
+	s.forgive(w)
+	s.place(w)
+}
+
+func (s *scheduler) bindWorker(t *Table, vm view.VM, client *targetconn.Client) {
+	p := s.poolNamed(vm.Pool)
+	w := s.workers[vm.Name]
+	if w == nil {
+		w = &worker{vm: vm.Name, pool: p, group: p.groupFor(announce.Target{}), success: 1, probeIndex: absent}
+		s.workers[vm.Name] = w
+	}
+	target, usable := t.target(vm)
+	if w.pool != p || !usable || w.incarnation != target.Incarnation {
+		s.withdraw(w)
+	}
+	if w.placed {
+		w.group.remove(w)
+	}
+	if w.pool != p || usable {
+		w.group = p.groupFor(target)
+	}
+	w.pool, w.rack, w.epoch, w.phase = p, vm.Rack, vm.Epoch, vm.Phase
+	if usable {
+		w.slots = t.share(vm.Name, orDefault(vm.Slots, defaultSlots))
+		w.connect(t, vm, target, client)
+	}
+	if usable && !w.usable {
+		p.workers++
+	}
+	w.usable, w.expired = usable, false
+	s.place(w)
+}
+
+// connect gives the worker a pool of connections to the running target.
+func (w *worker) connect(t *Table, vm view.VM, target announce.Target, client *targetconn.Client) {
+	limit := t.share(vm.Name, orDefault(vm.Connections, defaultConnections))
+	if w.conns == nil || w.conns.Address() != target.Address || w.incarnation != target.Incarnation {
+		if w.conns != nil {
+			w.conns.Close()
+		}
+		w.conns = client.NewPool(target.Address, limit)
+	}
+	w.conns.SetLimit(limit)
+	w.incarnation = target.Incarnation
+}
+
+func (s *scheduler) bindServices(t *Table) {
+	for _, p := range s.pools {
+		p.services, p.guests = nil, nil
+	}
+	for i := range t.services {
+		s.bindService(t, &t.services[i])
+	}
+	for name, svc := range s.services {
+		if _, known := t.View.Services[name]; !known {
+			s.dismiss(svc)
+			delete(s.services, name)
+		}
+	}
+}
+
+func (s *scheduler) bindService(t *Table, definition *fleet.Service) {
+	svc := s.services[definition.Name]
+	home := s.poolNamed(definition.Pool)
+	if svc == nil {
+		svc = newService(definition.Name)
+		svc.home, svc.class = home, definition.Class
+		svc.metrics = newServiceMetrics(definition.Name, string(definition.Class))
+		s.services[definition.Name] = svc
+	}
+	svc.waitingChanged(-svc.queue.length)
+	svc.home, svc.class = home, definition.Class
+	svc.waitingChanged(svc.queue.length)
+	svc.queueLimit = orDefault(definition.QueueLimit, fleet.DefaultQueueLimit)
+	svc.spare = nil
+	home.services = append(home.services, svc)
+	if definition.Spill && t.View.SparePool != "" && t.View.SparePool != definition.Pool {
+		svc.spare = s.poolNamed(t.View.SparePool)
+		svc.spare.guests = append(svc.spare.guests, svc)
+	}
+}
+
+// dismiss gives the waiters of a removed service their answer.
+func (s *scheduler) dismiss(svc *service) {
+	for w := svc.queue.next(); w != nil; w = svc.queue.next() {
+		s.unqueue(w)
+		w.settled <- nil
+	}
+}
+
+func (s *scheduler) poolNamed(name string) *pool {
+	p := s.pools[name]
+	if p == nil {
+		p = newPool(name)
+		s.pools[name] = p
+	}
+	return p
+}
+
+func orDefault(value, fallback int) int {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -2,136 +2,167 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/json"
-	"io"
 	"log/slog"
-	mathrand "math/rand/v2"
+	"net"
 	"net/http"
-	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/announce"
 	"arbutusward.example/arbutusward/internal/connection/targetconn"
-	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/request/claim"
+	"arbutusward.example/arbutusward/internal/version/fleet"
 )
 
+// CallerHeader names the caller, set by whoever authenticates callers.
+const CallerHeader = "X-Arbutus-Caller"
+
+// LeaseSource tells the targets with their leases as of now.
+type LeaseSource interface {
+	Snapshot() *announce.Snapshot
+}
+
+// BatchAcceptor takes batch requests that are run later; it answers the caller.
+type BatchAcceptor interface {
+	Accept(w http.ResponseWriter, r *http.Request, id, service string, body []byte)
+}
+
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
-	table    atomic.Pointer[Table]
-	client   *targetconn.Client
-	claimer  claim.Claimer
-	recorder *timeline.Recorder
-	log      *slog.Logger
+	routing   atomic.Pointer[routing]
+	scheduler *scheduler
+	client    *targetconn.Client
+	claimer   claim.Claimer
+	recorder  *timeline.Recorder
+	log       *slog.Logger
+	// leases and batch are set before the first request.
+	leases LeaseSource
+	batch  BatchAcceptor
+	// bodyBytes counts the bytes of request bodies held.
+	bodyBytes atomic.Int64
+	// successes counts the answers, to sample the time line.
+	successes atomic.Uint64
+}
+
+// routing is a table with the services' lasting state.
+type routing struct {
+	table    *Table
+	services map[string]*service
 }
 
 // NewHandler returns a handler that refuses everything until SetTable.
 // Without a claimer, keyed non-idempotent requests are refused.
 func NewHandler(client *targetconn.Client, claimer claim.Claimer, recorder *timeline.Recorder, log *slog.Logger) *Handler {
-	return &Handler{client: client, claimer: claimer, recorder: recorder, log: log}
+	h := &Handler{client: client, claimer: claimer, recorder: recorder, log: log, scheduler: newScheduler(recorder)}
+	h.scheduler.registerGauges()
+	return h
 }
 
 // SetTable replaces the knowledge for all requests that begin from now on.
-func (h *Handler) SetTable(table *Table) { h.table.Store(table) }
+func (h *Handler) SetTable(table *Table) {
+	services := h.scheduler.bind(table, h.client)
+	h.routing.Store(&routing{table: table, services: services})
+}
 
-// Refusal is the body of an answer that the system itself gives.
-type Refusal struct {
-	Outcome Outcome `json:"outcome"`
-	Reason  string  `json:"reason"`
-	Request string  `json:"request"`
+// SetLeases makes the handler check leases as of the moment of a dispatch;
+// without it the table's own are used. Call it before the first request.
+func (h *Handler) SetLeases(source LeaseSource) { h.leases = source }
+
+// SetBatchAcceptor makes the handler accept batch requests for later. Call
+// it before the first request.
+func (h *Handler) SetBatchAcceptor(acceptor BatchAcceptor) { h.batch = acceptor }
+
+// targets returns the targets with their leases as of now.
+func (h *Handler) targets() map[string]announce.Target {
+	if h.leases != nil {
+		return h.leases.Snapshot().Targets
+	}
+	return h.routing.Load().table.targets
 }
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(RequestIDHeader)
-	if id == "" {
-		id = rand.Text()
-	}
+	id := requestID(r.Header)
 	w.Header().Set(RequestIDHeader, id)
-	table := h.table.Load()
-	if table == nil || table.View.Version == 0 {
-		h.refuse(w, id, "", http.StatusServiceUnavailable, NotRun, "no document is in force yet")
-		return
-	}
-	found := table.find(r.URL.Path)
-	if found == nil {
-		h.refuse(w, id, "", http.StatusNotFound, NotRun, "no service has this route")
-		return
-	}
-	h.serveRoute(w, r, id, found)
-}
-
-func (h *Handler) serveRoute(w http.ResponseWriter, r *http.Request, id string, found *route) {
-	service := found.service
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, service.MaxRequestBytes))
-	if err != nil {
-		h.refuse(w, id, service.Name, http.StatusRequestEntityTooLarge, NotRun, "the request body is too large or was cut")
+	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
+		h.refuse(w, id, "", http.StatusNotImplemented, reasonMethod, 0)
 		return
 	}
-	if h.claimer == nil && r.Header.Get(claim.KeyHeader) != "" {
-		h.refuse(w, id, service.Name, http.StatusServiceUnavailable, NotRun, "no claims can be made")
+	current := h.routing.Load()
+	if current == nil || current.table.View.Version == 0 {
+		h.refuse(w, id, "", http.StatusServiceUnavailable, reasonNoDocument, minRetryAfterS)
 		return
 	}
-	if len(found.targets) == 0 {
-		h.refuse(w, id, service.Name, http.StatusServiceUnavailable, NotRun, "no target of the service is live")
+	definition := current.table.find(r.URL.Path)
+	if definition == nil {
+		h.refuse(w, id, "", http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
-	target := found.targets[mathrand.IntN(len(found.targets))]
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(service.DeadlineMS)*time.Millisecond)
-	defer cancel()
-	header := r.Header.Clone()
-	header.Set(RequestIDHeader, id)
-	answer, sent, err := h.client.Send(ctx, targetconn.Request{
-		Address: target.Address, Method: r.Method, URI: r.URL.RequestURI(), Header: header, Body: body,
-		MaxAnswerBytes: service.MaxResponseBytes,
-	})
-	if err != nil {
-		h.failed(w, id, service.Name, target.VM, sent, err)
+	svc := current.services[definition.Name]
+	h.scheduler.arrived(svc)
+	body, refused := h.readBody(w, r, definition)
+	if refused != nil {
+		h.answer(w, r, &call{id: id, service: svc}, refusedResult(refused, attempt{}, false))
 		return
 	}
-	h.recorder.Record(timeline.Event{Kind: timeline.RequestRan, Request: id, Service: service.Name, VM: target.VM})
-	writeAnswer(w, answer)
+	defer h.bodyBytes.Add(-int64(len(body)))
+	h.serve(w, r, h.newCall(r, id, definition, svc, body))
 }
 
-func (h *Handler) failed(w http.ResponseWriter, id, service, vm string, sent bool, err error) {
-	h.log.Warn("request failed", "request", id, "service", service, "vm", vm, logging.Err(err))
-	outcome := NotRun
-	if sent {
-		outcome = Unknown
-		h.recorder.Record(timeline.Event{Kind: timeline.RequestUnknown, Request: id, Service: service, VM: vm, Cause: err.Error()})
-	}
-	h.refuse(w, id, service, http.StatusBadGateway, outcome, "the target gave no whole answer")
+// newCall describes a request whose body has arrived.
+func (h *Handler) newCall(r *http.Request, id string, definition *fleet.Service, svc *service, body []byte) *call {
+	return &call{id: id, definition: definition, service: svc, method: r.Method, uri: r.URL.RequestURI(),
+		header: outgoingHeader(r.Header, id), body: body, caller: callerOf(r), repeatable: idempotent(definition, r.Method),
+		deadline: time.Now().Add(time.Duration(definition.DeadlineMS) * time.Millisecond)}
 }
 
-// refuse answers for the system itself.
-func (h *Handler) refuse(w http.ResponseWriter, id, service string, status int, outcome Outcome, reason string) {
-	if outcome == NotRun {
-		h.recorder.Record(timeline.Event{Kind: timeline.RequestRefused, Request: id, Service: service, Cause: reason})
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, c *call) {
+	switch {
+	case h.batch != nil && c.definition.Class == fleet.Batch && prefersAsync(r.Header):
+		h.batch.Accept(w, r, c.id, c.service.name, c.body)
+	case !c.repeatable && r.Header.Get(claim.KeyHeader) != "":
+		h.serveKeyed(w, r, c)
+	default:
+		h.answer(w, r, c, h.runFor(r, c))
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(OutcomeHeader, string(outcome))
-	w.Header().Set(ReasonHeader, reason)
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", "1")
+}
+
+// runFor runs a call for its caller. Idempotent work is abandoned with its
+// caller; other work runs to its end once it began.
+func (h *Handler) runFor(r *http.Request, c *call) result {
+	queue := r.Context()
+	parent := queue
+	if !c.repeatable {
+		parent = context.WithoutCancel(queue)
 	}
-	w.WriteHeader(status)
-	// The caller may be gone; there is nobody left to tell.
-	_ = json.NewEncoder(w).Encode(Refusal{Outcome: outcome, Reason: reason, Request: id})
+	run, cancel := context.WithDeadline(parent, c.deadline)
+	defer cancel()
+	return h.run(queue, run, c)
 }
 
-// writeAnswer sends a target's whole answer to the caller.
-func writeAnswer(w http.ResponseWriter, answer *targetconn.Answer) {
-	header := w.Header()
-	for name, values := range answer.Header {
-		if name != RequestIDHeader && name != "Connection" && name != "Transfer-Encoding" {
-			header[name] = values
+// prefersAsync says that the caller asked for a later answer (RFC 7240).
+func prefersAsync(header http.Header) bool {
+	for _, value := range header.Values("Prefer") {
+		for preference := range strings.SplitSeq(value, ",") {
+			name, _, _ := strings.Cut(preference, ";")
+			if strings.EqualFold(strings.TrimSpace(name), "respond-async") {
+				return true
+			}
 		}
 	}
-	header.Set(OutcomeHeader, string(Ran))
-	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-	w.WriteHeader(answer.Status)
-	// The caller may be gone; there is nobody left to tell.
-	_, _ = w.Write(answer.Body)
+	return false
+}
+
+// callerOf identifies the caller.
+func callerOf(r *http.Request) string {
+	if caller := r.Header.Get(CallerHeader); caller != "" {
+		return caller
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
 }
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"hash/fnv"
+	"slices"
 	"sort"
 	"strings"
 
@@ -9,51 +11,85 @@
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
+// noRank is the rank of an entry that does not know its place among the
+// live entries of its zone.
+const noRank = -1
+
 // Table is all that serving a request needs to know, as one immutable value.
 type Table struct {
 	// View is the replicated knowledge the table was made from.
 	View *view.View
-	// routes is ordered by falling length of the path prefix.
-	routes []route
-}
-
-// route is a service with its targets.
-type route struct {
-	service fleet.Service
-	targets []announce.Target
+	// targets are the announced targets by VM.
+	targets map[string]announce.Target
+	// services is ordered by falling length of the path prefix.
+	services []fleet.Service
+	// entries is the number of live entries that share each VM; rank is
+	// this entry's place among them.
+	entries, rank int
 }
 
 // NewTable joins the view with the announced targets. The slots of each VM
 // are shared by the number of live entries of the zone, at least 1.
 func NewTable(v *view.View, targets *announce.Snapshot, liveEntries int) *Table {
-	table := &Table{View: v}
+	table := &Table{View: v, targets: targets.Targets, entries: max(1, liveEntries), rank: noRank}
 	for _, service := range v.Services {
-		table.routes = append(table.routes, route{service: service, targets: targetsOf(service, v, targets)})
+		table.services = append(table.services, service)
 	}
-	sort.Slice(table.routes, func(i, j int) bool {
-		return len(table.routes[i].service.PathPrefix) > len(table.routes[j].service.PathPrefix)
+	sort.Slice(table.services, func(i, j int) bool {
+		a, b := table.services[i], table.services[j]
+		if len(a.PathPrefix) != len(b.PathPrefix) {
+			return len(a.PathPrefix) > len(b.PathPrefix)
+		}
+		return a.Name < b.Name
 	})
 	return table
 }
 
-// targetsOf returns the targets of a service's home pool that may get work.
-func targetsOf(service fleet.Service, v *view.View, targets *announce.Snapshot) []announce.Target {
-	var found []announce.Target
-	for _, target := range targets.Targets {
-		vm, known := v.VMs[target.VM]
-		if known && vm.Pool == service.Pool && vm.Phase == view.Serving && !target.Leaving {
-			found = append(found, target)
+// WithRank returns the table of the entry whose place among the live
+// entries of its zone, ordered by ID, is rank. Without a rank an entry
+// leaves the remainder of a VM's slots unused.
+func (t *Table) WithRank(rank int) *Table {
+	ranked := *t
+	ranked.rank = rank
+	return &ranked
+}
+
+// share returns this entry's part of a VM's slots or connections. The
+// remainder goes to as many entries, another set of them for each VM, so
+// that the shares of all entries add up to the total.
+func (t *Table) share(vm string, total int) int {
+	share := total / t.entries
+	if t.rank != noRank {
+		sum := fnv.New32a()
+		// A hash never fails.
+		_, _ = sum.Write([]byte(vm))
+		place := (t.rank + int(sum.Sum32()%uint32(t.entries))) % t.entries
+		if place < total%t.entries {
+			share++
 		}
 	}
-	return found
+	return max(1, share)
 }
 
-// find returns the route of a path.
-func (t *Table) find(path string) *route {
-	for i := range t.routes {
-		if strings.HasPrefix(path, t.routes[i].service.PathPrefix) {
-			return &t.routes[i]
+// find returns the service of a path.
+func (t *Table) find(path string) *fleet.Service {
+	for i := range t.services {
+		if strings.HasPrefix(path, t.services[i].PathPrefix) {
+			return &t.services[i]
 		}
 	}
 	return nil
 }
+
+// target returns the announced target of a VM if the VM may get work.
+func (t *Table) target(vm view.VM) (announce.Target, bool) {
+	target, announced := t.targets[vm.Name]
+	return target, announced && vm.Phase == view.Serving && !target.Leaving
+}
+
+// signature identifies the set of services that a target announces.
+func signature(target announce.Target) string {
+	services := slices.Clone(target.Services)
+	slices.Sort(services)
+	return strings.Join(services, " ")
+}
