--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -70,6 +70,7 @@
 	server.targets = announce.NewTable(recorder, server.knowsVM, server.markDirty)
 	server.peers = newPeers(self, node, server.targets, server.follower, log, server.run)
 	server.handler = request.NewHandler(targetconn.NewClient(), newClaimer(leader, s.ID, incarnation, log), recorder, log)
+	server.handler.SetLeases(server.targets)
 	server.reporter = &reporter{self: self, incarnation: incarnation, controls: leader, follower: server.follower,
 		targets: server.targets, handler: server.handler, log: log}
 	store := &batchStore{controls: leader, entry: s.ID, incarnation: incarnation}
@@ -140,7 +141,7 @@
 		return logging.At(err, "listen", address)
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(request.OutcomeListener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("port failed", "address", address, logging.Err(err))
 		}
 	}()
--- a/internal/request/batch/routes.go
+++ b/internal/request/batch/routes.go
@@ -113,11 +113,12 @@
 }
 
 func newRequest(r *http.Request, service string, body []byte, idempotent bool) Request {
-	accepted := Request{ID: rand.Text(), Service: service, Method: r.Method, URI: r.URL.RequestURI(), Header: keptHeader(r.Header), Body: body, Idempotent: idempotent}
+	caller := r.Header.Get(request.CallerHeader)
+	accepted := Request{ID: rand.Text(), Service: service, Caller: caller, Method: r.Method, URI: r.URL.RequestURI(), Header: keptHeader(r.Header), Body: body, Idempotent: idempotent}
 	if key := r.Header.Get(claim.KeyHeader); key != "" {
-		accepted.Key = claim.ScopedKey(claim.Request{Service: service, Key: key})
+		accepted.Key = claim.ScopedKey(claim.Request{Service: service, Caller: caller, Key: key})
 		accepted.KeyTimeMS = claim.KeyTimeMS(key)
-		digest := sha256.Sum256(bytes.Join([][]byte{[]byte(r.Method), []byte(accepted.URI), body}, []byte{0}))
+		digest := sha256.Sum256(bytes.Join([][]byte{[]byte(r.Method), []byte(accepted.URI), body}, []byte("\n")))
 		accepted.Digest = digest[:]
 	}
 	return accepted
