--- /dev/null
+++ b/internal/process/state/batch_test.go
@@ -0,0 +1,185 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"arbutusward.example/arbutusward/internal/request/batch"
+	"arbutusward.example/arbutusward/internal/request/claim"
+)
+
+func (d *driver) accept(t rapid.TB, request batch.Request) string {
+	t.Helper()
+	id, err := run[string](t, d, AcceptBatch, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id
+}
+
+func (d *driver) pull(t rapid.TB, entry, incarnation string, limit int, held ...batch.Hold) batch.Leases {
+	t.Helper()
+	leases, err := run[batch.Leases](t, d, LeaseBatch, batch.Pull{Entry: entry, Incarnation: incarnation, Held: held, Max: limit})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return leases
+}
+
+func (d *driver) cancel(t rapid.TB, ids ...string) {
+	t.Helper()
+	if _, err := run[batch.States](t, d, CancelBatch, batch.Cancel{IDs: ids}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (d *driver) state(t rapid.TB, id string) batch.State {
+	t.Helper()
+	job, known := d.machine.BatchJob(id)
+	if !known {
+		t.Fatalf("batch request %s has vanished", id)
+	}
+	return job.State
+}
+
+// entryModel is one entry of the property test: what it holds and knows.
+type entryModel struct {
+	name  string
+	run   int
+	holds map[string]batch.Hold
+}
+
+func (e *entryModel) incarnation() string { return fmt.Sprint(e.name, e.run) }
+
+// TestBatchRequestNeverVanishesNorRunsTwice leases, ends, cancels, loses
+// answers, restarts entries and control at random. In the end every
+// request has a final state, and no non-idempotent one was begun twice.
+func TestBatchRequestNeverVanishesNorRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDriver()
+		entries := []*entryModel{{name: "e1", holds: map[string]batch.Hold{}}, {name: "e2", holds: map[string]batch.Hold{}}}
+		begun := map[string]int{}
+		idempotent := map[string]bool{}
+		begin := func(e *entryModel, leases batch.Leases) {
+			for _, job := range leases.Jobs {
+				if _, runs := e.holds[job.ID]; runs {
+					continue
+				}
+				e.holds[job.ID] = batch.Hold{ID: job.ID, Epoch: job.Epoch}
+				begun[job.ID]++
+				if begun[job.ID] > 1 && !idempotent[job.ID] {
+					t.Fatalf("non-idempotent request %s was begun twice", job.ID)
+				}
+			}
+			for _, id := range leases.Lost {
+				delete(e.holds, id)
+			}
+		}
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			e := rapid.SampledFrom(entries).Draw(t, "entry")
+			d.nowMS += rapid.SampledFrom([]int64{0, 10, 3000, 11_000, -4000}).Draw(t, "time")
+			switch rapid.IntRange(0, 7).Draw(t, "action") {
+			case 0, 1:
+				id := fmt.Sprint("b", step)
+				idempotent[id] = rapid.Bool().Draw(t, "idempotent")
+				d.accept(t, batch.Request{ID: id, Idempotent: idempotent[id], Body: []byte("x")})
+			case 2, 3:
+				leases := d.pull(t, e.name, e.incarnation(), 3, holdsOf(e)...)
+				if rapid.IntRange(0, 3).Draw(t, "lost answer") > 0 {
+					begin(e, leases)
+				}
+			case 4:
+				for _, hold := range holdsOf(e) {
+					end := batch.End{Hold: hold, Ran: rapid.Bool().Draw(t, "ran"), Answer: &claim.Answer{Status: 200}}
+					_, _ = run[string](t, d, FinishBatch, end)
+					delete(e.holds, hold.ID)
+				}
+			case 5:
+				e.run++
+				e.holds = map[string]batch.Hold{}
+			case 6:
+				if len(idempotent) > 0 {
+					d.cancel(t, rapid.SampledFrom(keysOf(idempotent)).Draw(t, "cancelled"))
+				}
+			case 7:
+				d.restart(t)
+			}
+		}
+		drain(t, d, keysOf(idempotent))
+	})
+}
+
+// drain ends what is still open and checks the final states.
+func drain(t *rapid.T, d *driver, ids []string) {
+	for range 40 {
+		d.nowMS += 20_000
+		for _, job := range d.pull(t, "last", "r", 16).Jobs {
+			_, _ = run[string](t, d, FinishBatch, batch.End{Hold: batch.Hold{ID: job.ID, Epoch: job.Epoch}, Ran: true, Answer: &claim.Answer{Status: 200}})
+		}
+	}
+	for _, id := range ids {
+		if state := d.state(t, id); state == batch.Queued || state == batch.Running {
+			t.Fatalf("request %s ended as %s", id, state)
+		}
+	}
+	table := &d.machine.data.Batch
+	if table.Queued != 0 || len(table.Running) != 0 || table.BodyBytes != 0 {
+		t.Fatalf("queued %d, running %d, body bytes %d after all ended", table.Queued, len(table.Running), table.BodyBytes)
+	}
+}
+
+func holdsOf(e *entryModel) []batch.Hold {
+	var holds []batch.Hold
+	for _, id := range keysOf(e.holds) {
+		holds = append(holds, e.holds[id])
+	}
+	return holds
+}
+
+func keysOf[V any](m map[string]V) []string {
+	var keys []string
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func TestBatchKeyUsedAgainGetsTheFirstRequest(t *testing.T) {
+	d := newDriver()
+	first := batch.Request{ID: "b1", Key: "k", Digest: []byte("d")}
+	d.accept(t, first)
+	again := first
+	again.ID = "b2"
+	if id := d.accept(t, again); id != "b1" {
+		t.Errorf("the same key was accepted again as %s", id)
+	}
+	again.Digest = []byte("other")
+	if _, err := run[string](t, d, AcceptBatch, again); err == nil {
+		t.Error("the same key with other content was accepted")
+	}
+	if got := d.claim(t, command("k", "e1", "r1", "a1")); got.State == claim.Granted {
+		t.Error("the key of a batch request was granted for a direct run")
+	}
+}
+
+// TestCancellingAWaveIsLinear cancels a full queue by one command.
+func TestCancellingAWaveIsLinear(t *testing.T) {
+	d := newDriver()
+	ids := make([]string, 10_000)
+	for i := range ids {
+		ids[i] = fmt.Sprint("b", i)
+		d.accept(t, batch.Request{ID: ids[i]})
+	}
+	d.pull(t, "e1", "r1", 10)
+	d.cancel(t, ids...)
+	if table := &d.machine.data.Batch; table.Queued != 0 || len(table.Ended) != len(ids)-10 {
+		t.Errorf("queued %d, ended %d", table.Queued, len(table.Ended))
+	}
+	if leases := d.pull(t, "e2", "r1", 10); len(leases.Jobs) != 0 {
+		t.Errorf("%d cancelled requests were leased", len(leases.Jobs))
+	}
+}
--- a/internal/process/state/command.go
+++ b/internal/process/state/command.go
@@ -24,6 +24,16 @@
 	StepWave       Kind = "step-wave"
 	NoteLosses     Kind = "note-losses"
 	EndWave        Kind = "end-wave"
+
+	ClaimKey        Kind = "claim-key"
+	FinishClaim     Kind = "finish-claim"
+	ReleaseClaim    Kind = "release-claim"
+	NoteIncarnation Kind = "note-incarnation"
+
+	AcceptBatch Kind = "accept-batch"
+	LeaseBatch  Kind = "lease-batch"
+	FinishBatch Kind = "finish-batch"
+	CancelBatch Kind = "cancel-batch"
 )
 
 // applier carries out one kind of command.
@@ -45,6 +55,16 @@
 		StepWave:       typed(applyStepWave),
 		NoteLosses:     typed(applyNoteLosses),
 		EndWave:        typed(applyEndWave),
+
+		ClaimKey:        typed(applyClaim),
+		FinishClaim:     typed(applyFinishClaim),
+		ReleaseClaim:    typed(applyReleaseClaim),
+		NoteIncarnation: typed(applyNoteIncarnation),
+
+		AcceptBatch: typed(applyAcceptBatch),
+		LeaseBatch:  typed(applyLeaseBatch),
+		FinishBatch: typed(applyFinishBatch),
+		CancelBatch: typed(applyCancelBatch),
 	}
 }
 
--- a/internal/process/state/jobs_test.go
+++ b/internal/process/state/jobs_test.go
@@ -25,21 +25,20 @@
   "weights": {"buffer": 1, "rollout": 1, "moves": 1}
 }`
 
-// driver applies commands to a machine as a log would.
-type driver struct {
-	t     interface{ Fatalf(string, ...any) }
-	m     *Machine
-	index uint64
-	nowMS int64
+// jobDriver drives a machine that has a document and jobs.
+type jobDriver struct {
+	*driver
+	t rapid.TB
 }
 
-func newDriver(t interface{ Fatalf(string, ...any) }, document string) *driver {
-	d := &driver{t: t, m: NewMachine(), nowMS: 1_000_000}
+func newJobDriver(t rapid.TB, document string) *jobDriver {
+	d := &jobDriver{driver: newDriver(), t: t}
 	apply[SubmitAnswer](d, SubmitDocument, Submit{Text: []byte(document), By: "test"})
 	return d
 }
 
-func apply[T any](d *driver, kind Kind, body any) T {
+func apply[T any](d *jobDriver, kind Kind, body any) T {
+	d.t.Helper()
 	value, err := tryApply[T](d, kind, body)
 	if err != nil {
 		d.t.Fatalf("%s: %v", kind, err)
@@ -47,19 +46,15 @@
 	return value
 }
 
-func tryApply[T any](d *driver, kind Kind, body any) (T, error) {
-	d.index++
+func tryApply[T any](d *jobDriver, kind Kind, body any) (T, error) {
+	d.t.Helper()
 	d.nowMS += 100
-	command, err := Encode(kind, d.nowMS, body)
-	if err != nil {
-		d.t.Fatalf("encode: %v", err)
-	}
-	return DecodeResult[T](d.m.Apply(d.index, command))
+	return run[T](d.t, d.driver, kind, body)
 }
 
 // plan makes and applies one plan.
-func (d *driver) plan() {
-	input, epochs := d.m.JobInput(d.nowMS)
+func (d *jobDriver) plan() {
+	input, epochs := d.machine.JobInput(d.nowMS)
 	made := jobplan.Make(input)
 	steps := JobSteps{Blocked: made.Blocked}
 	for _, p := range made.Placements {
@@ -78,7 +73,7 @@
 // every command that no worker and no quota is overdrawn and no job vanishes.
 func TestJobsUnderRandomSubmissionsReportsCancellationsAndDrains(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := newDriver(t, jobFleet)
+		d := newJobDriver(t, jobFleet)
 		accepted := map[string]bool{}
 		for step := range rapid.IntRange(5, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "action") {
@@ -104,9 +99,9 @@
 	})
 }
 
-func (d *driver) reportSome(t *rapid.T) {
+func (d *jobDriver) reportSome(t *rapid.T) {
 	var reports []TaskReport
-	for _, job := range d.m.ActiveJobs() {
+	for _, job := range d.machine.ActiveJobs() {
 		if job.Phase != jobplan.Running || rapid.Bool().Draw(t, "silent") {
 			continue
 		}
@@ -118,9 +113,9 @@
 }
 
 // togglePhase drains a VM by the wave, or takes the drain back.
-func (d *driver) togglePhase(t *rapid.T) {
+func (d *jobDriver) togglePhase(t *rapid.T) {
 	run := apply[plan.WaveRun](d, StartWave, WaveStart{Wave: "all"})
-	vm := d.m.Fleet().VMs[fmt.Sprintf("w-%d", rapid.IntRange(1, 4).Draw(t, "vm"))]
+	vm := d.machine.Fleet().VMs[fmt.Sprintf("w-%d", rapid.IntRange(1, 4).Draw(t, "vm"))]
 	to := plan.Draining
 	if vm.Phase == view.Draining {
 		to = plan.Pending
@@ -128,11 +123,11 @@
 	apply[plan.Progress](d, StepWave, plan.WaveStep{Run: run.ID, VM: vm.Name, Epoch: vm.Epoch, To: to})
 }
 
-func (d *driver) checkInvariants(accepted map[string]bool) {
+func (d *jobDriver) checkInvariants(accepted map[string]bool) {
 	held := map[string]fleet.Resources{}
 	byTeam := map[string]fleet.Resources{}
 	for id := range accepted {
-		job, known := d.m.JobView(id)
+		job, known := d.machine.JobView(id)
 		if !known {
 			d.t.Fatalf("job %s vanished", id)
 		}
@@ -147,15 +142,15 @@
 		}
 	}
 	for team, amount := range byTeam {
-		if !jobplan.Fits(amount, d.m.quotas()[team]) {
+		if !jobplan.Fits(amount, d.machine.quotas()[team]) {
 			d.t.Fatalf("team %s holds %+v", team, amount)
 		}
 	}
 }
 
 // checkSnapshot restores the state elsewhere and compares the jobs.
-func (d *driver) checkSnapshot() {
-	snapshot, err := d.m.Snapshot()
+func (d *jobDriver) checkSnapshot() {
+	snapshot, err := d.machine.Snapshot()
 	if err != nil {
 		d.t.Fatalf("snapshot: %v", err)
 	}
@@ -163,21 +158,21 @@
 	if err := restored.Restore(d.index, snapshot); err != nil {
 		d.t.Fatalf("restore: %v", err)
 	}
-	if a, b := fmt.Sprintf("%+v", d.m.ActiveJobs()), fmt.Sprintf("%+v", restored.ActiveJobs()); a != b {
+	if a, b := fmt.Sprintf("%+v", d.machine.ActiveJobs()), fmt.Sprintf("%+v", restored.ActiveJobs()); a != b {
 		d.t.Fatalf("restored jobs differ:\n%s\n%s", a, b)
 	}
 }
 
 // TestReportOfAnOlderAttemptIsVoid resends the word of an attempt that was lost.
 func TestReportOfAnOlderAttemptIsVoid(t *testing.T) {
-	d := newDriver(t, jobFleet)
+	d := newJobDriver(t, jobFleet)
 	spec := JobSpec{ID: "j", Team: "red", Kind: "k", Declared: fleet.Resources{CPUCores: 1, MemoryGiB: 1}}
 	apply[JobSubmissionAnswer](d, SubmitJobs, JobSubmission{Jobs: []JobSpec{spec}})
 	d.plan()
 	apply[TaskReportsAnswer](d, ReportTasks, TaskReports{Reports: []TaskReport{{Job: "j", Epoch: 1, Outcome: TaskLost}}})
 	d.plan()
 	answer := apply[TaskReportsAnswer](d, ReportTasks, TaskReports{Reports: []TaskReport{{Job: "j", Epoch: 1, Outcome: TaskDone}}})
-	if job, _ := d.m.JobView("j"); answer.Void != 1 || job.Phase != jobplan.Running || job.Epoch != 2 {
+	if job, _ := d.machine.JobView("j"); answer.Void != 1 || job.Phase != jobplan.Running || job.Epoch != 2 {
 		t.Errorf("answer %+v, job %+v", answer, job)
 	}
 }
@@ -185,7 +180,7 @@
 // TestSubmissionSentAgainAfterALostAnswerAddsNothing resends one and then
 // sends other content under the same ID.
 func TestSubmissionSentAgainAfterALostAnswerAddsNothing(t *testing.T) {
-	d := newDriver(t, jobFleet)
+	d := newJobDriver(t, jobFleet)
 	spec := JobSpec{ID: "j", Team: "red", Kind: "k", Declared: fleet.Resources{CPUCores: 1}}
 	apply[JobSubmissionAnswer](d, SubmitJobs, JobSubmission{Jobs: []JobSpec{spec}})
 	again := apply[JobSubmissionAnswer](d, SubmitJobs, JobSubmission{Jobs: []JobSpec{spec}})
@@ -200,11 +195,11 @@
 
 // TestVMIsNotRebootedWhileATaskRunsOnIt drains a worker with a task.
 func TestVMIsNotRebootedWhileATaskRunsOnIt(t *testing.T) {
-	d := newDriver(t, jobFleet)
+	d := newJobDriver(t, jobFleet)
 	spec := JobSpec{ID: "j", Team: "red", Kind: "k", Declared: fleet.Resources{CPUCores: 1}}
 	apply[JobSubmissionAnswer](d, SubmitJobs, JobSubmission{Jobs: []JobSpec{spec}})
 	d.plan()
-	job, _ := d.m.JobView("j")
+	job, _ := d.machine.JobView("j")
 	run := apply[plan.WaveRun](d, StartWave, WaveStart{Wave: "all"})
 	drain := plan.WaveStep{Run: run.ID, VM: job.Worker, Epoch: 1, To: plan.Draining}
 	apply[plan.Progress](d, StepWave, drain)
--- a/internal/process/state/machine.go
+++ b/internal/process/state/machine.go
@@ -28,12 +28,19 @@
 
 // data is the whole replicated state, as written to snapshots.
 type data struct {
-	Fleet Fleet    `cbor:"1,keyasint"`
-	Jobs  jobState `cbor:"2,keyasint"`
+	Fleet  Fleet      `cbor:"1,keyasint"`
+	Jobs   jobState   `cbor:"2,keyasint"`
+	Claims claimTable `cbor:"20,keyasint"`
+	Batch  batchTable `cbor:"21,keyasint"`
+	// ClockMS is the newest time of any claim or batch command; it never
+	// goes back when a leader with a slower clock takes over.
+	ClockMS int64 `cbor:"22,keyasint"`
 }
 
 // emptyData returns the state before the first command.
-func emptyData() data { return data{Fleet: emptyFleet(), Jobs: newJobState()} }
+func emptyData() data {
+	return data{Fleet: emptyFleet(), Jobs: newJobState(), Claims: newClaimTable(), Batch: newBatchTable()}
+}
 
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
