--- /dev/null
+++ b/internal/version/fleet/diff.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+)
+
+// ChangeKind says what happened to an element of a document.
+type ChangeKind string
+
+// Kinds of changes.
+const (
+	Added   ChangeKind = "added"
+	Removed ChangeKind = "removed"
+	Changed ChangeKind = "changed"
+)
+
+// Change is one difference between two documents.
+type Change struct {
+	Kind ChangeKind `json:"kind"`
+	// Section is the field of the document, such as "pools".
+	Section string `json:"section"`
+	// Name is the name of the element, "" for a section without names.
+	Name string `json:"name,omitempty"`
+	// Field names what differs in a changed element.
+	Field string `json:"field,omitempty"`
+	// Before and After are JSON values.
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// String formats the change on one line.
+func (c Change) String() string {
+	place := c.Section
+	if c.Name != "" {
+		place += " " + c.Name
+	}
+	if c.Kind != Changed {
+		return fmt.Sprintf("%s %s", c.Kind, place)
+	}
+	return fmt.Sprintf("%s %s: %s from %s to %s", c.Kind, place, c.Field, orNone(c.Before), orNone(c.After))
+}
+
+func orNone(value string) string {
+	if value == "" {
+		return "none"
+	}
+	return value
+}
+
+// Diff lists what turns one document into another, element by element in
+// the order of the sections and then of names. A nil document is empty.
+func Diff(before, after *Document) []Change {
+	if before == nil {
+		before = &Document{}
+	}
+	if after == nil {
+		after = &Document{}
+	}
+	var changes []Change
+	if before.Deployment != after.Deployment {
+		changes = append(changes, Change{Kind: Changed, Section: "deployment", Field: "name", Before: before.Deployment, After: after.Deployment})
+	}
+	changes = append(changes, diffList("zones", before.Zones, after.Zones, func(z Zone) string { return z.Name })...)
+	changes = append(changes, diffList("pools", before.Pools, after.Pools, func(p Pool) string { return p.Name })...)
+	changes = append(changes, diffList("vms", before.VMs, after.VMs, func(vm VM) string { return vm.Name })...)
+	changes = append(changes, diffList("services", before.Services, after.Services, func(s Service) string { return s.Name })...)
+	changes = append(changes, diffList("teams", before.Teams, after.Teams, func(t Team) string { return t.Name })...)
+	changes = append(changes, diffList("waves", before.Waves, after.Waves, func(w Wave) string { return w.Name })...)
+	return append(changes, diffElement("weights", "", before.Weights, after.Weights)...)
+}
+
+// diffList compares two lists of named elements; their order says nothing.
+func diffList[T any](section string, before, after []T, name func(T) string) []Change {
+	old, new := byName(before, name), byName(after, name)
+	var changes []Change
+	for _, key := range unionOfNames(old, new) {
+		was, had := old[key]
+		is, has := new[key]
+		switch {
+		case !had:
+			changes = append(changes, Change{Kind: Added, Section: section, Name: key, After: jsonText(is)})
+		case !has:
+			changes = append(changes, Change{Kind: Removed, Section: section, Name: key, Before: jsonText(was)})
+		default:
+			changes = append(changes, diffElement(section, key, was, is)...)
+		}
+	}
+	return changes
+}
+
+func byName[T any](values []T, name func(T) string) map[string]T {
+	named := make(map[string]T, len(values))
+	for _, value := range values {
+		named[name(value)] = value
+	}
+	return named
+}
+
+func unionOfNames[T any](a, b map[string]T) []string {
+	var names []string
+	for name := range a {
+		names = append(names, name)
+	}
+	for name := range b {
+		if _, both := a[name]; !both {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// diffElement compares the fields of two elements of one name.
+func diffElement(section, name string, before, after any) []Change {
+	old, new := jsonFields(before), jsonFields(after)
+	var changes []Change
+	for _, field := range unionOfNames(old, new) {
+		if string(old[field]) != string(new[field]) {
+			changes = append(changes, Change{Kind: Changed, Section: section, Name: name, Field: field,
+				Before: string(old[field]), After: string(new[field])})
+		}
+	}
+	return changes
+}
+
+func jsonText(value any) string {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("fleet element does not marshal: %v", err))
+	}
+	return string(text)
+}
+
+func jsonFields(value any) map[string]json.RawMessage {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal([]byte(jsonText(value)), &fields); err != nil {
+		panic(fmt.Sprintf("fleet element is no JSON object: %v", err))
+	}
+	return fields
+}
--- a/internal/version/fleet/parse.go
+++ b/internal/version/fleet/parse.go
@@ -22,6 +22,11 @@
 	DefaultRegion           = "default"
 )
 
+// DefaultIdempotentMethods returns the methods of a service that lists none.
+func DefaultIdempotentMethods() []string {
+	return []string{"GET", "HEAD", "OPTIONS", "PUT", "DELETE"}
+}
+
 // Parse reads, expands and validates a document. The file name is used in
 // problems only. An error is of type jsonc.Problems.
 func Parse(file string, data []byte) (*Document, error) {
@@ -77,7 +82,7 @@
 	setDefault(&s.MaxRequestBytes, DefaultMaxRequestBytes)
 	setDefault(&s.MaxResponseBytes, DefaultMaxResponseBytes)
 	if s.IdempotentMethods == nil {
-		s.IdempotentMethods = []string{"GET", "HEAD", "OPTIONS", "PUT", "DELETE"}
+		s.IdempotentMethods = DefaultIdempotentMethods()
 	}
 }
 
