--- a/internal/process/adminhttp/adminhttp.go
+++ b/internal/process/adminhttp/adminhttp.go
@@ -60,13 +60,27 @@
 	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	engine.GET("/readyz", server.serveReady)
 	engine.GET("/metrics", server.Require(keys.Viewer), func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
-	engine.GET("/v1/timeline", server.Require(keys.Viewer), func(c *gin.Context) {
-		since, _ := strconv.ParseUint(c.Query("since"), 10, 64)
-		c.JSON(http.StatusOK, recorder.Since(since))
-	})
+	engine.GET("/v1/timeline", server.Require(keys.Viewer), func(c *gin.Context) { serveTimeline(c, recorder) })
+	registerBuildInfo()
 	return server
 }
 
+// serveTimeline answers with the events after ?since that the other
+// parameters pick.
+func serveTimeline(c *gin.Context, recorder *timeline.Recorder) {
+	since, err := strconv.ParseUint(c.DefaultQuery("since", "0"), 10, 64)
+	if err != nil {
+		c.JSON(http.StatusBadRequest, Fault{Code: "bad_since", Message: "expected ?since= as a sequence number"})
+		return
+	}
+	filter, err := timeline.ParseFilter(c.Request.URL.Query())
+	if err != nil {
+		c.JSON(http.StatusBadRequest, Fault{Code: "bad_filter", Message: err.Error()})
+		return
+	}
+	c.JSON(http.StatusOK, recorder.Page(since, filter))
+}
+
 // SetReady sets what the readiness check answers.
 func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
--- a/internal/process/timeline/timeline.go
+++ b/internal/process/timeline/timeline.go
@@ -4,11 +4,17 @@
 package timeline
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
-// Capacity is the number of events that a process keeps.
+// Capacity is the number of events of each class that a process keeps.
+// Events of single requests that went well are one class, all others the
+// second, so that load does not push out what a disclosure needs.
 const Capacity = 16384
 
 // Kind is the type of an event.
@@ -96,6 +102,21 @@
 	Cause string `json:"cause,omitempty"`
 }
 
+// routine says whether events of the kind are the common case under load.
+func (k Kind) routine() bool {
+	switch k {
+	case RequestRan, RequestRetried, RequestSpilled, ClaimGranted, BatchAccepted, BatchEnded, JobAccepted, JobPlaced, JobEnded:
+		return true
+	}
+	return false
+}
+
+// Time returns the wall time of the event.
+func (e Event) Time() time.Time { return time.UnixMicro(e.Stamp.WallUS) }
+
+// droppedEvents counts the events that this process no longer holds.
+var droppedEvents = metrics.GetOrCreateCounter("arbutus_timeline_dropped_events_total")
+
 // Recorder keeps the newest events of a process. It is safe for
 // concurrent use.
 type Recorder struct {
@@ -105,12 +126,13 @@
 	mu       sync.Mutex
 	clock    Stamp
 	sequence uint64
-	ring     []Event
+	routine  ring
+	notable  ring
 }
 
 // NewRecorder returns an empty recorder for a process.
 func NewRecorder(process, zone string) *Recorder {
-	return &Recorder{process: process, zone: zone, ring: make([]Event, 0, 256)}
+	return &Recorder{process: process, zone: zone}
 }
 
 // Record stamps and keeps an event; the oldest is dropped when full.
@@ -122,11 +144,13 @@
 	event.Process = r.process
 	event.Zone = r.zone
 	event.Sequence = r.sequence
-	if len(r.ring) < Capacity {
-		r.ring = append(r.ring, event)
-		return
+	class := &r.notable
+	if event.Kind.routine() {
+		class = &r.routine
 	}
-	r.ring[(r.sequence-1)%Capacity] = event
+	before := class.dropped()
+	class.add(event)
+	droppedEvents.Add(int(class.dropped() - before))
 }
 
 // Now returns the next stamp, to be sent with a message.
@@ -158,20 +182,32 @@
 // Page is a part of a process's events.
 type Page struct {
 	Process string `json:"process"`
-	// Dropped is the number of events that the ring no longer holds.
-	Dropped uint64  `json:"dropped"`
-	Events  []Event `json:"events"`
+	// Dropped is the number of events that the process no longer holds.
+	Dropped uint64 `json:"dropped"`
+	// DroppedNotable counts those among them that are no routine.
+	DroppedNotable uint64 `json:"dropped_notable"`
+	// NotableLost is the stamp of the newest notable event that was dropped.
+	NotableLost Stamp   `json:"notable_lost"`
+	Events      []Event `json:"events"`
 }
 
 // Since returns the kept events with a sequence above the given one, in order.
-func (r *Recorder) Since(sequence uint64) Page {
+func (r *Recorder) Since(sequence uint64) Page { return r.Page(sequence, Filter{}) }
+
+// Page returns the kept events above a sequence that a filter picks, in order.
+func (r *Recorder) Page(sequence uint64, filter Filter) Page {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	page := Page{Process: r.process, Events: []Event{}}
-	page.Dropped = r.sequence - uint64(len(r.ring))
-	first := max(sequence, page.Dropped)
-	for s := first + 1; s <= r.sequence; s++ {
-		page.Events = append(page.Events, r.ring[(s-1)%Capacity])
+	page.Dropped = r.routine.dropped() + r.notable.dropped()
+	page.DroppedNotable = r.notable.dropped()
+	page.NotableLost = r.notable.lost
+	kept := append(r.routine.since(sequence), r.notable.since(sequence)...)
+	for _, event := range kept {
+		if filter.Matches(event) {
+			page.Events = append(page.Events, event)
+		}
 	}
+	slices.SortFunc(page.Events, func(a, b Event) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	return page
 }
