Command line: one set of conventions, resends that stay the same submission, report

Cause: faults of the command line ended with code 1, a lost answer made the operator's next try a new submission on a newer base, which silently overwrote what others had applied since, and there was no disclosure.

Reading the newest document needs a confirmed leader, since it is the base of a change.

--- /dev/null
+++ b/cmd/arbutusctl/config.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"arbutusward.example/arbutusward/internal/adminclient"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/settings"
+)
+
+// loadConfig joins the flags with the settings file, if one is named.
+func loadConfig(c *cli.Command) (settings.CLI, error) {
+	var config settings.CLI
+	if path := c.String("config"); path != "" {
+		loaded, err := settings.Load[settings.CLI](path)
+		if err != nil {
+			return config, &inputError{err}
+		}
+		config = *loaded
+		config.CA = beside(path, config.CA)
+		config.Token = beside(path, config.Token)
+	}
+	if c.IsSet("control") {
+		config.Control = c.StringSlice("control")
+	}
+	if c.IsSet("ca") {
+		config.CA = c.String("ca")
+	}
+	if c.IsSet("token") {
+		config.Token = c.String("token")
+	}
+	if len(config.Control) == 0 || config.CA == "" || config.Token == "" {
+		return config, badInput("expected --control, --ca and --token, or a settings file with them (--config)")
+	}
+	return config, nil
+}
+
+// beside resolves a path of the settings file against the file's folder.
+func beside(file, path string) string {
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(filepath.Dir(file), path)
+}
+
+// connect makes a client from the flags and the settings file.
+func connect(c *cli.Command) (*adminclient.Client, error) {
+	config, err := loadConfig(c)
+	if err != nil {
+		return nil, err
+	}
+	ring, err := keys.LoadCA(config.CA)
+	if err != nil {
+		return nil, &inputError{err}
+	}
+	token, err := os.ReadFile(config.Token)
+	if err != nil {
+		return nil, badInput("read operator token: %w", err)
+	}
+	return adminclient.New(ring, config.Control, adminclient.ReadToken(token)), nil
+}
--- /dev/null
+++ b/cmd/arbutusctl/dryrun.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"arbutusward.example/arbutusward/internal/adminclient"
+	"arbutusward.example/arbutusward/internal/version/fleet"
+)
+
+// preview is what a document would change.
+type preview struct {
+	Base    uint64         `json:"base"`
+	Changes []fleet.Change `json:"changes"`
+	// Plan is control's plan with its cost; null if it makes none.
+	Plan json.RawMessage `json:"plan"`
+}
+
+// dryRun shows what a document would change and submits nothing.
+func dryRun(ctx context.Context, c *cli.Command, client *adminclient.Client, document *fleet.Document, text []byte) error {
+	accepted, err := client.CurrentDocument(ctx)
+	if err != nil {
+		return err
+	}
+	result := preview{Base: accepted.Version, Changes: fleet.Diff(accepted.Document, document)}
+	if result.Plan, err = client.Plan(ctx, text); err != nil {
+		return err
+	}
+	if wantsJSON(c) {
+		return printJSON(result)
+	}
+	return printPreview(result)
+}
+
+func printPreview(result preview) error {
+	fmt.Printf("valid; %d changes against version %d, nothing was submitted\n", len(result.Changes), result.Base)
+	for _, change := range result.Changes {
+		fmt.Println("  " + change.String())
+	}
+	if result.Plan == nil {
+		fmt.Fprintln(os.Stderr, "control makes no plan yet, so the cost is not known")
+		return nil
+	}
+	fmt.Println("plan:")
+	return printJSON(result.Plan)
+}
--- a/cmd/arbutusctl/main.go
+++ b/cmd/arbutusctl/main.go
@@ -3,71 +3,100 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net/http"
 	"os"
 
 	"github.com/urfave/cli/v3"
 
-	"arbutusward.example/arbutusward/internal/adminclient"
-	"arbutusward.example/arbutusward/internal/jsonc"
-	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/process/lifecycle"
 )
 
 func main() {
-	root := &cli.Command{
+	os.Exit(run(os.Args))
+}
+
+// run carries out a command line and returns the exit code. Operators see
+// one message for whatever goes wrong, never a stack trace.
+func run(args []string) (code int) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			fmt.Fprintln(os.Stderr, "arbutusctl: internal fault, please report it:", fault)
+			code = lifecycle.ExitFailed
+		}
+	}()
+	root := rootCommand()
+	conform(root)
+	err := root.Run(context.Background(), args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "arbutusctl:", err)
+	}
+	return exitCode(err)
+}
+
+func rootCommand() *cli.Command {
+	return &cli.Command{
 		Name:  "arbutusctl",
 		Usage: "operate an arbutusward deployment",
+		Description: `Settings come from flags, then from environment variables, then from the
+file that --config names.
+
+Exit codes: 0 done, 1 failed, 2 bad input (command line, file or document),
+3 conflict (another document was accepted on the base), 4 no definite answer
+from control (resending is safe), 5 refused.
+
+Examples:
+  arbutusctl validate fleet.jsonc
+  arbutusctl apply --dry-run fleet.jsonc
+  arbutusctl apply --base 41 --wait fleet.jsonc
+  arbutusctl timeline --request 7Q2M
+  arbutusctl report --from 2026-03-01T00:00:00Z --to 2026-03-02T00:00:00Z -o html > day.html
+  source <(arbutusctl completion bash)`,
 		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "settings file of arbutusctl, JSON with comments", Sources: cli.EnvVars("ARBUTUS_CONFIG")},
 			&cli.StringSliceFlag{Name: "control", Usage: "operator addresses of the control processes", Sources: cli.EnvVars("ARBUTUS_CONTROL")},
 			&cli.StringFlag{Name: "ca", Usage: "folder with ca.pem", Sources: cli.EnvVars("ARBUTUS_CA")},
 			&cli.StringFlag{Name: "token", Usage: "file with the operator's token", Sources: cli.EnvVars("ARBUTUS_TOKEN")},
-			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "table or json"},
+			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: outputTable, Usage: "table or json; report also writes html"},
 		},
 		EnableShellCompletion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+			c.Usage = "write the completion script of a shell: bash, zsh, fish or pwsh"
+		},
 		Commands: []*cli.Command{
-			validateCommand(), applyCommand(), statusCommand(), timelineCommand(), keysCommand(),
+			validateCommand(), applyCommand(), currentCommand(), statusCommand(),
+			timelineCommand(), reportCommand(), keysCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
-	err := root.Run(context.Background(), os.Args)
-	if err == nil {
-		return
-	}
-	fmt.Fprintln(os.Stderr, err)
-	os.Exit(exitCode(err))
 }
 
-// exitCode maps an error to the exit codes that scripts can use.
-func exitCode(err error) int {
-	var problems jsonc.Problems
-	var refused *adminclient.StatusError
-	switch {
-	case errors.As(err, &problems):
-		return lifecycle.ExitBadInput
-	case errors.As(err, &refused) && refused.Status == http.StatusConflict && refused.Fault.Code == "conflict":
-		return lifecycle.ExitConflict
-	case errors.As(err, &refused) && (refused.Status == http.StatusUnprocessableEntity || refused.Status == http.StatusBadRequest):
-		return lifecycle.ExitBadInput
-	case errors.Is(err, adminclient.ErrNotReachable):
-		return lifecycle.ExitNotReachable
-	case errors.As(err, &refused):
-		return lifecycle.ExitRefused
+// conform gives a command and those below it the common conventions:
+// faults of the command line are bad input, and a group without a
+// subcommand shows its help.
+func conform(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &inputError{err} }
+	if len(command.Commands) > 0 && command.Action == nil {
+		command.Action = showGroup
+	}
+	check := command.Action
+	if check != nil {
+		command.Action = func(ctx context.Context, c *cli.Command) error {
+			if err := checkOutput(c); err != nil {
+				return err
+			}
+			return check(ctx, c)
+		}
+	}
+	for _, sub := range command.Commands {
+		conform(sub)
 	}
-	return lifecycle.ExitFailed
 }
 
-// connect makes a client from the global flags.
-func connect(c *cli.Command) (*adminclient.Client, error) {
-	ring, err := keys.LoadCA(c.String("ca"))
-	if err != nil {
-		return nil, err
-	}
-	token, err := os.ReadFile(c.String("token"))
-	if err != nil {
-		return nil, fmt.Errorf("read operator token: %w", err)
+// showGroup answers a group of commands that got no known subcommand.
+func showGroup(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return badInput("unknown command %q, see %s --help", c.Args().First(), c.FullName())
 	}
-	return adminclient.New(ring, c.StringSlice("control"), adminclient.ReadToken(token)), nil
+	return cli.ShowSubcommandHelp(c)
 }
--- a/cmd/arbutusctl/status.go
+++ b/cmd/arbutusctl/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -14,8 +15,9 @@
 
 func statusCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "status",
-		Usage: "show versions, entries and VMs",
+		Name:        "status",
+		Usage:       "show versions, entries and VMs",
+		Description: "Examples:\n  arbutusctl status\n  arbutusctl status -o json",
 		Action: func(ctx context.Context, c *cli.Command) error {
 			client, err := connect(c)
 			if err != nil {
@@ -25,7 +27,7 @@
 			if err != nil {
 				return err
 			}
-			if c.String("output") == "json" {
+			if wantsJSON(c) {
 				return printJSON(status)
 			}
 			return printStatus(status)
@@ -34,15 +36,11 @@
 }
 
 func printStatus(status control.Status) error {
-	fmt.Printf("leader %s, term %d; version %d accepted, in force everywhere: %v\n\n", status.Replica.Leader, status.Replica.Term, status.Accepted, status.InForce)
+	fmt.Printf("leader %s, term %d; version %d accepted; %s\n\n", status.Replica.Leader, status.Replica.Term, status.Accepted, lagging(status))
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "ENTRY\tZONE\tVERSION\tIN FORCE\tLAST HEARD")
 	for _, entry := range status.Entries {
-		heard := "never"
-		if entry.HeardMS > 0 {
-			heard = time.UnixMilli(entry.HeardMS).UTC().Format(time.RFC3339Nano)
-		}
-		fmt.Fprintf(table, "%s\t%s\t%d\t%v\t%s\n", entry.ID, entry.Zone, entry.Version, entry.InForce, heard)
+		fmt.Fprintf(table, "%s\t%s\t%d\t%v\t%s\n", entry.ID, entry.Zone, entry.Version, entry.InForce, lastHeard(entry))
 	}
 	fmt.Fprintln(table, "\nVM\tPOOL\tZONE\tRACK\tPHASE\tEPOCH")
 	for _, vm := range status.VMs {
@@ -50,3 +48,26 @@
 	}
 	return table.Flush()
 }
+
+// lagging says in how many entries the accepted version is in force and
+// names those in which it is not.
+func lagging(status control.Status) string {
+	var behind []string
+	for _, entry := range status.Entries {
+		if !entry.InForce {
+			behind = append(behind, fmt.Sprintf("%s (last heard %s)", entry.ID, lastHeard(entry)))
+		}
+	}
+	if len(behind) == 0 {
+		return fmt.Sprintf("in force in all %d entries", len(status.Entries))
+	}
+	return fmt.Sprintf("in force in %d of %d entries, not in %s",
+		len(status.Entries)-len(behind), len(status.Entries), strings.Join(behind, ", "))
+}
+
+func lastHeard(entry control.EntryStatus) string {
+	if entry.HeardMS == 0 {
+		return "never by this leader"
+	}
+	return time.UnixMilli(entry.HeardMS).UTC().Format(time.RFC3339Nano)
+}
--- a/cmd/arbutusctl/timeline.go
+++ b/cmd/arbutusctl/timeline.go
@@ -5,73 +5,148 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"sort"
+	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
 
 	"arbutusward.example/arbutusward/internal/adminclient"
 	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/report"
 )
 
 func timelineCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "timeline",
-		Usage: "merge the events of all processes, as JSON lines",
-		Flags: []cli.Flag{
+		Usage: "show the events of all processes in causal order",
+		Description: `With --request the outcome of the request is explained at the end. What
+could not be collected is said on standard error. With -o json each event
+is one line.
+
+Examples:
+  arbutusctl timeline --request 7Q2M
+  arbutusctl timeline --kind request-refused --from 2026-03-01T12:00:00Z -o json`,
+		Flags: append(spanFlags(),
 			&cli.StringFlag{Name: "request", Usage: "only events of this request"},
 			&cli.StringFlag{Name: "vm", Usage: "only events of this VM"},
-		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := connect(c)
-			if err != nil {
-				return err
-			}
-			events, err := collect(ctx, client)
-			if err != nil {
-				return err
-			}
-			encoder := json.NewEncoder(os.Stdout)
-			for _, event := range events {
-				if !matches(c, event) {
-					continue
-				}
-				if err := encoder.Encode(event); err != nil {
-					return err
-				}
-			}
-			return nil
-		},
+			&cli.StringFlag{Name: "service", Usage: "only events of this service"},
+			&cli.StringFlag{Name: "wave", Usage: "only events of this wave"},
+			&cli.StringFlag{Name: "kind", Usage: "only events of this kind"},
+			&cli.Uint64Flag{Name: "version", Usage: "only events of this version"},
+		),
+		Action: showTimeline,
 	}
 }
 
-// collect merges the events of all processes in causal order and names on
-// standard error those that could not be reached.
-func collect(ctx context.Context, client *adminclient.Client) ([]timeline.Event, error) {
-	status, err := client.Status(ctx)
+func showTimeline(ctx context.Context, c *cli.Command) error {
+	filter, err := filterOf(c)
+	if err != nil {
+		return err
+	}
+	client, err := connect(c)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	collection := client.Collect(ctx, filter)
+	if err := tellMissing(collection); err != nil {
+		return err
+	}
+	events := timeline.Merge(collection.Pages)
+	if wantsJSON(c) {
+		return printEventLines(events)
+	}
+	if err := printEvents(events); err != nil || filter.Request == "" {
+		return err
+	}
+	return explain(ctx, client, filter.Request, collection)
+}
+
+// filterOf reads the filter from the flags.
+func filterOf(c *cli.Command) (timeline.Filter, error) {
+	filter := timeline.Filter{Request: c.String("request"), VM: c.String("vm"), Service: c.String("service"),
+		Wave: c.String("wave"), Kind: timeline.Kind(c.String("kind")), Version: c.Uint64("version")}
+	var err error
+	filter.From, filter.To, err = spanOf(c)
+	return filter, err
+}
+
+// tellMissing says what could not be collected. It is an error if nothing was.
+func tellMissing(collection adminclient.Collection) error {
+	if len(collection.Pages) == 0 {
+		return fmt.Errorf("no process gave its events: %w", collection.StatusErr)
 	}
-	addresses := map[string]string{}
-	for _, member := range status.Replica.Members {
-		addresses[member.ID] = member.Admin
+	if collection.StatusErr != nil {
+		fmt.Fprintln(os.Stderr, "entries were not asked, since no leader names them:", collection.StatusErr)
 	}
-	for _, entry := range status.Entries {
-		addresses[entry.ID] = entry.Admin
+	for _, unreachable := range collection.Unreachable {
+		fmt.Fprintf(os.Stderr, "not collected: %s at %s: %s\n", unreachable.Process, unreachable.Address, unreachable.Reason)
 	}
-	var events []timeline.Event
-	for id, address := range addresses {
-		page, err := client.Timeline(ctx, address)
-		if err != nil {
-			fmt.Fprintf(os.Stderr, "not collected: %s: %v\n", id, err)
-			continue
+	for _, page := range collection.Pages {
+		if page.Dropped > 0 {
+			fmt.Fprintf(os.Stderr, "dropped: %s no longer holds %d older events, %d of them notable\n", page.Process, page.Dropped, page.DroppedNotable)
 		}
-		events = append(events, page.Events...)
 	}
-	sort.SliceStable(events, func(i, j int) bool { return events[i].Stamp.Before(events[j].Stamp) })
-	return events, nil
+	return nil
 }
 
-func matches(c *cli.Command, event timeline.Event) bool {
-	request, vm := c.String("request"), c.String("vm")
-	return (request == "" || request == event.Request) && (vm == "" || vm == event.VM)
+func printEventLines(events []timeline.Event) error {
+	encoder := json.NewEncoder(os.Stdout)
+	for _, event := range events {
+		if err := encoder.Encode(event); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printEvents(events []timeline.Event) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "TIME\tPROCESS\tZONE\tKIND\tABOUT\tCAUSE")
+	for _, event := range events {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", event.Time().UTC().Format("2006-01-02T15:04:05.000000Z"),
+			event.Process, event.Zone, event.Kind, about(event), event.Cause)
+	}
+	return table.Flush()
+}
+
+// about names what an event is about.
+func about(event timeline.Event) string {
+	text := ""
+	add := func(name, value string) {
+		if value != "" {
+			text += name + "=" + value + " "
+		}
+	}
+	add("request", event.Request)
+	add("vm", event.VM)
+	add("pool", event.Pool)
+	add("service", event.Service)
+	if event.Version > 0 {
+		add("version", fmt.Sprint(event.Version))
+	}
+	add("wave", event.Wave)
+	add("job", event.Job)
+	add("peer", event.Peer)
+	return text
+}
+
+// explain tells the outcome of a request with the version in force then.
+func explain(ctx context.Context, client *adminclient.Client, request string, collection adminclient.Collection) error {
+	versions := client.Collect(ctx, timeline.Filter{Kind: timeline.VersionInForce})
+	events := timeline.Merge(append(versions.Pages, collection.Pages...))
+	e := report.Explain(request, events)
+	if e.Outcome == report.NotFound {
+		fmt.Printf("\nno process that answered holds a final event of request %s\n", request)
+		return nil
+	}
+	fmt.Printf("\nrequest %s: %s\n", e.Request, e.Outcome)
+	fmt.Printf("  service %s, entry %s, version in force %d\n", orNone(e.Service), e.Process, e.Version)
+	fmt.Printf("  target %s\n  reason: %s\n", orNone(e.Target), orNone(e.Reason))
+	return nil
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
 }
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -18,7 +18,6 @@
 	"arbutusward.example/arbutusward/internal/process/control"
 	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/process/state"
-	"arbutusward.example/arbutusward/internal/process/timeline"
 )
 
 // callTimeout bounds one call to one process.
@@ -57,8 +56,14 @@
 	return &Client{control: control, token: token, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
+// Raw is an answer that is not decoded.
+type Raw struct {
+	Body   []byte
+	Header http.Header
+}
+
 // Do sends a call to the leader and decodes its answer into a pointer, or
-// into *[]byte as it is. A refusal is a *StatusError.
+// keeps it in *Raw as it is. A refusal is a *StatusError.
 func (c *Client) Do(ctx context.Context, method, path string, body []byte, into any) error {
 	failures := []error{ErrNotReachable}
 	tried := map[string]bool{}
@@ -109,8 +114,8 @@
 		_ = json.Unmarshal(data, &refused.Fault)
 		return refused
 	}
-	if raw, ok := into.(*[]byte); ok {
-		*raw = data
+	if raw, ok := into.(*Raw); ok {
+		*raw = Raw{Body: data, Header: resp.Header}
 		return nil
 	}
 	if into == nil {
@@ -134,12 +139,5 @@
 	return answer, err
 }
 
-// Timeline returns the events of one process.
-func (c *Client) Timeline(ctx context.Context, address string) (timeline.Page, error) {
-	var page timeline.Page
-	err := c.DoAt(ctx, address, http.MethodGet, "/v1/timeline", nil, &page)
-	return page, err
-}
-
 // ReadToken reads a token file.
 func ReadToken(data []byte) string { return strings.TrimSpace(string(data)) }
--- /dev/null
+++ b/internal/adminclient/documents.go
@@ -0,0 +1,69 @@
+package adminclient
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"arbutusward.example/arbutusward/internal/process/control"
+	"arbutusward.example/arbutusward/internal/process/state"
+	"arbutusward.example/arbutusward/internal/version/fleet"
+)
+
+// Accepted is the newest accepted document.
+type Accepted struct {
+	// Version is 0 and Document nil before the first.
+	Version  uint64
+	Text     []byte
+	Document *fleet.Document
+}
+
+// CurrentDocument returns the newest accepted document.
+func (c *Client) CurrentDocument(ctx context.Context) (Accepted, error) {
+	var raw Raw
+	err := c.Do(ctx, http.MethodGet, "/v1/documents/current", nil, &raw)
+	var refused *StatusError
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return Accepted{}, nil
+	}
+	if err != nil {
+		return Accepted{}, err
+	}
+	version, err := strconv.ParseUint(raw.Header.Get(control.VersionHeader), 10, 64)
+	if err != nil {
+		return Accepted{}, fmt.Errorf("read the version of the document: %w", err)
+	}
+	document, err := fleet.Parse("accepted document", raw.Body)
+	if err != nil {
+		return Accepted{}, fmt.Errorf("parse the accepted document: %w", err)
+	}
+	return Accepted{Version: version, Text: raw.Body, Document: document}, nil
+}
+
+// Plan returns control's plan for a document as JSON; nil if the control
+// process makes no plans.
+func (c *Client) Plan(ctx context.Context, text []byte) (json.RawMessage, error) {
+	var plan json.RawMessage
+	err := c.Do(ctx, http.MethodPost, "/v1/plan", text, &plan)
+	var refused *StatusError
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return nil, nil
+	}
+	return plan, err
+}
+
+// Conflict returns the submission that took the base of one that was
+// refused with a conflict.
+func (e *StatusError) Conflict() (state.Submission, bool) {
+	var refusal control.SubmitRefusal
+	if e.Status != http.StatusConflict || json.Unmarshal(e.Body, &refusal) != nil || refusal.Code != string(state.Conflict) {
+		return state.Submission{}, false
+	}
+	if refusal.Winner == nil {
+		return state.Submission{}, true
+	}
+	return *refusal.Winner, true
+}
--- a/internal/process/control/documents.go
+++ b/internal/process/control/documents.go
@@ -17,8 +17,8 @@
 	"arbutusward.example/arbutusward/internal/version/fleet"
 )
 
-// versionHeader names the version of a document that is sent.
-const versionHeader = "X-Arbutus-Version"
+// VersionHeader names the version of a document that is sent.
+const VersionHeader = "X-Arbutus-Version"
 
 func (s *Server) registerDocuments() {
 	engine := s.admin.Engine
@@ -99,12 +99,18 @@
 	}
 }
 
+// getDocument answers with the newest accepted document; only a confirmed
+// leader knows it.
 func (s *Server) getDocument(c *gin.Context) {
+	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
+		failProposal(c, err)
+		return
+	}
 	f := s.machine.Fleet()
 	if f.Version == 0 {
 		c.JSON(http.StatusNotFound, adminhttp.Fault{Code: "no_document", Message: "no document was accepted yet"})
 		return
 	}
-	c.Header(versionHeader, strconv.FormatUint(f.Version, 10))
+	c.Header(VersionHeader, strconv.FormatUint(f.Version, 10))
 	c.Data(http.StatusOK, "application/json", f.Text)
 }
--- a/internal/process/settings/types.go
+++ b/internal/process/settings/types.go
@@ -79,6 +79,17 @@
 	SessionMinutes int `json:"session_minutes" validate:"min=0,max=1440"`
 }
 
+// CLI is the settings file of arbutusctl. Flags and environment variables
+// go before it. Relative paths start at the folder of the file.
+type CLI struct {
+	// Control lists the operator addresses of the control processes.
+	Control []string `json:"control" validate:"dive,hostname_port"`
+	// CA is the folder with ca.pem.
+	CA string `json:"ca"`
+	// Token is the file with the operator's token.
+	Token string `json:"token"`
+}
+
 // jsonName names a field as the settings file does.
 func jsonName(field reflect.StructField) string {
 	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
