--- a/cmd/arbutusctl/job.go
+++ b/cmd/arbutusctl/job.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -36,7 +35,7 @@
 func submitJobs(ctx context.Context, c *cli.Command) error {
 	path := c.Args().First()
 	if path == "" {
-		return errors.New("expected the file of jobs")
+		return badInput("expected the file of jobs")
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -54,7 +53,7 @@
 	if err := callJSON(ctx, c, http.MethodPost, "/v1/jobs", submission, &answer); err != nil {
 		return err
 	}
-	return show(c, answer, func() { fmt.Printf("%d jobs added, %d known before\n", answer.Added, answer.Repeated) })
+	return show(c, answer, "%d jobs added, %d known before", answer.Added, answer.Repeated)
 }
 
 func listJobs(ctx context.Context, c *cli.Command) error {
@@ -62,14 +61,15 @@
 	if err := callJSON(ctx, c, http.MethodGet, "/v1/jobs", nil, &jobs); err != nil {
 		return err
 	}
-	return show(c, jobs, func() {
-		table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-		fmt.Fprintln(table, "JOB\tTEAM\tKIND\tURGENT\tPHASE\tWORKER\tREASON")
-		for _, job := range jobs {
-			fmt.Fprintf(table, "%s\t%s\t%s\t%v\t%s\t%s\t%s\n", job.Spec.ID, job.Spec.Team, job.Spec.Kind, job.Spec.Urgent, job.Phase, job.Worker, job.Reason)
-		}
-		_ = table.Flush()
-	})
+	if wantsJSON(c) {
+		return printJSON(jobs)
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "JOB\tTEAM\tKIND\tURGENT\tPHASE\tWORKER\tREASON")
+	for _, job := range jobs {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%v\t%s\t%s\t%s\n", job.Spec.ID, job.Spec.Team, job.Spec.Kind, job.Spec.Urgent, job.Phase, job.Worker, job.Reason)
+	}
+	return table.Flush()
 }
 
 func showJob(ctx context.Context, c *cli.Command) error {
@@ -83,15 +83,13 @@
 func cancelJobs(ctx context.Context, c *cli.Command) error {
 	cancellation := state.JobCancellation{IDs: c.Args().Slice(), Team: c.String("team"), Kind: c.String("kind")}
 	if len(cancellation.IDs) == 0 && cancellation.Team == "" {
-		return errors.New("expected job IDs or --team")
+		return badInput("expected job IDs or --team")
 	}
 	var answer state.JobCancellationAnswer
 	if err := callJSON(ctx, c, http.MethodPost, "/v1/jobs/cancel", cancellation, &answer); err != nil {
 		return err
 	}
-	return show(c, answer, func() {
-		fmt.Printf("%d jobs cancelled, %d are being stopped\n", answer.Cancelled, answer.Stopping)
-	})
+	return show(c, answer, "%d jobs cancelled, %d are being stopped", answer.Cancelled, answer.Stopping)
 }
 
 // callJSON sends a value to the leader and decodes its answer.
@@ -108,12 +106,3 @@
 	}
 	return client.Do(ctx, method, path, encoded, into)
 }
-
-// show prints a value as JSON, or as a table by the function.
-func show(c *cli.Command, value any, table func()) error {
-	if c.String("output") == "json" {
-		return printJSON(value)
-	}
-	table()
-	return nil
-}
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -54,6 +54,7 @@
 	s.registerWaves()
 	s.registerMoves()
 	s.registerPlan()
+	s.registerMetrics()
 	s.node.Serve()
 	go s.followLeadership()
 	if err := s.admin.Start(s.settings.Admin); err != nil {
