--- a/internal/process/control/executor_test.go
+++ b/internal/process/control/executor_test.go
@@ -42,15 +42,42 @@
   "weights": {"buffer": 1, "rollout": 1, "moves": 1}
 }`
 
-// leading is a replica of one process whose leadership the test changes.
+// leading is a replica of one process without a log, whose leadership the
+// test changes.
 type leading struct {
-	*replica.Solo
+	machine *state.Machine
 	changes chan bool
+
+	mu    sync.Mutex
+	index uint64
+}
+
+// Propose applies the command.
+func (l *leading) Propose(_ context.Context, command []byte) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.index++
+	return l.machine.Apply(l.index, command), nil
 }
 
+// ReadBarrier returns at once.
+func (l *leading) ReadBarrier(context.Context) error { return nil }
+
+// Status returns the state of a leader.
+func (l *leading) Status() replica.Status { return replica.Status{Role: "leader", Term: 1} }
+
+// AddMember is refused.
+func (l *leading) AddMember(context.Context, replica.Member) error { return replica.ErrStopped }
+
+// RemoveMember is refused.
+func (l *leading) RemoveMember(context.Context, string) error { return replica.ErrStopped }
+
 // LeaderChanges delivers what the test decides.
 func (l *leading) LeaderChanges() <-chan bool { return l.changes }
 
+// Stop does nothing.
+func (l *leading) Stop() error { return nil }
+
 // bench is a control process with entries that are played by the test.
 type bench struct {
 	t        *testing.T
@@ -70,8 +97,7 @@
 	s := &settings.Control{ID: "control-1", Zone: "za", Link: node.Address(), Admin: "127.0.0.1:0", Platform: platformServer.URL}
 	machine := state.NewMachine()
 	log := slog.New(slog.DiscardHandler)
-	solo := replica.NewSolo(replica.Member{ID: s.ID, Link: s.Link, Admin: s.Admin}, machine)
-	b.replica = &leading{Solo: solo, changes: make(chan bool, 1)}
+	b.replica = &leading{machine: machine, changes: make(chan bool, 1)}
 	b.replica.changes <- true
 	b.server = New(s, b.replica, machine, node, adminhttp.New(ring, recorder, log), recorder, log)
 	b.must(b.server.Start())
@@ -186,6 +212,8 @@
 			report.Drained = append(report.Drained, message.DrainedVM{VM: vm.Name, Epoch: epoch})
 		}
 	}
+	report.Full = true
+	report.TargetsDigest = message.DigestTargets(report.Targets)
 	return report, !e.silent
 }
 
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/connection/workerapi"
 	"arbutusward.example/arbutusward/internal/process/adminhttp"
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/replica"
@@ -28,6 +29,8 @@
 	log       *slog.Logger
 	observers *observers
 	stop      chan struct{}
+	// stopJobs ends the job runner of the present term.
+	stopJobs context.CancelFunc
 
 	// outlook and snapshot are the executor's last plan and what it saw.
 	outlook  atomic.Pointer[outlook]
@@ -39,7 +42,7 @@
 // New wires a control process; Start makes it serve.
 func New(s *settings.Control, r replica.Replica, m *state.Machine, n *link.Node, a *adminhttp.Server, rec *timeline.Recorder, log *slog.Logger) *Server {
 	return &Server{settings: s, replica: r, machine: m, node: n, admin: a, recorder: rec, log: log,
-		observers: newObservers(), stop: make(chan struct{}), followed: make(chan struct{})}
+		observers: newObservers(), stop: make(chan struct{}), stopJobs: func() {}, followed: make(chan struct{})}
 }
 
 // Start serves entries and operators.
@@ -47,9 +50,11 @@
 	s.registerLink()
 	s.registerDocuments()
 	s.registerStatus()
+	s.registerJobs()
 	s.registerWaves()
 	s.registerMoves()
 	s.registerPlan()
+	s.registerMetrics()
 	s.node.Serve()
 	go s.followLeadership()
 	if err := s.admin.Start(s.settings.Admin); err != nil {
@@ -79,11 +84,14 @@
 		case leads := <-s.replica.LeaderChanges():
 			running.stop()
 			running = nil
+			s.stopJobs()
 			s.noteLeadership(leads)
 			if leads {
 				running = s.startExecutor()
+				s.startJobs()
 			}
 		case <-s.stop:
+			s.stopJobs()
 			running.stop()
 			return
 		}
@@ -102,6 +110,16 @@
 	s.log.Info(string(kind), "term", s.replica.Status().Term)
 }
 
+// startJobs runs jobs until stopJobs.
+func (s *Server) startJobs() {
+	if s.settings.Platform == "" {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stopJobs = cancel
+	go newJobRunner(s, workerapi.NewHTTP(s.settings.Platform)).run(ctx)
+}
+
 // propose makes, replicates and applies one command and decodes its result.
 func propose[T any](ctx context.Context, s *Server, kind state.Kind, body any) (T, error) {
 	var none T
--- a/internal/process/state/moves.go
+++ b/internal/process/state/moves.go
@@ -21,6 +21,11 @@
 	if !moving || move.Epoch != vm.Epoch || vm.Phase != view.Draining {
 		return refuse(Conflict, "VM %q is %s at epoch %d and not on its way", vm.Name, vm.Phase, vm.Epoch)
 	}
+	if step.Kind != plan.CancelMove {
+		if refusal, refused := m.data.Jobs.checkIdle(vm.Name); refused {
+			return refusal
+		}
+	}
 	switch step.Kind {
 	case plan.CommitMove:
 		return f.commitMove(c, vm, move, step)
--- a/internal/process/state/waves.go
+++ b/internal/process/state/waves.go
@@ -207,6 +207,11 @@
 	if refusal, refused := f.checkWaveStep(&run, progress, vm, step.To); refused {
 		return refusal
 	}
+	if step.To == plan.Rebooting {
+		if refusal, refused := m.data.Jobs.checkIdle(vm.Name); refused {
+			return refusal
+		}
+	}
 	vm.Phase = phases[step.To]
 	vm.Epoch++
 	f.setVM(c.index, vm)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -35,6 +35,7 @@
 	info   VMInfo
 	// orders holds the idempotency keys of all orders carried out.
 	orders map[string]bool
+	tasks  taskTable
 }
 
 // Platform is a set of stand-in VMs that reboot on order.
@@ -115,6 +116,7 @@
 		order := c.GetHeader("Idempotency-Key")
 		p.answer(c, func(machine *vm) { p.reboot(machine, order) })
 	})
+	engine.PUT("/platform/v1/vms/:vm/tasks", p.syncTasks)
 	engine.POST("/platform/v1/vms/:vm/power-off", func(c *gin.Context) { p.answer(c, powerOff) })
 	return engine
 }
@@ -161,4 +163,5 @@
 		machine.target = nil
 	}
 	machine.info.State = Off
+	machine.tasks = taskTable{}
 }
