--- a/internal/process/control/executor.go
+++ b/internal/process/control/executor.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	// planInterval is the time between two plans.
+	// planInterval is the time between two plans while something is under
+	// way, idleInterval otherwise.
 	planInterval = 250 * time.Millisecond
+	idleInterval = time.Second
 	// reserveInterval is the time between two plans of the reserve.
-	reserveInterval = 10 * time.Second
+	reserveInterval = 30 * time.Second
 	// proposeTimeout bounds one command of the executor.
 	proposeTimeout = 3 * time.Second
 )
@@ -30,6 +32,9 @@
 	server   *Server
 	sights   *sights
 	platform *platformCalls
+	// revision and plannedAt are those of the last plan.
+	revision  uint64
+	plannedAt time.Time
 	// reserveAt is when the reserve was last planned.
 	reserveAt time.Time
 	// load is the smoothed use of the pools.
@@ -76,7 +81,7 @@
 // tick takes one snapshot, plans on it and proposes the steps.
 func (e *executor) tick(ctx context.Context, now time.Time) {
 	f := e.server.machine.Fleet()
-	if f.Version == 0 {
+	if f.Version == 0 || !e.due(f, now) {
 		return
 	}
 	in := e.server.planInput(f, e.sights, e.platform, now)
@@ -96,6 +101,20 @@
 	e.order(ctx)
 }
 
+// due says whether it is time to plan: at once after a change, often while
+// something is under way, and now and then otherwise.
+func (e *executor) due(f *state.Fleet, now time.Time) bool {
+	busy := len(f.Moves) > 0
+	for _, run := range f.Runs {
+		busy = busy || run.Open()
+	}
+	if !busy && f.Revision == e.revision && now.Sub(e.plannedAt) < idleInterval {
+		return false
+	}
+	e.revision, e.plannedAt = f.Revision, now
+	return true
+}
+
 func (e *executor) proposeMoves(ctx context.Context, steps []plan.MoveStep) {
 	for _, step := range steps {
 		if err := e.propose(ctx, state.StepMove, step); err != nil {
--- a/internal/version/plan/capacity/loss.go
+++ b/internal/version/plan/capacity/loss.go
@@ -72,65 +72,80 @@
 	shared bool
 }
 
-// evaluate returns the shortage after a loss and the worst further VMs.
+// tally sums what a loss takes from the pools.
+type tally struct {
+	// lendable is what the spare pool has above its need; below 0 it is
+	// short itself. borrowed is what the sharing pools miss, own what the
+	// others miss.
+	lendable, borrowed, own int
+}
+
+func (t tally) short() int {
+	return max(0, -t.lendable) + t.own + max(0, t.borrowed-max(0, t.lendable))
+}
+
+// add counts what one pool misses, or takes it out with sign -1.
+func (t tally) add(p *planner, pool *poolState, left, sign int) tally {
+	missing := max(0, pool.need-left)
+	switch {
+	case pool == p.spare:
+		t.lendable += sign * (left - pool.need)
+	case pool.shares:
+		t.borrowed += sign * missing
+	default:
+		t.own += sign * missing
+	}
+	return t
+}
+
+// evaluate returns the shortage after a loss and the worst further VMs,
+// which are lost in one pool.
 func (p *planner) evaluate(l loss) shortage {
-	worst := p.shortageAfter(l, nil)
-	for _, pool := range p.order {
-		if pool.tolerance.VMs == 0 || pool.kept == 0 {
+	var base tally
+	left := make([]int, len(p.order))
+	for i, pool := range p.order {
+		left[i] = pool.left(l)
+		base = base.add(p, pool, left[i], 1)
+	}
+	worst, further := base, -1
+	for i, pool := range p.order {
+		if pool.tolerance.VMs == 0 || left[i] == 0 {
 			continue
 		}
-		if short := p.shortageAfter(l, pool); short.slots > worst.slots {
-			worst = short
+		after := max(0, left[i]-pool.tolerance.VMs*pool.largest)
+		if t := base.add(p, pool, left[i], -1).add(p, pool, after, 1); t.short() > worst.short() {
+			worst, further = t, i
 		}
 	}
-	return worst
+	if worst.short() == 0 {
+		return shortage{}
+	}
+	if further >= 0 {
+		pool := p.order[further]
+		left[further] = max(0, left[further]-pool.tolerance.VMs*pool.largest)
+	}
+	return p.shortage(worst, left)
 }
 
-// shortageAfter returns the shortage after a loss if the further VMs are
-// lost in one pool.
-func (p *planner) shortageAfter(l loss, further *poolState) shortage {
-	var short shortage
-	lendable := 0
-	if p.spare != nil {
-		lendable = p.spare.left(l, further) - p.spare.need
-		if lendable < 0 {
-			short.slots -= lendable
-			short.pools = append(short.pools, p.spare)
-		}
-	}
-	borrowed := 0
-	var borrowers []*poolState
-	for _, pool := range p.order {
-		missing := pool.need - pool.left(l, further)
-		switch {
-		case pool == p.spare || missing <= 0:
-		case pool.shares:
-			borrowed += missing
-			borrowers = append(borrowers, pool)
-		default:
-			short.slots += missing
+// shortage names the pools that are short.
+func (p *planner) shortage(t tally, left []int) shortage {
+	short := shortage{slots: t.short(), shared: p.spare != nil && t.borrowed > max(0, t.lendable)}
+	for i, pool := range p.order {
+		if pool.need > left[i] {
 			short.pools = append(short.pools, pool)
 		}
 	}
-	if unmet := borrowed - max(lendable, 0); unmet > 0 {
-		short.slots += unmet
-		short.pools = append(short.pools, borrowers...)
-		short.shared = true
-	}
 	return short
 }
 
 // left returns the kept slots of a pool after a loss, as far as the pool
 // has to tolerate it.
-func (s *poolState) left(l loss, further *poolState) int {
+func (s *poolState) left(l loss) int {
 	left := s.kept
 	for i, rack := range l.racks {
 		if i < s.tolerance.Racks {
 			left -= s.byRack[rack]
 		}
 	}
-	if further == s {
-		left -= s.tolerance.VMs * s.largest
-	}
-	return max(left, 0)
+	return left
 }
--- a/internal/version/plan/capacity/reserve.go
+++ b/internal/version/plan/capacity/reserve.go
@@ -78,9 +78,6 @@
 	reason string
 }
 
-// kept says whether the VM stands ready for the promise.
-func (m *member) kept() bool { return m.role == Needed || m.role == Reserve }
-
 // poolState is one pool while the reserve is planned.
 type poolState struct {
 	name      string
@@ -281,20 +278,40 @@
 func (p *planner) dropIdle() {
 	losses := p.losses()
 	for _, pool := range p.order {
+		relevant := p.lossesOf(pool, losses)
 		for _, one := range pool.members {
-			if one.role != Reserve {
-				continue
-			}
-			reason := one.reason
-			before := p.shortSlots(losses)
-			pool.release(one)
-			if p.shortSlots(losses) > before {
-				pool.keep(one, Reserve, reason)
+			if one.role == Reserve {
+				p.tryRelease(pool, one, relevant)
 			}
 		}
 	}
 }
 
+// tryRelease releases a VM unless a loss is then carried less.
+func (p *planner) tryRelease(pool *poolState, one *member, losses []loss) {
+	reason := one.reason
+	before := p.shortSlots(losses)
+	pool.release(one)
+	if p.shortSlots(losses) > before {
+		pool.keep(one, Reserve, reason)
+	}
+}
+
+// lossesOf returns the losses that the reserve of a pool can matter for. A
+// pool that neither lends nor borrows stands for itself alone.
+func (p *planner) lossesOf(pool *poolState, losses []loss) []loss {
+	if pool == p.spare || pool.shares {
+		return losses
+	}
+	var own []loss
+	for _, l := range losses {
+		if len(l.racks) == 0 || slices.ContainsFunc(l.racks, func(rack string) bool { return pool.byRack[rack] > 0 }) {
+			own = append(own, l)
+		}
+	}
+	return own
+}
+
 func (p *planner) shortSlots(losses []loss) int {
 	total := 0
 	for _, loss := range losses {
--- a/internal/version/plan/capacity/result.go
+++ b/internal/version/plan/capacity/result.go
@@ -62,11 +62,14 @@
 func (p *planner) lowerBound() int {
 	need, largest, further, racks := 0, 0, 0, math.MaxInt
 	for _, pool := range p.order {
+		if len(pool.members) == 0 {
+			continue
+		}
 		need += pool.need
 		largest = max(largest, pool.largest)
-		if pool.need > 0 {
+		racks = min(racks, pool.tolerance.Racks)
+		if pool.outlasts() {
 			further = max(further, pool.tolerance.VMs*pool.smallest())
-			racks = min(racks, pool.tolerance.Racks)
 		}
 	}
 	if largest == 0 || need == 0 {
@@ -78,6 +81,19 @@
 	return int(math.Ceil((kept - float64(need)) / float64(largest)))
 }
 
+// outlasts says whether the pool has VMs left to lose after its tolerated
+// racks, however its needed VMs are placed.
+func (s *poolState) outlasts() bool {
+	byRack := map[string]int{}
+	fullest := 0
+	for _, one := range s.members {
+		byRack[one.vm.Rack] += one.vm.Slots
+		fullest = max(fullest, byRack[one.vm.Rack])
+	}
+	return s.need >= s.tolerance.Racks*fullest+s.tolerance.VMs*s.largest
+}
+
+// smallest returns the size of the pool's smallest VM.
 func (s *poolState) smallest() int {
 	smallest := 0
 	for _, one := range s.members {
--- a/internal/version/plan/wave/admit.go
+++ b/internal/version/plan/wave/admit.go
@@ -1,19 +1,18 @@
 package wave
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/version/plan"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
-// spread counts the VMs that are out or still to come.
+// spread counts the VMs that are out.
 type spread struct {
 	racks, zones, pools map[string]int
-	// pending counts the VMs of each pool that are still to be taken.
-	pending map[string]int
-	out     int
+	out                 int
 }
 
 func (s *spread) add(vm *plan.VM) {
@@ -23,25 +22,56 @@
 	s.out++
 }
 
-// admit takes out further VMs.
+// queue holds the VMs of one pool that are still to be taken.
+type queue struct {
+	pool string
+	vms  []*plan.VM
+}
+
+// admit takes out further VMs, one pool after the other.
 func (p *planner) admit() {
 	if !p.mayAdmit() {
 		return
 	}
-	s, pending := p.survey()
-	for len(pending) > 0 && s.out < p.width() {
-		sortCandidates(pending, s)
-		vm := pending[0]
-		pending = pending[1:]
-		if !p.tryTake(vm) {
-			continue
+	s, queues := p.survey()
+	waiting := 0
+	for len(queues) > 0 && s.out < p.width() {
+		next := nextQueue(queues, s)
+		if !p.takeOne(next, s) || len(next.vms) == 0 {
+			queues = slices.DeleteFunc(queues, func(q *queue) bool { return q == next })
 		}
-		s.add(vm)
-		s.pending[vm.Pool]--
 	}
-	if len(pending) > 0 && s.out >= p.width() {
-		p.blocked(pending[0].Name, "and %d more wait: %d VMs are out, as many as the run's width", len(pending)-1, s.out)
+	for _, q := range queues {
+		waiting += len(q.vms)
+	}
+	if waiting > 0 {
+		p.blocked("", "%d VMs wait: %d are out, as many as the run's width", waiting, s.out)
+	}
+}
+
+// nextQueue returns the pool that comes next: one without a VM out, and
+// then the one with most left to do.
+func nextQueue(queues []*queue, s *spread) *queue {
+	return slices.MinFunc(queues, func(a, b *queue) int {
+		x, y := min(s.pools[a.pool], 1), min(s.pools[b.pool], 1)
+		return cmp.Or(cmp.Compare(x, y), cmp.Compare(len(b.vms), len(a.vms)), cmp.Compare(a.pool, b.pool))
+	})
+}
+
+// takeOne takes the VM of a pool that stands in the rack and zone with the
+// fewest VMs out. It reports false if none may be taken.
+func (p *planner) takeOne(q *queue, s *spread) bool {
+	slices.SortStableFunc(q.vms, func(a, b *plan.VM) int {
+		return cmp.Or(cmp.Compare(s.racks[a.Rack], s.racks[b.Rack]), cmp.Compare(s.zones[a.Zone], s.zones[b.Zone]))
+	})
+	for i, vm := range q.vms {
+		if p.tryTake(vm) {
+			s.add(vm)
+			q.vms = slices.Delete(q.vms, i, i+1)
+			return true
+		}
 	}
+	return false
 }
 
 // mayAdmit says whether the run as a whole may take VMs.
@@ -68,10 +98,11 @@
 	return p.run.Width
 }
 
-// survey returns what is out and the VMs that are still to be taken.
-func (p *planner) survey() (*spread, []*plan.VM) {
-	s := &spread{racks: map[string]int{}, zones: map[string]int{}, pools: map[string]int{}, pending: map[string]int{}}
-	var pending []*plan.VM
+// survey returns what is out and the VMs that are still to be taken, by pool.
+func (p *planner) survey() (*spread, []*queue) {
+	s := &spread{racks: map[string]int{}, zones: map[string]int{}, pools: map[string]int{}}
+	var queues []*queue
+	byPool := map[string]*queue{}
 	for _, name := range p.names() {
 		vm := p.vms[name]
 		if vm == nil {
@@ -81,29 +112,16 @@
 		case state.Out():
 			s.add(vm)
 		case state == plan.Pending:
-			s.pending[vm.Pool]++
-			pending = append(pending, vm)
+			q := byPool[vm.Pool]
+			if q == nil {
+				q = &queue{pool: vm.Pool}
+				byPool[vm.Pool] = q
+				queues = append(queues, q)
+			}
+			q.vms = append(q.vms, vm)
 		}
 	}
-	return s, pending
-}
-
-// sortCandidates puts first the VM whose pool has most left to do, in the
-// rack and zone with the fewest VMs out.
-func sortCandidates(pending []*plan.VM, s *spread) {
-	sort.SliceStable(pending, func(i, j int) bool {
-		a, b := pending[i], pending[j]
-		if x, y := s.pools[a.Pool] > 0, s.pools[b.Pool] > 0; x != y {
-			return y
-		}
-		if x, y := s.pending[a.Pool], s.pending[b.Pool]; x != y {
-			return x > y
-		}
-		if x, y := s.racks[a.Rack], s.racks[b.Rack]; x != y {
-			return x < y
-		}
-		return s.zones[a.Zone] < s.zones[b.Zone]
-	})
+	return s, queues
 }
 
 // tryTake takes a VM out if its zone is seen and the budgets allow.
