--- a/internal/version/plan/gate.go
+++ b/internal/version/plan/gate.go
@@ -146,7 +146,9 @@
 func (g *Gate) MayLeave(vm *VM) (reason string, ok bool) {
 	pool := g.pool(vm.Pool)
 	margin := pool.marginWithout(vm)
-	if pool.promised == 0 || margin >= 0 {
+	// A VM that is lost carries nothing, and has to be replaced above all
+	// where the pool is short.
+	if pool.promised == 0 || margin >= 0 || vm.Health == Down {
 		return "", true
 	}
 	return fmt.Sprintf("pool %s promises %d slots and would be short of %d after the losses it carries (%d racks, %d VMs); %d of its VMs are out by plan and %d without",
--- a/internal/version/plan/moves/plan_test.go
+++ b/internal/version/plan/moves/plan_test.go
@@ -48,6 +48,18 @@
 	}
 }
 
+func TestLostVMLeavesAPoolThatIsShort(t *testing.T) {
+	in := twoPools()
+	for i := range 5 {
+		in.VMs[i].Health = plan.Down
+	}
+	in.VMs[0].Desired, in.VMs[5].Desired = "", ""
+	result := Plan(in, plan.NewGate(in))
+	if len(result.Steps) != 1 || result.Steps[0].VM != "a-0" {
+		t.Errorf("steps %v, expected the lost a-0 to leave and the live a-5 to stay", result.Steps)
+	}
+}
+
 // proposals runs the load of pool a for a time, one sample a second.
 func proposals(in *plan.Input, seconds int, busy func(second int) float64) []Proposal {
 	load := Load{}.Observe(in)
