Capacity measurement: steady state and changes at five sizes

Cause: docs/CAPACITY.md needs measured slopes. Change: make capacity runs one control process, seven entries and stand-in targets at five sizes and fits lines; links count their message bytes; the UDP relay counts what is on the wire. Nothing else changed.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 GO ?= go
 
-.PHONY: build run test lint bench
+.PHONY: build run test lint bench capacity
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -22,3 +22,7 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+
+# measures steady state and changes at five sizes; see docs/CAPACITY.md
+capacity:
+	$(GO) test -count=1 -timeout 20m -tags capacity -run TestCapacity -v ./integration
--- /dev/null
+++ b/integration/capacity_measure_test.go
@@ -0,0 +1,220 @@
+//go:build capacity
+
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/adminclient"
+	"arbutusward.example/arbutusward/internal/capacity"
+)
+
+// Times of a capacity run.
+const (
+	warmUp  = 6 * time.Second
+	observe = 10 * time.Second
+	// changes is the number of documents submitted one after another.
+	changes = 12
+)
+
+// zonesAtTarget and the sizes are those of the users' long-run target.
+const zonesAtTarget = 7
+
+var vmSizes = []int{50, 200, 500, 1000, 2000}
+
+// clockTicks is the unit of process times in /proc, per second.
+const clockTicks = 100
+
+// sample is what one process has used so far.
+type sample struct {
+	cpu time.Duration
+	// rss is the resident memory in bytes.
+	rss int64
+	// sent and received are message bytes on links.
+	sent, received float64
+}
+
+func (p *process) sample() sample {
+	p.t.Helper()
+	pid := p.cmd.Process.Pid
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	must(p.t, err)
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	user, err := strconv.ParseInt(fields[11], 10, 64)
+	must(p.t, err)
+	system, err := strconv.ParseInt(fields[12], 10, 64)
+	must(p.t, err)
+	pages, err := strconv.ParseInt(fields[21], 10, 64)
+	must(p.t, err)
+	return sample{cpu: time.Duration(user+system) * time.Second / clockTicks, rss: pages * int64(os.Getpagesize())}
+}
+
+// linkBytes adds the link counters from the process's metrics.
+func (d *deployment) linkBytes(s sample, admin string) sample {
+	d.t.Helper()
+	var text adminclient.Raw
+	must(d.t, d.client.DoAt(context.Background(), admin, http.MethodGet, "/metrics", nil, &text))
+	for line := range strings.Lines(string(text.Body)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), "} ")
+		number, err := strconv.ParseFloat(value, 64)
+		switch {
+		case err != nil:
+		case name == `arbutus_link_message_bytes_total{direction="sent"`:
+			s.sent = number
+		case name == `arbutus_link_message_bytes_total{direction="received"`:
+			s.received = number
+		}
+	}
+	return s
+}
+
+// largeFleet is a document with the given number of VMs in 7 zones.
+func largeFleet(vms, edition int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"schema": 1, "deployment": "large-%d", "weights": {"buffer": 1, "rollout": 1, "moves": 1}, "zones": [`, edition)
+	for z := range zonesAtTarget {
+		fmt.Fprintf(&b, `%s{"name": "z%d", "racks": ["r%d"]}`, comma(z), z, z)
+	}
+	pools := max(5, vms*217/2000)
+	b.WriteString(`], "pools": [`)
+	for p := range pools {
+		fmt.Fprintf(&b, `%s{"name": "p%d", "tolerate": {"racks": 0, "vms": 0}}`, comma(p), p)
+	}
+	b.WriteString(`], "vms": [`)
+	for v := range vms {
+		fmt.Fprintf(&b, `%s{"name": "w%d", "pool": "p%d", "zone": "z%d", "rack": "r%d", "cpu_cores": 64, "memory_gib": 256}`, comma(v), v, v%pools, v%zonesAtTarget, v%zonesAtTarget)
+	}
+	b.WriteString(`], "services": [`)
+	for p := range pools {
+		fmt.Fprintf(&b, `%s{"name": "s%d", "pool": "p%d", "path_prefix": "/s%d/", "class": "interactive", "deadline_ms": %d, "budget": {"promised_slots": 0}}`, comma(p), p, p, p, 3000+boolInt(p == 0)*edition)
+	}
+	b.WriteString(`]}`)
+	return b.String()
+}
+
+func comma(i int) string {
+	if i == 0 {
+		return ""
+	}
+	return ", "
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// costs collects points by the name of the cost.
+type costs map[string][]capacity.Point
+
+func (c costs) add(name string, size int, cost float64) {
+	c[name] = append(c[name], capacity.Point{Size: float64(size), Cost: cost})
+}
+
+// TestCapacity measures steady state and changes at five sizes and prints
+// the fitted lines. It asserts nothing.
+func TestCapacity(t *testing.T) {
+	found := costs{}
+	for _, size := range vmSizes {
+		t.Run(fmt.Sprintf("vms=%d", size), func(t *testing.T) { measureSize(t, size, found) })
+	}
+	for _, name := range []string{
+		"control cpu, share of a core", "control memory, MB", "control link, KB/s",
+		"entry cpu, share of a core", "entry memory, MB", "entry link messages, KB/s", "entry to control on the wire, KB/s",
+		"time to in force, ms", "control cpu a change, ms", "entry cpu a change, ms", "entry bytes a change on the wire",
+	} {
+		line := capacity.Fit(found[name])
+		fmt.Printf("| %s |", name)
+		for _, point := range found[name] {
+			fmt.Printf(" %.4g |", point.Cost)
+		}
+		fmt.Printf(" %.4g + %.4g per VM | %.2g | %.3f |\n", line.Base, line.Slope, line.Error, line.R2)
+	}
+}
+
+func measureSize(t *testing.T, size int, found costs) {
+	d := newDeployment(t)
+	d.addControls("z0")
+	control := d.controls["control-1"]
+	relay := newUDPRelay(t, control.settings.Link)
+	var entries []*entryProcess
+	for z := range zonesAtTarget {
+		link := control.settings.Link
+		if z == 0 {
+			link = relay.address
+		}
+		entries = append(entries, d.addEntry(fmt.Sprintf("entry-%d", z), fmt.Sprintf("z%d", z), link))
+	}
+	d.apply(largeFleet(size, 0))
+	d.waitInForce(20 * time.Second)
+	pools := max(5, size*217/2000)
+	for v := range size {
+		d.addTarget(fmt.Sprintf("w%d", v), fmt.Sprintf("p%d", v%pools), fmt.Sprintf("z%d", v%zonesAtTarget), fmt.Sprintf("s%d", v%pools))
+	}
+	time.Sleep(warmUp)
+	measureSteady(d, control, entries[0], relay, size, found)
+	measureChanges(d, control, entries[0], relay, size, found)
+}
+
+func (r *relay) wireBytes() int64 { return r.toServer.passed.Load() + r.toClient.passed.Load() }
+
+func measureSteady(d *deployment, control *controlProcess, entry *entryProcess, relay *relay, size int, found costs) {
+	controlBefore := d.linkBytes(control.sample(), control.settings.Admin)
+	entryBefore := d.linkBytes(entry.sample(), entry.settings.Admin)
+	wireBefore := relay.wireBytes()
+	begin := time.Now()
+	time.Sleep(observe)
+	seconds := time.Since(begin).Seconds()
+	wire := float64(relay.wireBytes() - wireBefore)
+	controlAfter := d.linkBytes(control.sample(), control.settings.Admin)
+	entryAfter := d.linkBytes(entry.sample(), entry.settings.Admin)
+	addSteady(found, "control", size, seconds, controlBefore, controlAfter)
+	addSteady(found, "entry", size, seconds, entryBefore, entryAfter)
+	found.add("control link, KB/s", size, messageBytes(controlBefore, controlAfter)/seconds/1000)
+	found.add("entry link messages, KB/s", size, messageBytes(entryBefore, entryAfter)/seconds/1000)
+	found.add("entry to control on the wire, KB/s", size, wire/seconds/1000)
+}
+
+func addSteady(found costs, who string, size int, seconds float64, before, after sample) {
+	found.add(who+" cpu, share of a core", size, (after.cpu-before.cpu).Seconds()/seconds)
+	found.add(who+" memory, MB", size, float64(after.rss)/1e6)
+}
+
+func messageBytes(before, after sample) float64 {
+	return after.sent + after.received - before.sent - before.received
+}
+
+// measureChanges submits documents that each change one service.
+func measureChanges(d *deployment, control *controlProcess, entry *entryProcess, relay *relay, size int, found costs) {
+	controlBefore, entryBefore, wireBefore := control.sample(), entry.sample(), relay.wireBytes()
+	begin := time.Now()
+	slowest := time.Duration(0)
+	for edition := range changes {
+		submitted := time.Now()
+		d.apply(largeFleet(size, edition+1))
+		d.waitInForce(10 * time.Second)
+		slowest = max(slowest, time.Since(submitted))
+	}
+	elapsed := time.Since(begin).Seconds()
+	steadyControl := lastCost(found, "control cpu, share of a core") * elapsed
+	steadyEntry := lastCost(found, "entry cpu, share of a core") * elapsed
+	steadyWire := lastCost(found, "entry to control on the wire, KB/s") * 1000 * elapsed
+	found.add("time to in force, ms", size, float64(slowest.Milliseconds()))
+	found.add("control cpu a change, ms", size, 1000*((control.sample().cpu-controlBefore.cpu).Seconds()-steadyControl)/changes)
+	found.add("entry cpu a change, ms", size, 1000*((entry.sample().cpu-entryBefore.cpu).Seconds()-steadyEntry)/changes)
+	found.add("entry bytes a change on the wire", size, (float64(relay.wireBytes()-wireBefore)-steadyWire)/changes)
+}
+
+func lastCost(found costs, name string) float64 {
+	points := found[name]
+	return points[len(points)-1].Cost
+}
--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -150,6 +150,7 @@
 			r.mu.Unlock()
 			go r.returnUDP(socket, server, client)
 		}
+		r.toServer.passed.Add(int64(n))
 		packet := append([]byte{}, buffer[:n]...)
 		delayed(&r.toServer, func() { _, _ = server.Write(packet) })
 	}
@@ -165,6 +166,7 @@
 		if r.toClient.silent.Load() {
 			continue
 		}
+		r.toClient.passed.Add(int64(n))
 		packet := append([]byte{}, buffer[:n]...)
 		delayed(&r.toClient, func() { _, _ = socket.WriteTo(packet, client) })
 	}
--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 
@@ -52,6 +53,14 @@
 // Error formats the fault.
 func (f *Fault) Error() string { return f.Code + ": " + f.Message }
 
+// Message bytes that crossed the links of this process, without the
+// overhead of QUIC, and the calls it made.
+var (
+	sentBytes     = metrics.NewCounter(`arbutus_link_message_bytes_total{direction="sent"}`)
+	receivedBytes = metrics.NewCounter(`arbutus_link_message_bytes_total{direction="received"}`)
+	callsMade     = metrics.NewCounter(`arbutus_link_calls_total`)
+)
+
 type request struct {
 	Kind  Kind            `cbor:"1,keyasint"`
 	Stamp timeline.Stamp  `cbor:"2,keyasint"`
@@ -117,6 +126,8 @@
 
 // exchange sends a request on a new stream and reads its response.
 func (n *Node) exchange(ctx context.Context, stream *quic.Stream, message []byte) ([]byte, error) {
+	callsMade.Inc()
+	sentBytes.Add(len(message))
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelRead(abandoned)
 		stream.CancelWrite(abandoned)
@@ -147,6 +158,7 @@
 	if len(data) > MaxMessageBytes {
 		return ErrTooLarge
 	}
+	receivedBytes.Add(len(data))
 	return cbor.Unmarshal(data, into)
 }
 
@@ -196,6 +208,7 @@
 		stream.CancelWrite(abandoned)
 		return
 	}
+	sentBytes.Add(len(message))
 	if _, err := stream.Write(message); err != nil {
 		n.log.Debug("link answer was not taken", "kind", req.Kind, "peer", peer.ID, logging.Err(err))
 	}
