Tests of requests under faults; a silent bound that learns

Change: the bound is half of the service's deadline or four mean service times, and time given up on a new connection counts as service time. The stand-in target crosses, doubles, cuts and unframes answers; relays silence open connections. Ruled out: no bound (a silent connection holds idempotent work until its deadline).

--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -28,6 +28,10 @@
 	address            string
 	upstream           string
 
+	listener net.Listener
+	// generation rises when the open TCP connections go silent for good.
+	generation atomic.Int64
+
 	mu          sync.Mutex
 	connections map[net.Conn]bool
 }
@@ -37,11 +41,8 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
-	r := &relay{address: listener.Addr().String(), upstream: upstream, connections: map[net.Conn]bool{}}
-	t.Cleanup(func() {
-		_ = listener.Close()
-		r.cutAll()
-	})
+	r := &relay{address: listener.Addr().String(), upstream: upstream, listener: listener, connections: map[net.Conn]bool{}}
+	t.Cleanup(r.close)
 	go func() {
 		for {
 			client, err := listener.Accept()
@@ -73,13 +74,14 @@
 	defer from.Close()
 	// wasSilent makes a connection silent for good once it was.
 	wasSilent := false
+	generation := r.generation.Load()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
 			return
 		}
-		wasSilent = wasSilent || f.silent.Load()
+		wasSilent = wasSilent || f.silent.Load() || r.generation.Load() != generation
 		if wasSilent {
 			continue
 		}
@@ -97,6 +99,12 @@
 	}
 }
 
+// close ends all TCP connections and takes no new ones.
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.cutAll()
+}
+
 // cutAll ends all TCP connections that are open.
 func (r *relay) cutAll() {
 	r.mu.Lock()
@@ -107,6 +115,9 @@
 	}
 }
 
+// silenceOpen makes the open TCP connections silent for good; new ones pass.
+func (r *relay) silenceOpen() { r.generation.Add(1) }
+
 // setSilent makes both directions silent, or lets them pass again.
 func (r *relay) setSilent(silent bool) {
 	r.toServer.silent.Store(silent)
--- /dev/null
+++ b/integration/request_target_test.go
@@ -0,0 +1,175 @@
+package integration
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestTargetKilledBeforeTheWriteRunsElsewhereAndOnce kills a target whose
+// lease still runs. No byte reaches it, so even non-idempotent work may go
+// to another VM.
+func TestTargetKilledBeforeTheWriteRunsElsewhereAndOnce(t *testing.T) {
+	f := newRequestFleet(t)
+	f.targets["booking-a-1"].Kill()
+	f.relays["booking-a-1"].close()
+	for range 10 {
+		answer := f.send(http.MethodPost, "/booking/1")
+		answer.expect(t, http.StatusOK, "ran")
+		if runs := f.runs(answer.id); runs != 1 {
+			t.Errorf("ran %d times", runs)
+		}
+	}
+}
+
+// TestTargetKilledDuringTheRun kills the target that runs a request. A
+// non-idempotent one ends as unknown and is not repeated; an idempotent one
+// is repeated on another VM.
+func TestTargetKilledDuringTheRun(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			f := newRequestFleet(t)
+			answers := make(chan reply, 1)
+			go func() { answers <- f.send(method, "/booking/1?sleep_ms=700") }()
+			f.targets[f.running("booking")].Kill()
+			answer := <-answers
+			if method == http.MethodGet {
+				answer.expect(t, http.StatusOK, "ran")
+				return
+			}
+			answer.expect(t, http.StatusBadGateway, "unknown")
+			if runs := f.runs(answer.id); runs != 1 {
+				t.Errorf("ran %d times", runs)
+			}
+		})
+	}
+}
+
+// TestConnectionCutAfterTheWriteIsUnknownNotNotRun swallows the request
+// and cuts the connection: the bytes left, so the request may have run.
+func TestConnectionCutAfterTheWriteIsUnknownNotNotRun(t *testing.T) {
+	f := newRequestFleet(t)
+	for _, vm := range []string{"booking-a-1", "booking-a-2"} {
+		f.relays[vm].setSilent(true)
+	}
+	answers := make(chan reply, 1)
+	go func() { answers <- f.send(http.MethodPost, "/booking/1") }()
+	time.Sleep(300 * time.Millisecond)
+	for _, vm := range []string{"booking-a-1", "booking-a-2"} {
+		f.relays[vm].cutAll()
+	}
+	(<-answers).expect(t, http.StatusBadGateway, "unknown")
+}
+
+// TestNonIdempotentWorkOnADeadReusedConnectionIsNotReplayed ends the
+// connection in place of an answer, right after it served another request.
+func TestNonIdempotentWorkOnADeadReusedConnectionIsNotReplayed(t *testing.T) {
+	f := newRequestFleet(t)
+	for range 5 {
+		f.send(http.MethodGet, "/booking/warm").expect(t, http.StatusOK, "ran")
+		answer := f.send(http.MethodPost, "/booking/1?close=1")
+		answer.expect(t, http.StatusBadGateway, "unknown")
+		if runs := f.runs(answer.id); runs != 1 {
+			t.Errorf("ran %d times", runs)
+		}
+	}
+}
+
+// TestTruncatedAnswerIsNeverAShortSuccess cuts answers at half their length.
+func TestTruncatedAnswerIsNeverAShortSuccess(t *testing.T) {
+	f := newRequestFleet(t)
+	f.send(http.MethodGet, "/booking/1?bytes=100000&truncate=1").expect(t, http.StatusBadGateway, "unknown")
+	f.send(http.MethodPost, "/booking/1?bytes=100000&truncate=1").expect(t, http.StatusBadGateway, "unknown")
+	f.send(http.MethodGet, "/booking/1?unframed=1").expect(t, http.StatusBadGateway, "unknown")
+	for range 6 {
+		f.send(http.MethodGet, "/booking/1?bytes=100000&truncate=1&only=booking-a-1").expect(t, http.StatusOK, "ran")
+	}
+}
+
+// TestCrossedAnswerNeverReachesAnotherCaller lets targets answer under
+// another request's ID, and send answers that nobody asked for.
+func TestCrossedAnswerNeverReachesAnotherCaller(t *testing.T) {
+	f := newRequestFleet(t)
+	f.send(http.MethodPost, "/booking/1?cross=1").expect(t, http.StatusBadGateway, "unknown")
+	for range 6 {
+		f.send(http.MethodGet, "/booking/1?cross=1&only=booking-a-1").expect(t, http.StatusOK, "ran")
+	}
+	for range 6 {
+		f.send(http.MethodGet, "/office/first?twice=1")
+		answer := f.send(http.MethodGet, "/office/second")
+		answer.expect(t, http.StatusOK, "ran")
+		if !bytes.Contains(answer.body, []byte(answer.id)) {
+			t.Errorf("request %s got %s", answer.id, answer.body)
+		}
+	}
+}
+
+// TestOversizedAnswerIsRefusedWhole sends more than the service's bound.
+func TestOversizedAnswerIsRefusedWhole(t *testing.T) {
+	f := newRequestFleet(t)
+	f.send(http.MethodGet, "/booking/1?bytes=9000000").expect(t, http.StatusBadGateway, "unknown")
+	f.send(http.MethodGet, "/booking/1?bytes=8000000").expect(t, http.StatusOK, "ran")
+}
+
+// TestSilentConnectionsAreFoundWithinThreeSecondsOfUse silences all open
+// connections to targets for good while new ones work.
+func TestSilentConnectionsAreFoundWithinThreeSecondsOfUse(t *testing.T) {
+	f := newRequestFleet(t)
+	f.sendMany(12, http.MethodGet, "/booking/warm?sleep_ms=100")
+	for _, r := range f.relays {
+		r.silenceOpen()
+	}
+	answers := f.sendMany(8, http.MethodGet, "/booking/1")
+	for _, answer := range answers {
+		answer.expect(t, http.StatusOK, "ran")
+		if answer.took > 3*time.Second {
+			t.Errorf("took %s", answer.took)
+		}
+	}
+	for range 10 {
+		answer := f.send(http.MethodGet, "/booking/2")
+		answer.expect(t, http.StatusOK, "ran")
+		if answer.took > 500*time.Millisecond {
+			t.Errorf("an older connection was used again: %s", answer.took)
+		}
+	}
+}
+
+// TestWorkerThatFailsFastAttractsNoWork lets one VM fail everything at
+// once while the other needs a while.
+func TestWorkerThatFailsFastAttractsNoWork(t *testing.T) {
+	f := newRequestFleet(t)
+	const rounds, atOnce = 25, 6
+	bad := 0
+	for range rounds {
+		for _, answer := range f.sendMany(atOnce, http.MethodPost, "/booking/1?status=500&only=booking-a-1&other_sleep_ms=20") {
+			if answer.status == http.StatusInternalServerError {
+				bad++
+			}
+		}
+	}
+	if bad > rounds*atOnce/10 {
+		t.Errorf("%d of %d requests went to the failing VM", bad, rounds*atOnce)
+	}
+}
+
+// TestEntryFrozenPastLeasesSendsNothing freezes the entry until all leases
+// have ended, with requests waiting for it.
+func TestEntryFrozenPastLeasesSendsNothing(t *testing.T) {
+	f := newRequestFleet(t)
+	for _, target := range f.targets {
+		target.StopAnnouncing()
+	}
+	f.entry.signal(stopSignal)
+	answers := make(chan []reply, 1)
+	go func() { answers <- f.sendMany(20, http.MethodGet, "/booking/1") }()
+	time.Sleep(3 * time.Second)
+	f.entry.signal(continueSignal)
+	for _, answer := range <-answers {
+		answer.expect(t, http.StatusServiceUnavailable, "not-run")
+		if runs := f.runs(answer.id); runs != 0 {
+			t.Errorf("ran %d times", runs)
+		}
+	}
+}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -39,6 +39,9 @@
 	deadline time.Time
 	// repeatable says that the request is idempotent.
 	repeatable bool
+	// fresh asks for new connections, after a used one brought no answer:
+	// those of other targets may have gone silent with it.
+	fresh bool
 }
 
 // result is a Result with what the HTTP answer needs besides.
@@ -83,6 +86,7 @@
 		if t.avoid == nil && !last.reused {
 			return finalResult(last, sent, run.Err())
 		}
+		c.fresh = c.fresh || (last.reused && errors.Is(last.err, targetconn.ErrNoAnswer))
 		h.recordRetry(c, last)
 	}
 }
@@ -98,7 +102,7 @@
 		h.scheduler.expire(g)
 	}
 	a := attempt{worker: g.worker, probe: g.probe, answer: answer, sent: exchange.Sent, reused: exchange.Reused, err: err}
-	h.scheduler.release(g, verdictOf(a, ctx), err == nil)
+	h.scheduler.release(g, verdictOf(a, ctx), a.tellsTime())
 	if err != nil {
 		h.log.Warn("attempt failed", "request", c.id, "service", c.service.name, "vm", g.worker.vm, "sent", a.sent, logging.Err(err))
 	}
@@ -110,8 +114,8 @@
 	r := targetconn.Request{Method: c.method, URI: c.uri, Header: c.header, Body: c.body,
 		MaxAnswerBytes: c.definition.MaxResponseBytes, WaitOutSilence: !c.repeatable,
 		Admit: func() bool { return h.live(g) }}
-	r.Silence = c.silence(time.Until(c.deadline))
-	if r.Silence <= maxSilence {
+	r.Silence = c.silence()
+	if r.Silence <= maxSilence && !c.fresh {
 		r.MaxIdle = targetconn.MaxIdle
 	}
 	if !c.repeatable {
@@ -123,11 +127,12 @@
 	return r
 }
 
-// silence bounds the time without progress: half of the time left, so that
-// another attempt fits, and never less than some mean service times. Where
-// that is above maxSilence, only new connections are used.
-func (c *call) silence(left time.Duration) time.Duration {
-	return max(min(left/2, maxSilence), silenceFactor*c.service.mean(), time.Millisecond)
+// silence bounds the time without progress: half of the service's deadline,
+// so that another attempt fits, and never less than some mean service
+// times. Where that is above maxSilence, only new connections are used.
+func (c *call) silence() time.Duration {
+	half := time.Duration(c.definition.DeadlineMS) * time.Millisecond / 2
+	return max(min(half, maxSilence), silenceFactor*c.service.mean())
 }
 
 // live says whether the target that a grant is for holds its lease now.
@@ -203,6 +208,16 @@
 	h.recorder.Record(timeline.Event{Kind: timeline.RequestRetried, Request: c.id, Service: c.service.name, VM: last.worker.vm, Cause: last.cause()})
 }
 
+// tellsTime says that the attempt's time counts as a service time: an
+// answer, or the least time of one that was given up on a new connection.
+// Without the latter a service slower than thought would never be learned.
+func (a attempt) tellsTime() bool {
+	if a.err == nil {
+		return true
+	}
+	return a.sent && !a.reused && (errors.Is(a.err, targetconn.ErrSilent) || errors.Is(a.err, context.DeadlineExceeded))
+}
+
 // cause describes a failed attempt.
 func (a attempt) cause() string {
 	if a.err != nil {
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +21,9 @@
 // announceTimeout bounds one announcement.
 const announceTimeout = 500 * time.Millisecond
 
+// rawLinger is the time for which a raw answer's connection stays open.
+const rawLinger = 300 * time.Millisecond
+
 // Reply is the body that a target answers with.
 type Reply struct {
 	VM      string `json:"vm"`
@@ -124,7 +128,9 @@
 
 // ServeHTTP runs a request. Query parameters shape the answer: sleep_ms
 // delays it, bytes sets its length, status its status, truncate=1 cuts it,
-// hang=1 never ends it.
+// hang=1 never ends it, cross=1 names another request, close=1 ends the
+// connection in place of an answer, unframed=1 gives no length, twice=1
+// sends the answer two times. With only=VM all other VMs answer plainly.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -134,6 +140,9 @@
 	run := t.begin(id)
 	defer t.end()
 	query := r.URL.Query()
+	if only := query.Get("only"); only != "" && only != t.config.VM {
+		query = url.Values{"sleep_ms": query["other_sleep_ms"]}
+	}
 	if !wait(r.Context(), query.Get("sleep_ms")) {
 		return
 	}
@@ -154,6 +163,13 @@
 	if status, err := strconv.Atoi(query.Get("status")); err == nil {
 		w.WriteHeader(status)
 	}
+	if query.Get("cross") != "" {
+		w.Header().Set("X-Request-Id", "another-"+id)
+	}
+	if raw := rawAnswer(query, w.Header(), reply); raw != nil {
+		answerRaw(w, raw)
+		return
+	}
 	if query.Get("truncate") != "" {
 		reply = reply[:len(reply)/2]
 	}
@@ -161,6 +177,51 @@
 	_, _ = w.Write(reply)
 }
 
+// rawAnswer returns the bytes of an answer that no HTTP server gives, nil
+// if none is asked for.
+func rawAnswer(query url.Values, header http.Header, reply []byte) []byte {
+	var raw bytes.Buffer
+	raw.WriteString("HTTP/1.1 200 OK\r\n")
+	if query.Get("unframed") != "" {
+		header.Del("Content-Length")
+	}
+	// A buffer's writes never fail.
+	_ = header.Write(&raw)
+	raw.WriteString("\r\n")
+	raw.Write(reply)
+	switch {
+	case query.Get("close") != "":
+		return []byte{}
+	case query.Get("twice") != "":
+		return bytes.Repeat(raw.Bytes(), 2)
+	case query.Get("unframed") != "":
+		return raw.Bytes()
+	}
+	return nil
+}
+
+// answerRaw writes to the connection and ends it a little later, so that
+// an answer arrives before the end.
+func answerRaw(w http.ResponseWriter, raw []byte) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	if len(raw) == 0 {
+		return
+	}
+	// The entry may be gone; the run counts all the same.
+	_, _ = connection.Write(raw)
+	time.Sleep(rawLinger)
+}
+
+// StopAnnouncing lets the target's leases end while it goes on serving.
+func (t *Target) StopAnnouncing() {
+	t.cancel()
+	t.done.Wait()
+}
+
 func (t *Target) begin(id string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
