--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -113,12 +113,10 @@
 	if svc.queue.length > 0 && t.avoid == nil {
 		return nil
 	}
-	if t.repeatable && t.avoid == nil {
-		if w := svc.home.takeProbe(svc.name, now); w != nil {
-			return w
-		}
+	if w := svc.chooseDoubtful(t, now); w != nil {
+		return w
 	}
-	if svc.interactive() || svc.home.batch < svc.home.batchLimit() {
+	if svc.classFits() {
 		if w := svc.home.choose(svc.name, t.avoid); w != nil {
 			return w
 		}
@@ -126,6 +124,23 @@
 	return svc.chooseSpare(t.avoid)
 }
 
+// classFits says that the home pool has room for the service's class.
+func (s *service) classFits() bool {
+	return s.interactive() || s.home.batch < s.home.batchLimit()
+}
+
+// chooseDoubtful returns a worker that failed of late for a request that
+// can be repeated elsewhere, nil if none is to be tried now.
+func (s *service) chooseDoubtful(t ticket, now time.Time) *worker {
+	if !t.repeatable || t.avoid != nil || !s.classFits() {
+		return nil
+	}
+	if w := s.home.takeProbe(s.name, now); w != nil {
+		return w
+	}
+	return s.home.explore(s.name)
+}
+
 // chooseSpare returns a worker of the spare pool if the service may spill
 // and the spare pool takes guests.
 func (s *service) chooseSpare(avoid *worker) *worker {
--- a/internal/request/choose.go
+++ b/internal/request/choose.go
@@ -11,6 +11,9 @@
 	maxLoad = 16
 	// levels is the number of levels of a group.
 	levels = maxLoad + penaltyLevels + 1
+	// exploreEvery is the number of idempotent requests of which one goes to
+	// an idle worker that failed of late, so that it is soon ejected or trusted.
+	exploreEvery = 16
 	// samples bounds the workers looked at in one level for a retry.
 	samples = 4
 )
@@ -73,6 +76,20 @@
 	return sameRack
 }
 
+// explore returns an idle worker that is held back for failures of late,
+// nil if the most held back level has none to show.
+func (g *group) explore() *worker {
+	if g.filled == 0 {
+		return nil
+	}
+	members := g.levels[bits.Len32(g.filled)-1]
+	w := members[rand.IntN(len(members))]
+	if w.inFlight > 0 || w.level == 0 {
+		return nil
+	}
+	return w
+}
+
 // sample looks at some members from a random place on for one on another
 // rack; the second result is one on the same rack.
 func sample(members []*worker, avoid *worker) (*worker, *worker) {
--- a/internal/request/pool.go
+++ b/internal/request/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/announce"
@@ -73,6 +74,19 @@
 	return best
 }
 
+// explore returns an idle worker that failed of late, now and then.
+func (p *pool) explore(service string) *worker {
+	if rand.IntN(exploreEvery) != 0 {
+		return nil
+	}
+	for _, g := range p.groups {
+		if w := g.explore(); w != nil && g.serves(service) {
+			return w
+		}
+	}
+	return nil
+}
+
 // batchLimit is the number of batch requests that may be in flight.
 func (p *pool) batchLimit() int { return max(1, int(batchShare*float64(p.slots))) }
 
