--- /dev/null
+++ b/integration/entry_calls_test.go
@@ -0,0 +1,131 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/standin"
+)
+
+// reply is an answer as the tests look at it.
+type reply struct {
+	status  int
+	outcome string
+	header  http.Header
+	body    []byte
+}
+
+// vm is the VM that answered.
+func (r reply) vm() string {
+	var answer standin.Reply
+	if json.Unmarshal(r.body, &answer) != nil {
+		return ""
+	}
+	return answer.VM
+}
+
+// testClient gives up on requests that hang.
+var testClient = &http.Client{Timeout: 20 * time.Second}
+
+// call makes one request; headers are given as name, value, ...
+func call(method, url string, headers ...string) (reply, error) {
+	var body io.Reader
+	if method == http.MethodPost {
+		body = bytes.NewReader([]byte(`{}`))
+	}
+	request, err := http.NewRequest(method, url, body)
+	if err != nil {
+		return reply{}, err
+	}
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	return do(request)
+}
+
+func do(request *http.Request) (reply, error) {
+	response, err := testClient.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, outcome: response.Header.Get("X-Arbutus-Outcome"), header: response.Header, body: content}, err
+}
+
+func mustCall(t *testing.T, method, url string, headers ...string) reply {
+	t.Helper()
+	got, err := call(method, url, headers...)
+	must(t, err)
+	return got
+}
+
+// rewrite stores changed settings for the next start of the entry.
+func (e *entryProcess) rewrite() {
+	e.t.Helper()
+	text, err := json.Marshal(e.settings)
+	must(e.t, err)
+	must(e.t, os.WriteFile(e.args[1], text, 0o600))
+}
+
+// countRuns counts the runs of requests whose ID has the prefix, on all targets.
+func countRuns(targets map[string]*standin.Target, prefix string) int {
+	runs := 0
+	for _, target := range targets {
+		for _, id := range target.Runs() {
+			if strings.HasPrefix(id, prefix) {
+				runs++
+			}
+		}
+	}
+	return runs
+}
+
+// addTargetAt starts a target that announces itself to the addresses only.
+func (d *deployment) addTargetAt(vm, pool string, announce ...string) *standin.Target {
+	d.t.Helper()
+	target, err := d.platform.Add(standin.TargetConfig{VM: vm, Token: d.token("target", pool), Services: smallServices, Entries: announce})
+	must(d.t, err)
+	d.t.Cleanup(target.Kill)
+	return target
+}
+
+// waitEntriesServe waits until every entry serves the path.
+func (d *deployment) waitEntriesServe(path string) {
+	d.t.Helper()
+	for _, entry := range d.entries {
+		d.waitServed(entry.url() + path)
+	}
+}
+
+// waitNotServed waits until a GET of the URL is refused as not run.
+func waitNotServed(t *testing.T, url string, limit time.Duration) {
+	t.Helper()
+	eventually(t, limit, "no work goes to "+url, func() error {
+		got, err := call(http.MethodGet, url)
+		if err == nil && got.outcome == "ran" {
+			return fmt.Errorf("%s ran it", got.vm())
+		}
+		return nil
+	})
+}
+
+// announceOnce sends one announcement and returns the status of its answer.
+func announceOnce(t *testing.T, entry *entryProcess, token, vm string, startedMS int) int {
+	t.Helper()
+	body := fmt.Sprintf(`{"vm": %q, "address": "127.0.0.1:9", "services": ["booking"], "incarnation": "other", "started_ms": %d}`, vm, startedMS)
+	request, err := http.NewRequest(http.MethodPost, "http://"+entry.settings.Announce+"/v1/targets", strings.NewReader(body))
+	must(t, err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set("Content-Type", "application/json")
+	got, err := do(request)
+	must(t, err)
+	return got.status
+}
