--- /dev/null
+++ b/integration/entry_removed_test.go
@@ -0,0 +1,55 @@
+package integration
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/control"
+)
+
+// TestRemovedEntrySendsNoWorkUntilItsRestart removes an entry that still
+// runs, although an operator stated that it does not.
+func TestRemovedEntrySendsNoWorkUntilItsRestart(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za")
+	removed := d.addEntry("entry-a1", "za")
+	stays := d.addEntry("entry-a2", "za")
+	d.addSmallTargets()
+	d.apply(smallFleet)
+	d.waitEntriesServe("/booking/1")
+	order, err := json.Marshal(control.EntryRemovalOrder{Attestation: "powered off by hand"})
+	must(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	must(t, d.client.Do(ctx, http.MethodPost, "/v1/entries/"+removed.id+"/remove", order, nil))
+	waitNotServed(t, removed.url()+"/booking/1", inForceLimit)
+	eventually(t, inForceLimit, "the removed entry is not ready", func() error { return readiness(removed, http.StatusServiceUnavailable) })
+	for until := time.Now().Add(4 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if serves(removed) == nil {
+			t.Fatal("the removed entry sends work again without a restart")
+		}
+		must(t, serves(stays))
+	}
+	removed.stop(10 * time.Second)
+	removed.start()
+	d.waitServed(removed.url() + "/booking/1")
+}
+
+// readiness checks the status of the entry's readiness check.
+func readiness(entry *entryProcess, expected int) error {
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}, Timeout: time.Second}
+	response, err := client.Get("https://" + entry.settings.Admin + "/readyz")
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != expected {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	return nil
+}
