--- a/cmd/arbutusctl/dryrun.go
+++ b/cmd/arbutusctl/dryrun.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 
@@ -16,8 +16,8 @@
 type preview struct {
 	Base    uint64         `json:"base"`
 	Changes []fleet.Change `json:"changes"`
-	// Plan is control's plan with its cost; null if it makes none.
-	Plan json.RawMessage `json:"plan"`
+	// Plan is control's plan with its cost; null if control makes none.
+	Plan *adminclient.Comparison `json:"plan"`
 }
 
 // dryRun shows what a document would change and submits nothing.
@@ -27,7 +27,8 @@
 		return err
 	}
 	result := preview{Base: accepted.Version, Changes: fleet.Diff(accepted.Document, document)}
-	if result.Plan, err = client.Plan(ctx, text); err != nil {
+	result.Plan, err = client.Compare(ctx, text)
+	if err != nil && !errors.Is(err, adminclient.ErrNotAvailable) {
 		return err
 	}
 	if wantsJSON(c) {
@@ -45,6 +46,9 @@
 		fmt.Fprintln(os.Stderr, "control makes no plan yet, so the cost is not known")
 		return nil
 	}
-	fmt.Println("plan:")
-	return printJSON(result.Plan)
+	fmt.Println(result.Plan.Summary())
+	for _, stuck := range result.Plan.Stuck {
+		fmt.Printf("  %s never leaves its pool: %s\n", stuck.VM, stuck.Reason)
+	}
+	return nil
 }
--- a/internal/adminclient/documents.go
+++ b/internal/adminclient/documents.go
@@ -43,18 +43,6 @@
 	return Accepted{Version: version, Text: raw.Body, Document: document}, nil
 }
 
-// Plan returns control's plan for a document as JSON; nil if the control
-// process makes no plans.
-func (c *Client) Plan(ctx context.Context, text []byte) (json.RawMessage, error) {
-	var plan json.RawMessage
-	err := c.Do(ctx, http.MethodPost, "/v1/plan", text, &plan)
-	var refused *StatusError
-	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
-		return nil, nil
-	}
-	return plan, err
-}
-
 // Conflict returns the submission that took the base of one that was
 // refused with a conflict.
 func (e *StatusError) Conflict() (state.Submission, bool) {
--- a/internal/process/adminhttp/adminhttp.go
+++ b/internal/process/adminhttp/adminhttp.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -22,7 +25,14 @@
 	"arbutusward.example/arbutusward/internal/process/timeline"
 )
 
-const headerTimeout = 5 * time.Second
+// Bounds of the administrative port.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second
+	writeTimeout   = 90 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
+)
 
 // operatorKey is the gin context key of the operator's claims.
 const operatorKey = "operator"
@@ -53,10 +63,10 @@
 func New(ring *keys.Ring, recorder *timeline.Recorder, log *slog.Logger) *Server {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
-	engine.Use(gin.Recovery())
 	server := &Server{Engine: engine, ring: ring, log: log}
-	server.http = &http.Server{Handler: engine, ReadHeaderTimeout: headerTimeout, TLSConfig: ring.ServerTLS(),
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	engine.Use(gin.CustomRecoveryWithWriter(io.Discard, server.recovered))
+	server.http = &http.Server{Handler: engine, TLSConfig: ring.ServerTLS(), ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	engine.GET("/readyz", server.serveReady)
 	engine.GET("/metrics", server.Require(keys.Viewer), func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
@@ -81,6 +91,12 @@
 	c.JSON(http.StatusOK, recorder.Page(since, filter))
 }
 
+// recovered answers a call whose handler panicked; the stack goes to the log.
+func (s *Server) recovered(c *gin.Context, fault any) {
+	s.log.Error("handler panicked", "path", c.FullPath(), "fault", fmt.Sprint(fault), "stack", string(debug.Stack()))
+	c.AbortWithStatusJSON(http.StatusInternalServerError, Fault{Code: "internal", Message: "internal fault, see the log of the process"})
+}
+
 // SetReady sets what the readiness check answers.
 func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
--- a/internal/process/settings/types.go
+++ b/internal/process/settings/types.go
@@ -77,6 +77,11 @@
 	// SessionMinutes is the time after which an idle session ends, in
 	// minutes; default 30.
 	SessionMinutes int `json:"session_minutes" validate:"min=0,max=1440"`
+	// SampleToken is a file with a viewer token by which capacity is
+	// sampled; "" samples only while somebody is signed in, by their token.
+	SampleToken string `json:"sample_token"`
+	// SampleSeconds is the time between samples, in seconds; default 10.
+	SampleSeconds int `json:"sample_seconds" validate:"min=0,max=3600"`
 }
 
 // CLI is the settings file of arbutusctl. Flags and environment variables
--- a/internal/version/fleet/encode.go
+++ b/internal/version/fleet/encode.go
@@ -13,12 +13,19 @@
 // their default left out and VMs that differ only in their number counted.
 // Parsing the text gives the same document again. Comments are not kept.
 func Encode(d *Document) ([]byte, error) {
+	counted := *d
+	counted.VMs = foldVMs(d.VMs)
+	return EncodeEach(&counted)
+}
+
+// EncodeEach is Encode with one entry for each VM.
+func EncodeEach(d *Document) ([]byte, error) {
 	w := &encoder{}
 	w.field("schema", d.Schema)
 	w.field("deployment", d.Deployment)
 	encodeList(w, "zones", d.Zones, encodeZone)
 	encodeList(w, "pools", d.Pools, encodePool)
-	encodeList(w, "vms", foldVMs(d.VMs), encodeVM)
+	encodeList(w, "vms", d.VMs, encodeVM)
 	encodeList(w, "services", d.Services, encodeService)
 	if len(d.Teams) > 0 {
 		encodeList(w, "teams", d.Teams, func(t Team) any { return t })
