--- a/internal/console/draft/draft.go
+++ b/internal/console/draft/draft.go
@@ -271,11 +271,11 @@
 func (d *Draft) place(problem jsonc.Problem) Problem {
 	placed := Problem{Message: problem.Message}
 	parts := strings.SplitN(strings.TrimPrefix(problem.Path, "/"), "/", 3)
+	placed.Section = parts[0]
 	section, known := FindSection(parts[0])
 	if !known {
 		return placed
 	}
-	placed.Section = section.Name
 	rest := strings.Join(parts[1:], "/")
 	if !section.Single && len(parts) > 1 {
 		placed.Name = d.nameAt(section, parts[1])
