--- a/integration/claim_test.go
+++ b/integration/claim_test.go
@@ -9,7 +9,7 @@
 )
 
 // keyed makes a booking under an idempotency key.
-func keyed(entry *entryProcess, key, try, query string) (reply, error) {
+func keyed(entry *entryProcess, key, try, query string) (callReply, error) {
 	return call(http.MethodPost, entry.url()+"/booking/slot?"+query, "Idempotency-Key", key, "X-Request-Id", key+"-"+try)
 }
 
--- a/integration/entry_calls_test.go
+++ b/integration/entry_calls_test.go
@@ -14,8 +14,8 @@
 	"arbutusward.example/arbutusward/internal/standin"
 )
 
-// reply is an answer as the tests look at it.
-type reply struct {
+// callReply is an answer as the tests look at it.
+type callReply struct {
 	status  int
 	outcome string
 	header  http.Header
@@ -23,7 +23,7 @@
 }
 
 // vm is the VM that answered.
-func (r reply) vm() string {
+func (r callReply) vm() string {
 	var answer standin.Reply
 	if json.Unmarshal(r.body, &answer) != nil {
 		return ""
@@ -35,14 +35,14 @@
 var testClient = &http.Client{Timeout: 20 * time.Second}
 
 // call makes one request; headers are given as name, value, ...
-func call(method, url string, headers ...string) (reply, error) {
+func call(method, url string, headers ...string) (callReply, error) {
 	var body io.Reader
 	if method == http.MethodPost {
 		body = bytes.NewReader([]byte(`{}`))
 	}
 	request, err := http.NewRequest(method, url, body)
 	if err != nil {
-		return reply{}, err
+		return callReply{}, err
 	}
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
@@ -50,17 +50,17 @@
 	return do(request)
 }
 
-func do(request *http.Request) (reply, error) {
+func do(request *http.Request) (callReply, error) {
 	response, err := testClient.Do(request)
 	if err != nil {
-		return reply{}, err
+		return callReply{}, err
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, outcome: response.Header.Get("X-Arbutus-Outcome"), header: response.Header, body: content}, err
+	return callReply{status: response.StatusCode, outcome: response.Header.Get("X-Arbutus-Outcome"), header: response.Header, body: content}, err
 }
 
-func mustCall(t *testing.T, method, url string, headers ...string) reply {
+func mustCall(t *testing.T, method, url string, headers ...string) callReply {
 	t.Helper()
 	got, err := call(method, url, headers...)
 	must(t, err)
--- a/integration/entry_leases_test.go
+++ b/integration/entry_leases_test.go
@@ -118,7 +118,7 @@
 	entry.signal(syscall.SIGSTOP)
 	before := len(target.Runs())
 	const waiting = 20
-	answers := make(chan reply, waiting)
+	answers := make(chan callReply, waiting)
 	time.AfterFunc(noNewWork-200*time.Millisecond, func() {
 		for range waiting {
 			go func() {
