Consensus core: random exploration of fault schedules

Cause: the core needs proof under loss, reordering, crashes, frozen and replaced members before anything relies on it.

--- /dev/null
+++ b/internal/process/replica/core/model_test.go
@@ -0,0 +1,344 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"arbutusward.example/arbutusward/internal/process/replica"
+)
+
+// model is a set of cores with disks and a network that loses, repeats,
+// delays and reorders messages. All choices come from one seed.
+type model struct {
+	random  *rand.Rand
+	nodes   map[string]*node
+	ids     []string
+	network []packet
+	// cut holds pairs of ids that cannot reach each other.
+	cut map[[2]string]bool
+	// calm stops loss, repetition and reordering.
+	calm bool
+
+	commands int
+	// history is the entry that was applied first at each index.
+	history map[uint64]Entry
+	// leaders is the process that led in each term.
+	leaders map[uint64]string
+	// acknowledged is the highest index whose command or read was answered.
+	acknowledged uint64
+	failure      string
+	acks, reads  int
+}
+
+// packet is a message on its way; a snapshot travels with its content.
+type packet struct {
+	message Message
+	state   []uint64
+}
+
+// node is one process. Its disk survives a crash, the rest does not.
+type node struct {
+	id, disk string
+	core     *Core
+	run      int
+	frozen   bool
+	// lost says that the disk is gone for good.
+	lost bool
+
+	durable durable
+	jobs    []job
+	applied uint64
+	// machine is the state: the indexes of the commands that were applied.
+	machine   []uint64
+	received  []uint64
+	proposed  map[uint64]uint64
+	readFloor map[uint64]uint64
+	lastRead  uint64
+	snapping  bool
+}
+
+type durable struct {
+	state   HardState
+	base    Position
+	entries []Entry
+	meta    SnapshotMeta
+	machine []uint64
+}
+
+type job struct {
+	state    *HardState
+	entries  []Entry
+	meta     *SnapshotMeta
+	machine  []uint64
+	base     Position
+	own      bool
+	messages []Message
+}
+
+const founders = 3
+
+func newModel(seed uint64) *model {
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, cut: map[[2]string]bool{},
+		history: map[uint64]Entry{}, leaders: map[uint64]string{}}
+	var members []replica.Member
+	for i := range founders {
+		id := fmt.Sprintf("n%d", i+1)
+		members = append(members, replica.Member{ID: id, Link: id, Disk: "disk-" + id})
+	}
+	for _, member := range members {
+		n := m.newNode(member.ID, member.Disk)
+		n.durable.base = Position{Index: 1, Term: 1}
+		n.durable.meta = SnapshotMeta{Last: n.durable.base, Members: members}
+		m.start(n)
+	}
+	return m
+}
+
+func (m *model) newNode(id, disk string) *node {
+	n := &node{id: id, disk: disk}
+	m.nodes[id] = n
+	if !slices.Contains(m.ids, id) {
+		m.ids = append(m.ids, id)
+	}
+	return n
+}
+
+func (m *model) fail(format string, args ...any) {
+	if m.failure == "" {
+		m.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+// start runs a process on what its disk holds.
+func (m *model) start(n *node) {
+	d := &n.durable
+	if !d.reaches(d.meta.Last) {
+		d.base, d.entries = d.meta.Last, nil
+	}
+	n.run++
+	n.frozen, n.snapping, n.jobs, n.received = false, false, nil, nil
+	n.applied = d.meta.Last.Index
+	n.machine = slices.Clone(d.machine)
+	n.proposed, n.readFloor = map[uint64]uint64{}, map[uint64]uint64{}
+	n.core = New(Config{ID: n.id, Disk: n.disk, ElectionTicks: 5, HeartbeatTicks: 1, MaxAppendBytes: 128, Random: m.random},
+		Persistent{State: d.state, Base: d.base, Entries: slices.Clone(d.entries), Snapshot: d.meta})
+}
+
+func (d *durable) reaches(at Position) bool {
+	if d.base == at {
+		return true
+	}
+	offset := int64(at.Index) - int64(d.base.Index) - 1
+	return offset >= 0 && offset < int64(len(d.entries)) && d.entries[offset].Term == at.Term
+}
+
+// store makes a job durable.
+func (d *durable) store(j *job) {
+	if j.state != nil {
+		d.state = *j.state
+	}
+	if j.meta != nil {
+		d.meta, d.machine = *j.meta, j.machine
+		d.base, d.entries = j.base, slices.Clone(j.entries)
+		return
+	}
+	for _, e := range j.entries {
+		d.entries = append(d.entries[:e.Index-d.base.Index-1:e.Index-d.base.Index-1], e)
+	}
+}
+
+// sync makes the oldest job durable and releases its messages.
+func (m *model) sync(n *node) {
+	if n.core == nil || len(n.jobs) == 0 {
+		return
+	}
+	j := n.jobs[0]
+	n.jobs = n.jobs[1:]
+	n.durable.store(&j)
+	if j.own {
+		n.core.Compact(j.base.Index)
+		n.snapping = false
+	}
+	for _, message := range j.messages {
+		if message.To == n.id {
+			m.step(n, packet{message: message})
+			continue
+		}
+		m.network = append(m.network, packet{message: message})
+	}
+}
+
+// crash loses what is not synced; of the oldest job a part may survive.
+func (m *model) crash(n *node) {
+	if len(n.jobs) > 0 && m.random.IntN(2) == 0 {
+		j := n.jobs[0]
+		if j.meta != nil && m.random.IntN(2) == 0 {
+			n.durable.meta, n.durable.machine = *j.meta, j.machine
+		} else {
+			n.durable.store(&j)
+		}
+	}
+	n.core = nil
+	n.jobs = nil
+}
+
+func (m *model) step(n *node, p packet) {
+	if n.core == nil {
+		return
+	}
+	n.received = p.state
+	if err := n.core.Step(p.message); err != nil {
+		n.core = nil
+		if !strings.HasPrefix(n.disk, "empty-") {
+			m.fail("%s refused its own disk", n.id)
+		}
+		return
+	}
+	m.advance(n)
+}
+
+// advance does what the core asks for, like the driver, and checks it.
+func (m *model) advance(n *node) {
+	ready := n.core.Ready()
+	if ready.Install != nil {
+		n.jobs = append(n.jobs, job{state: ready.State, meta: ready.Install, machine: n.received, base: ready.Install.Last})
+		if ready.Install.Last.Index < n.applied {
+			m.fail("%s reverts from %d to %d", n.id, n.applied, ready.Install.Last.Index)
+		}
+		n.machine = slices.Clone(n.received)
+		n.applied = ready.Install.Last.Index
+	}
+	if ready.State != nil || len(ready.Entries) > 0 || len(ready.AfterSync) > 0 {
+		n.jobs = append(n.jobs, job{state: ready.State, entries: ready.Entries, messages: ready.AfterSync})
+	}
+	for _, message := range ready.Messages {
+		m.network = append(m.network, packet{message: message})
+	}
+	for _, entry := range ready.Committed {
+		m.apply(n, entry)
+	}
+	for _, read := range ready.Reads {
+		m.reads++
+		if read.Index < n.readFloor[read.ID] || n.applied < read.Index {
+			m.fail("%s reads at %d, but %d was acknowledged before", n.id, read.Index, n.readFloor[read.ID])
+		}
+		m.acknowledged = max(m.acknowledged, read.Index)
+	}
+	for _, id := range ready.SendSnapshot {
+		envelope := n.core.Envelope(id)
+		meta := n.durable.meta
+		envelope.Snapshot = &meta
+		m.network = append(m.network, packet{message: envelope, state: n.durable.machine})
+	}
+	m.checkLeader(n)
+}
+
+func (m *model) apply(n *node, entry Entry) {
+	if entry.Index != n.applied+1 {
+		m.fail("%s applies %d after %d", n.id, entry.Index, n.applied)
+	}
+	n.applied = entry.Index
+	first, known := m.history[entry.Index]
+	if !known {
+		m.history[entry.Index] = entry
+	} else if first.Term != entry.Term || string(first.Data) != string(entry.Data) {
+		m.fail("%s applies %d of term %d, another process applied term %d", n.id, entry.Index, entry.Term, first.Term)
+	}
+	if entry.Kind == Command {
+		n.machine = append(n.machine, entry.Index)
+	}
+	if term, ok := n.proposed[entry.Index]; ok && term == entry.Term && n.core.Role() == Leader {
+		m.acks++
+		m.acknowledged = max(m.acknowledged, entry.Index)
+	}
+}
+
+// checkLeader notes who leads in a term; there is one at most.
+func (m *model) checkLeader(n *node) {
+	if n.core.Role() != Leader {
+		return
+	}
+	name := fmt.Sprintf("%s run %d", n.id, n.run)
+	if known := m.leaders[n.core.Term()]; known != "" && known != name {
+		m.fail("%s and %s lead in term %d", known, name, n.core.Term())
+	}
+	m.leaders[n.core.Term()] = name
+}
+
+// deliver takes a packet off the network.
+func (m *model) deliver() {
+	if len(m.network) == 0 {
+		return
+	}
+	at := 0
+	if !m.calm {
+		at = m.random.IntN(min(len(m.network), 12))
+	}
+	p := m.network[at]
+	chance := m.random.IntN(100)
+	if m.calm || chance >= 4 {
+		m.network = slices.Delete(m.network, at, at+1)
+	}
+	if sender := m.nodes[p.message.From]; p.message.Snapshot != nil && sender.core != nil {
+		sender.core.SnapshotSent(p.message.To)
+	}
+	to := m.nodes[p.message.To]
+	if m.cut[pair(p.message.From, p.message.To)] || !m.calm && chance >= 95 || to == nil || to.frozen {
+		return
+	}
+	m.step(to, p)
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+func (m *model) tick(n *node) {
+	if n.core == nil || n.frozen {
+		return
+	}
+	n.core.Tick()
+	m.advance(n)
+}
+
+func (m *model) propose(n *node) {
+	if n.core == nil || n.frozen || n.core.Role() != Leader {
+		return
+	}
+	m.commands++
+	index, err := n.core.Propose(fmt.Appendf(nil, "command %d", m.commands))
+	if err == nil {
+		n.proposed[index] = n.core.Term()
+	}
+	m.advance(n)
+}
+
+func (m *model) read(n *node) {
+	if n.core == nil || n.frozen || n.core.Role() != Leader {
+		return
+	}
+	n.lastRead++
+	n.readFloor[n.lastRead] = m.acknowledged
+	if err := n.core.Read(n.lastRead); err != nil {
+		m.fail("read: %v", err)
+	}
+	m.advance(n)
+}
+
+// snapshot takes one and drops a part of the log.
+func (m *model) snapshot(n *node) {
+	if n.core == nil || n.frozen || n.snapping || n.applied <= n.durable.meta.Last.Index {
+		return
+	}
+	term, _ := n.core.TermAt(n.applied)
+	meta := SnapshotMeta{Last: Position{Index: n.applied, Term: term}, Members: n.core.MembersAt(n.applied)}
+	keep := uint64(m.random.IntN(4))
+	base, entries := n.core.Tail(max(n.core.Base().Index, n.applied-min(keep, n.applied)))
+	n.jobs = append(n.jobs, job{meta: &meta, machine: slices.Clone(n.machine), base: base, entries: entries, own: true})
+	n.snapping = true
+}
