Bursts measured per policy; callers of equal shares don't displace each other

Also, a worker whose lease was found ended stayed out until the next table even if the lease was renewed meanwhile. Change: a caller makes room only if it holds more than twice the other's share; ended leases are looked at again. TestBursts (ARBUTUS_BURSTS=1) measures one zone of each deployment.

--- a/integration/request_target_test.go
+++ b/integration/request_target_test.go
@@ -127,8 +127,7 @@
 			t.Errorf("took %s", answer.took)
 		}
 	}
-	for range 10 {
-		answer := f.send(http.MethodGet, "/booking/2")
+	for _, answer := range f.sendMany(12, http.MethodGet, "/booking/2?sleep_ms=50") {
 		answer.expect(t, http.StatusOK, "ran")
 		if answer.took > 500*time.Millisecond {
 			t.Errorf("an older connection was used again: %s", answer.took)
--- a/internal/connection/targetconn/pool.go
+++ b/internal/connection/targetconn/pool.go
@@ -35,13 +35,6 @@
 	p.limit = limit
 }
 
-// Open returns the number of open connections.
-func (p *Pool) Open() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 // Close closes the idle connections; those in use are closed as they end.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -13,6 +13,11 @@
 	maxRetryAfterS = 30
 )
 
+// displaceFactor is how many times a caller's share of a full queue another
+// one must hold to make room for it; callers of about equal shares do not
+// displace each other.
+const displaceFactor = 2
+
 // reason is why a request is refused, as told to the caller.
 type reason string
 
@@ -170,7 +175,7 @@
 // room, nil if the caller with the most waiters must make room for it.
 func (s *service) fullFor(caller *callerQueue, wait time.Duration) *refusal {
 	greediest := s.queue.greediest()
-	if greediest == nil || len(greediest.waiting) <= len(caller.waiting)+1 {
+	if greediest == nil || len(greediest.waiting) <= displaceFactor*(len(caller.waiting)+1) {
 		return &refusal{http.StatusServiceUnavailable, reasonQueueFull, retryAfter(wait)}
 	}
 	return nil
--- a/internal/request/bench_test.go
+++ b/internal/request/bench_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// BenchmarkSetTable measures the replacement of the table.
+func BenchmarkSetTable(b *testing.B) {
+	for _, size := range sizes {
+		f := newTestFleet(nil)
+		for i := range size {
+			f.addVM(fmt.Sprintf("vm-%d", i), "home", "127.0.0.1:1")
+		}
+		b.Run(fmt.Sprintf("targets=%d", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				f.publish()
+			}
+		})
+	}
+}
+
 // BenchmarkServe measures whole requests to targets in this process,
 // against the plain proxy.
 func BenchmarkServe(b *testing.B) {
--- /dev/null
+++ b/internal/request/bursts_test.go
@@ -0,0 +1,264 @@
+package request
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sort"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/announce"
+	"arbutusward.example/arbutusward/internal/connection/targetconn"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/version/fleet"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+// Shape of the bursts: each queue in turn.
+const (
+	burstFactor = 5.0
+	burstTime   = 5 * time.Second
+	lullFactor  = 1.0 / 20
+	lullTime    = time.Second
+	// meanUse is the mean part of a pool's slots in use.
+	meanUse = 0.3
+	// serviceTime is the mean time of a request, distributed exponentially.
+	serviceTime = 100 * time.Millisecond
+	// entriesOfZone share the zone's VMs.
+	entriesOfZone = 2
+	timeHeader    = "X-Service-Time-Us"
+)
+
+// TestBursts measures one zone of each deployment under bursts of each
+// queue in turn, for each policy. It takes minutes: set ARBUTUS_BURSTS=1.
+func TestBursts(t *testing.T) {
+	if os.Getenv("ARBUTUS_BURSTS") == "" {
+		t.Skip("a measurement of minutes; set ARBUTUS_BURSTS=1")
+	}
+	for _, deployment := range []string{"duna", "superintendencia"} {
+		text, err := os.ReadFile("../../examples/" + deployment + ".jsonc")
+		if err != nil {
+			t.Fatal(err)
+		}
+		document, err := fleet.Parse(deployment, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, policy := range []string{"random", "no-queue", "no-spill", "full", "limit-512"} {
+			t.Run(deployment+"/"+policy, func(t *testing.T) {
+				zone := newBurstZone(t, document, policy)
+				zone.run()
+				zone.report(deployment + " " + policy)
+			})
+		}
+	}
+}
+
+// burstZone is the first zone of a deployment with its entries in-process.
+type burstZone struct {
+	t        *testing.T
+	view     *view.View
+	entries  []http.Handler
+	handlers []*Handler
+	group    sync.WaitGroup
+	mu       sync.Mutex
+	samples  []burstSample
+}
+
+// burstSample is one request as its caller saw it.
+type burstSample struct {
+	service  string
+	bursting string
+	status   int
+	took     time.Duration
+}
+
+func newBurstZone(t *testing.T, document *fleet.Document, policy string) *burstZone {
+	z := &burstZone{t: t, view: view.Empty()}
+	z.view.Version = 1
+	targets := map[string]announce.Target{}
+	for _, pool := range document.Pools {
+		if pool.Spare {
+			z.view.SparePool = pool.Name
+		}
+	}
+	for _, vm := range document.VMs {
+		if vm.Zone == document.Zones[0].Name {
+			z.view.VMs[vm.Name] = view.VM{Name: vm.Name, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, Epoch: 1, Phase: view.Serving, Slots: vm.Slots, Connections: vm.Connections}
+			targets[vm.Name] = announce.Target{Announcement: announce.Announcement{VM: vm.Name, Address: burstTarget(t, vm.Slots), Incarnation: "1"}, Expires: time.Now().Add(time.Hour)}
+		}
+	}
+	for _, service := range document.Services {
+		service.Spill = service.Spill && policy != "no-spill" && policy != "no-queue"
+		switch policy {
+		case "no-queue":
+			service.QueueLimit = -1
+		case "limit-512":
+			service.QueueLimit = 512
+		}
+		z.view.Services[service.Name] = service
+	}
+	for rank := range entriesOfZone {
+		z.addEntry(policy, targets, rank)
+	}
+	return z
+}
+
+func (z *burstZone) addEntry(policy string, targets map[string]announce.Target, rank int) {
+	if policy == "random" {
+		z.entries = append(z.entries, newPlainProxy(z.view, targets))
+		return
+	}
+	h := NewHandler(targetconn.NewClient(), nil, timeline.NewRecorder("test", "z"), slog.New(slog.DiscardHandler))
+	h.SetTable(NewTable(z.view, &announce.Snapshot{Targets: targets}, entriesOfZone).WithRank(rank))
+	z.entries, z.handlers = append(z.entries, h), append(z.handlers, h)
+}
+
+// burstTarget runs as many requests at once as it has slots; more wait.
+func burstTarget(t *testing.T, slots int) string {
+	running := make(chan struct{}, slots)
+	return serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		defer func() { <-running }()
+		us, _ := strconv.Atoi(r.Header.Get(timeHeader))
+		time.Sleep(time.Duration(us) * time.Microsecond)
+		w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
+		_, _ = w.Write([]byte("answer"))
+	})
+}
+
+// run lets each queue burst in turn while the others stay at their mean.
+func (z *burstZone) run() {
+	names := z.services()
+	for _, bursting := range names {
+		z.phase(names, bursting, burstFactor, burstTime)
+		z.phase(names, bursting, lullFactor, lullTime)
+	}
+	z.group.Wait()
+}
+
+func (z *burstZone) services() []string {
+	var names []string
+	for name := range z.view.Services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// phase runs Poisson arrivals of all services; the seed is the same for
+// all policies.
+func (z *burstZone) phase(names []string, bursting string, factor float64, length time.Duration) {
+	var generators sync.WaitGroup
+	for i, name := range names {
+		rate := z.meanRate(name)
+		if name == bursting {
+			rate *= factor
+		}
+		random := rand.New(rand.NewPCG(uint64(i), math.Float64bits(rate)))
+		generators.Go(func() { z.arrive(name, bursting, factor > 1, rate, length, random) })
+	}
+	generators.Wait()
+}
+
+// meanRate is the requests a second that keep meanUse of the pool's slots
+// busy, shared by the pool's services.
+func (z *burstZone) meanRate(name string) float64 {
+	slots, services := 0, 0
+	for _, vm := range z.view.VMs {
+		if vm.Pool == z.view.Services[name].Pool {
+			slots += vm.Slots
+		}
+	}
+	for _, service := range z.view.Services {
+		if service.Pool == z.view.Services[name].Pool {
+			services++
+		}
+	}
+	return meanUse * float64(slots) / serviceTime.Seconds() / float64(services)
+}
+
+func (z *burstZone) arrive(name, bursting string, inBurst bool, rate float64, length time.Duration, random *rand.Rand) {
+	if !inBurst {
+		bursting = ""
+	}
+	end := time.Now().Add(length)
+	next := time.Now()
+	for {
+		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		if next.After(end) {
+			return
+		}
+		time.Sleep(time.Until(next))
+		us := int(random.ExpFloat64() * float64(serviceTime.Microseconds()))
+		entry, caller := z.entries[random.IntN(len(z.entries))], fmt.Sprint(random.IntN(20))
+		z.group.Go(func() { z.request(entry, name, bursting, us, caller) })
+	}
+}
+
+func (z *burstZone) request(entry http.Handler, name, bursting string, us int, caller string) {
+	r := httptest.NewRequest(http.MethodGet, z.view.Services[name].PathPrefix+"x", nil)
+	r.Header.Set(timeHeader, strconv.Itoa(us))
+	r.Header.Set(CallerHeader, caller)
+	w := httptest.NewRecorder()
+	start := time.Now()
+	entry.ServeHTTP(w, r)
+	sample := burstSample{service: name, bursting: bursting, status: w.Code, took: time.Since(start)}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.samples = append(z.samples, sample)
+}
+
+// report prints what each service saw during its own burst, and what all
+// others saw meanwhile.
+func (z *burstZone) report(title string) {
+	spilled := map[string]uint64{}
+	for _, h := range z.handlers {
+		for _, u := range h.Usage() {
+			spilled[u.Service] += u.Spilled
+		}
+	}
+	for _, name := range z.services() {
+		own := z.summary(func(s burstSample) bool { return s.service == name && s.bursting == name })
+		z.t.Logf("%-26s %-16s own burst: %s spilled %d", title, name, own, spilled[name])
+	}
+	interactive := func(s burstSample) bool { return z.view.Services[s.service].Class == fleet.Interactive }
+	z.t.Logf("%-26s %-16s %s", title, "interactive all", z.summary(interactive))
+	z.t.Logf("%-26s %-16s %s", title, "batch all", z.summary(func(s burstSample) bool { return !interactive(s) }))
+	z.t.Logf("%-26s %-16s %s", title, "spare's own", z.summary(func(s burstSample) bool {
+		return interactive(s) && z.view.Services[s.service].Pool == z.view.SparePool && s.bursting != s.service
+	}))
+}
+
+func (z *burstZone) summary(keep func(burstSample) bool) string {
+	var ok, refused []time.Duration
+	total := 0
+	for _, s := range z.samples {
+		if !keep(s) {
+			continue
+		}
+		total++
+		if s.status == http.StatusOK {
+			ok = append(ok, s.took)
+		} else {
+			refused = append(refused, s.took)
+		}
+	}
+	return fmt.Sprintf("n %5d ok %5.1f%% p50 %4dms p99 %4dms refused %4d p99 %4dms", total, 100*float64(len(ok))/float64(max(1, total)),
+		quantile(ok, 0.5).Milliseconds(), quantile(ok, 0.99).Milliseconds(), len(refused), quantile(refused, 0.99).Milliseconds())
+}
+
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Slice(values, func(i, j int) bool { return values[i] < values[j] })
+	return values[int(q*float64(len(values)-1))]
+}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -23,6 +23,8 @@
 	// most once: a connection found dead after the write would leave its
 	// outcome unknown.
 	onceMaxIdle = 200 * time.Millisecond
+	// leaseLookInterval is the time between looks at an ended lease.
+	leaseLookInterval = 200 * time.Millisecond
 )
 
 // call is one admitted request.
@@ -100,6 +102,7 @@
 	answer, exchange, err := g.conns.Send(ctx, h.outgoing(c, g))
 	if errors.Is(err, targetconn.ErrNotAdmitted) && ctx.Err() == nil {
 		h.scheduler.expire(g)
+		h.reviveLater(g)
 	}
 	a := attempt{worker: g.worker, probe: g.probe, answer: answer, sent: exchange.Sent, reused: exchange.Reused, err: err}
 	h.scheduler.release(g, verdictOf(a, ctx), a.tellsTime())
@@ -141,6 +144,16 @@
 	return known && target.Incarnation == g.incarnation && target.Live(time.Now())
 }
 
+// reviveLater looks from time to time whether a lease that was found ended
+// was renewed, until a newer table decides on the worker.
+func (h *Handler) reviveLater(g *grant) {
+	time.AfterFunc(leaseLookInterval, func() {
+		if h.scheduler.revive(g.worker, h.live(g)) {
+			h.reviveLater(g)
+		}
+	})
+}
+
 // verdictOf says what an attempt tells of its worker. A connection that
 // was used before and brought no answer says nothing: something between
 // the two ends may have lost it. The next one is new and decides.
--- a/internal/request/scheduler.go
+++ b/internal/request/scheduler.go
@@ -119,6 +119,23 @@
 	s.place(g.worker)
 }
 
+// revive lets a worker have work again whose lease was renewed; false if
+// it needs no further look.
+func (s *scheduler) revive(w *worker, live bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !w.usable || !w.expired {
+		return false
+	}
+	if !live {
+		return true
+	}
+	w.expired = false
+	s.place(w)
+	s.pump(w.pool, time.Now())
+	return false
+}
+
 // place puts a worker where its load says, or out of choice.
 func (s *scheduler) place(w *worker) {
 	if w.placed {
