--- a/integration/request_caller_test.go
+++ b/integration/request_caller_test.go
@@ -67,7 +67,7 @@
 	f := newRequestFleet(t)
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan reply, 1)
+		done := make(chan callerReply, 1)
 		go func() { done <- f.sendContext(ctx, method, "/booking/1?sleep_ms=1200") }()
 		vm := f.running("booking")
 		cancel()
@@ -84,7 +84,7 @@
 // its pool's slots.
 func TestBurstSpillsOntoTheSparePoolAndLeavesItsShare(t *testing.T) {
 	f := newRequestFleet(t)
-	done := make(chan []reply, 1)
+	done := make(chan []callerReply, 1)
 	go func() { done <- f.sendMany(36, http.MethodGet, "/booking/1?sleep_ms=700") }()
 	time.Sleep(350 * time.Millisecond)
 	own := f.send(http.MethodGet, "/office/own")
--- a/integration/request_helpers_test.go
+++ b/integration/request_helpers_test.go
@@ -53,8 +53,8 @@
 	f.targets[vm], f.relays[vm] = target, r
 }
 
-// reply is one answer as a caller sees it.
-type reply struct {
+// callerReply is one answer as a caller sees it.
+type callerReply struct {
 	id      string
 	status  int
 	outcome string
@@ -68,14 +68,14 @@
 var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
 
 // send makes one request with an ID of its own.
-func (f *requestFleet) send(method, uri string, headers ...string) reply {
+func (f *requestFleet) send(method, uri string, headers ...string) callerReply {
 	return f.sendContext(context.Background(), method, uri, headers...)
 }
 
-func (f *requestFleet) sendContext(ctx context.Context, method, uri string, headers ...string) reply {
+func (f *requestFleet) sendContext(ctx context.Context, method, uri string, headers ...string) callerReply {
 	request, err := http.NewRequestWithContext(ctx, method, f.entry.url()+uri, nil)
 	must(f.t, err)
-	out := reply{id: fmt.Sprintf("test-%d", nextPort.Add(1))}
+	out := callerReply{id: fmt.Sprintf("test-%d", nextPort.Add(1))}
 	request.Header.Set("X-Request-Id", out.id)
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
@@ -94,8 +94,8 @@
 }
 
 // sendMany makes requests at once.
-func (f *requestFleet) sendMany(n int, method, uri string, headers ...string) []reply {
-	replies := make([]reply, n)
+func (f *requestFleet) sendMany(n int, method, uri string, headers ...string) []callerReply {
+	replies := make([]callerReply, n)
 	var group sync.WaitGroup
 	for i := range n {
 		group.Go(func() { replies[i] = f.send(method, uri, headers...) })
@@ -134,7 +134,7 @@
 }
 
 // expect checks status and outcome.
-func (r reply) expect(t *testing.T, status int, outcome string) {
+func (r callerReply) expect(t *testing.T, status int, outcome string) {
 	t.Helper()
 	if r.err != nil || r.status != status || r.outcome != outcome {
 		t.Errorf("request %s: status %d, outcome %q, error %v, body %.200q; expected %d, %q", r.id, r.status, r.outcome, r.err, r.body, status, outcome)
--- a/integration/request_target_test.go
+++ b/integration/request_target_test.go
@@ -30,7 +30,7 @@
 	for _, method := range []string{http.MethodPost, http.MethodGet} {
 		t.Run(method, func(t *testing.T) {
 			f := newRequestFleet(t)
-			answers := make(chan reply, 1)
+			answers := make(chan callerReply, 1)
 			go func() { answers <- f.send(method, "/booking/1?sleep_ms=700") }()
 			f.targets[f.running("booking")].Kill()
 			answer := <-answers
@@ -53,7 +53,7 @@
 	for _, vm := range []string{"booking-a-1", "booking-a-2"} {
 		f.relays[vm].setSilent(true)
 	}
-	answers := make(chan reply, 1)
+	answers := make(chan callerReply, 1)
 	go func() { answers <- f.send(http.MethodPost, "/booking/1") }()
 	time.Sleep(300 * time.Millisecond)
 	for _, vm := range []string{"booking-a-1", "booking-a-2"} {
@@ -161,7 +161,7 @@
 		target.StopAnnouncing()
 	}
 	f.entry.signal(stopSignal)
-	answers := make(chan []reply, 1)
+	answers := make(chan []callerReply, 1)
 	go func() { answers <- f.sendMany(20, http.MethodGet, "/booking/1") }()
 	time.Sleep(3 * time.Second)
 	f.entry.signal(continueSignal)
