--- a/internal/connection/targetconn/exchange.go
+++ b/internal/connection/targetconn/exchange.go
@@ -23,6 +23,9 @@
 	if err != nil {
 		return nil, Exchange{}, err
 	}
+	if !reused {
+		r.Silence = r.FreshSilence
+	}
 	answer, keep, err := p.exchange(ctx, c, r)
 	exchange := Exchange{Sent: c.written > 0, Reused: reused}
 	if err != nil || !keep {
--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -58,10 +58,11 @@
 	// MaxIdle bounds the idle age of a connection that is used again; 0
 	// asks for a new connection.
 	MaxIdle time.Duration
-	// Silence bounds the time without progress of the answer; 0 for no
-	// bound but the context's deadline. A silent connection retires all
-	// connections of the pool that were opened before.
-	Silence time.Duration
+	// Silence bounds the time without progress of the answer on a connection
+	// that was used before, FreshSilence on a new one; 0 for no bound but
+	// the context's deadline. A silent connection retires all connections
+	// of the pool that were opened before.
+	Silence, FreshSilence time.Duration
 	// WaitOutSilence keeps waiting for a silent answer until the deadline,
 	// for work that must not be repeated.
 	WaitOutSilence bool
--- a/internal/request/bursts_test.go
+++ b/internal/request/bursts_test.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math"
@@ -31,6 +32,8 @@
 	meanUse = 0.3
 	// serviceTime is the mean time of a request, distributed exponentially.
 	serviceTime = 100 * time.Millisecond
+	// hedgeAfter is the 95th percentile of the service time.
+	hedgeAfter = 300 * time.Millisecond
 	// entriesOfZone share the zone's VMs.
 	entriesOfZone = 2
 	timeHeader    = "X-Service-Time-Us"
@@ -51,7 +54,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, policy := range []string{"random", "no-queue", "no-spill", "full", "limit-512"} {
+		for _, policy := range []string{"random", "no-queue", "no-spill", "full", "limit-512", "hedged"} {
 			t.Run(deployment+"/"+policy, func(t *testing.T) {
 				zone := newBurstZone(t, document, policy)
 				zone.run()
@@ -67,6 +70,7 @@
 	view     *view.View
 	entries  []http.Handler
 	handlers []*Handler
+	hedged   bool
 	group    sync.WaitGroup
 	mu       sync.Mutex
 	samples  []burstSample
@@ -81,7 +85,7 @@
 }
 
 func newBurstZone(t *testing.T, document *fleet.Document, policy string) *burstZone {
-	z := &burstZone{t: t, view: view.Empty()}
+	z := &burstZone{t: t, view: view.Empty(), hedged: policy == "hedged"}
 	z.view.Version = 1
 	targets := map[string]announce.Target{}
 	for _, pool := range document.Pools {
@@ -128,7 +132,10 @@
 		running <- struct{}{}
 		defer func() { <-running }()
 		us, _ := strconv.Atoi(r.Header.Get(timeHeader))
-		time.Sleep(time.Duration(us) * time.Microsecond)
+		select {
+		case <-time.After(time.Duration(us) * time.Microsecond):
+		case <-r.Context().Done():
+		}
 		w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
 		_, _ = w.Write([]byte("answer"))
 	})
@@ -199,23 +206,54 @@
 		time.Sleep(time.Until(next))
 		us := int(random.ExpFloat64() * float64(serviceTime.Microseconds()))
 		entry, caller := z.entries[random.IntN(len(z.entries))], fmt.Sprint(random.IntN(20))
-		z.group.Go(func() { z.request(entry, name, bursting, us, caller) })
+		again := int(random.ExpFloat64() * float64(serviceTime.Microseconds()))
+		z.group.Go(func() { z.request(entry, name, bursting, []int{us, again}, caller) })
 	}
 }
 
-func (z *burstZone) request(entry http.Handler, name, bursting string, us int, caller string) {
-	r := httptest.NewRequest(http.MethodGet, z.view.Services[name].PathPrefix+"x", nil)
-	r.Header.Set(timeHeader, strconv.Itoa(us))
-	r.Header.Set(CallerHeader, caller)
-	w := httptest.NewRecorder()
+// request makes one request whose runs take the times given.
+func (z *burstZone) request(entry http.Handler, name, bursting string, us []int, caller string) {
 	start := time.Now()
-	entry.ServeHTTP(w, r)
-	sample := burstSample{service: name, bursting: bursting, status: w.Code, took: time.Since(start)}
+	var status int
+	if z.hedged {
+		status = z.hedge(entry, name, us, caller)
+	} else {
+		status = z.send(context.Background(), entry, name, us[0], caller)
+	}
+	sample := burstSample{service: name, bursting: bursting, status: status, took: time.Since(start)}
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.samples = append(z.samples, sample)
 }
 
+func (z *burstZone) send(ctx context.Context, entry http.Handler, name string, us int, caller string) int {
+	r := httptest.NewRequestWithContext(ctx, http.MethodGet, z.view.Services[name].PathPrefix+"x", nil)
+	r.Header.Set(timeHeader, strconv.Itoa(us))
+	r.Header.Set(CallerHeader, caller)
+	w := httptest.NewRecorder()
+	entry.ServeHTTP(w, r)
+	return w.Code
+}
+
+// hedge sends a duplicate after hedgeAfter, with a run time of its own, and
+// cancels whichever did not answer first.
+func (z *burstZone) hedge(entry http.Handler, name string, us []int, caller string) int {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	statuses := make(chan int, 2)
+	z.group.Go(func() { statuses <- z.send(ctx, entry, name, us[0], caller) })
+	select {
+	case status := <-statuses:
+		return status
+	case <-time.After(hedgeAfter):
+	}
+	z.group.Go(func() { statuses <- z.send(ctx, entry, name, us[1], caller) })
+	if status := <-statuses; status == http.StatusOK {
+		return status
+	}
+	return <-statuses
+}
+
 // report prints what each service saw during its own burst, and what all
 // others saw meanwhile.
 func (z *burstZone) report(title string) {
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -117,8 +117,9 @@
 	r := targetconn.Request{Method: c.method, URI: c.uri, Header: c.header, Body: c.body,
 		MaxAnswerBytes: c.definition.MaxResponseBytes, WaitOutSilence: !c.repeatable,
 		Admit: func() bool { return h.live(g) }}
-	r.Silence = c.silence()
-	if r.Silence <= maxSilence && !c.fresh {
+	r.FreshSilence = c.silence()
+	r.Silence = min(r.FreshSilence, maxSilence)
+	if silenceFactor*c.service.mean() <= maxSilence && !c.fresh {
 		r.MaxIdle = targetconn.MaxIdle
 	}
 	if !c.repeatable {
@@ -132,10 +133,12 @@
 
 // silence bounds the time without progress: half of the service's deadline,
 // so that another attempt fits, and never less than some mean service
-// times. Where that is above maxSilence, only new connections are used.
+// times. On a connection that was used before the bound is at most
+// maxSilence; a service that needs longer gets new connections, which are
+// not silent by themselves.
 func (c *call) silence() time.Duration {
 	half := time.Duration(c.definition.DeadlineMS) * time.Millisecond / 2
-	return max(min(half, maxSilence), silenceFactor*c.service.mean())
+	return max(half, silenceFactor*c.service.mean())
 }
 
 // live says whether the target that a grant is for holds its lease now.
