--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/targetconn"
+	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 )
 
@@ -45,6 +46,10 @@
 	h.scheduler.ended(c.service, res.Outcome)
 	c.service.metrics.outcomes[res.Outcome].Inc()
 	event := timeline.Event{Request: c.id, Service: c.service.name, VM: res.VM, Cause: res.Reason}
+	if res.cause != nil {
+		event.Cause = res.cause.Error()
+		h.log.Warn("request failed", "request", c.id, "service", c.service.name, "vm", res.VM, "outcome", res.Outcome, logging.Err(res.cause))
+	}
 	switch res.Outcome {
 	case Ran:
 		c.service.metrics.seconds.Update((time.Duration(c.definition.DeadlineMS)*time.Millisecond - time.Until(c.deadline)).Seconds())
@@ -62,9 +67,9 @@
 }
 
 // refuse answers a request that has no service.
-func (h *Handler) refuse(w http.ResponseWriter, id, service string, status int, why reason, retryAfterS int) {
+func (h *Handler) refuse(w http.ResponseWriter, id string, status int, why reason, retryAfterS int) {
 	countRefusal(why)
-	h.recorder.Record(timeline.Event{Kind: timeline.RequestRefused, Request: id, Service: service, Cause: string(why)})
+	h.recorder.Record(timeline.Event{Kind: timeline.RequestRefused, Request: id, Cause: string(why)})
 	writeRefusal(w, id, result{Result: Result{Outcome: NotRun, Reason: string(why), RetryAfterS: retryAfterS}, status: status})
 }
 
--- a/internal/request/bench_test.go
+++ b/internal/request/bench_test.go
@@ -31,6 +31,15 @@
 				s.release(g, succeeded, true)
 			}
 		})
+		b.Run(fmt.Sprintf("policy-parallel/targets=%d", size), func(b *testing.B) {
+			b.RunParallel(func(pb *testing.PB) {
+				request := f.ticketFor("interactive", "caller")
+				for pb.Next() {
+					g, _, _ := s.admit(request)
+					s.release(g, succeeded, true)
+				}
+			})
+		})
 		var all []*worker
 		for _, w := range s.workers {
 			all = append(all, w)
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -87,17 +87,17 @@
 	id := requestID(r.Header)
 	w.Header().Set(RequestIDHeader, id)
 	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
-		h.refuse(w, id, "", http.StatusNotImplemented, reasonMethod, 0)
+		h.refuse(w, id, http.StatusNotImplemented, reasonMethod, 0)
 		return
 	}
 	current := h.routing.Load()
 	if current == nil || current.table.View.Version == 0 {
-		h.refuse(w, id, "", http.StatusServiceUnavailable, reasonNoDocument, minRetryAfterS)
+		h.refuse(w, id, http.StatusServiceUnavailable, reasonNoDocument, minRetryAfterS)
 		return
 	}
 	definition := current.table.find(r.URL.Path)
 	if definition == nil {
-		h.refuse(w, id, "", http.StatusNotFound, reasonNoRoute, 0)
+		h.refuse(w, id, http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
 	svc := current.services[definition.Name]
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -52,6 +52,8 @@
 	// status is the HTTP status of the system's own answer.
 	status int
 	why    reason
+	// cause is the error of the last attempt, for operators alone.
+	cause error
 }
 
 // attempt is one try at one worker.
@@ -107,7 +109,7 @@
 	a := attempt{worker: g.worker, probe: g.probe, answer: answer, sent: exchange.Sent, reused: exchange.Reused, err: err}
 	h.scheduler.release(g, verdictOf(a, ctx), a.tellsTime())
 	if err != nil {
-		h.log.Warn("attempt failed", "request", c.id, "service", c.service.name, "vm", g.worker.vm, "sent", a.sent, logging.Err(err))
+		h.log.Debug("attempt failed", "request", c.id, "service", c.service.name, "vm", g.worker.vm, "sent", a.sent, logging.Err(err))
 	}
 	return a
 }
@@ -265,7 +267,7 @@
 	}
 	if !sent {
 		return result{Result: Result{Outcome: NotRun, Reason: "no target could be reached", RetryAfterS: minRetryAfterS, VM: vm},
-			status: http.StatusServiceUnavailable, why: reasonUnreached}
+			status: http.StatusServiceUnavailable, why: reasonUnreached, cause: last.err}
 	}
-	return result{Result: Result{Outcome: Unknown, Reason: "the target gave no whole answer", VM: vm}, status: status}
+	return result{Result: Result{Outcome: Unknown, Reason: "the target gave no whole answer", VM: vm}, status: status, cause: last.err}
 }
