Keys: taken up without a restart; the authority can be replaced

Cause: node certificates end after a year, and a new one needed a restart of each process; the authority could not be replaced at all.

Change: a process looks at its keys folder every 2 s and uses new keys for new connections; broken or foreign files leave the former keys in use. ca.pem may hold several certificates; keys rotate begin, switch and finish replace the authority while both are trusted in between; keys trust spreads the bundle. Files are put in place by rename. Metric arbutus_node_certificate_not_after_timestamp_seconds.

Ruled out: intermediate authorities, which make chains longer for a deployment of ten processes and don't replace the root either.

--- a/integration/cli_test.go
+++ b/integration/cli_test.go
@@ -312,3 +312,11 @@
 		t.Error("no build info")
 	}
 }
+
+// readLog returns the log of a process so far.
+func (d *deployment) readLog(id string) string {
+	d.t.Helper()
+	data, err := os.ReadFile(filepath.Join(d.dir, id+".log"))
+	must(d.t, err)
+	return string(data)
+}
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -4,10 +4,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -52,7 +54,10 @@
 
 // New returns a client for the operator addresses of the control processes.
 func New(ring *keys.Ring, control []string, token string) *Client {
-	transport := &http.Transport{TLSClientConfig: ring.ClientTLS()}
+	transport := &http.Transport{DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialer := &tls.Dialer{Config: ring.ClientTLS()}
+		return dialer.DialContext(ctx, network, address)
+	}}
 	return &Client{control: control, token: token, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/internal/process/adminhttp/adminhttp.go
+++ b/internal/process/adminhttp/adminhttp.go
@@ -72,6 +72,7 @@
 	engine.GET("/metrics", server.Require(keys.Viewer), func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
 	engine.GET("/v1/timeline", server.Require(keys.Viewer), func(c *gin.Context) { serveTimeline(c, recorder) })
 	registerBuildInfo()
+	registerCertificate(ring)
 	return server
 }
 
--- a/internal/process/keys/keys.go
+++ b/internal/process/keys/keys.go
@@ -6,7 +6,6 @@
 import (
 	"crypto/ed25519"
 	"crypto/rand"
-	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -44,9 +43,18 @@
 	if _, err := os.Stat(filepath.Join(dir, caKey)); err == nil {
 		return fmt.Errorf("%s holds a certificate authority already", dir)
 	}
+	der, private, err := newAuthority()
+	if err != nil {
+		return err
+	}
+	return writePair(dir, caFile, caKey, der, private)
+}
+
+// newAuthority makes a self-signed authority.
+func newAuthority() ([]byte, ed25519.PrivateKey, error) {
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
-		return fmt.Errorf("generate CA key: %w", err)
+		return nil, nil, fmt.Errorf("generate CA key: %w", err)
 	}
 	template := newTemplate("arbutusward CA", caLifetime)
 	template.IsCA = true
@@ -54,15 +62,16 @@
 	template.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature
 	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
 	if err != nil {
-		return fmt.Errorf("sign CA certificate: %w", err)
+		return nil, nil, fmt.Errorf("sign CA certificate: %w", err)
 	}
-	return writePair(dir, caFile, caKey, der, private)
+	return der, private, nil
 }
 
 // Issue makes a node certificate for a process in its own folder, signed
-// by the authority in caDir.
+// by the authority in caDir. Done again, it replaces the certificate, and
+// a running process takes the new one up without a restart.
 func Issue(caDir, nodeDir, id string) error {
-	authority, signer, err := loadAuthority(caDir)
+	authority, err := loadAuthority(caDir)
 	if err != nil {
 		return err
 	}
@@ -75,14 +84,14 @@
 	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1), net.IPv6loopback}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-	der, err := x509.CreateCertificate(rand.Reader, template, authority, public, signer)
+	der, err := x509.CreateCertificate(rand.Reader, template, authority.certificate, public, authority.signer)
 	if err != nil {
 		return fmt.Errorf("sign node certificate: %w", err)
 	}
-	if err := writePair(nodeDir, nodeFile, nodeKey, der, private); err != nil {
+	if err := Trust(caDir, nodeDir); err != nil {
 		return err
 	}
-	return writePEM(filepath.Join(nodeDir, caFile), "CERTIFICATE", authority.Raw)
+	return writePair(nodeDir, nodeFile, nodeKey, der, private)
 }
 
 func newTemplate(name string, lifetime time.Duration) *x509.Certificate {
@@ -98,97 +107,24 @@
 	}
 }
 
-// Ring is what one process needs to prove itself and to check others.
-type Ring struct {
-	// ID is the name in the node certificate.
-	ID        string
-	authority *x509.Certificate
-	pool      *x509.CertPool
-	node      tls.Certificate
-}
-
-// Load reads the keys folder of a process.
-func Load(dir string) (*Ring, error) {
-	node, err := tls.LoadX509KeyPair(filepath.Join(dir, nodeFile), filepath.Join(dir, nodeKey))
-	if err != nil {
-		return nil, fmt.Errorf("load node keys: %w", err)
-	}
-	ring, err := LoadCA(dir)
-	if err != nil {
-		return nil, err
-	}
-	ring.node = node
-	ring.ID = node.Leaf.Subject.CommonName
-	return ring, nil
-}
-
-// LoadCA reads only the authority's certificate, for operators and targets.
-func LoadCA(dir string) (*Ring, error) {
-	authority, err := readCertificate(filepath.Join(dir, caFile))
-	if err != nil {
-		return nil, err
-	}
-	pool := x509.NewCertPool()
-	pool.AddCert(authority)
-	return &Ring{authority: authority, pool: pool}, nil
-}
-
-// MutualTLS returns a configuration in which both ends prove themselves
-// with node certificates of the deployment. The protocol names the
-// application protocol of the connection.
-func (r *Ring) MutualTLS(protocol string) *tls.Config {
-	return &tls.Config{
-		Certificates: []tls.Certificate{r.node},
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		ClientCAs:    r.pool,
-		RootCAs:      r.pool,
-		ServerName:   ServerName,
-		NextProtos:   []string{protocol},
-		MinVersion:   tls.VersionTLS13,
-	}
-}
-
-// ServerTLS returns a configuration for a port where callers prove
-// themselves by token.
-func (r *Ring) ServerTLS() *tls.Config {
-	return &tls.Config{Certificates: []tls.Certificate{r.node}, MinVersion: tls.VersionTLS13}
-}
-
-// ClientTLS returns a configuration that trusts only the deployment's authority.
-func (r *Ring) ClientTLS() *tls.Config {
-	return &tls.Config{RootCAs: r.pool, ServerName: ServerName, MinVersion: tls.VersionTLS13}
-}
-
-func loadAuthority(dir string) (*x509.Certificate, ed25519.PrivateKey, error) {
-	authority, err := readCertificate(filepath.Join(dir, caFile))
-	if err != nil {
-		return nil, nil, err
-	}
-	der, err := readPEM(filepath.Join(dir, caKey))
-	if err != nil {
-		return nil, nil, err
-	}
-	parsed, err := x509.ParsePKCS8PrivateKey(der)
+// readCertificates reads a file of one or more certificates.
+func readCertificates(path string) ([]*x509.Certificate, error) {
+	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, nil, fmt.Errorf("parse CA key: %w", err)
+		return nil, fmt.Errorf("read certificates: %w", err)
 	}
-	private, ok := parsed.(ed25519.PrivateKey)
-	if !ok {
-		return nil, nil, fmt.Errorf("CA key is a %T, expected an Ed25519 key", parsed)
+	var found []*x509.Certificate
+	for block, rest := pem.Decode(data); block != nil; block, rest = pem.Decode(rest) {
+		certificate, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("parse %s: %w", path, err)
+		}
+		found = append(found, certificate)
 	}
-	return authority, private, nil
-}
-
-func readCertificate(path string) (*x509.Certificate, error) {
-	der, err := readPEM(path)
-	if err != nil {
-		return nil, err
-	}
-	certificate, err := x509.ParseCertificate(der)
-	if err != nil {
-		return nil, fmt.Errorf("parse %s: %w", path, err)
+	if len(found) == 0 {
+		return nil, fmt.Errorf("%s: %w", path, ErrNotPEM)
 	}
-	return certificate, nil
+	return found, nil
 }
 
 func readPEM(path string) ([]byte, error) {
@@ -217,10 +153,23 @@
 	return writePEM(filepath.Join(dir, certName), "CERTIFICATE", der)
 }
 
-func writePEM(path, kind string, der []byte) error {
-	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-	if err := os.WriteFile(path, block, 0o600); err != nil {
+func writePEM(path, kind string, ders ...[]byte) error {
+	var text []byte
+	for _, der := range ders {
+		text = append(text, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})...)
+	}
+	return replaceFile(path, text)
+}
+
+// replaceFile puts a file in place at once, so that a process that reads
+// it meanwhile gets the old content or the new.
+func replaceFile(path string, content []byte) error {
+	temporary := path + ".new"
+	if err := os.WriteFile(temporary, content, 0o600); err != nil {
 		return fmt.Errorf("write key file: %w", err)
 	}
+	if err := os.Rename(temporary, path); err != nil {
+		return fmt.Errorf("put key file in place: %w", err)
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/process/keys/keys_test.go
@@ -0,0 +1,137 @@
+package keys
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// newDir makes an authority and returns its folder.
+func newDir(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir() + "/ca"
+	check(t, Init(dir))
+	return dir
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newRing(t *testing.T, ca, id string) *Ring {
+	t.Helper()
+	dir := filepath.Join(filepath.Dir(ca), id)
+	check(t, Issue(ca, dir, id))
+	ring, err := Load(dir)
+	check(t, err)
+	return ring
+}
+
+// handshake connects two processes and returns the error of either side.
+func handshake(t *testing.T, server *tls.Config, client *Ring) error {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(t, err)
+	defer listener.Close()
+	served := make(chan error, 1)
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			served <- err
+			return
+		}
+		defer connection.Close()
+		served <- tls.Server(connection, server).Handshake()
+	}()
+	connection, err := tls.Dial("tcp", listener.Addr().String(), client.MutualTLS("test"))
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	return <-served
+}
+
+// reload makes processes take up their changed folders.
+func reload(t *testing.T, rings ...*Ring) {
+	t.Helper()
+	for _, ring := range rings {
+		if changed, err := ring.Reload(); err != nil || !changed {
+			t.Fatalf("%s: changed %v, %v", ring.ID, changed, err)
+		}
+	}
+}
+
+// TestRotationKeepsOldAndNewTogetherUntilItsEnd renews one process before
+// the other at each step; they must understand each other all along.
+func TestRotationKeepsOldAndNewTogetherUntilItsEnd(t *testing.T) {
+	ca := newDir(t)
+	a, b := newRing(t, ca, "a"), newRing(t, ca, "b")
+	server := a.MutualTLS("test")
+	oldToken, err := IssueToken(ca, Claims{Role: Viewer, Expires: time.Now().Add(time.Hour).Unix()})
+	check(t, err)
+	check(t, BeginRotation(ca))
+	if err := BeginRotation(ca); !errors.Is(err, ErrRotationOpen) {
+		t.Errorf("a second rotation: %v", err)
+	}
+	if err := FinishRotation(ca); !errors.Is(err, ErrNotSwitched) {
+		t.Errorf("finished before the switch: %v", err)
+	}
+	check(t, Trust(ca, a.dir))
+	reload(t, a)
+	check(t, handshake(t, server, b))
+	check(t, Trust(ca, b.dir))
+	reload(t, b)
+	check(t, SwitchRotation(ca))
+	check(t, Issue(ca, a.dir, "a"))
+	reload(t, a)
+	check(t, handshake(t, server, b))
+	check(t, Issue(ca, b.dir, "b"))
+	reload(t, b)
+	check(t, handshake(t, server, b))
+	if _, err := a.CheckToken(oldToken, time.Now()); err != nil {
+		t.Errorf("the old token before the end: %v", err)
+	}
+	check(t, FinishRotation(ca))
+	check(t, Trust(ca, a.dir))
+	reload(t, a)
+	check(t, handshake(t, server, b))
+	if _, err := a.CheckToken(oldToken, time.Now()); !errors.Is(err, ErrTokenForged) {
+		t.Errorf("the old token after the end: %v", err)
+	}
+}
+
+func TestProcessOfTheOldAuthorityIsRefusedAfterTheEnd(t *testing.T) {
+	ca := newDir(t)
+	a, b := newRing(t, ca, "a"), newRing(t, ca, "b")
+	server := a.MutualTLS("test")
+	check(t, BeginRotation(ca))
+	check(t, SwitchRotation(ca))
+	check(t, FinishRotation(ca))
+	check(t, Issue(ca, a.dir, "a"))
+	reload(t, a)
+	if err := handshake(t, server, b); err == nil {
+		t.Error("the two have no authority in common, yet they connected")
+	}
+}
+
+func TestBrokenOrForeignFilesLeaveTheFormerKeysInUse(t *testing.T) {
+	ca := newDir(t)
+	a, b := newRing(t, ca, "a"), newRing(t, ca, "b")
+	server := a.MutualTLS("test")
+	check(t, Issue(ca, a.dir, "c"))
+	if changed, err := a.Reload(); changed || !errors.Is(err, errOtherNode) {
+		t.Errorf("changed %v, %v", changed, err)
+	}
+	check(t, os.WriteFile(filepath.Join(a.dir, nodeFile), []byte("torn"), 0o600))
+	if changed, err := a.Reload(); changed || err == nil {
+		t.Errorf("changed %v, %v", changed, err)
+	}
+	check(t, handshake(t, server, b))
+}
--- a/internal/process/keys/token.go
+++ b/internal/process/keys/token.go
@@ -50,7 +50,7 @@
 
 // IssueToken signs a token with the authority in caDir.
 func IssueToken(caDir string, claims Claims) (string, error) {
-	_, signer, err := loadAuthority(caDir)
+	authority, err := loadAuthority(caDir)
 	if err != nil {
 		return "", err
 	}
@@ -58,7 +58,7 @@
 	if err != nil {
 		return "", fmt.Errorf("encode token: %w", err)
 	}
-	signature := ed25519.Sign(signer, body)
+	signature := ed25519.Sign(authority.signer, body)
 	encoding := base64.RawURLEncoding
 	return encoding.EncodeToString(body) + "." + encoding.EncodeToString(signature), nil
 }
@@ -75,8 +75,7 @@
 	if bodyErr != nil || signatureErr != nil {
 		return Claims{}, ErrTokenMalformed
 	}
-	public, ok := r.authority.PublicKey.(ed25519.PublicKey)
-	if !ok || !ed25519.Verify(public, body, signature) {
+	if !r.current.Load().signed(body, signature) {
 		return Claims{}, ErrTokenForged
 	}
 	var claims Claims
--- a/internal/process/lifecycle/lifecycle.go
+++ b/internal/process/lifecycle/lifecycle.go
@@ -93,6 +93,9 @@
 	if err != nil {
 		return logging.At(err, "load keys", identity.KeysDir)
 	}
+	followCtx, cancelFollow := context.WithCancel(ctx)
+	defer cancelFollow()
+	go ring.Follow(followCtx, func(err error) { tellKeys(log, identity.KeysDir, err) })
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
@@ -103,6 +106,15 @@
 	return runApp(ctx, app, log)
 }
 
+// tellKeys logs that the keys were taken up anew, or why not.
+func tellKeys(log *slog.Logger, dir string, err error) {
+	if err != nil {
+		log.Error("keys not reloaded, the former stay in use", logging.Err(logging.At(err, "reload keys", dir)))
+		return
+	}
+	log.Info("keys reloaded")
+}
+
 // runApp starts the app, waits for a signal and stops it.
 func runApp(ctx context.Context, app *fx.App, log *slog.Logger) error {
 	startCtx, cancelStart := context.WithTimeout(ctx, app.StartTimeout())
