Report: says from when a margin is known; console: bounds on what a page lists

Cause: seen in a trial, a report over an hour in which all processes had started a minute ago showed a full margin for the whole hour, and control's start was not named as a gap, since its first event is an election.

Change: the first event of a run marks the gap, whatever its kind; a margin begins when the first process tells of the fleet, and the page says that it may have been lower while processes hold only a part. Problem lists are cut at 50.

--- a/internal/console/forms.go
+++ b/internal/console/forms.go
@@ -31,7 +31,21 @@
 	Open       bool
 	Deployment string
 	Sections   []sectionCount
-	Problems   []draft.Problem
+	Problems   problemList
+}
+
+// maxProblems bounds the problems that a page lists.
+const maxProblems = 50
+
+// problemList is the problems of a draft as far as a page lists them.
+type problemList struct {
+	Shown []draft.Problem
+	More  int
+}
+
+func listProblems(problems []draft.Problem) problemList {
+	shown := problems[:min(len(problems), maxProblems)]
+	return problemList{Shown: shown, More: len(problems) - len(shown)}
 }
 
 type sectionCount struct {
@@ -44,7 +58,7 @@
 	if d := current(c).draft; d != nil {
 		page.Open = true
 		page.Deployment = d.Deployment()
-		page.Problems = d.Problems()
+		page.Problems = listProblems(d.Problems())
 		for _, section := range draft.Sections() {
 			page.Sections = append(page.Sections, sectionCount{Section: section, Count: len(d.Names(section.Name))})
 		}
--- a/internal/console/review.go
+++ b/internal/console/review.go
@@ -8,7 +8,6 @@
 	"github.com/gin-gonic/gin"
 
 	"arbutusward.example/arbutusward/internal/adminclient"
-	"arbutusward.example/arbutusward/internal/console/draft"
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/version/fleet"
@@ -16,7 +15,7 @@
 
 // reviewPage shows what the draft changes and what that costs.
 type reviewPage struct {
-	Problems []draft.Problem
+	Problems problemList
 	Changes  []fleet.Change
 	Plan     *adminclient.Comparison
 	// NoPlan says why there is no plan.
@@ -29,7 +28,7 @@
 		c.Redirect(http.StatusSeeOther, "/draft/document")
 		return
 	}
-	page := reviewPage{Problems: live.draft.Problems(), Changes: live.draft.Changes()}
+	page := reviewPage{Problems: listProblems(live.draft.Problems()), Changes: live.draft.Changes()}
 	if document := live.draft.Document(); document != nil {
 		page.plan(c, live.client, document)
 	}
--- a/internal/report/margin.go
+++ b/internal/report/margin.go
@@ -17,6 +17,10 @@
 	Services []string `json:"services"`
 	// Promised is the sum of the slots promised to the services.
 	Promised int `json:"promised"`
+	// KnownSince is the time from which on at least one process tells of
+	// the fleet; what was before is not known. Gaps of single processes
+	// are listed in the report.
+	KnownSince time.Time `json:"known_since"`
 	// Capacity is the number of slots that could serve, from each time on.
 	Capacity []plot.Point `json:"capacity"`
 	// Lowest is the smallest margin: capacity less promise.
@@ -72,8 +76,9 @@
 		return margins
 	}
 	replay := newReplay(in.VMs, events)
+	since := knownSince(in.Pages, in.From, in.To)
 	for _, pool := range in.Document.Pools {
-		margin := PoolMargin{Pool: pool.Name, Services: []string{}, Capacity: []plot.Point{}, Causes: []string{}}
+		margin := PoolMargin{Pool: pool.Name, KnownSince: since, Services: []string{}, Capacity: []plot.Point{}, Causes: []string{}}
 		for _, service := range in.Document.Services {
 			if service.Pool == pool.Name {
 				margin.Services = append(margin.Services, service.Name)
@@ -82,7 +87,7 @@
 		}
 		margins = append(margins, margin)
 	}
-	replay.run(in.From, in.To, events, func(at time.Time) {
+	replay.run(since, in.To, events, func(at time.Time) {
 		for i := range margins {
 			margins[i].sample(at, replay)
 		}
--- a/internal/report/render.go
+++ b/internal/report/render.go
@@ -67,11 +67,18 @@
 	r.writeCoverage(table)
 	r.writeInterruptions(table)
 	r.writeRequests(table)
-	fmt.Fprintf(table, "\nBUDGETS\nPOOL\tPROMISED\tLOWEST MARGIN\tAT\tCAUSE\n")
+	r.writeBudgets(table)
+	return table.Flush()
+}
+
+func (r Report) writeBudgets(w io.Writer) {
+	fmt.Fprintf(w, "\nBUDGETS\nPOOL\tPROMISED\tLOWEST MARGIN\tAT\tKNOWN SINCE\tCAUSE\n")
 	for _, m := range r.Pools {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%s\n", m.Pool, m.Promised, m.Lowest, formatTime(m.LowestAt), strings.Join(m.Causes, "; "))
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%s\n", m.Pool, m.Promised, m.Lowest, formatTime(m.LowestAt), formatTime(m.KnownSince), strings.Join(m.Causes, "; "))
+	}
+	if len(r.Gaps) > 0 {
+		fmt.Fprintln(w, "some processes hold only a part of the span, so a margin may have been lower than shown")
 	}
-	return table.Flush()
 }
 
 func (r Report) writeCoverage(w io.Writer) {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -143,18 +143,34 @@
 // its start, since events are kept in memory, and what it dropped.
 func gapsOf(page timeline.Page, from, to time.Time) []Gap {
 	var gaps []Gap
-	lost := time.UnixMicro(page.NotableLost.WallUS)
+	lost := time.UnixMicro(page.NotableLost.WallUS).UTC()
 	if page.DroppedNotable > 0 && !lost.Before(from) {
 		gaps = append(gaps, Gap{Process: page.Process, Until: lost, Reason: "older events were dropped"})
 	}
 	for _, event := range page.Events {
-		if event.Kind == timeline.ProcessStarted && event.Sequence == 1 && event.Time().After(from) {
-			gaps = append(gaps, Gap{Process: page.Process, Until: earlier(event.Time(), to), Reason: "the process started then; events of an earlier run are not kept"})
+		if event.Sequence == 1 && event.Time().After(from) {
+			gaps = append(gaps, Gap{Process: page.Process, Until: earlier(event.Time(), to).UTC(), Reason: "the process started then; events of an earlier run are not kept"})
 		}
 	}
 	return gaps
 }
 
+// knownSince returns the time from which on at least one process tells of
+// the fleet.
+func knownSince(pages []timeline.Page, from, to time.Time) time.Time {
+	since := to
+	for _, page := range pages {
+		begins := from
+		for _, gap := range gapsOf(page, from, to) {
+			if gap.Until.After(begins) {
+				begins = gap.Until
+			}
+		}
+		since = earlier(since, begins)
+	}
+	return since.UTC()
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -95,6 +95,9 @@
 	if r.Complete || len(r.Gaps) != 2 || len(r.Unreachable) != 1 {
 		t.Errorf("complete %v, gaps %+v", r.Complete, r.Gaps)
 	}
+	if since := r.Pools[0].KnownSince; !since.Equal(start.Add(time.Second)) || !r.Pools[0].Capacity[0].At.Equal(since) {
+		t.Errorf("known since %s, capacity %+v", since, r.Pools[0].Capacity)
+	}
 	if Build(input()).Complete != true {
 		t.Error("nothing is missing here")
 	}
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -55,6 +55,16 @@
 
 bin/arbutus-standin --document examples/duna.jsonc --tokens "$run/tokens" "${entries[@]}" > "$run/standin.log" 2>&1 & pids+=($!)
 
+bin/arbutusctl keys issue --ca-dir "$run/ca" console-1 "$run/console-1"
+bin/arbutusctl keys token --ca-dir "$run/ca" viewer console "$run/tokens/console.token"
+cat > "$run/console-1.jsonc" <<JSON
+{
+  "id": "console-1", "keys_dir": "$run/console-1", "listen": "127.0.0.1:7200",
+  "control": ["127.0.0.1:7101"], "sample_token": "$run/tokens/console.token"
+}
+JSON
+bin/arbutus-console --settings "$run/console-1.jsonc" 2> "$run/console-1.log" & pids+=($!)
+
 for _ in $(seq 50); do ctl status > /dev/null 2>&1 && break; sleep 0.1; done
 ctl apply --wait examples/duna.jsonc
 for _ in $(seq 50); do curl -sf http://127.0.0.1:8001/slots/hello > /dev/null && break; sleep 0.1; done
@@ -65,6 +75,8 @@
 echo "callers' ports: 8001 and 8002 (duna-a), 8003 and 8004 (duna-b); try"
 echo "  curl -i http://127.0.0.1:8001/photo/1"
 echo "  bin/arbutusctl --ca run/ca --token run/tokens/operator.token --control 127.0.0.1:7101 status"
+echo "console of forms: https://127.0.0.1:7200 (its certificate is signed by run/ca/ca.pem);"
+echo "  sign in with the line in run/tokens/operator.token"
 if [ "${DEMO:-}" = 1 ]; then
   ctl status
   ctl timeline | tail -n 5
