--- a/internal/process/timeline/timeline_test.go
+++ b/internal/process/timeline/timeline_test.go
@@ -3,48 +3,80 @@
 import (
 	"testing"
 	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
 )
 
-func TestLoadDoesNotPushOutNotableEvents(t *testing.T) {
-	recorder := NewRecorder("entry", "za")
-	recorder.Record(Event{Kind: LeaderLost})
-	for range Capacity + 10 {
-		recorder.Record(Event{Kind: RequestRan})
-	}
-	page := recorder.Since(0)
-	if len(page.Events) != Capacity+1 || page.Events[0].Kind != LeaderLost {
-		t.Errorf("%d events kept, first %s", len(page.Events), page.Events[0].Kind)
-	}
-	if page.Dropped != 10 || page.DroppedNotable != 0 {
-		t.Errorf("dropped %d, notable %d", page.Dropped, page.DroppedNotable)
-	}
+func TestRecorder(t *testing.T) {
+	Convey("Given a recorder with a notable event", t, func() {
+		recorder := NewRecorder("entry", "za")
+		recorder.Record(Event{Kind: LeaderLost})
+
+		Convey("when load records more routine events than it keeps", func() {
+			for range Capacity + 10 {
+				recorder.Record(Event{Kind: RequestRan})
+			}
+			page := recorder.Since(0)
+
+			Convey("then the notable event is still there, first", func() {
+				So(page.Events, ShouldHaveLength, Capacity+1)
+				So(page.Events[0].Kind, ShouldEqual, LeaderLost)
+			})
+			Convey("then the page says how many events were dropped", func() {
+				So(page.Dropped, ShouldEqual, uint64(10))
+				So(page.DroppedNotable, ShouldEqual, uint64(0))
+			})
+		})
+
+		Convey("when more notable events come than it keeps", func() {
+			for range Capacity {
+				recorder.Record(Event{Kind: RequestRefused})
+			}
+			page := recorder.Since(0)
+
+			Convey("then the page says up to when events were dropped", func() {
+				So(page.DroppedNotable, ShouldEqual, uint64(1))
+				So(page.NotableLost.Before(page.Events[0].Stamp), ShouldBeTrue)
+				So(page.NotableLost.WallUS, ShouldBeGreaterThan, int64(0))
+			})
+		})
+	})
 }
 
 func TestMergeOrdersAnAnswerAfterItsCauseDespiteAClockBehind(t *testing.T) {
-	cause, effect := NewRecorder("z-cause", ""), NewRecorder("a-effect", "")
-	cause.clock.WallUS = time.Now().Add(time.Hour).UnixMicro()
-	cause.Record(Event{Kind: VersionAccepted})
-	effect.Observe(cause.Now())
-	effect.Record(Event{Kind: VersionInForce})
-	events := Merge([]Page{effect.Since(0), cause.Since(0)})
-	if events[0].Kind != VersionAccepted || events[1].Kind != VersionInForce {
-		t.Errorf("order %s, %s", events[0].Kind, events[1].Kind)
-	}
+	Convey("Given a cause in a process whose clock is an hour ahead", t, func() {
+		cause, effect := NewRecorder("z-cause", ""), NewRecorder("a-effect", "")
+		cause.clock.WallUS = time.Now().Add(time.Hour).UnixMicro()
+		cause.Record(Event{Kind: VersionAccepted})
+
+		Convey("when a message brings its stamp to the process of the effect", func() {
+			effect.Observe(cause.Now())
+			effect.Record(Event{Kind: VersionInForce})
+
+			Convey("then the merged events have the cause first", func() {
+				events := Merge([]Page{effect.Since(0), cause.Since(0)})
+				So(events[0].Kind, ShouldEqual, VersionAccepted)
+				So(events[1].Kind, ShouldEqual, VersionInForce)
+			})
+		})
+	})
 }
 
-func TestFilterSurvivesItsQuery(t *testing.T) {
-	filter := Filter{Request: "r", VM: "v", Service: "s", Wave: "w", Kind: VMLost, Version: 3,
-		From: time.UnixMicro(1).UTC(), To: time.UnixMicro(9).UTC()}
-	parsed, err := ParseFilter(filter.Query())
-	if err != nil || parsed != filter {
-		t.Errorf("parsed %+v, %v", parsed, err)
-	}
-	event := Event{Request: "r", VM: "v", Service: "s", Wave: "w", Kind: VMLost, Version: 3, Stamp: Stamp{WallUS: 8}}
-	if !filter.Matches(event) {
-		t.Error("the filter should pick the event")
-	}
-	event.Stamp.WallUS = 9
-	if filter.Matches(event) {
-		t.Error("the end of the span is not included")
-	}
+func TestFilter(t *testing.T) {
+	Convey("Given a filter with every field", t, func() {
+		filter := Filter{Request: "r", VM: "v", Service: "s", Wave: "w", Kind: VMLost, Version: 3,
+			From: time.UnixMicro(1).UTC(), To: time.UnixMicro(9).UTC()}
+
+		Convey("it survives its query", func() {
+			parsed, err := ParseFilter(filter.Query())
+			So(err, ShouldBeNil)
+			So(parsed, ShouldResemble, filter)
+		})
+		Convey("it picks what has all of it, up to the end of the span", func() {
+			event := Event{Request: "r", VM: "v", Service: "s", Wave: "w", Kind: VMLost, Version: 3, Stamp: Stamp{WallUS: 8}}
+			So(filter.Matches(event), ShouldBeTrue)
+			event.Stamp.WallUS = 9
+			So(filter.Matches(event), ShouldBeFalse)
+		})
+	})
 }
