--- a/cmd/arbutusctl/main.go
+++ b/cmd/arbutusctl/main.go
@@ -64,7 +64,8 @@
 			c.Usage = "write the completion script of a shell: bash, zsh, fish or pwsh"
 		},
 		Commands: []*cli.Command{
-			validateCommand(), applyCommand(), currentCommand(), statusCommand(),
+			validateCommand(), planCommand(), applyCommand(), currentCommand(), statusCommand(), capacityCommand(),
+			waveCommand(), moveCommand(), jobCommand(), entryCommand(),
 			timelineCommand(), reportCommand(), keysCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/process/state/command.go
+++ b/internal/process/state/command.go
@@ -14,8 +14,26 @@
 	SubmitDocument Kind = "submit-document"
 	RegisterEntry  Kind = "register-entry"
 	RemoveEntry    Kind = "remove-entry"
-	ChangePhase    Kind = "change-phase"
-	CommitMove     Kind = "commit-move"
+	SubmitJobs     Kind = "submit-jobs"
+	StepJobs       Kind = "step-jobs"
+	ReportTasks    Kind = "report-tasks"
+	CancelJobs     Kind = "cancel-jobs"
+	StepMove       Kind = "step-move"
+	StartWave      Kind = "start-wave"
+	ControlWave    Kind = "control-wave"
+	StepWave       Kind = "step-wave"
+	NoteLosses     Kind = "note-losses"
+	EndWave        Kind = "end-wave"
+
+	ClaimKey        Kind = "claim-key"
+	FinishClaim     Kind = "finish-claim"
+	ReleaseClaim    Kind = "release-claim"
+	NoteIncarnation Kind = "note-incarnation"
+
+	AcceptBatch Kind = "accept-batch"
+	LeaseBatch  Kind = "lease-batch"
+	FinishBatch Kind = "finish-batch"
+	CancelBatch Kind = "cancel-batch"
 )
 
 // applier carries out one kind of command.
@@ -27,8 +45,26 @@
 		SubmitDocument: typed(applySubmit),
 		RegisterEntry:  typed(applyRegisterEntry),
 		RemoveEntry:    typed(applyRemoveEntry),
-		ChangePhase:    typed(applyChangePhase),
-		CommitMove:     typed(applyCommitMove),
+		SubmitJobs:     typed(applySubmitJobs),
+		StepJobs:       typed(applyStepJobs),
+		ReportTasks:    typed(applyReportTasks),
+		CancelJobs:     typed(applyCancelJobs),
+		StepMove:       typed(applyStepMove),
+		StartWave:      typed(applyStartWave),
+		ControlWave:    typed(applyControlWave),
+		StepWave:       typed(applyStepWave),
+		NoteLosses:     typed(applyNoteLosses),
+		EndWave:        typed(applyEndWave),
+
+		ClaimKey:        typed(applyClaim),
+		FinishClaim:     typed(applyFinishClaim),
+		ReleaseClaim:    typed(applyReleaseClaim),
+		NoteIncarnation: typed(applyNoteIncarnation),
+
+		AcceptBatch: typed(applyAcceptBatch),
+		LeaseBatch:  typed(applyLeaseBatch),
+		FinishBatch: typed(applyFinishBatch),
+		CancelBatch: typed(applyCancelBatch),
 	}
 }
 
--- a/internal/process/state/document.go
+++ b/internal/process/state/document.go
@@ -29,7 +29,7 @@
 // same content on the same base gets the first answer again; other content
 // is a conflict.
 func applySubmit(m *Machine, c position, submit Submit) Result {
-	document, err := parseAccepted(submit.Text)
+	document, err := m.parseSubmitted(submit.Text)
 	if err != nil {
 		return refuse(Refused, "%v", err)
 	}
@@ -77,7 +77,7 @@
 	f.Revision = c.index
 	f.VersionRevision = c.index
 	f.Text = submit.Text
-	f.Document = document
+	f.setDocument(document)
 	f.Digest = digest
 	entry := Submission{Version: f.Version, Base: submit.Base, Digest: digest, By: submit.By, AtMS: c.atMS}
 	f.Submissions = append(append([]Submission{}, f.Submissions...), entry)
@@ -111,7 +111,8 @@
 	for _, vm := range f.Document.VMs {
 		owned, known := f.VMs[vm.Name]
 		if !known {
-			owned = OwnedVM{VM: view.VM{Name: vm.Name, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, Epoch: 1, Phase: view.Serving}, SinceMS: c.atMS}
+			// No earlier VM of the name can have had an epoch above the index.
+			owned = OwnedVM{VM: view.VM{Name: vm.Name, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, Epoch: c.index, Phase: view.Serving}, SinceMS: c.atMS}
 		}
 		if known && owned.Slots == vm.Slots && owned.Connections == vm.Connections {
 			continue
--- a/internal/process/state/fleet.go
+++ b/internal/process/state/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"arbutusward.example/arbutusward/internal/version/fleet"
+	"arbutusward.example/arbutusward/internal/version/plan"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
@@ -35,6 +36,11 @@
 	Tombstones  []Tombstone              `cbor:"10,keyasint"`
 	// Horizon is the revision since which all removals are in Tombstones.
 	Horizon uint64 `cbor:"11,keyasint"`
+	// sizes holds the declared VMs by name; it is derived from Document.
+	sizes map[string]fleet.VM
+	// Runs holds the wave runs by ID, Moves the moves under way by VM.
+	Runs  map[string]plan.WaveRun `cbor:"12,keyasint"`
+	Moves map[string]plan.Move    `cbor:"13,keyasint"`
 }
 
 // Submission is one accepted document.
@@ -84,7 +90,8 @@
 }
 
 func emptyFleet() Fleet {
-	return Fleet{VMs: map[string]OwnedVM{}, Services: map[string]PlacedService{}, Entries: map[string]KnownEntry{}}
+	return Fleet{VMs: map[string]OwnedVM{}, Services: map[string]PlacedService{}, Entries: map[string]KnownEntry{},
+		Runs: map[string]plan.WaveRun{}, Moves: map[string]plan.Move{}}
 }
 
 // reparse restores the parsed document from its text.
@@ -96,10 +103,19 @@
 	if err != nil {
 		return fmt.Errorf("parse document of version %d: %w", f.Version, err)
 	}
-	f.Document = document
+	f.setDocument(document)
 	return nil
 }
 
+// setDocument stores a parsed document and indexes its VMs.
+func (f *Fleet) setDocument(document *fleet.Document) {
+	f.Document = document
+	f.sizes = make(map[string]fleet.VM, len(document.VMs))
+	for _, vm := range document.VMs {
+		f.sizes[vm.Name] = vm
+	}
+}
+
 // bury records a removal.
 func (f *Fleet) bury(revision uint64, item ItemKind, name string) {
 	f.Revision = revision
--- a/internal/process/state/machine.go
+++ b/internal/process/state/machine.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"sync"
@@ -22,19 +23,31 @@
 	data data
 
 	published atomic.Pointer[Fleet]
+	validated atomic.Pointer[validated]
 	// changed is closed and replaced whenever a new Fleet is published.
 	changed atomic.Pointer[chan struct{}]
 }
 
 // data is the whole replicated state, as written to snapshots.
 type data struct {
-	Fleet Fleet `cbor:"1,keyasint"`
+	Fleet  Fleet      `cbor:"1,keyasint"`
+	Jobs   jobState   `cbor:"2,keyasint"`
+	Claims claimTable `cbor:"20,keyasint"`
+	Batch  batchTable `cbor:"21,keyasint"`
+	// ClockMS is the newest time of any claim or batch command; it never
+	// goes back when a leader with a slower clock takes over.
+	ClockMS int64 `cbor:"22,keyasint"`
+}
+
+// emptyData returns the state before the first command.
+func emptyData() data {
+	return data{Fleet: emptyFleet(), Jobs: newJobState(), Claims: newClaimTable(), Batch: newBatchTable()}
 }
 
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
 	m := &Machine{appliers: appliers()}
-	m.data.Fleet = emptyFleet()
+	m.data = emptyData()
 	signal := make(chan struct{})
 	m.changed.Store(&signal)
 	m.publish()
@@ -77,13 +90,14 @@
 
 // Restore replaces the whole state.
 func (m *Machine) Restore(_ uint64, snapshot []byte) error {
-	restored := data{Fleet: emptyFleet()}
+	restored := emptyData()
 	if err := cbor.Unmarshal(snapshot, &restored); err != nil {
 		return fmt.Errorf("decode state snapshot: %w", err)
 	}
 	if err := restored.Fleet.reparse(); err != nil {
 		return err
 	}
+	restored.Jobs.derive()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.data = restored
@@ -104,12 +118,39 @@
 	copied.VMs = maps.Clone(copied.VMs)
 	copied.Entries = maps.Clone(copied.Entries)
 	copied.Services = maps.Clone(copied.Services)
+	copied.Runs = maps.Clone(copied.Runs)
+	copied.Moves = maps.Clone(copied.Moves)
 	m.published.Store(&copied)
 	signal := make(chan struct{})
 	previous := m.changed.Swap(&signal)
 	close(*previous)
 }
 
+// Validate parses a document before it is proposed. The result is kept, so
+// that applying the same text does not parse it again on this process.
+func (m *Machine) Validate(file string, text []byte) (*fleet.Document, error) {
+	document, err := fleet.Parse(file, text)
+	if err != nil {
+		return nil, err
+	}
+	m.validated.Store(&validated{text: text, document: document})
+	return document, nil
+}
+
+// validated is the newest document that was validated here.
+type validated struct {
+	text     []byte
+	document *fleet.Document
+}
+
+// parseSubmitted returns the parsed form of a submitted text.
+func (m *Machine) parseSubmitted(text []byte) (*fleet.Document, error) {
+	if known := m.validated.Load(); known != nil && bytes.Equal(known.text, text) {
+		return known.document, nil
+	}
+	return parseAccepted(text)
+}
+
 // parseAccepted parses a document that was validated before it was accepted.
 func parseAccepted(text []byte) (*fleet.Document, error) {
 	return fleet.Parse("accepted document", text)
