--- a/internal/process/entry/follower.go
+++ b/internal/process/entry/follower.go
@@ -23,10 +23,10 @@
 	// cannot reach control begins to use the view of its disk or of a zone
 	// peer. It is above ConfirmLife, so that no drain that an earlier run of
 	// the entry confirmed can still be counted by then.
-	StartHoldOff = 3 * time.Second
+	StartHoldOff = 4 * time.Second
 	// ConfirmLife is the time for which control may count a confirmation of
 	// a drain after the report that carried it.
-	ConfirmLife = 2 * time.Second
+	ConfirmLife = 3 * time.Second
 )
 
 // Follower keeps the entry's view up to date. The view only ever gets newer.
--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -13,6 +13,11 @@
 	maxRetryAfterS = 30
 )
 
+// displaceFactor is how many times a caller's share of a full queue another
+// one must hold to make room for it; callers of about equal shares do not
+// displace each other.
+const displaceFactor = 2
+
 // reason is why a request is refused, as told to the caller.
 type reason string
 
@@ -113,12 +118,10 @@
 	if svc.queue.length > 0 && t.avoid == nil {
 		return nil
 	}
-	if t.repeatable && t.avoid == nil {
-		if w := svc.home.takeProbe(svc.name, now); w != nil {
-			return w
-		}
+	if w := svc.chooseDoubtful(t, now); w != nil {
+		return w
 	}
-	if svc.interactive() || svc.home.batch < svc.home.batchLimit() {
+	if svc.classFits() {
 		if w := svc.home.choose(svc.name, t.avoid); w != nil {
 			return w
 		}
@@ -126,6 +129,23 @@
 	return svc.chooseSpare(t.avoid)
 }
 
+// classFits says that the home pool has room for the service's class.
+func (s *service) classFits() bool {
+	return s.interactive() || s.home.batch < s.home.batchLimit()
+}
+
+// chooseDoubtful returns a worker that failed of late for a request that
+// can be repeated elsewhere, nil if none is to be tried now.
+func (s *service) chooseDoubtful(t ticket, now time.Time) *worker {
+	if !t.repeatable || t.avoid != nil || !s.classFits() {
+		return nil
+	}
+	if w := s.home.takeProbe(s.name, now); w != nil {
+		return w
+	}
+	return s.home.explore(s.name)
+}
+
 // chooseSpare returns a worker of the spare pool if the service may spill
 // and the spare pool takes guests.
 func (s *service) chooseSpare(avoid *worker) *worker {
@@ -155,7 +175,7 @@
 // room, nil if the caller with the most waiters must make room for it.
 func (s *service) fullFor(caller *callerQueue, wait time.Duration) *refusal {
 	greediest := s.queue.greediest()
-	if greediest == nil || len(greediest.waiting) <= len(caller.waiting)+1 {
+	if greediest == nil || len(greediest.waiting) <= displaceFactor*(len(caller.waiting)+1) {
 		return &refusal{http.StatusServiceUnavailable, reasonQueueFull, retryAfter(wait)}
 	}
 	return nil
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -23,6 +23,8 @@
 	// most once: a connection found dead after the write would leave its
 	// outcome unknown.
 	onceMaxIdle = 200 * time.Millisecond
+	// leaseLookInterval is the time between looks at an ended lease.
+	leaseLookInterval = 200 * time.Millisecond
 )
 
 // call is one admitted request.
@@ -39,6 +41,9 @@
 	deadline time.Time
 	// repeatable says that the request is idempotent.
 	repeatable bool
+	// fresh asks for new connections, after a used one brought no answer:
+	// those of other targets may have gone silent with it.
+	fresh bool
 }
 
 // result is a Result with what the HTTP answer needs besides.
@@ -47,6 +52,8 @@
 	// status is the HTTP status of the system's own answer.
 	status int
 	why    reason
+	// cause is the error of the last attempt, for operators alone.
+	cause error
 }
 
 // attempt is one try at one worker.
@@ -83,6 +90,7 @@
 		if t.avoid == nil && !last.reused {
 			return finalResult(last, sent, run.Err())
 		}
+		c.fresh = c.fresh || (last.reused && errors.Is(last.err, targetconn.ErrNoAnswer))
 		h.recordRetry(c, last)
 	}
 }
@@ -96,11 +104,12 @@
 	answer, exchange, err := g.conns.Send(ctx, h.outgoing(c, g))
 	if errors.Is(err, targetconn.ErrNotAdmitted) && ctx.Err() == nil {
 		h.scheduler.expire(g)
+		h.reviveLater(g)
 	}
 	a := attempt{worker: g.worker, probe: g.probe, answer: answer, sent: exchange.Sent, reused: exchange.Reused, err: err}
-	h.scheduler.release(g, verdictOf(a, ctx), err == nil)
+	h.scheduler.release(g, verdictOf(a, ctx), a.tellsTime())
 	if err != nil {
-		h.log.Warn("attempt failed", "request", c.id, "service", c.service.name, "vm", g.worker.vm, "sent", a.sent, logging.Err(err))
+		h.log.Debug("attempt failed", "request", c.id, "service", c.service.name, "vm", g.worker.vm, "sent", a.sent, logging.Err(err))
 	}
 	return a
 }
@@ -110,8 +119,9 @@
 	r := targetconn.Request{Method: c.method, URI: c.uri, Header: c.header, Body: c.body,
 		MaxAnswerBytes: c.definition.MaxResponseBytes, WaitOutSilence: !c.repeatable,
 		Admit: func() bool { return h.live(g) }}
-	r.Silence = c.silence(time.Until(c.deadline))
-	if r.Silence <= maxSilence {
+	r.FreshSilence = c.silence()
+	r.Silence = min(r.FreshSilence, maxSilence)
+	if silenceFactor*c.service.mean() <= maxSilence && !c.fresh {
 		r.MaxIdle = targetconn.MaxIdle
 	}
 	if !c.repeatable {
@@ -123,11 +133,14 @@
 	return r
 }
 
-// silence bounds the time without progress: half of the time left, so that
-// another attempt fits, and never less than some mean service times. Where
-// that is above maxSilence, only new connections are used.
-func (c *call) silence(left time.Duration) time.Duration {
-	return max(min(left/2, maxSilence), silenceFactor*c.service.mean(), time.Millisecond)
+// silence bounds the time without progress: half of the service's deadline,
+// so that another attempt fits, and never less than some mean service
+// times. On a connection that was used before the bound is at most
+// maxSilence; a service that needs longer gets new connections, which are
+// not silent by themselves.
+func (c *call) silence() time.Duration {
+	half := time.Duration(c.definition.DeadlineMS) * time.Millisecond / 2
+	return max(half, silenceFactor*c.service.mean())
 }
 
 // live says whether the target that a grant is for holds its lease now.
@@ -136,6 +149,16 @@
 	return known && target.Incarnation == g.incarnation && target.Live(time.Now())
 }
 
+// reviveLater looks from time to time whether a lease that was found ended
+// was renewed, until a newer table decides on the worker.
+func (h *Handler) reviveLater(g *grant) {
+	time.AfterFunc(leaseLookInterval, func() {
+		if h.scheduler.revive(g.worker, h.live(g)) {
+			h.reviveLater(g)
+		}
+	})
+}
+
 // verdictOf says what an attempt tells of its worker. A connection that
 // was used before and brought no answer says nothing: something between
 // the two ends may have lost it. The next one is new and decides.
@@ -203,6 +226,16 @@
 	h.recorder.Record(timeline.Event{Kind: timeline.RequestRetried, Request: c.id, Service: c.service.name, VM: last.worker.vm, Cause: last.cause()})
 }
 
+// tellsTime says that the attempt's time counts as a service time: an
+// answer, or the least time of one that was given up on a new connection.
+// Without the latter a service slower than thought would never be learned.
+func (a attempt) tellsTime() bool {
+	if a.err == nil {
+		return true
+	}
+	return a.sent && !a.reused && (errors.Is(a.err, targetconn.ErrSilent) || errors.Is(a.err, context.DeadlineExceeded))
+}
+
 // cause describes a failed attempt.
 func (a attempt) cause() string {
 	if a.err != nil {
@@ -234,7 +267,7 @@
 	}
 	if !sent {
 		return result{Result: Result{Outcome: NotRun, Reason: "no target could be reached", RetryAfterS: minRetryAfterS, VM: vm},
-			status: http.StatusServiceUnavailable, why: reasonUnreached}
+			status: http.StatusServiceUnavailable, why: reasonUnreached, cause: last.err}
 	}
-	return result{Result: Result{Outcome: Unknown, Reason: "the target gave no whole answer", VM: vm}, status: status}
+	return result{Result: Result{Outcome: Unknown, Reason: "the target gave no whole answer", VM: vm}, status: status, cause: last.err}
 }
