Drains name the tasks that they wait for; a wave lets tasks save their work

Cause: the state refuses to reboot or move a VM with running tasks, but the planner did not know of them: it proposed the refused step four times a second, and an operator saw no reason. Change: a draining VM's tasks stand among what its drain waits for. An integration test runs long jobs through a whole wave.

--- a/integration/wave_failures_test.go
+++ b/integration/wave_failures_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/control"
+	"arbutusward.example/arbutusward/internal/version/jobplan"
 	"arbutusward.example/arbutusward/internal/version/plan"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
@@ -179,6 +180,28 @@
 	d.checkEachRebootedOnce()
 }
 
+// TestWaveLetsTasksSaveTheirWorkFirst runs long jobs on the VMs of a wave.
+// It fails if a VM with a task is rebooted.
+func TestWaveLetsTasksSaveTheirWorkFirst(t *testing.T) {
+	d := newWaveDeployment(t, "za")
+	d.submit(spec("archive-1", "archive", 2, "run=600000"), spec("archive-2", "archive", 2, "run=600000"))
+	d.waitJob("archive-1", jobplan.Running, 10*time.Second)
+	d.call(http.MethodPost, "/v1/waves/kernel/start", nil, nil)
+	d.waitRun(waveLimit, "the wave ends", ended)
+	d.checkEachRebootedOnce()
+	preempted := 0
+	for _, id := range []string{"archive-1", "archive-2"} {
+		job := d.job(id)
+		preempted += job.Preempted
+		if job.Lost > 0 {
+			t.Errorf("job %s was lost %d times", id, job.Lost)
+		}
+	}
+	if preempted == 0 {
+		t.Error("no task had to make way for the wave")
+	}
+}
+
 // load is requests that are sent until it is stopped.
 type load struct {
 	t                    *testing.T
--- a/internal/process/control/drain.go
+++ b/internal/process/control/drain.go
@@ -39,6 +39,18 @@
 	return missing
 }
 
+// tasksLeft names the tasks that a draining VM still runs.
+func (s *Server) tasksLeft(vm state.OwnedVM) []string {
+	if vm.Phase != view.Draining {
+		return nil
+	}
+	var left []string
+	for _, job := range s.machine.TasksOn(vm.Name) {
+		left = append(left, "task "+job)
+	}
+	return left
+}
+
 func confirms(report message.Report, vm state.OwnedVM) bool {
 	for _, drained := range report.Drained {
 		if drained.VM == vm.Name && drained.Epoch == vm.Epoch {
--- a/internal/process/control/executor_input.go
+++ b/internal/process/control/executor_input.go
@@ -60,7 +60,7 @@
 		if !liveSince.IsZero() {
 			vm.LiveSinceMS = liveSince.UnixMilli()
 		}
-		vm.Unconfirmed = unconfirmed(f, owned, reports)
+		vm.Unconfirmed = append(unconfirmed(f, owned, reports), s.tasksLeft(owned)...)
 		vm.Drained = len(vm.Unconfirmed) == 0
 		if calls != nil {
 			vm.Platform = calls.sight(vm.Name)
--- /dev/null
+++ b/internal/process/state/tasks.go
@@ -0,0 +1,13 @@
+package state
+
+import (
+	"maps"
+	"slices"
+)
+
+// TasksOn returns the jobs that run on a VM, in order.
+func (m *Machine) TasksOn(vm string) []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Sorted(maps.Keys(m.data.Jobs.onWorker[vm]))
+}
