A late report of an entry's earlier run says nothing

Cause: a report of a run that has ended could arrive after one of the next run, and its confirmations would have counted as the entry's own. Seen to fail: TestLateReportOfAnEarlierRunConfirmsNothing without entryRuns.

--- a/internal/process/control/entrycalls.go
+++ b/internal/process/control/entrycalls.go
@@ -73,6 +73,9 @@
 	return err
 }
 
+// codeEndedRun says that a report came from a run that has ended.
+const codeEndedRun = "ended_run"
+
 // serveReport keeps a report. Only the leader takes reports, so that its
 // planners alone act on them.
 func (s *Server) serveReport(ctx context.Context, peer link.Peer, report message.Report) (message.ReportAnswer, error) {
@@ -82,6 +85,9 @@
 	if err := s.requireLead(); err != nil {
 		return message.ReportAnswer{}, err
 	}
+	if !s.entryRuns.note(report.EntryID, report.Incarnation, time.Now()) {
+		return message.ReportAnswer{}, &link.Fault{Code: codeEndedRun, Message: "a later run of entry " + report.EntryID + " was heard"}
+	}
 	if s.machine.Incarnation(report.EntryID) != report.Incarnation {
 		alive := state.Incarnation{Entry: report.EntryID, Incarnation: report.Incarnation}
 		if _, err := propose[state.Incarnation](ctx, s, state.NoteIncarnation, alive); err != nil {
--- a/internal/process/control/executor_test.go
+++ b/internal/process/control/executor_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/gin-gonic/gin"
+
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/message"
 	"arbutusward.example/arbutusward/internal/process/adminhttp"
@@ -89,6 +91,7 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
+	gin.SetMode(gin.ReleaseMode)
 	b := &bench{t: t, dir: t.TempDir(), platform: standin.NewPlatform(200 * time.Millisecond)}
 	b.must(keys.Init(b.dir + "/ca"))
 	platformServer := httptest.NewServer(b.platform.Handler())
@@ -276,6 +279,29 @@
 	})
 }
 
+// TestLateReportOfAnEarlierRunConfirmsNothing sends a confirmation of an
+// entry's earlier run once the next run was heard. It fails without entryRuns.
+func TestLateReportOfAnEarlierRunConfirmsNothing(t *testing.T) {
+	b := newBench(t)
+	entry := b.entry("entry-1")
+	entry.set(func(e *playedEntry) { e.confirm = confirmNothing })
+	b.apply("a")
+	b.eventually(5*time.Second, "b-4 drains", func() bool { return b.vm("b-4").Phase == view.Draining })
+	entry.set(func(e *playedEntry) { e.silent = true })
+	next, _ := entry.report()
+	next.Incarnation = "run-2"
+	entry.set(func(e *playedEntry) { e.confirm = confirmAll })
+	late, _ := entry.report()
+	for range 10 {
+		_, err := link.Call[message.Report, message.ReportAnswer](context.Background(), entry.node, b.server.node.Address(), message.ReportKind, next)
+		b.must(err)
+		if _, err := link.Call[message.Report, message.ReportAnswer](context.Background(), entry.node, b.server.node.Address(), message.ReportKind, late); err == nil {
+			t.Fatal("the report of an ended run was taken")
+		}
+		b.holds(100*time.Millisecond, "draining", func() bool { return b.vm("b-4").Phase == view.Draining })
+	}
+}
+
 // TestSilentEntryBlocksUntilAnOperatorRemovesIt fails if silence counts as
 // a confirmation, or if a removal does not end the wait.
 func TestSilentEntryBlocksUntilAnOperatorRemovesIt(t *testing.T) {
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -28,6 +28,7 @@
 	recorder  *timeline.Recorder
 	log       *slog.Logger
 	observers *observers
+	entryRuns *entryRuns
 	stop      chan struct{}
 	// stopJobs ends the job runner of the present term.
 	stopJobs context.CancelFunc
@@ -42,7 +43,7 @@
 // New wires a control process; Start makes it serve.
 func New(s *settings.Control, r replica.Replica, m *state.Machine, n *link.Node, a *adminhttp.Server, rec *timeline.Recorder, log *slog.Logger) *Server {
 	return &Server{settings: s, replica: r, machine: m, node: n, admin: a, recorder: rec, log: log,
-		observers: newObservers(), stop: make(chan struct{}), stopJobs: func() {}, followed: make(chan struct{})}
+		observers: newObservers(), entryRuns: newEntryRuns(), stop: make(chan struct{}), stopJobs: func() {}, followed: make(chan struct{})}
 }
 
 // Start serves entries and operators.
