--- a/integration/wave_failures_test.go
+++ b/integration/wave_failures_test.go
@@ -210,7 +210,8 @@
 	served, refused, cut atomic.Int64
 }
 
-// startLoad sends requests of 300 ms through every entry.
+// startLoad sends requests of 300 ms through every entry. They are not
+// idempotent, so that no retry hides one that was cut.
 func (d *deployment) startLoad() *load {
 	l := &load{t: d.t, quit: make(chan struct{})}
 	for _, entry := range d.entries {
@@ -232,7 +233,7 @@
 			return
 		default:
 		}
-		resp, err := http.Get(url)
+		resp, err := http.Post(url, "text/plain", strings.NewReader("a booking"))
 		if err != nil {
 			l.cut.Add(1)
 			continue
--- a/internal/process/control/drain.go
+++ b/internal/process/control/drain.go
@@ -6,7 +6,6 @@
 
 	"arbutusward.example/arbutusward/internal/connection/message"
 	"arbutusward.example/arbutusward/internal/process/state"
-	"arbutusward.example/arbutusward/internal/version/view"
 )
 
 // all returns the last observation of each entry.
@@ -16,15 +15,12 @@
 	return maps.Clone(o.entries)
 }
 
-// unconfirmed returns the registered entries of a VM's zone that have not
-// confirmed its drain. A confirmation holds if it stands in the newest
+// unconfirmed returns the registered entries of a draining VM's zone that
+// have not confirmed its drain. A confirmation holds if it stands in the newest
 // report of the entry's present run, names the VM's epoch, and the entry
 // works by the revision that made the VM drain or a later one. A silent
 // entry has not confirmed.
 func unconfirmed(f *state.Fleet, vm state.OwnedVM, reports map[string]message.Report) []string {
-	if vm.Phase != view.Draining {
-		return []string{"none asked: the VM is " + string(vm.Phase)}
-	}
 	var missing []string
 	for id, entry := range f.Entries {
 		if entry.Zone != vm.Zone {
@@ -39,13 +35,10 @@
 	return missing
 }
 
-// tasksLeft names the tasks that a draining VM still runs.
-func (s *Server) tasksLeft(vm state.OwnedVM) []string {
-	if vm.Phase != view.Draining {
-		return nil
-	}
+// tasksLeft names the tasks that a VM still runs.
+func (s *Server) tasksLeft(vm string) []string {
 	var left []string
-	for _, job := range s.machine.TasksOn(vm.Name) {
+	for _, job := range s.machine.TasksOn(vm) {
 		left = append(left, "task "+job)
 	}
 	return left
--- a/internal/process/control/executor.go
+++ b/internal/process/control/executor.go
@@ -87,11 +87,11 @@
 	in := e.server.planInput(f, e.sights, e.platform, now)
 	e.server.snapshot.Store(&in)
 	gate := plan.NewGate(&in)
+	noteMetrics(&in, gate)
 	moved := moves.Plan(&in, gate)
 	waved := wave.Plan(&in, gate)
 	e.load = e.load.Observe(&in)
 	e.server.outlook.Store(&outlook{moves: moved.Blocked, waves: waved.Blocked, proposals: moves.Propose(&in, e.load)})
-	noteMetrics(&in, plan.NewGate(&in))
 	if now.Sub(e.reserveAt) >= reserveInterval {
 		e.reserveAt = now
 		noteReserve(capacity.Plan(&in))
--- a/internal/process/control/executor_input.go
+++ b/internal/process/control/executor_input.go
@@ -1,12 +1,15 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/message"
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/version/plan"
+	"arbutusward.example/arbutusward/internal/version/view"
 )
 
 const (
@@ -53,21 +56,24 @@
 		desired[vm.Name] = vm.Pool
 	}
 	live := liveTargets(reports)
-	for _, owned := range f.VMs {
-		vm := plan.VM{VM: owned.VM, Desired: desired[owned.Name], SinceMS: owned.SinceMS}
-		liveSince, missingSince := seen.note(vm.Name, live[vm.Name], now)
-		vm.Health = health(live[vm.Name], in.Zones[vm.Zone], missingSince, now)
+	in.VMs = make([]plan.VM, 0, len(f.VMs))
+	for _, name := range slices.Sorted(maps.Keys(f.VMs)) {
+		owned := f.VMs[name]
+		vm := plan.VM{VM: owned.VM, Desired: desired[name], SinceMS: owned.SinceMS}
+		liveSince, missingSince := seen.note(name, live[name], now)
+		vm.Health = health(live[name], in.Zones[vm.Zone], missingSince, now)
 		if !liveSince.IsZero() {
 			vm.LiveSinceMS = liveSince.UnixMilli()
 		}
-		vm.Unconfirmed = append(unconfirmed(f, owned, reports), s.tasksLeft(owned)...)
-		vm.Drained = len(vm.Unconfirmed) == 0
+		if vm.Phase == view.Draining {
+			vm.Unconfirmed = append(unconfirmed(f, owned, reports), s.tasksLeft(name)...)
+			vm.Drained = len(vm.Unconfirmed) == 0
+		}
 		if calls != nil {
-			vm.Platform = calls.sight(vm.Name)
+			vm.Platform = calls.sight(name)
 		}
 		in.VMs = append(in.VMs, vm)
 	}
-	sort.Slice(in.VMs, func(i, j int) bool { return in.VMs[i].Name < in.VMs[j].Name })
 	for _, run := range f.Runs {
 		in.Runs = append(in.Runs, run)
 	}
@@ -107,17 +113,19 @@
 // liveTargets returns the VMs that an entry holds for live and none suspects.
 func liveTargets(reports map[string]message.Report) map[string]bool {
 	live := map[string]bool{}
-	doubted := map[string]bool{}
+	var doubted []string
 	for _, report := range reports {
 		for _, target := range report.Targets {
-			live[target.VM] = live[target.VM] || target.Live
-			doubted[target.VM] = doubted[target.VM] || target.Suspected || target.Leaving
+			switch {
+			case target.Suspected || target.Leaving:
+				doubted = append(doubted, target.VM)
+			case target.Live:
+				live[target.VM] = true
+			}
 		}
 	}
-	for vm := range doubted {
-		if doubted[vm] {
-			delete(live, vm)
-		}
+	for _, vm := range doubted {
+		delete(live, vm)
 	}
 	return live
 }
--- a/internal/version/fleet/validate.go
+++ b/internal/version/fleet/validate.go
@@ -45,6 +45,8 @@
 	v.checkServices()
 	v.checkTeams()
 	v.checkWaves()
+	v.checkSpill()
+	v.checkWavePools()
 	if len(v.problems) == 0 {
 		v.checkCapacity()
 	}
