Time line: every answered request, not one in 64

The time line keeps routine events in a ring of their own, so they no longer push out the notable ones, which was the reason for sampling.

--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -17,9 +17,6 @@
 	writeTimeout = 30 * time.Second
 	// largeAnswerBytes is the size from which the sending is bounded.
 	largeAnswerBytes = 64 << 10
-	// sampleEvery is the number of idempotent successes of which one is
-	// kept in the time line.
-	sampleEvery = 64
 	// ownHeaders is the prefix of headers that only the system sets.
 	ownHeaders = "X-Arbutus-"
 )
@@ -53,9 +50,6 @@
 	switch res.Outcome {
 	case Ran:
 		c.service.metrics.seconds.Update((time.Duration(c.definition.DeadlineMS)*time.Millisecond - time.Until(c.deadline)).Seconds())
-		if c.repeatable && h.successes.Add(1)%sampleEvery != 0 {
-			return
-		}
 		event.Kind = timeline.RequestRan
 	case NotRun:
 		countRefusal(res.why)
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -42,8 +42,6 @@
 	batch  BatchAcceptor
 	// bodyBytes counts the bytes of request bodies held.
 	bodyBytes atomic.Int64
-	// successes counts the answers, to sample the time line.
-	successes atomic.Uint64
 }
 
 // routing is a table with the services' lasting state.
