Tests of removal and of waves made sensitive to their mechanisms

A wave over VMs with tasks that are slow to make way loses no job; this test was not seen to fail with the state's refusal taken out. Seen once: TestDocumentThatChangesPoolsMovesAVMWithOneOwner did not get its confirmation within 15 s, beside other suites on the machine; 15 further runs passed, up to three at once. The cause is not known; the test now prints what the drain waits for.

--- a/integration/move_failures_test.go
+++ b/integration/move_failures_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/process/control"
 	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/standin"
 	"arbutusward.example/arbutusward/internal/version/view"
@@ -68,7 +69,9 @@
 	frozen.signal(syscall.SIGCONT)
 	eventually(t, 15*time.Second, "the VM serves its new pool", func() error {
 		if vm := d.vm("booking-a-2"); vm.Pool != "office" || vm.Phase != view.Serving {
-			return fmt.Errorf("%+v", vm)
+			var report control.MoveReport
+			d.call(http.MethodGet, "/v1/moves", nil, &report)
+			return fmt.Errorf("%+v, moves %+v", vm, report)
 		}
 		return nil
 	})
@@ -107,14 +110,30 @@
 		}
 		return nil
 	})
-	lines := strings.Split(movableFleet, "\n")
+	// This entry joins after the load was started, which goes past it.
+	frozen := d.addEntry("entry-a2", "za")
+	d.waitInForce(10 * time.Second)
+	// Its reports have to be heard, or the drain would not begin.
+	time.Sleep(2 * time.Second)
+	frozen.signal(syscall.SIGSTOP)
 	var kept []string
-	for _, line := range lines {
+	for _, line := range strings.Split(movableFleet, "\n") {
 		if !strings.Contains(line, "POOL") {
 			kept = append(kept, line)
 		}
 	}
 	d.apply(strings.Join(kept, "\n"))
+	eventually(t, 5*time.Second, "the VM drains", func() error {
+		if vm := d.vm(dropped); vm.Phase != view.Draining {
+			return fmt.Errorf("%+v", vm)
+		}
+		return nil
+	})
+	time.Sleep(4 * time.Second)
+	if vm := d.vm(dropped); vm.Phase != view.Draining {
+		t.Errorf("%+v while an entry of the zone is frozen", vm)
+	}
+	frozen.signal(syscall.SIGCONT)
 	eventually(t, 15*time.Second, "the VM is gone", func() error {
 		status, err := d.status()
 		if err != nil {
--- a/integration/wave_failures_test.go
+++ b/integration/wave_failures_test.go
@@ -180,11 +180,11 @@
 	d.checkEachRebootedOnce()
 }
 
-// TestWaveLetsTasksSaveTheirWorkFirst runs long jobs on the VMs of a wave.
-// It fails if a VM with a task is rebooted.
-func TestWaveLetsTasksSaveTheirWorkFirst(t *testing.T) {
+// TestWaveStopsTasksBeforeAReboot runs long jobs on the VMs of a wave that
+// are slow to make way. No job may be lost with its VM.
+func TestWaveStopsTasksBeforeAReboot(t *testing.T) {
 	d := newWaveDeployment(t, "za")
-	d.submit(spec("archive-1", "archive", 2, "run=600000"), spec("archive-2", "archive", 2, "run=600000"))
+	d.submit(spec("archive-1", "archive", 2, "run=600000 nocheckpoint=1"), spec("archive-2", "archive", 2, "run=600000 nocheckpoint=1"))
 	d.waitJob("archive-1", jobplan.Running, 10*time.Second)
 	d.call(http.MethodPost, "/v1/waves/kernel/start", nil, nil)
 	d.waitRun(waveLimit, "the wave ends", ended)
