--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// udpOverhead is the size of the IPv4 and UDP headers, in bytes.
+const udpOverhead = 28
+
 // fault is what a relay does to one direction. The zero value passes all.
 type fault struct {
 	// silent drops what arrives and keeps connections open.
@@ -17,7 +20,8 @@
 	// cutAfter ends a TCP connection once this many bytes have passed in
 	// total; 0 means never.
 	cutAfter atomic.Int64
-	passed   atomic.Int64
+	// passed counts the bytes, for UDP with headers.
+	passed atomic.Int64
 }
 
 // relay passes TCP connections or UDP packets to one address and injects
@@ -150,6 +154,7 @@
 			r.mu.Unlock()
 			go r.returnUDP(socket, server, client)
 		}
+		r.toServer.passed.Add(int64(n + udpOverhead))
 		packet := append([]byte{}, buffer[:n]...)
 		delayed(&r.toServer, func() { _, _ = server.Write(packet) })
 	}
@@ -165,6 +170,7 @@
 		if r.toClient.silent.Load() {
 			continue
 		}
+		r.toClient.passed.Add(int64(n + udpOverhead))
 		packet := append([]byte{}, buffer[:n]...)
 		delayed(&r.toClient, func() { _, _ = socket.WriteTo(packet, client) })
 	}
