--- a/integration/entry_leases_test.go
+++ b/integration/entry_leases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -171,3 +172,36 @@
 		}
 	}
 }
+
+// TestSlotsOfAVMAreSharedByTheEntriesOfItsZone loads one VM of 8 slots
+// through two entries, and through the one that is left when the other died.
+func TestSlotsOfAVMAreSharedByTheEntriesOfItsZone(t *testing.T) {
+	const slots = 8
+	d := newDeployment(t)
+	d.addControls("za")
+	first := d.addEntry("entry-a1", "za")
+	second := d.addEntry("entry-a2", "za")
+	target := d.addTargetAt("office-a-1", "office", first.settings.Announce, second.settings.Announce)
+	d.apply(smallFleet)
+	d.waitEntriesServe("/office/1")
+	time.Sleep(time.Second)
+	loadAll := func(entries ...*entryProcess) {
+		var group sync.WaitGroup
+		for _, entry := range entries {
+			for range 3 * slots {
+				group.Go(func() { _, _ = call(http.MethodGet, entry.url()+"/office/load?sleep_ms=200") })
+			}
+		}
+		group.Wait()
+	}
+	loadAll(first, second)
+	if peak := target.Peak(); peak > slots {
+		t.Errorf("%d requests ran at once on %d slots", peak, slots)
+	}
+	first.kill()
+	time.Sleep(noNewWork)
+	loadAll(second)
+	if peak := target.Peak(); peak != slots {
+		t.Errorf("the entry that is left used %d of %d slots", peak, slots)
+	}
+}
--- a/integration/entry_view_test.go
+++ b/integration/entry_view_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"arbutusward.example/arbutusward/internal/process/entry"
 )
 
 // inForceLimit is the time within which a change must be in force in every
@@ -56,7 +58,11 @@
 	relay.setSilent(true)
 	restarted.kill()
 	restarted.start()
+	begun := time.Now()
 	eventually(t, startLimit, "the restarted entry serves by its peer's view", func() error { return serves(restarted) })
+	if held := time.Since(begun); held < entry.StartHoldOff {
+		t.Errorf("it served after %s, while a drain that its earlier run confirmed may still be counted", held)
+	}
 }
 
 // TestRestartedEntryCutOffStartsFromItsDisk restarts the only entry of a
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/request"
 	"arbutusward.example/arbutusward/internal/request/batch"
+	"arbutusward.example/arbutusward/internal/version/fleet"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
@@ -74,7 +76,7 @@
 	server.reporter = &reporter{self: self, incarnation: incarnation, controls: leader, follower: server.follower,
 		targets: server.targets, handler: server.handler, log: log}
 	store := &batchStore{controls: leader, entry: s.ID, incarnation: incarnation}
-	server.batch = batch.NewRunner(store, server.handler, server.service, log)
+	server.batch = batch.NewRunner(store, server.handler, server.service, server.runnable, log)
 	server.callers = server.newHTTP(server.callerRoutes(batch.NewRoutes(store, server.service)))
 	server.announce = server.newHTTP(server.announceRoutes(ring))
 	return server
@@ -93,6 +95,29 @@
 	return batch.Service{IdempotentMethods: found.IdempotentMethods, Deadline: time.Duration(found.DeadlineMS) * time.Millisecond}, declared
 }
 
+// runnable lists the batch services that have live targets here.
+func (s *Server) runnable() []string {
+	current := s.follower.View()
+	if s.follower.Removed() {
+		return nil
+	}
+	now := time.Now()
+	live := map[string]bool{}
+	for name, target := range s.targets.Snapshot().Targets {
+		if vm, known := current.VMs[name]; known && vm.Phase == view.Serving && target.Live(now) {
+			live[vm.Pool] = true
+		}
+	}
+	var services []string
+	for name, service := range current.Services {
+		if service.Class == fleet.Batch && live[service.Pool] {
+			services = append(services, name)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
 func (s *Server) newHTTP(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
--- a/internal/process/state/batch.go
+++ b/internal/process/state/batch.go
@@ -16,16 +16,18 @@
 	maxBatchAnswers = 32 << 20
 	// maxBatchScan bounds the queued requests looked at for one lease.
 	maxBatchScan = 1024
-	// batchBackoffMS is the wait before a request that could not run is
-	// offered again.
-	batchBackoffMS = 1000
+	// A request that could not run is offered again after minBatchBackoffMS,
+	// twice that the next time, and so on up to maxBatchBackoffMS.
+	minBatchBackoffMS = 1000
+	maxBatchBackoffMS = 30_000
 )
 
 // batchTable holds all batch requests within their retention.
 type batchTable struct {
 	Jobs map[string]batch.Job `cbor:"1,keyasint"`
-	// Queue lists the queued requests in order, and some that are not any more.
-	Queue []string `cbor:"2,keyasint"`
+	// Queues lists the queued requests of each service in order, and some
+	// that are not queued any more.
+	Queues map[string][]string `cbor:"2,keyasint"`
 	// Ended lists the ended requests, oldest first.
 	Ended []string `cbor:"3,keyasint"`
 	// ByKey finds a request by its scoped key.
@@ -40,7 +42,7 @@
 }
 
 func newBatchTable() batchTable {
-	return batchTable{Jobs: map[string]batch.Job{}, ByKey: map[string]string{}, Running: map[string]bool{}}
+	return batchTable{Jobs: map[string]batch.Job{}, ByKey: map[string]string{}, Running: map[string]bool{}, Queues: map[string][]string{}}
 }
 
 // applyAcceptBatch stores a batch request. The same ID, or the same key
@@ -70,7 +72,7 @@
 		t.ByKey[request.Key] = request.ID
 	}
 	t.BodyBytes += len(request.Body)
-	t.enqueue(request.ID)
+	t.enqueue(request.Service, request.ID)
 	return okResult(request.ID)
 }
 
@@ -94,8 +96,8 @@
 	return m.data.Claims.expired(ClaimCommand{Key: request.Key, KeyTimeMS: request.KeyTimeMS}, now)
 }
 
-func (t *batchTable) enqueue(id string) {
-	t.Queue = append(t.Queue, id)
+func (t *batchTable) enqueue(service, id string) {
+	t.Queues[service] = append(t.Queues[service], id)
 	t.Queued++
 }
 
@@ -173,9 +175,10 @@
 	}
 	delete(m.data.Batch.Running, job.ID)
 	job.State, job.Reason = batch.Queued, reason
-	job.NotBeforeMS = now + batchBackoffMS
+	job.Deferred++
+	job.NotBeforeMS = now + min(int64(minBatchBackoffMS)<<min(job.Deferred-1, 10), maxBatchBackoffMS)
 	m.data.Batch.Jobs[job.ID] = job
-	m.data.Batch.enqueue(job.ID)
+	m.data.Batch.enqueue(job.Service, job.ID)
 }
 
 // loseBatch ends an attempt that may have begun and whose entry is gone.
--- a/internal/process/state/batchlease.go
+++ b/internal/process/state/batchlease.go
@@ -62,27 +62,48 @@
 	return answer
 }
 
-// grantBatch leases queued requests to the entry, oldest first.
+// grantBatch leases queued requests to the entry, one of each service in
+// turn, the oldest first.
 func (m *Machine) grantBatch(pull batch.Pull, now int64, answer *batch.Leases) {
 	t := &m.data.Batch
-	if t.Queued == 0 {
-		t.Queue = nil
-		return
+	services := slices.Clone(pull.Services)
+	for len(services) > 0 && len(answer.Jobs) < pull.Max {
+		services = slices.DeleteFunc(services, func(service string) bool {
+			if len(answer.Jobs) >= pull.Max {
+				return true
+			}
+			job, found := t.next(service, now)
+			if found {
+				answer.Jobs = append(answer.Jobs, t.lease(job, pull, now))
+			}
+			return !found
+		})
 	}
+}
+
+// next takes the first request of a service's queue that can be leased. The
+// requests passed over go to the end of the queue.
+func (t *batchTable) next(service string, now int64) (batch.Job, bool) {
+	queue := t.Queues[service]
 	var waiting []string
-	scanned := 0
-	for ; scanned < len(t.Queue) && scanned < maxBatchScan && len(answer.Jobs) < pull.Max; scanned++ {
-		job := t.Jobs[t.Queue[scanned]]
+	defer func() {
+		t.Queues[service] = append(queue, waiting...)
+		if len(t.Queues[service]) == 0 {
+			delete(t.Queues, service)
+		}
+	}()
+	for range min(len(queue), maxBatchScan) {
+		job := t.Jobs[queue[0]]
+		queue = queue[1:]
 		if job.State != batch.Queued {
 			continue
 		}
-		if job.NotBeforeMS > now {
-			waiting = append(waiting, job.ID)
-			continue
+		if job.NotBeforeMS <= now {
+			return job, true
 		}
-		answer.Jobs = append(answer.Jobs, t.lease(job, pull, now))
+		waiting = append(waiting, job.ID)
 	}
-	t.Queue = append(slices.Clone(t.Queue[scanned:]), waiting...)
+	return batch.Job{}, false
 }
 
 func (t *batchTable) lease(job batch.Job, pull batch.Pull, now int64) batch.Job {
@@ -186,7 +207,7 @@
 func (m *Machine) BatchWork(pull batch.Pull, nowMS int64) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if pull.Max > 0 && m.data.Batch.due(nowMS) {
+	if pull.Max > 0 && m.data.Batch.due(pull.Services, nowMS) {
 		return true
 	}
 	for id := range m.data.Batch.Running {
@@ -200,15 +221,15 @@
 	return false
 }
 
-// due says that a queued request can be leased.
-func (t *batchTable) due(nowMS int64) bool {
-	if t.Queued == 0 {
-		return false
-	}
-	for _, id := range t.Queue[:min(len(t.Queue), maxBatchScan)] {
-		if job := t.Jobs[id]; job.State == batch.Queued && job.NotBeforeMS <= nowMS {
-			return true
+// due says that a queued request of one of the services can be leased.
+func (t *batchTable) due(services []string, nowMS int64) bool {
+	for _, service := range services {
+		queue := t.Queues[service]
+		for _, id := range queue[:min(len(queue), maxBatchScan)] {
+			if job := t.Jobs[id]; job.State == batch.Queued && job.NotBeforeMS <= nowMS {
+				return true
+			}
 		}
 	}
-	return len(t.Queue) > maxBatchScan
+	return false
 }
--- a/internal/request/batch/routes.go
+++ b/internal/request/batch/routes.go
@@ -47,7 +47,8 @@
 	Accept(ctx context.Context, r Request) (string, error)
 	Get(ctx context.Context, id string) (Job, error)
 	Cancel(ctx context.Context, ids []string) (States, error)
-	Pull(ctx context.Context, held []Hold, limit int) (Leases, error)
+	// Pull asks for at most limit requests of the services.
+	Pull(ctx context.Context, held []Hold, limit int, services []string) (Leases, error)
 	Finish(ctx context.Context, end End) error
 }
 
--- a/internal/request/batch/runner.go
+++ b/internal/request/batch/runner.go
@@ -22,6 +22,13 @@
 	// leaseMargin is how long before the end of its lease an idempotent
 	// request is given up, since another entry may take it over then.
 	leaseMargin = time.Second
+	// renewInterval is the time between renewals while no more can be taken.
+	renewInterval = time.Second
+	// gatherTime is the time for which ends are gathered before a pull.
+	gatherTime = 20 * time.Millisecond
+	// restTime is the time for which no requests of a service are pulled
+	// after one could not be run here.
+	restTime = time.Second
 )
 
 // Dispatcher runs one request on a target.
@@ -34,10 +41,16 @@
 	store    Store
 	dispatch Dispatcher
 	lookup   Lookup
+	// runnable lists the services that can be run here now.
+	runnable func() []string
 	log      *slog.Logger
 
 	mu   sync.Mutex
 	runs map[string]*run
+	// resting holds until when a service is not pulled.
+	resting map[string]time.Time
+	// freed is signalled when a run has ended.
+	freed chan struct{}
 	// stopping is closed by Stop; stopped once nothing runs any more.
 	stopping, stopped chan struct{}
 }
@@ -51,9 +64,9 @@
 }
 
 // NewRunner returns a runner; Run makes it work.
-func NewRunner(store Store, dispatch Dispatcher, lookup Lookup, log *slog.Logger) *Runner {
-	return &Runner{store: store, dispatch: dispatch, lookup: lookup, log: log, runs: map[string]*run{},
-		stopping: make(chan struct{}), stopped: make(chan struct{})}
+func NewRunner(store Store, dispatch Dispatcher, lookup Lookup, runnable func() []string, log *slog.Logger) *Runner {
+	return &Runner{store: store, dispatch: dispatch, lookup: lookup, runnable: runnable, log: log, runs: map[string]*run{},
+		resting: map[string]time.Time{}, freed: make(chan struct{}, 1), stopping: make(chan struct{}), stopped: make(chan struct{})}
 }
 
 // Run pulls and runs batch requests until Stop, and then until those that
@@ -62,14 +75,23 @@
 	defer close(r.stopped)
 	for ctx.Err() == nil {
 		held := r.held()
-		limit := maxRuns - len(held)
+		services := r.services()
 		if r.isStopping() {
 			if len(held) == 0 {
 				return
 			}
+			services = nil
+		}
+		limit := maxRuns - len(held)
+		if len(services) == 0 || limit == 0 {
 			limit = 0
+			r.awaitEnd(ctx)
+			held = r.held()
 		}
-		if err := r.pull(ctx, held, limit); err != nil && ctx.Err() == nil {
+		if limit == 0 && len(held) == 0 {
+			continue
+		}
+		if err := r.pull(ctx, held, limit, services); err != nil && ctx.Err() == nil {
 			r.log.Warn("pull of batch requests failed", logging.Err(err))
 			r.pause(ctx)
 		}
@@ -77,6 +99,31 @@
 	}
 }
 
+// awaitEnd returns shortly after a run has ended, or when the leases need a
+// renewal.
+func (r *Runner) awaitEnd(ctx context.Context) {
+	select {
+	case <-r.freed:
+		time.Sleep(gatherTime)
+	case <-time.After(renewInterval):
+	case <-ctx.Done():
+	}
+}
+
+// services lists the services that may be pulled now.
+func (r *Runner) services() []string {
+	now := time.Now()
+	var services []string
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, service := range r.runnable() {
+		if now.After(r.resting[service]) {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
 // Stop takes no new requests and waits for those that run.
 func (r *Runner) Stop(ctx context.Context) error {
 	close(r.stopping)
@@ -114,11 +161,11 @@
 	return held
 }
 
-func (r *Runner) pull(ctx context.Context, held []Hold, limit int) error {
+func (r *Runner) pull(ctx context.Context, held []Hold, limit int, services []string) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	askedAt := time.Now()
-	leases, err := r.store.Pull(ctx, held, limit)
+	leases, err := r.store.Pull(ctx, held, limit, services)
 	if err != nil {
 		return err
 	}
@@ -205,10 +252,18 @@
 		end.Answer = keptAnswer(&claim.Answer{Status: result.Answer.Status, Header: result.Answer.Header, Body: result.Answer.Body})
 	case result.Outcome == request.NotRun:
 		end.NotRun = true
+		r.rest(job.Service)
 	}
 	return end
 }
 
+// rest keeps a service from being pulled for a while.
+func (r *Runner) rest(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resting[service] = time.Now().Add(restTime)
+}
+
 // keptAnswer drops an answer that the store would not keep.
 func keptAnswer(answer *claim.Answer) *claim.Answer {
 	if answer.Size() > MaxBodyBytes {
@@ -235,4 +290,8 @@
 	r.mu.Lock()
 	delete(r.runs, end.ID)
 	r.mu.Unlock()
+	select {
+	case r.freed <- struct{}{}:
+	default:
+	}
 }
--- a/internal/request/batch/types.go
+++ b/internal/request/batch/types.go
@@ -78,6 +78,8 @@
 	Answer      *claim.Answer `cbor:"31,keyasint,omitempty"`
 	// Lost counts the attempts that may have begun and gave no answer.
 	Lost int `cbor:"32,keyasint,omitempty"`
+	// Deferred counts the attempts that sent nothing.
+	Deferred int `cbor:"33,keyasint,omitempty"`
 }
 
 // Hold names one lease.
@@ -92,8 +94,10 @@
 	Incarnation string `cbor:"2,keyasint"`
 	// Held lists the leases whose end is not acknowledged yet.
 	Held []Hold `cbor:"3,keyasint,omitempty"`
-	// Max is the number of new requests that the entry can take.
-	Max int `cbor:"4,keyasint"`
+	// Max is the number of new requests that the entry can take, of
+	// Services only: those for which it has live targets.
+	Max      int      `cbor:"4,keyasint"`
+	Services []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Holds says whether the pull names a lease of the request.
