--- a/internal/process/state/machine.go
+++ b/internal/process/state/machine.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"sync"
@@ -11,6 +12,10 @@
 	"arbutusward.example/arbutusward/internal/version/fleet"
 )
 
+// snapshotSlack is the inverse of the growth that is expected between two
+// snapshots.
+const snapshotSlack = 8
+
 // Machine is the replicated state machine. Apply, Snapshot and Restore are
 // called by one goroutine; the other methods are safe for concurrent use.
 type Machine struct {
@@ -22,6 +27,8 @@
 	data data
 
 	published atomic.Pointer[Fleet]
+	// snapshotBytes is the size that the next snapshot is expected to have.
+	snapshotBytes atomic.Int64
 	// changed is closed and replaced whenever a new Fleet is published.
 	changed atomic.Pointer[chan struct{}]
 }
@@ -75,11 +82,21 @@
 	return apply(m, position{index: index, atMS: command.AtMS}, command.Body)
 }
 
-// Snapshot encodes the whole state.
+// Snapshot encodes the whole state into one buffer of the size that the
+// last one had, so that a large state is not copied while it grows.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return cbor.Marshal(m.data)
+	encoder, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		return nil, fmt.Errorf("make encoder: %w", err)
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, m.snapshotBytes.Load()))
+	if err := encoder.MarshalToBuffer(m.data, buffer); err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	m.snapshotBytes.Store(int64(buffer.Len() + buffer.Len()/snapshotSlack))
+	return buffer.Bytes(), nil
 }
 
 // Restore replaces the whole state.
