--- a/integration/claim_cost_test.go
+++ b/integration/claim_cost_test.go
@@ -17,7 +17,7 @@
 	d.apply(smallFleet)
 	d.waitServed(entry.url() + "/booking/1")
 	const requests = 200
-	measure := func(what string, send func(i int) (reply, error)) {
+	measure := func(what string, send func(i int) (callReply, error)) {
 		var times []time.Duration
 		for i := range requests {
 			begun := time.Now()
@@ -31,7 +31,7 @@
 		slices.Sort(times)
 		t.Logf("%s: median %s, 99%% %s", what, times[requests/2], times[requests*99/100])
 	}
-	measure("without a key", func(i int) (reply, error) { return call("POST", entry.url()+"/booking/1") })
-	measure("with a key", func(i int) (reply, error) { return keyed(entry, fmt.Sprint("cost", i), "1", "") })
-	measure("repeat of a key", func(i int) (reply, error) { return keyed(entry, fmt.Sprint("cost", i), "2", "") })
+	measure("without a key", func(i int) (callReply, error) { return call("POST", entry.url()+"/booking/1") })
+	measure("with a key", func(i int) (callReply, error) { return keyed(entry, fmt.Sprint("cost", i), "1", "") })
+	measure("repeat of a key", func(i int) (callReply, error) { return keyed(entry, fmt.Sprint("cost", i), "2", "") })
 }
--- a/integration/entry_cost_test.go
+++ b/integration/entry_cost_test.go
@@ -10,7 +10,7 @@
 const controlBudget = 15_000
 
 // TestBytesBetweenEntryAndControl counts the bytes of watches, reports and
-// pulls at rest and under load.
+// pulls at rest and under load, without the headers of IP and UDP.
 func TestBytesBetweenEntryAndControl(t *testing.T) {
 	d := newDeployment(t)
 	d.addControls("za")
--- a/integration/entry_view_test.go
+++ b/integration/entry_view_test.go
@@ -151,3 +151,30 @@
 	}
 	return nil
 }
+
+// TestRestartedEntryIsNotRevertedByALaggingControl restarts an entry
+// without a disk. All the control it reaches has not seen the change that
+// its zone peer works by.
+func TestRestartedEntryIsNotRevertedByALaggingControl(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za", "za", "zb")
+	restarted := d.addEntry("entry-a1", "za")
+	d.addEntry("entry-a2", "za")
+	d.addSmallTargets()
+	d.apply(smallFleet)
+	d.waitInForce(5 * time.Second)
+	d.controls["control-1"].kill()
+	d.apply(replaceOnce(t, smallFleet, `"/booking/"`, `"/slots/"`))
+	d.waitEntriesServe("/slots/1")
+	d.controls["control-2"].kill()
+	d.controls["control-3"].kill()
+	d.controls["control-1"].start()
+	restarted.kill()
+	restarted.start()
+	for until := time.Now().Add(startLimit); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if serves(restarted) == nil {
+			t.Fatal("the entry serves by an older version than its zone peer")
+		}
+	}
+	d.waitServed(restarted.url() + "/slots/1")
+}
--- a/internal/process/control/documents.go
+++ b/internal/process/control/documents.go
@@ -14,11 +14,10 @@
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/process/timeline"
-	"arbutusward.example/arbutusward/internal/version/fleet"
 )
 
-// versionHeader names the version of a document that is sent.
-const versionHeader = "X-Arbutus-Version"
+// VersionHeader names the version of a document that is sent.
+const VersionHeader = "X-Arbutus-Version"
 
 func (s *Server) registerDocuments() {
 	engine := s.admin.Engine
@@ -48,7 +47,7 @@
 		c.JSON(http.StatusRequestEntityTooLarge, SubmitRefusal{Fault: adminhttp.Fault{Code: "too_large", Message: err.Error()}})
 		return
 	}
-	if _, err := fleet.Parse(c.DefaultQuery("file", "document"), text); err != nil {
+	if _, err := s.machine.Validate(c.DefaultQuery("file", "document"), text); err != nil {
 		s.refuseDocument(c, err)
 		return
 	}
@@ -99,12 +98,18 @@
 	}
 }
 
+// getDocument answers with the newest accepted document; only a confirmed
+// leader knows it.
 func (s *Server) getDocument(c *gin.Context) {
+	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
+		failProposal(c, err)
+		return
+	}
 	f := s.machine.Fleet()
 	if f.Version == 0 {
 		c.JSON(http.StatusNotFound, adminhttp.Fault{Code: "no_document", Message: "no document was accepted yet"})
 		return
 	}
-	c.Header(versionHeader, strconv.FormatUint(f.Version, 10))
+	c.Header(VersionHeader, strconv.FormatUint(f.Version, 10))
 	c.Data(http.StatusOK, "application/json", f.Text)
 }
--- a/internal/process/settings/types.go
+++ b/internal/process/settings/types.go
@@ -77,6 +77,22 @@
 	// SessionMinutes is the time after which an idle session ends, in
 	// minutes; default 30.
 	SessionMinutes int `json:"session_minutes" validate:"min=0,max=1440"`
+	// SampleToken is a file with a viewer token by which capacity is
+	// sampled; "" samples only while somebody is signed in, by their token.
+	SampleToken string `json:"sample_token"`
+	// SampleSeconds is the time between samples, in seconds; default 10.
+	SampleSeconds int `json:"sample_seconds" validate:"min=0,max=3600"`
+}
+
+// CLI is the settings file of arbutusctl. Flags and environment variables
+// go before it. Relative paths start at the folder of the file.
+type CLI struct {
+	// Control lists the operator addresses of the control processes.
+	Control []string `json:"control" validate:"dive,hostname_port"`
+	// CA is the folder with ca.pem.
+	CA string `json:"ca"`
+	// Token is the file with the operator's token.
+	Token string `json:"token"`
 }
 
 // jsonName names a field as the settings file does.
--- a/internal/process/state/command.go
+++ b/internal/process/state/command.go
@@ -14,6 +14,10 @@
 	SubmitDocument Kind = "submit-document"
 	RegisterEntry  Kind = "register-entry"
 	RemoveEntry    Kind = "remove-entry"
+	SubmitJobs     Kind = "submit-jobs"
+	StepJobs       Kind = "step-jobs"
+	ReportTasks    Kind = "report-tasks"
+	CancelJobs     Kind = "cancel-jobs"
 	StepMove       Kind = "step-move"
 	StartWave      Kind = "start-wave"
 	ControlWave    Kind = "control-wave"
@@ -41,6 +45,10 @@
 		SubmitDocument: typed(applySubmit),
 		RegisterEntry:  typed(applyRegisterEntry),
 		RemoveEntry:    typed(applyRemoveEntry),
+		SubmitJobs:     typed(applySubmitJobs),
+		StepJobs:       typed(applyStepJobs),
+		ReportTasks:    typed(applyReportTasks),
+		CancelJobs:     typed(applyCancelJobs),
 		StepMove:       typed(applyStepMove),
 		StartWave:      typed(applyStartWave),
 		ControlWave:    typed(applyControlWave),
