--- a/internal/process/entry/claimer.go
+++ b/internal/process/entry/claimer.go
@@ -12,6 +12,7 @@
 	"arbutusward.example/arbutusward/internal/connection/message"
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/state"
+	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/request/claim"
 )
 
@@ -32,13 +33,14 @@
 	controls    *controls
 	entry       string
 	incarnation string
+	recorder    *timeline.Recorder
 	log         *slog.Logger
 	// lateEnds holds a place for each claim ended in the background.
 	lateEnds chan struct{}
 }
 
-func newClaimer(c *controls, entry, incarnation string, log *slog.Logger) *Claimer {
-	return &Claimer{controls: c, entry: entry, incarnation: incarnation, log: log, lateEnds: make(chan struct{}, maxLateEnds)}
+func newClaimer(c *controls, entry, incarnation string, recorder *timeline.Recorder, log *slog.Logger) *Claimer {
+	return &Claimer{controls: c, entry: entry, incarnation: incarnation, recorder: recorder, log: log, lateEnds: make(chan struct{}, maxLateEnds)}
 }
 
 // Claim claims the key for a new attempt. A claim whose answer is lost for
@@ -53,6 +55,7 @@
 	}
 	end := state.ClaimEnd{Key: command.Key, Attempt: command.Attempt}
 	answer, err := callLeader[state.ClaimCommand, state.ClaimAnswer](ctx, c.controls, message.ClaimKind, command)
+	countClaim(answer.State)
 	if err != nil {
 		c.endLater(message.ReleaseClaimKind, end)
 		return claim.Decision{}, err
@@ -60,6 +63,7 @@
 	decision := claim.Decision{State: answer.State, Answer: answer.Answer, Reason: answer.Reason}
 	if answer.State == claim.Granted {
 		decision.Token = end.Key + " " + end.Attempt
+		c.recorder.Record(timeline.Event{Kind: timeline.ClaimGranted, Request: r.RequestID, Service: r.Service})
 	}
 	return decision, nil
 }
--- a/internal/process/entry/follower.go
+++ b/internal/process/entry/follower.go
@@ -93,6 +93,7 @@
 		if err := f.watchOnce(ctx); err != nil && ctx.Err() == nil {
 			f.log.Warn("watch failed", logging.Err(err))
 			f.failedAt = time.Now()
+			watchesFailed.Inc()
 			f.at = (f.at + 1) % len(f.controls.addresses)
 			pause(ctx, retryPause)
 		} else if leader, known := f.controls.leaderSince(f.failedAt); known {
@@ -149,6 +150,7 @@
 		return
 	}
 	f.current.Store(f.newest)
+	revisionGauge.Set(float64(f.newest.Revision))
 	if _, listed := f.newest.Entries[f.self.ID]; listed {
 		f.registered.Store(true)
 	}
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -115,6 +115,7 @@
 		return err
 	}
 	if !p.table.ApplyPeer(peer.ID, askedAt, answer.Changes) {
+		leaseMismatches.Inc()
 		p.log.Warn("leases of a zone peer do not fit its digest", "peer", peer.ID)
 	}
 	p.hear(peer, answer.Revision)
--- a/internal/process/entry/reporter.go
+++ b/internal/process/entry/reporter.go
@@ -97,6 +97,7 @@
 		// What the leader knows now is open.
 		r.full = true
 		r.drained = nil
+		reportsFailed.Inc()
 		r.log.Warn("report failed", logging.Err(err))
 		return
 	}
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -71,7 +71,7 @@
 	server.follower = newFollower(self, leader, viewFile{dir: s.DataDir}, recorder, log, server.markDirty)
 	server.targets = announce.NewTable(recorder, server.knowsVM, server.markDirty)
 	server.peers = newPeers(self, node, server.targets, server.follower, log, server.run)
-	server.handler = request.NewHandler(targetconn.NewClient(), newClaimer(leader, s.ID, incarnation, log), recorder, log)
+	server.handler = request.NewHandler(targetconn.NewClient(), newClaimer(leader, s.ID, incarnation, recorder, log), recorder, log)
 	server.handler.SetLeases(server.targets)
 	server.reporter = &reporter{self: self, incarnation: incarnation, controls: leader, follower: server.follower,
 		targets: server.targets, handler: server.handler, log: log}
@@ -187,6 +187,7 @@
 			s.targets.Expire(now)
 			if live := 1 + s.targets.LivePeers(now); live != liveEntries {
 				liveEntries = live
+				livePeersGauge.Set(float64(live - 1))
 				s.rebuild(ctx, liveEntries)
 			}
 		case <-s.dirty:
