--- a/integration/entry_stop_test.go
+++ b/integration/entry_stop_test.go
@@ -13,7 +13,8 @@
 // an entry while callers send POSTs, which a client never repeats by
 // itself, over connections that they keep, with more at once than the
 // slots of the targets, so that some wait in the queue. A caller leaves the
-// entry once it is not ready, as the balancer does.
+// entry while it is not ready, as the balancer does; its last request still
+// runs when the port closes.
 func TestPlannedStopOfAnEntryCutsNoKeptAliveConnectionNorQueuedRequest(t *testing.T) {
 	d := newDeployment(t)
 	d.addControls("za")
@@ -33,7 +34,7 @@
 		group.Go(func() {
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 20 * time.Second}
 			for i := 0; !stopping.Load(); i++ {
-				if err := post(client, fmt.Sprintf("%s/office/%d-%d?sleep_ms=150", entry.url(), caller, i)); err != nil {
+				if err := post(client, fmt.Sprintf("%s/office/%d-%d?sleep_ms=600", entry.url(), caller, i)); err != nil {
 					t.Error(err)
 				}
 				answered.Add(1)
