Report: an ordered reboot is a lower margin, not an interruption

Cause: in a maintenance wave each VM's target falls silent on purpose, which the report listed as a lost target; and a VM that settles after its reboot was recorded as back, while the planner does not count it yet.

Change: the report follows what control has ordered and leaves silent targets of such VMs out of the interruptions; they count in the margin with the order as the cause. New event vm-settling.

Checked: TestReportShowsAWaveAsLowerMarginsAndNotAsInterruptions runs a whole wave over eight VMs with the real programs.

--- /dev/null
+++ b/integration/report_wave_test.go
@@ -0,0 +1,70 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/adminclient"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/report"
+)
+
+// waveLimit bounds the wave over the eight VMs of smallFleet.
+const waveLimit = 90 * time.Second
+
+// TestReportShowsAWaveAsLowerMarginsAndNotAsInterruptions runs a whole
+// maintenance wave. Each VM falls silent on purpose; the report must show
+// that capacity was lower with the wave as the cause, that every promise
+// was kept, and no interruption.
+func TestReportShowsAWaveAsLowerMarginsAndNotAsInterruptions(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za")
+	first := d.addEntry("entry-a1", "za")
+	second := d.addEntry("entry-b1", "zb")
+	d.addSmallTargets()
+	d.apply(smallFleet)
+	d.waitInForce(waitConsole)
+	d.waitServed(first.url() + "/booking/1")
+	d.waitServed(second.url() + "/booking/1")
+	from := time.Now().UTC().Format(time.RFC3339Nano)
+	b := d.signIn(d.addConsole(), keys.Operator)
+	d.ctl(keys.Operator, "wave", "start", "kernel").expect(t, 0)
+	b.get("/waves").expect(t, http.StatusOK, "kernel: running", "VMs by step")
+	eventually(t, waveLimit, "the wave is over", func() error { return waveOver(d.client) })
+
+	result := d.ctl(keys.Viewer, "report", "--from", from, "-o", "json")
+	result.expect(t, 0)
+	var built report.Report
+	must(t, json.Unmarshal([]byte(result.stdout), &built))
+	if len(built.Interruptions) > 0 {
+		t.Errorf("interruptions %+v", built.Interruptions)
+	}
+	for _, pool := range built.Pools {
+		full := pool.Capacity[0].Value
+		lowest := float64(pool.Lowest + pool.Promised)
+		if lowest >= full || pool.Lowest < 0 || len(pool.Causes) == 0 || !strings.Contains(strings.Join(pool.Causes, " "), "vm-") {
+			t.Errorf("pool %s: lowest margin %d of %g slots, causes %v", pool.Pool, pool.Lowest, full, pool.Causes)
+		}
+	}
+}
+
+// waveOver is an error until the newest run is done.
+func waveOver(client *adminclient.Client) error {
+	waves, err := client.Waves(context.Background())
+	if err != nil {
+		return err
+	}
+	if len(waves.Runs) == 0 {
+		return errors.New("no run")
+	}
+	if run := waves.Runs[0]; run.EndedMS == 0 {
+		return fmt.Errorf("run %s is %s: %v %v", run.ID, run.Status, run.Count, run.Blocked)
+	}
+	return nil
+}
--- a/internal/process/control/executor_events.go
+++ b/internal/process/control/executor_events.go
@@ -13,7 +13,7 @@
 	plan.Pending:   timeline.VMBack,
 	plan.Draining:  timeline.VMDraining,
 	plan.Rebooting: timeline.VMRebooting,
-	plan.Settling:  timeline.VMBack,
+	plan.Settling:  timeline.VMSettling,
 	plan.Done:      timeline.VMBack,
 	plan.Lost:      timeline.VMLost,
 }
--- a/internal/process/timeline/timeline.go
+++ b/internal/process/timeline/timeline.go
@@ -51,6 +51,7 @@
 	VMDraining        Kind = "vm-draining"
 	VMDrained         Kind = "vm-drained"
 	VMRebooting       Kind = "vm-rebooting"
+	VMSettling        Kind = "vm-settling"
 	VMBack            Kind = "vm-back"
 	VMLost            Kind = "vm-lost"
 	JobAccepted       Kind = "job-accepted"
--- a/internal/report/interruptions.go
+++ b/internal/report/interruptions.go
@@ -54,7 +54,7 @@
 
 // findInterruptions pairs beginnings with ends and keeps what overlaps the span.
 func findInterruptions(events []timeline.Event, from, to time.Time) []Interruption {
-	t := &tracker{open: map[openKey]int{}}
+	t := &tracker{open: map[openKey]int{}, ordered: map[string]bool{}}
 	for _, event := range events {
 		if event.Time().Before(to) {
 			t.note(event)
@@ -81,6 +81,9 @@
 	open map[openKey]int
 	// leader is the process that was last elected.
 	leader string
+	// ordered holds the VMs that control took out on purpose. That their
+	// targets fall silent is no interruption.
+	ordered map[string]bool
 }
 
 func (t *tracker) note(event timeline.Event) {
@@ -88,11 +91,23 @@
 	if event.Kind == timeline.LeaderElected {
 		t.noteElection(event)
 	}
-	if begins, is := rules[event.Kind]; is {
+	t.noteOrder(event)
+	begins, is := rules[event.Kind]
+	planned := effects[event.Kind].layer == targetLayer && t.ordered[event.VM]
+	if is && !planned {
 		t.begin(event, begins)
 	}
 }
 
+// noteOrder follows which VMs control has taken out on purpose.
+func (t *tracker) noteOrder(event timeline.Event) {
+	effect, is := effects[event.Kind]
+	if !is || effect.layer != orderLayer || event.VM == "" {
+		return
+	}
+	t.ordered[event.VM] = effect.out && event.Kind != timeline.VMLost
+}
+
 func (t *tracker) begin(event timeline.Event, begins rule) {
 	key := openKey{event.Kind, begins.subject(event)}
 	if place, known := t.open[key]; known {
--- a/internal/report/margin.go
+++ b/internal/report/margin.go
@@ -57,6 +57,7 @@
 	timeline.VMDraining:     {orderLayer, true},
 	timeline.VMDrained:      {orderLayer, true},
 	timeline.VMRebooting:    {orderLayer, true},
+	timeline.VMSettling:     {orderLayer, true},
 	timeline.VMLost:         {orderLayer, true},
 	timeline.MoveStarted:    {orderLayer, true},
 	timeline.VMBack:         {orderLayer, false},
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -60,6 +60,9 @@
 		at(3, "e1", timeline.Event{Kind: timeline.TargetJoined, VM: "v1"}),
 		at(9, "c", timeline.Event{Kind: timeline.VMBack, VM: "v1"}),
 	))
+	if len(r.Interruptions) > 0 {
+		t.Errorf("an ordered reboot is no interruption: %+v", r.Interruptions)
+	}
 	capacity := r.Pools[0].Capacity
 	if len(capacity) != 3 || capacity[1].Value != 8 || !capacity[2].At.Equal(start.Add(9*time.Second)) {
 		t.Errorf("capacity %+v", capacity)
