Command line: conventions on every command; console pages on plan data

Cause: looked at with the planners merged: the page of waves listed each waiting VM on a row of its own, a promise that is not met showed only in the plot, apply gave up at once while a leader was elected, and some commands ended with code 1 on a bad command line.

The wave test reboots for longer than a target's lease.

Checked: TestEveryCommandHasAnExampleOfItsOwn, TestCLIExitCodeOfEachCase, TestReportShowsAWaveAsLowerMarginsAndNotAsInterruptions.

--- a/cmd/arbutusctl/apply.go
+++ b/cmd/arbutusctl/apply.go
@@ -94,8 +94,19 @@
 	if pending.Digest != "" {
 		fmt.Fprintf(os.Stderr, "note: earlier content of this file, sent on base %d, never got an answer\n", pending.Base)
 	}
-	status, err := client.Status(ctx)
-	return status.Accepted, err
+	return newestVersion(ctx, client, time.Now().Add(c.Duration("resend-for")))
+}
+
+// newestVersion asks for the newest accepted version until the deadline;
+// while a leader is elected nobody can tell.
+func newestVersion(ctx context.Context, client *adminclient.Client, deadline time.Time) (uint64, error) {
+	for {
+		status, err := client.Status(ctx)
+		if err == nil || !noAnswer(err) || time.Now().Add(resendPause).After(deadline) {
+			return status.Accepted, err
+		}
+		time.Sleep(resendPause)
+	}
 }
 
 // submit sends a submission until it has an answer or the time is up.
--- a/cmd/arbutusctl/entry.go
+++ b/cmd/arbutusctl/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -35,7 +34,7 @@
 	id := c.Args().First()
 	order := control.EntryRemovalOrder{Attestation: c.String("attest"), PowerOffVM: c.String("power-off")}
 	if id == "" || (order.Attestation == "") == (order.PowerOffVM == "") {
-		return errors.New("expected the entry's ID and one of --attest and --power-off")
+		return badInput("expected the entry's ID and one of --attest and --power-off, flags before the ID")
 	}
 	client, err := connect(c)
 	if err != nil {
--- a/cmd/arbutusctl/main.go
+++ b/cmd/arbutusctl/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -25,7 +26,7 @@
 		}
 	}()
 	root := rootCommand()
-	conform(root)
+	conform(root, "")
 	err := root.Run(context.Background(), args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "arbutusctl:", err)
@@ -74,12 +75,15 @@
 
 // conform gives a command and those below it the common conventions:
 // faults of the command line are bad input, and a group without a
-// subcommand shows its help.
-func conform(command *cli.Command) {
+// subcommand shows its help. The path names the command below the root.
+func conform(command *cli.Command, path string) {
 	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &inputError{err} }
 	if len(command.Commands) > 0 && command.Action == nil {
 		command.Action = showGroup
 	}
+	if example, known := examples[path]; known && command.Description == "" {
+		command.Description = "Example:\n  arbutusctl " + example
+	}
 	check := command.Action
 	if check != nil {
 		command.Action = func(ctx context.Context, c *cli.Command) error {
@@ -90,7 +94,7 @@
 		}
 	}
 	for _, sub := range command.Commands {
-		conform(sub)
+		conform(sub, strings.TrimSpace(path+" "+sub.Name))
 	}
 }
 
--- a/cmd/arbutusctl/move.go
+++ b/cmd/arbutusctl/move.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -27,7 +26,7 @@
 			case 2:
 				return startMove(ctx, c)
 			}
-			return errors.New("expected a VM and its pool")
+			return badInput("expected a VM and its pool")
 		},
 	}
 }
--- a/cmd/arbutusctl/wave.go
+++ b/cmd/arbutusctl/wave.go
@@ -56,7 +56,7 @@
 func waveClient(c *cli.Command) (*adminclient.Client, string, error) {
 	wave := c.Args().First()
 	if wave == "" {
-		return nil, "", errors.New("expected the name of a wave")
+		return nil, "", badInput("expected the name of a wave")
 	}
 	client, err := connect(c)
 	return client, wave, err
--- a/internal/console/live.go
+++ b/internal/console/live.go
@@ -116,6 +116,38 @@
 	s.render(c, http.StatusOK, "waves", "Waves", page)
 }
 
+// maxWaiting bounds the VMs that are named for one reason.
+const maxWaiting = 12
+
+// waiting is the VMs that wait for one reason.
+type waiting struct {
+	Reason      string
+	Shown       []string
+	Count, More int
+}
+
+// groupWaits groups what waits by its reason.
+func groupWaits(blocked []adminclient.Blocked) []waiting {
+	places := map[string]int{}
+	var groups []waiting
+	for _, one := range blocked {
+		place, known := places[one.Reason]
+		if !known {
+			place = len(groups)
+			places[one.Reason] = place
+			groups = append(groups, waiting{Reason: one.Reason})
+		}
+		group := &groups[place]
+		group.Count++
+		if len(group.Shown) < maxWaiting {
+			group.Shown = append(group.Shown, one.VM)
+		} else {
+			group.More++
+		}
+	}
+	return groups
+}
+
 // newest returns the events, the newest first.
 func newest(events []timeline.Event) []timeline.Event {
 	slices.Reverse(events)
--- a/internal/console/pages.go
+++ b/internal/console/pages.go
@@ -32,6 +32,7 @@
 		"args":     func(values ...string) []string { return values },
 		"under":    under,
 		"editLink": editLink,
+		"waits":    groupWaits,
 	}
 	parsed := map[string]*template.Template{}
 	paths, err := fs.Glob(assets, "assets/*.html")
--- a/internal/console/sampler.go
+++ b/internal/console/sampler.go
@@ -187,6 +187,9 @@
 	Plot              plot.Plot
 }
 
+// Short is the number of slots that the promise lacks now.
+func (p ServicePlot) Short() int { return max(0, p.Promised-p.Serving) }
+
 // plots draws all services by name.
 func (s *sampler) plots() ([]ServicePlot, string) {
 	s.mu.Lock()
