Report: a killed leader is disclosed though its events are gone; drafts diff once

Cause: a killed leader takes the record of its own election along, so its successor looked like the first leader and nothing was disclosed. Each page of the console compared the whole draft with its base again.

Change: an election after any version was accepted or in force means that somebody led before; the difference is worked out once for each change of the draft, and equal elements are skipped without marshalling.

Checked: TestReportNamesAKilledLeaderItsSuccessorAndTheGap failed before the change and passes.

--- a/integration/report_wave_test.go
+++ b/integration/report_test.go
@@ -12,6 +12,7 @@
 
 	"arbutusward.example/arbutusward/internal/adminclient"
 	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/report"
 	"arbutusward.example/arbutusward/internal/standin"
 )
@@ -78,3 +79,43 @@
 	}
 	return nil
 }
+
+// TestReportNamesAKilledLeaderItsSuccessorAndTheGap kills the leader of
+// three control processes.
+func TestReportNamesAKilledLeaderItsSuccessorAndTheGap(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za", "zb", "zc")
+	d.addEntry("entry-a1", "za")
+	d.apply(smallFleet)
+	d.waitInForce(waitConsole)
+	from := time.Now().Add(-time.Minute).UTC().Format(time.RFC3339Nano)
+	before, err := d.status()
+	must(t, err)
+	killed := before.Replica.Leader
+	d.controls[killed].kill()
+	var successor string
+	eventually(t, waitConsole, "another leads", func() error {
+		now, err := d.status()
+		successor = now.Replica.Leader
+		return err
+	})
+	result := d.ctl(keys.Viewer, "report", "--from", from, "-o", "json")
+	result.expect(t, 0)
+	var built report.Report
+	must(t, json.Unmarshal([]byte(result.stdout), &built))
+	var lost []report.Interruption
+	for _, found := range built.Interruptions {
+		if found.Kind == timeline.LeaderLost {
+			lost = append(lost, found)
+		}
+	}
+	if len(lost) == 0 || !strings.Contains(lost[len(lost)-1].SeenBy[0], successor) {
+		t.Errorf("killed %s, successor %s, interruptions %+v", killed, successor, built.Interruptions)
+	}
+	if len(built.Unreachable) != 1 || built.Unreachable[0].Process != killed {
+		t.Errorf("unreachable %+v, expected %s", built.Unreachable, killed)
+	}
+	if built.Complete {
+		t.Error("the report says that it is complete")
+	}
+}
--- a/internal/console/draft/draft.go
+++ b/internal/console/draft/draft.go
@@ -33,6 +33,8 @@
 	// problems says why.
 	parsed   *fleet.Document
 	problems jsonc.Problems
+	// changes are the differences of parsed from the base.
+	changes []fleet.Change
 	// final is the one document that the draft ended in, nil before.
 	final []byte
 }
@@ -65,11 +67,14 @@
 	if err != nil {
 		return fmt.Errorf("encode draft: %w", err)
 	}
-	d.problems = nil
+	d.problems, d.changes = nil, nil
 	d.parsed, err = fleet.Parse("draft", text)
 	if err != nil && !errors.As(err, &d.problems) {
 		return err
 	}
+	if d.parsed != nil {
+		d.changes = fleet.Diff(d.baseDocument, d.parsed)
+	}
 	return nil
 }
 
@@ -81,12 +86,7 @@
 
 // Changes lists the differences from the base; none while the draft does
 // not validate.
-func (d *Draft) Changes() []fleet.Change {
-	if d.parsed == nil {
-		return nil
-	}
-	return fleet.Diff(d.baseDocument, d.parsed)
-}
+func (d *Draft) Changes() []fleet.Change { return d.changes }
 
 // Finish ends the draft in its one document.
 func (d *Draft) Finish() ([]byte, error) {
--- a/internal/report/interruptions.go
+++ b/internal/report/interruptions.go
@@ -81,6 +81,8 @@
 	open map[openKey]int
 	// leader is the process that was last elected.
 	leader string
+	// versions says that a version was accepted, so that there was a leader.
+	versions bool
 	// ordered holds the VMs that control took out on purpose. That their
 	// targets fall silent is no interruption.
 	ordered map[string]bool
@@ -88,6 +90,9 @@
 
 func (t *tracker) note(event timeline.Event) {
 	t.end(event)
+	if event.Kind == timeline.VersionAccepted || event.Kind == timeline.VersionInForce {
+		t.versions = true
+	}
 	if event.Kind == timeline.LeaderElected {
 		t.noteElection(event)
 	}
@@ -149,9 +154,13 @@
 func (t *tracker) noteElection(event timeline.Event) {
 	previous := t.leader
 	t.leader = event.Process
-	if previous == "" || previous == event.Process {
+	if previous == event.Process || previous == "" && !t.versions {
 		return
 	}
+	before := previous + " led before and recorded no end"
+	if previous == "" {
+		before = "a process that gave no events led before"
+	}
 	at := event.Time().UTC()
 	for _, found := range t.found {
 		if found.Kind == timeline.LeaderLost && found.To != nil && found.To.Equal(at) {
@@ -159,5 +168,5 @@
 		}
 	}
 	t.found = append(t.found, Interruption{Kind: timeline.LeaderLost, Subject: leaderSubject, From: at, To: &at, SeenBy: []string{event.Process},
-		Cause: previous + " led before and recorded no end; " + event.Process + " was elected at this time"})
+		Cause: before + "; " + event.Process + " was elected at this time"})
 }
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -89,6 +89,19 @@
 	}
 }
 
+func TestLeaderWhoseEventsAreGoneIsDisclosedToo(t *testing.T) {
+	r := Build(input(
+		at(1, "e1", timeline.Event{Kind: timeline.VersionInForce, Version: 1}),
+		at(30, "c2", timeline.Event{Kind: timeline.LeaderElected}),
+	))
+	if len(r.Interruptions) != 1 || !strings.Contains(r.Interruptions[0].Cause, "gave no events") {
+		t.Errorf("interruptions %+v", r.Interruptions)
+	}
+	if first := Build(input(at(1, "c1", timeline.Event{Kind: timeline.LeaderElected}))); len(first.Interruptions) > 0 {
+		t.Errorf("the first election of a deployment is no interruption: %+v", first.Interruptions)
+	}
+}
+
 func TestWhatIsMissingIsSaid(t *testing.T) {
 	in := input(timeline.Event{Kind: timeline.ProcessStarted, Sequence: 1, Stamp: timeline.Stamp{WallUS: start.Add(time.Second).UnixMicro()}})
 	in.Unreachable = []Unreachable{{Process: "e9", Address: "127.0.0.1:9", Reason: "refused"}}
--- a/internal/version/fleet/diff.go
+++ b/internal/version/fleet/diff.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"sort"
 )
 
@@ -83,7 +84,7 @@
 			changes = append(changes, Change{Kind: Added, Section: section, Name: key, After: jsonText(is)})
 		case !has:
 			changes = append(changes, Change{Kind: Removed, Section: section, Name: key, Before: jsonText(was)})
-		default:
+		case !reflect.DeepEqual(was, is):
 			changes = append(changes, diffElement(section, key, was, is)...)
 		}
 	}
