--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -23,6 +23,8 @@
 	// most once: a connection found dead after the write would leave its
 	// outcome unknown.
 	onceMaxIdle = 200 * time.Millisecond
+	// leaseLookInterval is the time between looks at an ended lease.
+	leaseLookInterval = 200 * time.Millisecond
 )
 
 // call is one admitted request.
@@ -50,6 +52,8 @@
 	// status is the HTTP status of the system's own answer.
 	status int
 	why    reason
+	// cause is the error of the last attempt, for operators alone.
+	cause error
 }
 
 // attempt is one try at one worker.
@@ -100,11 +104,12 @@
 	answer, exchange, err := g.conns.Send(ctx, h.outgoing(c, g))
 	if errors.Is(err, targetconn.ErrNotAdmitted) && ctx.Err() == nil {
 		h.scheduler.expire(g)
+		h.reviveLater(g)
 	}
 	a := attempt{worker: g.worker, probe: g.probe, answer: answer, sent: exchange.Sent, reused: exchange.Reused, err: err}
 	h.scheduler.release(g, verdictOf(a, ctx), a.tellsTime())
 	if err != nil {
-		h.log.Warn("attempt failed", "request", c.id, "service", c.service.name, "vm", g.worker.vm, "sent", a.sent, logging.Err(err))
+		h.log.Debug("attempt failed", "request", c.id, "service", c.service.name, "vm", g.worker.vm, "sent", a.sent, logging.Err(err))
 	}
 	return a
 }
@@ -114,8 +119,9 @@
 	r := targetconn.Request{Method: c.method, URI: c.uri, Header: c.header, Body: c.body,
 		MaxAnswerBytes: c.definition.MaxResponseBytes, WaitOutSilence: !c.repeatable,
 		Admit: func() bool { return h.live(g) }}
-	r.Silence = c.silence()
-	if r.Silence <= maxSilence && !c.fresh {
+	r.FreshSilence = c.silence()
+	r.Silence = min(r.FreshSilence, maxSilence)
+	if silenceFactor*c.service.mean() <= maxSilence && !c.fresh {
 		r.MaxIdle = targetconn.MaxIdle
 	}
 	if !c.repeatable {
@@ -129,10 +135,12 @@
 
 // silence bounds the time without progress: half of the service's deadline,
 // so that another attempt fits, and never less than some mean service
-// times. Where that is above maxSilence, only new connections are used.
+// times. On a connection that was used before the bound is at most
+// maxSilence; a service that needs longer gets new connections, which are
+// not silent by themselves.
 func (c *call) silence() time.Duration {
 	half := time.Duration(c.definition.DeadlineMS) * time.Millisecond / 2
-	return max(min(half, maxSilence), silenceFactor*c.service.mean())
+	return max(half, silenceFactor*c.service.mean())
 }
 
 // live says whether the target that a grant is for holds its lease now.
@@ -141,6 +149,16 @@
 	return known && target.Incarnation == g.incarnation && target.Live(time.Now())
 }
 
+// reviveLater looks from time to time whether a lease that was found ended
+// was renewed, until a newer table decides on the worker.
+func (h *Handler) reviveLater(g *grant) {
+	time.AfterFunc(leaseLookInterval, func() {
+		if h.scheduler.revive(g.worker, h.live(g)) {
+			h.reviveLater(g)
+		}
+	})
+}
+
 // verdictOf says what an attempt tells of its worker. A connection that
 // was used before and brought no answer says nothing: something between
 // the two ends may have lost it. The next one is new and decides.
@@ -249,7 +267,7 @@
 	}
 	if !sent {
 		return result{Result: Result{Outcome: NotRun, Reason: "no target could be reached", RetryAfterS: minRetryAfterS, VM: vm},
-			status: http.StatusServiceUnavailable, why: reasonUnreached}
+			status: http.StatusServiceUnavailable, why: reasonUnreached, cause: last.err}
 	}
-	return result{Result: Result{Outcome: Unknown, Reason: "the target gave no whole answer", VM: vm}, status: status}
+	return result{Result: Result{Outcome: Unknown, Reason: "the target gave no whole answer", VM: vm}, status: status, cause: last.err}
 }
