--- a/cmd/arbutusctl/timeline.go
+++ b/cmd/arbutusctl/timeline.go
@@ -135,7 +135,7 @@
 	events := timeline.Merge(append(versions.Pages, collection.Pages...))
 	e := report.Explain(request, events)
 	if e.Outcome == report.NotFound {
-		fmt.Printf("\nno process that answered holds a final event of request %s: it may have been dropped, or it succeeded and was not among the successes that are kept\n", request)
+		fmt.Printf("\nno process that answered holds a final event of request %s; it may have been dropped\n", request)
 		return nil
 	}
 	fmt.Printf("\nrequest %s: %s\n", e.Request, e.Outcome)
--- a/integration/report_test.go
+++ b/integration/report_test.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// waveLimit bounds the wave over the four VMs of a pool.
-	waveLimit = 90 * time.Second
+	// reportWaveLimit bounds the wave over the four VMs of a pool.
+	reportWaveLimit = 90 * time.Second
 	// slowReboot is longer than the lease of a target, so that the entries
 	// lose sight of a VM that reboots.
 	slowReboot = 4 * time.Second
@@ -45,7 +45,7 @@
 	b := d.signIn(d.addConsole(), keys.Operator)
 	d.ctl(keys.Operator, "wave", "start", "kernel").expect(t, 0)
 	b.get("/waves").expect(t, http.StatusOK, "kernel: running", "VMs by step")
-	eventually(t, waveLimit, "the wave is over", func() error { return waveOver(d.client) })
+	eventually(t, reportWaveLimit, "the wave is over", func() error { return waveOver(d.client) })
 
 	result := d.ctl(keys.Viewer, "report", "--from", from, "-o", "json")
 	result.expect(t, 0)
