--- a/cmd/arbutusctl/main.go
+++ b/cmd/arbutusctl/main.go
@@ -28,7 +28,7 @@
 		},
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
-			validateCommand(), applyCommand(), statusCommand(), timelineCommand(), keysCommand(),
+			validateCommand(), applyCommand(), statusCommand(), timelineCommand(), keysCommand(), memberCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/integration/replica_test.go
+++ b/integration/replica_test.go
@@ -15,7 +15,6 @@
 
 	"arbutusward.example/arbutusward/internal/adminclient"
 	"arbutusward.example/arbutusward/internal/process/control"
-	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/process/settings"
 	"arbutusward.example/arbutusward/internal/process/state"
 )
@@ -120,9 +119,14 @@
 // last accepted one is still there.
 func (s *submitter) finish() {
 	s.d.t.Helper()
+	s.close()
+	s.check()
+}
+
+// close stops to submit.
+func (s *submitter) close() {
 	close(s.stop)
 	s.done.Wait()
-	s.check()
 }
 
 func (s *submitter) check() {
@@ -166,4 +170,312 @@
 	s.finish()
 }
 
-var _ = []any{errors.Is, os.Remove, filepath.Join, strings.Contains, syscall.SIGSTOP, keys.Admin, settings.Control{}}
+// TestReplicaFrozenLeaderWakes suspends the leader for longer than every
+// timeout. When it wakes it must not answer from what it held.
+func TestReplicaFrozenLeaderWakes(t *testing.T) {
+	d := newReplicas(t)
+	s := d.newSubmitter()
+	s.waitMore(5)
+	leader := d.waitLeader()
+	d.controls[leader].signal(syscall.SIGSTOP)
+	// The operators' client must not wait for the frozen process.
+	s.waitMore(10)
+	time.Sleep(4 * time.Second)
+	var floor uint64
+	eventually(t, electionLimit, "the others answer", func() error {
+		status, err := d.status()
+		floor = status.Accepted
+		return err
+	})
+	d.controls[leader].signal(syscall.SIGCONT)
+	for range 40 {
+		if status, err := d.statusAt(leader); err == nil && status.Accepted < floor {
+			t.Fatalf("the woken leader answers version %d, %d was accepted", status.Accepted, floor)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.finish()
+}
+
+// addRelayedControls starts voters that reach each other only through
+// relays; the result holds the relay from each to each.
+func (d *deployment) addRelayedControls(zones ...string) map[string]map[string]*relay {
+	d.t.Helper()
+	var members []settings.Member
+	for i := range zones {
+		members = append(members, settings.Member{ID: fmt.Sprintf("control-%d", i+1), Link: freePort(d.t), Admin: freePort(d.t)})
+	}
+	relays := map[string]map[string]*relay{}
+	for i, zone := range zones {
+		self := members[i]
+		relays[self.ID] = map[string]*relay{}
+		seen := append([]settings.Member{}, members...)
+		for j := range seen {
+			if j != i {
+				r := newUDPRelay(d.t, seen[j].Link)
+				relays[self.ID][seen[j].ID] = r
+				seen[j].Link = r.address
+			}
+		}
+		d.startControl(settings.Control{ID: self.ID, Zone: zone, Link: self.Link, Admin: self.Admin, Members: seen})
+	}
+	d.connect()
+	return relays
+}
+
+// cutOff silences all relays from and to a process, or lets them pass.
+func cutOff(relays map[string]map[string]*relay, id string, silent bool) {
+	for from, table := range relays {
+		for to, r := range table {
+			if from == id || to == id {
+				r.setSilent(silent)
+			}
+		}
+	}
+}
+
+// TestReplicaLeaderCutOffSilently cuts the leader off from the other voters
+// but not from operators. It must stop to answer, the others must go on,
+// and its return must not disturb them.
+func TestReplicaLeaderCutOffSilently(t *testing.T) {
+	d := newDeployment(t)
+	relays := d.addRelayedControls("za", "zb", "zc")
+	d.waitLeader()
+	d.apply(smallFleet)
+	old := d.waitLeader()
+	cutOff(relays, old, true)
+	s := d.newSubmitter()
+	s.waitMore(10)
+	for range 5 {
+		if status, err := d.statusAt(old); err == nil {
+			t.Fatalf("the cut-off leader answers: version %d", status.Accepted)
+		}
+	}
+	status, err := d.status()
+	must(t, err)
+	cutOff(relays, old, false)
+	eventually(t, electionLimit, "the returned voter follows", func() error {
+		_, err := d.statusAt(old)
+		var refused *adminclient.StatusError
+		if errors.As(err, &refused) && refused.Fault.Leader == d.controls[status.Replica.Leader].settings.Admin {
+			return nil
+		}
+		return fmt.Errorf("%w", err)
+	})
+	s.waitMore(5)
+	after, err := d.status()
+	must(t, err)
+	if after.Replica.Term != status.Replica.Term {
+		t.Errorf("the return raised the term from %d to %d", status.Replica.Term, after.Replica.Term)
+	}
+	s.finish()
+}
+
+// loseDisk kills a control process and empties its data folder.
+func (d *deployment) loseDisk(id string) {
+	d.t.Helper()
+	d.controls[id].kill()
+	must(d.t, os.RemoveAll(d.controls[id].settings.DataDir))
+}
+
+// replace puts a new control process in the place of a lost one.
+func (d *deployment) replace(lost, id, zone string) {
+	d.t.Helper()
+	delete(d.controls, lost)
+	d.connect()
+	c := d.startControl(settings.Control{ID: id, Zone: zone, Link: freePort(d.t), Admin: freePort(d.t), Join: true})
+	d.connect()
+	d.changeMember(http.MethodDelete, "/v1/members/"+lost, "")
+	d.changeMember(http.MethodPost, "/v1/members", fmt.Sprintf(`{"id":%q,"link":%q,"admin":%q}`, id, c.settings.Link, c.settings.Admin))
+	eventually(d.t, 20*time.Second, "the learner is promoted", func() error {
+		status, err := d.status()
+		if err != nil {
+			return err
+		}
+		for _, m := range status.Replica.Members {
+			if m.ID == id && !m.Learner {
+				return nil
+			}
+		}
+		return fmt.Errorf("members %+v", status.Replica.Members)
+	})
+}
+
+// changeMember repeats a membership change until it is answered.
+func (d *deployment) changeMember(method, path, body string) {
+	d.t.Helper()
+	eventually(d.t, 20*time.Second, method+" "+path, func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		err := d.client.Do(ctx, method, path, []byte(body), nil)
+		var refused *adminclient.StatusError
+		if errors.As(err, &refused) && (refused.Fault.Code == "not_found" || refused.Fault.Code == "member_exists") {
+			// An earlier try was accepted and its answer lost.
+			return nil
+		}
+		return err
+	})
+}
+
+// TestReplicaLostDiskReplacedThenSecondLoss replaces a lost disk under a new
+// id and loses a second one right after.
+func TestReplicaLostDiskReplacedThenSecondLoss(t *testing.T) {
+	d := newReplicas(t)
+	s := d.newSubmitter()
+	s.waitMore(10)
+	lost := d.waitLeader()
+	d.loseDisk(lost)
+	s.waitMore(5)
+	s.close()
+	d.replace(lost, "control-4", "za")
+	second := d.waitLeader()
+	if second == "control-4" {
+		second = otherThan(d, "control-4")
+	}
+	d.loseDisk(second)
+	s.check()
+	d.replace(second, "control-5", "zb")
+	s.check()
+}
+
+func otherThan(d *deployment, id string) string {
+	for other := range d.controls {
+		if other != id {
+			return other
+		}
+	}
+	return ""
+}
+
+// TestReplicaEmptiedDiskUnderKnownIDIsRefused starts a voter again with an
+// empty folder, as a first member and as a joining one.
+func TestReplicaEmptiedDiskUnderKnownIDIsRefused(t *testing.T) {
+	d := newReplicas(t)
+	d.apply(smallFleet)
+	leader := d.waitLeader()
+	victim := otherThan(d, leader)
+	for _, join := range []bool{false, true} {
+		d.loseDisk(victim)
+		s := d.controls[victim].settings
+		s.Join = join
+		again := d.newProcess("arbutus-control", victim, s)
+		again.start()
+		select {
+		case <-again.exited:
+		case <-time.After(electionLimit):
+			t.Fatalf("join %v: a voter with an emptied folder goes on", join)
+		}
+		text, err := os.ReadFile(again.log)
+		must(t, err)
+		if !strings.Contains(string(text), "a replaced disk needs a new id") {
+			t.Errorf("join %v: the refusal is not clear", join)
+		}
+	}
+}
+
+// TestReplicaAllKilledAndRestarted kills all voters at once, three times.
+func TestReplicaAllKilledAndRestarted(t *testing.T) {
+	d := newReplicas(t)
+	s := d.newSubmitter()
+	for range 3 {
+		s.waitMore(8)
+		for _, c := range d.controls {
+			c.signal(syscall.SIGKILL)
+		}
+		for _, c := range d.controls {
+			c.kill()
+			c.start()
+		}
+	}
+	s.waitMore(3)
+	s.finish()
+}
+
+// TestReplicaRestartAfterHundredsOfChanges stops a follower, lets the others
+// go past it by more than their logs keep, and starts it again.
+func TestReplicaRestartAfterHundredsOfChanges(t *testing.T) {
+	d := newReplicas(t)
+	d.apply(smallFleet)
+	follower := otherThan(d, d.waitLeader())
+	d.controls[follower].kill()
+	s := d.newSubmitter()
+	s.waitMore(300)
+	s.finish()
+	d.controls[follower].start()
+	log := filepath.Join(d.controls[follower].settings.DataDir, "replica.snapshot")
+	info, err := os.Stat(log)
+	must(t, err)
+	eventually(t, electionLimit, "the follower takes a snapshot", func() error {
+		now, err := os.Stat(log)
+		if err == nil && now.Size() <= info.Size() {
+			err = fmt.Errorf("%d bytes as before", now.Size())
+		}
+		return err
+	})
+	// The follower must hold what was accepted: the leader goes.
+	leader := d.waitLeader()
+	d.controls[leader].kill()
+	s.check()
+}
+
+// TestReplicaTornTail appends a part of a frame to a log, as a power cut
+// does, and then damages the middle of it, which must be refused.
+func TestReplicaTornTail(t *testing.T) {
+	d := newReplicas(t)
+	d.apply(smallFleet)
+	d.apply(smallFleet + "// 2")
+	victim := otherThan(d, d.waitLeader())
+	c := d.controls[victim]
+	c.kill()
+	path := filepath.Join(c.settings.DataDir, "replica.log")
+	data, err := os.ReadFile(path)
+	must(t, err)
+	must(t, os.WriteFile(path, append(data, data[:40]...), 0o600))
+	c.start()
+	d.waitFollows(victim)
+	c.kill()
+	data, err = os.ReadFile(path)
+	must(t, err)
+	data[len(data)/3] ^= 1
+	must(t, os.WriteFile(path, data, 0o600))
+	c.start()
+	select {
+	case <-c.exited:
+	case <-time.After(electionLimit):
+		t.Fatal("a damaged log is not refused")
+	}
+	text, err := os.ReadFile(c.log)
+	must(t, err)
+	if !strings.Contains(string(text), "damaged before its end") {
+		t.Error("the refusal is not clear")
+	}
+}
+
+// waitFollows waits until a control process names a leader.
+func (d *deployment) waitFollows(id string) {
+	d.t.Helper()
+	eventually(d.t, electionLimit, id+" follows", func() error {
+		_, err := d.statusAt(id)
+		var refused *adminclient.StatusError
+		if err == nil || errors.As(err, &refused) && refused.Fault.Leader != "" {
+			return nil
+		}
+		return err
+	})
+}
+
+// TestReplicaLeaderHandsOverAtStop stops the leader gracefully; the next one
+// must lead sooner than any election timeout allows.
+func TestReplicaLeaderHandsOverAtStop(t *testing.T) {
+	d := newReplicas(t)
+	d.apply(smallFleet)
+	leader := d.waitLeader()
+	d.controls[leader].stop(electionLimit)
+	start := time.Now()
+	delete(d.controls, leader)
+	d.connect()
+	d.waitLeader()
+	if took := time.Since(start); took > 500*time.Millisecond {
+		t.Errorf("the next leader answers after %s", took)
+	}
+}
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -39,6 +39,7 @@
 	s.registerLink()
 	s.registerDocuments()
 	s.registerStatus()
+	s.registerMembers()
 	s.node.Serve()
 	go s.followLeadership()
 	if err := s.admin.Start(s.settings.Admin); err != nil {
