--- a/internal/process/replica/core/errors.go
+++ b/internal/process/replica/core/errors.go
@@ -15,6 +15,8 @@
 	ErrNoSuchMember = errors.New("no member has this id")
 	// ErrLastVoter says that the removal would leave no voter.
 	ErrLastVoter = errors.New("the last voter cannot be removed")
+	// ErrMalformed says that no member sends such a message.
+	ErrMalformed = errors.New("malformed replica message")
 	// ErrDiskReplaced says that the members know this id with another disk.
 	ErrDiskReplaced = errors.New("the members know this id with another disk; a replaced disk needs a new id and join: true")
 )
--- a/internal/process/replica/core/message.go
+++ b/internal/process/replica/core/message.go
@@ -119,3 +119,35 @@
 
 // TakeOver asks the receiver to stand for election at once.
 type TakeOver struct{}
+
+// Check refuses a message that no member sends: it guards the core against
+// a peer of another build.
+func (m *Message) Check() error {
+	bodies := 0
+	for _, set := range []bool{m.Vote != nil, m.VoteReply != nil, m.Append != nil, m.AppendReply != nil,
+		m.Heartbeat != nil, m.HeartbeatReply != nil, m.Snapshot != nil, m.TakeOver != nil} {
+		if set {
+			bodies++
+		}
+	}
+	if bodies != 1 || m.From == "" {
+		return ErrMalformed
+	}
+	if m.Append != nil {
+		return m.Append.check(m.Term)
+	}
+	return nil
+}
+
+// check refuses entries that do not follow each other.
+func (r *AppendRequest) check(term uint64) error {
+	previous := r.Previous
+	for i := range r.Entries {
+		e := &r.Entries[i]
+		if e.Index != previous.Index+1 || e.Term < previous.Term || e.Term > term {
+			return ErrMalformed
+		}
+		previous = Position{Index: e.Index, Term: e.Term}
+	}
+	return nil
+}
--- a/internal/process/replica/driver/receive.go
+++ b/internal/process/replica/driver/receive.go
@@ -41,6 +41,9 @@
 	if peer.ID != m.From {
 		return Received{}, logging.At(ErrNotMember, "take message", peer.ID)
 	}
+	if err := m.Check(); err != nil {
+		return Received{}, logging.At(err, "take message", peer.ID)
+	}
 	return Received{}, r.pass(ctx, arrival{message: m})
 }
 
