Split the driver's loop and the leader into files with one job; heirs by time

Cause: the choice of an heir relied on a flag that each quorum check clears, so a stop right after a check handed over to nobody.

Change: a leader counts the ticks since it heard each member, for the heir and for the quorum check alike.

--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -1,10 +1,6 @@
 package core
 
-import (
-	"slices"
-
-	"arbutusward.example/arbutusward/internal/process/replica"
-)
+import "slices"
 
 // progress is what a leader knows of one member, itself included.
 type progress struct {
@@ -15,8 +11,8 @@
 	awaiting int
 	// snapshotting says that a snapshot is on its way.
 	snapshotting bool
-	// active says that the member was heard since the last quorum check.
-	active bool
+	// silent is the number of ticks since the member was heard.
+	silent int
 	// round is the newest heartbeat round that the member answered.
 	round uint64
 	// goal is the commit index at the last heartbeat; a learner that has
@@ -24,10 +20,7 @@
 	goal uint64
 }
 
-type pendingRead struct {
-	id, index, round uint64
-}
-
+// becomeLeader begins the leadership of the current term.
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.config.ID
@@ -50,7 +43,7 @@
 	for _, m := range c.Members() {
 		p := c.peers[m.ID]
 		if p == nil {
-			p = &progress{next: c.log.last().Index + 1, active: true, goal: c.log.commit + 1}
+			p = &progress{next: c.log.last().Index + 1, goal: c.log.commit + 1}
 		}
 		kept[m.ID] = p
 	}
@@ -72,6 +65,7 @@
 	c.sendAppends()
 }
 
+// sendAppends sends every member what it lacks.
 func (c *Core) sendAppends() {
 	for _, m := range c.Members() {
 		c.sendAppend(m.ID)
@@ -111,12 +105,13 @@
 	}
 }
 
+// stepAppendReply notes what a member holds and sends it what follows.
 func (c *Core) stepAppendReply(m *Message) {
 	p := c.peers[m.From]
 	if p == nil {
 		return
 	}
-	p.active = true
+	p.silent = 0
 	reply := m.AppendReply
 	if reply.Rejected > 0 {
 		if reply.Rejected != p.next-1 || p.snapshotting {
@@ -169,22 +164,10 @@
 	}
 }
 
-// leaveIfRemoved ends the leadership once the own removal is committed.
-func (c *Core) leaveIfRemoved() {
-	if c.isVoter(c.config.ID) || c.log.newest().index > c.log.commit {
-		return
-	}
-	if heir := c.bestHeir(); heir != "" {
-		c.send(heir, Message{TakeOver: &TakeOver{}})
-	}
-	c.becomeFollower(c.state.Term, "")
-}
-
+// tickLeader passes one unit of time in a leader.
 func (c *Core) tickLeader() {
-	if c.electionTicks >= c.config.ElectionTicks && !c.checkQuorum() {
-		return
-	}
 	for _, p := range c.peers {
+		p.silent++
 		if p.awaiting > 0 {
 			p.awaiting++
 		}
@@ -193,6 +176,9 @@
 			p.awaiting = 0
 		}
 	}
+	if c.electionTicks >= c.config.ElectionTicks && !c.checkQuorum() {
+		return
+	}
 	c.heartbeatTicks++
 	if c.heartbeatTicks < c.config.HeartbeatTicks {
 		return
@@ -208,20 +194,23 @@
 	c.electionTicks = 0
 	active := 0
 	for _, id := range c.voters() {
-		if id == c.config.ID || c.peers[id].active {
+		if id == c.config.ID || c.isActive(id) {
 			active++
 		}
 	}
-	if active < c.quorum() {
-		c.becomeFollower(c.state.Term, "")
-		return false
+	if active >= c.quorum() {
+		return true
 	}
-	for _, p := range c.peers {
-		p.active = false
-	}
-	return true
+	c.becomeFollower(c.state.Term, "")
+	return false
 }
 
+// isActive says that a member was heard within the shortest election timeout.
+func (c *Core) isActive(id string) bool {
+	return c.peers[id].silent < c.config.ElectionTicks
+}
+
+// broadcastHeartbeat sends a heartbeat to all members.
 func (c *Core) broadcastHeartbeat() {
 	for _, m := range c.Members() {
 		c.sendHeartbeat(m.ID)
@@ -229,6 +218,7 @@
 	}
 }
 
+// sendHeartbeat sends the commit index and the newest round to a member.
 func (c *Core) sendHeartbeat(id string) {
 	if id == c.config.ID {
 		return
@@ -239,143 +229,15 @@
 	c.send(id, Message{Heartbeat: &Heartbeat{Commit: commit, Round: c.round}})
 }
 
+// stepHeartbeatReply notes the round that a member has confirmed.
 func (c *Core) stepHeartbeatReply(m *Message) {
 	p := c.peers[m.From]
 	if p == nil {
 		return
 	}
-	p.active = true
+	p.silent = 0
 	p.round = max(p.round, m.HeartbeatReply.Round)
 	c.confirmReads()
 	c.promoteLearner(m.From)
 	c.sendAppend(m.From)
 }
-
-// Read asks for the confirmation that this process still leads; Ready.Reads
-// names the id once a majority has answered a heartbeat sent after now.
-func (c *Core) Read(id uint64) error {
-	if c.role != Leader {
-		return ErrNotLeader
-	}
-	c.round++
-	// A new leader knows the commit index of its predecessors only once it
-	// has committed an entry of its own.
-	index := max(c.log.commit, c.termStart)
-	c.reads = append(c.reads, pendingRead{id: id, index: index, round: c.round})
-	c.broadcastHeartbeat()
-	c.confirmReads()
-	return nil
-}
-
-func (c *Core) confirmReads() {
-	if c.log.commit < c.termStart {
-		return
-	}
-	confirmed := c.confirmedRound()
-	for len(c.reads) > 0 && c.reads[0].round <= confirmed {
-		c.ready.Reads = append(c.ready.Reads, ConfirmedRead{ID: c.reads[0].id, Index: c.reads[0].index})
-		c.reads = c.reads[1:]
-	}
-}
-
-// confirmedRound is the newest round that a majority has answered.
-func (c *Core) confirmedRound() uint64 {
-	var rounds []uint64
-	for _, id := range c.voters() {
-		if id == c.config.ID {
-			rounds = append(rounds, c.round)
-			continue
-		}
-		rounds = append(rounds, c.peers[id].round)
-	}
-	slices.Sort(rounds)
-	return rounds[len(rounds)-c.quorum()]
-}
-
-// HandOver asks the voter with the longest log to take over once it holds
-// the whole log. It says whether there is such a voter.
-func (c *Core) HandOver() bool {
-	if c.role != Leader {
-		return false
-	}
-	c.heir = c.bestHeir()
-	c.continueHandOver()
-	return c.heir != ""
-}
-
-func (c *Core) continueHandOver() {
-	if c.role != Leader || c.heir == "" || c.log.commit < c.log.last().Index {
-		return
-	}
-	if p := c.peers[c.heir]; p != nil && p.match == c.log.last().Index {
-		c.send(c.heir, Message{TakeOver: &TakeOver{}})
-	}
-}
-
-// bestHeir returns the other active voter with the longest log, or "".
-func (c *Core) bestHeir() string {
-	heir := ""
-	for _, id := range c.voters() {
-		if id == c.config.ID || !c.peers[id].active {
-			continue
-		}
-		if heir == "" || c.peers[id].match > c.peers[heir].match {
-			heir = id
-		}
-	}
-	return heir
-}
-
-// AddLearner proposes a new member. Its index in the log is returned.
-func (c *Core) AddLearner(member replica.Member) (uint64, error) {
-	for _, m := range c.Members() {
-		if m.ID == member.ID || m.Link == member.Link {
-			return 0, ErrMemberExists
-		}
-	}
-	member.Learner = true
-	return c.changeMembers(append(slices.Clone(c.Members()), member))
-}
-
-// RemoveMember proposes a membership without the id.
-func (c *Core) RemoveMember(id string) (uint64, error) {
-	members := slices.DeleteFunc(slices.Clone(c.Members()), func(m replica.Member) bool { return m.ID == id })
-	if len(members) == len(c.Members()) {
-		return 0, ErrNoSuchMember
-	}
-	if !slices.ContainsFunc(members, func(m replica.Member) bool { return !m.Learner }) {
-		return 0, ErrLastVoter
-	}
-	return c.changeMembers(members)
-}
-
-// changeMembers appends a membership. One change at a time: majorities of
-// neighbouring memberships share a voter, those of distant ones may not.
-func (c *Core) changeMembers(members []replica.Member) (uint64, error) {
-	if c.role != Leader {
-		return 0, ErrNotLeader
-	}
-	if c.log.newest().index > c.log.commit || c.log.commit < c.termStart {
-		return 0, ErrChangePending
-	}
-	// The new membership is in use as soon as it is in the log, for the
-	// commit of its own entry too.
-	c.appendOwn(Entry{Kind: Members, Members: members})
-	return c.log.last().Index, nil
-}
-
-// promoteLearner makes a learner that has caught up a voter.
-func (c *Core) promoteLearner(id string) {
-	if c.role != Leader {
-		return
-	}
-	p := c.peers[id]
-	at := slices.IndexFunc(c.Members(), func(m replica.Member) bool { return m.ID == id && m.Learner })
-	if p == nil || at < 0 || p.match == 0 || p.match < p.goal {
-		return
-	}
-	members := slices.Clone(c.Members())
-	members[at].Learner = false
-	// While another change is pending the next answer tries again.
-	_, _ = c.changeMembers(members)
-}
--- /dev/null
+++ b/internal/process/replica/core/members.go
@@ -0,0 +1,72 @@
+package core
+
+import (
+	"slices"
+
+	"arbutusward.example/arbutusward/internal/process/replica"
+)
+
+// leaveIfRemoved ends the leadership once the own removal is committed.
+func (c *Core) leaveIfRemoved() {
+	if c.isVoter(c.config.ID) || c.log.newest().index > c.log.commit {
+		return
+	}
+	if heir := c.bestHeir(); heir != "" {
+		c.send(heir, Message{TakeOver: &TakeOver{}})
+	}
+	c.becomeFollower(c.state.Term, "")
+}
+
+// AddLearner proposes a new member. Its index in the log is returned.
+func (c *Core) AddLearner(member replica.Member) (uint64, error) {
+	for _, m := range c.Members() {
+		if m.ID == member.ID || m.Link == member.Link {
+			return 0, ErrMemberExists
+		}
+	}
+	member.Learner = true
+	return c.changeMembers(append(slices.Clone(c.Members()), member))
+}
+
+// RemoveMember proposes a membership without the id.
+func (c *Core) RemoveMember(id string) (uint64, error) {
+	members := slices.DeleteFunc(slices.Clone(c.Members()), func(m replica.Member) bool { return m.ID == id })
+	if len(members) == len(c.Members()) {
+		return 0, ErrNoSuchMember
+	}
+	if !slices.ContainsFunc(members, func(m replica.Member) bool { return !m.Learner }) {
+		return 0, ErrLastVoter
+	}
+	return c.changeMembers(members)
+}
+
+// changeMembers appends a membership. One change at a time: majorities of
+// neighbouring memberships share a voter, those of distant ones may not.
+func (c *Core) changeMembers(members []replica.Member) (uint64, error) {
+	if c.role != Leader {
+		return 0, ErrNotLeader
+	}
+	if c.log.newest().index > c.log.commit || c.log.commit < c.termStart {
+		return 0, ErrChangePending
+	}
+	// The new membership is in use as soon as it is in the log, for the
+	// commit of its own entry too.
+	c.appendOwn(Entry{Kind: Members, Members: members})
+	return c.log.last().Index, nil
+}
+
+// promoteLearner makes a learner that has caught up a voter.
+func (c *Core) promoteLearner(id string) {
+	if c.role != Leader {
+		return
+	}
+	p := c.peers[id]
+	at := slices.IndexFunc(c.Members(), func(m replica.Member) bool { return m.ID == id && m.Learner })
+	if p == nil || at < 0 || p.match == 0 || p.match < p.goal {
+		return
+	}
+	members := slices.Clone(c.Members())
+	members[at].Learner = false
+	// While another change is pending the next answer tries again.
+	_, _ = c.changeMembers(members)
+}
--- /dev/null
+++ b/internal/process/replica/driver/accept.go
@@ -0,0 +1,108 @@
+package driver
+
+import (
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/replica/core"
+)
+
+// openProposals takes no more while too much waits for a majority.
+func (l *loop) openProposals() <-chan *proposal {
+	if l.pendingBytes > maxPendingBytes {
+		return nil
+	}
+	return l.proposals
+}
+
+// propose appends the command, and those that wait behind it, to the log.
+func (l *loop) propose(first *proposal) {
+	batch := l.collect(first)
+	commands := make([][]byte, len(batch))
+	for i, p := range batch {
+		commands[i] = p.command
+	}
+	index, err := l.core.Propose(commands...)
+	if err != nil {
+		for _, p := range batch {
+			p.done <- outcome{err: l.notLeader()}
+		}
+		return
+	}
+	for i, p := range batch {
+		p.term = l.core.Term()
+		l.waiting[index+uint64(i)] = p
+		l.pendingBytes += len(p.command)
+	}
+}
+
+// collect takes the proposals that wait now, up to maxBatchBytes.
+func (l *loop) collect(first *proposal) []*proposal {
+	batch := []*proposal{first}
+	size := len(first.command)
+	for size < maxBatchBytes {
+		select {
+		case p := <-l.proposals:
+			batch = append(batch, p)
+			size += len(p.command)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// read starts one confirmation for the call and those that wait behind it.
+func (l *loop) read(first *read) {
+	batch := []*read{first}
+	for more := true; more; {
+		select {
+		case r := <-l.Driver.reads:
+			batch = append(batch, r)
+		default:
+			more = false
+		}
+	}
+	l.lastRead++
+	l.reading[l.lastRead] = batch
+	if err := l.core.Read(l.lastRead); err != nil {
+		l.endReads(l.lastRead, l.notLeader())
+	}
+}
+
+// endReads answers the calls that one confirmation serves.
+func (l *loop) endReads(id uint64, err error) {
+	for _, r := range l.reading[id] {
+		r.done <- outcome{err: err}
+	}
+	delete(l.reading, id)
+}
+
+// change starts a membership change.
+func (l *loop) change(c *change) {
+	var index uint64
+	var err error
+	if c.add != nil {
+		index, err = l.core.AddLearner(*c.add)
+	} else {
+		index, err = l.core.RemoveMember(c.remove)
+	}
+	if l.core.Role() != core.Leader {
+		err = l.notLeader()
+	}
+	if err != nil {
+		c.done <- outcome{err: err}
+		return
+	}
+	c.term = l.core.Term()
+	l.changing[index] = c
+}
+
+// notLeader names the leader.
+func (l *loop) notLeader() error {
+	leader := l.core.Leader()
+	for _, m := range l.core.Members() {
+		if m.ID == leader && leader != l.options.Self.ID {
+			return &replica.NotLeaderError{ID: m.ID, Link: m.Link, Admin: m.Admin}
+		}
+	}
+	return &replica.NotLeaderError{}
+}
