Relay keeps its way back; calls before the founding are refused at once

Cause: TestReplicaLeaderCutOffSilently found no leader in one of three runs. The UDP relay ended its way back when the upstream had not started yet (ICMP refusal), so that one first member was never confirmed; and calls to a process that is not founded hung until their deadline.

Change: the relay goes on after a refusal; such calls get "no leader is known".

--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -159,10 +160,11 @@
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := server.Read(buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if r.toClient.silent.Load() {
+		if err != nil || r.toClient.silent.Load() {
+			// Refused while the upstream has not started yet: it may later.
 			continue
 		}
 		packet := append([]byte{}, buffer[:n]...)
--- a/internal/process/replica/driver/calls.go
+++ b/internal/process/replica/driver/calls.go
@@ -36,6 +36,9 @@
 // submit hands a call to the loop and waits for its outcome. Once the loop
 // has it, the end of the context leaves open what becomes of it.
 func submit[T any](ctx context.Context, d *Driver, queue chan<- T, call T, done <-chan outcome) ([]byte, error) {
+	if !d.founded.Load() {
+		return nil, &replica.NotLeaderError{}
+	}
 	select {
 	case queue <- call:
 	case <-ctx.Done():
--- a/internal/process/replica/driver/driver.go
+++ b/internal/process/replica/driver/driver.go
@@ -27,6 +27,8 @@
 	snapshotsSent chan string
 	leaderChanges chan bool
 	status        atomic.Pointer[replica.Status]
+	// founded says that the loop serves calls.
+	founded atomic.Bool
 
 	// stopping is closed when Stop is called; stopped when all has ended.
 	stopping context.Context
@@ -77,6 +79,7 @@
 	defer d.end()
 	err := d.prepare()
 	if err == nil {
+		d.founded.Store(true)
 		err = d.newLoop().run()
 	}
 	d.err = errors.Join(err, d.storage.close())
