--- a/internal/process/replica/driver/calls.go
+++ b/internal/process/replica/driver/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"arbutusward.example/arbutusward/internal/process/logging"
@@ -35,6 +36,9 @@
 // submit hands a call to the loop and waits for its outcome. Once the loop
 // has it, the end of the context leaves open what becomes of it.
 func submit[T any](ctx context.Context, d *Driver, queue chan<- T, call T, done <-chan outcome) ([]byte, error) {
+	if !d.founded.Load() {
+		return nil, &replica.NotLeaderError{}
+	}
 	select {
 	case queue <- call:
 	case <-ctx.Done():
@@ -67,6 +71,9 @@
 func (d *Driver) ReadBarrier(ctx context.Context) error {
 	r := &read{done: make(chan outcome, 1)}
 	_, err := submit(ctx, d, d.reads, r, r.done)
+	if errors.Is(err, replica.ErrUnknownResult) {
+		return replica.ErrNotConfirmed
+	}
 	return err
 }
 
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -1,14 +1,18 @@
 #!/usr/bin/env bash
-# Starts a small deployment on the loopback address: one control process,
-# two entries in each of two availability zones, the stand-in targets of
-# examples/duna.jsonc and the stand-in platform. Ends with Ctrl-C, or after
-# the demonstration when DEMO=1.
+# Starts a small deployment on the loopback address: three control
+# processes, two entries in each of the four availability zones of
+# examples/duna.jsonc, the console, and the stand-ins for its 48 VMs and
+# the platform. Ends with Ctrl-C. DEMO=1 walks through a change and a wave
+# over all VMs under load, and ends.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 run=run
 rm -rf "$run"
 mkdir -p "$run/tokens"
-ctl() { bin/arbutusctl --ca "$run/ca" --token "$run/tokens/operator.token" --control 127.0.0.1:7101 "$@"; }
+started="$(date -u +%Y-%m-%dT%H:%M:%SZ)"
+zones=(duna-a duna-b duna-c duna-d)
+pools=(photo reports divelog slots office)
+
 pids=()
 stop() {
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
@@ -16,26 +20,43 @@
 }
 trap stop EXIT
 
+# Keys: one authority, a folder for each process, a token for each pool.
 bin/arbutusctl keys init --ca-dir "$run/ca"
 bin/arbutusctl keys token --ca-dir "$run/ca" operator local "$run/tokens/operator.token"
-for pool in photo reports divelog slots office; do
+for pool in "${pools[@]}"; do
   bin/arbutusctl keys token --ca-dir "$run/ca" target "$pool" "$run/tokens/$pool.token"
 done
+cat > "$run/ctl.jsonc" <<JSON
+{
+  "control": ["127.0.0.1:7101", "127.0.0.1:7102", "127.0.0.1:7103"],
+  "ca": "ca", "token": "tokens/operator.token"
+}
+JSON
+export ARBUTUS_CONFIG="$run/ctl.jsonc"
 
-bin/arbutusctl keys issue --ca-dir "$run/ca" control-1 "$run/control-1"
-cat > "$run/control-1.jsonc" <<JSON
+# Control: three voters in three zones.
+members='{"id": "control-1", "link": "127.0.0.1:7001", "admin": "127.0.0.1:7101"},
+    {"id": "control-2", "link": "127.0.0.1:7002", "admin": "127.0.0.1:7102"},
+    {"id": "control-3", "link": "127.0.0.1:7003", "admin": "127.0.0.1:7103"}'
+for number in 1 2 3; do
+  id="control-$number"
+  bin/arbutusctl keys issue --ca-dir "$run/ca" "$id" "$run/$id"
+  cat > "$run/$id.jsonc" <<JSON
 {
-  "id": "control-1", "zone": "duna-a", "keys_dir": "$run/control-1", "data_dir": "$run/control-1/data",
-  "link": "127.0.0.1:7001", "admin": "127.0.0.1:7101",
-  "members": [{"id": "control-1", "link": "127.0.0.1:7001", "admin": "127.0.0.1:7101"}],
-  "platform": "http://127.0.0.1:7900"
+  "id": "$id", "zone": "${zones[$((number - 1))]}", "keys_dir": "$run/$id", "data_dir": "$run/$id/data",
+  "link": "127.0.0.1:700$number", "admin": "127.0.0.1:710$number", "platform": "http://127.0.0.1:7900",
+  "members": [
+    $members
+  ]
 }
 JSON
-bin/arbutus-control --settings "$run/control-1.jsonc" 2> "$run/control-1.log" & pids+=($!)
+  bin/arbutus-control --settings "$run/$id.jsonc" 2> "$run/$id.log" & pids+=($!)
+done
 
-entries=()
+# Entries: two in each zone.
+announce=()
 number=0
-for zone in duna-a duna-b; do
+for zone in "${zones[@]}"; do
   for which in 1 2; do
     number=$((number + 1))
     id="entry-$zone-$which"
@@ -45,42 +66,68 @@
   "id": "$id", "zone": "$zone", "keys_dir": "$run/$id", "data_dir": "",
   "callers": "127.0.0.1:$((8000 + number))", "announce": "127.0.0.1:$((8100 + number))",
   "link": "127.0.0.1:$((7010 + number))", "admin": "127.0.0.1:$((7110 + number))",
-  "control": ["127.0.0.1:7001"], "drain_ms": 500
+  "control": ["127.0.0.1:7001", "127.0.0.1:7002", "127.0.0.1:7003"], "drain_ms": 500
 }
 JSON
     bin/arbutus-entry --settings "$run/$id.jsonc" 2> "$run/$id.log" & pids+=($!)
-    entries+=(--entry "$zone=127.0.0.1:$((8100 + number))")
+    announce+=(--entry "$zone=127.0.0.1:$((8100 + number))")
   done
 done
 
-bin/arbutus-standin --document examples/duna.jsonc --tokens "$run/tokens" "${entries[@]}" > "$run/standin.log" 2>&1 & pids+=($!)
-
+# Console.
 bin/arbutusctl keys issue --ca-dir "$run/ca" console-1 "$run/console-1"
-bin/arbutusctl keys token --ca-dir "$run/ca" viewer console "$run/tokens/console.token"
 cat > "$run/console-1.jsonc" <<JSON
 {
-  "id": "console-1", "keys_dir": "$run/console-1", "listen": "127.0.0.1:7200",
-  "control": ["127.0.0.1:7101"], "sample_token": "$run/tokens/console.token"
+  "id": "console-1", "keys_dir": "$run/console-1", "listen": "127.0.0.1:8443",
+  "control": ["127.0.0.1:7101", "127.0.0.1:7102", "127.0.0.1:7103"]
 }
 JSON
 bin/arbutus-console --settings "$run/console-1.jsonc" 2> "$run/console-1.log" & pids+=($!)
 
-for _ in $(seq 50); do ctl status > /dev/null 2>&1 && break; sleep 0.1; done
-ctl apply --wait examples/duna.jsonc
-for _ in $(seq 50); do curl -sf http://127.0.0.1:8001/slots/hello > /dev/null && break; sleep 0.1; done
+bin/arbutus-standin --document examples/duna.jsonc --tokens "$run/tokens" "${announce[@]}" > "$run/standin.log" 2>&1 & pids+=($!)
+
+for _ in $(seq 100); do bin/arbutusctl status > /dev/null 2>&1 && break; sleep 0.1; done
+bin/arbutusctl apply --base 0 --wait examples/duna.jsonc
+for _ in $(seq 100); do curl -sf http://127.0.0.1:8001/slots/hello > /dev/null && break; sleep 0.1; done
 echo "a request to entry-duna-a-1:"
 curl -si http://127.0.0.1:8001/slots/hello
 echo
-echo
-echo "callers' ports: 8001 and 8002 (duna-a), 8003 and 8004 (duna-b); try"
-echo "  curl -i http://127.0.0.1:8001/photo/1"
-echo "  bin/arbutusctl --ca run/ca --token run/tokens/operator.token --control 127.0.0.1:7101 status"
-echo "console of forms: https://127.0.0.1:7200 (its certificate is signed by run/ca/ca.pem);"
-echo "  sign in with the line in run/tokens/operator.token"
-if [ "${DEMO:-}" = 1 ]; then
-  ctl status
-  ctl timeline | tail -n 5
+cat <<TEXT
+
+callers' ports: 8001 to 8008, two for each zone; console: https://127.0.0.1:8443
+(sign in with the content of $run/tokens/operator.token). Try in another shell:
+  export ARBUTUS_CONFIG=$run/ctl.jsonc
+  curl -i http://127.0.0.1:8001/photo/1
+  bin/arbutusctl status
+  bin/arbutusctl wave start kernel && bin/arbutusctl wave watch kernel
+TEXT
+if [ "${DEMO:-}" != 1 ]; then
+  echo "Ctrl-C ends it."
+  wait
   exit 0
 fi
-echo "Ctrl-C ends it."
-wait
+
+# The walk: a change, then a wave over all VMs while callers go on.
+load() {
+  local paths=(photo reports divelog slots office) count=0
+  while [ ! -e "$run/load.stop" ]; do
+    count=$((count + 1))
+    curl -s -o /dev/null -w '%{http_code} %header{x-arbutus-outcome}\n' \
+      "http://127.0.0.1:$((8001 + count % 8))/${paths[$((count % 5))]}/$count?sleep_ms=50" >> "$run/load.txt" || echo "cut" >> "$run/load.txt"
+  done
+}
+echo "== a change: the wave's settle time becomes 1 s"
+sed 's/"settle_s": 10/"settle_s": 1/' examples/duna.jsonc > "$run/duna-2.jsonc"
+bin/arbutusctl plan "$run/duna-2.jsonc"
+bin/arbutusctl apply --base 1 --wait "$run/duna-2.jsonc"
+echo "== a wave over all VMs, with callers"
+sleep 12 # a VM counts as capacity once its target was live for a while
+load & load_pid=$!
+bin/arbutusctl wave start kernel
+timeout 300 bin/arbutusctl wave watch kernel | tail -n 3
+touch "$run/load.stop"
+wait "$load_pid"
+echo "== what the callers saw: status, outcome"
+sort "$run/load.txt" | uniq -c
+echo "== the disclosure"
+bin/arbutusctl report --from "$started" | head -n 40
