--- a/internal/process/control/executor.go
+++ b/internal/process/control/executor.go
@@ -15,12 +15,12 @@
 )
 
 const (
-	// planInterval is the time between two plans while something is under way.
+	// planInterval is the time between two plans while something is under
+	// way, idleInterval otherwise.
 	planInterval = 250 * time.Millisecond
-	// idleInterval is the time between two plans while nothing is.
 	idleInterval = time.Second
 	// reserveInterval is the time between two plans of the reserve.
-	reserveInterval = 10 * time.Second
+	reserveInterval = 30 * time.Second
 	// proposeTimeout bounds one command of the executor.
 	proposeTimeout = 3 * time.Second
 )
@@ -32,9 +32,9 @@
 	server   *Server
 	sights   *sights
 	platform *platformCalls
-	// plannedAt and planned are the time and the state of the last plan.
+	// revision and plannedAt are those of the last plan.
+	revision  uint64
 	plannedAt time.Time
-	planned   *state.Fleet
 	// reserveAt is when the reserve was last planned.
 	reserveAt time.Time
 	// load is the smoothed use of the pools.
@@ -84,15 +84,14 @@
 	if f.Version == 0 || !e.due(f, now) {
 		return
 	}
-	e.plannedAt, e.planned = now, f
 	in := e.server.planInput(f, e.sights, e.platform, now)
 	e.server.snapshot.Store(&in)
 	gate := plan.NewGate(&in)
+	noteMetrics(&in, gate)
 	moved := moves.Plan(&in, gate)
 	waved := wave.Plan(&in, gate)
 	e.load = e.load.Observe(&in)
 	e.server.outlook.Store(&outlook{moves: moved.Blocked, waves: waved.Blocked, proposals: moves.Propose(&in, e.load)})
-	noteMetrics(&in, plan.NewGate(&in))
 	if now.Sub(e.reserveAt) >= reserveInterval {
 		e.reserveAt = now
 		noteReserve(capacity.Plan(&in))
@@ -102,18 +101,18 @@
 	e.order(ctx)
 }
 
-// due says that a plan is to be made: the state changed, a run or a move is
-// under way, or the last plan is idleInterval old.
+// due says whether it is time to plan: at once after a change, often while
+// something is under way, and now and then otherwise.
 func (e *executor) due(f *state.Fleet, now time.Time) bool {
-	if f != e.planned || len(f.Moves) > 0 || now.Sub(e.plannedAt) >= idleInterval {
-		return true
-	}
+	busy := len(f.Moves) > 0
 	for _, run := range f.Runs {
-		if run.Open() {
-			return true
-		}
+		busy = busy || run.Open()
+	}
+	if !busy && f.Revision == e.revision && now.Sub(e.plannedAt) < idleInterval {
+		return false
 	}
-	return false
+	e.revision, e.plannedAt = f.Revision, now
+	return true
 }
 
 func (e *executor) proposeMoves(ctx context.Context, steps []plan.MoveStep) {
--- a/internal/report/interruptions.go
+++ b/internal/report/interruptions.go
@@ -54,7 +54,7 @@
 
 // findInterruptions pairs beginnings with ends and keeps what overlaps the span.
 func findInterruptions(events []timeline.Event, from, to time.Time) []Interruption {
-	t := &tracker{open: map[openKey]int{}}
+	t := &tracker{open: map[openKey]int{}, ordered: map[string]bool{}}
 	for _, event := range events {
 		if event.Time().Before(to) {
 			t.note(event)
@@ -81,18 +81,38 @@
 	open map[openKey]int
 	// leader is the process that was last elected.
 	leader string
+	// versions says that a version was accepted, so that there was a leader.
+	versions bool
+	// ordered holds the VMs that control took out on purpose. That their
+	// targets fall silent is no interruption.
+	ordered map[string]bool
 }
 
 func (t *tracker) note(event timeline.Event) {
 	t.end(event)
+	if event.Kind == timeline.VersionAccepted || event.Kind == timeline.VersionInForce {
+		t.versions = true
+	}
 	if event.Kind == timeline.LeaderElected {
 		t.noteElection(event)
 	}
-	if begins, is := rules[event.Kind]; is {
+	t.noteOrder(event)
+	begins, is := rules[event.Kind]
+	planned := effects[event.Kind].layer == targetLayer && t.ordered[event.VM]
+	if is && !planned {
 		t.begin(event, begins)
 	}
 }
 
+// noteOrder follows which VMs control has taken out on purpose.
+func (t *tracker) noteOrder(event timeline.Event) {
+	effect, is := effects[event.Kind]
+	if !is || effect.layer != orderLayer || event.VM == "" {
+		return
+	}
+	t.ordered[event.VM] = effect.out && event.Kind != timeline.VMLost
+}
+
 func (t *tracker) begin(event timeline.Event, begins rule) {
 	key := openKey{event.Kind, begins.subject(event)}
 	if place, known := t.open[key]; known {
@@ -134,9 +154,13 @@
 func (t *tracker) noteElection(event timeline.Event) {
 	previous := t.leader
 	t.leader = event.Process
-	if previous == "" || previous == event.Process {
+	if previous == event.Process || previous == "" && !t.versions {
 		return
 	}
+	before := previous + " led before and recorded no end"
+	if previous == "" {
+		before = "a process that gave no events led before"
+	}
 	at := event.Time().UTC()
 	for _, found := range t.found {
 		if found.Kind == timeline.LeaderLost && found.To != nil && found.To.Equal(at) {
@@ -144,5 +168,5 @@
 		}
 	}
 	t.found = append(t.found, Interruption{Kind: timeline.LeaderLost, Subject: leaderSubject, From: at, To: &at, SeenBy: []string{event.Process},
-		Cause: previous + " led before and recorded no end; " + event.Process + " was elected at this time"})
+		Cause: before + "; " + event.Process + " was elected at this time"})
 }
--- a/internal/version/plan/gate.go
+++ b/internal/version/plan/gate.go
@@ -21,6 +21,16 @@
 	// out and lost count VMs of the pool that are taken out by a plan, and
 	// those that are missing without one.
 	out, lost int
+	// zones counts the pool's VMs by availability zone.
+	zones map[string]*zoneCount
+}
+
+// zoneCount counts the VMs of one pool in one availability zone.
+type zoneCount struct {
+	// serving VMs are counted as capacity.
+	serving int
+	// staying VMs are declared for the pool.
+	staying int
 }
 
 // Gate decides whether VMs may leave their pools. It counts all that is
@@ -69,13 +79,26 @@
 func (g *Gate) pool(name string) *poolBudget {
 	pool := g.pools[name]
 	if pool == nil {
-		pool = &poolBudget{counted: map[string][]int{}}
+		pool = &poolBudget{counted: map[string][]int{}, zones: map[string]*zoneCount{}}
 		g.pools[name] = pool
 	}
 	return pool
 }
 
+func (p *poolBudget) zone(name string) *zoneCount {
+	if p.zones[name] == nil {
+		p.zones[name] = &zoneCount{}
+	}
+	return p.zones[name]
+}
+
 func (p *poolBudget) add(vm *VM) {
+	if vm.Desired == vm.Pool {
+		p.zone(vm.Zone).staying++
+	}
+	if vm.Counted() {
+		p.zone(vm.Zone).serving++
+	}
 	switch {
 	case vm.Counted():
 		p.counted[vm.Rack] = append(p.counted[vm.Rack], vm.Slots)
@@ -145,20 +168,42 @@
 // MayLeave says whether a VM may stop serving its pool, and why not.
 func (g *Gate) MayLeave(vm *VM) (reason string, ok bool) {
 	pool := g.pool(vm.Pool)
+	if pool.lastInZone(vm) {
+		return fmt.Sprintf("it is the last VM of pool %s that serves in zone %s", vm.Pool, vm.Zone), false
+	}
 	margin := pool.marginWithout(vm)
-	if pool.promised == 0 || margin >= 0 {
+	// A VM that is lost carries nothing, and has to be replaced above all
+	// where the pool is short.
+	if pool.promised == 0 || margin >= 0 || vm.Health == Down {
 		return "", true
 	}
 	return fmt.Sprintf("pool %s promises %d slots and would be short of %d after the losses it carries (%d racks, %d VMs); %d of its VMs are out by plan and %d without",
 		vm.Pool, pool.promised, -margin, pool.tolerance.Racks, pool.tolerance.VMs, pool.out, pool.lost), false
 }
 
+// lastInZone says that no other VM of the pool would serve in the VM's zone
+// though there are others: entries dispatch within their own zone only, so
+// the zone's callers would be refused for a while. A pool with one VM in a
+// zone can't be maintained without that.
+func (p *poolBudget) lastInZone(vm *VM) bool {
+	if !vm.Counted() {
+		return false
+	}
+	zone := p.zone(vm.Zone)
+	others := zone.staying
+	if vm.Desired == vm.Pool {
+		others--
+	}
+	return zone.serving <= 1 && others > 0
+}
+
 // TakeOut notes that a VM stops serving its pool.
 func (g *Gate) TakeOut(vm *VM) {
 	pool := g.pool(vm.Pool)
 	if vm.Counted() {
 		pool.counted = without(pool.counted, vm.Rack, vm.Slots)
 		pool.slots -= vm.Slots
+		pool.zone(vm.Zone).serving--
 	}
 	pool.out++
 }
@@ -173,6 +218,7 @@
 	pool.counted = maps.Clone(pool.counted)
 	pool.counted[vm.Rack] = append(slices.Clone(pool.counted[vm.Rack]), vm.Slots)
 	pool.slots += vm.Slots
+	pool.zone(vm.Zone).serving++
 }
 
 // Margin returns the slots of a pool above its promise after the losses
