--- a/cmd/arbutusctl/examples.go
+++ b/cmd/arbutusctl/examples.go
@@ -17,7 +17,7 @@
 	"job show":           "job show sort-17",
 	"job cancel":         "job cancel --team surveyors",
 	"entry remove":       `entry remove --attest "powered off by Anna, ticket 812" entry-a1`,
-	"member add":         "member add control-d",
+	"member add":         "member add --id control-d --link 10.0.4.5:7001 --admin 10.0.4.5:7101",
 	"member remove":      "member remove control-a",
 	"member list":        "member list",
 	"keys init":          "keys init --ca-dir ca",
