--- a/integration/cli_test.go
+++ b/integration/cli_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -152,7 +153,7 @@
 	d.addControls("za")
 	d.apply(smallFleet)
 	mine := d.writeFile("mine.jsonc", strings.Replace(smallFleet, `"deadline_ms": 2000`, `"deadline_ms": 2500`, 1))
-	lossy := d.newAnswerLoser(d.controls["control-1"].settings.Admin)
+	lossy, _ := d.newAnswerLoser(d.controls["control-1"].settings.Admin)
 	lost := runCLI(t, "--config", d.cliConfig(keys.Operator, lossy), "apply", "--resend-for", "0s", mine)
 	lost.expect(t, 4, "may or may not be accepted on base 1", "run the same command again")
 
@@ -168,13 +169,14 @@
 	}
 }
 
-// newAnswerLoser relays to a control process and ends the connection in
-// place of the answer to a submission.
-func (d *deployment) newAnswerLoser(upstream string) string {
+// newAnswerLoser relays to a control process and, unless the switch is set,
+// ends the connection in place of the answer to a submission.
+func (d *deployment) newAnswerLoser(upstream string) (address string, mended *atomic.Bool) {
 	d.t.Helper()
 	must(d.t, keys.Issue(d.dir+"/ca", d.dir+"/loser", "loser"))
 	ring, err := keys.Load(d.dir + "/loser")
 	must(d.t, err)
+	mended = new(atomic.Bool)
 	client := &http.Client{Transport: &http.Transport{TLSClientConfig: ring.ClientTLS()}}
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		forward, err := http.NewRequest(r.Method, "https://"+upstream+r.URL.RequestURI(), r.Body)
@@ -183,16 +185,19 @@
 		resp, err := client.Do(forward)
 		must(d.t, err)
 		defer resp.Body.Close()
-		if r.Method == http.MethodPost {
+		if r.URL.Path == "/v1/documents" && !mended.Load() {
 			panic(http.ErrAbortHandler)
 		}
+		for name, values := range resp.Header {
+			w.Header()[name] = values
+		}
 		w.WriteHeader(resp.StatusCode)
 		_, _ = io.Copy(w, resp.Body)
 	}))
 	server.TLS = ring.ServerTLS()
 	server.StartTLS()
 	d.t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	return server.Listener.Addr().String(), mended
 }
 
 // waitControl waits until a control process answers.
--- a/integration/console_test.go
+++ b/integration/console_test.go
@@ -15,18 +15,28 @@
 	"testing"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/console/draft"
 	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/process/settings"
 	"arbutusward.example/arbutusward/internal/version/fleet"
 )
 
-// addConsole starts a console and returns its base URL.
-func (d *deployment) addConsole() string {
+// addConsole starts a console and returns its base URL. Without addresses
+// it asks the controls themselves.
+func (d *deployment) addConsole(control ...string) string {
 	d.t.Helper()
-	s := settings.Console{ID: "console-1", KeysDir: filepath.Join(d.dir, "console-1"), Listen: freePort(d.t), SampleSeconds: 1}
+	s := settings.Console{ID: "console-1", KeysDir: filepath.Join(d.dir, "console-1"), Listen: freePort(d.t), SampleSeconds: 1, Control: control}
+	if len(control) > 0 {
+		return d.startConsole(s)
+	}
 	for _, c := range d.controls {
 		s.Control = append(s.Control, c.settings.Admin)
 	}
+	return d.startConsole(s)
+}
+
+func (d *deployment) startConsole(s settings.Console) string {
+	d.t.Helper()
 	must(d.t, keys.Issue(d.dir+"/ca", s.KeysDir, s.ID))
 	d.newProcess("arbutus-console", s.ID, s).start()
 	return "https://" + s.Listen
@@ -352,3 +362,81 @@
 		t.Errorf("the draft was lost: %+v", document.Services[0])
 	}
 }
+
+// TestConsoleResendAfterALostAnswerIsTheSameSubmission loses the answer to
+// an application; another operator goes on; the first presses Apply again.
+func TestConsoleResendAfterALostAnswerIsTheSameSubmission(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za")
+	d.apply(smallFleet)
+	lossy, mended := d.newAnswerLoser(d.controls["control-1"].settings.Admin)
+	b := d.signIn(d.addConsole(lossy), keys.Operator)
+	b.post(bookingPath, bookingForm("2500")).expect(t, http.StatusSeeOther)
+	b.post("/draft/finish", nil).expect(t, http.StatusSeeOther)
+	b.post("/draft/apply", nil).expect(t, http.StatusBadGateway, "Apply it again")
+	if version := d.apply(strings.Replace(smallFleet, `"deadline_ms": 3000`, `"deadline_ms": 3500`, 1)); version != 3 {
+		t.Fatalf("the other operator got version %d, expected 3", version)
+	}
+	mended.Store(true)
+	b.post("/draft/apply", nil).expect(t, http.StatusOK, "accepted before as version 2")
+	status, err := d.status()
+	must(t, err)
+	if status.Accepted != 3 {
+		t.Errorf("newest version %d: the resend overwrote version 3", status.Accepted)
+	}
+}
+
+var (
+	fieldPattern  = regexp.MustCompile(`<(?:input|select|textarea)\b[^>]*>`)
+	idPattern     = regexp.MustCompile(`\bid="([^"]+)"`)
+	headerPattern = regexp.MustCompile(`<h1\b`)
+	scriptPattern = regexp.MustCompile(`<script|<style|\sstyle=|\son[a-z]+=`)
+)
+
+// TestConsolePagesCanBeReadAloudAndHoldNoScript checks on each page that
+// every field has a label, identifiers are unique, there is one main
+// heading, a language and a skip link, and nothing that the policy forbids.
+func TestConsolePagesCanBeReadAloudAndHoldNoScript(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za")
+	d.addEntry("entry-a1", "za")
+	d.apply(smallFleet)
+	b := d.signIn(d.addConsole(), keys.Operator)
+	paths := []string{"/sign-in", "/fleet", "/waves", "/refusals", "/draft", "/draft/budgets", "/draft/moves", "/draft/review", "/no-such-page"}
+	for _, section := range draft.Sections() {
+		paths = append(paths, "/draft/section/"+section.Name, "/draft/section/"+section.Name+"/edit")
+	}
+	for _, path := range paths {
+		checkReadable(t, path, b.get(path))
+	}
+	checkReadable(t, "a form with faults", b.post(bookingPath, bookingForm("soon")))
+}
+
+func checkReadable(t *testing.T, path string, page browserPage) {
+	t.Helper()
+	if page.status == http.StatusSeeOther {
+		return
+	}
+	for _, field := range fieldPattern.FindAllString(page.body, -1) {
+		if strings.Contains(field, `type="hidden"`) {
+			continue
+		}
+		id := idPattern.FindStringSubmatch(field)
+		if id == nil || !strings.Contains(page.body, `for="`+id[1]+`"`) {
+			t.Errorf("%s: no label for %s", path, field)
+		}
+	}
+	seen := map[string]bool{}
+	for _, id := range idPattern.FindAllStringSubmatch(page.body, -1) {
+		if seen[id[1]] {
+			t.Errorf("%s: identifier %s stands twice", path, id[1])
+		}
+		seen[id[1]] = true
+	}
+	if len(headerPattern.FindAllString(page.body, -1)) != 1 || !strings.Contains(page.body, `<html lang="en">`) || !strings.Contains(page.body, `href="#main"`) {
+		t.Errorf("%s: expected one main heading, a language and a skip link", path)
+	}
+	if found := scriptPattern.FindString(page.body); found != "" {
+		t.Errorf("%s: holds %q", path, found)
+	}
+}
