--- a/integration/entry_view_test.go
+++ b/integration/entry_view_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"arbutusward.example/arbutusward/internal/process/entry"
 )
 
 // inForceLimit is the time within which a change must be in force in every
@@ -56,7 +58,11 @@
 	relay.setSilent(true)
 	restarted.kill()
 	restarted.start()
+	begun := time.Now()
 	eventually(t, startLimit, "the restarted entry serves by its peer's view", func() error { return serves(restarted) })
+	if held := time.Since(begun); held < entry.StartHoldOff {
+		t.Errorf("it served after %s, while a drain that its earlier run confirmed may still be counted", held)
+	}
 }
 
 // TestRestartedEntryCutOffStartsFromItsDisk restarts the only entry of a
@@ -145,3 +151,30 @@
 	}
 	return nil
 }
+
+// TestRestartedEntryIsNotRevertedByALaggingControl restarts an entry
+// without a disk. All the control it reaches has not seen the change that
+// its zone peer works by.
+func TestRestartedEntryIsNotRevertedByALaggingControl(t *testing.T) {
+	d := newDeployment(t)
+	d.addControls("za", "za", "zb")
+	restarted := d.addEntry("entry-a1", "za")
+	d.addEntry("entry-a2", "za")
+	d.addSmallTargets()
+	d.apply(smallFleet)
+	d.waitInForce(5 * time.Second)
+	d.controls["control-1"].kill()
+	d.apply(replaceOnce(t, smallFleet, `"/booking/"`, `"/slots/"`))
+	d.waitEntriesServe("/slots/1")
+	d.controls["control-2"].kill()
+	d.controls["control-3"].kill()
+	d.controls["control-1"].start()
+	restarted.kill()
+	restarted.start()
+	for until := time.Now().Add(startLimit); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if serves(restarted) == nil {
+			t.Fatal("the entry serves by an older version than its zone peer")
+		}
+	}
+	d.waitServed(restarted.url() + "/slots/1")
+}
