--- a/cmd/arbutusctl/entry.go
+++ b/cmd/arbutusctl/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/url"
 
@@ -48,6 +47,5 @@
 	if err := client.Do(ctx, http.MethodPost, "/v1/entries/"+url.PathEscape(id)+"/remove", body, &removal); err != nil {
 		return err
 	}
-	fmt.Printf("entry %s is removed: %s\n", removal.ID, removal.Attestation)
-	return nil
+	return show(c, removal, "entry %s is removed: %s", removal.ID, removal.Attestation)
 }
--- a/cmd/arbutusctl/move.go
+++ b/cmd/arbutusctl/move.go
@@ -44,8 +44,7 @@
 	if err := client.Do(ctx, http.MethodPost, "/v1/moves", body, &vm); err != nil {
 		return err
 	}
-	fmt.Printf("VM %s of pool %s is %s at epoch %d\n", vm.Name, vm.Pool, vm.Phase, vm.Epoch)
-	return nil
+	return show(c, vm, "VM %s of pool %s is %s at epoch %d", vm.Name, vm.Pool, vm.Phase, vm.Epoch)
 }
 
 func listMoves(ctx context.Context, c *cli.Command) error {
@@ -57,7 +56,7 @@
 	if err := client.Do(ctx, http.MethodGet, "/v1/moves", nil, &report); err != nil {
 		return err
 	}
-	if c.String("output") == "json" {
+	if wantsJSON(c) {
 		return printJSON(report)
 	}
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
--- a/cmd/arbutusctl/plan.go
+++ b/cmd/arbutusctl/plan.go
@@ -34,7 +34,7 @@
 			if err := client.Do(ctx, http.MethodPost, "/v1/plan?"+query.Encode(), text, &comparison); err != nil {
 				return err
 			}
-			if c.String("output") == "json" {
+			if wantsJSON(c) {
 				return printJSON(comparison)
 			}
 			return showComparison(comparison)
@@ -78,7 +78,7 @@
 			if err := client.Do(ctx, http.MethodGet, "/v1/capacity", nil, &result); err != nil {
 				return err
 			}
-			if c.String("output") == "json" {
+			if wantsJSON(c) {
 				return printJSON(result)
 			}
 			return showCapacity(result, c.Bool("vms"))
--- a/cmd/arbutusctl/wave.go
+++ b/cmd/arbutusctl/wave.go
@@ -115,7 +115,7 @@
 }
 
 func showRuns(c *cli.Command, report control.WaveReport) error {
-	if c.String("output") == "json" {
+	if wantsJSON(c) {
 		return printJSON(report)
 	}
 	for _, run := range report.Runs {
--- a/internal/process/control/metrics.go
+++ b/internal/process/control/metrics.go
@@ -18,8 +18,12 @@
 }
 
 // writeLag writes the time for which an accepted version has not been in
-// force in each entry; 0 for an entry that works by it.
+// force in each entry; 0 for an entry that works by it. Only the leader
+// hears entries, so only it tells.
 func (s *Server) writeLag(w io.Writer, now time.Time) {
+	if s.replica.Status().Leader != s.settings.ID {
+		return
+	}
 	f := s.machine.Fleet()
 	accepted := acceptedAt(f)
 	for id, known := range f.Entries {
