--- a/internal/process/replica/core/core_test.go
+++ b/internal/process/replica/core/core_test.go
@@ -167,3 +167,53 @@
 		c.Ready()
 	})
 }
+
+// synced acknowledges the whole log in the name of the members given.
+func synced(t *testing.T, c *Core, ids ...string) {
+	t.Helper()
+	for _, id := range ids {
+		steps(t, c, Message{From: id, Term: c.Term(), AppendReply: &AppendReply{Index: c.Last().Index}})
+	}
+}
+
+func TestMembersChangeOneAtATime(t *testing.T) {
+	c := newTestCore(1)
+	lead(t, c)
+	if _, err := c.RemoveMember("c"); !errors.Is(err, ErrChangePending) {
+		t.Errorf("before the leader has committed: %v", err)
+	}
+	synced(t, c, "a", "b")
+	if _, err := c.AddLearner(replica.Member{ID: "d", Link: "d"}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.RemoveMember("c"); !errors.Is(err, ErrChangePending) {
+		t.Errorf("while another change is pending: %v", err)
+	}
+	synced(t, c, "a", "b")
+	if _, err := c.RemoveMember("c"); err != nil {
+		t.Errorf("after the change is committed: %v", err)
+	}
+}
+
+func TestLearnerVotesOnlyOnceCaughtUp(t *testing.T) {
+	c := newTestCore(1)
+	lead(t, c)
+	synced(t, c, "a", "b")
+	if _, err := c.AddLearner(replica.Member{ID: "d", Link: "d"}); err != nil {
+		t.Fatal(err)
+	}
+	synced(t, c, "a", "b")
+	if _, err := c.Propose([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	before := c.Commit()
+	steps(t, c, Message{From: "a", Term: 2, AppendReply: &AppendReply{Index: c.Last().Index}},
+		Message{From: "d", Term: 2, AppendReply: &AppendReply{Index: c.Commit() - 1}})
+	if c.isVoter("d") {
+		t.Error("a learner that is behind was promoted")
+	}
+	steps(t, c, Message{From: "d", Term: 2, AppendReply: &AppendReply{Index: c.Last().Index}})
+	if c.Commit() != before || !c.isVoter("d") {
+		t.Errorf("commit index %d after a learner's word, want %d; voter %v", c.Commit(), before, c.isVoter("d"))
+	}
+}
