--- a/integration/entry_view_test.go
+++ b/integration/entry_view_test.go
@@ -8,9 +8,7 @@
 	"testing"
 	"time"
 
-	"arbutusward.example/arbutusward/internal/adminclient"
 	"arbutusward.example/arbutusward/internal/process/entry"
-	"arbutusward.example/arbutusward/internal/process/keys"
 )
 
 // inForceLimit is the time within which a change must be in force in every
@@ -190,18 +188,3 @@
 	}
 	d.waitServed(restarted.url() + "/slots/1")
 }
-
-// connectWithout makes an operators' client that does not ask one control
-// process, which is frozen and would take up the time of every call.
-func (d *deployment) connectWithout(id string) {
-	d.t.Helper()
-	ring, err := keys.LoadCA(d.dir + "/ca")
-	must(d.t, err)
-	var addresses []string
-	for name, control := range d.controls {
-		if name != id {
-			addresses = append(addresses, control.settings.Admin)
-		}
-	}
-	d.client = adminclient.New(ring, addresses, d.token(keys.Admin, "tester"))
-}
