Announcements that waited in a stopped entry grant no lease

Cause: found by the request tests: an entry stopped by SIGSTOP finds the announcements of targets that have since gone in its sockets, and gave them fresh leases when it woke (10 of 10 requests went to them). Change: the table looks at the clock with each expiry; after a pause above 0.7 s it trusts no announcement for 1 s, only departures. Targets announce again within 0.8 s. Ruled out: an echoed clock stamp as for workers (a balancer spreads one target's announcements over the entries, and the stamps would be too old to give a lease from with three entries). The test failed before and passes now. The byte measurement of the peers' tables ticks as the entry does.

--- a/internal/connection/announce/http.go
+++ b/internal/connection/announce/http.go
@@ -61,6 +61,9 @@
 	switch {
 	case errors.Is(err, ErrUnknownVM):
 		c.JSON(http.StatusNotFound, Refusal{Code: "unknown_vm", Message: err.Error()})
+	case errors.Is(err, ErrStalled):
+		c.Header("Retry-After", "1")
+		c.JSON(http.StatusServiceUnavailable, Refusal{Code: "stalled", Message: err.Error()})
 	case errors.Is(err, ErrOtherPool):
 		c.JSON(http.StatusForbidden, Refusal{Code: "other_pool", Message: err.Error()})
 	default:
--- a/internal/connection/announce/table.go
+++ b/internal/connection/announce/table.go
@@ -19,6 +19,9 @@
 	ErrSuperseded = errors.New("a newer run of this VM's target is live")
 	// ErrOtherPool says that the VM's live target bears another pool's token.
 	ErrOtherPool = errors.New("the VM's live target bears the token of another pool")
+	// ErrStalled says that this process was stopped for a while: what it
+	// reads now may have waited since. The target is to announce itself again.
+	ErrStalled = errors.New("this entry was stopped for a while, announce again")
 )
 
 // Table keeps the leases known to one entry. It is safe for concurrent use.
@@ -30,6 +33,7 @@
 	known func(vm string) bool
 	// incarnation names this run of the table to peers.
 	incarnation string
+	guard       stallGuard
 
 	mu    sync.Mutex
 	held  map[string]*lease
@@ -45,7 +49,7 @@
 
 // NewTable returns an empty table that takes all VMs that known admits.
 func NewTable(recorder *timeline.Recorder, known func(vm string) bool, onChange func()) *Table {
-	t := &Table{recorder: recorder, known: known, onChange: onChange, incarnation: rand.Text(),
+	t := &Table{recorder: recorder, known: known, onChange: onChange, incarnation: rand.Text(), guard: stallGuard{seenAt: time.Now()},
 		held: map[string]*lease{}, peers: map[string]*peerLeases{}, targets: map[string]Target{}}
 	signal := make(chan struct{})
 	t.changed.Store(&signal)
@@ -71,6 +75,9 @@
 		return Lease{}, ErrUnknownVM
 	}
 	now := time.Now()
+	if !a.Leaving && !t.guard.trusts(now) {
+		return Lease{}, ErrStalled
+	}
 	t.mu.Lock()
 	changed, err := t.acceptLocked(a, pool, now)
 	t.mu.Unlock()
@@ -102,8 +109,10 @@
 	return t.resolve(a.VM, now, ""), nil
 }
 
-// Expire drops the leases that ended.
+// Expire drops the leases that ended. It has to be called several times a
+// second: a pause between two calls is taken for a stop of the process.
 func (t *Table) Expire(now time.Time) {
+	t.guard.tick(now)
 	t.mu.Lock()
 	for vm, held := range t.held {
 		if !held.runs(now) {
--- a/internal/process/entry/cost_test.go
+++ b/internal/process/entry/cost_test.go
@@ -135,6 +135,7 @@
 	other.follow(toHolder, toOther)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go holder.tick(ctx)
 	go holder.renew(ctx, t, targets)
 	holder.peers.reconcile(ctx, holder.view.View())
 	other.peers.reconcile(ctx, other.view.View())
@@ -162,6 +163,15 @@
 	e.view.advance(&delta, true)
 }
 
+// tick looks for ended leases as the entry's control goroutine does; a table
+// without ticks takes itself for stopped.
+func (e *zoneEntry) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.table.Expire(time.Now())
+		pause(ctx, expiryInterval)
+	}
+}
+
 // renew announces all targets but the changing one as often as they do.
 func (e *zoneEntry) renew(ctx context.Context, t *testing.T, targets int) {
 	e.announceAll(t, 1, 1)
