Slots of a VM shared without remainder; queue limit 512; frozen control passed over

Change: entries rank by ID among the live peers, the default queue limit is 512, a connection to control with its handshake is bounded by 1 s and an answer's header by 5 s.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -25,6 +25,13 @@
 // callTimeout bounds one call to one process.
 const callTimeout = 10 * time.Second
 
+const (
+	// dialTimeout bounds a new connection, with its handshake.
+	dialTimeout = time.Second
+	// answerTimeout bounds the time to an answer's header.
+	answerTimeout = 5 * time.Second
+)
+
 // maxAnswerBytes bounds an answer.
 const maxAnswerBytes = 64 << 20
 
@@ -54,10 +61,15 @@
 
 // New returns a client for the operator addresses of the control processes.
 func New(ring *keys.Ring, control []string, token string) *Client {
-	transport := &http.Transport{DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		dialer := &tls.Dialer{Config: ring.ClientTLS()}
-		return dialer.DialContext(ctx, network, address)
-	}}
+	transport := &http.Transport{ResponseHeaderTimeout: answerTimeout,
+		DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			// A frozen process still takes connections; it must not use up
+			// the time for the others.
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			dialer := &tls.Dialer{Config: ring.ClientTLS()}
+			return dialer.DialContext(ctx, network, address)
+		}}
 	return &Client{control: control, token: token, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/internal/connection/announce/peer.go
+++ b/internal/connection/announce/peer.go
@@ -1,6 +1,9 @@
 package announce
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // peerLeases is what this entry knows of the leases that a peer holds.
 type peerLeases struct {
@@ -143,15 +146,16 @@
 	}
 }
 
-// LivePeers returns the number of peers that were heard of late.
-func (t *Table) LivePeers(now time.Time) int {
+// LivePeers returns the IDs of the peers that were heard of late, in order.
+func (t *Table) LivePeers(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	live := 0
-	for _, peer := range t.peers {
+	var live []string
+	for id, peer := range t.peers {
 		if peer.vouched.after(now) {
-			live++
+			live = append(live, id)
 		}
 	}
+	slices.Sort(live)
 	return live
 }
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -178,32 +178,36 @@
 func (s *Server) control(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
-	liveEntries := 1
+	var livePeers []string
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			s.targets.Expire(now)
-			if live := 1 + s.targets.LivePeers(now); live != liveEntries {
-				liveEntries = live
-				livePeersGauge.Set(float64(live - 1))
-				s.rebuild(ctx, liveEntries)
+			if live := s.targets.LivePeers(now); !slices.Equal(live, livePeers) {
+				livePeers = live
+				livePeersGauge.Set(float64(len(live)))
+				s.rebuild(ctx, livePeers)
 			}
 		case <-s.dirty:
-			s.rebuild(ctx, liveEntries)
+			s.rebuild(ctx, livePeers)
 		}
 	}
 }
 
-func (s *Server) rebuild(ctx context.Context, liveEntries int) {
+// rebuild makes the table in force; livePeers lists the zone's other live
+// entries in order.
+func (s *Server) rebuild(ctx context.Context, livePeers []string) {
 	current := s.follower.View()
 	if s.follower.Removed() {
 		// Control counts this entry as powered off: it must send no work.
 		current = view.Empty()
 	}
 	s.peers.reconcile(ctx, current)
-	s.handler.SetTable(request.NewTable(current, s.targets.Snapshot(), liveEntries))
+	rank, _ := slices.BinarySearch(livePeers, s.settings.ID)
+	table := request.NewTable(current, s.targets.Snapshot(), 1+len(livePeers))
+	s.handler.SetTable(table.WithRank(rank))
 	s.admin.SetReady(current.Version > 0 && !s.stopping.Load())
 }
 
--- a/internal/version/fleet/document.go
+++ b/internal/version/fleet/document.go
@@ -84,7 +84,7 @@
 	Accelerators int `json:"accelerators,omitempty"`
 	// Slots is the number of requests the VM runs at once; default 8.
 	Slots int `json:"slots,omitempty"`
-	// Connections is the number of connections the VM takes; default 64.
+	// Connections is the number of connections the VM takes; default 512.
 	Connections int `json:"connections,omitempty"`
 }
 
--- a/internal/version/fleet/parse.go
+++ b/internal/version/fleet/parse.go
@@ -13,7 +13,7 @@
 const (
 	DefaultSlots            = 8
 	DefaultConnections      = 64
-	DefaultQueueLimit       = 64
+	DefaultQueueLimit       = 512
 	DefaultMaxRequestBytes  = 1 << 20
 	DefaultMaxResponseBytes = 8 << 20
 	DefaultMinDwellS        = 600
