--- a/internal/process/replica/driver/bench_test.go
+++ b/internal/process/replica/driver/bench_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -120,3 +121,23 @@
 	b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50-us")
 	b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99-us")
 }
+
+// BenchmarkIdle reports the processor time of three members without load,
+// as a share of one core for each member.
+func BenchmarkIdle(b *testing.B) {
+	const members = 3
+	const period = 3 * time.Second
+	startGroup(b, members)
+	for b.Loop() {
+		before := processorTime(b)
+		time.Sleep(period)
+		used := processorTime(b) - before
+		b.ReportMetric(100*used.Seconds()/period.Seconds()/members, "core-%/member")
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	check(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
