TestReplicaTornTail: damage a frame that is not the last

Cause: one of about eight runs under load failed: "a damaged log is not refused". The likely reason: a slow follower gets both documents in one append, so in one frame, the last; damage to the last frame cannot be told from a torn tail (docs/design/replication.md).

Change: a third document is accepted after the follower's restart, and the test waits until the follower holds it, so that the damage lies before the last frame. As strict as before.

--- a/integration/replica_test.go
+++ b/integration/replica_test.go
@@ -491,6 +491,17 @@
 	must(t, os.WriteFile(path, append(data, data[:20]...), 0o600))
 	c.start()
 	d.waitFollows(victim)
+	// A frame of its own follows, since only damage before the last one can
+	// be told from a torn tail.
+	size := len(data)
+	d.apply(smallFleet + "// 3")
+	eventually(t, electionLimit, "the follower holds the third document", func() error {
+		now, err := os.ReadFile(path)
+		if err == nil && len(now) < size+len(smallFleet) {
+			err = fmt.Errorf("%d bytes, %d before", len(now), size)
+		}
+		return err
+	})
 	c.kill()
 	data, err = os.ReadFile(path)
 	must(t, err)
