In force is told by the entry's own newest watch

Ruled out by reading: a missed wake of the held call, a delta that does not apply. Change: revision and version in force come from watches alone; in force asks for the version too, since an untrusted view of a restarted entry is not used yet.

--- a/internal/process/control/observers.go
+++ b/internal/process/control/observers.go
@@ -20,6 +20,9 @@
 	heardAt time.Time
 	// reportedAt is when the last report came; Drained holds for it alone.
 	reportedAt time.Time
+	// revision and version are those in force, as the entry's newest watch
+	// said. A report may have been made before that watch and come after it.
+	revision, version uint64
 }
 
 func newObservers() *observers { return &observers{entries: map[string]observation{}} }
@@ -35,13 +38,15 @@
 func (o *observers) note(report message.Report) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	before := o.entries[report.EntryID].report
+	seen := o.entries[report.EntryID]
 	if !report.Full {
-		report.Targets = mergeTargets(before.Targets, report)
+		report.Targets = mergeTargets(seen.report.Targets, report)
 	}
 	fits := message.DigestTargets(report.Targets) == report.TargetsDigest
-	now := time.Now()
-	o.entries[report.EntryID] = observation{report: report, heardAt: now, reportedAt: now}
+	seen.report = report
+	seen.heardAt = time.Now()
+	seen.reportedAt = seen.heardAt
+	o.entries[report.EntryID] = seen
 	return fits
 }
 
@@ -72,7 +77,7 @@
 	defer o.mu.Unlock()
 	seen := o.entries[id]
 	seen.report.EntryID, seen.report.Zone = id, zone
-	seen.report.Revision, seen.report.Version = revision, version
+	seen.revision, seen.version = revision, version
 	seen.heardAt = time.Now()
 	o.entries[id] = seen
 }
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -68,10 +68,10 @@
 	status := EntryStatus{Entry: entry}
 	seen, heard := s.observers.get(entry.ID)
 	if heard {
-		status.Version = seen.report.Version
-		status.Revision = seen.report.Revision
+		status.Version = seen.version
+		status.Revision = seen.revision
 		status.HeardMS = seen.heardAt.UnixMilli()
 	}
-	status.InForce = heard && seen.report.Revision >= f.VersionRevision
+	status.InForce = heard && seen.revision >= f.VersionRevision && seen.version >= f.Version
 	return status
 }
