--- /dev/null
+++ b/internal/process/state/jobsteps.go
@@ -0,0 +1,160 @@
+package state
+
+import (
+	"arbutusward.example/arbutusward/internal/version/fleet"
+	"arbutusward.example/arbutusward/internal/version/jobplan"
+	"arbutusward.example/arbutusward/internal/version/view"
+)
+
+// JobSteps is the body of a StepJobs command: a plan that is checked step
+// by step against the state as it is now.
+type JobSteps struct {
+	Placements  []JobPlacement    `cbor:"1,keyasint"`
+	Preemptions []JobOrder        `cbor:"2,keyasint"`
+	Blocked     []jobplan.Blocked `cbor:"3,keyasint"`
+}
+
+// JobPlacement starts the next attempt of a queued job.
+type JobPlacement struct {
+	Job string `cbor:"1,keyasint"`
+	// Epoch is the job's epoch as the planner saw it.
+	Epoch  uint64          `cbor:"2,keyasint"`
+	Worker string          `cbor:"3,keyasint"`
+	Hold   fleet.Resources `cbor:"4,keyasint"`
+}
+
+// JobOrder orders the running attempt of a job.
+type JobOrder struct {
+	Job    string        `cbor:"1,keyasint"`
+	Epoch  uint64        `cbor:"2,keyasint"`
+	Order  jobplan.Order `cbor:"3,keyasint"`
+	Reason string        `cbor:"4,keyasint"`
+}
+
+// JobStepsAnswer lists the steps that the newer state refused.
+type JobStepsAnswer struct {
+	Placed  int      `cbor:"1,keyasint"`
+	Ordered int      `cbor:"2,keyasint"`
+	Refused []string `cbor:"3,keyasint,omitempty"`
+}
+
+func applyStepJobs(m *Machine, p position, steps JobSteps) Result {
+	var answer JobStepsAnswer
+	for _, order := range steps.Preemptions {
+		if m.data.Jobs.applyOrder(p, order) {
+			answer.Ordered++
+		}
+	}
+	for _, placement := range steps.Placements {
+		if reason := m.placeJob(p, placement); reason != "" {
+			answer.Refused = append(answer.Refused, placement.Job+": "+reason)
+			continue
+		}
+		answer.Placed++
+	}
+	for _, blocked := range steps.Blocked {
+		if job := m.data.Jobs.active[blocked.Job]; job != nil && job.Phase == jobplan.Queued {
+			job.Reason = blocked.Reason
+		}
+	}
+	return okResult(answer)
+}
+
+func (s *jobState) applyOrder(p position, order JobOrder) bool {
+	job := s.active[order.Job]
+	if job == nil || job.Phase != jobplan.Running || job.Epoch != order.Epoch {
+		return false
+	}
+	job.Order = order.Order
+	job.OrderMS = p.atMS
+	job.Reason = order.Reason
+	return true
+}
+
+// placeJob starts an attempt, or returns why the state does not allow it.
+func (m *Machine) placeJob(p position, placement JobPlacement) string {
+	s := &m.data.Jobs
+	job := s.active[placement.Job]
+	if job == nil || job.Phase != jobplan.Queued || job.Epoch != placement.Epoch {
+		return "the job moved on"
+	}
+	vm, known := m.data.Fleet.VMs[placement.Worker]
+	if !known || vm.Phase != view.Serving {
+		return "worker " + placement.Worker + " takes no tasks"
+	}
+	if !jobplan.Fits(placement.Hold, jobplan.Sub(m.jobCapacity(vm), s.heldOn(placement.Worker))) {
+		return "worker " + placement.Worker + " has no room"
+	}
+	if !jobplan.Fits(jobplan.Add(s.heldBy(job.Spec.Team), placement.Hold), m.quotas()[job.Spec.Team]) {
+		return "the quota of team " + job.Spec.Team + " is used up"
+	}
+	job.Phase = jobplan.Running
+	job.Epoch++
+	job.Worker = placement.Worker
+	job.Held = placement.Hold
+	job.StartedMS = p.atMS
+	job.Reason = ""
+	s.attach(job)
+	return ""
+}
+
+// jobCapacity is what jobs may hold together on a VM.
+func (m *Machine) jobCapacity(vm OwnedVM) fleet.Resources {
+	size, declared := m.data.Fleet.sizes[vm.Name]
+	if !declared {
+		return fleet.Resources{}
+	}
+	share := m.data.Fleet.jobShare(vm.Pool)
+	if share == 0 {
+		return fleet.Resources{}
+	}
+	return fleet.Resources{CPUCores: share * float64(size.CPUCores), MemoryGiB: share * float64(size.MemoryGiB), Accelerators: size.Accelerators}
+}
+
+func (f *Fleet) jobShare(pool string) float64 {
+	for _, declared := range f.Document.Pools {
+		if declared.Name == pool {
+			return declared.JobShare
+		}
+	}
+	return 0
+}
+
+func (m *Machine) quotas() map[string]fleet.Resources {
+	quotas := map[string]fleet.Resources{}
+	if m.data.Fleet.Document == nil {
+		return quotas
+	}
+	for _, team := range m.data.Fleet.Document.Teams {
+		quotas[team.Name] = team.Quota
+	}
+	return quotas
+}
+
+// checkIdle refuses what would end a VM's tasks.
+func (s *jobState) checkIdle(vm string) (Result, bool) {
+	if count := len(s.onWorker[vm]); count > 0 {
+		return refuse(Refused, "VM %q still runs %d tasks", vm, count), true
+	}
+	return Result{}, false
+}
+
+func (s *jobState) heldOn(worker string) fleet.Resources {
+	var held fleet.Resources
+	for _, job := range s.onWorker[worker] {
+		held = jobplan.Add(held, job.Held)
+	}
+	return held
+}
+
+func (s *jobState) heldBy(team string) fleet.Resources {
+	var held fleet.Resources
+	for _, jobs := range s.onWorker {
+		for _, job := range jobs {
+			if job.Spec.Team == team {
+				held = jobplan.Add(held, job.Held)
+			}
+		}
+	}
+	return held
+}
