--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -130,4 +130,5 @@
 echo "== what the callers saw: status, outcome"
 sort "$run/load.txt" | uniq -c
 echo "== the disclosure"
-bin/arbutusctl report --from "$started" | head -n 40
+bin/arbutusctl report --from "$started" > "$run/report.txt"
+head -n 40 "$run/report.txt"
