One worst loss for validation and planning; the declared pool by index

Cause: read through: fleet.worstLoss and plan.WorstLoss were the same logic written twice, and the declared pool of a VM was searched through the document beside an index of it. Change: fleet.WorstLoss serves both (the planners' cheaper version), the index is used.

--- a/internal/process/state/moves.go
+++ b/internal/process/state/moves.go
@@ -55,18 +55,8 @@
 	return okResult(vm.VM)
 }
 
-// desiredPool returns the pool that the document names for a VM.
-func (f *Fleet) desiredPool(name string) string {
-	if f.Document == nil {
-		return ""
-	}
-	for i := range f.Document.VMs {
-		if f.Document.VMs[i].Name == name {
-			return f.Document.VMs[i].Pool
-		}
-	}
-	return ""
-}
+// desiredPool returns the pool that the document names for a VM, "" for none.
+func (f *Fleet) desiredPool(name string) string { return f.sizes[name].Pool }
 
 // commitMove gives a drained VM to its new pool.
 func (f *Fleet) commitMove(c position, vm OwnedVM, move plan.Move, step plan.MoveStep) Result {
--- a/internal/process/state/trace_test.go
+++ b/internal/process/state/trace_test.go
@@ -204,7 +204,7 @@
 	}
 	promised := plan.Promised(f.Document)
 	for _, pool := range f.Document.Pools {
-		if len(lost) == 0 && serving[pool.Name]-plan.WorstLoss(racks[pool.Name], pool.Tolerate) < promised[pool.Name] {
+		if len(lost) == 0 && serving[pool.Name]-fleet.WorstLoss(racks[pool.Name], pool.Tolerate) < promised[pool.Name] {
 			tr.unsafe++
 		}
 		switch {
--- a/internal/version/fleet/capacity_check.go
+++ b/internal/version/fleet/capacity_check.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"fmt"
-	"sort"
-)
+import "fmt"
 
 // checkCapacity reports budgets that the declared VMs cannot carry, and
 // waves that could never take a VM out.
@@ -76,33 +73,5 @@
 			total += slots
 		}
 	}
-	return total, worstLoss(byRack, pool.Tolerate)
-}
-
-// worstLoss sums the largest tolerated racks and then the largest VMs left.
-func worstLoss(byRack map[string][]int, tolerance Tolerance) int {
-	racks := make([][]int, 0, len(byRack))
-	for _, slots := range byRack {
-		racks = append(racks, slots)
-	}
-	sort.Slice(racks, func(i, j int) bool { return sum(racks[i]) > sum(racks[j]) })
-	cut := min(tolerance.Racks, len(racks))
-	lost := 0
-	for _, rack := range racks[:cut] {
-		lost += sum(rack)
-	}
-	var rest []int
-	for _, rack := range racks[cut:] {
-		rest = append(rest, rack...)
-	}
-	sort.Sort(sort.Reverse(sort.IntSlice(rest)))
-	return lost + sum(rest[:min(tolerance.VMs, len(rest))])
-}
-
-func sum(values []int) int {
-	total := 0
-	for _, value := range values {
-		total += value
-	}
-	return total
+	return total, WorstLoss(byRack, pool.Tolerate)
 }
--- a/internal/version/plan/loss.go
+++ b/internal/version/fleet/loss.go
@@ -1,10 +1,8 @@
-package plan
+package fleet
 
 import (
 	"cmp"
 	"slices"
-
-	"arbutusward.example/arbutusward/internal/version/fleet"
 )
 
 // rackSlots is the capacity of one pool in one rack: the slots of each VM.
@@ -21,7 +19,7 @@
 // WorstLoss returns the slots lost with the largest tolerated racks and,
 // after them, the largest tolerated VMs. The capacity is given as the slots
 // of each VM by rack.
-func WorstLoss(racks map[string][]int, tolerance fleet.Tolerance) int {
+func WorstLoss(racks map[string][]int, tolerance Tolerance) int {
 	ordered := make([]rackSlots, 0, len(racks))
 	for _, slots := range racks {
 		ordered = append(ordered, slots)
--- a/internal/version/plan/gate.go
+++ b/internal/version/plan/gate.go
@@ -137,7 +137,7 @@
 	if index < 0 {
 		return false
 	}
-	return total-slots-WorstLoss(without(racks, rack, slots), tolerance) >= promised
+	return total-slots-fleet.WorstLoss(without(racks, rack, slots), tolerance) >= promised
 }
 
 // without copies racks and leaves out one VM of a size.
@@ -153,7 +153,7 @@
 
 // margin returns the slots above the promise after the tolerated losses.
 func (p *poolBudget) margin() int {
-	return p.slots - WorstLoss(p.counted, p.tolerance) - p.promised
+	return p.slots - fleet.WorstLoss(p.counted, p.tolerance) - p.promised
 }
 
 // marginWithout returns the margin once a VM has left.
@@ -162,7 +162,7 @@
 		return p.margin()
 	}
 	rest := without(p.counted, vm.Rack, vm.Slots)
-	return p.slots - vm.Slots - WorstLoss(rest, p.tolerance) - p.promised
+	return p.slots - vm.Slots - fleet.WorstLoss(rest, p.tolerance) - p.promised
 }
 
 // MayLeave says whether a VM may stop serving its pool, and why not.
