Declared pools by index

Cause: read through: each look at a VM's job capacity searched the document's pools, for every VM in every plan of jobs (217 pools times 2,000 VMs at the long-run size). Change: an index made once per document. Lint, the state tests and three integration tests (whole path, jobs that can never run, VM dropped from the document) pass; the cost was not measured.

--- a/internal/process/state/fleet.go
+++ b/internal/process/state/fleet.go
@@ -38,6 +38,8 @@
 	Horizon uint64 `cbor:"11,keyasint"`
 	// sizes holds the declared VMs by name; it is derived from Document.
 	sizes map[string]fleet.VM
+	// pools holds the declared pools by name; it is derived from Document.
+	pools map[string]fleet.Pool
 	// Runs holds the wave runs by ID, Moves the moves under way by VM.
 	Runs  map[string]plan.WaveRun `cbor:"12,keyasint"`
 	Moves map[string]plan.Move    `cbor:"13,keyasint"`
@@ -114,6 +116,10 @@
 	for _, vm := range document.VMs {
 		f.sizes[vm.Name] = vm
 	}
+	f.pools = make(map[string]fleet.Pool, len(document.Pools))
+	for _, pool := range document.Pools {
+		f.pools[pool.Name] = pool
+	}
 }
 
 // bury records a removal.
--- a/internal/process/state/jobsteps.go
+++ b/internal/process/state/jobsteps.go
@@ -104,22 +104,13 @@
 	if !declared {
 		return fleet.Resources{}
 	}
-	share := m.data.Fleet.jobShare(vm.Pool)
+	share := m.data.Fleet.pools[vm.Pool].JobShare
 	if share == 0 {
 		return fleet.Resources{}
 	}
 	return fleet.Resources{CPUCores: share * float64(size.CPUCores), MemoryGiB: share * float64(size.MemoryGiB), Accelerators: size.Accelerators}
 }
 
-func (f *Fleet) jobShare(pool string) float64 {
-	for _, declared := range f.Document.Pools {
-		if declared.Name == pool {
-			return declared.JobShare
-		}
-	}
-	return 0
-}
-
 func (m *Machine) quotas() map[string]fleet.Resources {
 	quotas := map[string]fleet.Resources{}
 	if m.data.Fleet.Document == nil {
--- a/internal/process/state/ownership.go
+++ b/internal/process/state/ownership.go
@@ -13,13 +13,6 @@
 }
 
 func (f *Fleet) hasPool(name string) bool {
-	if f.Document == nil {
-		return false
-	}
-	for _, pool := range f.Document.Pools {
-		if pool.Name == name {
-			return true
-		}
-	}
-	return false
+	_, declared := f.pools[name]
+	return declared
 }
