--- /dev/null
+++ b/cmd/arbutus-entry/hosted.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"log/slog"
+
+	"go.uber.org/fx"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/process/hosted"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/lifecycle"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/platform"
+)
+
+// hostedEntry prepares the entry for the users' platform.
+func hostedEntry() (*lifecycle.Hosted, error) {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return nil, err
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	return &lifecycle.Hosted{
+		Identity: lifecycle.Identity{Program: "arbutus-entry", ID: settings.Node, Zone: settings.Zone},
+		MemoryMB: settings.MemoryMB,
+		Options: fx.Options(
+			fx.Supply(settings),
+			fx.Provide(newHostedNode, hosted.NewEntry),
+			fx.Invoke(func(lc fx.Lifecycle, entry *hosted.Entry) { lifecycle.Attach(lc, entry) }),
+		),
+	}, nil
+}
+
+func newHostedNode(s *platform.Settings, recorder *timeline.Recorder, log *slog.Logger) (*link.Node, error) {
+	ring, err := keys.NewEphemeral(s.Node)
+	if err != nil {
+		return nil, err
+	}
+	return link.Listen(s.Link, ring, recorder, log)
+}
--- a/cmd/arbutus-entry/main.go
+++ b/cmd/arbutus-entry/main.go
@@ -18,8 +18,9 @@
 
 func main() {
 	lifecycle.Main(lifecycle.Program[settings.Entry]{
-		Name:  "arbutus-entry",
-		Usage: "serve callers and take target announcements in one availability zone",
+		Name:   "arbutus-entry",
+		Hosted: hostedEntry,
+		Usage:  "serve callers and take target announcements in one availability zone",
 		Identity: func(s *settings.Entry) lifecycle.Identity {
 			return lifecycle.Identity{Program: "arbutus-entry", ID: s.ID, Zone: s.Zone, KeysDir: s.KeysDir}
 		},
--- /dev/null
+++ b/internal/connection/workcall/kinds.go
@@ -0,0 +1,105 @@
+// Package workcall carries the calls of a hosted deployment to the leader
+// of control: those of clients, workers and operators.
+package workcall
+
+import (
+	"context"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+)
+
+// Kinds of calls.
+const (
+	HelloKind      link.Kind = "work.hello"
+	JoinKind       link.Kind = "work.join"
+	submitKind     link.Kind = "work.submit"
+	jobKind        link.Kind = "work.job"
+	cancelKind     link.Kind = "work.cancel"
+	pendingKind    link.Kind = "work.pending"
+	heartbeatKind  link.Kind = "work.heartbeat"
+	deregisterKind link.Kind = "work.deregister"
+	catalogKind    link.Kind = "work.catalog"
+	readKind       link.Kind = "work.read"
+	waveKind       link.Kind = "work.wave"
+	waveStateKind  link.Kind = "work.wave_state"
+)
+
+// Codes of faults.
+const (
+	// CodeUnavailable says that nothing was done; another try may succeed.
+	CodeUnavailable = "unavailable"
+	// CodeUnknown says that the call may have taken effect.
+	CodeUnknown = "unknown_result"
+)
+
+// Register lets a node serve the calls of a Control.
+func Register(node *link.Node, control Control) {
+	handle(node, submitKind, control.Submit)
+	handle(node, jobKind, control.Job)
+	handle(node, cancelKind, control.Cancel)
+	handle(node, pendingKind, control.Pending)
+	handle(node, heartbeatKind, control.Heartbeat)
+	handle(node, deregisterKind, control.Deregister)
+	handle(node, catalogKind, control.ReplaceCatalog)
+	handle(node, readKind, control.ReadCatalog)
+	handle(node, waveKind, control.StartWave)
+	handle(node, waveStateKind, control.Wave)
+}
+
+func handle[Req, Resp any](node *link.Node, kind link.Kind, serve func(context.Context, Req) (Resp, error)) {
+	link.Handle(node, kind, func(ctx context.Context, _ link.Peer, r Req) (Resp, error) {
+		ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+		return serve(ctx, r)
+	})
+}
+
+// Submit hands a job in.
+func (c *Client) Submit(ctx context.Context, r SubmitRequest) (SubmitResponse, error) {
+	return call(ctx, c, submitKind, Control.Submit, r)
+}
+
+// Job reads a job's state.
+func (c *Client) Job(ctx context.Context, r JobRequest) (JobResponse, error) {
+	return call(ctx, c, jobKind, Control.Job, r)
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, r JobRequest) (CancelResponse, error) {
+	return call(ctx, c, cancelKind, Control.Cancel, r)
+}
+
+// Pending counts a queue's jobs that have not begun.
+func (c *Client) Pending(ctx context.Context, r PendingRequest) (PendingResponse, error) {
+	return call(ctx, c, pendingKind, Control.Pending, r)
+}
+
+// Heartbeat passes a worker's heartbeat on.
+func (c *Client) Heartbeat(ctx context.Context, r HeartbeatRequest) (HeartbeatResponse, error) {
+	return call(ctx, c, heartbeatKind, Control.Heartbeat, r)
+}
+
+// Deregister passes a worker's end on.
+func (c *Client) Deregister(ctx context.Context, r DeregisterRequest) (Done, error) {
+	return call(ctx, c, deregisterKind, Control.Deregister, r)
+}
+
+// ReplaceCatalog proposes a configuration.
+func (c *Client) ReplaceCatalog(ctx context.Context, r CatalogRequest) (CatalogResponse, error) {
+	return call(ctx, c, catalogKind, Control.ReplaceCatalog, r)
+}
+
+// ReadCatalog reads the configuration in force.
+func (c *Client) ReadCatalog(ctx context.Context, r ReadRequest) (CatalogResponse, error) {
+	return call(ctx, c, readKind, Control.ReadCatalog, r)
+}
+
+// StartWave asks for a wave of upkeep.
+func (c *Client) StartWave(ctx context.Context, r WaveRequest) (Done, error) {
+	return call(ctx, c, waveKind, Control.StartWave, r)
+}
+
+// Wave reads the state of a wave.
+func (c *Client) Wave(ctx context.Context, r WaveStateRequest) (WaveStateResponse, error) {
+	return call(ctx, c, waveStateKind, Control.Wave, r)
+}
--- /dev/null
+++ b/internal/process/hosted/control.go
@@ -0,0 +1,179 @@
+package hosted
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/replica/datadir"
+	"arbutusward.example/arbutusward/internal/process/replica/driver"
+	"arbutusward.example/arbutusward/internal/process/scheduler"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/platform"
+)
+
+// Times of a control process.
+const (
+	// joinInterval is the time between requests to be taken in.
+	joinInterval = 300 * time.Millisecond
+	joinTimeout  = 2 * time.Second
+	// controlShutdown bounds the calls that are still answered at a stop.
+	controlShutdown = time.Second
+)
+
+// joinSeparator parts the link address from the random part in the id of a
+// process that has joined later.
+const joinSeparator = "/"
+
+// Membership is how a control process takes part in the replicated log.
+type Membership struct {
+	ID string
+	// Join says that the process was not among the first members.
+	Join bool
+}
+
+// NewMembership draws a process's part from its disk and its settings. The
+// first members are the seeds of the first start. A process with an empty
+// disk otherwise joins under an id of its own: it must not be taken for the
+// one whose disk was lost.
+func NewMembership(s *platform.Settings) (Membership, error) {
+	known, err := datadir.ReadIdentity(s.DataDir)
+	if err != nil {
+		return Membership{}, err
+	}
+	if known != nil {
+		return Membership{ID: known.ID, Join: strings.Contains(known.ID, joinSeparator)}, nil
+	}
+	if s.FirstStart && slices.Contains(s.SeedLinks, s.Link) {
+		return Membership{ID: s.Link}, nil
+	}
+	return Membership{ID: s.Link + joinSeparator + rand.Text(), Join: true}, nil
+}
+
+// NewReplica opens the replicated log.
+func NewReplica(s *platform.Settings, m Membership, machine *workstate.Machine, node *link.Node, recorder *timeline.Recorder, log *slog.Logger) (replica.Replica, error) {
+	_, port, err := net.SplitHostPort(s.Control)
+	if err != nil {
+		return nil, logging.At(err, "read the control address", s.Control)
+	}
+	var founders []replica.Member
+	for _, address := range s.SeedLinks {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, logging.At(err, "read seed", address)
+		}
+		founders = append(founders, replica.Member{ID: address, Link: address, Admin: net.JoinHostPort(host, port)})
+	}
+	return driver.Open(driver.Options{
+		Self:     replica.Member{ID: m.ID, Link: s.Link, Admin: s.Control},
+		Founders: founders,
+		Join:     m.Join,
+		Dir:      s.DataDir,
+		Machine:  machine,
+		Node:     node,
+		Recorder: recorder,
+		Log:      log,
+		Fatal: func(err error) {
+			log.Error("the replica cannot go on", logging.Err(err))
+			os.Exit(1)
+		},
+	})
+}
+
+// Control keeps the state and schedules.
+type Control struct {
+	settings  *platform.Settings
+	member    Membership
+	node      *link.Node
+	replica   replica.Replica
+	scheduler *scheduler.Scheduler
+	client    *workcall.Client
+	log       *slog.Logger
+
+	servers servers
+	cancel  context.CancelFunc
+}
+
+// NewControl wires a control process.
+func NewControl(s *platform.Settings, m Membership, node *link.Node, r replica.Replica, machine *workstate.Machine, log *slog.Logger) *Control {
+	options := scheduler.Options{
+		Replica: r, Machine: machine, Workers: platform.NewHTTPWorkers(), Holder: s.Node, Log: log, Now: time.Now,
+		Limits: scheduler.Limits{
+			StopTimeout: s.Bounds.StopTimeout, HolderLease: s.Bounds.HolderLease, Retention: s.Bounds.Retention,
+			Unavailability: s.Bounds.Unavailability, CallRate: s.CallRate, ActionRate: s.ActionRate,
+		},
+	}
+	if s.PlatformAddress != "" {
+		options.Platform = platform.NewHTTPPlatform(s.PlatformAddress)
+	}
+	sched := scheduler.New(options, s.Control, node)
+	client := workcall.NewClient(node, s.SeedLinks, log)
+	client.ServeLocally(s.Link, sched.Server())
+	return &Control{settings: s, member: m, node: node, replica: r, scheduler: sched, client: client, log: log}
+}
+
+// Start begins to serve.
+func (c *Control) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.node.Serve()
+	go c.client.Run(ctx)
+	go c.scheduler.Run(ctx)
+	go followSettings(ctx, c.client, c.log)
+	if c.member.Join {
+		go c.join(ctx)
+	}
+	return errors.Join(
+		c.servers.listen(c.settings.Control, platform.NewControlAPI(c.client, c.log)),
+		c.servers.listen(c.settings.Metrics, metricsHandler()),
+	)
+}
+
+// join asks to be taken in until this process is a member.
+func (c *Control) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.isMember() {
+			c.log.Info("joined", "member", c.member.ID)
+			return
+		}
+		c.joinOnce(ctx)
+		select {
+		case <-time.After(joinInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *Control) isMember() bool {
+	return slices.ContainsFunc(c.replica.Status().Members, func(m replica.Member) bool { return m.ID == c.member.ID })
+}
+
+func (c *Control) joinOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	err := c.client.Join(ctx, workcall.JoinRequest{ID: c.member.ID, Link: c.settings.Link, Admin: c.settings.Control})
+	if err != nil && ctx.Err() == nil {
+		c.log.Info("not taken in as a member yet", "member", c.member.ID, logging.Err(err))
+	}
+}
+
+// Stop hands the leadership over and ends.
+func (c *Control) Stop(ctx context.Context) error {
+	err := c.replica.Stop()
+	ctx, cancel := context.WithTimeout(ctx, controlShutdown)
+	defer cancel()
+	err = errors.Join(err, c.servers.shutdown(ctx))
+	c.cancel()
+	return errors.Join(err, c.node.Close())
+}
--- a/internal/process/keys/ring.go
+++ b/internal/process/keys/ring.go
@@ -26,6 +26,9 @@
 	// ID is the name in the node certificate.
 	ID string
 
+	// unauthenticated rings believe the other end its name.
+	unauthenticated bool
+
 	dir     string
 	current atomic.Pointer[material]
 }
@@ -164,7 +167,7 @@
 
 func (r *Ring) mutualTLS(protocol string) *tls.Config {
 	current := r.current.Load()
-	return &tls.Config{
+	config := &tls.Config{
 		Certificates: []tls.Certificate{current.node},
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 		ClientCAs:    current.pool,
@@ -173,6 +176,11 @@
 		NextProtos:   []string{protocol},
 		MinVersion:   tls.VersionTLS13,
 	}
+	if r.unauthenticated {
+		config.ClientAuth = tls.RequireAnyClientCert
+		config.InsecureSkipVerify = true
+	}
+	return config
 }
 
 // ServerTLS returns a configuration for a port where callers prove
--- /dev/null
+++ b/internal/process/lifecycle/hosted.go
@@ -0,0 +1,44 @@
+package lifecycle
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"runtime/debug"
+
+	"go.uber.org/fx"
+
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+)
+
+// Share of the granted memory from which the garbage collector works
+// harder; the rest is for unread bytes and stacks.
+const memoryTargetPercent = 65
+
+// runHosted runs a program on the users' platform. Its log goes to standard
+// output, which the platform keeps.
+func runHosted(ctx context.Context, program string, prepare func() (*Hosted, error), checkOnly bool) error {
+	if prepare == nil {
+		return errNotHosted
+	}
+	hosted, err := prepare()
+	if err != nil || checkOnly {
+		return err
+	}
+	if hosted.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(hosted.MemoryMB) << 20 * memoryTargetPercent / 100)
+	}
+	identity := hosted.Identity
+	log, flush := logging.NewBounded(os.Stdout, program, identity.ID, identity.Zone)
+	defer flush()
+	slog.SetDefault(log)
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(log, timeline.NewRecorder(identity.ID, identity.Zone)),
+		hosted.Options,
+	)
+	return runApp(ctx, app, log)
+}
--- a/internal/process/lifecycle/lifecycle.go
+++ b/internal/process/lifecycle/lifecycle.go
@@ -38,6 +38,12 @@
 	stopTimeout = 10 * time.Minute
 )
 
+// errNoSettings says that the program was not told where its settings are.
+var errNoSettings = errors.New("name the settings file with --settings, or use --platform")
+
+// errNotHosted says that a program does not run on the users' platform.
+var errNotHosted = errors.New("this program does not run on the users' platform")
+
 // Identity is what a process is called and where it stands.
 type Identity struct {
 	Program, ID, Zone, KeysDir string
@@ -53,6 +59,20 @@
 	// Options wires the program; *S, *keys.Ring, *timeline.Recorder and
 	// *slog.Logger are provided.
 	Options fx.Option
+	// Hosted prepares the program for the users' platform; nil where it
+	// does not run there.
+	Hosted func() (*Hosted, error)
+}
+
+// Hosted is a program on the users' platform, which names its settings
+// itself.
+type Hosted struct {
+	Identity Identity
+	// MemoryMB is what the platform grants the process.
+	MemoryMB int
+	// Options wires the program; *timeline.Recorder and *slog.Logger are
+	// provided.
+	Options fx.Option
 }
 
 // Main runs the program with the process's arguments and exits.
@@ -61,10 +81,17 @@
 		Name:  p.Name,
 		Usage: p.Usage,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "settings file, JSON with comments", Required: true},
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "settings file, JSON with comments"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"},
+			&cli.BoolFlag{Name: "platform", Usage: "run on the users' platform, with its settings"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Bool("platform") {
+				return runHosted(ctx, p.Name, p.Hosted, c.Bool("check"))
+			}
+			if c.String("settings") == "" {
+				return errNoSettings
+			}
 			return run(ctx, p, c.String("settings"), c.Bool("check"))
 		},
 	}
--- a/internal/process/replica/datadir/identity.go
+++ b/internal/process/replica/datadir/identity.go
@@ -30,10 +30,26 @@
 
 // LoadIdentity reads the folder's identity; in an empty folder it makes one.
 func LoadIdentity(dir, id string) (*Identity, error) {
+	identity, err := ReadIdentity(dir)
+	if err != nil {
+		return nil, err
+	}
+	if identity == nil {
+		identity = &Identity{ID: id, Disk: rand.Text()}
+		return identity, identity.Save(dir)
+	}
+	if identity.ID != id {
+		return nil, logging.At(fmt.Errorf("%w: it is %q, the settings say %q", ErrOtherIdentity, identity.ID, id), "check identity", dir)
+	}
+	return identity, nil
+}
+
+// ReadIdentity reads the folder's identity; an empty or missing folder has
+// none, which is nil.
+func ReadIdentity(dir string) (*Identity, error) {
 	data, err := os.ReadFile(filepath.Join(dir, identityName))
 	if errors.Is(err, os.ErrNotExist) {
-		identity := &Identity{ID: id, Disk: rand.Text()}
-		return identity, identity.Save(dir)
+		return nil, nil
 	}
 	if err != nil {
 		return nil, logging.At(err, "read identity", dir)
@@ -42,9 +58,6 @@
 	if err := json.Unmarshal(data, &identity); err != nil {
 		return nil, logging.At(fmt.Errorf("decode identity: %w", err), "read identity", dir)
 	}
-	if identity.ID != id {
-		return nil, logging.At(fmt.Errorf("%w: it is %q, the settings say %q", ErrOtherIdentity, identity.ID, id), "check identity", dir)
-	}
 	return &identity, nil
 }
 
--- /dev/null
+++ b/internal/process/scheduler/loop.go
@@ -0,0 +1,221 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// tickInterval is the time between looks at what depends on time alone.
+const tickInterval = 50 * time.Millisecond
+
+// eventQueue bounds the events that wait for the loop.
+const eventQueue = 4096
+
+// Metrics of the scheduler.
+var (
+	startedRuns   = metrics.NewCounter(`arbutus_runs_started_total`)
+	endedRuns     = metrics.NewCounter(`arbutus_runs_ended_total`)
+	refusedOrders = metrics.NewCounter(`arbutus_orders_refused_total`)
+	lostOrders    = metrics.NewCounter(`arbutus_orders_unanswered_total`)
+	planSeconds   = metrics.NewHistogram(`arbutus_plan_seconds`)
+	commitSeconds = metrics.NewHistogram(`arbutus_progress_commit_seconds`)
+)
+
+// Options are what a scheduler needs.
+type Options struct {
+	Replica  replica.Replica
+	Machine  *workstate.Machine
+	Workers  execution.Workers
+	Platform execution.Platform
+	// Holder names this process to the platform.
+	Holder string
+	Limits Limits
+	Log    *slog.Logger
+	Now    func() time.Time
+}
+
+// Limits are a deployment's times.
+type Limits struct {
+	// StopTimeout bounds the end of a run that is stopped.
+	StopTimeout time.Duration
+	// HolderLease is the time after the last order of another holder
+	// before which a VM must be left alone.
+	HolderLease time.Duration
+	// Retention is how long ended jobs are kept.
+	Retention time.Duration
+	// Unavailability is how long a task is away before it counts against
+	// its step's disruption budget.
+	Unavailability time.Duration
+	// CallRate and ActionRate bound calls to the platform, each second.
+	CallRate, ActionRate float64
+}
+
+// event changes what the loop knows. It runs on the loop's goroutine.
+type event func(*loop)
+
+// loop is one leadership. All its state belongs to the goroutine of run.
+type loop struct {
+	Options
+	ctx context.Context
+	// term is the leader's term: the fence of all orders.
+	term   uint64
+	since  time.Time
+	events chan event
+
+	workers map[string]*worker
+	runs    map[workload.TaskID]*run
+	// ends wait for the next commit, by run.
+	ends map[runKey]workstate.End
+	// committing says that a progress is on its way; dirty that something
+	// has changed since the last plan.
+	committing, dirty bool
+	// orphans holds when runs that are not recorded were last told to stop.
+	orphans map[runKey]time.Time
+	upkeep  upkeepState
+
+	nextForget time.Time
+}
+
+func newLoop(ctx context.Context, o Options, term uint64) *loop {
+	return &loop{
+		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue),
+		workers: map[string]*worker{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
+		orphans: map[runKey]time.Time{}, dirty: true,
+	}
+}
+
+// post hands an event to the loop, unless the leadership has ended.
+func (l *loop) post(e event) {
+	select {
+	case l.events <- e:
+	case <-l.ctx.Done():
+	}
+}
+
+// run serves events until the leadership ends.
+func (l *loop) run() {
+	l.Log.Info("leading", "term", l.term)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			l.Log.Info("no longer leading", "term", l.term, "led_ms", time.Since(l.since).Milliseconds())
+			return
+		case e := <-l.events:
+			e(l)
+			l.drainEvents()
+		case <-ticker.C:
+			l.dirty = true
+		}
+		l.advance(time.Now())
+	}
+}
+
+// drainEvents takes the events that wait now, so that one plan serves all.
+func (l *loop) drainEvents() {
+	for {
+		select {
+		case e := <-l.events:
+			e(l)
+		default:
+			return
+		}
+	}
+}
+
+// advance plans and sends what is due.
+func (l *loop) advance(now time.Time) {
+	if l.dirty && !l.committing {
+		l.dirty = false
+		l.round(now)
+	}
+	l.watchWorkers(now)
+}
+
+// round reconciles the state with what workers report, plans, and commits
+// the outcome. At most one commit is on its way, so that each round sees
+// the state that the one before has left.
+func (l *loop) round(now time.Time) {
+	start := time.Now()
+	var progress workstate.Progress
+	l.Machine.Read(func(v *workstate.View) {
+		l.syncWorkers(v)
+		l.takeEnds(v)
+		usage := l.reconcile(v, now)
+		progress.Starts = l.plan(v, usage, now)
+		l.planUpkeep(v, now)
+	})
+	for _, end := range l.ends {
+		progress.Ends = append(progress.Ends, end)
+	}
+	planSeconds.UpdateDuration(start)
+	l.forget(now)
+	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
+		l.ackEnds()
+		return
+	}
+	l.commit(&progress)
+}
+
+// commit proposes a progress; its result comes back as an event.
+func (l *loop) commit(progress *workstate.Progress) {
+	l.committing = true
+	go func() {
+		start := time.Now()
+		result, err := propose(l.ctx, l.Replica, &workstate.Command{Progress: progress}, l.Now())
+		commitSeconds.UpdateDuration(start)
+		l.post(func(l *loop) { l.committed(progress, result, err) })
+	}()
+}
+
+// committed sends the orders of the starts that were recorded.
+func (l *loop) committed(progress *workstate.Progress, result workstate.Result, err error) {
+	l.committing = false
+	l.dirty = true
+	if err != nil {
+		l.Log.Warn("progress not committed", "starts", len(progress.Starts), "ends", len(progress.Ends), "error", err.Error())
+		return
+	}
+	for _, end := range progress.Ends {
+		delete(l.ends, runKey{end.Task, end.Run})
+	}
+	l.ackEnds()
+	endedRuns.Add(len(progress.Ends))
+	l.logProgress(progress, result.Started)
+	for i, ok := range result.Started {
+		if ok {
+			l.beginRun(&progress.Starts[i])
+		}
+	}
+}
+
+// ackEnds lets workers forget the ends that are committed.
+func (l *loop) ackEnds() {
+	for _, w := range l.workers {
+		w.acked = max(w.acked, w.seen)
+	}
+}
+
+// forget drops old jobs from time to time.
+func (l *loop) forget(now time.Time) {
+	if now.Before(l.nextForget) {
+		return
+	}
+	l.nextForget = now.Add(l.Limits.Retention / 4)
+	before := l.Now().Add(-2 * l.Limits.Retention).UnixMilli()
+	go func() {
+		_, err := propose(l.ctx, l.Replica, &workstate.Command{Forget: &workstate.Forget{EndedBeforeMS: before}}, l.Now())
+		if err != nil && l.ctx.Err() == nil {
+			l.Log.Warn("old jobs not forgotten", "error", err.Error())
+		}
+	}()
+}
--- /dev/null
+++ b/internal/process/scheduler/plan.go
@@ -0,0 +1,177 @@
+package scheduler
+
+import (
+	"strings"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/placement"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// rackLabelPrefix marks the label that names a worker's rack.
+const rackLabelPrefix = "r"
+
+// plan places waiting tasks on workers with room.
+func (l *loop) plan(v *workstate.View, u *usage, now time.Time) []workstate.Start {
+	groups := l.waitingGroups(v)
+	if len(groups) == 0 {
+		return nil
+	}
+	placed := placement.Plan(groups, l.placeable(u, now))
+	starts := make([]workstate.Start, 0, len(placed))
+	for _, p := range placed {
+		starts = append(starts, l.start(v, p))
+	}
+	return starts
+}
+
+func (l *loop) start(v *workstate.View, p placement.Placement) workstate.Start {
+	id := workload.TaskID{Job: p.Group.Job, Occurrence: p.Group.Occurrence, Step: p.Group.Step, Index: p.Index}
+	job := v.Job(p.Group.Job)
+	number := 1
+	if p.Group.Gang {
+		number = nextGangRun(job, id)
+	} else if task := job.Task(id); task != nil {
+		number = task.Run + 1
+	}
+	return workstate.Start{Task: id, Run: number, Worker: p.Worker, Born: l.workers[p.Worker].reg.Born}
+}
+
+// nextGangRun returns a run number above all of the step: the members of a
+// gang share it.
+func nextGangRun(job *workstate.Job, id workload.TaskID) int {
+	highest := 0
+	if id.Occurrence < len(job.Occurrences) {
+		for _, task := range job.Occurrences[id.Occurrence].Steps[id.Step].Tasks {
+			highest = max(highest, task.Run)
+		}
+	}
+	return highest + 1
+}
+
+// placeable returns the workers that take new tasks, with their room.
+func (l *loop) placeable(u *usage, now time.Time) []*placement.Worker {
+	var workers []*placement.Worker
+	for id, w := range l.workers {
+		if !w.usable(now) || l.upkeep.holds(w.reg.VM) {
+			continue
+		}
+		workers = append(workers, &placement.Worker{
+			ID: id, Service: w.reg.Service, Rack: rackOf(w.reg.Labels), Labels: w.reg.Labels,
+			Free: w.reg.Capacity.Sub(u.taken[id]),
+		})
+	}
+	return workers
+}
+
+// rackOf returns the label that names the rack, the last one by custom.
+func rackOf(labels []string) string {
+	for i := len(labels) - 1; i >= 0; i-- {
+		if strings.HasPrefix(labels[i], rackLabelPrefix) && len(labels[i]) > 1 {
+			return labels[i]
+		}
+	}
+	return ""
+}
+
+// waitingGroups returns the waiting tasks of all open jobs, by step.
+func (l *loop) waitingGroups(v *workstate.View) []*placement.Group {
+	nowMS := l.Now().UnixMilli()
+	var groups []*placement.Group
+	for _, job := range v.Active() {
+		if job.Outcome != workstate.Open {
+			continue
+		}
+		for k := range job.Spec.Occurrences() {
+			if job.Spec.DueMS(k) > nowMS {
+				break
+			}
+			groups = l.appendWaiting(groups, v, job, k)
+		}
+	}
+	return groups
+}
+
+// appendWaiting adds the steps of one occurrence that may start.
+func (l *loop) appendWaiting(groups []*placement.Group, v *workstate.View, job *workstate.Job, k int) []*placement.Group {
+	var progress *workstate.Occurrence
+	if k < len(job.Occurrences) {
+		progress = &job.Occurrences[k]
+		if progress.StepsDone == len(progress.Steps) {
+			return groups
+		}
+	}
+	for s := range job.Spec.Steps {
+		step := &job.Spec.Steps[s]
+		if progress == nil && len(step.DependsOn) > 0 {
+			continue
+		}
+		if progress != nil && !progress.Ready(step) {
+			continue
+		}
+		if g := l.group(v, job, progress, k, s); g != nil {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
+// group returns the waiting tasks of a step, or nil if there are none.
+func (l *loop) group(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k, s int) *placement.Group {
+	step := &job.Spec.Steps[s]
+	g := &placement.Group{
+		Job: job.ID, Occurrence: k, Step: s, Total: step.Count, Service: v.ServiceOf(job), Charge: step.Charge(),
+		Label: step.RequiredLabel, DataRack: step.DataRack, MaxPerWorker: step.MaxPerWorker, Gang: step.Gang, SameRack: step.SameRack,
+		Rank: float64(job.AcceptedMS),
+	}
+	if queue := v.Queue(job.Queue); queue != nil {
+		g.Priority = queue.Priority
+	}
+	if progress == nil {
+		for i := range step.Count {
+			g.Indexes = append(g.Indexes, i)
+		}
+		return g
+	}
+	g.OnWorker = map[string]int{}
+	for i := range progress.Steps[s].Tasks {
+		switch task := &progress.Steps[s].Tasks[i]; task.Phase {
+		case workstate.Waiting:
+			g.Indexes = append(g.Indexes, i)
+		case workstate.Running:
+			g.OnWorker[task.Worker]++
+		}
+	}
+	if len(g.Indexes) == 0 {
+		return nil
+	}
+	return g
+}
+
+// logProgress writes one line for each step that is started or ended on.
+func (l *loop) logProgress(p *workstate.Progress, started []bool) {
+	type line struct {
+		job              string
+		occurrence, step int
+		what             string
+	}
+	lines := map[line][]string{}
+	for i := range p.Ends {
+		e := &p.Ends[i]
+		what := [...]string{"", "done", "failed", "interrupted"}[e.Kind]
+		key := line{e.Task.Job, e.Task.Occurrence, e.Task.Step, what}
+		lines[key] = append(lines[key], shortRun(e.Task.Index, e.Run, ""))
+	}
+	for i := range p.Starts {
+		s := &p.Starts[i]
+		key := line{s.Task.Job, s.Task.Occurrence, s.Task.Step, "started"}
+		if !started[i] {
+			key.what = "start not valid any more"
+		}
+		lines[key] = append(lines[key], shortRun(s.Task.Index, s.Run, s.Worker))
+	}
+	for key, runs := range lines {
+		l.Log.Info("tasks "+key.what, "job", key.job, "occurrence", key.occurrence, "step", key.step, "runs", strings.Join(runs, " "))
+	}
+}
--- /dev/null
+++ b/internal/process/scheduler/reconcile.go
@@ -0,0 +1,189 @@
+package scheduler
+
+import (
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// usage is what executes, gathered from the state in one pass.
+type usage struct {
+	// taken is the capacity in use on each worker.
+	taken map[string]workload.Resources
+	// recorded holds the runs that the state knows as executing.
+	recorded map[runKey]bool
+}
+
+// takeEnds queues the ends that workers list and that are not committed.
+func (l *loop) takeEnds(v *workstate.View) {
+	for _, w := range l.workers {
+		if w.report == nil {
+			continue
+		}
+		for key, ended := range w.report.ended {
+			if ended.Number > w.acked {
+				l.takeEnd(v, w, key, ended)
+			}
+			w.seen = max(w.seen, ended.Number)
+		}
+	}
+}
+
+func (l *loop) takeEnd(v *workstate.View, w *worker, key runKey, ended execution.EndedRun) {
+	job := v.Job(key.task.Job)
+	if job == nil {
+		return
+	}
+	task := job.Task(key.task)
+	if task == nil || task.Phase != workstate.Running || task.Run != key.run || task.Worker != w.reg.ID {
+		return
+	}
+	kind := workstate.EndInterrupted
+	switch ended.How {
+	case execution.ReasonDone:
+		kind = workstate.EndDone
+		w.successes++
+	case execution.ReasonFailed:
+		kind = workstate.EndFailed
+		w.failures++
+	}
+	l.end(key.task, key.run, kind, ended.Checkpoint)
+	step := &job.Spec.Steps[key.task.Step]
+	if step.Gang && kind == workstate.EndDone {
+		l.endGang(job, key)
+	}
+}
+
+// endGang ends all members of a gang: they are done together.
+func (l *loop) endGang(job *workstate.Job, key runKey) {
+	job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
+		if id.Step == key.task.Step && id.Occurrence == key.task.Occurrence && task.Run == key.run {
+			l.end(id, task.Run, workstate.EndDone, "")
+		}
+	})
+}
+
+// reconcile compares each recorded run with what its worker reports, and
+// repeats, stops or ends what does not agree.
+func (l *loop) reconcile(v *workstate.View, now time.Time) *usage {
+	u := &usage{taken: map[string]workload.Resources{}, recorded: map[runKey]bool{}}
+	for _, job := range v.Active() {
+		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
+			u.recorded[runKey{id, task.Run}] = true
+			step := &job.Spec.Steps[id.Step]
+			if _, ending := l.ends[runKey{id, task.Run}]; ending {
+				return
+			}
+			l.reconcileRun(job, id, task, now)
+			if _, ending := l.ends[runKey{id, task.Run}]; !ending {
+				u.taken[task.Worker] = u.taken[task.Worker].Add(step.Charge())
+			}
+		})
+	}
+	l.dropEndedRuns(u)
+	l.stopOrphans(u, now)
+	return u
+}
+
+// reconcileRun takes one recorded run a step further.
+func (l *loop) reconcileRun(job *workstate.Job, id workload.TaskID, task *workstate.Task, now time.Time) {
+	r := l.runs[id]
+	if r == nil || r.number != task.Run {
+		r = &run{number: task.Run, worker: task.Worker, doubt: true, since: now}
+		l.runs[id] = r
+	}
+	w := l.workers[task.Worker]
+	if w == nil {
+		// The worker was forgotten while its end was on its way here.
+		l.end(id, task.Run, workstate.EndInterrupted, "")
+		return
+	}
+	if w.silent && w.lapsed(now, l.since) {
+		l.Log.Info("run lapsed with its worker's lease", "task", id.String(), "run", task.Run, "worker", task.Worker)
+		l.end(id, task.Run, workstate.EndInterrupted, "")
+		return
+	}
+	unwanted := job.Outcome != workstate.Open || task.Born != w.reg.Born
+	if unwanted && r.phase != runStopping && r.phase != runStopped {
+		r.enter(runStopping, now)
+		r.since = time.Time{}
+	}
+	if !w.contact || r.calling {
+		return
+	}
+	l.stepRun(id, r, w, now)
+}
+
+// stepRun repeats what got no answer and draws from the newest report.
+func (l *loop) stepRun(id workload.TaskID, r *run, w *worker, now time.Time) {
+	shown, fresh := w.shows(runKey{id, r.number}, r.since)
+	switch r.phase {
+	case runUnknown:
+		if shown {
+			r.enter(runOrdered, now)
+		} else if w.report != nil {
+			l.order(id, r, now)
+		}
+	case runUnsure:
+		if shown && fresh {
+			r.enter(runOrdered, now)
+		} else if now.Sub(r.since) >= orderRetry && !w.silent {
+			l.order(id, r, now)
+		}
+	case runOrdered:
+		if fresh && !shown {
+			l.Log.Info("run is missing from its worker's report", "task", id.String(), "run", r.number, "worker", r.worker)
+			l.stop(id, r, now)
+		}
+	case runStopping:
+		if now.Sub(r.since) >= orderRetry && !w.silent {
+			l.stop(id, r, now)
+		}
+	case runStopped:
+		_, late := w.shows(runKey{id, r.number}, r.since.Add(l.Limits.StopTimeout+reportSlack))
+		if late && !shown {
+			l.end(id, r.number, workstate.EndInterrupted, "")
+		}
+	}
+}
+
+// shows says whether the newest report lists a run as executing or ended,
+// and whether the report was asked for after a time.
+func (w *worker) shows(key runKey, after time.Time) (shown, fresh bool) {
+	if w.report == nil {
+		return false, false
+	}
+	_, running := w.report.running[key]
+	_, ended := w.report.ended[key]
+	return running || ended, w.report.sentAt.After(after)
+}
+
+// dropEndedRuns forgets the runs that the state no longer knows.
+func (l *loop) dropEndedRuns(u *usage) {
+	for id, r := range l.runs {
+		if !u.recorded[runKey{id, r.number}] {
+			delete(l.runs, id)
+		}
+	}
+}
+
+// stopOrphans stops what workers execute without a record.
+func (l *loop) stopOrphans(u *usage, now time.Time) {
+	for _, w := range l.workers {
+		if w.report == nil {
+			continue
+		}
+		for key := range w.report.running {
+			if _, ending := l.ends[key]; !u.recorded[key] && !ending {
+				l.stopOrphan(w, key, now)
+			}
+		}
+	}
+	for key, at := range l.orphans {
+		if now.Sub(at) > leaseTime {
+			delete(l.orphans, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/scheduler/server.go
@@ -0,0 +1,349 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// Server answers calls with the replicated state. Each method that reads or
+// changes it fails with a *link.Fault unless this process leads.
+type Server struct {
+	replica replica.Replica
+	machine *workstate.Machine
+	log     *slog.Logger
+	// address is where workers and operators reach this process.
+	address string
+	// wake tells the leader's loop that the state has changed.
+	wake func()
+	// heard tells the leader's loop of a worker's heartbeat.
+	heard func(id string)
+	now   func() time.Time
+}
+
+var _ workcall.Local = (*Server)(nil)
+
+// propose commits a command and returns its result.
+func (s *Server) propose(ctx context.Context, c *workstate.Command) (workstate.Result, error) {
+	result, err := propose(ctx, s.replica, c, s.now())
+	if err != nil {
+		return result, s.fault(err)
+	}
+	s.wake()
+	return result, nil
+}
+
+// propose commits a command through the replica.
+func propose(ctx context.Context, r replica.Replica, c *workstate.Command, now time.Time) (workstate.Result, error) {
+	c.AtMS = now.UnixMilli()
+	encoded, err := cbor.Marshal(c)
+	if err != nil {
+		return workstate.Result{}, fmt.Errorf("encode command: %w", err)
+	}
+	answer, err := r.Propose(ctx, encoded)
+	if err != nil {
+		return workstate.Result{}, err
+	}
+	var result workstate.Result
+	if err := cbor.Unmarshal(answer, &result); err != nil {
+		return result, fmt.Errorf("decode result: %w", err)
+	}
+	return result, nil
+}
+
+// fault translates an error of the replica for the caller.
+func (s *Server) fault(err error) error {
+	var other *replica.NotLeaderError
+	switch {
+	case errors.As(err, &other):
+		return &link.Fault{Code: link.CodeNotLeader, Message: err.Error(), Leader: other.Link}
+	case errors.Is(err, replica.ErrUnknownResult):
+		return &link.Fault{Code: workcall.CodeUnknown, Message: err.Error()}
+	}
+	return &link.Fault{Code: workcall.CodeUnavailable, Message: err.Error()}
+}
+
+// read calls f with a state that holds all that was accepted before.
+func (s *Server) read(ctx context.Context, f func(*workstate.View)) error {
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return s.fault(err)
+	}
+	s.machine.Read(f)
+	return nil
+}
+
+// jobIDLength is the length of a job's id in hexadecimal digits.
+const jobIDLength = 16
+
+// validJobID says whether a text is a job's id.
+func validJobID(id string) bool {
+	return len(id) == jobIDLength && strings.Trim(id, "0123456789abcdefABCDEF") == ""
+}
+
+// Submit accepts a job durably. A job that was accepted before is answered
+// like the first time.
+func (s *Server) Submit(ctx context.Context, r workcall.SubmitRequest) (workcall.SubmitResponse, error) {
+	var response workcall.SubmitResponse
+	var id string
+	known := false
+	s.machine.Read(func(v *workstate.View) {
+		queue, rest := v.Catalog().Match(r.Host, r.Path)
+		id = rest
+		switch {
+		case v.Catalog().Version == 0:
+			response.Verdict = workcall.NotReady
+		case queue == nil:
+			response.Verdict = workcall.NoQueue
+		case !validJobID(rest):
+			response = workcall.SubmitResponse{Verdict: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
+		case queue.NeedsAdvice:
+			response = workcall.SubmitResponse{Verdict: workcall.Overloaded, Reason: "queues with advice are not supported yet"}
+		}
+		known = v.Job(rest) != nil
+	})
+	if response.Verdict != 0 && !known {
+		return s.confirmed(ctx, response)
+	}
+	result, err := s.propose(ctx, &workstate.Command{Submit: &workstate.Submit{ID: id, Host: r.Host, Path: r.Path, Spec: r.Spec}})
+	if err != nil {
+		return response, err
+	}
+	s.log.Info("job submitted", "job", id, "path", r.Path, "result", result.Code, "repeated", result.Repeated, "steps", len(r.Spec.Steps))
+	if result.Code == workstate.UnknownQueue {
+		return workcall.SubmitResponse{Verdict: workcall.NoQueue}, nil
+	}
+	return workcall.SubmitResponse{Verdict: workcall.Taken}, nil
+}
+
+// confirmed returns a refusal once this process is known to lead: one that
+// is behind would refuse by an older configuration.
+func (s *Server) confirmed(ctx context.Context, response workcall.SubmitResponse) (workcall.SubmitResponse, error) {
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return response, s.fault(err)
+	}
+	return response, nil
+}
+
+// findJob returns the job that a path names, or nil.
+func findJob(v *workstate.View, place workcall.Place) *workstate.Job {
+	return v.Job(place.Path[strings.LastIndexByte(place.Path, '/')+1:])
+}
+
+// Job reads the state of a job.
+func (s *Server) Job(ctx context.Context, r workcall.JobRequest) (workcall.JobResponse, error) {
+	response := workcall.JobResponse{Verdict: workcall.NoJob}
+	err := s.read(ctx, func(v *workstate.View) {
+		if v.Catalog().Version == 0 {
+			response.Verdict = workcall.NotReady
+			return
+		}
+		if job := findJob(v, r.Place); job != nil {
+			response = workcall.JobResponse{Verdict: workcall.Taken, Outcome: job.Outcome, Begun: job.Begun}
+		}
+	})
+	return response, err
+}
+
+// Cancel ends a job. The tasks that execute are stopped afterwards.
+func (s *Server) Cancel(ctx context.Context, r workcall.JobRequest) (workcall.CancelResponse, error) {
+	id := r.Path[strings.LastIndexByte(r.Path, '/')+1:]
+	result, err := s.propose(ctx, &workstate.Command{Cancel: &workstate.Cancel{ID: id}})
+	if err != nil {
+		return workcall.CancelResponse{}, err
+	}
+	s.log.Info("job cancelled", "job", id, "result", result.Code, "repeated", result.Repeated)
+	if result.Code != workstate.OK {
+		return workcall.CancelResponse{Verdict: workcall.NoJob}, nil
+	}
+	return workcall.CancelResponse{Verdict: workcall.Taken}, nil
+}
+
+// Pending counts a queue's jobs of which no task has started.
+func (s *Server) Pending(ctx context.Context, r workcall.PendingRequest) (workcall.PendingResponse, error) {
+	response := workcall.PendingResponse{Verdict: workcall.NoQueue}
+	err := s.read(ctx, func(v *workstate.View) {
+		if v.Catalog().Version == 0 {
+			response.Verdict = workcall.NotReady
+			return
+		}
+		queue, rest := v.Catalog().Match(r.Host, r.Path)
+		if queue != nil && rest == "" {
+			response = workcall.PendingResponse{Verdict: workcall.Taken, Pending: v.Pending(queue.Key())}
+		}
+	})
+	return response, err
+}
+
+// Heartbeat records a worker. It is committed before it is acknowledged if
+// it tells anything new.
+func (s *Server) Heartbeat(ctx context.Context, r workcall.HeartbeatRequest) (workcall.HeartbeatResponse, error) {
+	status := s.replica.Status()
+	if status.Leader != status.ID {
+		return workcall.HeartbeatResponse{}, s.fault(notLeader(status))
+	}
+	response := workcall.HeartbeatResponse{Verdict: workcall.Taken, NextAddress: s.address}
+	isNew, former := false, workstate.Worker{}
+	s.machine.Read(func(v *workstate.View) {
+		if c := v.Catalog(); c.Version > 0 && c.Service(r.Worker.Service) == nil {
+			response.Verdict = workcall.Invalid
+			return
+		}
+		known := v.Workers()[r.Worker.ID]
+		isNew = known == nil || !sameWorker(known, &r.Worker)
+		if known != nil {
+			former = *known
+		}
+	})
+	if response.Verdict != workcall.Taken {
+		return response, nil
+	}
+	if !isNew || former.Born > r.Worker.Born || (former.Born == r.Worker.Born && former.Draining) {
+		// Draining never ends within a life: a report that says otherwise
+		// was overtaken by a later one.
+		s.heard(r.Worker.ID)
+		return response, nil
+	}
+	result, err := s.propose(ctx, &workstate.Command{Register: &r.Worker})
+	if err != nil {
+		return response, err
+	}
+	s.log.Info("worker registered", "worker", r.Worker.ID, "born", r.Worker.Born, "vm", r.Worker.VM, "address", r.Worker.Address,
+		"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
+	s.heard(r.Worker.ID)
+	return response, nil
+}
+
+// notLeader names the leader of a status.
+func notLeader(status replica.Status) error {
+	for _, m := range status.Members {
+		if m.ID == status.Leader && status.Leader != status.ID {
+			return &replica.NotLeaderError{ID: m.ID, Link: m.Link, Admin: m.Admin}
+		}
+	}
+	return &replica.NotLeaderError{}
+}
+
+// sameWorker says whether a heartbeat tells nothing new.
+func sameWorker(a, b *workstate.Worker) bool {
+	return a.Address == b.Address && a.Service == b.Service && a.VM == b.VM && a.Born == b.Born &&
+		a.Capacity == b.Capacity && a.Draining == b.Draining
+}
+
+// Deregister forgets a worker that has ended.
+func (s *Server) Deregister(ctx context.Context, r workcall.DeregisterRequest) (workcall.Done, error) {
+	status := s.replica.Status()
+	if status.Leader != status.ID {
+		return workcall.Done{}, s.fault(notLeader(status))
+	}
+	born, known := r.Born, false
+	s.machine.Read(func(v *workstate.View) {
+		if worker := v.Workers()[r.ID]; worker != nil {
+			known = true
+			if born == 0 {
+				born = worker.Born
+			}
+		}
+	})
+	if !known {
+		return workcall.Done{}, nil
+	}
+	_, err := s.propose(ctx, &workstate.Command{Deregister: &workstate.Deregister{ID: r.ID, Born: born}})
+	s.log.Info("worker deregistered", "worker", r.ID, "born", born, "committed", err == nil)
+	return workcall.Done{}, err
+}
+
+// ReplaceCatalog takes a configuration into force if its version is higher
+// than the one held.
+func (s *Server) ReplaceCatalog(ctx context.Context, r workcall.CatalogRequest) (workcall.CatalogResponse, error) {
+	result, err := s.propose(ctx, &workstate.Command{Catalog: &r.Catalog})
+	if err != nil {
+		return workcall.CatalogResponse{}, err
+	}
+	s.log.Info("configuration committed", "version", r.Catalog.Version, "in_force", result.Version, "superseded", result.Repeated, "queues", len(r.Catalog.Queues))
+	return workcall.CatalogResponse{Version: result.Version}, nil
+}
+
+// ReadCatalog returns the configuration in force.
+func (s *Server) ReadCatalog(ctx context.Context, _ workcall.ReadRequest) (workcall.CatalogResponse, error) {
+	var response workcall.CatalogResponse
+	err := s.read(ctx, func(v *workstate.View) {
+		response = workcall.CatalogResponse{Version: v.Catalog().Version, Source: v.Catalog().Source}
+	})
+	return response, err
+}
+
+// StartWave records a wave of upkeep.
+func (s *Server) StartWave(ctx context.Context, r workcall.WaveRequest) (workcall.Done, error) {
+	wave := workstate.Wave{Number: r.Number, VMs: r.VMs, DeadlineMS: r.DeadlineMS, Cap: r.Cap}
+	result, err := s.propose(ctx, &workstate.Command{Wave: &wave})
+	if err == nil {
+		s.log.Info("wave committed", "wave", r.Number, "vms", len(r.VMs), "cap", r.Cap, "repeated", result.Repeated)
+	}
+	return workcall.Done{}, err
+}
+
+// Wave tells how far a wave is.
+func (s *Server) Wave(ctx context.Context, r workcall.WaveStateRequest) (workcall.WaveStateResponse, error) {
+	response := workcall.WaveStateResponse{Verdict: workcall.NoJob}
+	err := s.read(ctx, func(v *workstate.View) {
+		if wave := v.Waves()[r.Number]; wave != nil {
+			response = workcall.WaveStateResponse{Verdict: workcall.Taken, Finished: wave.Finished()}
+		}
+	})
+	return response, err
+}
+
+// Hello names the leader and the members.
+func (s *Server) Hello() workcall.HelloResponse {
+	status := s.replica.Status()
+	var response workcall.HelloResponse
+	for _, m := range status.Members {
+		response.Members = append(response.Members, m.Link)
+		if m.ID == status.Leader {
+			response.Leader = m.Link
+		}
+	}
+	s.machine.Read(func(v *workstate.View) { response.CatalogVersion = v.Catalog().Version })
+	return response
+}
+
+// join takes a process with an empty disk in as a member. A former member
+// at the same link address has lost its disk and is taken out first.
+func (s *Server) join(ctx context.Context, peer link.Peer, r workcall.JoinRequest) (workcall.Done, error) {
+	if peer.ID != r.ID {
+		return workcall.Done{}, &link.Fault{Code: workcall.CodeUnavailable, Message: "the id is not the peer's"}
+	}
+	status := s.replica.Status()
+	if status.Leader != status.ID {
+		return workcall.Done{}, s.fault(notLeader(status))
+	}
+	for _, m := range status.Members {
+		if m.ID == r.ID {
+			return workcall.Done{}, nil
+		}
+		if m.Link != r.Link {
+			continue
+		}
+		if err := s.replica.RemoveMember(ctx, m.ID); err != nil {
+			return workcall.Done{}, s.fault(logging.At(err, "remove the former member", m.ID))
+		}
+		s.log.Info("member with a lost disk removed", "member", m.ID, "link", m.Link)
+	}
+	member := replica.Member{ID: r.ID, Link: r.Link, Admin: r.Admin}
+	if err := s.replica.AddMember(ctx, member); err != nil {
+		return workcall.Done{}, s.fault(logging.At(err, "add member", r.ID))
+	}
+	s.log.Info("member added", "member", r.ID, "link", r.Link)
+	return workcall.Done{}, nil
+}
--- /dev/null
+++ b/internal/process/scheduler/worker.go
@@ -0,0 +1,125 @@
+package scheduler
+
+import (
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// Times of leases and of calls to workers.
+const (
+	// leaseTime is what each call grants a worker. It outlives an election
+	// of up to 1.2 s and the first calls of the new leader.
+	leaseTime = 4 * time.Second
+	// clockDrift is the share by which a worker's clock may be slow.
+	clockDrift = 0.02
+	// inheritedLease bounds the leases that former leaders may have
+	// granted, from the begin of a leadership: their own leaseTime, the
+	// 1.2 s until a leader without a majority notices, and slack.
+	inheritedLease = leaseTime + 2*time.Second
+	// watchWait is how long a worker holds an answer without news.
+	watchWait = 500 * time.Millisecond
+	// callTimeout bounds an order, and a watch beyond its wait.
+	callTimeout = 500 * time.Millisecond
+	// watchRetry is the pause after a call without an answer.
+	watchRetry = 200 * time.Millisecond
+	// silenceLimit is the age of the newest answer beyond which a worker
+	// gets no new tasks.
+	silenceLimit = watchWait + callTimeout + 100*time.Millisecond
+	// refusalPause keeps new tasks from a worker that has refused one for
+	// a reason of its own.
+	refusalPause = time.Second
+)
+
+// runKey names one run.
+type runKey struct {
+	task workload.TaskID
+	run  int
+}
+
+// worker is what the leader knows of one life of a worker.
+type worker struct {
+	reg workstate.Worker
+	// contact says that the worker has answered this leader, so that it
+	// takes no orders of former ones.
+	contact bool
+	// clockMS is the worker's clock at clockAt.
+	clockMS int64
+	clockAt time.Time
+	// leaseMS is the latest lease that may have been granted, on the
+	// worker's clock.
+	leaseMS int64
+	// acked is the newest end that is committed; seen the newest that the
+	// progress in flight holds.
+	acked, seen int64
+	// silent says that the last call got no answer.
+	silent bool
+	// answeredAt is when the worker last answered.
+	answeredAt time.Time
+	watching   bool
+	nextWatch  time.Time
+	// report is the newest report, nil before the first.
+	report *reportView
+	// pausedUntil keeps new tasks away for a while.
+	pausedUntil time.Time
+	// failures counts ends by fault against successes.
+	failures, successes int
+}
+
+// reportView is a report in a form that is quick to search.
+type reportView struct {
+	// sentAt is when the question left.
+	sentAt  time.Time
+	running map[runKey]execution.RunningTask
+	ended   map[runKey]execution.EndedRun
+}
+
+func newReportView(sentAt time.Time, r *execution.Report) *reportView {
+	view := &reportView{sentAt: sentAt, running: map[runKey]execution.RunningTask{}, ended: map[runKey]execution.EndedRun{}}
+	for _, row := range r.Running {
+		view.running[runKey{row.Task, row.Run}] = row
+	}
+	for _, row := range r.Ended {
+		view.ended[runKey{row.Task, row.Run}] = row
+	}
+	return view
+}
+
+func (w *worker) address() execution.WorkerAddress {
+	return execution.WorkerAddress{ID: w.reg.ID, Address: w.reg.Address}
+}
+
+// usable says whether the worker may get new tasks.
+func (w *worker) usable(now time.Time) bool {
+	return w.contact && !w.silent && !w.reg.Draining && now.After(w.pausedUntil) && now.Sub(w.answeredAt) < silenceLimit
+}
+
+// noteClock notes the worker's clock from an answer.
+func (w *worker) noteClock(clockMS int64, now time.Time) {
+	if clockMS > 0 {
+		w.clockMS, w.clockAt = clockMS, now
+	}
+}
+
+// grant returns the end of a lease that begins now, on the worker's clock,
+// and notes that it may be granted; 0 while the clock is not known.
+func (w *worker) grant(now time.Time) int64 {
+	if w.clockMS == 0 {
+		return 0
+	}
+	until := w.clockMS + (now.Sub(w.clockAt) + leaseTime).Milliseconds()
+	w.leaseMS = max(w.leaseMS, until)
+	return until
+}
+
+// lapsed says whether every lease that may have been granted has ended for
+// sure, though the worker is not heard: its clock may be slow.
+func (w *worker) lapsed(now, leadingSince time.Time) bool {
+	if !w.contact || w.clockMS == 0 {
+		return now.Sub(leadingSince) > time.Duration(float64(inheritedLease)*(1+clockDrift))
+	}
+	passed := time.Duration(float64(now.Sub(w.clockAt)) * (1 - clockDrift))
+	return w.clockMS+passed.Milliseconds() > w.leaseMS
+}
--- /dev/null
+++ b/internal/process/workstate/machine.go
@@ -0,0 +1,125 @@
+package workstate
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/version/catalog"
+)
+
+// Machine is the replicated state machine. Apply, Snapshot and Restore are
+// called by one goroutine; Read is safe for concurrent use.
+type Machine struct {
+	mu   sync.RWMutex
+	data data
+
+	// The following is derived from data.
+
+	// active holds the jobs that are open or have tasks executing.
+	active map[string]*Job
+	// queues holds the catalog's queues by key.
+	queues map[string]*catalog.Queue
+}
+
+var _ replica.StateMachine = (*Machine)(nil)
+
+// NewMachine returns the state before the first command.
+func NewMachine() *Machine {
+	m := &Machine{data: emptyData()}
+	m.derive()
+	return m
+}
+
+// derive rebuilds what follows from data.
+func (m *Machine) derive() {
+	m.active = map[string]*Job{}
+	for id, job := range m.data.Jobs {
+		if job.Outcome == Open || job.Executing > 0 {
+			m.active[id] = job
+		}
+	}
+	m.indexQueues()
+}
+
+func (m *Machine) indexQueues() {
+	m.queues = map[string]*catalog.Queue{}
+	for i := range m.data.Catalog.Queues {
+		q := &m.data.Catalog.Queues[i]
+		m.queues[q.Key()] = q
+	}
+}
+
+// Apply carries out a command; see replica.StateMachine.
+func (m *Machine) Apply(_ uint64, entry []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	encoded, err := cbor.Marshal(m.apply(entry))
+	if err != nil {
+		panic(fmt.Sprintf("result does not marshal: %v", err))
+	}
+	return encoded
+}
+
+func (m *Machine) apply(entry []byte) Result {
+	var c Command
+	if err := cbor.Unmarshal(entry, &c); err != nil {
+		return Result{Code: Malformed}
+	}
+	m.data.ClockMS = max(m.data.ClockMS, c.AtMS)
+	switch {
+	case c.Catalog != nil:
+		return m.applyCatalog(c.Catalog)
+	case c.Submit != nil:
+		return m.applySubmit(c.Submit)
+	case c.Cancel != nil:
+		return m.applyCancel(c.Cancel)
+	case c.Progress != nil:
+		return m.applyProgress(c.Progress)
+	case c.Register != nil:
+		return m.applyRegister(c.Register)
+	case c.Deregister != nil:
+		return m.applyDeregister(c.Deregister)
+	case c.Wave != nil:
+		return m.applyWave(c.Wave)
+	case c.Upkeep != nil:
+		return m.applyUpkeep(c.Upkeep)
+	case c.Forget != nil:
+		return m.applyForget(c.Forget)
+	}
+	return Result{Code: Malformed}
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	encoded, err := cbor.Marshal(m.data)
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return encoded, nil
+}
+
+// Restore replaces the whole state.
+func (m *Machine) Restore(_ uint64, snapshot []byte) error {
+	restored := emptyData()
+	if err := cbor.Unmarshal(snapshot, &restored); err != nil {
+		return fmt.Errorf("decode state snapshot: %w", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.data = restored
+	m.derive()
+	return nil
+}
+
+// Read calls f with the state. What f is given must not be changed, nor
+// kept after f returns.
+func (m *Machine) Read(f func(*View)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	f(&View{m: m})
+}
--- /dev/null
+++ b/internal/process/workstate/view.go
@@ -0,0 +1,50 @@
+package workstate
+
+import "arbutusward.example/arbutusward/internal/version/catalog"
+
+// View reads the state.
+type View struct{ m *Machine }
+
+// Catalog returns the configuration in force; version 0 is none.
+func (v *View) Catalog() *catalog.Catalog { return &v.m.data.Catalog }
+
+// Queue returns the queue with a key, or nil.
+func (v *View) Queue(key string) *catalog.Queue { return v.m.queues[key] }
+
+// Job returns a job, or nil.
+func (v *View) Job(id string) *Job { return v.m.data.Jobs[id] }
+
+// Active returns the jobs that are open or have tasks executing, by id.
+func (v *View) Active() map[string]*Job { return v.m.active }
+
+// Workers returns the registered workers by id.
+func (v *View) Workers() map[string]*Worker { return v.m.data.Workers }
+
+// Waves returns all waves by number.
+func (v *View) Waves() map[int64]*Wave { return v.m.data.Waves }
+
+// ClockMS returns the newest time of any command.
+func (v *View) ClockMS() int64 { return v.m.data.ClockMS }
+
+// ServiceOf returns the service that runs a job's tasks: the one that the
+// catalog names for its queue or, if the queue is gone, the last one known.
+func (v *View) ServiceOf(job *Job) string { return v.m.serviceOf(job) }
+
+func (m *Machine) serviceOf(job *Job) string {
+	if queue := m.queues[job.Queue]; queue != nil {
+		return queue.Service
+	}
+	return job.Service
+}
+
+// Pending counts the unscheduled jobs of a queue of which no task has
+// started.
+func (v *View) Pending(queueKey string) int {
+	count := 0
+	for _, job := range v.m.active {
+		if job.Queue == queueKey && job.Outcome == Open && !job.Begun {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/version/workload/taskid.go
@@ -0,0 +1,39 @@
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// TaskID names one task of a job.
+type TaskID struct {
+	// Job is the id that the client chose.
+	Job string `cbor:"1,keyasint"`
+	// Occurrence, Step and Index count from 0.
+	Occurrence int `cbor:"2,keyasint,omitempty"`
+	Step       int `cbor:"3,keyasint,omitempty"`
+	Index      int `cbor:"4,keyasint,omitempty"`
+}
+
+// String formats the name as JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTaskID is the inverse of String.
+func ParseTaskID(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 || parts[0] == "" {
+		return TaskID{}, fmt.Errorf("task name %q is not JOB.OCCURRENCE.STEP.INDEX", text)
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("task name %q is not JOB.OCCURRENCE.STEP.INDEX", text)
+		}
+		numbers[i] = n
+	}
+	return TaskID{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
