A worker whose ends wait for a commit is not asked again; leases of silent workers end

Cause: the gate looked at ends that a round had taken up; while a commit was on its way new ends opened it, and each watch returned at once. A second fault, found by the test of a dark worker: each unanswered watch pushed the assumed lease further, so its tasks never lapsed. Ruled out: the platform's wait (a watch without news takes its 500 ms). Change: the gate compares listed and committed ends; a silent worker is asked without a lease. Tests with fake workers in virtual time; both fail on the code before.

--- /dev/null
+++ b/internal/process/scheduler/fake_test.go
@@ -0,0 +1,429 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// fakeReplica commits at once, or after a delay.
+type fakeReplica struct {
+	mu      sync.Mutex
+	machine *workstate.Machine
+	delay   time.Duration
+	index   uint64
+	term    uint64
+}
+
+func (f *fakeReplica) Propose(_ context.Context, command []byte) ([]byte, error) {
+	time.Sleep(f.delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.index++
+	return f.machine.Apply(f.index, command), nil
+}
+func (f *fakeReplica) ReadBarrier(context.Context) error { return nil }
+func (f *fakeReplica) Status() replica.Status {
+	return replica.Status{ID: "c1", Leader: "c1", Term: f.term}
+}
+func (f *fakeReplica) AddMember(context.Context, replica.Member) error { return nil }
+func (f *fakeReplica) RemoveMember(context.Context, string) error      { return nil }
+func (f *fakeReplica) LeaderChanges() <-chan bool                      { return nil }
+func (f *fakeReplica) Stop() error                                     { return nil }
+
+// fakeRun is a run on a fake worker.
+type fakeRun struct {
+	task   workload.TaskID
+	run    int
+	endsAt time.Time
+}
+
+// fakeWorker behaves like a worker of the platform.
+type fakeWorker struct {
+	id       string
+	capacity workload.Resources
+	born     int64
+	started  time.Time
+	fence    uint64
+	leaseMS  int64
+	running  map[workload.TaskID]*fakeRun
+	// highest is the highest run of a task that was stopped or has ended.
+	highest map[workload.TaskID]int
+	ended   []execution.EndedRun
+	number  int64
+	looks   int
+
+	// dark workers answer nothing; loseStarts counts the starts that are
+	// carried out without an answer.
+	dark       bool
+	loseStarts int
+	// failAll lets every run fail.
+	failAll bool
+}
+
+// fakeWorkers is a pool of fake workers and counts what the rules forbid.
+type fakeWorkers struct {
+	t        *testing.T
+	mu       sync.Mutex
+	workers  map[string]*fakeWorker
+	duration time.Duration
+	// done counts the successful ends of each task; starts all starts.
+	done   map[workload.TaskID]int
+	starts int
+}
+
+func newFakeWorkers(t *testing.T, duration time.Duration) *fakeWorkers {
+	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, duration: duration, done: map[workload.TaskID]int{}}
+}
+
+func (f *fakeWorkers) add(id string, milliCPU int64) *fakeWorker {
+	w := &fakeWorker{
+		id: id, born: time.Now().UnixMilli(), started: time.Now(), capacity: workload.Resources{MilliCPU: milliCPU, MemoryMB: 1 << 20},
+		running: map[workload.TaskID]*fakeRun{}, highest: map[workload.TaskID]int{},
+	}
+	f.workers[id] = w
+	return w
+}
+
+func (w *fakeWorker) clock() int64 { return time.Since(w.started).Milliseconds() }
+
+// end moves a run to the list of ends.
+func (f *fakeWorkers) end(w *fakeWorker, r *fakeRun, how execution.EndReason) {
+	delete(w.running, r.task)
+	w.highest[r.task] = max(w.highest[r.task], r.run)
+	w.number++
+	w.ended = append(w.ended, execution.EndedRun{Number: w.number, Task: r.task, Run: r.run, How: how})
+	if how == execution.ReasonDone {
+		f.done[r.task]++
+	}
+}
+
+// advance ends what is due.
+func (f *fakeWorkers) advance(w *fakeWorker) {
+	for _, r := range w.running {
+		switch {
+		case w.clock() > w.leaseMS:
+			f.end(w, r, execution.ReasonLapsed)
+		case w.failAll:
+			f.end(w, r, execution.ReasonFailed)
+		case !time.Now().Before(r.endsAt):
+			f.end(w, r, execution.ReasonDone)
+		}
+	}
+}
+
+// find returns the worker that answers, with the lock held.
+func (f *fakeWorkers) find(to execution.WorkerAddress, fence uint64) (*fakeWorker, execution.Refusal, error) {
+	w := f.workers[to.ID]
+	if w == nil || w.dark {
+		return nil, "", execution.ErrNoAnswer
+	}
+	f.advance(w)
+	if fence < w.fence {
+		return w, execution.RefusedFence, nil
+	}
+	w.fence = fence
+	return w, execution.Accepted, nil
+}
+
+func (f *fakeWorkers) Start(_ context.Context, to execution.WorkerAddress, o execution.StartOrder) (execution.Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, refusal, err := f.find(to, o.Fence)
+	if err != nil || refusal != execution.Accepted {
+		return execution.Answer{Refusal: refusal}, err
+	}
+	if r := w.running[o.Task]; r != nil && r.run == o.Run {
+		return execution.Answer{ClockMS: w.clock()}, nil
+	}
+	if o.Run <= w.highest[o.Task] {
+		return execution.Answer{Refusal: execution.RefusedOld, ClockMS: w.clock()}, nil
+	}
+	if o.LeaseUntilMS < w.clock() {
+		return execution.Answer{Refusal: execution.RefusedLate, ClockMS: w.clock()}, nil
+	}
+	f.checkStart(w, o)
+	f.starts++
+	w.leaseMS = max(w.leaseMS, o.LeaseUntilMS)
+	w.running[o.Task] = &fakeRun{task: o.Task, run: o.Run, endsAt: time.Now().Add(f.duration)}
+	if w.loseStarts > 0 {
+		w.loseStarts--
+		return execution.Answer{}, fmt.Errorf("lost: %w", execution.ErrNoAnswer)
+	}
+	return execution.Answer{ClockMS: w.clock()}, nil
+}
+
+// checkStart fails the test if the task is executing elsewhere or done.
+func (f *fakeWorkers) checkStart(w *fakeWorker, o execution.StartOrder) {
+	for _, other := range f.workers {
+		if other != w {
+			f.advance(other)
+		}
+		if r := other.running[o.Task]; r != nil {
+			f.t.Errorf("%s run %d starts on %s while run %d executes on %s", o.Task, o.Run, w.id, r.run, other.id)
+		}
+	}
+	if f.done[o.Task] > 0 {
+		f.t.Errorf("%s run %d starts on %s though it is done", o.Task, o.Run, w.id)
+	}
+}
+
+func (f *fakeWorkers) Stop(_ context.Context, to execution.WorkerAddress, task workload.TaskID, run int, fence uint64) (execution.Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, refusal, err := f.find(to, fence)
+	if err != nil || refusal != execution.Accepted {
+		return execution.Answer{Refusal: refusal}, err
+	}
+	w.highest[task] = max(w.highest[task], run)
+	if r := w.running[task]; r != nil && r.run == run {
+		f.end(w, r, execution.ReasonStopped)
+	}
+	return execution.Answer{ClockMS: w.clock()}, nil
+}
+
+func (f *fakeWorkers) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
+	deadline := time.Now().Add(time.Duration(q.WaitMS) * time.Millisecond)
+	f.mu.Lock()
+	if w := f.workers[to.ID]; w != nil {
+		w.looks++
+	}
+	f.mu.Unlock()
+	for {
+		f.mu.Lock()
+		report, err := f.look(to, q)
+		f.mu.Unlock()
+		if err != nil {
+			<-ctx.Done()
+			return report, err
+		}
+		if len(report.Ended) > 0 || !time.Now().Before(deadline) {
+			time.Sleep(time.Millisecond)
+			return report, nil
+		}
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-ctx.Done():
+			return report, ctx.Err()
+		}
+	}
+}
+
+func (f *fakeWorkers) look(to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
+	w, refusal, err := f.find(to, q.Fence)
+	if err != nil || refusal != execution.Accepted {
+		return execution.Report{Refusal: refusal}, err
+	}
+	w.leaseMS = max(w.leaseMS, q.LeaseUntilMS)
+	kept := w.ended[:0]
+	for _, e := range w.ended {
+		if e.Number > q.AckedEnd {
+			kept = append(kept, e)
+		}
+	}
+	w.ended = kept
+	report := execution.Report{ClockMS: w.clock(), Born: w.born, Ended: append([]execution.EndedRun(nil), w.ended...)}
+	for _, r := range w.running {
+		report.Running = append(report.Running, execution.RunningTask{Task: r.task, Run: r.run, Percent: 100})
+	}
+	return report, nil
+}
+
+func (f *fakeWorkers) Pace(context.Context, execution.WorkerAddress, workload.TaskID, int, int, uint64) (execution.Answer, error) {
+	return execution.Answer{}, errors.New("not used")
+}
+func (f *fakeWorkers) Forget(string) {}
+
+// fixture is a leader with fake workers around it.
+type fixture struct {
+	t       *testing.T
+	replica *fakeReplica
+	machine *workstate.Machine
+	workers *fakeWorkers
+	vms     *fakePlatform
+	end     context.CancelFunc
+	ended   chan struct{}
+	loop    *loop
+}
+
+const testQueue = "host/q/"
+
+// testCatalog has one queue on the service "svc" and a standby pool.
+func testCatalog() *catalog.Catalog {
+	return &catalog.Catalog{
+		Version:  1,
+		Queues:   []catalog.Queue{{Name: "q", Host: "host", PathPrefix: "/q/", Service: "svc", Timeout: time.Second, MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second}},
+		Services: []catalog.Service{{Name: "svc", EnforcesCapacity: true}, {Name: "spare", Standby: true}},
+	}
+}
+
+// newFixture returns a fixture without a leader. It must run in a bubble of
+// synctest.
+func newFixture(t *testing.T, duration time.Duration) *fixture {
+	machine := workstate.NewMachine()
+	f := &fixture{t: t, machine: machine, workers: newFakeWorkers(t, duration), vms: newFakePlatform()}
+	f.replica = &fakeReplica{machine: machine, delay: 10 * time.Millisecond, term: 1}
+	f.commit(&workstate.Command{Catalog: testCatalog()})
+	return f
+}
+
+func (f *fixture) commit(c *workstate.Command) workstate.Result {
+	f.t.Helper()
+	result, err := propose(context.Background(), f.replica, c, time.Now())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if f.loop != nil {
+		f.loop.post(func(l *loop) { l.dirty = true })
+	}
+	return result
+}
+
+// addWorker adds a worker of "svc" on a VM of its own and registers it.
+func (f *fixture) addWorker(id string, milliCPU int64) *fakeWorker {
+	w := f.workers.add(id, milliCPU)
+	f.register(w, "vm-"+id, "svc")
+	return w
+}
+
+func (f *fixture) register(w *fakeWorker, vm, service string) {
+	f.commit(&workstate.Command{Register: &workstate.Worker{ID: w.id, Address: w.id, Service: service, VM: vm, Born: w.born, Capacity: w.capacity}})
+}
+
+func (f *fixture) submit(id string, steps ...workload.Step) {
+	f.t.Helper()
+	spec := workload.Spec{Payload: "p", Steps: steps}
+	if r := f.commit(&workstate.Command{Submit: &workstate.Submit{ID: id, Host: "host", Path: "/q/" + id, Spec: spec}}); r.Code != workstate.OK {
+		f.t.Fatalf("submit: %+v", r)
+	}
+}
+
+// lead starts a leader of the replica's term.
+func (f *fixture) lead() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.end = cancel
+	f.ended = make(chan struct{})
+	f.loop = newLoop(ctx, Options{
+		Replica: f.replica, Machine: f.machine, Workers: f.workers, Platform: f.vms, Holder: "c1",
+		Limits: Limits{StopTimeout: 200 * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, Unavailability: 4 * time.Second, CallRate: 64, ActionRate: 64},
+		Log:    slog.New(slog.NewTextHandler(testLog{f.t}, nil)), Now: time.Now,
+	}, f.replica.term)
+	loop, ended := f.loop, f.ended
+	go func() {
+		loop.run()
+		close(ended)
+	}()
+}
+
+// depose ends the leader; the next one has a higher term.
+func (f *fixture) depose() {
+	f.end()
+	<-f.ended
+	synctest.Wait()
+	f.loop = nil
+	f.replica.term++
+}
+
+func (f *fixture) outcome(id string) workstate.Outcome {
+	var outcome workstate.Outcome
+	f.machine.Read(func(v *workstate.View) { outcome = v.Job(id).Outcome })
+	return outcome
+}
+
+// await waits for a job's outcome.
+func (f *fixture) await(id string, wanted workstate.Outcome, limit time.Duration) {
+	f.t.Helper()
+	for end := time.Now().Add(limit); f.outcome(id) != wanted; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("job %s is %d after %s, expected %d", id, f.outcome(id), limit, wanted)
+		}
+	}
+}
+
+// testLog shows the log of a failed test.
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(line []byte) (int, error) {
+	if testing.Verbose() {
+		l.t.Log(string(line))
+	}
+	return len(line), nil
+}
+
+var _ io.Writer = testLog{}
+
+// fakePlatform holds VMs and carries out orders at once.
+type fakePlatform struct {
+	mu  sync.Mutex
+	vms map[string]*execution.VM
+	// onDown is called when a VM goes down.
+	onDown func(vm, pool string)
+	// refusal answers all orders if it is not "".
+	refusal execution.VMRefusal
+	orders  []string
+	// downNow and mostDown count VMs that are down for upkeep.
+	downNow, mostDown int
+}
+
+func newFakePlatform() *fakePlatform { return &fakePlatform{vms: map[string]*execution.VM{}} }
+
+func (p *fakePlatform) VMs(context.Context) ([]execution.VM, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []execution.VM
+	for _, vm := range p.vms {
+		list = append(list, *vm)
+	}
+	return list, nil
+}
+
+func (p *fakePlatform) order(vm, what, pool string, state execution.VMState) execution.VMRefusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.vms[vm]
+	if p.refusal != execution.VMAccepted {
+		return p.refusal
+	}
+	if known == nil {
+		return execution.VMRefusedOther
+	}
+	if known.State != execution.VMUp {
+		return execution.VMBusy
+	}
+	p.orders = append(p.orders, what+" "+vm+" "+pool)
+	known.State = state
+	if pool != "" {
+		known.Pool = pool
+	}
+	if p.onDown != nil {
+		p.onDown(vm, known.Pool)
+	}
+	return execution.VMAccepted
+}
+
+func (p *fakePlatform) Move(_ context.Context, vm, pool, _ string, _ uint64) (execution.VMRefusal, error) {
+	return p.order(vm, "move", pool, execution.VMMoving), nil
+}
+
+func (p *fakePlatform) Upkeep(_ context.Context, vm string, _ int64, _ string, _ uint64) (execution.VMRefusal, error) {
+	refusal := p.order(vm, "upkeep", "", execution.VMUpkeep)
+	if refusal == execution.VMAccepted {
+		p.mu.Lock()
+		p.downNow++
+		p.mostDown = max(p.mostDown, p.downNow)
+		p.mu.Unlock()
+	}
+	return refusal, nil
+}
--- /dev/null
+++ b/internal/process/scheduler/runs_test.go
@@ -0,0 +1,184 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// step returns a step of tasks of one core each.
+func step(count int, after ...int) workload.Step {
+	return workload.Step{Count: count, Need: workload.Resources{MilliCPU: 1000}, DependsOn: after, DisruptionBudget: -1}
+}
+
+const jobA = "aaaaaaaaaaaaaaaa"
+
+func TestJobOfTwoStepsSucceeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 100*time.Millisecond)
+		f.addWorker("w1", 4000)
+		f.addWorker("w2", 4000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(6), step(3, 0))
+		f.await(jobA, workstate.Succeeded, time.Second)
+	})
+}
+
+func TestWorkerIsNotAskedWhileItsEndWaitsForACommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2*time.Second)
+		f.addWorker("w1", 1000)
+		second := f.addWorker("w2", 1000)
+		f.replica.delay = 100 * time.Millisecond
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		time.Sleep(20 * time.Millisecond)
+		f.submit("bbbbbbbbbbbbbbbb", step(1))
+		time.Sleep(1900 * time.Millisecond)
+		before := second.looks
+		f.await("bbbbbbbbbbbbbbbb", workstate.Succeeded, time.Second)
+		if asked := second.looks - before; asked > 3 {
+			t.Errorf("the worker was asked %d times while its end waited", asked)
+		}
+	})
+}
+
+func TestLostAnswerToAStartRunsTheTaskOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 300*time.Millisecond)
+		f.addWorker("w1", 4000).loseStarts = 2
+		f.addWorker("w2", 4000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(6))
+		f.await(jobA, workstate.Succeeded, 3*time.Second)
+		if f.workers.starts != 6 {
+			t.Errorf("%d starts of 6 tasks", f.workers.starts)
+		}
+	})
+}
+
+func TestDarkWorkerLosesItsTasksOnlyWithItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 8*time.Second)
+		w1 := f.addWorker("w1", 4000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(4))
+		time.Sleep(500 * time.Millisecond)
+		f.addWorker("w2", 4000)
+		w1.dark = true
+		f.await(jobA, workstate.Succeeded, leaseTime+10*time.Second)
+		if f.workers.starts != 8 {
+			t.Errorf("%d starts, expected 4 on each worker", f.workers.starts)
+		}
+	})
+}
+
+func TestNewLeaderKeepsTheRunsOfTheFormer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3*time.Second)
+		f.addWorker("w1", 4000)
+		f.lead()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(4))
+		time.Sleep(500 * time.Millisecond)
+		f.depose()
+		time.Sleep(time.Second)
+		f.lead()
+		defer f.depose()
+		f.await(jobA, workstate.Succeeded, 3*time.Second)
+		if f.workers.starts != 4 {
+			t.Errorf("%d starts of 4 tasks", f.workers.starts)
+		}
+	})
+}
+
+func TestNewLeaderOrdersWhatTheFormerOnlyRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 300*time.Millisecond)
+		w := f.addWorker("w1", 4000)
+		f.submit(jobA, step(1))
+		f.commit(&workstate.Command{Progress: &workstate.Progress{Starts: []workstate.Start{{Task: workload.TaskID{Job: jobA}, Run: 1, Worker: "w1", Born: w.born}}}})
+		f.lead()
+		defer f.depose()
+		f.await(jobA, workstate.Succeeded, 2*time.Second)
+	})
+}
+
+func TestRebornWorkerLosesItsRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		w := f.addWorker("w1", 4000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(4))
+		time.Sleep(500 * time.Millisecond)
+		*w = fakeWorker{id: "w1", born: time.Now().UnixMilli(), started: time.Now(), capacity: w.capacity, running: map[workload.TaskID]*fakeRun{}, highest: map[workload.TaskID]int{}}
+		f.await(jobA, workstate.Succeeded, 4*time.Second)
+		if f.workers.starts != 8 {
+			t.Errorf("%d starts, expected 4 in each life", f.workers.starts)
+		}
+	})
+}
+
+func TestCancelledJobIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Minute)
+		w := f.addWorker("w1", 4000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(4))
+		time.Sleep(500 * time.Millisecond)
+		f.commit(&workstate.Command{Cancel: &workstate.Cancel{ID: jobA}})
+		time.Sleep(500 * time.Millisecond)
+		if len(w.running) > 0 {
+			t.Errorf("%d tasks execute after the cancel", len(w.running))
+		}
+	})
+}
+
+func TestTaskThatAlwaysFailsFailsItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 100*time.Millisecond)
+		f.addWorker("w1", 4000).failAll = true
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		f.await(jobA, workstate.Failed, 3*time.Second)
+		if f.workers.starts != 2 {
+			t.Errorf("%d starts, the queue allows 2 attempts", f.workers.starts)
+		}
+	})
+}
+
+func TestManyJobsShareTheWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 200*time.Millisecond)
+		for i := range 4 {
+			f.addWorker(fmt.Sprint("w", i), 8000)
+		}
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		for i := range 40 {
+			f.submit(fmt.Sprintf("%016x", i), step(4), step(2, 0))
+		}
+		for i := range 40 {
+			f.await(fmt.Sprintf("%016x", i), workstate.Succeeded, 10*time.Second)
+		}
+	})
+}
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -32,7 +32,7 @@
 // worker that has listed ends is asked again once these are committed.
 func (l *loop) watchWorkers(now time.Time) {
 	for _, w := range l.workers {
-		if w.watching || now.Before(w.nextWatch) || w.seen > w.acked {
+		if w.watching || now.Before(w.nextWatch) || w.listed > w.acked {
 			continue
 		}
 		l.watch(w, now)
@@ -40,11 +40,14 @@
 }
 
 func (l *loop) watch(w *worker, now time.Time) {
-	question := execution.Watch{Fence: l.term, LeaseUntilMS: w.grant(now), AckedEnd: w.acked, WaitMS: int(watchWait.Milliseconds())}
-	if !w.contact || w.silent {
-		// The first answer is wanted at once. After a silence the worker
-		// may have begun a new life whose ends must not be forgotten.
-		question.AckedEnd, question.WaitMS = 0, 0
+	question := execution.Watch{Fence: l.term}
+	// The first answer is wanted at once. A worker that is silent may still
+	// hear: its lease must end. Or it has begun a new life, whose ends must
+	// not be forgotten.
+	if w.contact && !w.silent {
+		question.LeaseUntilMS = w.grant(now)
+		question.AckedEnd = w.acked
+		question.WaitMS = int(watchWait.Milliseconds())
 	}
 	w.watching = true
 	go func() {
@@ -83,6 +86,7 @@
 		w.leaseMS = max(w.leaseMS, w.clockMS+leaseTime.Milliseconds())
 	}
 	w.report = newReportView(sentAt, &report)
+	w.listed = max(w.listed, newestEnd(&report))
 }
 
 // unanswered notes a call that failed. The worker keeps what runs on it
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -51,9 +51,9 @@
 	// leaseMS is the latest lease that may have been granted, on the
 	// worker's clock.
 	leaseMS int64
-	// acked is the newest end that is committed; seen the newest that the
-	// progress in flight holds.
-	acked, seen int64
+	// listed is the newest end that the worker has reported, seen the newest
+	// that a progress holds, acked the newest that is committed.
+	listed, seen, acked int64
 	// silent says that the last call got no answer.
 	silent bool
 	// answeredAt is when the worker last answered.
@@ -87,6 +87,15 @@
 	return view
 }
 
+// newestEnd returns the highest number among the listed ends.
+func newestEnd(r *execution.Report) int64 {
+	newest := int64(0)
+	for i := range r.Ended {
+		newest = max(newest, r.Ended[i].Number)
+	}
+	return newest
+}
+
 func (w *worker) address() execution.WorkerAddress {
 	return execution.WorkerAddress{ID: w.reg.ID, Address: w.reg.Address}
 }
