Waves of upkeep and moves of VMs between pools

Change: the leader lists VMs, carries out waves within their cap, empties VMs first (long-running tasks within their disruption budget), and moves idle VMs to where load rises (internal/version/rebalance, pure).

--- /dev/null
+++ b/internal/process/scheduler/demand.go
@@ -0,0 +1,176 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/placement"
+	"arbutusward.example/arbutusward/internal/version/rebalance"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+const (
+	// packing is the share of a VM that tasks of up to a third of it fill.
+	packing = 0.85
+	// minPoolVMs stay in each pool, so that a job finds a VM at once and
+	// another when that one fails.
+	minPoolVMs = 2
+	// learningTime is how long a leader watches arrivals before it
+	// switches VMs off: it does not know what came before.
+	learningTime = 4 * time.Second
+)
+
+// demand is what the pools want.
+type demandState struct {
+	forecasts map[string]*rebalance.Forecast
+	// firstArrival is when the first job came that does not last.
+	firstArrival time.Time
+}
+
+func (d *demandState) forecast(service string) *rebalance.Forecast {
+	f := d.forecasts[service]
+	if f == nil {
+		f = &rebalance.Forecast{}
+		d.forecasts[service] = f
+	}
+	return f
+}
+
+// arrived notes the work of a new job.
+func (l *loop) arrived(id string, now time.Time) {
+	l.dirty = true
+	l.Machine.Read(func(v *workstate.View) {
+		job := v.Job(id)
+		if job == nil || job.Spec.Lasting() {
+			return
+		}
+		if l.demand.firstArrival.IsZero() {
+			l.demand.firstArrival = now
+		}
+		l.demand.forecast(v.ServiceOf(job)).Arrive(now, l.jobWork(&job.Spec))
+	})
+}
+
+// jobWork is the work of a job in VM seconds.
+func (l *loop) jobWork(spec *workload.Spec) rebalance.Load {
+	work := rebalance.Load(0)
+	for i := range spec.Steps {
+		step := &spec.Steps[i]
+		work += l.load(step.Charge()) * rebalance.Load(float64(step.Count)*step.Estimate.Seconds())
+	}
+	return work
+}
+
+// load is the larger share of a VM's capacity.
+func (l *loop) load(r workload.Resources) rebalance.Load {
+	c := l.vmCapacity
+	if c.MilliCPU == 0 || c.MemoryMB == 0 {
+		return 0
+	}
+	return rebalance.Load(max(float64(r.MilliCPU)/float64(c.MilliCPU), float64(r.MemoryMB)/float64(c.MemoryMB)))
+}
+
+// noteCapacity keeps the mean capacity of the workers.
+func (l *loop) noteCapacity() {
+	var sum workload.Resources
+	count := int64(0)
+	for _, w := range l.workers {
+		if w.reg.Capacity.MilliCPU > 0 && w.reg.Capacity.MemoryMB > 0 {
+			sum = sum.Add(w.reg.Capacity)
+			count++
+		}
+	}
+	if count > 0 {
+		l.vmCapacity = workload.Resources{MilliCPU: sum.MilliCPU / count, MemoryMB: sum.MemoryMB / count}
+	}
+}
+
+// planMoves moves VMs to where the load is.
+func (l *loop) planMoves(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) {
+	if !l.mayOrder(now) || l.fleet.listedAt.IsZero() {
+		return
+	}
+	l.noteCapacity()
+	pools := l.wantedPools(v, u, groups, now)
+	vms := l.movableVMs(u, now)
+	for _, move := range rebalance.Plan(pools, vms) {
+		e := l.fleet.entries[move.VM]
+		if !l.mayOrder(now) || e.barred[move.To] {
+			continue
+		}
+		l.orderVM(e, vmOrder{pool: move.To}, now)
+	}
+}
+
+// wantedPools returns what each pool wants.
+func (l *loop) wantedPools(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) []rebalance.Pool {
+	busy, lasting := l.poolLoads(u)
+	for _, g := range groups {
+		busy[g.Service] += l.load(g.Charge) * rebalance.Load(len(g.Indexes))
+	}
+	learning := l.demand.firstArrival.IsZero() || now.Sub(l.demand.firstArrival) < learningTime || now.Sub(l.since) < learningTime
+	var pools []rebalance.Pool
+	for i := range v.Catalog().Services {
+		service := &v.Catalog().Services[i]
+		pool := rebalance.Pool{Name: service.Name, Standby: service.Standby}
+		if !service.Standby {
+			f := l.demand.forecast(service.Name)
+			load := max(busy[service.Name], lasting[service.Name]+f.Rate(now))
+			pool.Want = max(minPoolVMs, int(math.Ceil(float64(load)/packing)))
+			pool.Keep = f.Keep(now, pool.Want)
+			if learning {
+				pool.Keep = math.MaxInt
+			}
+		}
+		pools = append(pools, pool)
+	}
+	return pools
+}
+
+// poolLoads sums what executes in each pool, and the part that lasts.
+func (l *loop) poolLoads(u *usage) (busy, lasting map[string]rebalance.Load) {
+	busy, lasting = map[string]rebalance.Load{}, map[string]rebalance.Load{}
+	for id, taken := range u.taken {
+		if w := l.workers[id]; w != nil {
+			busy[w.reg.Service] += l.load(taken)
+			lasting[w.reg.Service] += l.load(u.lasting[id])
+		}
+	}
+	return busy, lasting
+}
+
+// movableVMs returns all VMs that take part in the plan.
+func (l *loop) movableVMs(u *usage, now time.Time) []rebalance.VM {
+	workerOf := map[string]*worker{}
+	for _, w := range l.workers {
+		workerOf[w.reg.VM] = w
+	}
+	var vms []rebalance.VM
+	for id, e := range l.fleet.entries {
+		w := workerOf[id]
+		vm := rebalance.VM{ID: id, Pool: e.vm.Pool}
+		paused := now.Before(e.pausedUntil) || l.upkeep.holds(id) || e.calling
+		switch {
+		case e.order != nil && e.order.pool != "":
+			vm.Pool, vm.Serves = e.order.pool, true
+		case e.away():
+		case w == nil:
+			// Switched off, or not heard yet.
+			vm.Serves = false
+			vm.Free = !paused
+		default:
+			vm.Serves = w.usable(now) && !l.upkeep.holds(id)
+			vm.Free = !paused && !w.reg.Draining && u.runs[w.reg.ID] == 0
+		}
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// isStandby says whether a VM is switched off.
+func (e *vmEntry) isStandby(v *workstate.View) bool {
+	service := v.Catalog().Service(e.vm.Pool)
+	return service != nil && service.Standby && e.vm.State == execution.VMUp
+}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -10,6 +10,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -79,7 +80,11 @@
 	committing, dirty bool
 	// orphans holds when runs that are not recorded were last told to stop.
 	orphans map[runKey]time.Time
+	fleet   fleet
 	upkeep  upkeepState
+	demand  demandState
+	// vmCapacity is the mean capacity of a VM.
+	vmCapacity workload.Resources
 
 	nextForget time.Time
 }
@@ -89,6 +94,8 @@
 		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue),
 		workers: map[string]*worker{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
+		fleet:  fleet{entries: map[string]*vmEntry{}},
+		demand: demandState{forecasts: map[string]*rebalance.Forecast{}},
 	}
 }
 
@@ -139,6 +146,7 @@
 		l.round(now)
 	}
 	l.watchWorkers(now)
+	l.listVMs(now)
 }
 
 // round reconciles the state with what workers report, plans, and commits
@@ -151,8 +159,10 @@
 		l.syncWorkers(v)
 		l.takeEnds(v)
 		usage := l.reconcile(v, now)
-		progress.Starts = l.plan(v, usage, now)
-		l.planUpkeep(v, now)
+		l.planUpkeep(v, usage, now)
+		groups := l.waitingGroups(v)
+		l.planMoves(v, usage, groups, now)
+		progress.Starts = l.plan(v, usage, groups, now)
 	})
 	for _, end := range l.ends {
 		progress.Ends = append(progress.Ends, end)
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -13,8 +13,7 @@
 const rackLabelPrefix = "r"
 
 // plan places waiting tasks on workers with room.
-func (l *loop) plan(v *workstate.View, u *usage, now time.Time) []workstate.Start {
-	groups := l.waitingGroups(v)
+func (l *loop) plan(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) []workstate.Start {
 	if len(groups) == 0 {
 		return nil
 	}
@@ -54,17 +53,23 @@
 func (l *loop) placeable(u *usage, now time.Time) []*placement.Worker {
 	var workers []*placement.Worker
 	for id, w := range l.workers {
-		if !w.usable(now) || l.upkeep.holds(w.reg.VM) {
+		if !w.usable(now) || l.upkeep.holds(w.reg.VM) || l.ordered(w.reg.VM) {
 			continue
 		}
 		workers = append(workers, &placement.Worker{
 			ID: id, Service: w.reg.Service, Rack: rackOf(w.reg.Labels), Labels: w.reg.Labels,
-			Free: w.reg.Capacity.Sub(u.taken[id]),
+			Free: w.reg.Capacity.Sub(u.taken[id]), Leaving: l.upkeep.due[w.reg.VM],
 		})
 	}
 	return workers
 }
 
+// ordered says whether an order for a VM is open.
+func (l *loop) ordered(vm string) bool {
+	e := l.fleet.entries[vm]
+	return e != nil && e.order != nil
+}
+
 // rackOf returns the label that names the rack, the last one by custom.
 func rackOf(labels []string) string {
 	for i := len(labels) - 1; i >= 0; i-- {
@@ -122,7 +127,7 @@
 	step := &job.Spec.Steps[s]
 	g := &placement.Group{
 		Job: job.ID, Occurrence: k, Step: s, Total: step.Count, Service: v.ServiceOf(job), Charge: step.Charge(),
-		Label: step.RequiredLabel, DataRack: step.DataRack, MaxPerWorker: step.MaxPerWorker, Gang: step.Gang, SameRack: step.SameRack,
+		Label: step.RequiredLabel, DataRack: step.DataRack, MaxPerWorker: step.MaxPerWorker, Gang: step.Gang, SameRack: step.SameRack, Lasting: step.LongRunning,
 		Rank: float64(job.AcceptedMS),
 	}
 	if queue := v.Queue(job.Queue); queue != nil {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -10,10 +10,24 @@
 
 // usage is what executes, gathered from the state in one pass.
 type usage struct {
-	// taken is the capacity in use on each worker.
-	taken map[string]workload.Resources
+	// taken is the capacity in use on each worker, lasting the part of it
+	// that long-running tasks use; runs and lastingRuns count the tasks.
+	taken, lasting    map[string]workload.Resources
+	runs, lastingRuns map[string]int
 	// recorded holds the runs that the state knows as executing.
 	recorded map[runKey]bool
+	// lastingTasks are the long-running tasks; unavailable counts those of
+	// each step that are not at work.
+	lastingTasks []lastingTask
+	unavailable  map[stepKey]int
+}
+
+func newUsage() *usage {
+	return &usage{
+		taken: map[string]workload.Resources{}, lasting: map[string]workload.Resources{},
+		runs: map[string]int{}, lastingRuns: map[string]int{},
+		recorded: map[runKey]bool{}, unavailable: map[stepKey]int{},
+	}
 }
 
 // takeEnds queues the ends that workers list and that are not committed.
@@ -68,17 +82,24 @@
 // reconcile compares each recorded run with what its worker reports, and
 // repeats, stops or ends what does not agree.
 func (l *loop) reconcile(v *workstate.View, now time.Time) *usage {
-	u := &usage{taken: map[string]workload.Resources{}, recorded: map[runKey]bool{}}
+	u := newUsage()
 	for _, job := range v.Active() {
+		u.noteWaiting(job)
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
 			u.recorded[runKey{id, task.Run}] = true
 			step := &job.Spec.Steps[id.Step]
-			if _, ending := l.ends[runKey{id, task.Run}]; ending {
+			key := runKey{id, task.Run}
+			if !l.ending(key) {
+				l.reconcileRun(job, id, task, now)
+			}
+			if l.ending(key) {
+				u.noteEnding(id, step)
 				return
 			}
-			l.reconcileRun(job, id, task, now)
-			if _, ending := l.ends[runKey{id, task.Run}]; !ending {
-				u.taken[task.Worker] = u.taken[task.Worker].Add(step.Charge())
+			u.runs[task.Worker]++
+			u.taken[task.Worker] = u.taken[task.Worker].Add(step.Charge())
+			if step.LongRunning {
+				u.noteLasting(id, task, step, l.atWork(id, task))
 			}
 		})
 	}
@@ -87,6 +108,28 @@
 	return u
 }
 
+// ending says whether the end of a run waits for a commit.
+func (l *loop) ending(key runKey) bool {
+	_, ending := l.ends[key]
+	return ending
+}
+
+// noteWaiting counts the long-running tasks that wait as unavailable.
+func (u *usage) noteWaiting(job *workstate.Job) {
+	for k := range job.Occurrences {
+		for s := range job.Occurrences[k].Steps {
+			if !job.Spec.Steps[s].LongRunning {
+				continue
+			}
+			for i := range job.Occurrences[k].Steps[s].Tasks {
+				if job.Occurrences[k].Steps[s].Tasks[i].Phase == workstate.Waiting {
+					u.unavailable[stepKey{job.ID, k, s}]++
+				}
+			}
+		}
+	}
+}
+
 // reconcileRun takes one recorded run a step further.
 func (l *loop) reconcileRun(job *workstate.Job, id workload.TaskID, task *workstate.Task, now time.Time) {
 	r := l.runs[id]
@@ -176,7 +219,7 @@
 			continue
 		}
 		for key := range w.report.running {
-			if _, ending := l.ends[key]; !u.recorded[key] && !ending {
+			if !u.recorded[key] && !l.ending(key) {
 				l.stopOrphan(w, key, now)
 			}
 		}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
@@ -23,7 +24,7 @@
 	s := &Scheduler{options: options}
 	s.server = &Server{
 		replica: options.Replica, machine: options.Machine, log: options.Log, address: address,
-		wake: s.wake, heard: func(string) { s.wake() }, now: options.Now,
+		wake: s.wake, heard: s.heard, arrived: s.arrived, now: options.Now,
 	}
 	workcall.Register(node, s.server)
 	link.Handle(node, workcall.HelloKind, func(context.Context, link.Peer, workcall.HelloRequest) (workcall.HelloResponse, error) {
@@ -43,6 +44,20 @@
 	}
 }
 
+// heard tells the loop of a worker's heartbeat.
+func (s *Scheduler) heard(id string) {
+	if l := s.current.Load(); l != nil {
+		l.post(func(l *loop) { l.heartbeat(id, time.Now()) })
+	}
+}
+
+// arrived tells the loop of a new job.
+func (s *Scheduler) arrived(id string) {
+	if l := s.current.Load(); l != nil {
+		l.post(func(l *loop) { l.arrived(id, time.Now()) })
+	}
+}
+
 // Run follows the leadership until the context ends.
 func (s *Scheduler) Run(ctx context.Context) {
 	end := func() {}
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -29,7 +29,9 @@
 	wake func()
 	// heard tells the leader's loop of a worker's heartbeat.
 	heard func(id string)
-	now   func() time.Time
+	// arrived tells it of a new job.
+	arrived func(id string)
+	now     func() time.Time
 }
 
 var _ workcall.Local = (*Server)(nil)
@@ -120,6 +122,9 @@
 		return response, err
 	}
 	s.log.Info("job submitted", "job", id, "path", r.Path, "result", result.Code, "repeated", result.Repeated, "steps", len(r.Spec.Steps))
+	if result.Code == workstate.OK && !result.Repeated {
+		s.arrived(id)
+	}
 	if result.Code == workstate.UnknownQueue {
 		return workcall.SubmitResponse{Verdict: workcall.NoQueue}, nil
 	}
--- a/internal/process/scheduler/upkeep.go
+++ b/internal/process/scheduler/upkeep.go
@@ -1,18 +1,259 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// upkeepState is what the leader knows of VMs that are about to go down.
+const (
+	// upkeepRound is how long one round of a wave takes: tasks end, the VM
+	// is away, and comes back.
+	upkeepRound = 5 * time.Second
+	// upkeepReserve is kept at the end of a wave for what goes wrong.
+	upkeepReserve = 5 * time.Second
+	// emptyTime is how long a VM waits for its short tasks to end while its
+	// wave has time.
+	emptyTime = 6 * time.Second
+)
+
+// upkeepState is what the leader knows of VMs whose upkeep comes next.
 type upkeepState struct {
-	// held are the VMs that take no new tasks until their upkeep.
-	held map[string]bool
+	// held are the VMs that take no new tasks until their upkeep, and
+	// since when.
+	held map[string]time.Time
+	// due are all VMs of waves that have not had their upkeep.
+	due map[string]bool
 }
 
-func (u *upkeepState) holds(vm string) bool { return vm != "" && u.held[vm] }
+func (u *upkeepState) holds(vm string) bool {
+	_, held := u.held[vm]
+	return vm != "" && held
+}
+
+// upkeepVM is a VM that waits for its upkeep.
+type upkeepVM struct {
+	entry  *vmEntry
+	worker *worker
+	// cost orders the VMs: switched off first, then idle, then the least
+	// loaded ones of the least loaded pools.
+	cost float64
+}
 
 // planUpkeep takes waves of upkeep further.
-func (l *loop) planUpkeep(_ *workstate.View, _ time.Time) {}
+func (l *loop) planUpkeep(v *workstate.View, u *usage, now time.Time) {
+	held := l.upkeep.held
+	l.upkeep.held = map[string]time.Time{}
+	l.upkeep.due = map[string]bool{}
+	if l.fleet.listedAt.IsZero() {
+		return
+	}
+	for _, wave := range v.Waves() {
+		if !wave.Finished() {
+			l.planWave(v, u, wave, held, now)
+		}
+	}
+}
+
+// planWave holds as many VMs of a wave as may be away, empties them and
+// orders their upkeep.
+func (l *loop) planWave(v *workstate.View, u *usage, wave *workstate.Wave, held map[string]time.Time, now time.Time) {
+	room := wave.Cap
+	var waiting []upkeepVM
+	for _, id := range wave.VMs {
+		e := l.fleet.entries[id]
+		switch {
+		case e == nil && !wave.Done[id]:
+			l.Log.Info("VM of a wave is gone", "wave", wave.Number, "vm", id)
+			l.noteUpkeep(wave.Number, id)
+		case e == nil:
+		case e.order != nil && e.order.pool == "" && e.order.wave == wave.Number:
+			room--
+			l.repeatUpkeep(e, now)
+		case e.vm.State == execution.VMUpkeep:
+			room--
+		case !wave.Done[id]:
+			l.upkeep.due[id] = true
+			waiting = append(waiting, l.upkeepVM(v, u, e))
+		}
+	}
+	l.holdAndOrder(u, wave, waiting, room, held, now)
+}
+
+// repeatUpkeep asks again for an upkeep whose order got no answer.
+func (l *loop) repeatUpkeep(e *vmEntry, now time.Time) {
+	if !e.calling && e.vm.State == execution.VMUp && now.After(e.pausedUntil) && l.mayOrder(now) {
+		l.orderVM(e, *e.order, now)
+	}
+}
+
+func (l *loop) upkeepVM(v *workstate.View, u *usage, e *vmEntry) upkeepVM {
+	vm := upkeepVM{entry: e}
+	for _, w := range l.workers {
+		if w.reg.VM == e.vm.ID {
+			vm.worker = w
+		}
+	}
+	switch {
+	case e.isStandby(v):
+		vm.cost = 0
+	case vm.worker == nil || u.runs[vm.worker.reg.ID] == 0:
+		vm.cost = 1 + l.poolPressure(u, e.vm.Pool)
+	default:
+		vm.cost = 10 + 10*l.poolPressure(u, e.vm.Pool) + float64(l.load(u.taken[vm.worker.reg.ID]))
+	}
+	return vm
+}
+
+// poolPressure is the share of a pool's capacity that is in use.
+func (l *loop) poolPressure(u *usage, pool string) float64 {
+	used, all := 0.0, 0.0
+	for id, w := range l.workers {
+		if w.reg.Service == pool {
+			all++
+			used += float64(l.load(u.taken[id]))
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return used / all
+}
+
+// holdAndOrder orders the upkeep of empty VMs and holds others.
+func (l *loop) holdAndOrder(u *usage, wave *workstate.Wave, waiting []upkeepVM, room int, held map[string]time.Time, now time.Time) {
+	slices.SortStableFunc(waiting, func(a, b upkeepVM) int {
+		aHeld, bHeld := heldRank(held, a), heldRank(held, b)
+		return cmp.Or(cmp.Compare(aHeld, bHeld), cmp.Compare(a.cost, b.cost), cmp.Compare(a.entry.vm.ID, b.entry.vm.ID))
+	})
+	left := time.Duration(wave.DeadlineMS-l.Now().UnixMilli()) * time.Millisecond
+	rounds := (len(waiting) + wave.Cap - 1) / wave.Cap
+	pressed := left < time.Duration(rounds)*upkeepRound+upkeepReserve
+	for _, vm := range waiting {
+		if room <= 0 {
+			return
+		}
+		if vm.entry.away() || now.Before(vm.entry.pausedUntil) {
+			continue
+		}
+		if !pressed && vm.cost > 15 {
+			// The pool is busy; a later time is better for its callers.
+			continue
+		}
+		room--
+		l.holdVM(u, wave, vm, held, pressed, now)
+	}
+}
+
+func heldRank(held map[string]time.Time, vm upkeepVM) int {
+	if _, ok := held[vm.entry.vm.ID]; ok {
+		return 0
+	}
+	return 1
+}
+
+// holdVM keeps new tasks from a VM, and orders its upkeep once nothing runs
+// there that is better left to end.
+func (l *loop) holdVM(u *usage, wave *workstate.Wave, vm upkeepVM, held map[string]time.Time, pressed bool, now time.Time) {
+	id := vm.entry.vm.ID
+	since, known := held[id]
+	if !known {
+		since = now
+		l.Log.Info("VM held for its upkeep", "wave", wave.Number, "vm", id, "pool", vm.entry.vm.Pool, "cost", vm.cost)
+	}
+	l.upkeep.held[id] = since
+	if !l.mayOrder(now) || (vm.worker != nil && !l.emptied(u, vm.worker, since, pressed, now)) {
+		return
+	}
+	l.orderVM(vm.entry, vmOrder{wave: wave.Number}, now)
+}
+
+// emptied says whether a VM may go down, and stops the long-running tasks
+// there as far as their disruption budgets allow.
+func (l *loop) emptied(u *usage, w *worker, since time.Time, pressed bool, now time.Time) bool {
+	if u.runs[w.reg.ID] == 0 {
+		return true
+	}
+	l.evacuate(u, w, now)
+	if u.lastingRuns[w.reg.ID] > 0 {
+		return false
+	}
+	return pressed || now.Sub(since) > emptyTime
+}
+
+// evacuate stops long-running tasks of a worker, so that they start
+// elsewhere.
+func (l *loop) evacuate(u *usage, w *worker, now time.Time) {
+	for _, t := range u.lastingTasks {
+		if t.worker != w.reg.ID {
+			continue
+		}
+		r := l.runs[t.id]
+		if r == nil || r.phase == runStopping || r.phase == runStopped || r.calling {
+			continue
+		}
+		key := stepKey{t.id.Job, t.id.Occurrence, t.id.Step}
+		// The report may be older than the task's begin of work, so that a
+		// task counts as available for itself whatever it shows.
+		others := u.unavailable[key]
+		if !t.atWork {
+			others--
+		}
+		if t.budget >= 0 && others >= t.budget {
+			continue
+		}
+		u.unavailable[key] = others + 1
+		l.Log.Info("long-running task leaves its VM", "task", t.id.String(), "run", r.number, "worker", w.reg.ID, "unavailable", u.unavailable[key], "budget", t.budget)
+		l.stop(t.id, r, now)
+	}
+}
+
+// stepKey names one step of one occurrence.
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+// lastingTask is a long-running task that executes.
+type lastingTask struct {
+	id     workload.TaskID
+	worker string
+	budget int
+	// atWork says that its worker's newest report shows it at work.
+	atWork bool
+}
+
+// noteLasting counts a long-running task against its step's budget unless
+// it is at work.
+func (u *usage) noteLasting(id workload.TaskID, task *workstate.Task, step *workload.Step, atWork bool) {
+	u.lastingTasks = append(u.lastingTasks, lastingTask{id: id, worker: task.Worker, budget: step.DisruptionBudget, atWork: atWork})
+	u.lastingRuns[task.Worker]++
+	u.lasting[task.Worker] = u.lasting[task.Worker].Add(step.Charge())
+	if !atWork {
+		u.unavailable[stepKey{id.Job, id.Occurrence, id.Step}]++
+	}
+}
+
+// noteEnding counts a long-running task whose run has ended.
+func (u *usage) noteEnding(id workload.TaskID, step *workload.Step) {
+	if step.LongRunning {
+		u.unavailable[stepKey{id.Job, id.Occurrence, id.Step}]++
+	}
+}
+
+// atWork says whether a long-running task was at work when its worker last
+// answered, and nothing was ordered since.
+func (l *loop) atWork(id workload.TaskID, task *workstate.Task) bool {
+	w, r := l.workers[task.Worker], l.runs[id]
+	if w == nil || w.report == nil || w.silent || r == nil || r.phase != runOrdered {
+		return false
+	}
+	return w.report.running[runKey{id, task.Run}].Percent == atWorkPercent
+}
+
+// atWorkPercent is what a report shows for a long-running task at work.
+const atWorkPercent = 100
--- /dev/null
+++ b/internal/process/scheduler/vms_test.go
@@ -0,0 +1,193 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// lives lets VMs come back with a new worker after an order, or switched
+// off in the standby pool.
+func (f *fixture) lives(awayFor time.Duration) {
+	count := 0
+	f.vms.onDown = func(vm, pool string) {
+		f.workers.mu.Lock()
+		for id, w := range f.workers.workers {
+			if "vm-"+id == vm || f.vms.vms[vm].Worker == id {
+				w.dark = true
+				f.killRuns(w)
+			}
+		}
+		f.workers.mu.Unlock()
+		count++
+		name := fmt.Sprintf("n%d", count)
+		time.AfterFunc(awayFor, func() { f.comeBack(vm, pool, name) })
+	}
+}
+
+// killRuns ends all runs of a worker, as when its VM goes down.
+func (f *fixture) killRuns(w *fakeWorker) {
+	w.running = map[workload.TaskID]*fakeRun{}
+}
+
+func (f *fixture) comeBack(vm, pool, name string) {
+	f.vms.mu.Lock()
+	e := f.vms.vms[vm]
+	if e.State == execution.VMUpkeep {
+		f.vms.downNow--
+	}
+	e.State = execution.VMUp
+	f.vms.mu.Unlock()
+	if pool == "spare" {
+		return
+	}
+	f.workers.mu.Lock()
+	w := f.workers.add(name, 8000)
+	e.Worker = name
+	f.workers.mu.Unlock()
+	f.register(w, vm, pool)
+}
+
+// addVM adds a VM with a worker of "svc", or a switched-off one.
+func (f *fixture) addVM(id, pool string) {
+	f.vms.vms["vm-"+id] = &execution.VM{ID: "vm-" + id, Pool: pool, State: execution.VMUp, Worker: id}
+	if pool == "svc" {
+		f.addWorker(id, 8000)
+	}
+}
+
+func TestWaveKeepsToItsCapAndFinishesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 700*time.Millisecond)
+		f.lives(2 * time.Second)
+		var names []string
+		for i := range 8 {
+			id := fmt.Sprint("w", i)
+			f.addVM(id, "svc")
+			names = append(names, "vm-"+id)
+		}
+		f.lead()
+		defer f.depose()
+		time.Sleep(6 * time.Second)
+		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: names, Cap: 3, DeadlineMS: time.Now().Add(25 * time.Second).UnixMilli()}})
+		for i := range 30 {
+			f.submit(fmt.Sprintf("%016x", i), step(4))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(15 * time.Second)
+		f.machine.Read(func(v *workstate.View) {
+			if !v.Waves()[1].Finished() {
+				t.Errorf("%d of %d VMs had their upkeep", len(v.Waves()[1].Done), len(names))
+			}
+		})
+		if f.vms.mostDown > 3 {
+			t.Errorf("%d VMs were down at once, the cap is 3", f.vms.mostDown)
+		}
+		for i := range 30 {
+			f.await(fmt.Sprintf("%016x", i), workstate.Succeeded, 5*time.Second)
+		}
+	})
+}
+
+func TestWaveLeavesLongRunningTasksWithinTheirBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Hour)
+		f.lives(2 * time.Second)
+		var names []string
+		for i := range 4 {
+			id := fmt.Sprint("w", i)
+			f.addVM(id, "svc")
+			names = append(names, "vm-"+id)
+		}
+		f.lead()
+		defer f.depose()
+		time.Sleep(6 * time.Second)
+		s := workload.Step{Count: 4, Need: workload.Resources{MilliCPU: 1000}, LongRunning: true, DisruptionBudget: 1, MaxPerWorker: 1}
+		f.submit(jobA, s)
+		time.Sleep(time.Second)
+		least := 4
+		watch := time.AfterFunc(0, func() {})
+		defer watch.Stop()
+		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: names, Cap: 4, DeadlineMS: time.Now().Add(60 * time.Second).UnixMilli()}})
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			f.workers.mu.Lock()
+			at := 0
+			for _, w := range f.workers.workers {
+				at += len(w.running)
+			}
+			f.workers.mu.Unlock()
+			least = min(least, at)
+		}
+		f.machine.Read(func(v *workstate.View) {
+			if !v.Waves()[1].Finished() {
+				t.Errorf("%d of %d VMs had their upkeep", len(v.Waves()[1].Done), len(names))
+			}
+		})
+		if least < 3 {
+			t.Errorf("only %d of 4 tasks were at work, the budget allows 1 away", least)
+		}
+	})
+}
+
+func TestIdleVMsAreSwitchedOffAndComeBackWithTheLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.lives(1500 * time.Millisecond)
+		for i := range 8 {
+			f.addVM(fmt.Sprint("w", i), "svc")
+		}
+		f.lead()
+		defer f.depose()
+		time.Sleep(6 * time.Second)
+		work := step(1)
+		work.Estimate = time.Second
+		work.Need.MemoryMB = 1
+		f.submitAndTell(jobA, work)
+		time.Sleep(12 * time.Second)
+		off := 0
+		for _, vm := range f.vms.vms {
+			if vm.Pool == "spare" {
+				off++
+			}
+		}
+		if off != 8-minPoolVMs {
+			t.Errorf("%d of 8 idle VMs are switched off, expected all but %d", off, minPoolVMs)
+		}
+		wide := step(40)
+		wide.Estimate = time.Second
+		wide.Need.MemoryMB = 1
+		f.submitAndTell("bbbbbbbbbbbbbbbb", wide)
+		f.await("bbbbbbbbbbbbbbbb", workstate.Succeeded, 4500*time.Millisecond)
+	})
+}
+
+// submitAndTell submits a job like the server does.
+func (f *fixture) submitAndTell(id string, steps ...workload.Step) {
+	f.submit(id, steps...)
+	f.loop.post(func(l *loop) { l.arrived(id, time.Now()) })
+}
+
+func TestNewLeaderLeavesVMsAloneForTheLeaseOfTheFormer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.lives(2 * time.Second)
+		f.addVM("w1", "svc")
+		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w1"}, Cap: 1, DeadlineMS: time.Now().Add(20 * time.Second).UnixMilli()}})
+		f.lead()
+		defer f.depose()
+		time.Sleep(2900 * time.Millisecond)
+		if len(f.vms.orders) > 0 {
+			t.Errorf("orders %v within the holder's lease", f.vms.orders)
+		}
+		time.Sleep(4 * time.Second)
+		if len(f.vms.orders) != 1 {
+			t.Errorf("orders %v, expected one upkeep", f.vms.orders)
+		}
+	})
+}
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -31,7 +31,12 @@
 // watchWorkers asks each worker for its runs, one question at a time. A
 // worker that has listed ends is asked again once these are committed.
 func (l *loop) watchWorkers(now time.Time) {
-	for _, w := range l.workers {
+	for id, w := range l.workers {
+		if !w.forgotten && w.gone(now, l.since) {
+			w.forgotten = true
+			l.Log.Warn("worker is gone", "worker", id, "born", w.reg.Born, "answered_ms_ago", now.Sub(w.answeredAt).Milliseconds())
+			l.deregister(id, w.reg.Born)
+		}
 		if w.watching || now.Before(w.nextWatch) || w.listed > w.acked {
 			continue
 		}
@@ -118,6 +123,14 @@
 	}()
 }
 
+// heartbeat notes that a worker was heard.
+func (l *loop) heartbeat(id string, now time.Time) {
+	l.dirty = true
+	if w := l.workers[id]; w != nil {
+		w.heardAt = now
+	}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -28,6 +28,9 @@
 	// silenceLimit is the age of the newest answer beyond which a worker
 	// gets no new tasks.
 	silenceLimit = watchWait + callTimeout + 100*time.Millisecond
+	// goneAfter is the silence after which a worker is forgotten: some
+	// heartbeats, and more than a lease. It registers again if it lives.
+	goneAfter = 8 * time.Second
 	// refusalPause keeps new tasks from a worker that has refused one for
 	// a reason of its own.
 	refusalPause = time.Second
@@ -56,10 +59,13 @@
 	listed, seen, acked int64
 	// silent says that the last call got no answer.
 	silent bool
-	// answeredAt is when the worker last answered.
-	answeredAt time.Time
-	watching   bool
-	nextWatch  time.Time
+	// answeredAt is when the worker last answered, heardAt when its last
+	// heartbeat came.
+	answeredAt, heardAt time.Time
+	watching            bool
+	nextWatch           time.Time
+	// forgotten says that the end of this life is being recorded.
+	forgotten bool
 	// report is the newest report, nil before the first.
 	report *reportView
 	// pausedUntil keeps new tasks away for a while.
@@ -123,6 +129,17 @@
 	return until
 }
 
+// gone says whether nothing has been heard of the worker for long.
+func (w *worker) gone(now, leadingSince time.Time) bool {
+	last := leadingSince
+	for _, at := range []time.Time{w.answeredAt, w.heardAt} {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return w.silent && now.Sub(last) > goneAfter && w.lapsed(now, leadingSince)
+}
+
 // lapsed says whether every lease that may have been granted has ended for
 // sure, though the worker is not heard: its clock may be slow.
 func (w *worker) lapsed(now, leadingSince time.Time) bool {
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -20,6 +20,8 @@
 	// Avoid is higher for workers that are best left alone: slow ones, or
 	// such whose runs have failed. Lower ones are filled first.
 	Avoid int
+	// Leaving workers end soon; long-running tasks go elsewhere if they can.
+	Leaving bool
 }
 
 // Group is the waiting tasks of one step.
@@ -50,6 +52,8 @@
 	Gang bool
 	// SameRack groups go to one rack if it has room for all of them.
 	SameRack bool
+	// Lasting tasks run until they are stopped.
+	Lasting bool
 }
 
 // Placement is one task and its worker.
@@ -169,6 +173,9 @@
 }
 
 func better(g *Group, a, b *Worker) bool {
+	if g.Lasting && a.Leaving != b.Leaving {
+		return b.Leaving
+	}
 	if a.Avoid != b.Avoid {
 		return a.Avoid < b.Avoid
 	}
