Jobs by slack and size; VMs follow a rise that chance does not explain

Change: rank = slack + 0.5 s x sqrt(work/mean); what can't be in time goes last. The forecast continues the growth of the load less the square root of the sum of squares of what single jobs brought.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -22,9 +22,11 @@
 	learningTime = 4 * time.Second
 )
 
-// demand is what the pools want.
+// demandState is what the leader learns of the load.
 type demandState struct {
 	forecasts map[string]*rebalance.Forecast
+	// meanWork is the mean work of a queue's jobs, in core seconds.
+	meanWork map[string]float64
 	// firstArrival is when the first job came that does not last.
 	firstArrival time.Time
 }
@@ -38,31 +40,59 @@
 	return f
 }
 
-// arrived notes the work of a new job.
+// arrived notes a new job.
 func (l *loop) arrived(id string, now time.Time) {
 	l.dirty = true
 	l.Machine.Read(func(v *workstate.View) {
 		job := v.Job(id)
-		if job == nil || job.Spec.Lasting() {
+		if job == nil {
 			return
 		}
-		if l.demand.firstArrival.IsZero() {
+		if l.demand.firstArrival.IsZero() && !job.Spec.Lasting() {
 			l.demand.firstArrival = now
 		}
-		l.demand.forecast(v.ServiceOf(job)).Arrive(now, l.jobWork(&job.Spec))
+		l.demand.noteWork(job.Queue, coreSeconds(&job.Spec))
+		l.demand.forecast(v.ServiceOf(job)).Arrive(now, l.firstLoad(&job.Spec))
 	})
 }
 
-// jobWork is the work of a job in VM seconds.
-func (l *loop) jobWork(spec *workload.Spec) rebalance.Load {
-	work := rebalance.Load(0)
+// firstLoad is what a job takes when it begins.
+func (l *loop) firstLoad(spec *workload.Spec) rebalance.Load {
+	load := rebalance.Load(0)
 	for i := range spec.Steps {
-		step := &spec.Steps[i]
-		work += l.load(step.Charge()) * rebalance.Load(float64(step.Count)*step.Estimate.Seconds())
+		if step := &spec.Steps[i]; len(step.DependsOn) == 0 {
+			load += l.load(step.Charge()) * rebalance.Load(step.Count)
+		}
+	}
+	return load
+}
+
+// coreSeconds is the estimate of a job's work.
+func coreSeconds(spec *workload.Spec) float64 {
+	work := 0.0
+	for i := range spec.Steps {
+		work += stepWork(&spec.Steps[i], spec.Steps[i].Count)
 	}
 	return work
 }
 
+// stepWork is the estimate of the work of some tasks of a step.
+func stepWork(step *workload.Step, tasks int) float64 {
+	return float64(tasks) * float64(step.Need.MilliCPU) / 1000 * step.Estimate.Seconds()
+}
+
+// meanWeight is the weight of the newest job in the mean work of a queue.
+const meanWeight = 0.05
+
+// noteWork follows the mean work of a queue's jobs.
+func (d *demandState) noteWork(queue string, work float64) {
+	mean, known := d.meanWork[queue]
+	if !known {
+		mean = work
+	}
+	d.meanWork[queue] = mean + meanWeight*(work-mean)
+}
+
 // load is the larger share of a VM's capacity.
 func (l *loop) load(r workload.Resources) rebalance.Load {
 	c := l.vmCapacity
@@ -106,7 +136,7 @@
 
 // wantedPools returns what each pool wants.
 func (l *loop) wantedPools(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) []rebalance.Pool {
-	busy, lasting := l.poolLoads(u)
+	busy := l.poolLoads(u)
 	for _, g := range groups {
 		busy[g.Service] += l.load(g.Charge) * rebalance.Load(len(g.Indexes))
 	}
@@ -117,7 +147,7 @@
 		pool := rebalance.Pool{Name: service.Name, Standby: service.Standby}
 		if !service.Standby {
 			f := l.demand.forecast(service.Name)
-			load := max(busy[service.Name], lasting[service.Name]+f.Rate(now))
+			load := f.Expect(now, busy[service.Name])
 			pool.Want = max(minPoolVMs, int(math.Ceil(float64(load)/packing)))
 			pool.Keep = f.Keep(now, pool.Want)
 			if learning {
@@ -129,16 +159,15 @@
 	return pools
 }
 
-// poolLoads sums what executes in each pool, and the part that lasts.
-func (l *loop) poolLoads(u *usage) (busy, lasting map[string]rebalance.Load) {
-	busy, lasting = map[string]rebalance.Load{}, map[string]rebalance.Load{}
+// poolLoads sums what executes in each pool.
+func (l *loop) poolLoads(u *usage) map[string]rebalance.Load {
+	busy := map[string]rebalance.Load{}
 	for id, taken := range u.taken {
 		if w := l.workers[id]; w != nil {
 			busy[w.reg.Service] += l.load(taken)
-			lasting[w.reg.Service] += l.load(u.lasting[id])
 		}
 	}
-	return busy, lasting
+	return busy
 }
 
 // movableVMs returns all VMs that take part in the plan.
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -95,7 +95,7 @@
 		workers: map[string]*worker{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
 		fleet:  fleet{entries: map[string]*vmEntry{}},
-		demand: demandState{forecasts: map[string]*rebalance.Forecast{}},
+		demand: demandState{forecasts: map[string]*rebalance.Forecast{}, meanWork: map[string]float64{}},
 	}
 }
 
@@ -160,7 +160,7 @@
 		l.takeEnds(v)
 		usage := l.reconcile(v, now)
 		l.planUpkeep(v, usage, now)
-		groups := l.waitingGroups(v)
+		groups := l.waitingGroups(v, now)
 		l.planMoves(v, usage, groups, now)
 		progress.Starts = l.plan(v, usage, groups, now)
 	})
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -81,7 +81,7 @@
 }
 
 // waitingGroups returns the waiting tasks of all open jobs, by step.
-func (l *loop) waitingGroups(v *workstate.View) []*placement.Group {
+func (l *loop) waitingGroups(v *workstate.View, now time.Time) []*placement.Group {
 	nowMS := l.Now().UnixMilli()
 	var groups []*placement.Group
 	for _, job := range v.Active() {
@@ -92,14 +92,14 @@
 			if job.Spec.DueMS(k) > nowMS {
 				break
 			}
-			groups = l.appendWaiting(groups, v, job, k)
+			groups = l.appendWaiting(groups, v, job, k, now)
 		}
 	}
 	return groups
 }
 
 // appendWaiting adds the steps of one occurrence that may start.
-func (l *loop) appendWaiting(groups []*placement.Group, v *workstate.View, job *workstate.Job, k int) []*placement.Group {
+func (l *loop) appendWaiting(groups []*placement.Group, v *workstate.View, job *workstate.Job, k int, now time.Time) []*placement.Group {
 	var progress *workstate.Occurrence
 	if k < len(job.Occurrences) {
 		progress = &job.Occurrences[k]
@@ -107,6 +107,7 @@
 			return groups
 		}
 	}
+	rank := l.rank(v, job, progress, k, now)
 	for s := range job.Spec.Steps {
 		step := &job.Spec.Steps[s]
 		if progress == nil && len(step.DependsOn) > 0 {
@@ -116,19 +117,59 @@
 			continue
 		}
 		if g := l.group(v, job, progress, k, s); g != nil {
+			g.Rank = rank
+			if step.LongRunning {
+				g.Rank = lastingRank
+			}
 			groups = append(groups, g)
 		}
 	}
 	return groups
 }
 
+// lastingRank puts long-running tasks first: they serve users all the time
+// that they are away.
+const lastingRank = -1e6
+
+// rank returns the urgency of one occurrence of a job.
+func (l *loop) rank(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k int, now time.Time) float64 {
+	queue := v.Queue(job.Queue)
+	if queue == nil {
+		return 0
+	}
+	objective := placement.Objective{Accepted: l.began(job, k, now), Stretch: queue.Stretch, Target: queue.TargetLatency, MeanWork: l.demand.meanWork[job.Queue]}
+	whole := make([]time.Duration, len(job.Spec.Steps))
+	left := make([]time.Duration, len(job.Spec.Steps))
+	before := make([][]int, len(job.Spec.Steps))
+	for s := range job.Spec.Steps {
+		step := &job.Spec.Steps[s]
+		open := step.Count
+		if progress != nil {
+			open -= progress.Steps[s].Done
+		}
+		whole[s], before[s] = step.Estimate, step.DependsOn
+		if open > 0 {
+			left[s] = step.Estimate
+		}
+		objective.Work += stepWork(step, open)
+	}
+	objective.Chain = placement.LongestChain(whole, before)
+	objective.Remaining = placement.LongestChain(left, before)
+	return objective.Rank(now)
+}
+
+// began returns when an occurrence came, on the local clock.
+func (l *loop) began(job *workstate.Job, k int, now time.Time) time.Time {
+	at := max(job.AcceptedMS, job.Spec.DueMS(k))
+	return now.Add(-time.Duration(l.Now().UnixMilli()-at) * time.Millisecond)
+}
+
 // group returns the waiting tasks of a step, or nil if there are none.
 func (l *loop) group(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k, s int) *placement.Group {
 	step := &job.Spec.Steps[s]
 	g := &placement.Group{
 		Job: job.ID, Occurrence: k, Step: s, Total: step.Count, Service: v.ServiceOf(job), Charge: step.Charge(),
 		Label: step.RequiredLabel, DataRack: step.DataRack, MaxPerWorker: step.MaxPerWorker, Gang: step.Gang, SameRack: step.SameRack, Lasting: step.LongRunning,
-		Rank: float64(job.AcceptedMS),
 	}
 	if queue := v.Queue(job.Queue); queue != nil {
 		g.Priority = queue.Priority
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -10,9 +10,9 @@
 
 // usage is what executes, gathered from the state in one pass.
 type usage struct {
-	// taken is the capacity in use on each worker, lasting the part of it
-	// that long-running tasks use; runs and lastingRuns count the tasks.
-	taken, lasting    map[string]workload.Resources
+	// taken is the capacity in use on each worker; runs counts its tasks,
+	// lastingRuns those that are long-running.
+	taken             map[string]workload.Resources
 	runs, lastingRuns map[string]int
 	// recorded holds the runs that the state knows as executing.
 	recorded map[runKey]bool
@@ -24,8 +24,8 @@
 
 func newUsage() *usage {
 	return &usage{
-		taken: map[string]workload.Resources{}, lasting: map[string]workload.Resources{},
-		runs: map[string]int{}, lastingRuns: map[string]int{},
+		taken: map[string]workload.Resources{},
+		runs:  map[string]int{}, lastingRuns: map[string]int{},
 		recorded: map[runKey]bool{}, unavailable: map[stepKey]int{},
 	}
 }
--- a/internal/process/scheduler/upkeep.go
+++ b/internal/process/scheduler/upkeep.go
@@ -232,7 +232,6 @@
 func (u *usage) noteLasting(id workload.TaskID, task *workstate.Task, step *workload.Step, atWork bool) {
 	u.lastingTasks = append(u.lastingTasks, lastingTask{id: id, worker: task.Worker, budget: step.DisruptionBudget, atWork: atWork})
 	u.lastingRuns[task.Worker]++
-	u.lasting[task.Worker] = u.lasting[task.Worker].Add(step.Charge())
 	if !atWork {
 		u.unavailable[stepKey{id.Job, id.Occurrence, id.Step}]++
 	}
--- a/internal/version/rebalance/forecast.go
+++ b/internal/version/rebalance/forecast.go
@@ -1,87 +1,89 @@
 package rebalance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Times of the forecast.
 const (
-	// bucketTime is the resolution of the record of arrivals.
+	// bucketTime is the resolution of the record.
 	bucketTime = 250 * time.Millisecond
-	// rateWindow is the span over which a rate is taken: short against a
+	// riseWindow is the span over which a rise is taken: short against a
 	// burst of some seconds, long against the time between two jobs.
-	rateWindow = time.Second
+	riseWindow = 1250 * time.Millisecond
 	// lookAhead is how far a rise is continued: the time in which a VM
-	// joins a pool, and the age of the rate.
+	// joins a pool, and the age of the rise.
 	lookAhead = 2500 * time.Millisecond
 	// keepTime is how long a pool keeps what it wanted last: several moves
 	// cost more than an idle VM for that long.
 	keepTime = 2 * time.Second
 )
 
-// bucketCount covers two windows and the bucket that is being filled.
-const bucketCount = int(2*rateWindow/bucketTime) + 1
+// bucketCount covers the window and the bucket that is being filled.
+const bucketCount = int64(riseWindow/bucketTime) + 1
 
 // Load is an amount of work or capacity, in VMs: the larger of the shares of
 // a VM's processor and memory.
 type Load float64
 
-// Forecast follows the work that arrives for one pool.
+// Forecast follows the load of one pool: what executes and what waits.
 type Forecast struct {
-	// buckets holds the arrived work, in VM seconds, by time.
-	buckets [bucketCount]Load
-	// newest numbers the bucket that is being filled.
+	buckets [bucketCount]bucket
+	// newest numbers the bucket that is being filled; 0 is none yet.
 	newest int64
-	begun  bool
-	// wanted are the newest peaks of the pool's demand.
+	// wanted are the newest peaks of what the pool wanted, falling.
 	wanted []demand
 }
 
+// bucket is the record of a span of bucketTime.
+type bucket struct {
+	// load is the newest load.
+	load Load
+	// squares sums the squares of the loads that jobs brought.
+	squares Load
+}
+
 type demand struct {
 	at  time.Time
 	vms int
 }
 
-// Arrive records work in VM seconds.
-func (f *Forecast) Arrive(now time.Time, work Load) {
-	f.roll(now)
-	f.buckets[f.newest%int64(bucketCount)] += work
+// Arrive records a job that brings a load at once.
+func (f *Forecast) Arrive(now time.Time, load Load) {
+	f.roll(now).squares += load * load
 }
 
-// roll empties the buckets that time has passed.
-func (f *Forecast) roll(now time.Time) {
+// roll returns the bucket of the time; those that time has passed over
+// repeat the last load.
+func (f *Forecast) roll(now time.Time) *bucket {
 	number := now.UnixNano() / int64(bucketTime)
-	if !f.begun {
-		f.newest, f.begun = number, true
+	if f.newest == 0 {
+		f.newest = number
 	}
+	last := f.at(f.newest).load
+	f.newest = max(f.newest, number-bucketCount)
 	for f.newest < number {
 		f.newest++
-		f.buckets[f.newest%int64(bucketCount)] = 0
-		if number-f.newest > int64(bucketCount) {
-			f.newest = number - int64(bucketCount)
-		}
+		*f.at(f.newest) = bucket{load: last}
 	}
+	return f.at(f.newest)
 }
 
-// Rate returns the load that the arrivals amount to if they go on, in VMs
-// that are busy, with a rise continued.
-func (f *Forecast) Rate(now time.Time) Load {
-	f.roll(now)
-	half := int64(rateWindow / bucketTime)
-	recent, former := Load(0), Load(0)
-	for i := int64(1); i <= half; i++ {
-		recent += f.bucket(f.newest - i)
-		former += f.bucket(f.newest - half - i)
-	}
-	recent /= Load(rateWindow.Seconds())
-	former /= Load(rateWindow.Seconds())
-	rise := max(0, recent-former)
-	return recent + rise*Load(lookAhead.Seconds()/rateWindow.Seconds())
-}
+func (f *Forecast) at(number int64) *bucket { return &f.buckets[number%bucketCount] }
 
-func (f *Forecast) bucket(number int64) Load {
-	if number < 0 {
-		return 0
+// Expect records the load of now and returns the one to be expected when a
+// VM that is ordered now has joined the pool. A rise is continued, less what
+// chance alone makes of jobs that come one by one.
+func (f *Forecast) Expect(now time.Time, load Load) Load {
+	f.roll(now).load = load
+	squares := Load(0)
+	for i := range f.buckets {
+		squares += f.buckets[i].squares
 	}
-	return f.buckets[number%int64(bucketCount)]
+	rise := load - f.at(f.newest+1).load
+	rise -= Load(math.Sqrt(float64(squares)))
+	return load + max(0, rise)*Load(lookAhead)/Load(riseWindow)
 }
 
 // Keep records what the pool wants now and returns the most that it wanted
