A VM that the platform does not list for a while stays in its wave

Ruled out: refusals by the platform (none in the trace). Change: only 5 s after the deadline does a missing VM count as gone.

--- a/internal/process/scheduler/upkeep.go
+++ b/internal/process/scheduler/upkeep.go
@@ -16,6 +16,9 @@
 	upkeepRound = 5 * time.Second
 	// upkeepReserve is kept at the end of a wave for what goes wrong.
 	upkeepReserve = 5 * time.Second
+	// missingGrace is how long after a wave's deadline a VM that is not
+	// listed counts as one that stays.
+	missingGrace = 5 * time.Second
 	// emptyTime is how long a VM waits for its short tasks to end while its
 	// wave has time.
 	emptyTime = 6 * time.Second
@@ -67,10 +70,8 @@
 	for _, id := range wave.VMs {
 		e := l.fleet.entries[id]
 		switch {
-		case e == nil && !wave.Done[id]:
-			l.Log.Info("VM of a wave is gone", "wave", wave.Number, "vm", id)
-			l.noteUpkeep(wave.Number, id)
 		case e == nil:
+			l.missingFromWave(wave, id, now)
 		case e.order != nil && e.order.pool == "" && e.order.wave == wave.Number:
 			room--
 			l.repeatUpkeep(e, now)
@@ -84,6 +85,18 @@
 	l.holdAndOrder(u, wave, waiting, room, held, now)
 }
 
+// missingFromWave gives a VM up that the platform does not list: one may be
+// missing for some seconds and come back, so that only the end of the wave
+// tells.
+func (l *loop) missingFromWave(wave *workstate.Wave, id string, now time.Time) {
+	overdue := time.Duration(l.Now().UnixMilli()-wave.DeadlineMS) * time.Millisecond
+	if wave.Done[id] || overdue < missingGrace || now.Sub(l.fleet.listedAt) > listInterval {
+		return
+	}
+	l.Log.Info("VM of a wave is gone", "wave", wave.Number, "vm", id, "overdue_ms", overdue.Milliseconds())
+	l.noteUpkeep(wave.Number, id)
+}
+
 // repeatUpkeep asks again for an upkeep whose order got no answer.
 func (l *loop) repeatUpkeep(e *vmEntry, now time.Time) {
 	if !e.calling && e.vm.State == execution.VMUp && now.After(e.pausedUntil) && l.mayOrder(now) {
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -191,3 +191,31 @@
 		}
 	})
 }
+
+func TestVMThatIsMissingFromTheListForAWhileStillGetsItsUpkeep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.lives(2 * time.Second)
+		f.addVM("w1", "svc")
+		f.addVM("w2", "svc")
+		missing := f.vms.vms["vm-w2"]
+		delete(f.vms.vms, "vm-w2")
+		f.lead()
+		defer f.depose()
+		time.Sleep(6 * time.Second)
+		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w1", "vm-w2"}, Cap: 2, DeadlineMS: time.Now().Add(20 * time.Second).UnixMilli()}})
+		time.Sleep(6 * time.Second)
+		f.machine.Read(func(v *workstate.View) {
+			if v.Waves()[1].Finished() {
+				t.Error("the wave is finished while a VM is missing")
+			}
+		})
+		f.vms.mu.Lock()
+		f.vms.vms["vm-w2"] = missing
+		f.vms.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		if len(f.vms.orders) != 2 {
+			t.Errorf("orders %v, expected the upkeep of both", f.vms.orders)
+		}
+	})
+}
