--- a/integration/batch_test.go
+++ b/integration/batch_test.go
@@ -66,6 +66,7 @@
 // TestBatchRequestIsAnsweredLaterThroughAnyZone accepts in one zone and
 // reads the result in the other.
 func TestBatchRequestIsAnsweredLaterThroughAnyZone(t *testing.T) {
+	t.Parallel()
 	d, first, second := batchDeployment(t)
 	targets := d.addSmallTargets()
 	d.apply(smallFleet)
@@ -96,6 +97,7 @@
 // TestAcceptedBatchRequestsEndThoughAnEntryAndTheLeaderAreLost loses the
 // entry that accepted and the leading control process while requests run.
 func TestAcceptedBatchRequestsEndThoughAnEntryAndTheLeaderAreLost(t *testing.T) {
+	t.Parallel()
 	d, first, second := batchDeployment(t)
 	targets := d.addSmallTargets()
 	d.apply(smallFleet)
@@ -133,6 +135,7 @@
 
 // TestBatchRequestsAreCancelledInAWave cancels many by one call while a few run.
 func TestBatchRequestsAreCancelledInAWave(t *testing.T) {
+	t.Parallel()
 	d, first, second := batchDeployment(t)
 	targets := d.addSmallTargets()
 	d.apply(smallFleet)
@@ -192,6 +195,7 @@
 
 // TestBatchRequestThatCannotRunYetWaits accepts while no target is live.
 func TestBatchRequestThatCannotRunYetWaits(t *testing.T) {
+	t.Parallel()
 	d, first, second := batchDeployment(t)
 	d.apply(smallFleet)
 	d.waitInForce(5 * time.Second)
--- a/integration/claim_test.go
+++ b/integration/claim_test.go
@@ -16,6 +16,7 @@
 // TestKeyedRequestRunsOnceThroughAllEntriesAndZones sends the same booking
 // through every entry at once, and again later.
 func TestKeyedRequestRunsOnceThroughAllEntriesAndZones(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entries := []*entryProcess{d.addEntry("entry-a1", "za"), d.addEntry("entry-a2", "za"), d.addEntry("entry-b1", "zb")}
@@ -47,6 +48,7 @@
 // TestKeyedRequestWhoseEntryDiedIsNeverRunAgain kills the entry while the
 // booking runs, and sends it again through others and after its restart.
 func TestKeyedRequestWhoseEntryDiedIsNeverRunAgain(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	dying := d.addEntry("entry-a1", "za")
@@ -84,6 +86,7 @@
 // TestKeyedRequestsRunOnceWhileTheLeaderIsLost kills a control process
 // while bookings are made; each caller repeats its booking until it ran.
 func TestKeyedRequestsRunOnceWhileTheLeaderIsLost(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za", "za", "zb")
 	entries := []*entryProcess{d.addEntry("entry-a1", "za"), d.addEntry("entry-b1", "zb")}
@@ -132,6 +135,7 @@
 // TestKeyedRequestIsNotRunWhileControlIsOutOfReach cuts an entry off from
 // control: what needs a claim is refused, other work goes on.
 func TestKeyedRequestIsNotRunWhileControlIsOutOfReach(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
--- a/integration/cli_test.go
+++ b/integration/cli_test.go
@@ -99,6 +99,7 @@
 }
 
 func TestCLIExitCodeOfEachCase(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	good := d.writeFile("good.jsonc", smallFleet)
@@ -133,6 +134,7 @@
 }
 
 func TestCLIDryRunShowsTheDifferenceAndSubmitsNothing(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -149,6 +151,7 @@
 // the answer of an accepted submission; another operator goes on from it;
 // the first runs the same command again.
 func TestCLIResendAfterALostAnswerDoesNotOverwriteWhatOthersAppliedSince(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -210,6 +213,7 @@
 }
 
 func TestCLIApplyWaitNamesTheEntryThatIsNotInForce(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.addEntry("entry-a1", "za")
@@ -225,6 +229,7 @@
 }
 
 func TestCLITimelineExplainsARequestAndNamesAnUnreachableProcess(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
@@ -267,6 +272,7 @@
 // TestReportNamesTheKilledTargetTheRefusalAndTheUnreachableProcess kills a
 // target and an entry within the span.
 func TestReportNamesTheKilledTargetTheRefusalAndTheUnreachableProcess(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
@@ -307,6 +313,7 @@
 }
 
 func TestMetricsNameTheLagOfAnEntryThatIsNotInForce(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.addEntry("entry-a1", "za")
--- a/integration/console_test.go
+++ b/integration/console_test.go
@@ -158,6 +158,7 @@
 // whole way: sign in, edit with a mistake, mend it, review, end, download,
 // apply.
 func TestConsoleSessionEndsInOneDocumentThatValidatesAndIsApplied(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -193,6 +194,7 @@
 // TestConsoleConflictIsShownAsADifferenceAndOverwritesNothing lets another
 // operator apply first.
 func TestConsoleConflictIsShownAsADifferenceAndOverwritesNothing(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -212,6 +214,7 @@
 }
 
 func TestConsoleRefusesAPostWithoutTheSessionsCSRFToken(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -229,6 +232,7 @@
 }
 
 func TestConsoleViewerMayDownloadButNotApply(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -246,6 +250,7 @@
 }
 
 func TestConsoleRefusesAnOverLargeForm(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -256,6 +261,7 @@
 }
 
 func TestConsoleLetsNobodyInWithoutAValidOperatorToken(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -278,6 +284,7 @@
 }
 
 func TestConsoleRotatesTheSessionAtSignInAndHardensItsCookieAndPages(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -305,6 +312,7 @@
 }
 
 func TestConsoleBearsTheNodeCertificate(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -324,6 +332,7 @@
 // TestConsoleLivePagesShowRefusalsPlotsAndAnUnreachableProcess stops an
 // entry and looks at the three live pages.
 func TestConsoleLivePagesShowRefusalsPlotsAndAnUnreachableProcess(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
@@ -347,6 +356,7 @@
 // TestConsoleSurvivesControlOutOfReach loses control in the middle of a
 // session: the draft stays and can be applied later.
 func TestConsoleSurvivesControlOutOfReach(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -366,6 +376,7 @@
 // TestConsoleResendAfterALostAnswerIsTheSameSubmission loses the answer to
 // an application; another operator goes on; the first presses Apply again.
 func TestConsoleResendAfterALostAnswerIsTheSameSubmission(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.apply(smallFleet)
@@ -397,6 +408,7 @@
 // every field has a label, identifiers are unique, there is one main
 // heading, a language and a skip link, and nothing that the policy forbids.
 func TestConsolePagesCanBeReadAloudAndHoldNoScript(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	d.addEntry("entry-a1", "za")
--- a/integration/entry_leases_test.go
+++ b/integration/entry_leases_test.go
@@ -15,6 +15,7 @@
 // TestTargetHeardByOneEntryIsServedByItsZonePeersOnly starts targets that
 // announce themselves to one entry of zone za.
 func TestTargetHeardByOneEntryIsServedByItsZonePeersOnly(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	first := d.addEntry("entry-a1", "za")
@@ -32,6 +33,7 @@
 // TestLeavingTargetGetsNoNewWorkInAnyEntry lets a target leave that
 // announces itself to one entry.
 func TestLeavingTargetGetsNoNewWorkInAnyEntry(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	first := d.addEntry("entry-a1", "za")
@@ -58,6 +60,7 @@
 // TestSilentTargetGetsNoNewWorkInAnyEntry silences the announcements of a
 // target that still serves.
 func TestSilentTargetGetsNoNewWorkInAnyEntry(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	first := d.addEntry("entry-a1", "za")
@@ -83,6 +86,7 @@
 // the entry that holds the leases of two targets; one of them has a second
 // entry to announce itself to.
 func TestTargetsOfASilentEntryExpireAtItsPeersUnlessAnnouncedElsewhere(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	holder := d.addEntry("entry-a1", "za")
@@ -108,6 +112,7 @@
 // TestWokenEntrySendsNoWorkOnLeasesThatEndedWhileItWasStopped stops an
 // entry, silences its targets and wakes it with requests waiting.
 func TestWokenEntrySendsNoWorkOnLeasesThatEndedWhileItWasStopped(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
@@ -145,6 +150,7 @@
 
 // TestAnnouncementIsRefusedWithAClearAnswer announces with bad tokens and names.
 func TestAnnouncementIsRefusedWithAClearAnswer(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
@@ -176,6 +182,7 @@
 // TestSlotsOfAVMAreSharedByTheEntriesOfItsZone loads one VM of 8 slots
 // through two entries, and through the one that is left when the other died.
 func TestSlotsOfAVMAreSharedByTheEntriesOfItsZone(t *testing.T) {
+	t.Parallel()
 	const slots = 8
 	d := newDeployment(t)
 	d.addControls("za")
--- a/integration/entry_removed_test.go
+++ b/integration/entry_removed_test.go
@@ -15,6 +15,7 @@
 // TestRemovedEntrySendsNoWorkUntilItsRestart removes an entry that still
 // runs, although an operator stated that it does not.
 func TestRemovedEntrySendsNoWorkUntilItsRestart(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	removed := d.addEntry("entry-a1", "za")
--- a/integration/entry_stop_test.go
+++ b/integration/entry_stop_test.go
@@ -16,6 +16,7 @@
 // entry while it is not ready, as the balancer does; its last request still
 // runs when the port closes.
 func TestPlannedStopOfAnEntryCutsNoKeptAliveConnectionNorQueuedRequest(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
@@ -76,6 +77,7 @@
 // TestPlannedStopOfAnEntryEndsTheBatchRequestsThatItRuns stops the entry
 // that runs non-idempotent batch requests; none may become unknown.
 func TestPlannedStopOfAnEntryEndsTheBatchRequestsThatItRuns(t *testing.T) {
+	t.Parallel()
 	d, first, second := batchDeployment(t)
 	d.addSmallTargets()
 	d.apply(smallFleet)
--- a/integration/entry_view_test.go
+++ b/integration/entry_view_test.go
@@ -26,6 +26,7 @@
 // TestChangeIsInForceInEveryEntryWithinTwoSeconds measures the time from
 // the submission of a change to its being in force everywhere.
 func TestChangeIsInForceInEveryEntryWithinTwoSeconds(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za", "za", "zb")
 	for i := 1; i <= 3; i++ {
@@ -54,6 +55,7 @@
 // TestRestartedEntryCutOffTakesItsViewFromAZonePeer restarts an entry
 // without a disk while control is out of reach of its zone.
 func TestRestartedEntryCutOffTakesItsViewFromAZonePeer(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
@@ -76,6 +78,7 @@
 // TestRestartedEntryCutOffStartsFromItsDisk restarts the only entry of a
 // zone while control is out of reach.
 func TestRestartedEntryCutOffStartsFromItsDisk(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
@@ -96,6 +99,7 @@
 // TestRestartedEntryWithoutAnyViewRefusesAsNotRun restarts the only entry
 // of a zone, without a disk, while control is out of reach.
 func TestRestartedEntryWithoutAnyViewRefusesAsNotRun(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
@@ -119,6 +123,7 @@
 // TestViewOnTheDiskIsNotRevertedByALaggingControl restarts an entry that
 // has seen a change which the only control process it reaches has not.
 func TestViewOnTheDiskIsNotRevertedByALaggingControl(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za", "za", "zb")
 	lagging := newUDPRelay(t, d.controls["control-1"].settings.Link)
@@ -165,6 +170,7 @@
 // without a disk. All the control it reaches has not seen the change that
 // its zone peer works by.
 func TestRestartedEntryIsNotRevertedByALaggingControl(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za", "za", "zb")
 	restarted := d.addEntry("entry-a1", "za")
--- a/integration/job_test.go
+++ b/integration/job_test.go
@@ -101,6 +101,7 @@
 // TestUrgentJobStartsInTimeOnAFullFleetOfStubbornTasks fills all workers
 // with tasks that never save their work; an urgent job must start in time.
 func TestUrgentJobStartsInTimeOnAFullFleetOfStubbornTasks(t *testing.T) {
+	t.Parallel()
 	d := newJobDeployment(t, "za")
 	for i := range 4 {
 		d.submit(spec(fmt.Sprintf("filler-%d", i), "filler", 2, "run=600000 nocheckpoint=1"))
@@ -125,6 +126,7 @@
 // TestJobThatCanNeverRunIsNamedAndBlocksNobody submits a job above every
 // worker, then one that fits.
 func TestJobThatCanNeverRunIsNamedAndBlocksNobody(t *testing.T) {
+	t.Parallel()
 	d := newJobDeployment(t, "za")
 	d.submit(spec("giant", "giant", 15, ""), spec("plain", "plain", 1, "run=100"))
 	d.waitJob("plain", jobplan.Done, 5*time.Second)
@@ -139,6 +141,7 @@
 // TestWorkerThatFailsEveryTaskIsQuarantined makes one worker fail all; all
 // jobs must end well, and the worker must stop attracting them.
 func TestWorkerThatFailsEveryTaskIsQuarantined(t *testing.T) {
+	t.Parallel()
 	d := newJobDeployment(t, "za")
 	d.platform.SetFailAll("office-a-1", true)
 	var jobs []state.JobSpec
@@ -153,6 +156,7 @@
 
 // TestWorkerLostWithItsTaskRunsTheJobElsewhere powers a worker off.
 func TestWorkerLostWithItsTaskRunsTheJobElsewhere(t *testing.T) {
+	t.Parallel()
 	d := newJobDeployment(t, "za")
 	stopWatch := d.watchTwins()
 	d.submit(spec("long", "long", 1, "run=2000"))
@@ -170,6 +174,7 @@
 // TestControlKilledWhileJobsRunLosesNoneAndRunsNoneTwiceAtOnce kills control
 // with kill -9 among jobs and cancels a team's jobs in one wave after.
 func TestControlKilledWhileJobsRunLosesNoneAndRunsNoneTwiceAtOnce(t *testing.T) {
+	t.Parallel()
 	d := newJobDeployment(t, "za", "za", "zb")
 	stopWatch := d.watchTwins()
 	var jobs []state.JobSpec
--- a/integration/keys_test.go
+++ b/integration/keys_test.go
@@ -31,6 +31,7 @@
 // TestKeysReissuedCertificateIsTakenUpWithoutARestart gives a running
 // entry a new certificate.
 func TestKeysReissuedCertificateIsTakenUpWithoutARestart(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
@@ -51,6 +52,7 @@
 // TestKeysRotationOfTheAuthorityCutsNoRequest goes through the whole
 // rotation while callers keep asking, and restarts an entry after it.
 func TestKeysRotationOfTheAuthorityCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
--- a/integration/move_failures_test.go
+++ b/integration/move_failures_test.go
@@ -49,6 +49,7 @@
 // entry of its zone is frozen. The VM must drain, wait for the entry, and
 // then serve its new pool alone. It fails if silence permits a move.
 func TestDocumentThatChangesPoolsMovesAVMWithOneOwner(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	first := d.addEntry("entry-a1", "za")
@@ -95,6 +96,7 @@
 // TestVMDroppedFromTheDocumentIsDrainedAndRemoved drops a VM that has
 // requests in flight. It fails if the removal does not wait for the drain.
 func TestVMDroppedFromTheDocumentIsDrainedAndRemoved(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
@@ -155,6 +157,7 @@
 // TestOperatorMoveThatDisagreesWithTheDocumentIsRefused also shows the cost
 // of a document before it is applied.
 func TestOperatorMoveThatDisagreesWithTheDocumentIsRefused(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -13,6 +13,7 @@
 
 // TestRequestFromCallerToTarget drives the whole path with separate processes.
 func TestRequestFromCallerToTarget(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	first := d.addEntry("entry-a1", "za")
@@ -36,6 +37,7 @@
 // TestLinkSilentForGoodWhileNewConnectionsWork silences the entry's open
 // connection to control. The next change must come in force over a new one.
 func TestLinkSilentForGoodWhileNewConnectionsWork(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
@@ -52,6 +54,7 @@
 // TestPlannedStopOfAnEntryUnderLoadCutsNoRequest stops an entry by SIGTERM
 // while requests run. Each must get its whole answer.
 func TestPlannedStopOfAnEntryUnderLoadCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
@@ -86,6 +89,7 @@
 // TestTargetAnswersLateThroughARelay delays a target's answers; the entry
 // must still give the whole answer.
 func TestTargetAnswersLateThroughARelay(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za")
 	entry := d.addEntry("entry-a1", "za")
--- a/integration/replica_test.go
+++ b/integration/replica_test.go
@@ -172,6 +172,7 @@
 
 // TestReplicaLeaderKilledUnderSubmissions kills the leader five times.
 func TestReplicaLeaderKilledUnderSubmissions(t *testing.T) {
+	t.Parallel()
 	d := newReplicas(t)
 	s := d.newSubmitter()
 	for range 5 {
@@ -197,6 +198,7 @@
 // TestReplicaFrozenLeaderWakes suspends the leader for longer than every
 // timeout. When it wakes it must not answer from what it held.
 func TestReplicaFrozenLeaderWakes(t *testing.T) {
+	t.Parallel()
 	d := newReplicas(t)
 	s := d.newSubmitter()
 	s.waitMore(5)
@@ -296,6 +298,7 @@
 // but not from operators. It must stop to answer, the others must go on,
 // and its return must not disturb them.
 func TestReplicaLeaderCutOffSilently(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	relays := d.addRelayedControls("za", "zb", "zc")
 	d.waitLeader()
@@ -378,6 +381,7 @@
 // TestReplicaLostDiskReplacedThenSecondLoss replaces a lost disk under a new
 // id and loses a second one right after.
 func TestReplicaLostDiskReplacedThenSecondLoss(t *testing.T) {
+	t.Parallel()
 	d := newReplicas(t)
 	s := d.newSubmitter()
 	s.waitMore(10)
@@ -408,6 +412,7 @@
 // TestReplicaEmptiedDiskUnderKnownIDIsRefused starts a voter again with an
 // empty folder, as a first member and as a joining one.
 func TestReplicaEmptiedDiskUnderKnownIDIsRefused(t *testing.T) {
+	t.Parallel()
 	d := newReplicas(t)
 	d.apply(smallFleet)
 	leader := d.waitLeader()
@@ -433,6 +438,7 @@
 
 // TestReplicaAllKilledAndRestarted kills all voters at once, three times.
 func TestReplicaAllKilledAndRestarted(t *testing.T) {
+	t.Parallel()
 	d := newReplicas(t)
 	s := d.newSubmitter()
 	for range 3 {
@@ -452,6 +458,7 @@
 // TestReplicaRestartAfterHundredsOfChanges stops a follower, lets the others
 // go past it by more than their logs keep, and starts it again.
 func TestReplicaRestartAfterHundredsOfChanges(t *testing.T) {
+	t.Parallel()
 	d := newReplicas(t)
 	d.apply(smallFleet)
 	follower := otherThan(d, d.waitLeader())
@@ -479,6 +486,7 @@
 // TestReplicaTornTail appends a part of a frame to a log, as a power cut
 // does, and then damages the middle of it, which must be refused.
 func TestReplicaTornTail(t *testing.T) {
+	t.Parallel()
 	d := newReplicas(t)
 	d.apply(smallFleet)
 	d.apply(smallFleet + "// 2")
@@ -536,6 +544,7 @@
 // TestReplicaLeaderHandsOverAtStop stops the leader gracefully; the next one
 // must lead sooner than any election timeout allows.
 func TestReplicaLeaderHandsOverAtStop(t *testing.T) {
+	t.Parallel()
 	d := newReplicas(t)
 	d.apply(smallFleet)
 	leader := d.waitLeader()
--- a/integration/report_test.go
+++ b/integration/report_test.go
@@ -30,6 +30,7 @@
 // that capacity was lower with the wave as the cause, that every promise
 // was kept, and no interruption.
 func TestReportShowsAWaveAsLowerMarginsAndNotAsInterruptions(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.platform = standin.NewPlatform(slowReboot)
 	d.platformServer.Config.Handler = d.platform.Handler()
@@ -83,6 +84,7 @@
 // TestReportNamesAKilledLeaderItsSuccessorAndTheGap kills the leader of
 // three control processes.
 func TestReportNamesAKilledLeaderItsSuccessorAndTheGap(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za", "zb", "zc")
 	d.addEntry("entry-a1", "za")
--- a/integration/request_caller_test.go
+++ b/integration/request_caller_test.go
@@ -23,6 +23,7 @@
 // TestQueueTimeoutAgainstDispatchNeverCallsARunNotRun fills the pool so
 // that many waits end just when slots fall free.
 func TestQueueTimeoutAgainstDispatchNeverCallsARunNotRun(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	answers := f.sendMany(120, http.MethodPost, "/booking/1?sleep_ms=650")
 	outcomes := map[string]int{}
@@ -44,6 +45,7 @@
 // TestRequestThatCannotFinishIsRefusedAtOnce asks for more than the pool
 // can do before the deadline: the refusals come early, not at the deadline.
 func TestRequestThatCannotFinishIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	f.sendMany(16, http.MethodGet, "/office/learn?sleep_ms=900")
 	answers := f.sendMany(150, http.MethodGet, "/office/1?sleep_ms=900")
@@ -64,6 +66,7 @@
 // TestCallerGone cancels requests. Idempotent work is abandoned on the
 // target, non-idempotent work runs to its end.
 func TestCallerGone(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -83,6 +86,7 @@
 // TestBurstSpillsOntoTheSparePoolAndLeavesItsShare bursts a service above
 // its pool's slots.
 func TestBurstSpillsOntoTheSparePoolAndLeavesItsShare(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	done := make(chan []callerReply, 1)
 	go func() { done <- f.sendMany(36, http.MethodGet, "/booking/1?sleep_ms=700") }()
@@ -105,6 +109,7 @@
 // TestOneCallerCannotTakeAPool lets one caller hold the queue full all the
 // time; another one is still served soon.
 func TestOneCallerCannotTakeAPool(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -131,6 +136,7 @@
 // TestSlowSendersHoldNothingAndAreBounded lets callers stop in the middle
 // of their bodies. Nobody else is slowed, and they get their answer.
 func TestSlowSendersHoldNothingAndAreBounded(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	const senders = 100
 	var connections []net.Conn
@@ -159,6 +165,7 @@
 
 // TestBadInputIsRefusedWithItsOutcome sends what no service can serve.
 func TestBadInputIsRefusedWithItsOutcome(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	large := strings.Repeat("x", 2<<20)
 	cases := map[string]struct {
@@ -197,6 +204,7 @@
 
 // TestUnsafeRequestIDIsReplaced sends IDs that would break logs or pages.
 func TestUnsafeRequestIDIsReplaced(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	for _, id := range []string{"a b", "<script>", strings.Repeat("x", 65)} {
 		answer := f.send(http.MethodGet, "/booking/1", "X-Request-Id", id)
--- a/integration/request_stale_test.go
+++ b/integration/request_stale_test.go
@@ -9,6 +9,7 @@
 // TestAnnouncementsThatWaitedInAFrozenEntryGrantNoLease lets targets
 // announce themselves to a frozen entry and end before it wakes.
 func TestAnnouncementsThatWaitedInAFrozenEntryGrantNoLease(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	f.entry.signal(stopSignal)
 	time.Sleep(1200 * time.Millisecond)
--- a/integration/request_target_test.go
+++ b/integration/request_target_test.go
@@ -11,6 +11,7 @@
 // lease still runs. No byte reaches it, so even non-idempotent work may go
 // to another VM.
 func TestTargetKilledBeforeTheWriteRunsElsewhereAndOnce(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	f.targets["booking-a-1"].Kill()
 	f.relays["booking-a-1"].close()
@@ -27,6 +28,7 @@
 // non-idempotent one ends as unknown and is not repeated; an idempotent one
 // is repeated on another VM.
 func TestTargetKilledDuringTheRun(t *testing.T) {
+	t.Parallel()
 	for _, method := range []string{http.MethodPost, http.MethodGet} {
 		t.Run(method, func(t *testing.T) {
 			f := newRequestFleet(t)
@@ -49,6 +51,7 @@
 // TestConnectionCutAfterTheWriteIsUnknownNotNotRun swallows the request
 // and cuts the connection: the bytes left, so the request may have run.
 func TestConnectionCutAfterTheWriteIsUnknownNotNotRun(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	for _, vm := range []string{"booking-a-1", "booking-a-2"} {
 		f.relays[vm].setSilent(true)
@@ -65,6 +68,7 @@
 // TestNonIdempotentWorkOnADeadReusedConnectionIsNotReplayed ends the
 // connection in place of an answer, right after it served another request.
 func TestNonIdempotentWorkOnADeadReusedConnectionIsNotReplayed(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	for range 5 {
 		f.send(http.MethodGet, "/booking/warm").expect(t, http.StatusOK, "ran")
@@ -78,6 +82,7 @@
 
 // TestTruncatedAnswerIsNeverAShortSuccess cuts answers at half their length.
 func TestTruncatedAnswerIsNeverAShortSuccess(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	f.send(http.MethodGet, "/booking/1?bytes=100000&truncate=1").expect(t, http.StatusBadGateway, "unknown")
 	f.send(http.MethodPost, "/booking/1?bytes=100000&truncate=1").expect(t, http.StatusBadGateway, "unknown")
@@ -90,6 +95,7 @@
 // TestCrossedAnswerNeverReachesAnotherCaller lets targets answer under
 // another request's ID, and send answers that nobody asked for.
 func TestCrossedAnswerNeverReachesAnotherCaller(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	f.send(http.MethodPost, "/booking/1?cross=1").expect(t, http.StatusBadGateway, "unknown")
 	for range 6 {
@@ -107,6 +113,7 @@
 
 // TestOversizedAnswerIsRefusedWhole sends more than the service's bound.
 func TestOversizedAnswerIsRefusedWhole(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	f.send(http.MethodGet, "/booking/1?bytes=9000000").expect(t, http.StatusBadGateway, "unknown")
 	f.send(http.MethodGet, "/booking/1?bytes=8000000").expect(t, http.StatusOK, "ran")
@@ -115,6 +122,7 @@
 // TestSilentConnectionsAreFoundWithinThreeSecondsOfUse silences all open
 // connections to targets for good while new ones work.
 func TestSilentConnectionsAreFoundWithinThreeSecondsOfUse(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	f.sendMany(12, http.MethodGet, "/booking/warm?sleep_ms=100")
 	for _, r := range f.relays {
@@ -138,6 +146,7 @@
 // TestWorkerThatFailsFastAttractsNoWork lets one VM fail everything at
 // once while the other needs a while.
 func TestWorkerThatFailsFastAttractsNoWork(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	const rounds, atOnce = 25, 6
 	bad := 0
@@ -156,6 +165,7 @@
 // TestEntryFrozenPastLeasesSendsNothing freezes the entry until all leases
 // have ended, with requests waiting for it.
 func TestEntryFrozenPastLeasesSendsNothing(t *testing.T) {
+	t.Parallel()
 	f := newRequestFleet(t)
 	for _, target := range f.targets {
 		target.StopAnnouncing()
--- a/integration/wave_failures_test.go
+++ b/integration/wave_failures_test.go
@@ -109,6 +109,7 @@
 // TestControlKilledMidWaveEndsItWithoutASecondReboot kills the leader while
 // VMs reboot, twice. It fails if progress or orders are not replicated.
 func TestControlKilledMidWaveEndsItWithoutASecondReboot(t *testing.T) {
+	t.Parallel()
 	d := newWaveDeployment(t, "za", "zb", "zb")
 	stop := d.watchPromise()
 	d.call(http.MethodPost, "/v1/waves/kernel/start", nil, nil)
@@ -127,6 +128,7 @@
 // TestFrozenEntryBlocksItsZonesDrainsAndNoOthers stops an entry of za by
 // SIGSTOP. It fails if silence counts as a confirmation.
 func TestFrozenEntryBlocksItsZonesDrainsAndNoOthers(t *testing.T) {
+	t.Parallel()
 	d := newWaveDeployment(t, "za")
 	frozen := d.entries["entry-a2"]
 	frozen.signal(syscall.SIGSTOP)
@@ -149,6 +151,7 @@
 // TestUnplannedLossHaltsTheWave fails two of four VMs of a pool that
 // promises two and tolerates one. It fails if lost VMs count as capacity.
 func TestUnplannedLossHaltsTheWave(t *testing.T) {
+	t.Parallel()
 	d := newWaveDeployment(t, "za")
 	d.platform.Fail("booking-b-1")
 	d.platform.Fail("booking-b-2")
@@ -172,6 +175,7 @@
 // TestNoRequestIsCutDuringAWaveUnderLoad sends requests through all entries
 // during a whole wave. It fails if a VM reboots with requests in flight.
 func TestNoRequestIsCutDuringAWaveUnderLoad(t *testing.T) {
+	t.Parallel()
 	d := newWaveDeployment(t, "za")
 	load := d.startLoad()
 	d.call(http.MethodPost, "/v1/waves/kernel/start", nil, nil)
@@ -183,6 +187,7 @@
 // TestWaveStopsTasksBeforeAReboot runs long jobs on the VMs of a wave that
 // are slow to make way. No job may be lost with its VM.
 func TestWaveStopsTasksBeforeAReboot(t *testing.T) {
+	t.Parallel()
 	d := newWaveDeployment(t, "za")
 	d.submit(spec("archive-1", "archive", 2, "run=600000 nocheckpoint=1"), spec("archive-2", "archive", 2, "run=600000 nocheckpoint=1"))
 	d.waitJob("archive-1", jobplan.Running, 10*time.Second)
--- a/integration/wave_operator_test.go
+++ b/integration/wave_operator_test.go
@@ -17,6 +17,7 @@
 // TestOperatorPausesResumesAndAbortsAWave fails if a paused run takes a VM,
 // or if an aborted run leaves one out.
 func TestOperatorPausesResumesAndAbortsAWave(t *testing.T) {
+	t.Parallel()
 	d := newWaveDeployment(t, "za")
 	d.ctl(keys.Viewer, "wave", "start", "kernel").expect(t, 5, "forbidden")
 	d.ctl(keys.Operator, "wave", "start", "none").expect(t, 5, "not declared")
--- a/integration/zone_cut_test.go
+++ b/integration/zone_cut_test.go
@@ -12,6 +12,7 @@
 // accepted. The zone goes on by what it has, the change is said not to be
 // in force there, and comes in force once the cut ends.
 func TestZoneCutOffGoesOnServingAndCatchesUp(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.addControls("za", "zb", "zb")
 	var relays []*relay
