A new leader moves VMs sooner; pools lend what they only keep

Change: where the platform checks fences, a new leader waits for the timeout of the former's last call, which was preceded by a confirmed leadership; learning pools lend and only switch nothing off; what is kept but not wanted goes to a pool that lacks VMs. TestNewLeaderLeavesVMsAlone... still asks for the holder's lease where fences are not checked.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -150,9 +150,7 @@
 			load := f.Expect(now, busy[service.Name])
 			pool.Want = max(minPoolVMs, int(math.Ceil(float64(load)/packing)))
 			pool.Keep = f.Keep(now, pool.Want)
-			if learning {
-				pool.Keep = math.MaxInt
-			}
+			pool.Learning = learning
 		}
 		pools = append(pools, pool)
 	}
--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -253,6 +253,7 @@
 	machine *workstate.Machine
 	workers *fakeWorkers
 	vms     *fakePlatform
+	limits  Limits
 	end     context.CancelFunc
 	ended   chan struct{}
 	loop    *loop
@@ -274,6 +275,7 @@
 func newFixture(t *testing.T, duration time.Duration) *fixture {
 	machine := workstate.NewMachine()
 	f := &fixture{t: t, machine: machine, workers: newFakeWorkers(t, duration), vms: newFakePlatform()}
+	f.limits = Limits{StopTimeout: 200 * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, Unavailability: 4 * time.Second, CallRate: 64, ActionRate: 64}
 	f.replica = &fakeReplica{machine: machine, delay: 10 * time.Millisecond, term: 1}
 	f.commit(&workstate.Command{Catalog: testCatalog()})
 	return f
@@ -317,7 +319,7 @@
 	f.ended = make(chan struct{})
 	f.loop = newLoop(ctx, Options{
 		Replica: f.replica, Machine: f.machine, Workers: f.workers, Platform: f.vms, Holder: "c1",
-		Limits: Limits{StopTimeout: 200 * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, Unavailability: 4 * time.Second, CallRate: 64, ActionRate: 64},
+		Limits: f.limits,
 		Log:    slog.New(slog.NewTextHandler(testLog{f.t}, nil)), Now: time.Now,
 	}, f.replica.term)
 	loop, ended := f.loop, f.ended
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -47,6 +47,8 @@
 type Limits struct {
 	// StopTimeout bounds the end of a run that is stopped.
 	StopTimeout time.Duration
+	// Fenced says that the platform refuses orders of former leaders.
+	Fenced bool
 	// HolderLease is the time after the last order of another holder
 	// before which a VM must be left alone.
 	HolderLease time.Duration
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -243,15 +243,20 @@
 	}()
 }
 
-// mayOrder says whether VMs may be ordered now: another leader's last order
-// must be older than the lease of its hold on a VM.
+// mayOrder says whether VMs may be ordered now. A former leader confirms its
+// leadership before each order, so that its last one ends with the call's
+// timeout. Where the platform does not check fences, the lease of the former
+// holder must have passed as well.
 func (l *loop) mayOrder(now time.Time) bool {
-	if l.Platform == nil || l.fleet.failing || now.Sub(l.since) <= l.Limits.HolderLease+holderSlack {
+	if l.Platform == nil || l.fleet.failing {
+		return false
+	}
+	wait := platformTimeout
+	if !l.Limits.Fenced {
+		wait += l.Limits.HolderLease
+	}
+	if now.Sub(l.since) <= wait {
 		return false
 	}
 	return l.fleet.orders.fill(now, l.Limits.ActionRate)
 }
-
-// holderSlack is added to the lease of another holder: a leader that was
-// cut off notices within 1.2 s.
-const holderSlack = 1500 * time.Millisecond
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -173,21 +173,34 @@
 	f.loop.post(func(l *loop) { l.arrived(id, time.Now()) })
 }
 
+// ordersAfter starts a leader with a wave of one VM and returns the orders
+// that it has given after two times.
+func ordersAfter(t *testing.T, fenced bool, first, second time.Duration) (early, late int) {
+	f := newFixture(t, time.Second)
+	f.limits.Fenced = fenced
+	f.lives(2 * time.Second)
+	f.addVM("w1", "svc")
+	f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w1"}, Cap: 1, DeadlineMS: time.Now().Add(20 * time.Second).UnixMilli()}})
+	f.lead()
+	defer f.depose()
+	time.Sleep(first)
+	early = len(f.vms.orders)
+	time.Sleep(second - first)
+	return early, len(f.vms.orders)
+}
+
 func TestNewLeaderLeavesVMsAloneForTheLeaseOfTheFormer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, time.Second)
-		f.lives(2 * time.Second)
-		f.addVM("w1", "svc")
-		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w1"}, Cap: 1, DeadlineMS: time.Now().Add(20 * time.Second).UnixMilli()}})
-		f.lead()
-		defer f.depose()
-		time.Sleep(2900 * time.Millisecond)
-		if len(f.vms.orders) > 0 {
-			t.Errorf("orders %v within the holder's lease", f.vms.orders)
+		if early, late := ordersAfter(t, false, 2900*time.Millisecond, 7*time.Second); early != 0 || late != 1 {
+			t.Errorf("%d orders within the holder's lease, %d after it", early, late)
 		}
-		time.Sleep(4 * time.Second)
-		if len(f.vms.orders) != 1 {
-			t.Errorf("orders %v, expected one upkeep", f.vms.orders)
+	})
+}
+
+func TestNewLeaderWaitsForTheFormersLastCallWhereFencesAreChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if early, late := ordersAfter(t, true, platformTimeout-50*time.Millisecond, 3*time.Second); early != 0 || late != 1 {
+			t.Errorf("%d orders within the timeout of a call, %d after it", early, late)
 		}
 	})
 }
--- a/internal/version/rebalance/rebalance.go
+++ b/internal/version/rebalance/rebalance.go
@@ -16,9 +16,13 @@
 	Name string
 	// Standby pools hold VMs that are switched off.
 	Standby bool
-	// Want is the number of VMs that the pool's load needs soon. Keep is
-	// the number below which it lets none go; at least Want.
+	// Want is the number of VMs that the pool's load needs soon: what is
+	// beyond it may go to a pool that lacks some. Keep, at least Want, is the
+	// number below which none is switched off.
 	Want, Keep int
+	// Learning pools lend VMs to others and switch none off: what they kept
+	// before is not known.
+	Learning bool
 }
 
 // VM is one machine.
@@ -94,7 +98,7 @@
 }
 
 // donor returns the pool that gives the next VM: a standby pool, or else the
-// one with the most VMs beyond what it keeps.
+// one with the most VMs beyond what it wants.
 func (p *planner) donor() *Pool {
 	var found *Pool
 	most := 0
@@ -106,7 +110,7 @@
 		if pool.Standby {
 			return pool
 		}
-		if surplus := p.serving[pool.Name] - pool.Keep; surplus > most {
+		if surplus := p.serving[pool.Name] - pool.Want; surplus > most {
 			found, most = pool, surplus
 		}
 	}
@@ -122,7 +126,7 @@
 	standby := p.pools[at].Name
 	for i := range p.pools {
 		pool := &p.pools[i]
-		for !pool.Standby && len(p.free[pool.Name]) > 0 && p.serving[pool.Name] > pool.Keep {
+		for !pool.Standby && !pool.Learning && len(p.free[pool.Name]) > 0 && p.serving[pool.Name] > pool.Keep {
 			p.move(pool.Name, standby)
 		}
 	}
--- a/internal/version/rebalance/rebalance_test.go
+++ b/internal/version/rebalance/rebalance_test.go
@@ -39,6 +39,21 @@
 	}
 }
 
+func TestLearningPoolLendsButSwitchesNothingOff(t *testing.T) {
+	pools := []Pool{{Name: "a", Want: 4, Keep: 4}, {Name: "b", Want: 1, Keep: 1, Learning: true}, {Name: "off", Standby: true}}
+	moves := Plan(pools, append(vms("a", 2, 0), vms("b", 6, 6)...))
+	if count(moves, "b", "a") != 2 || len(moves) != 2 {
+		t.Errorf("moves %v, expected two to the pool that wants more", moves)
+	}
+}
+
+func TestPoolLendsWhatItOnlyKeeps(t *testing.T) {
+	pools := []Pool{{Name: "a", Want: 4, Keep: 4}, {Name: "b", Want: 1, Keep: 6}, {Name: "off", Standby: true}}
+	if moves := Plan(pools, append(vms("a", 2, 0), vms("b", 6, 6)...)); count(moves, "b", "a") != 2 || len(moves) != 2 {
+		t.Errorf("moves %v, expected two to the pool that wants more", moves)
+	}
+}
+
 func TestBusyVMsStay(t *testing.T) {
 	pools := []Pool{{Name: "a", Want: 9, Keep: 9}, {Name: "b", Want: 0, Keep: 0}, {Name: "off", Standby: true}}
 	if moves := Plan(pools, append(vms("a", 2, 0), vms("b", 4, 1)...)); len(moves) != 1 {
