--- a/internal/process/hosted/entry.go
+++ b/internal/process/hosted/entry.go
@@ -21,8 +21,9 @@
 // Times of an entry.
 const (
 	// leaderAgeLimit is the time without a leader after which an entry
-	// reports that it is not ready: longer than an election.
-	leaderAgeLimit = 2500 * time.Millisecond
+	// reports that it is not ready. The platform asks once a second and acts
+	// on the second miss, so that an election goes unnoticed.
+	leaderAgeLimit = 1300 * time.Millisecond
 	// rotationTime is how long the platform takes to stop sending new
 	// connections to an entry that is not ready: two checks, one a second.
 	rotationTime = 2500 * time.Millisecond
@@ -46,7 +47,7 @@
 // NewEntry wires an entry.
 func NewEntry(s *platform.Settings, node *link.Node, log *slog.Logger) *Entry {
 	client := workcall.NewClient(node, s.SeedLinks, log)
-	return &Entry{settings: s, node: node, client: client, api: platform.NewClientAPI(client, log), log: log}
+	return &Entry{settings: s, node: node, client: client, api: platform.NewClientAPI(client, client.Age, log), log: log}
 }
 
 // Start begins to serve.
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -14,7 +14,7 @@
 	// listIntervalBusy while a VM is away or an order is open.
 	listInterval     = 5 * time.Second
 	listIntervalBusy = 700 * time.Millisecond
-	platformTimeout  = time.Second
+	platformTimeout  = 600 * time.Millisecond
 	// orderPause keeps a VM alone after an order that was not taken.
 	orderPause = 700 * time.Millisecond
 )
