VMs of a pool whose load has fallen are emptied for pools that lack some

Ruled out: the rate of orders, and the wait of the new leader. Change: rebalance.Vacate chooses the least loaded VMs beyond what the pool wants, as far as the rest has room; they take no new tasks, and tasks with checkpoints are stopped after a second of work and resume elsewhere.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -29,6 +30,7 @@
 	meanWork map[string]float64
 	// firstArrival is when the first job came that does not last.
 	firstArrival time.Time
+	nextLog      time.Time
 }
 
 func (d *demandState) forecast(service string) *rebalance.Forecast {
@@ -119,13 +121,17 @@
 
 // planMoves moves VMs to where the load is.
 func (l *loop) planMoves(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) {
+	l.vacating = map[string]bool{}
 	if !l.mayOrder(now) || l.fleet.listedAt.IsZero() {
 		return
 	}
 	l.noteCapacity()
 	pools := l.wantedPools(v, u, groups, now)
 	vms := l.movableVMs(u, now)
-	for _, move := range rebalance.Plan(pools, vms) {
+	l.logPools(pools, vms, now)
+	moves := rebalance.Plan(pools, vms)
+	l.vacate(rebalance.Vacate(pools, vms, moves), u, now)
+	for _, move := range moves {
 		e := l.fleet.entries[move.VM]
 		if !l.mayOrder(now) || e.barred[move.To] {
 			continue
@@ -134,6 +140,36 @@
 	}
 }
 
+// poolLogInterval is the time between lines on pools that lack VMs.
+const poolLogInterval = 500 * time.Millisecond
+
+// logPools says why VMs move: what each pool wants and has, as
+// SERVING/WANT/KEEP+FREE.
+func (l *loop) logPools(pools []rebalance.Pool, vms []rebalance.VM, now time.Time) {
+	if now.Before(l.demand.nextLog) {
+		return
+	}
+	serving, free := map[string]int{}, map[string]int{}
+	for _, vm := range vms {
+		if vm.Serves {
+			serving[vm.Pool]++
+		}
+		if vm.Free {
+			free[vm.Pool]++
+		}
+	}
+	lacks := false
+	var attrs []any
+	for _, p := range pools {
+		lacks = lacks || p.Want > serving[p.Name]
+		attrs = append(attrs, p.Name, fmt.Sprintf("%d/%d/%d+%d", serving[p.Name], p.Want, p.Keep, free[p.Name]))
+	}
+	if lacks {
+		l.demand.nextLog = now.Add(poolLogInterval)
+		l.Log.Info("pools lack VMs", attrs...)
+	}
+}
+
 // wantedPools returns what each pool wants.
 func (l *loop) wantedPools(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) []rebalance.Pool {
 	busy := l.poolLoads(u)
@@ -190,6 +226,8 @@
 		default:
 			vm.Serves = w.usable(now) && !l.upkeep.holds(id)
 			vm.Free = !paused && !w.reg.Draining && u.runs[w.reg.ID] == 0
+			vm.Load = float64(l.load(u.taken[w.reg.ID]))
+			vm.Vacatable = !paused && !w.reg.Draining && u.lastingRuns[w.reg.ID] == 0
 		}
 		vms = append(vms, vm)
 	}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -85,6 +85,8 @@
 	fleet   fleet
 	upkeep  upkeepState
 	demand  demandState
+	// vacating are the VMs that take no new tasks so that they can move.
+	vacating map[string]bool
 	// vmCapacity is the mean capacity of a VM.
 	vmCapacity workload.Resources
 
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -53,7 +53,7 @@
 func (l *loop) placeable(u *usage, now time.Time) []*placement.Worker {
 	var workers []*placement.Worker
 	for id, w := range l.workers {
-		if !w.usable(now) || l.upkeep.holds(w.reg.VM) || l.ordered(w.reg.VM) {
+		if !w.usable(now) || l.upkeep.holds(w.reg.VM) || l.ordered(w.reg.VM) || l.vacating[w.reg.VM] {
 			continue
 		}
 		workers = append(workers, &placement.Worker{
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -19,7 +19,9 @@
 	// lastingTasks are the long-running tasks; unavailable counts those of
 	// each step that are not at work.
 	lastingTasks []lastingTask
-	unavailable  map[stepKey]int
+	// movable are the tasks that can resume on another worker.
+	movable     []movableTask
+	unavailable map[stepKey]int
 }
 
 func newUsage() *usage {
@@ -98,6 +100,9 @@
 			}
 			u.runs[task.Worker]++
 			u.taken[task.Worker] = u.taken[task.Worker].Add(step.Charge())
+			if step.Checkpointing && !step.LongRunning && !step.Gang {
+				u.movable = append(u.movable, movableTask{id: id, worker: task.Worker})
+			}
 			if step.LongRunning {
 				u.noteLasting(id, task, step, l.atWork(id, task))
 			}
--- a/internal/version/rebalance/rebalance.go
+++ b/internal/version/rebalance/rebalance.go
@@ -33,6 +33,10 @@
 	Serves bool
 	// Free says that nothing executes on the VM and that it may move.
 	Free bool
+	// Load is the share of the VM that is in use; Vacatable says that what
+	// executes there ends soon or can go on elsewhere.
+	Load      float64
+	Vacatable bool
 }
 
 // Move sends a VM to a pool.
