Long-running tasks leave VMs that other pools need; a first load is no rise

Change: rebalance.Vacate also picks one VM a pool whose long-running tasks find room elsewhere, and they leave within their disruption budgets; the forecast takes its first load as its past.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -227,7 +227,8 @@
 			vm.Serves = w.usable(now) && !l.upkeep.holds(id)
 			vm.Free = !paused && !w.reg.Draining && u.runs[w.reg.ID] == 0
 			vm.Load = float64(l.load(u.taken[w.reg.ID]))
-			vm.Vacatable = !paused && !w.reg.Draining && u.lastingRuns[w.reg.ID] == 0
+			vm.Lasting = u.lastingRuns[w.reg.ID] > 0
+			vm.Vacatable = !paused && !w.reg.Draining && (!vm.Lasting || l.canRehome(u, w, now))
 		}
 		vms = append(vms, vm)
 	}
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -22,13 +22,15 @@
 	// movable are the tasks that can resume on another worker.
 	movable     []movableTask
 	unavailable map[stepKey]int
+	// stepOnWorker counts the long-running tasks of a step on a worker.
+	stepOnWorker map[stepOnWorker]int
 }
 
 func newUsage() *usage {
 	return &usage{
 		taken: map[string]workload.Resources{},
 		runs:  map[string]int{}, lastingRuns: map[string]int{},
-		recorded: map[runKey]bool{}, unavailable: map[stepKey]int{},
+		recorded: map[runKey]bool{}, unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{},
 	}
 }
 
--- a/internal/process/scheduler/upkeep.go
+++ b/internal/process/scheduler/upkeep.go
@@ -209,7 +209,7 @@
 		if r == nil || r.phase == runStopping || r.phase == runStopped || r.calling {
 			continue
 		}
-		key := stepKey{t.id.Job, t.id.Occurrence, t.id.Step}
+		key := stepKeyOf(t.id)
 		// The report may be older than the task's begin of work, so that a
 		// task counts as available for itself whatever it shows.
 		others := u.unavailable[key]
@@ -235,7 +235,9 @@
 type lastingTask struct {
 	id     workload.TaskID
 	worker string
-	budget int
+	charge workload.Resources
+	// budget and maxPerWorker are the step's.
+	budget, maxPerWorker int
 	// atWork says that its worker's newest report shows it at work.
 	atWork bool
 }
@@ -243,17 +245,20 @@
 // noteLasting counts a long-running task against its step's budget unless
 // it is at work.
 func (u *usage) noteLasting(id workload.TaskID, task *workstate.Task, step *workload.Step, atWork bool) {
-	u.lastingTasks = append(u.lastingTasks, lastingTask{id: id, worker: task.Worker, budget: step.DisruptionBudget, atWork: atWork})
+	u.lastingTasks = append(u.lastingTasks, lastingTask{
+		id: id, worker: task.Worker, charge: step.Charge(), budget: step.DisruptionBudget, maxPerWorker: step.MaxPerWorker, atWork: atWork,
+	})
 	u.lastingRuns[task.Worker]++
+	u.stepOnWorker[stepOnWorker{stepKeyOf(id), task.Worker}]++
 	if !atWork {
-		u.unavailable[stepKey{id.Job, id.Occurrence, id.Step}]++
+		u.unavailable[stepKeyOf(id)]++
 	}
 }
 
 // noteEnding counts a long-running task whose run has ended.
 func (u *usage) noteEnding(id workload.TaskID, step *workload.Step) {
 	if step.LongRunning {
-		u.unavailable[stepKey{id.Job, id.Occurrence, id.Step}]++
+		u.unavailable[stepKeyOf(id)]++
 	}
 }
 
--- a/internal/version/rebalance/forecast.go
+++ b/internal/version/rebalance/forecast.go
@@ -76,7 +76,14 @@
 // VM that is ordered now has joined the pool. A rise is continued, less what
 // chance alone makes of jobs that come one by one.
 func (f *Forecast) Expect(now time.Time, load Load) Load {
+	first := f.newest == 0
 	f.roll(now).load = load
+	if first {
+		// What came before is not known, and no rise.
+		for i := range f.buckets {
+			f.buckets[i].load = load
+		}
+	}
 	squares := Load(0)
 	for i := range f.buckets {
 		squares += f.buckets[i].squares
--- a/internal/version/rebalance/rebalance.go
+++ b/internal/version/rebalance/rebalance.go
@@ -37,6 +37,8 @@
 	// executes there ends soon or can go on elsewhere.
 	Load      float64
 	Vacatable bool
+	// Lasting VMs hold long-running tasks, which leave one after the other.
+	Lasting bool
 }
 
 // Move sends a VM to a pool.
--- a/internal/version/rebalance/rebalance_test.go
+++ b/internal/version/rebalance/rebalance_test.go
@@ -73,6 +73,7 @@
 // load at its end and what is expected.
 func ramp(f *Forecast, start time.Time, jobs int, size Load) (load, expected Load) {
 	gap := 2 * time.Second / time.Duration(jobs)
+	f.Expect(start.Add(-time.Second), 0)
 	for i := range jobs {
 		now := start.Add(time.Duration(i) * gap)
 		f.Arrive(now, size)
@@ -93,6 +94,13 @@
 	}
 }
 
+func TestFirstLoadIsNoRise(t *testing.T) {
+	var f Forecast
+	if expected := f.Expect(time.Unix(1000, 0), 20); expected != 20 {
+		t.Errorf("expected %.1f VMs of a first load of 20", expected)
+	}
+}
+
 func TestForecastDoesNotContinueOneLargeJob(t *testing.T) {
 	var f Forecast
 	now := time.Unix(1000, 0)
--- a/internal/version/rebalance/vacate.go
+++ b/internal/version/rebalance/vacate.go
@@ -68,7 +68,7 @@
 			candidates = append(candidates, vm)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b VM) int { return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(candidates, vacateOrder)
 	var chosen []string
 	for _, vm := range candidates {
 		// What the VM holds must fit into the room of the others.
@@ -77,10 +77,26 @@
 			break
 		}
 		room -= vm.Load
+		if vm.Lasting {
+			// One at a time: the next choice sees where its tasks went.
+			return append(chosen, vm.ID)
+		}
 		chosen = append(chosen, vm.ID)
 	}
 	return chosen
 }
 
+// vacateOrder puts VMs without long-running tasks first, then the least
+// loaded ones.
+func vacateOrder(a, b VM) int {
+	if a.Lasting != b.Lasting {
+		if b.Lasting {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
+}
+
 // vacateFill is the share of the room that tasks of all sizes find.
 const vacateFill = 0.7
--- a/internal/version/rebalance/vacate_test.go
+++ b/internal/version/rebalance/vacate_test.go
@@ -42,6 +42,18 @@
 	}
 }
 
+func TestOneVMWithLongRunningTasksIsVacatedAtATime(t *testing.T) {
+	pools := []Pool{{Name: "a", Want: 9, Keep: 9}, {Name: "b", Want: 1, Keep: 6}}
+	lasting := loaded("b", 0.1, 0.2, 0.1, 0.3)
+	for i := range lasting {
+		lasting[i].Lasting = i < 3
+	}
+	got := Vacate(pools, append(vms("a", 3, 0), lasting...), nil)
+	if !slices.Equal(got, []string{"b-3", "b-0"}) {
+		t.Errorf("vacated %v, expected the one without and one with long-running tasks", got)
+	}
+}
+
 func TestMovesThatAreUnderWayNeedNoVacating(t *testing.T) {
 	pools := []Pool{{Name: "a", Want: 4, Keep: 4}, {Name: "b", Want: 1, Keep: 1}, {Name: "off", Standby: true}}
 	all := append(append(vms("a", 3, 0), loaded("b", 0.1, 0.1, 0.1)...), vms("off", 1, 1)...)
