--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -57,6 +57,8 @@
 	path string
 	args []string
 	log  string
+	// env is added to the environment.
+	env []string
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -72,6 +74,7 @@
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(p.t, err)
 	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stderr = out
 	p.cmd.Stdout = out
 	must(p.t, p.cmd.Start())
--- /dev/null
+++ b/integration/hosted_harness_test.go
@@ -0,0 +1,227 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// hosted is a deployment on the platform, played on loopback addresses: each
+// process has an address of its own, and the same ports.
+type hosted struct {
+	t      *testing.T
+	dir    string
+	subnet string
+	// controls and entries are the running programs, by number from 1.
+	controls, entries []*process
+	ledger            *hostedLedger
+	client            *http.Client
+	version           int
+}
+
+// Ports of a hosted deployment.
+const (
+	hostedFirstPort = 7060
+	hostedControl   = 8623
+	hostedFront     = 8624
+	hostedReady     = 8622
+)
+
+// subnets counts the deployments of this run: each has a range of loopback
+// addresses.
+var subnets atomic.Int64
+
+func newHosted(t *testing.T, controls, entries int) *hosted {
+	t.Helper()
+	number := (int64(os.Getpid())+subnets.Add(1))%200 + 20
+	h := &hosted{t: t, dir: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d.", number, (os.Getpid()/200)%250), ledger: newHostedLedger(t), client: &http.Client{Timeout: 3 * time.Second}}
+	t.Cleanup(h.dumpLogs)
+	for i := range controls {
+		h.controls = append(h.controls, h.add("arbutus-control", fmt.Sprintf("core-%d", i+1), h.controlIP(i), min(controls, 3), true))
+	}
+	for i := range entries {
+		h.entries = append(h.entries, h.add("arbutus-entry", fmt.Sprintf("edge-%d", i+1), h.entryIP(i), min(controls, 3), false))
+	}
+	return h
+}
+
+func (h *hosted) controlIP(i int) string { return h.subnet + fmt.Sprint(i+1) }
+func (h *hosted) entryIP(i int) string   { return h.subnet + fmt.Sprint(i+101) }
+
+func (h *hosted) controlAddresses() []string {
+	var list []string
+	for i := range h.controls {
+		list = append(list, fmt.Sprintf("%s:%d", h.controlIP(i), hostedControl))
+	}
+	return list
+}
+
+// add writes the settings file of a process and starts it.
+func (h *hosted) add(program, node, ip string, seeds int, control bool) *process {
+	h.t.Helper()
+	path := filepath.Join(h.dir, node+".toml")
+	h.writeSettings(path, node, ip, seeds, control, true)
+	p := &process{t: h.t, id: node, path: filepath.Join(binDir, program), args: []string{"--platform"}, log: filepath.Join(h.dir, node+".log"), env: []string{"ARBUTUSWARD_BOOT=" + path}}
+	h.t.Cleanup(p.kill)
+	p.start()
+	return p
+}
+
+func (h *hosted) writeSettings(path, node, ip string, seeds int, control, first bool) {
+	h.t.Helper()
+	var addresses []string
+	for i := range seeds {
+		addresses = append(addresses, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", h.controlIP(i), hostedControl)))
+	}
+	text := fmt.Sprintf("node = %q\nip = %q\nzone = \"z\"\nport_range = [%d,%d]\nseeds = [%s]\nbootstrap = %t\nheartbeat_ms = 500\n", node, ip, hostedFirstPort, hostedFirstPort+15, strings.Join(addresses, ","), first)
+	if control {
+		text += fmt.Sprintf("data_dir = %q\n[listen]\ncontrol = \"%s:%d\"\n", filepath.Join(h.dir, node), ip, hostedControl)
+	} else {
+		text += fmt.Sprintf("[listen]\nfront = \"%s:%d\"\nready = \"%s:%d\"\n", ip, hostedFront, ip, hostedReady)
+	}
+	text += "[limits]\nmemory_mb = 256\n[bounds]\nlease_ms = 3000\nstop_timeout_ms = 200\nfencing_enforced = true\n"
+	must(h.t, os.WriteFile(path, []byte(text), 0o600))
+}
+
+// wipe empties the disk of a control process that does not run, and says in
+// its settings that this is no first start.
+func (h *hosted) wipe(i int) {
+	h.t.Helper()
+	node := h.controls[i].id
+	must(h.t, os.RemoveAll(filepath.Join(h.dir, node)))
+	h.writeSettings(filepath.Join(h.dir, node+".toml"), node, h.controlIP(i), min(len(h.controls), 3), true, false)
+}
+
+// dumpLogs shows the ends of all logs after a failure.
+func (h *hosted) dumpLogs() {
+	d := deployment{t: h.t, dir: h.dir}
+	d.dumpLogs()
+}
+
+// configure sends the next version of the configuration until it is
+// accepted.
+func (h *hosted) configure() {
+	h.t.Helper()
+	h.version++
+	eventually(h.t, 20*time.Second, "the configuration is accepted", func() error { return h.sendConfiguration(h.version) })
+}
+
+// configurationOf is the text of a version.
+func configurationOf(version int) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example","path_prefix":"/q/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":600,"priority":0,"service":"svc","max_attempts":3,"stretch":1.6}],"services":[{"name":"svc","enforces_capacity":true}],"limits":{}}`, version)
+}
+
+func (h *hosted) sendConfiguration(version int) error {
+	var last error
+	for _, address := range h.controlAddresses() {
+		response, err := h.client.Post("http://"+address+"/config/replace", "application/json", strings.NewReader(configurationOf(version)))
+		if err != nil {
+			last = err
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return nil
+		}
+		last = fmt.Errorf("%s: %s", address, response.Status)
+	}
+	return last
+}
+
+// addWorker starts a worker of the service behind a relay.
+func (h *hosted) addWorker(id string, capacity int64) (*hostedWorker, *relay) {
+	h.t.Helper()
+	address := freePort(h.t)
+	r := newTCPRelay(h.t, address)
+	return startHostedWorker(h.t, h.ledger, id, "svc", address, r.address, capacity, h.controlAddresses()), r
+}
+
+// request sends a client's request to an entry and returns the status and
+// the body; status 0 is no answer.
+func (h *hosted) request(entry int, method, path, body string) (int, []byte) {
+	address := fmt.Sprintf("http://%s:%d%s", h.entryIP(entry), hostedFront, path)
+	request, err := http.NewRequest(method, address, strings.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	request.Host = "h.example"
+	request.Header.Set("X-Deadline-Ms", "3000")
+	response, err := h.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	var raw json.RawMessage
+	if json.NewDecoder(response.Body).Decode(&raw) != nil {
+		return response.StatusCode, nil
+	}
+	return response.StatusCode, raw
+}
+
+// submit hands a job of some tasks in until it is accepted.
+func (h *hosted) submit(id string, tasks int, each time.Duration) {
+	h.t.Helper()
+	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":1000,"mem_mb":1,"estimate_ms":%d},{"count":1,"cpu":1000,"mem_mb":1,"estimate_ms":%d,"depends_on":[0]}]}`, each, tasks, each.Milliseconds(), each.Milliseconds())
+	attempt := 0
+	eventually(h.t, 30*time.Second, "job "+id+" is accepted", func() error {
+		attempt++
+		status, _ := h.request(attempt%len(h.entries), http.MethodPost, "/q/"+id, body)
+		if status != http.StatusOK {
+			return fmt.Errorf("status %d", status)
+		}
+		return nil
+	})
+}
+
+// state reads a job's state; "" is no answer.
+func (h *hosted) state(entry int, id string) string {
+	status, body := h.request(entry, http.MethodGet, "/q/"+id, "")
+	var answer struct{ State string }
+	if status == http.StatusGone {
+		return "gone"
+	}
+	if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+		return ""
+	}
+	return answer.State
+}
+
+func (h *hosted) awaitState(id, wanted string, limit time.Duration) {
+	h.t.Helper()
+	attempt := 0
+	eventually(h.t, limit, "job "+id+" is "+wanted, func() error {
+		attempt++
+		if got := h.state(attempt%len(h.entries), id); got != wanted {
+			return fmt.Errorf("state %q", got)
+		}
+		return nil
+	})
+}
+
+// leader returns the number of the control process that leads, by the line
+// that it logged last.
+func (h *hosted) leader() int {
+	latest, at := 0, time.Time{}
+	for i, p := range h.controls {
+		content, err := os.ReadFile(p.log)
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(content)) {
+			var l struct {
+				Time time.Time `json:"time"`
+				Msg  string    `json:"msg"`
+			}
+			if json.Unmarshal([]byte(line), &l) == nil && l.Msg == "leading" && l.Time.After(at) {
+				latest, at = i, l.Time
+			}
+		}
+	}
+	return latest
+}
