A pool keeps the VMs over which its steps must be spread

Ruled out: room (the load was small), the order of placing (they are first). Change: a pool wants at least as many VMs as its steps need by their bounds. TestPoolKeepsTheVMsOverWhichItsTasksMustBeSpread fails before (2 of 6 at work) and passes now.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -176,6 +176,7 @@
 	for _, g := range groups {
 		busy[g.Service] += l.load(g.Charge) * rebalance.Load(len(g.Indexes))
 	}
+	spread := l.spreadOver(v, groups)
 	learning := l.demand.firstArrival.IsZero() || now.Sub(l.demand.firstArrival) < learningTime || now.Sub(l.since) < learningTime
 	var pools []rebalance.Pool
 	for i := range v.Catalog().Services {
@@ -184,7 +185,7 @@
 		if !service.Standby {
 			f := l.demand.forecast(service.Name)
 			load := f.Expect(now, busy[service.Name])
-			pool.Want = max(minPoolVMs, int(math.Ceil(float64(load)/packing)))
+			pool.Want = max(minPoolVMs, int(math.Ceil(float64(load)/packing)), spread[service.Name])
 			pool.Keep = f.Keep(now, pool.Want)
 			pool.Learning = learning
 		}
@@ -193,6 +194,31 @@
 	return pools
 }
 
+// spreadOver returns the number of VMs that each pool needs because some
+// steps may have only a few tasks on one worker.
+func (l *loop) spreadOver(v *workstate.View, groups []*placement.Group) map[string]int {
+	spread := map[string]int{}
+	need := func(service string, tasks, perWorker int) {
+		if perWorker > 0 {
+			spread[service] = max(spread[service], (tasks+perWorker-1)/perWorker)
+		}
+	}
+	for _, g := range groups {
+		need(g.Service, len(g.Indexes), g.MaxPerWorker)
+	}
+	for _, job := range v.Active() {
+		if job.Outcome != workstate.Open {
+			continue
+		}
+		for s := range job.Spec.Steps {
+			if step := &job.Spec.Steps[s]; step.LongRunning {
+				need(v.ServiceOf(job), step.Count, step.MaxPerWorker)
+			}
+		}
+	}
+	return spread
+}
+
 // poolLoads sums what executes in each pool.
 func (l *loop) poolLoads(u *usage) map[string]rebalance.Load {
 	busy := map[string]rebalance.Load{}
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -232,3 +232,43 @@
 		}
 	})
 }
+
+func TestPoolKeepsTheVMsOverWhichItsTasksMustBeSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.lives(1500 * time.Millisecond)
+		for i := range 8 {
+			f.addVM(fmt.Sprint("w", i), "svc")
+		}
+		f.lead()
+		defer f.depose()
+		time.Sleep(6 * time.Second)
+		work := step(1)
+		work.Estimate = time.Second
+		f.submitAndTell(jobA, work)
+		time.Sleep(12 * time.Second)
+		f.workers.duration = time.Hour
+		spread := step(6)
+		spread.LongRunning = true
+		spread.MaxPerWorker = 1
+		f.submitAndTell("bbbbbbbbbbbbbbbb", spread)
+		time.Sleep(3 * time.Second)
+		if at := f.executing(); at != 6 {
+			t.Errorf("%d of 6 tasks at work 3 s after their job came to a pool of %d VMs", at, minPoolVMs)
+		}
+		time.Sleep(20 * time.Second)
+		if at := f.executing(); at != 6 {
+			t.Errorf("%d of 6 tasks at work later", at)
+		}
+	})
+}
+
+func (f *fixture) executing() int {
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	count := 0
+	for _, w := range f.workers.workers {
+		count += len(w.running)
+	}
+	return count
+}
