A wave ends soon after its deadline without a VM that is gone

Change: 1 s after the deadline, if the VM has been missing for 5 s. The test fails before (not finished 2 s after) and passes now.

--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -99,6 +99,7 @@
 		workers: map[string]*worker{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
 		fleet:  fleet{entries: map[string]*vmEntry{}},
+		upkeep: upkeepState{missing: map[string]time.Time{}},
 		demand: demandState{forecasts: map[string]*rebalance.Forecast{}, meanWork: map[string]float64{}},
 	}
 }
--- a/internal/process/scheduler/upkeep.go
+++ b/internal/process/scheduler/upkeep.go
@@ -16,9 +16,10 @@
 	upkeepRound = 5 * time.Second
 	// upkeepReserve is kept at the end of a wave for what goes wrong.
 	upkeepReserve = 5 * time.Second
-	// missingGrace is how long after a wave's deadline a VM that is not
-	// listed counts as one that stays.
-	missingGrace = 5 * time.Second
+	// missingGrace is how long after a wave's deadline, and missingTime how
+	// long at all, a VM that is not listed counts as one that stays.
+	missingGrace = time.Second
+	missingTime  = 5 * time.Second
 	// emptyTime is how long a VM waits for its short tasks to end while its
 	// wave has time.
 	emptyTime = 6 * time.Second
@@ -31,6 +32,8 @@
 	held map[string]time.Time
 	// due are all VMs of waves that have not had their upkeep.
 	due map[string]bool
+	// missing holds since when a VM of a wave is not listed.
+	missing map[string]time.Time
 }
 
 func (u *upkeepState) holds(vm string) bool {
@@ -69,6 +72,9 @@
 	var waiting []upkeepVM
 	for _, id := range wave.VMs {
 		e := l.fleet.entries[id]
+		if e != nil {
+			delete(l.upkeep.missing, id)
+		}
 		switch {
 		case e == nil:
 			l.missingFromWave(wave, id, now)
@@ -89,8 +95,11 @@
 // missing for some seconds and come back, so that only the end of the wave
 // tells.
 func (l *loop) missingFromWave(wave *workstate.Wave, id string, now time.Time) {
+	if _, known := l.upkeep.missing[id]; !known {
+		l.upkeep.missing[id] = now
+	}
 	overdue := time.Duration(l.Now().UnixMilli()-wave.DeadlineMS) * time.Millisecond
-	if wave.Done[id] || overdue < missingGrace || now.Sub(l.fleet.listedAt) > listInterval {
+	if wave.Done[id] || overdue < missingGrace || now.Sub(l.upkeep.missing[id]) < missingTime || now.Sub(l.fleet.listedAt) > listInterval {
 		return
 	}
 	l.Log.Info("VM of a wave is gone", "wave", wave.Number, "vm", id, "overdue_ms", overdue.Milliseconds())
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -272,3 +272,27 @@
 	}
 	return count
 }
+
+func TestWaveEndsSoonAfterItsDeadlineWithoutAVMThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.lives(2 * time.Second)
+		f.addVM("w1", "svc")
+		f.lead()
+		defer f.depose()
+		time.Sleep(6 * time.Second)
+		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w1", "vm-gone"}, Cap: 2, DeadlineMS: time.Now().Add(12 * time.Second).UnixMilli()}})
+		finished := func() (done bool) {
+			f.machine.Read(func(v *workstate.View) { done = v.Waves()[1].Finished() })
+			return done
+		}
+		time.Sleep(11 * time.Second)
+		if finished() {
+			t.Error("the wave is finished before its deadline, though a missing VM may come back")
+		}
+		time.Sleep(3 * time.Second)
+		if !finished() {
+			t.Error("the wave is not finished 2 s after its deadline")
+		}
+	})
+}
