--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -13,6 +13,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/lifecycle"
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/replica/datadir"
@@ -28,6 +29,9 @@
 	// joinInterval is the time between requests to be taken in.
 	joinInterval = 300 * time.Millisecond
 	joinTimeout  = 2 * time.Second
+	// exitPause keeps a process whose disk refuses writes from starting over
+	// and over; the log gets out meanwhile.
+	exitPause = 2 * time.Second
 	// controlShutdown bounds the calls that are still answered at a stop.
 	controlShutdown = time.Second
 )
@@ -85,8 +89,9 @@
 		Recorder: recorder,
 		Log:      log,
 		Fatal: func(err error) {
-			log.Error("the replica cannot go on", logging.Err(err))
-			os.Exit(1)
+			log.Error("the replica cannot go on", logging.Err(err), "exit_in_ms", exitPause.Milliseconds())
+			time.Sleep(exitPause)
+			os.Exit(lifecycle.ExitFailed)
 		},
 	})
 }
--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -71,6 +70,10 @@
 	loseStarts int
 	// failAll lets every run fail.
 	failAll bool
+	// paces holds what pace each task was told; tail is the tail of the
+	// tasks that serve, per percent of pace of the others.
+	paces map[workload.TaskID]int
+	tail  float64
 }
 
 // fakeWorkers is a pool of fake workers and counts what the rules forbid.
@@ -91,7 +94,7 @@
 func (f *fakeWorkers) add(id string, milliCPU int64) *fakeWorker {
 	w := &fakeWorker{
 		id: id, born: time.Now().UnixMilli(), started: time.Now(), capacity: workload.Resources{MilliCPU: milliCPU, MemoryMB: 1 << 20},
-		running: map[workload.TaskID]*fakeRun{}, highest: map[workload.TaskID]int{},
+		running: map[workload.TaskID]*fakeRun{}, highest: map[workload.TaskID]int{}, paces: map[workload.TaskID]int{},
 	}
 	f.workers[id] = w
 	return w
@@ -236,13 +239,37 @@
 	w.ended = kept
 	report := execution.Report{ClockMS: w.clock(), Born: w.born, Ended: append([]execution.EndedRun(nil), w.ended...)}
 	for _, r := range w.running {
-		report.Running = append(report.Running, execution.RunningTask{Task: r.task, Run: r.run, Percent: 100})
+		report.Running = append(report.Running, execution.RunningTask{Task: r.task, Run: r.run, Percent: 100, Usage: w.usage(r.task)})
 	}
 	return report, nil
 }
 
-func (f *fakeWorkers) Pace(context.Context, execution.WorkerAddress, workload.TaskID, int, int, uint64) (execution.Answer, error) {
-	return execution.Answer{}, errors.New("not used")
+func (f *fakeWorkers) Pace(_ context.Context, to execution.WorkerAddress, task workload.TaskID, _, percent int, fence uint64) (execution.Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, refusal, err := f.find(to, fence)
+	if err != nil || refusal != execution.Accepted {
+		return execution.Answer{Refusal: refusal}, err
+	}
+	w.paces[task] = percent
+	return execution.Answer{ClockMS: w.clock()}, nil
+}
+
+// usage is the figure that a report shows for a run: what the paces of the
+// other tasks make of the tail.
+func (w *fakeWorker) usage(task workload.TaskID) int64 {
+	sum := 0.0
+	for other := range w.running {
+		if other == task {
+			continue
+		}
+		pace, told := w.paces[other]
+		if !told {
+			pace = 100
+		}
+		sum += float64(pace) * w.tail
+	}
+	return int64(sum)
 }
 func (f *fakeWorkers) Forget(string) {}
 
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -164,6 +164,7 @@
 		l.syncWorkers(v)
 		l.takeEnds(v)
 		usage := l.reconcile(v, now)
+		l.planPace(usage, now)
 		l.planUpkeep(v, usage, now)
 		groups := l.waitingGroups(v, now)
 		l.planMoves(v, usage, groups, now)
--- /dev/null
+++ b/internal/process/scheduler/pace_test.go
@@ -0,0 +1,43 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+func TestFillersSlowDownForATaskThatServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Hour)
+		w := f.addWorker("w1", 8000)
+		w.tail = 0.5
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		serving := workload.Step{Count: 1, Need: workload.Resources{MilliCPU: 4000}, LongRunning: true, TailTarget: 40 * time.Millisecond, DisruptionBudget: -1}
+		filler := workload.Step{Count: 2, Need: workload.Resources{MilliCPU: 6000}, Filler: true, DisruptionBudget: -1}
+		f.submit(jobA, serving)
+		f.submit("bbbbbbbbbbbbbbbb", filler)
+		time.Sleep(2 * time.Second)
+		if len(w.running) != 3 {
+			t.Fatalf("%d tasks execute, fillers need no processor room", len(w.running))
+		}
+		over := time.Duration(0)
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			f.workers.mu.Lock()
+			tail := w.usage(workload.TaskID{Job: jobA})
+			f.workers.mu.Unlock()
+			if tail <= 40 {
+				over = 0
+				continue
+			}
+			over += 100 * time.Millisecond
+			if over > 3*time.Second {
+				t.Fatalf("the tail is over its target for %s", over)
+			}
+		}
+	})
+}
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -19,6 +19,8 @@
 	// lastingTasks are the long-running tasks; unavailable counts those of
 	// each step that are not at work.
 	lastingTasks []lastingTask
+	// sharing is what fillers and serving tasks share, by worker.
+	sharing map[string]*sharing
 	// movable are the tasks that can resume on another worker.
 	movable     []movableTask
 	unavailable map[stepKey]int
@@ -30,7 +32,7 @@
 	return &usage{
 		taken: map[string]workload.Resources{},
 		runs:  map[string]int{}, lastingRuns: map[string]int{},
-		recorded: map[runKey]bool{}, unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{},
+		recorded: map[runKey]bool{}, unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{}, sharing: map[string]*sharing{},
 	}
 }
 
@@ -102,6 +104,7 @@
 			}
 			u.runs[task.Worker]++
 			u.taken[task.Worker] = u.taken[task.Worker].Add(step.Charge())
+			u.noteSharing(id, task, step, l.workers[task.Worker])
 			if step.Checkpointing && !step.LongRunning && !step.Gang {
 				u.movable = append(u.movable, movableTask{id: id, worker: task.Worker})
 			}
@@ -141,7 +144,7 @@
 func (l *loop) reconcileRun(job *workstate.Job, id workload.TaskID, task *workstate.Task, now time.Time) {
 	r := l.runs[id]
 	if r == nil || r.number != task.Run {
-		r = &run{number: task.Run, worker: task.Worker, doubt: true, since: now}
+		r = &run{number: task.Run, worker: task.Worker, doubt: true, since: now, pace: paceUnknown}
 		l.runs[id] = r
 	}
 	w := l.workers[task.Worker]
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -6,6 +6,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/pacing"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -49,6 +50,11 @@
 	calling bool
 	// doubt says that a start got no answer, so that it may still arrive.
 	doubt bool
+	// pace is the speed that the worker was told, in percent; pacing says
+	// that a change is on its way, since pacedAt.
+	pace    int
+	pacing  bool
+	pacedAt time.Time
 }
 
 func (r *run) enter(phase runPhase, now time.Time) {
@@ -59,7 +65,7 @@
 // beginRun orders a run that was just recorded.
 func (l *loop) beginRun(s *workstate.Start) {
 	startedRuns.Inc()
-	r := &run{number: s.Run, worker: s.Worker}
+	r := &run{number: s.Run, worker: s.Worker, pace: pacing.Full}
 	l.runs[s.Task] = r
 	l.order(s.Task, r, time.Now())
 }
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -7,6 +7,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/pacing"
 )
 
 // syncWorkers makes the table of workers match the registered ones.
@@ -15,7 +16,7 @@
 		w := l.workers[id]
 		if w == nil || w.reg.Born != reg.Born || w.reg.Address != reg.Address {
 			// A new life knows nothing of the former one.
-			l.workers[id] = &worker{reg: *reg}
+			l.workers[id] = &worker{reg: *reg, speed: pacing.Full}
 			continue
 		}
 		w.reg = *reg
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -70,6 +70,9 @@
 	report *reportView
 	// pausedUntil keeps new tasks away for a while.
 	pausedUntil time.Time
+	// speed is the pace of the worker's fillers in percent, set at pacedAt.
+	speed   int
+	pacedAt time.Time
 	// failures counts ends by fault against successes.
 	failures, successes int
 }
