Slow, hanging and failing workers are left alone; their tasks start again elsewhere

Cause: a worker whose tasks stand still, or which fails all that it starts, has free room and so draws new tasks; its running ones wait for ever. Change: internal/version/health judges by progress against estimates (the middle of all workers is the measure), by runs without progress for 1.5 s, and by failures of two jobs in a row; the leader pauses such workers and gives runs up that a new start would overtake, twice a task at most. Tests: tasks that stand still, a worker that fails all, estimates that are off make no slow worker.

--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -47,6 +47,8 @@
 	task   workload.TaskID
 	run    int
 	endsAt time.Time
+	// begunAt is when the run began.
+	begunAt time.Time
 }
 
 // fakeWorker behaves like a worker of the platform.
@@ -68,8 +70,8 @@
 	// carried out without an answer.
 	dark       bool
 	loseStarts int
-	// failAll lets every run fail.
-	failAll bool
+	// failAll lets every run fail, hangAll stand still.
+	failAll, hangAll bool
 	// paces holds what pace each task was told; tail is the tail of the
 	// tasks that serve, per percent of pace of the others.
 	paces map[workload.TaskID]int
@@ -121,7 +123,7 @@
 			f.end(w, r, execution.ReasonLapsed)
 		case w.failAll:
 			f.end(w, r, execution.ReasonFailed)
-		case !time.Now().Before(r.endsAt):
+		case !time.Now().Before(r.endsAt) && !w.hangAll:
 			f.end(w, r, execution.ReasonDone)
 		}
 	}
@@ -160,7 +162,7 @@
 	f.checkStart(w, o)
 	f.starts++
 	w.leaseMS = max(w.leaseMS, o.LeaseUntilMS)
-	w.running[o.Task] = &fakeRun{task: o.Task, run: o.Run, endsAt: time.Now().Add(f.duration)}
+	w.running[o.Task] = &fakeRun{task: o.Task, run: o.Run, endsAt: time.Now().Add(f.duration), begunAt: time.Now()}
 	if w.loseStarts > 0 {
 		w.loseStarts--
 		return execution.Answer{}, fmt.Errorf("lost: %w", execution.ErrNoAnswer)
@@ -239,7 +241,7 @@
 	w.ended = kept
 	report := execution.Report{ClockMS: w.clock(), Born: w.born, Ended: append([]execution.EndedRun(nil), w.ended...)}
 	for _, r := range w.running {
-		report.Running = append(report.Running, execution.RunningTask{Task: r.task, Run: r.run, Percent: 100, Usage: w.usage(r.task)})
+		report.Running = append(report.Running, execution.RunningTask{Task: r.task, Run: r.run, Percent: w.percent(r), Usage: w.usage(r.task)})
 	}
 	return report, nil
 }
@@ -255,6 +257,19 @@
 	return execution.Answer{ClockMS: w.clock()}, nil
 }
 
+// percent is the progress of a run; a run of an hour stands for a
+// long-running one, which is at work at once.
+func (w *fakeWorker) percent(r *fakeRun) int {
+	length := r.endsAt.Sub(r.begunAt)
+	switch {
+	case length >= time.Hour:
+		return 100
+	case w.hangAll:
+		return 0
+	}
+	return int(100 * time.Since(r.begunAt) / length)
+}
+
 // usage is the figure that a report shows for a run: what the paces of the
 // other tasks make of the tail.
 func (w *fakeWorker) usage(task workload.TaskID) int64 {
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -162,8 +162,9 @@
 	var progress workstate.Progress
 	l.Machine.Read(func(v *workstate.View) {
 		l.syncWorkers(v)
-		l.takeEnds(v)
+		l.takeEnds(v, now)
 		usage := l.reconcile(v, now)
+		l.giveUpStragglers(usage, now)
 		l.planPace(usage, now)
 		l.planUpkeep(v, usage, now)
 		groups := l.waitingGroups(v, now)
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -21,6 +21,8 @@
 	lastingTasks []lastingTask
 	// sharing is what fillers and serving tasks share, by worker.
 	sharing map[string]*sharing
+	// stragglers are the runs whose progress is shown.
+	stragglers []straggler
 	// movable are the tasks that can resume on another worker.
 	movable     []movableTask
 	unavailable map[stepKey]int
@@ -37,21 +39,21 @@
 }
 
 // takeEnds queues the ends that workers list and that are not committed.
-func (l *loop) takeEnds(v *workstate.View) {
+func (l *loop) takeEnds(v *workstate.View, now time.Time) {
 	for _, w := range l.workers {
 		if w.report == nil {
 			continue
 		}
 		for key, ended := range w.report.ended {
 			if ended.Number > w.acked {
-				l.takeEnd(v, w, key, ended)
+				l.takeEnd(v, w, key, ended, now)
 			}
 			w.seen = max(w.seen, ended.Number)
 		}
 	}
 }
 
-func (l *loop) takeEnd(v *workstate.View, w *worker, key runKey, ended execution.EndedRun) {
+func (l *loop) takeEnd(v *workstate.View, w *worker, key runKey, ended execution.EndedRun, now time.Time) {
 	job := v.Job(key.task.Job)
 	if job == nil {
 		return
@@ -60,15 +62,17 @@
 	if task == nil || task.Phase != workstate.Running || task.Run != key.run || task.Worker != w.reg.ID {
 		return
 	}
+	if l.ending(key) {
+		return
+	}
 	kind := workstate.EndInterrupted
 	switch ended.How {
 	case execution.ReasonDone:
 		kind = workstate.EndDone
-		w.successes++
 	case execution.ReasonFailed:
 		kind = workstate.EndFailed
-		w.failures++
 	}
+	l.noteEnd(w, key.task.Job, kind, now)
 	l.end(key.task, key.run, kind, ended.Checkpoint)
 	step := &job.Spec.Steps[key.task.Step]
 	if step.Gang && kind == workstate.EndDone {
@@ -104,6 +108,7 @@
 			}
 			u.runs[task.Worker]++
 			u.taken[task.Worker] = u.taken[task.Worker].Add(step.Charge())
+			l.noteProgress(u, id, task, step, now)
 			u.noteSharing(id, task, step, l.workers[task.Worker])
 			if step.Checkpointing && !step.LongRunning && !step.Gang {
 				u.movable = append(u.movable, movableTask{id: id, worker: task.Worker})
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -50,6 +50,9 @@
 	calling bool
 	// doubt says that a start got no answer, so that it may still arrive.
 	doubt bool
+	// percent is the progress that was shown last, since progressAt.
+	percent    int
+	progressAt time.Time
 	// pace is the speed that the worker was told, in percent; pacing says
 	// that a change is on its way, since pacedAt.
 	pace    int
--- a/internal/process/scheduler/runs_test.go
+++ b/internal/process/scheduler/runs_test.go
@@ -182,3 +182,46 @@
 		}
 	})
 }
+
+func TestTasksThatStandStillStartAgainElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 500*time.Millisecond)
+		f.addWorker("w1", 4000).hangAll = true
+		f.addWorker("w2", 4000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		for i := range 4 {
+			f.submit(fmt.Sprintf("%016x", i), step(2))
+		}
+		for i := range 4 {
+			f.await(fmt.Sprintf("%016x", i), workstate.Succeeded, 6*time.Second)
+		}
+	})
+}
+
+func TestWorkerThatFailsAllGetsFewTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 200*time.Millisecond)
+		f.addWorker("w1", 8000).failAll = true
+		f.addWorker("w2", 8000)
+		f.addWorker("w3", 8000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		lost := 0
+		for i := range 30 {
+			f.submit(fmt.Sprintf("%016x", i), step(4))
+			time.Sleep(150 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		for i := range 30 {
+			if f.outcome(fmt.Sprintf("%016x", i)) != workstate.Succeeded {
+				lost++
+			}
+		}
+		if lost > 5 {
+			t.Errorf("%d of 30 jobs did not succeed beside one worker that fails all", lost)
+		}
+	})
+}
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -5,6 +5,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/health"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -73,8 +74,8 @@
 	// speed is the pace of the worker's fillers in percent, set at pacedAt.
 	speed   int
 	pacedAt time.Time
-	// failures counts ends by fault against successes.
-	failures, successes int
+	// record tells whether the worker fails what it starts.
+	record health.Record
 }
 
 // reportView is a report in a form that is quick to search.
--- /dev/null
+++ b/internal/version/health/health_test.go
@@ -0,0 +1,74 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// runs returns samples of a worker whose runs take a multiple of estimates
+// that are themselves off by up to half.
+func runs(worker string, count int, factor float64) []Sample {
+	var list []Sample
+	for i := range count {
+		off := 0.5 + float64(i%5)*0.25
+		estimate := time.Second
+		length := time.Duration(float64(estimate) * off * factor)
+		list = append(list, Sample{Worker: worker, Elapsed: 600 * time.Millisecond, Estimate: estimate, Percent: max(1, min(99, int(600*time.Millisecond*100/length)))})
+	}
+	return list
+}
+
+func TestSlowWorkerStandsOutAmongOthers(t *testing.T) {
+	var samples []Sample
+	for i := range 7 {
+		samples = append(samples, runs(fmt.Sprint("w", i), 6, 1)...)
+	}
+	samples = append(samples, runs("slow", 6, 6.5)...)
+	if slow := SlowWorkers(samples); len(slow) != 1 || slow["slow"] < 3 {
+		t.Errorf("slow workers %v", slow)
+	}
+}
+
+func TestEstimatesThatAreOffMakeNoSlowWorker(t *testing.T) {
+	var samples []Sample
+	for i := range 8 {
+		samples = append(samples, runs(fmt.Sprint("w", i), 5, 3)...)
+	}
+	samples = append(samples, Sample{Worker: "w0", Elapsed: time.Second, Estimate: 100 * time.Millisecond, Percent: 10})
+	if slow := SlowWorkers(samples); len(slow) > 0 {
+		t.Errorf("slow workers %v", slow)
+	}
+}
+
+func TestFewRunsTellNothing(t *testing.T) {
+	samples := append(runs("w0", 6, 1), runs("w1", 2, 8)...)
+	if slow := SlowWorkers(samples); len(slow) > 0 {
+		t.Errorf("slow workers %v", slow)
+	}
+}
+
+func TestRunThatStandsStillIsStalled(t *testing.T) {
+	still := Sample{Elapsed: 3 * time.Second, Idle: 2 * time.Second, Percent: 40}
+	moving := Sample{Elapsed: 3 * time.Second, Idle: 500 * time.Millisecond, Percent: 40}
+	if !still.Stalled() || moving.Stalled() {
+		t.Error("stalled runs are told by the time without progress")
+	}
+}
+
+func TestWorkerThatFailsSeveralJobsInARowIsSuspect(t *testing.T) {
+	var r Record
+	r.Failure("a")
+	r.Failure("a")
+	if r.Suspect() {
+		t.Error("suspect after one job")
+	}
+	r.Failure("b")
+	if !r.Suspect() {
+		t.Error("not suspect after two jobs in a row")
+	}
+	r.Success()
+	if r.Suspect() {
+		t.Error("suspect after a success")
+	}
+}
