--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -36,6 +36,8 @@
 	RefusedLate Refusal = "late"
 	// RefusedRoom: the task does not fit.
 	RefusedRoom Refusal = "room"
+	// RefusedTicket: the order lacks a valid ticket of the adviser.
+	RefusedTicket Refusal = "ticket"
 	// RefusedUnhealthy: the worker cannot start anything now.
 	RefusedUnhealthy Refusal = "unhealthy"
 	// RefusedOtherLife: another worker answers at the address.
@@ -61,6 +63,9 @@
 	Fence        uint64
 	// Checkpoint is what the run resumes from; "" is the beginning.
 	Checkpoint string
+	// Ticket is the adviser's leave to run the step on the worker; "" where
+	// none is needed.
+	Ticket string
 }
 
 // Watch asks a worker for its runs and extends its lease.
@@ -182,3 +187,13 @@
 	Move(ctx context.Context, vm, pool, holder string, fence uint64) (VMRefusal, error)
 	Upkeep(ctx context.Context, vm string, wave int64, holder string, fence uint64) (VMRefusal, error)
 }
+
+// ErrAdviserBusy says that the adviser takes no more calls now.
+var ErrAdviserBusy = errors.New("the adviser takes no more calls")
+
+// Adviser knows which workers may run a step.
+type Adviser interface {
+	// Advise returns the tickets of those among the workers that may run
+	// the step JOB.OCCURRENCE.STEP, by worker.
+	Advise(ctx context.Context, step string, workers []string) (map[string]string, error)
+}
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -122,6 +122,9 @@
 	if s.PlatformAddress != "" {
 		options.Platform = platform.NewHTTPPlatform(s.PlatformAddress)
 	}
+	if s.AdviserAddress != "" {
+		options.Adviser = platform.NewHTTPAdviser(s.AdviserAddress)
+	}
 	sched := scheduler.New(options, s.Control, node)
 	client := workcall.NewClient(node, s.SeedLinks, log)
 	client.ServeLocally(s.Link, sched.Server())
--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -87,6 +87,8 @@
 	// done counts the successful ends of each task; starts all starts.
 	done   map[workload.TaskID]int
 	starts int
+	// ticket, if set, checks an order's ticket.
+	ticket func(*fakeWorker, execution.StartOrder) bool
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration) *fakeWorkers {
@@ -156,6 +158,9 @@
 	if o.Run <= w.highest[o.Task] {
 		return execution.Answer{Refusal: execution.RefusedOld, ClockMS: w.clock()}, nil
 	}
+	if f.ticket != nil && !f.ticket(w, o) {
+		return execution.Answer{Refusal: execution.RefusedTicket, ClockMS: w.clock()}, nil
+	}
 	if o.LeaseUntilMS < w.clock() {
 		return execution.Answer{Refusal: execution.RefusedLate, ClockMS: w.clock()}, nil
 	}
@@ -296,6 +301,7 @@
 	workers *fakeWorkers
 	vms     *fakePlatform
 	limits  Limits
+	adviser execution.Adviser
 	end     context.CancelFunc
 	ended   chan struct{}
 	loop    *loop
@@ -360,7 +366,7 @@
 	f.end = cancel
 	f.ended = make(chan struct{})
 	f.loop = newLoop(ctx, Options{
-		Replica: f.replica, Machine: f.machine, Workers: f.workers, Platform: f.vms, Holder: "c1",
+		Replica: f.replica, Machine: f.machine, Workers: f.workers, Platform: f.vms, Adviser: f.adviser, Holder: "c1",
 		Limits: f.limits,
 		Log:    slog.New(slog.NewTextHandler(testLog{f.t}, nil)), Now: time.Now,
 	}, f.replica.term)
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -36,6 +36,8 @@
 	Machine  *workstate.Machine
 	Workers  execution.Workers
 	Platform execution.Platform
+	// Adviser is nil where no queue needs advice.
+	Adviser execution.Adviser
 	// Holder names this process to the platform.
 	Holder string
 	Limits Limits
@@ -85,6 +87,7 @@
 	fleet   fleet
 	upkeep  upkeepState
 	demand  demandState
+	advised advisedState
 	// vacating are the VMs that take no new tasks so that they can move.
 	vacating map[string]bool
 	// vmCapacity is the mean capacity of a VM.
@@ -98,9 +101,10 @@
 		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue),
 		workers: map[string]*worker{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
-		fleet:  fleet{entries: map[string]*vmEntry{}},
-		upkeep: upkeepState{missing: map[string]time.Time{}},
-		demand: demandState{forecasts: map[string]*rebalance.Forecast{}, meanWork: map[string]float64{}},
+		fleet:   fleet{entries: map[string]*vmEntry{}},
+		advised: advisedState{steps: map[stepKey]*advice{}},
+		upkeep:  upkeepState{missing: map[string]time.Time{}},
+		demand:  demandState{forecasts: map[string]*rebalance.Forecast{}, meanWork: map[string]float64{}},
 	}
 }
 
@@ -168,6 +172,7 @@
 		l.planPace(usage, now)
 		l.planUpkeep(v, usage, now)
 		groups := l.waitingGroups(v, now)
+		l.planAdvice(v, usage, groups, now)
 		l.planMoves(v, usage, groups, now)
 		progress.Starts = l.plan(v, usage, groups, now)
 	})
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -84,6 +84,7 @@
 		return
 	}
 	order.LeaseUntilMS = w.grant(now)
+	order.Ticket = l.ticketFor(id, r.worker)
 	r.enter(runOrdering, now)
 	r.calling = true
 	go func() {
@@ -150,6 +151,8 @@
 	case execution.RefusedFence:
 		r.enter(runUnsure, now)
 		return
+	case execution.RefusedTicket:
+		l.dropTicket(id, r.worker)
 	case execution.RefusedRoom:
 		w.pausedUntil = now.Add(orderRetry)
 	default:
--- a/internal/process/scheduler/runs_test.go
+++ b/internal/process/scheduler/runs_test.go
@@ -225,3 +225,46 @@
 		}
 	})
 }
+
+func TestOccurrencesStartWhenTheyAreDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 200*time.Millisecond)
+		f.addWorker("w1", 8000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		spec := workload.Spec{Steps: []workload.Step{step(2)}, Repeat: 3, FirstDueMS: time.Now().Add(2 * time.Second).UnixMilli(), Interval: 2 * time.Second}
+		f.commit(&workstate.Command{Submit: &workstate.Submit{ID: jobA, Host: "host", Path: "/q/" + jobA, Spec: spec}})
+		for due := range 3 {
+			time.Sleep(1900 * time.Millisecond)
+			if f.workers.starts != 2*due {
+				t.Errorf("%d starts before occurrence %d is due", f.workers.starts, due)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.await(jobA, workstate.Succeeded, 2*time.Second)
+	})
+}
+
+func TestRunsAreForgottenWithTheirJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 100*time.Millisecond)
+		f.addWorker("w1", 8000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(2))
+		f.await(jobA, workstate.Succeeded, time.Second)
+		time.Sleep(f.limits.Retention)
+		known := false
+		f.machine.Read(func(v *workstate.View) { known = v.Job(jobA) != nil })
+		if !known {
+			t.Error("a job is forgotten before its retention")
+		}
+		time.Sleep(2 * f.limits.Retention)
+		f.machine.Read(func(v *workstate.View) { known = v.Job(jobA) != nil })
+		if known {
+			t.Error("a job is never forgotten")
+		}
+	})
+}
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -109,8 +109,6 @@
 			response.Verdict = workcall.NoQueue
 		case !validJobID(rest):
 			response = workcall.SubmitResponse{Verdict: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
-		case queue.NeedsAdvice:
-			response = workcall.SubmitResponse{Verdict: workcall.Overloaded, Reason: "queues with advice are not supported yet"}
 		}
 		known = v.Job(rest) != nil
 	})
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -38,9 +38,19 @@
 	Priority int `cbor:"8,keyasint,omitempty"`
 	// MaxAttempts is the number of failures of a task that fail its job.
 	MaxAttempts int `cbor:"9,keyasint,omitempty"`
-	// NeedsAdvice says that only an outside service knows which workers may
-	// run the queue's steps.
-	NeedsAdvice bool `cbor:"10,keyasint,omitempty"`
+	// Advice is set if only an outside adviser knows which workers may run
+	// the queue's steps.
+	Advice *Advice `cbor:"10,keyasint,omitempty"`
+}
+
+// Advice tells what an adviser takes and gives.
+type Advice struct {
+	// Decide and PerWorker are how long a call takes, and more for each
+	// worker that it asks about.
+	Decide    time.Duration `cbor:"1,keyasint,omitempty"`
+	PerWorker time.Duration `cbor:"2,keyasint,omitempty"`
+	// Validity is how long a ticket lasts.
+	Validity time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Key identifies the queue across versions.
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -47,6 +47,9 @@
 	MaxPerWorker int
 	// OnWorker counts the step's tasks that execute now, by worker.
 	OnWorker map[string]int
+	// Bound groups run only on the workers in Allowed.
+	Bound   bool
+	Allowed map[string]bool
 	// Gang groups start as a whole or not at all, and not while a task of
 	// the step is executing or done.
 	Gang bool
@@ -163,7 +166,7 @@
 }
 
 func eligible(g *Group, w *Worker, placed map[string]int) bool {
-	if !w.Free.Fits(g.Charge) {
+	if !w.Free.Fits(g.Charge) || (g.Bound && !g.Allowed[w.ID]) {
 		return false
 	}
 	if g.Label != "" && !slices.Contains(w.Labels, g.Label) {
