One way to load the settings; heartbeats judged apart; gangs resume from one checkpoint

A gang's members must all carry the same checkpoint: the first that is known is taken. A run that lapses keeps the checkpoint that was reported last. Clean-up: the two programs and the reload load the settings by one function, Server.Heartbeat is split.

--- a/cmd/arbutus-control/hosted.go
+++ b/cmd/arbutus-control/hosted.go
@@ -16,11 +16,7 @@
 
 // hostedControl prepares the control process for the users' platform.
 func hostedControl() (*lifecycle.Hosted, error) {
-	path, err := platform.SettingsPath()
-	if err != nil {
-		return nil, err
-	}
-	settings, err := platform.LoadSettings(path)
+	settings, err := platform.LoadSettings()
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/arbutus-entry/hosted.go
+++ b/cmd/arbutus-entry/hosted.go
@@ -15,11 +15,7 @@
 
 // hostedEntry prepares the entry for the users' platform.
 func hostedEntry() (*lifecycle.Hosted, error) {
-	path, err := platform.SettingsPath()
-	if err != nil {
-		return nil, err
-	}
-	settings, err := platform.LoadSettings(path)
+	settings, err := platform.LoadSettings()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -138,7 +138,7 @@
 	c.node.Serve()
 	go c.client.Run(ctx)
 	go c.scheduler.Run(ctx)
-	go followSettings(ctx, c.client, c.log)
+	go followSettings(ctx, c.settings.SeedLinks, c.client, c.log)
 	if c.member.Join {
 		go c.join(ctx)
 	}
--- a/internal/process/hosted/entry.go
+++ b/internal/process/hosted/entry.go
@@ -56,7 +56,7 @@
 	e.cancel = cancel
 	e.node.Serve()
 	go e.client.Run(ctx)
-	go followSettings(ctx, e.client, e.log)
+	go followSettings(ctx, e.settings.SeedLinks, e.client, e.log)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /ready", e.ready)
 	return errors.Join(
--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -307,8 +307,6 @@
 	loop    *loop
 }
 
-const testQueue = "host/q/"
-
 // testCatalog has one queue on the service "svc" and a standby pool.
 func testCatalog() *catalog.Catalog {
 	return &catalog.Catalog{
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -160,7 +160,7 @@
 	}
 	if w.silent && w.lapsed(now, l.since) {
 		l.Log.Info("run lapsed with its worker's lease", "task", id.String(), "run", task.Run, "worker", task.Worker)
-		l.end(id, task.Run, workstate.EndInterrupted, "")
+		l.end(id, task.Run, workstate.EndInterrupted, w.lastCheckpoint(runKey{id, task.Run}))
 		return
 	}
 	unwanted := job.Outcome != workstate.Open || task.Born != w.reg.Born
@@ -218,6 +218,14 @@
 	return running || ended, w.report.sentAt.After(after)
 }
 
+// lastCheckpoint returns the checkpoint of a run that was reported last.
+func (w *worker) lastCheckpoint(key runKey) string {
+	if w.report == nil {
+		return ""
+	}
+	return w.report.running[key].Checkpoint
+}
+
 // dropEndedRuns forgets the runs that the state no longer knows.
 func (l *loop) dropEndedRuns(u *usage) {
 	for id, r := range l.runs {
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -106,12 +106,26 @@
 		task := job.Task(id)
 		ok = task != nil && task.Phase == workstate.Running && task.Run == number
 		if ok {
-			order = execution.StartOrder{Task: id, Run: number, Payload: job.Spec.Payload, Fence: l.term, Checkpoint: task.Checkpoint}
+			order = execution.StartOrder{Task: id, Run: number, Payload: job.Spec.Payload, Fence: l.term, Checkpoint: checkpointOf(job, id)}
 		}
 	})
 	return order, ok
 }
 
+// checkpointOf returns what a task resumes from. That of any member is valid
+// for a gang, and all members resume from the same.
+func checkpointOf(job *workstate.Job, id workload.TaskID) string {
+	if !job.Spec.Steps[id.Step].Gang {
+		return job.Task(id).Checkpoint
+	}
+	for _, member := range job.Occurrences[id.Occurrence].Steps[id.Step].Tasks {
+		if member.Checkpoint != "" {
+			return member.Checkpoint
+		}
+	}
+	return ""
+}
+
 // startAnswered takes the answer to a start.
 func (l *loop) startAnswered(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
 	now := time.Now()
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -196,37 +196,59 @@
 		return workcall.HeartbeatResponse{}, s.fault(notLeader(status))
 	}
 	response := workcall.HeartbeatResponse{Verdict: workcall.Taken, NextAddress: s.address}
-	isNew, former := false, workstate.Worker{}
-	s.machine.Read(func(v *workstate.View) {
-		if c := v.Catalog(); c.Version > 0 && c.Service(r.Worker.Service) == nil {
-			response.Verdict = workcall.Invalid
-			return
-		}
-		known := v.Workers()[r.Worker.ID]
-		isNew = known == nil || !sameWorker(known, &r.Worker)
-		if known != nil {
-			former = *known
-		}
-	})
-	if response.Verdict != workcall.Taken {
+	news := s.newsOf(&r.Worker)
+	if news == unusable {
+		response.Verdict = workcall.Invalid
 		return response, nil
 	}
-	if !isNew || former.Born > r.Worker.Born || (former.Born == r.Worker.Born && former.Draining) {
-		// Draining never ends within a life: a report that says otherwise
-		// was overtaken by a later one.
-		s.heard(r.Worker.ID)
-		return response, nil
-	}
-	result, err := s.propose(ctx, &workstate.Command{Register: &r.Worker})
-	if err != nil {
-		return response, err
+	if news == changed {
+		result, err := s.propose(ctx, &workstate.Command{Register: &r.Worker})
+		if err != nil {
+			return response, err
+		}
+		s.log.Info("worker registered", "worker", r.Worker.ID, "born", r.Worker.Born, "vm", r.Worker.VM, "address", r.Worker.Address,
+			"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
 	}
-	s.log.Info("worker registered", "worker", r.Worker.ID, "born", r.Worker.Born, "vm", r.Worker.VM, "address", r.Worker.Address,
-		"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
 	s.heard(r.Worker.ID)
 	return response, nil
 }
 
+// news is what a heartbeat adds to the state.
+type news uint8
+
+const (
+	// unchanged heartbeats tell nothing, or what a later one has replaced.
+	unchanged news = iota
+	// changed ones are to be recorded.
+	changed
+	// unusable ones name a service that the configuration does not.
+	unusable
+)
+
+// newsOf compares a heartbeat with the recorded worker.
+func (s *Server) newsOf(w *workstate.Worker) (found news) {
+	s.machine.Read(func(v *workstate.View) {
+		if c := v.Catalog(); c.Version > 0 && c.Service(w.Service) == nil {
+			found = unusable
+			return
+		}
+		known := v.Workers()[w.ID]
+		switch {
+		case known == nil:
+			found = changed
+		case known.Born > w.Born || sameWorker(known, w):
+			found = unchanged
+		case known.Born == w.Born && known.Draining:
+			// Draining never ends within a life: a report that says
+			// otherwise was overtaken by a later one.
+			found = unchanged
+		default:
+			found = changed
+		}
+	})
+	return found
+}
+
 // notLeader names the leader of a status.
 func notLeader(status replica.Status) error {
 	for _, m := range status.Members {
