--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -236,6 +236,7 @@
 	for _, w := range l.workers {
 		workerOf[w.reg.VM] = w
 	}
+	cutOff := l.silentZones()
 	var vms []rebalance.VM
 	for id, e := range l.fleet.entries {
 		w := workerOf[id]
@@ -248,7 +249,9 @@
 		case w == nil:
 			// Switched off, or not heard yet.
 			vm.Serves = false
-			vm.Free = !paused
+			vm.Free = !paused && !cutOff[e.vm.Zone]
+		case w.silent || !w.contact:
+			// Elsewhere it would be out of reach as well.
 		default:
 			vm.Serves = w.usable(now) && !l.upkeep.holds(id)
 			vm.Free = !paused && !w.reg.Draining && u.runs[w.reg.ID] == 0
@@ -261,6 +264,24 @@
 	return vms
 }
 
+// silentZones returns the availability zones in which most workers do not
+// answer.
+func (l *loop) silentZones() map[string]bool {
+	balance := map[string]int{}
+	for _, w := range l.workers {
+		if w.silent {
+			balance[w.reg.Zone]++
+		} else {
+			balance[w.reg.Zone]--
+		}
+	}
+	silent := map[string]bool{}
+	for zone, difference := range balance {
+		silent[zone] = difference > 0
+	}
+	return silent
+}
+
 // isStandby says whether a VM is switched off.
 func (e *vmEntry) isStandby(v *workstate.View) bool {
 	service := v.Catalog().Service(e.vm.Pool)
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -296,3 +296,34 @@
 		}
 	})
 }
+
+func TestVMsOfAZoneThatIsCutOffAreNotMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.lives(1500 * time.Millisecond)
+		for i := range 4 {
+			f.addVM(fmt.Sprint("w", i), "svc")
+		}
+		for i := range 4 {
+			id := fmt.Sprint("cut", i)
+			f.vms.vms["vm-"+id] = &execution.VM{ID: "vm-" + id, Pool: "spare", Zone: "far", State: execution.VMUp}
+		}
+		for i := range 3 {
+			id := fmt.Sprint("dark", i)
+			f.vms.vms["vm-"+id] = &execution.VM{ID: "vm-" + id, Pool: "svc", Zone: "far", State: execution.VMUp, Worker: id}
+			w := f.workers.add(id, 8000)
+			w.dark = true
+			f.commit(&workstate.Command{Register: &workstate.Worker{ID: id, Address: id, Service: "svc", Zone: "far", VM: "vm-" + id, Born: w.born, Capacity: w.capacity}})
+		}
+		f.lead()
+		defer f.depose()
+		time.Sleep(5 * time.Second)
+		wide := step(60)
+		wide.Estimate = time.Second
+		f.submitAndTell(jobA, wide)
+		time.Sleep(time.Second)
+		for _, order := range f.vms.orders {
+			t.Errorf("order %q for a VM that can't be reached", order)
+		}
+	})
+}
