An odd number of voters: halves of the core that are cut off from each other

Change: with OddVoters, set on the platform, a learner beyond an odd number stands by; it becomes a voter when a voter is taken out, or with another learner. TestEvenVoterStandsByUntilAnotherJoinsOrOneLeaves shows the rule.

--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -83,11 +83,13 @@
 		Self:     replica.Member{ID: m.ID, Link: s.Link, Admin: s.Control},
 		Founders: founders,
 		Join:     m.Join,
-		Dir:      s.DataDir,
-		Machine:  machine,
-		Node:     node,
-		Recorder: recorder,
-		Log:      log,
+		// The platform may split the core into two halves.
+		OddVoters: true,
+		Dir:       s.DataDir,
+		Machine:   machine,
+		Node:      node,
+		Recorder:  recorder,
+		Log:       log,
 		Fatal: func(err error) {
 			log.Error("the replica cannot go on", logging.Err(err), "exit_in_ms", exitPause.Milliseconds())
 			time.Sleep(exitPause)
--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -29,6 +29,9 @@
 	// ElectionTicks is the shortest election timeout; the longest is twice
 	// that. HeartbeatTicks is the time between heartbeats.
 	ElectionTicks, HeartbeatTicks int
+	// OddVoters keeps the number of voters odd: a learner beyond that stands
+	// by.
+	OddVoters bool
 	// MaxAppendBytes bounds the entries in one message.
 	MaxAppendBytes int
 	// Random draws the election timeouts.
--- a/internal/process/replica/core/core_test.go
+++ b/internal/process/replica/core/core_test.go
@@ -217,3 +217,47 @@
 		t.Errorf("commit index %d after a learner's word, want %d; voter %v", c.Commit(), before, c.isVoter("d"))
 	}
 }
+
+func TestEvenVoterStandsByUntilAnotherJoinsOrOneLeaves(t *testing.T) {
+	c := newTestCore(1)
+	c.config.OddVoters = true
+	lead(t, c)
+	synced(t, c, "a", "b", "c")
+	join := func(id string) {
+		t.Helper()
+		if _, err := c.AddLearner(replica.Member{ID: id, Link: id}); err != nil {
+			t.Fatal(err)
+		}
+		synced(t, c, "a", "b", "c")
+	}
+	catchUp := func(ids ...string) {
+		t.Helper()
+		for _, id := range ids {
+			steps(t, c, Message{From: id, Term: 2, AppendReply: &AppendReply{Index: c.Last().Index}})
+			synced(t, c, "a", "b", "c")
+		}
+	}
+	join("d")
+	catchUp("d")
+	if c.isVoter("d") {
+		t.Error("a fourth voter was made of a learner")
+	}
+	join("e")
+	catchUp("d", "e", "d")
+	if !c.isVoter("d") || !c.isVoter("e") {
+		t.Errorf("voters %v after a second learner has caught up", c.voters())
+	}
+	join("f")
+	catchUp("f")
+	if c.isVoter("f") {
+		t.Error("a sixth voter was made of a learner")
+	}
+	if _, err := c.RemoveMember("e"); err != nil {
+		t.Fatal(err)
+	}
+	synced(t, c, "a", "b", "c")
+	catchUp("f")
+	if !c.isVoter("f") {
+		t.Errorf("voters %v: no learner took the place of the one that left", c.voters())
+	}
+}
--- a/internal/process/replica/core/members.go
+++ b/internal/process/replica/core/members.go
@@ -62,7 +62,7 @@
 	}
 	p := c.peers[id]
 	at := slices.IndexFunc(c.Members(), func(m replica.Member) bool { return m.ID == id && m.Learner })
-	if p == nil || at < 0 || p.match == 0 || p.match < p.goal {
+	if at < 0 || !p.caughtUp() || !c.mayPromote() {
 		return
 	}
 	members := slices.Clone(c.Members())
@@ -70,3 +70,24 @@
 	// While another change is pending the next answer tries again.
 	_, _ = c.changeMembers(members)
 }
+
+// caughtUp says whether a member holds all that was committed at the last
+// heartbeat.
+func (p *progress) caughtUp() bool { return p != nil && p.match > 0 && p.match >= p.goal }
+
+// mayPromote says whether one more voter is wanted. With odd voters a learner
+// stands by until another one joins it or a voter is taken out: an even
+// number bears no more losses than one less, and two halves of it that are
+// cut off from each other both stand still.
+func (c *Core) mayPromote() bool {
+	if !c.config.OddVoters || len(c.voters())%2 == 0 {
+		return true
+	}
+	ready := 0
+	for _, m := range c.Members() {
+		if m.Learner && c.peers[m.ID].caughtUp() && c.isActive(m.ID) {
+			ready++
+		}
+	}
+	return ready > 1
+}
--- a/internal/process/replica/core/model_test.go
+++ b/internal/process/replica/core/model_test.go
@@ -12,6 +12,8 @@
 // model is a set of cores with disks and a network that loses, repeats,
 // delays and reorders messages. All choices come from one seed.
 type model struct {
+	// oddVoters is a setting of all cores: every second seed has it.
+	oddVoters bool
 	random  *rand.Rand
 	nodes   map[string]*node
 	ids     []string
@@ -80,7 +82,7 @@
 const founders = 3
 
 func newModel(seed uint64) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, cut: map[[2]string]bool{},
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), oddVoters: seed%2 == 0, nodes: map[string]*node{}, cut: map[[2]string]bool{},
 		history: map[uint64]Entry{}, leaders: map[uint64]string{}}
 	var members []replica.Member
 	for i := range founders {
@@ -122,7 +124,7 @@
 	n.applied = d.meta.Last.Index
 	n.machine = slices.Clone(d.machine)
 	n.proposed, n.readFloor = map[uint64]uint64{}, map[uint64]uint64{}
-	n.core = New(Config{ID: n.id, Disk: n.disk, ElectionTicks: 5, HeartbeatTicks: 1, MaxAppendBytes: 128, Random: m.random},
+	n.core = New(Config{ID: n.id, Disk: n.disk, ElectionTicks: 5, HeartbeatTicks: 1, MaxAppendBytes: 128, OddVoters: m.oddVoters, Random: m.random},
 		Persistent{State: d.state, Base: d.base, Entries: slices.Clone(d.entries), Snapshot: d.meta})
 }
 
--- a/internal/process/replica/driver/options.go
+++ b/internal/process/replica/driver/options.go
@@ -50,11 +50,13 @@
 	// is empty and Join is false.
 	Founders []replica.Member
 	Join     bool
-	Dir      string
-	Machine  replica.StateMachine
-	Node     *link.Node
-	Recorder *timeline.Recorder
-	Log      *slog.Logger
+	// OddVoters keeps the number of voters odd.
+	OddVoters bool
+	Dir       string
+	Machine   replica.StateMachine
+	Node      *link.Node
+	Recorder  *timeline.Recorder
+	Log       *slog.Logger
 	// Fatal is called once when the process must not go on: its disk has
 	// failed, or stands in for another one.
 	Fatal func(error)
