--- a/internal/process/replica/core/model_test.go
+++ b/internal/process/replica/core/model_test.go
@@ -14,10 +14,10 @@
 type model struct {
 	// oddVoters is a setting of all cores: every second seed has it.
 	oddVoters bool
-	random  *rand.Rand
-	nodes   map[string]*node
-	ids     []string
-	network []packet
+	random    *rand.Rand
+	nodes     map[string]*node
+	ids       []string
+	network   []packet
 	// cut holds pairs of ids that cannot reach each other.
 	cut map[[2]string]bool
 	// calm stops loss, repetition and reordering.
