--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -117,8 +117,8 @@
 	options := scheduler.Options{
 		Replica: r, Machine: machine, Workers: platform.NewHTTPWorkers(), Holder: s.Node, Log: log, Now: time.Now,
 		Limits: scheduler.Limits{
-			StopTimeout: s.Bounds.StopTimeout, Fenced: s.Bounds.Fenced, HolderLease: s.Bounds.HolderLease, Retention: s.Bounds.Retention,
-			Unavailability: s.Bounds.Unavailability, CallRate: s.CallRate, ActionRate: s.ActionRate,
+			StopTimeout: s.Bounds.StopTimeout, Fenced: s.Bounds.Fenced, HolderLease: s.Bounds.HolderLease,
+			Retention: s.Bounds.Retention, ActionRate: s.ActionRate,
 		},
 	}
 	if s.PlatformAddress != "" {
--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -321,7 +321,7 @@
 func newFixture(t *testing.T, duration time.Duration) *fixture {
 	machine := workstate.NewMachine()
 	f := &fixture{t: t, machine: machine, workers: newFakeWorkers(t, duration), vms: newFakePlatform()}
-	f.limits = Limits{StopTimeout: 200 * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, Unavailability: 4 * time.Second, CallRate: 64, ActionRate: 64}
+	f.limits = Limits{StopTimeout: 200 * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, ActionRate: 64}
 	f.replica = &fakeReplica{machine: machine, delay: 10 * time.Millisecond, term: 1}
 	f.commit(&workstate.Command{Catalog: testCatalog()})
 	return f
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -56,11 +56,9 @@
 	HolderLease time.Duration
 	// Retention is how long ended jobs are kept.
 	Retention time.Duration
-	// Unavailability is how long a task is away before it counts against
-	// its step's disruption budget.
-	Unavailability time.Duration
-	// CallRate and ActionRate bound calls to the platform, each second.
-	CallRate, ActionRate float64
+	// ActionRate bounds the orders of VMs that the platform takes from all
+	// processes together, each second.
+	ActionRate float64
 }
 
 // event changes what the loop knows. It runs on the loop's goroutine.
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -165,8 +165,8 @@
 	}
 	unwanted := job.Outcome != workstate.Open || task.Born != w.reg.Born
 	if unwanted && r.phase != runStopping && r.phase != runStopped {
-		r.enter(runStopping, now)
-		r.since = time.Time{}
+		// Due at once.
+		r.enter(runStopping, time.Time{})
 	}
 	if !w.contact || r.calling {
 		return
--- a/internal/process/scheduler/upkeep.go
+++ b/internal/process/scheduler/upkeep.go
@@ -41,15 +41,31 @@
 	return vm != "" && held
 }
 
+// upkeepClass orders the VMs of a wave by what their upkeep costs callers.
+type upkeepClass uint8
+
+const (
+	// switchedOff VMs serve nobody, idle ones nobody now.
+	switchedOff upkeepClass = iota
+	idle
+	// busy VMs have tasks that end or leave first.
+	busy
+)
+
 // upkeepVM is a VM that waits for its upkeep.
 type upkeepVM struct {
-	entry  *vmEntry
+	entry *vmEntry
+	// worker is nil on a VM that is switched off.
 	worker *worker
-	// cost orders the VMs: switched off first, then idle, then the least
-	// loaded ones of the least loaded pools.
-	cost float64
+	class  upkeepClass
+	// pressure is the share of its pool's capacity that is in use.
+	pressure float64
 }
 
+// busyPool is the pressure from which a pool's busy VMs wait for a lull, as
+// long as their wave has time.
+const busyPool = 0.5
+
 // planUpkeep takes waves of upkeep further.
 func (l *loop) planUpkeep(v *workstate.View, u *usage, now time.Time) {
 	held := l.upkeep.held
@@ -114,7 +130,7 @@
 }
 
 func (l *loop) upkeepVM(v *workstate.View, u *usage, e *vmEntry) upkeepVM {
-	vm := upkeepVM{entry: e}
+	vm := upkeepVM{entry: e, class: busy, pressure: l.poolPressure(u, e.vm.Pool)}
 	for _, w := range l.workers {
 		if w.reg.VM == e.vm.ID {
 			vm.worker = w
@@ -122,11 +138,9 @@
 	}
 	switch {
 	case e.isStandby(v):
-		vm.cost = 0
+		vm.class = switchedOff
 	case vm.worker == nil || u.runs[vm.worker.reg.ID] == 0:
-		vm.cost = 1 + l.poolPressure(u, e.vm.Pool)
-	default:
-		vm.cost = 10 + 10*l.poolPressure(u, e.vm.Pool) + float64(l.load(u.taken[vm.worker.reg.ID]))
+		vm.class = idle
 	}
 	return vm
 }
@@ -149,8 +163,8 @@
 // holdAndOrder orders the upkeep of empty VMs and holds others.
 func (l *loop) holdAndOrder(u *usage, wave *workstate.Wave, waiting []upkeepVM, room int, held map[string]time.Time, now time.Time) {
 	slices.SortStableFunc(waiting, func(a, b upkeepVM) int {
-		aHeld, bHeld := heldRank(held, a), heldRank(held, b)
-		return cmp.Or(cmp.Compare(aHeld, bHeld), cmp.Compare(a.cost, b.cost), cmp.Compare(a.entry.vm.ID, b.entry.vm.ID))
+		return cmp.Or(cmp.Compare(heldRank(held, a), heldRank(held, b)), cmp.Compare(a.class, b.class),
+			cmp.Compare(a.pressure, b.pressure), cmp.Compare(a.entry.vm.ID, b.entry.vm.ID))
 	})
 	left := time.Duration(wave.DeadlineMS-l.Now().UnixMilli()) * time.Millisecond
 	rounds := (len(waiting) + wave.Cap - 1) / wave.Cap
@@ -162,8 +176,7 @@
 		if vm.entry.away() || now.Before(vm.entry.pausedUntil) {
 			continue
 		}
-		if !pressed && vm.cost > 15 {
-			// The pool is busy; a later time is better for its callers.
+		if !pressed && vm.class == busy && vm.pressure > busyPool {
 			continue
 		}
 		room--
@@ -171,6 +184,7 @@
 	}
 }
 
+// heldRank puts the VMs that are held first.
 func heldRank(held map[string]time.Time, vm upkeepVM) int {
 	if _, ok := held[vm.entry.vm.ID]; ok {
 		return 0
@@ -185,7 +199,7 @@
 	since, known := held[id]
 	if !known {
 		since = now
-		l.Log.Info("VM held for its upkeep", "wave", wave.Number, "vm", id, "pool", vm.entry.vm.Pool, "cost", vm.cost)
+		l.Log.Info("VM held for its upkeep", "wave", wave.Number, "vm", id, "pool", vm.entry.vm.Pool, "class", vm.class, "pressure", vm.pressure)
 	}
 	l.upkeep.held[id] = since
 	if !l.mayOrder(now) || (vm.worker != nil && !l.emptied(u, vm.worker, since, pressed, now)) {
