A learner takes the place of a voter that is silent for long; who was taken out returns

Ruled out: the join (joined in the log), the disks. Change: the leader takes a voter out after 3 s of silence if a learner stands by, which then votes; every control process asks once a second to be a member, so that one which only was away comes back as a learner with its log.

--- a/integration/hosted_harness_test.go
+++ b/integration/hosted_harness_test.go
@@ -67,7 +67,19 @@
 	h.t.Helper()
 	path := filepath.Join(h.dir, node+".toml")
 	h.writeSettings(path, node, ip, seeds, control, true)
-	p := &process{t: h.t, id: node, path: filepath.Join(binDir, program), args: []string{"--platform"}, log: filepath.Join(h.dir, node+".log"), env: []string{"ARBUTUSWARD_BOOT=" + path}}
+	return h.launch(program, node, path)
+}
+
+// addLater starts a control process that comes after the first start.
+func (h *hosted) addLater(node, ip string) *process {
+	h.t.Helper()
+	path := filepath.Join(h.dir, node+".toml")
+	h.writeSettings(path, node, ip, 3, true, false)
+	return h.launch("arbutus-control", node, path)
+}
+
+func (h *hosted) launch(program, node, settings string) *process {
+	p := &process{t: h.t, id: node, path: filepath.Join(binDir, program), args: []string{"--platform"}, log: filepath.Join(h.dir, node+".log"), env: []string{"ARBUTUSWARD_BOOT=" + settings}}
 	h.t.Cleanup(p.kill)
 	p.start()
 	return p
--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -183,3 +183,43 @@
 		t.Error("the entry has not ended within its grace")
 	}
 }
+
+func TestHostedControlsReplacedOneByOneKeepAMajority(t *testing.T) {
+	t.Parallel()
+	h := newHosted(t, 3, 2)
+	h.configure()
+	h.addWorker("w1", 8000)
+	h.submit(jobID(1), 3, 100*time.Millisecond)
+	for i := range 2 {
+		// A new process at another address, then the old one is gone.
+		number := len(h.controls)
+		node := fmt.Sprintf("core-%d", number+1)
+		h.controls = append(h.controls, h.addLater(node, h.controlIP(number)))
+		time.Sleep(2 * time.Second)
+		h.controls[i].kill()
+		time.Sleep(5 * time.Second)
+	}
+	h.submit(jobID(2), 3, 100*time.Millisecond)
+	h.awaitState(jobID(2), "succeeded", 20*time.Second)
+	h.awaitState(jobID(1), "succeeded", 5*time.Second)
+}
+
+func TestHostedVoterThatWasTakenOutComesBack(t *testing.T) {
+	t.Parallel()
+	h := newHosted(t, 4, 2)
+	h.configure()
+	h.addWorker("w1", 8000)
+	leader := h.leader()
+	away := (leader + 1) % 3
+	h.controls[away].signal(syscall.SIGSTOP)
+	time.Sleep(6 * time.Second)
+	h.controls[away].signal(syscall.SIGCONT)
+	time.Sleep(4 * time.Second)
+	// With the one that came back, two of the four may be lost one by one.
+	h.controls[leader].kill()
+	time.Sleep(6 * time.Second)
+	h.submit(jobID(1), 3, 100*time.Millisecond)
+	h.controls[h.leader()].kill()
+	h.submit(jobID(2), 3, 100*time.Millisecond)
+	h.awaitState(jobID(2), "succeeded", 20*time.Second)
+}
--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -140,6 +140,10 @@
 	if address == "" {
 		return ErrUnavailable
 	}
+	if c.local != nil && address == c.self {
+		// The leader is a member.
+		return nil
+	}
 	_, err := link.Call[JoinRequest, Done](ctx, c.node, address, JoinKind, r)
 	return err
 }
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -26,9 +26,11 @@
 
 // Times of a control process.
 const (
-	// joinInterval is the time between requests to be taken in.
-	joinInterval = 300 * time.Millisecond
-	joinTimeout  = 2 * time.Second
+	// joinInterval is the time between requests to be taken in, and
+	// memberInterval that between questions whether this process still is.
+	joinInterval   = 300 * time.Millisecond
+	memberInterval = time.Second
+	joinTimeout    = 2 * time.Second
 	// exitPause keeps a process whose disk refuses writes from starting over
 	// and over; the log gets out meanwhile.
 	exitPause = 2 * time.Second
@@ -85,6 +87,7 @@
 		Join:     m.Join,
 		// The platform may split the core into two halves.
 		OddVoters: true,
+		Returns:   true,
 		Dir:       s.DataDir,
 		Machine:   machine,
 		Node:      node,
@@ -141,39 +144,40 @@
 	go c.client.Run(ctx)
 	go c.scheduler.Run(ctx)
 	go followSettings(ctx, c.settings.SeedLinks, c.client, c.log)
-	if c.member.Join {
-		go c.join(ctx)
-	}
+	go c.keepMembership(ctx)
 	return errors.Join(
 		c.servers.listen(c.settings.Control, platform.NewControlAPI(c.client, c.log)),
 		c.servers.listen(c.settings.Metrics, metricsHandler()),
 	)
 }
 
-// join asks to be taken in until this process is a member.
-func (c *Control) join(ctx context.Context) {
+// keepMembership asks the leader, again and again, to have this process as a
+// member: it may have an empty disk, or have been taken out while it was
+// silent. A member is left as it is.
+func (c *Control) keepMembership(ctx context.Context) {
 	for ctx.Err() == nil {
-		if c.isMember() {
-			c.log.Info("joined", "member", c.member.ID)
-			return
+		pause := memberInterval
+		if err := c.join(ctx); err != nil {
+			pause = joinInterval
+			c.tellJoining(err)
 		}
-		c.joinOnce(ctx)
 		select {
-		case <-time.After(joinInterval):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (c *Control) isMember() bool {
-	return slices.ContainsFunc(c.replica.Status().Members, func(m replica.Member) bool { return m.ID == c.member.ID })
-}
-
-func (c *Control) joinOnce(ctx context.Context) {
+func (c *Control) join(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	err := c.client.Join(ctx, workcall.JoinRequest{ID: c.member.ID, Link: c.settings.Link, Admin: c.settings.Control})
-	if err != nil && ctx.Err() == nil {
+	return c.client.Join(ctx, workcall.JoinRequest{ID: c.member.ID, Link: c.settings.Link, Admin: c.settings.Control})
+}
+
+// tellJoining logs why a process that is no member is not taken in.
+func (c *Control) tellJoining(err error) {
+	isMember := slices.ContainsFunc(c.replica.Status().Members, func(m replica.Member) bool { return m.ID == c.member.ID })
+	if !isMember && c.client.Leader() != "" {
 		c.log.Info("not taken in as a member yet", "member", c.member.ID, logging.Err(err))
 	}
 }
--- a/internal/process/replica/core/core_test.go
+++ b/internal/process/replica/core/core_test.go
@@ -261,3 +261,32 @@
 		t.Errorf("voters %v: no learner took the place of the one that left", c.voters())
 	}
 }
+
+func TestLearnerTakesThePlaceOfASilentVoter(t *testing.T) {
+	c := newTestCore(1)
+	c.config.OddVoters = true
+	lead(t, c)
+	synced(t, c, "a", "b", "c")
+	if _, err := c.AddLearner(replica.Member{ID: "d", Link: "d"}); err != nil {
+		t.Fatal(err)
+	}
+	synced(t, c, "a", "b", "c")
+	hear := func(ticks int) {
+		t.Helper()
+		for range ticks {
+			for _, id := range []string{"b", "d"} {
+				steps(t, c, Message{From: id, Term: 2, AppendReply: &AppendReply{Index: c.Last().Index}})
+			}
+			synced(t, c, "a", "b")
+			c.Tick()
+		}
+	}
+	hear(silentElections*c.config.ElectionTicks - 2)
+	if !c.isVoter("c") || c.isVoter("d") {
+		t.Errorf("voters %v before the voter has been silent for long", c.voters())
+	}
+	hear(6)
+	if c.isVoter("c") || !c.isVoter("d") {
+		t.Errorf("voters %v after it has", c.voters())
+	}
+}
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -184,6 +184,7 @@
 		return
 	}
 	c.heartbeatTicks = 0
+	c.replaceSilentVoter()
 	c.broadcastHeartbeat()
 	c.sendAppends()
 }
--- a/internal/process/replica/core/members.go
+++ b/internal/process/replica/core/members.go
@@ -91,3 +91,32 @@
 	}
 	return ready > 1
 }
+
+// silentElections is how many shortest election timeouts a voter may be
+// silent before a learner takes its place: 3 s with the driver's ticks.
+const silentElections = 5
+
+// replaceSilentVoter takes a voter out that has been silent for long, if a
+// learner stands by to take its place. The voter may be gone for good, and a
+// second loss would leave no majority. It may also come back: it then joins
+// as a learner, with the log that it has.
+func (c *Core) replaceSilentVoter() {
+	if !c.config.OddVoters || !c.hasStandby() {
+		return
+	}
+	for _, m := range c.Members() {
+		if m.Learner || m.ID == c.config.ID || c.peers[m.ID].silent < silentElections*c.config.ElectionTicks {
+			continue
+		}
+		// While another change is pending the next tick tries again.
+		_, _ = c.RemoveMember(m.ID)
+		return
+	}
+}
+
+// hasStandby says whether a learner is ready to vote.
+func (c *Core) hasStandby() bool {
+	return slices.ContainsFunc(c.Members(), func(m replica.Member) bool {
+		return m.Learner && c.peers[m.ID].caughtUp() && c.isActive(m.ID)
+	})
+}
--- a/internal/process/replica/driver/founding.go
+++ b/internal/process/replica/driver/founding.go
@@ -39,7 +39,7 @@
 	ID   string `cbor:"1,keyasint"`
 	Disk string `cbor:"2,keyasint"`
 	// Joining says that the process was started with an empty folder to
-	// join a deployment.
+	// join a deployment, or may return to it with its disk.
 	Joining bool `cbor:"4,keyasint,omitempty"`
 }
 
@@ -48,8 +48,8 @@
 // that lost its disk finds at least one member that knows the old one, and
 // is refused, where a majority alone might not know.
 type registrar struct {
-	dir  string
-	join bool
+	dir           string
+	join, returns bool
 	// empty says that the folder held no state at the start.
 	empty bool
 	// founders are the ids of the first members by the settings, sorted.
@@ -60,7 +60,7 @@
 }
 
 func newRegistrar(o *Options, storage *storage) *registrar {
-	r := &registrar{dir: o.Dir, join: o.Join, empty: storage.snapshot == nil, identity: storage.identity}
+	r := &registrar{dir: o.Dir, join: o.Join, returns: o.Returns, empty: storage.snapshot == nil, identity: storage.identity}
 	for _, m := range o.Founders {
 		r.founders = append(r.founders, m.ID)
 	}
@@ -76,7 +76,7 @@
 }
 
 func (r *registrar) self() Identity {
-	return Identity{ID: r.identity.ID, Disk: r.identity.Disk, Joining: r.join && r.empty}
+	return Identity{ID: r.identity.ID, Disk: r.identity.Disk, Joining: r.returns || (r.join && r.empty)}
 }
 
 // serveFound records the asker's disk and answers with the own.
--- a/internal/process/replica/driver/options.go
+++ b/internal/process/replica/driver/options.go
@@ -50,13 +50,16 @@
 	// is empty and Join is false.
 	Founders []replica.Member
 	Join     bool
-	// OddVoters keeps the number of voters odd.
+	// OddVoters keeps the number of voters odd, and lets a learner take the
+	// place of a voter that is silent for long.
 	OddVoters bool
-	Dir       string
-	Machine   replica.StateMachine
-	Node      *link.Node
-	Recorder  *timeline.Recorder
-	Log       *slog.Logger
+	// Returns lets a process that was taken out join again with its disk.
+	Returns  bool
+	Dir      string
+	Machine  replica.StateMachine
+	Node     *link.Node
+	Recorder *timeline.Recorder
+	Log      *slog.Logger
 	// Fatal is called once when the process must not go on: its disk has
 	// failed, or stands in for another one.
 	Fatal func(error)
