Read again: pools and VMs gathered once a round, links opened in one place

Found on reading the diff: for each VM of a wave the loop walked all workers twice (for its worker and its pool's load), movableVMs built the same map again, and every active job was ranked in each round though none of its tasks waited; the two programs opened their links by the same function. Change: the round gathers workers by VM and the pools' load once, ranks only where a group waits; hosted.listenLinks serves both programs. Behaviour is meant to stay as it is; no test was changed.

--- a/cmd/arbutus-control/hosted.go
+++ b/cmd/arbutus-control/hosted.go
@@ -1,15 +1,10 @@
 package main
 
 import (
-	"log/slog"
-
 	"go.uber.org/fx"
 
-	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/process/hosted"
-	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/process/lifecycle"
-	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/platform"
 )
@@ -25,16 +20,8 @@
 		MemoryMB: settings.MemoryMB,
 		Options: fx.Options(
 			fx.Supply(settings),
-			fx.Provide(hosted.NewMembership, newHostedNode, workstate.NewMachine, hosted.NewReplica, hosted.NewControl),
+			fx.Provide(hosted.NewMembership, hosted.NewControlNode, workstate.NewMachine, hosted.NewReplica, hosted.NewControl),
 			fx.Invoke(func(lc fx.Lifecycle, control *hosted.Control) { lifecycle.Attach(lc, control) }),
 		),
 	}, nil
 }
-
-func newHostedNode(s *platform.Settings, m hosted.Membership, recorder *timeline.Recorder, log *slog.Logger) (*link.Node, error) {
-	ring, err := keys.NewEphemeral(m.ID)
-	if err != nil {
-		return nil, err
-	}
-	return link.Listen(s.Link, ring, recorder, log)
-}
--- a/cmd/arbutus-entry/hosted.go
+++ b/cmd/arbutus-entry/hosted.go
@@ -1,15 +1,10 @@
 package main
 
 import (
-	"log/slog"
-
 	"go.uber.org/fx"
 
-	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/process/hosted"
-	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/process/lifecycle"
-	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/platform"
 )
 
@@ -24,16 +19,8 @@
 		MemoryMB: settings.MemoryMB,
 		Options: fx.Options(
 			fx.Supply(settings),
-			fx.Provide(newHostedNode, hosted.NewEntry),
+			fx.Provide(hosted.NewEntryNode, hosted.NewEntry),
 			fx.Invoke(func(lc fx.Lifecycle, entry *hosted.Entry) { lifecycle.Attach(lc, entry) }),
 		),
 	}, nil
 }
-
-func newHostedNode(s *platform.Settings, recorder *timeline.Recorder, log *slog.Logger) (*link.Node, error) {
-	ring, err := keys.NewEphemeral(s.Node)
-	if err != nil {
-		return nil, err
-	}
-	return link.Listen(s.Link, ring, recorder, log)
-}
--- a/internal/process/hosted/common.go
+++ b/internal/process/hosted/common.go
@@ -12,8 +12,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/platform"
 )
 
@@ -54,6 +57,15 @@
 	return loaded.SeedLinks
 }
 
+// listenLinks opens the links of a process under a key made at this start.
+func listenLinks(id string, s *platform.Settings, recorder *timeline.Recorder, log *slog.Logger) (*link.Node, error) {
+	ring, err := keys.NewEphemeral(id)
+	if err != nil {
+		return nil, err
+	}
+	return link.Listen(s.Link, ring, recorder, log)
+}
+
 // metricsHandler serves the process's metrics as text.
 func metricsHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -67,6 +67,11 @@
 	return Membership{ID: s.Link + joinSeparator + rand.Text(), Join: true}, nil
 }
 
+// NewControlNode opens a control process's links under its id as a member.
+func NewControlNode(s *platform.Settings, m Membership, recorder *timeline.Recorder, log *slog.Logger) (*link.Node, error) {
+	return listenLinks(m.ID, s, recorder, log)
+}
+
 // NewReplica opens the replicated log.
 func NewReplica(s *platform.Settings, m Membership, machine *workstate.Machine, node *link.Node, recorder *timeline.Recorder, log *slog.Logger) (replica.Replica, error) {
 	_, port, err := net.SplitHostPort(s.Control)
--- a/internal/process/hosted/entry.go
+++ b/internal/process/hosted/entry.go
@@ -15,6 +15,7 @@
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/platform"
 )
 
@@ -44,6 +45,11 @@
 	cancel   context.CancelFunc
 }
 
+// NewEntryNode opens an entry's links; its VM names it.
+func NewEntryNode(s *platform.Settings, recorder *timeline.Recorder, log *slog.Logger) (*link.Node, error) {
+	return listenLinks(s.Node, s, recorder, log)
+}
+
 // NewEntry wires an entry.
 func NewEntry(s *platform.Settings, node *link.Node, log *slog.Logger) *Entry {
 	client := workcall.NewClient(node, s.SeedLinks, log)
--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -232,14 +232,10 @@
 
 // movableVMs returns all VMs that take part in the plan.
 func (l *loop) movableVMs(u *usage, now time.Time) []rebalance.VM {
-	workerOf := map[string]*worker{}
-	for _, w := range l.workers {
-		workerOf[w.reg.VM] = w
-	}
 	cutOff := l.silentZones()
 	var vms []rebalance.VM
 	for id, e := range l.fleet.entries {
-		w := workerOf[id]
+		w := u.workerOn[id]
 		vm := rebalance.VM{ID: id, Pool: e.vm.Pool}
 		paused := now.Before(e.pausedUntil) || l.upkeep.holds(id) || e.calling
 		switch {
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -107,7 +107,7 @@
 			return groups
 		}
 	}
-	rank := l.rank(v, job, progress, k, now)
+	first := len(groups)
 	for s := range job.Spec.Steps {
 		step := &job.Spec.Steps[s]
 		if progress == nil && len(step.DependsOn) > 0 {
@@ -117,16 +117,27 @@
 			continue
 		}
 		if g := l.group(v, job, progress, k, s); g != nil {
-			g.Rank = rank
-			if step.LongRunning {
-				g.Rank = lastingRank
-			}
 			groups = append(groups, g)
 		}
 	}
+	l.rankGroups(v, job, progress, k, groups[first:], now)
 	return groups
 }
 
+// rankGroups sets the urgency of the groups of one occurrence, if any wait.
+func (l *loop) rankGroups(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k int, groups []*placement.Group, now time.Time) {
+	if len(groups) == 0 {
+		return
+	}
+	rank := l.rank(v, job, progress, k, now)
+	for _, g := range groups {
+		g.Rank = rank
+		if g.Lasting {
+			g.Rank = lastingRank
+		}
+	}
+}
+
 // lastingRank puts long-running tasks first: they serve users all the time
 // that they are away.
 const lastingRank = -1e6
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -14,6 +14,10 @@
 	// lastingRuns those that are long-running.
 	taken             map[string]workload.Resources
 	runs, lastingRuns map[string]int
+	// workerOn holds the worker of each VM, pressure the share of each
+	// pool's capacity that is in use.
+	workerOn map[string]*worker
+	pressure map[string]float64
 	// recorded holds the runs that the state knows as executing.
 	recorded map[runKey]bool
 	// lastingTasks are the long-running tasks; unavailable counts those of
@@ -118,11 +122,27 @@
 			}
 		})
 	}
+	l.notePools(u)
 	l.dropEndedRuns(u)
 	l.stopOrphans(u, now)
 	return u
 }
 
+// notePools gathers the workers by VM and the load of their pools.
+func (l *loop) notePools(u *usage) {
+	u.workerOn = make(map[string]*worker, len(l.workers))
+	u.pressure = map[string]float64{}
+	sizes := map[string]float64{}
+	for id, w := range l.workers {
+		u.workerOn[w.reg.VM] = w
+		u.pressure[w.reg.Service] += float64(l.load(u.taken[id]))
+		sizes[w.reg.Service]++
+	}
+	for pool, size := range sizes {
+		u.pressure[pool] /= size
+	}
+}
+
 // ending says whether the end of a run waits for a commit.
 func (l *loop) ending(key runKey) bool {
 	_, ending := l.ends[key]
--- a/internal/process/scheduler/upkeep.go
+++ b/internal/process/scheduler/upkeep.go
@@ -101,7 +101,7 @@
 			room--
 		case !wave.Done[id]:
 			l.upkeep.due[id] = true
-			waiting = append(waiting, l.upkeepVM(v, u, e))
+			waiting = append(waiting, newUpkeepVM(v, u, e))
 		}
 	}
 	l.holdAndOrder(u, wave, waiting, room, held, now)
@@ -129,13 +129,8 @@
 	}
 }
 
-func (l *loop) upkeepVM(v *workstate.View, u *usage, e *vmEntry) upkeepVM {
-	vm := upkeepVM{entry: e, class: busy, pressure: l.poolPressure(u, e.vm.Pool)}
-	for _, w := range l.workers {
-		if w.reg.VM == e.vm.ID {
-			vm.worker = w
-		}
-	}
+func newUpkeepVM(v *workstate.View, u *usage, e *vmEntry) upkeepVM {
+	vm := upkeepVM{entry: e, worker: u.workerOn[e.vm.ID], class: busy, pressure: u.pressure[e.vm.Pool]}
 	switch {
 	case e.isStandby(v):
 		vm.class = switchedOff
@@ -145,21 +140,6 @@
 	return vm
 }
 
-// poolPressure is the share of a pool's capacity that is in use.
-func (l *loop) poolPressure(u *usage, pool string) float64 {
-	used, all := 0.0, 0.0
-	for id, w := range l.workers {
-		if w.reg.Service == pool {
-			all++
-			used += float64(l.load(u.taken[id]))
-		}
-	}
-	if all == 0 {
-		return 0
-	}
-	return used / all
-}
-
 // holdAndOrder orders the upkeep of empty VMs and holds others.
 func (l *loop) holdAndOrder(u *usage, wave *workstate.Wave, waiting []upkeepVM, room int, held map[string]time.Time, now time.Time) {
 	slices.SortStableFunc(waiting, func(a, b upkeepVM) int {
