integration: a free port stays free while other tests start processes

Cause: freePort listened on a port to see whether it is free. A process that another test started at that moment inherited the listener and kept it until the image was replaced, so that listening again failed. Ruled out: two tests given one port (a counter, never twice), the ephemeral range (ports lie below it). Change: the probe holds the lock that keeps processes from starting; a stand-in that is reborn at its address asks again for 2 s. Before: TestFreePortStaysFreeWhileProcessesStart fails.

--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,7 +13,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -348,39 +346,6 @@
 	}
 }
 
-// Ports for the programs lie below the system's ephemeral ports, so that no
-// outgoing connection takes one between its choice and its use.
-const (
-	lowestPort  = 12000
-	highestPort = 32000
-)
-
-// nextPort counts the ports handed out; runs at once start at other places.
-var nextPort atomic.Int64
-
-// freePort returns a loopback address that is free for TCP and UDP.
-func freePort(t *testing.T) string {
-	t.Helper()
-	start := int64(os.Getpid()) * 137
-	for range highestPort - lowestPort {
-		port := lowestPort + (start+nextPort.Add(1))%(highestPort-lowestPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		socket, err := net.ListenPacket("udp", address)
-		_ = listener.Close()
-		if err != nil {
-			continue
-		}
-		_ = socket.Close()
-		return address
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // smallFleet is a document of two zones with two pools and two services.
 const smallFleet = `{
   "schema": 1, "deployment": "small",
--- a/integration/hosted_worker_test.go
+++ b/integration/hosted_worker_test.go
@@ -106,15 +106,13 @@
 		id: id, service: service, vm: "vm-" + id, address: address, advertised: advertised, capacity: capacity, born: time.Now(), ledger: ledger,
 		done: make(chan struct{}), running: map[string]*hostedRun{}, highest: map[string]int{},
 	}
-	listener, err := net.Listen("tcp", address)
-	must(t, err)
-	w.listener = listener
+	w.listener = listenSoon(t, address)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.serveStart)
 	mux.HandleFunc("POST /run-stop", w.serveStop)
 	mux.HandleFunc("POST /hold", w.serveHold)
 	w.server = &http.Server{Handler: mux}
-	go func() { _ = w.server.Serve(listener) }()
+	go func() { _ = w.server.Serve(w.listener) }()
 	go w.report(control)
 	go w.tick()
 	t.Cleanup(w.kill)
