request: what can no longer finish is refused in place of a slot

Cause: a request that waits before the mean time of an answer is known has its deadline as its latest start. It got a slot as late as that, its caller's time ended during the run, and the outcome was unknown. The test of the queue met it when a busy machine let all 120 requests arrive before the first answer: 84 ran, 36 unknown, 0 refused. Ruled out: a request that ran twice (0 seen); slots lost (all 28 were in use). Change: the queue's next request is refused, with when to come back, if it can't finish any more. Found on the way: waiters of a removed service were told that their caller held more than its share; they are told the reason now. One type for the end of a wait.

--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -84,7 +84,7 @@
 		return nil, nil, refused
 	}
 	s.makeRoom(t.service)
-	w := &waiter{service: t.service, caller: caller, deadline: t.deadline, avoid: t.avoid, index: absent, settled: make(chan *grant, 1)}
+	w := &waiter{service: t.service, caller: caller, deadline: t.deadline, avoid: t.avoid, index: absent, settled: make(chan settlement, 1)}
 	t.service.queue.push(w)
 	t.service.waitingChanged(1)
 	return nil, w, nil
@@ -188,8 +188,7 @@
 		return
 	}
 	victim := svc.queue.greediest().latest()
-	s.unqueue(victim)
-	victim.settled <- nil
+	s.refuse(victim, reasonCallerShare, 0)
 }
 
 // capacity is the number of slots that the service can use.
@@ -231,8 +230,8 @@
 	defer timer.Stop()
 	refused := refusal{http.StatusServiceUnavailable, reasonDeadline, minRetryAfterS}
 	select {
-	case g := <-w.settled:
-		return s.settled(g)
+	case result := <-w.settled:
+		return result.grant, result.refused
 	case <-timer.C:
 	case <-ctx.Done():
 		refused.reason = reasonGone
@@ -240,22 +239,14 @@
 	if s.leave(w) {
 		return nil, &refused
 	}
-	g, displaced := s.settled(<-w.settled)
-	if displaced != nil {
-		return nil, displaced
+	result := <-w.settled
+	if result.refused != nil {
+		return nil, result.refused
 	}
-	s.release(g, noVerdict, false)
+	s.release(result.grant, noVerdict, false)
 	return nil, &refused
 }
 
-// settled tells a grant from a waiter that made room.
-func (s *scheduler) settled(g *grant) (*grant, *refusal) {
-	if g == nil {
-		return nil, &refusal{http.StatusTooManyRequests, reasonCallerShare, minRetryAfterS}
-	}
-	return g, nil
-}
-
 // latestStart is the time after which the request would not finish before
 // its deadline.
 func (w *waiter) latestStart() time.Time {
--- a/internal/request/bind.go
+++ b/internal/request/bind.go
@@ -138,8 +138,7 @@
 // dismiss gives the waiters of a removed service their answer.
 func (s *scheduler) dismiss(svc *service) {
 	for w := svc.queue.next(); w != nil; w = svc.queue.next() {
-		s.unqueue(w)
-		w.settled <- nil
+		s.refuse(w, reasonRemoved, 0)
 	}
 }
 
--- a/internal/request/handler_test.go
+++ b/internal/request/handler_test.go
@@ -182,8 +182,7 @@
 					return
 				}
 				So(granted(interactive), ShouldBeTrue)
-				g := <-interactive.settled
-				held = append(held, g)
+				held = append(held, (<-interactive.settled).grant)
 			}
 			So("batch starved", ShouldBeEmpty)
 		})
@@ -197,11 +196,24 @@
 			So(refused.reason, ShouldEqual, reasonQueueFull)
 			other := wait("interactive", "other")
 			So(granted(hog[63]), ShouldBeTrue)
-			So(<-hog[63].settled, ShouldBeNil)
+			So((<-hog[63].settled).refused.reason, ShouldEqual, reasonCallerShare)
 			s.release(held[0], succeeded, false)
 			s.release(held[1], succeeded, false)
 			So(granted(other), ShouldBeTrue)
 		})
+		Convey("what can no longer finish gets its refusal in place of a slot", func() {
+			late, inTime := wait("interactive", "x"), wait("interactive", "y")
+			late.deadline = time.Now().Add(600 * time.Millisecond)
+			s.services["interactive"].answered(700 * time.Millisecond)
+			s.release(held[0], succeeded, false)
+			So((<-late.settled).refused.reason, ShouldEqual, reasonDeadline)
+			So((<-inTime.settled).grant, ShouldNotBeNil)
+		})
+		Convey("waiters of a removed service are told so", func() {
+			w := wait("batch", "x")
+			s.dismiss(s.services["batch"])
+			So((<-w.settled).refused.reason, ShouldEqual, reasonRemoved)
+		})
 		Convey("what can't finish before its deadline is refused at once", func() {
 			s.services["interactive"].answered(1500 * time.Millisecond)
 			s.pools["home"].serviceTime.add(1.5)
--- a/internal/request/pump.go
+++ b/internal/request/pump.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"net/http"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/version/fleet"
@@ -40,7 +41,7 @@
 	var best *waiter
 	var chosen *worker
 	for _, svc := range services {
-		head := svc.queue.next()
+		head := s.nextInTime(svc, now)
 		if head == nil || svc.interactive() != (class != fleet.Batch) {
 			continue
 		}
@@ -58,6 +59,29 @@
 	return true
 }
 
+// nextInTime returns the waiter whose turn it is. Those that can no longer
+// finish are refused on the way: the mean time of an answer may have become
+// known, or longer, while they waited.
+func (s *scheduler) nextInTime(svc *service, now time.Time) *waiter {
+	for w := svc.queue.next(); w != nil; w = svc.queue.next() {
+		if !now.Add(svc.mean()).After(w.deadline) {
+			return w
+		}
+		s.refuse(w, reasonDeadline, svc.expectedWait(w.caller))
+	}
+	return nil
+}
+
+// refuse ends the wait of a request that has not run.
+func (s *scheduler) refuse(w *waiter, why reason, wait time.Duration) {
+	status := http.StatusServiceUnavailable
+	if why == reasonCallerShare {
+		status = http.StatusTooManyRequests
+	}
+	s.unqueue(w)
+	w.settled <- settlement{refused: &refusal{status, why, retryAfter(wait)}}
+}
+
 func (s *scheduler) grantWaiter(p *pool, w *waiter, chosen *worker, now time.Time) {
 	if w.service.interactive() {
 		p.turn++
@@ -67,5 +91,5 @@
 	// The caller's part must stay in use while its waiter leaves.
 	g := s.take(w.service, w.caller, chosen, now)
 	s.unqueue(w)
-	w.settled <- g
+	w.settled <- settlement{grant: g}
 }
--- a/internal/request/queue.go
+++ b/internal/request/queue.go
@@ -14,8 +14,14 @@
 	avoid *worker
 	// index is the place among the caller's waiters, absent once out.
 	index int
-	// settled gets the grant, or nil for a waiter that made room for others.
-	settled chan *grant
+	// settled gets the outcome of the wait, once.
+	settled chan settlement
+}
+
+// settlement ends a wait: a grant, or the reason why there is none.
+type settlement struct {
+	grant   *grant
+	refused *refusal
 }
 
 // callerQueue is one caller's part of a service's queue.
