scheduler: a repeated order does not read the state within a read

Cause: the leader's round holds the state for reading; repeating an order that got no answer, or ordering what a former leader recorded, read it again within the round. A command that came to be applied between the two reads waited for the round, and the second read for the command: the leader stood still for good. Found by random schedules of the run protocol, where 6 of about 1,200 never ended; the goroutines showed RLock and Lock waiting for each other. Ruled out: a loop in virtual time (the schedules that hung ended when played alone); the stand-ins' own lock. Change: the round hands its view to the order. Workers in the tests keep a ledger of all starts and ends, wake watches when runs change instead of asking every 5 ms, and end connections with a worker's life.

--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -63,8 +63,16 @@
 	// highest is the highest run of a task that was stopped or has ended.
 	highest map[workload.TaskID]int
 	ended   []execution.EndedRun
-	number  int64
-	looks   int
+	// listed holds the ledger's entry of each listed end; lapsed is the
+	// ledger's order when the lease was last found ended.
+	listed map[int64]*runEnd
+	lapsed int
+	number int64
+	looks  int
+	// rate is the speed of the worker's clock.
+	rate float64
+	// changed is closed when a run begins or is stopped.
+	changed chan struct{}
 
 	// dark workers answer nothing; loseStarts counts the starts that are
 	// carried out without an answer.
@@ -84,27 +92,33 @@
 	mu       sync.Mutex
 	workers  map[string]*fakeWorker
 	duration time.Duration
-	// done counts the successful ends of each task; starts all starts.
-	done   map[workload.TaskID]int
-	starts int
+	// durationOf and fails, if set, tell how long a run takes and whether
+	// it fails.
+	durationOf func(workload.TaskID, int) time.Duration
+	fails      func(workload.TaskID, int) bool
+	ledger     *ledger
+	starts     int
 	// ticket, if set, checks an order's ticket.
 	ticket func(*fakeWorker, execution.StartOrder) bool
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration) *fakeWorkers {
-	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, duration: duration, done: map[workload.TaskID]int{}}
+	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, duration: duration, ledger: newLedger(t)}
 }
 
 func (f *fakeWorkers) add(id string, milliCPU int64) *fakeWorker {
 	w := &fakeWorker{
 		id: id, born: time.Now().UnixMilli(), started: time.Now(), capacity: workload.Resources{MilliCPU: milliCPU, MemoryMB: 1 << 20},
 		running: map[workload.TaskID]*fakeRun{}, highest: map[workload.TaskID]int{}, paces: map[workload.TaskID]int{},
+		listed: map[int64]*runEnd{}, rate: 1, changed: make(chan struct{}),
 	}
 	f.workers[id] = w
 	return w
 }
 
-func (w *fakeWorker) clock() int64 { return time.Since(w.started).Milliseconds() }
+func (w *fakeWorker) clock() int64 {
+	return int64(float64(time.Since(w.started).Milliseconds()) * w.rate)
+}
 
 // end moves a run to the list of ends.
 func (f *fakeWorkers) end(w *fakeWorker, r *fakeRun, how execution.EndReason) {
@@ -112,18 +126,19 @@
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.number++
 	w.ended = append(w.ended, execution.EndedRun{Number: w.number, Task: r.task, Run: r.run, How: how})
-	if how == execution.ReasonDone {
-		f.done[r.task]++
-	}
+	w.listed[w.number] = f.ledger.ended(r.task, how)
 }
 
 // advance ends what is due.
 func (f *fakeWorkers) advance(w *fakeWorker) {
+	if w.clock() > w.leaseMS {
+		defer func() { w.lapsed = f.ledger.order }()
+	}
 	for _, r := range w.running {
 		switch {
 		case w.clock() > w.leaseMS:
 			f.end(w, r, execution.ReasonLapsed)
-		case w.failAll:
+		case w.failAll, f.fails != nil && !time.Now().Before(r.endsAt) && f.fails(r.task, r.run):
 			f.end(w, r, execution.ReasonFailed)
 		case !time.Now().Before(r.endsAt) && !w.hangAll:
 			f.end(w, r, execution.ReasonDone)
@@ -146,6 +161,11 @@
 }
 
 func (f *fakeWorkers) Start(_ context.Context, to execution.WorkerAddress, o execution.StartOrder) (execution.Answer, error) {
+	return f.start(to, o, false)
+}
+
+// start carries a start out, perhaps late.
+func (f *fakeWorkers) start(to execution.WorkerAddress, o execution.StartOrder, late bool) (execution.Answer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w, refusal, err := f.find(to, o.Fence)
@@ -164,10 +184,15 @@
 	if o.LeaseUntilMS < w.clock() {
 		return execution.Answer{Refusal: execution.RefusedLate, ClockMS: w.clock()}, nil
 	}
-	f.checkStart(w, o)
+	f.checkStart(w, o, late)
 	f.starts++
-	w.leaseMS = max(w.leaseMS, o.LeaseUntilMS)
-	w.running[o.Task] = &fakeRun{task: o.Task, run: o.Run, endsAt: time.Now().Add(f.duration), begunAt: time.Now()}
+	w.extend(o.LeaseUntilMS)
+	duration := f.duration
+	if f.durationOf != nil {
+		duration = f.durationOf(o.Task, o.Run)
+	}
+	w.running[o.Task] = &fakeRun{task: o.Task, run: o.Run, endsAt: time.Now().Add(duration), begunAt: time.Now()}
+	w.change()
 	if w.loseStarts > 0 {
 		w.loseStarts--
 		return execution.Answer{}, fmt.Errorf("lost: %w", execution.ErrNoAnswer)
@@ -175,8 +200,16 @@
 	return execution.Answer{ClockMS: w.clock()}, nil
 }
 
+// longestLease is what a worker grants at most, in ms.
+const longestLease = 10_000
+
+// extend takes a lease over, up to the longest.
+func (w *fakeWorker) extend(untilMS int64) {
+	w.leaseMS = max(w.leaseMS, min(untilMS, w.clock()+longestLease))
+}
+
 // checkStart fails the test if the task is executing elsewhere or done.
-func (f *fakeWorkers) checkStart(w *fakeWorker, o execution.StartOrder) {
+func (f *fakeWorkers) checkStart(w *fakeWorker, o execution.StartOrder, late bool) {
 	for _, other := range f.workers {
 		if other != w {
 			f.advance(other)
@@ -185,9 +218,7 @@
 			f.t.Errorf("%s run %d starts on %s while run %d executes on %s", o.Task, o.Run, w.id, r.run, other.id)
 		}
 	}
-	if f.done[o.Task] > 0 {
-		f.t.Errorf("%s run %d starts on %s though it is done", o.Task, o.Run, w.id)
-	}
+	f.ledger.started(o.Task, w.id, late)
 }
 
 func (f *fakeWorkers) Stop(_ context.Context, to execution.WorkerAddress, task workload.TaskID, run int, fence uint64) (execution.Answer, error) {
@@ -200,6 +231,7 @@
 	w.highest[task] = max(w.highest[task], run)
 	if r := w.running[task]; r != nil && r.run == run {
 		f.end(w, r, execution.ReasonStopped)
+		w.change()
 	}
 	return execution.Answer{ClockMS: w.clock()}, nil
 }
@@ -207,13 +239,20 @@
 func (f *fakeWorkers) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
 	deadline := time.Now().Add(time.Duration(q.WaitMS) * time.Millisecond)
 	f.mu.Lock()
-	if w := f.workers[to.ID]; w != nil {
-		w.looks++
+	life := f.workers[to.ID]
+	if life != nil {
+		life.looks++
 	}
 	f.mu.Unlock()
 	for {
 		f.mu.Lock()
+		if f.workers[to.ID] != life {
+			// The connection has ended with the life.
+			f.mu.Unlock()
+			return execution.Report{}, execution.ErrNoAnswer
+		}
 		report, err := f.look(to, q)
+		next, changed := f.nextEnd(to.ID, deadline)
 		f.mu.Unlock()
 		if err != nil {
 			<-ctx.Done()
@@ -224,23 +263,47 @@
 			return report, nil
 		}
 		select {
-		case <-time.After(5 * time.Millisecond):
+		case <-time.After(time.Until(next)):
+		case <-changed:
 		case <-ctx.Done():
 			return report, ctx.Err()
 		}
 	}
 }
 
+// nextEnd returns when the next run of a worker ends by itself, at most the
+// limit, and what is closed when that changes.
+func (f *fakeWorkers) nextEnd(id string, limit time.Time) (time.Time, chan struct{}) {
+	w := f.workers[id]
+	if w == nil {
+		return limit, nil
+	}
+	for _, r := range w.running {
+		if !w.hangAll && r.endsAt.Before(limit) {
+			limit = r.endsAt
+		}
+	}
+	return limit, w.changed
+}
+
+// change wakes the watches of a worker.
+func (w *fakeWorker) change() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
 func (f *fakeWorkers) look(to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
 	w, refusal, err := f.find(to, q.Fence)
 	if err != nil || refusal != execution.Accepted {
 		return execution.Report{Refusal: refusal}, err
 	}
-	w.leaseMS = max(w.leaseMS, q.LeaseUntilMS)
+	w.extend(q.LeaseUntilMS)
 	kept := w.ended[:0]
 	for _, e := range w.ended {
 		if e.Number > q.AckedEnd {
 			kept = append(kept, e)
+		} else if listed := w.listed[e.Number]; listed.order > w.lapsed {
+			f.ledger.note(e.Task, listed)
 		}
 	}
 	w.ended = kept
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -211,11 +211,13 @@
 	l.ackEnds()
 	endedRuns.Add(len(progress.Ends))
 	l.logProgress(progress, result.Started)
-	for i, ok := range result.Started {
-		if ok {
-			l.beginRun(&progress.Starts[i])
+	l.Machine.Read(func(v *workstate.View) {
+		for i, ok := range result.Started {
+			if ok {
+				l.beginRun(v, &progress.Starts[i])
+			}
 		}
-	}
+	})
 }
 
 // ackEnds lets workers forget the ends that are committed.
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -104,7 +104,7 @@
 			step := &job.Spec.Steps[id.Step]
 			key := runKey{id, task.Run}
 			if !l.ending(key) {
-				l.reconcileRun(job, id, task, now)
+				l.reconcileRun(v, job, id, task, now)
 			}
 			if l.ending(key) {
 				u.noteEnding(id, step)
@@ -166,7 +166,7 @@
 }
 
 // reconcileRun takes one recorded run a step further.
-func (l *loop) reconcileRun(job *workstate.Job, id workload.TaskID, task *workstate.Task, now time.Time) {
+func (l *loop) reconcileRun(v *workstate.View, job *workstate.Job, id workload.TaskID, task *workstate.Task, now time.Time) {
 	r := l.runs[id]
 	if r == nil || r.number != task.Run {
 		r = &run{number: task.Run, worker: task.Worker, doubt: true, since: now, pace: paceUnknown}
@@ -191,24 +191,24 @@
 	if !w.contact || r.calling {
 		return
 	}
-	l.stepRun(id, r, w, now)
+	l.stepRun(v, id, r, w, now)
 }
 
 // stepRun repeats what got no answer and draws from the newest report.
-func (l *loop) stepRun(id workload.TaskID, r *run, w *worker, now time.Time) {
+func (l *loop) stepRun(v *workstate.View, id workload.TaskID, r *run, w *worker, now time.Time) {
 	shown, fresh := w.shows(runKey{id, r.number}, r.since)
 	switch r.phase {
 	case runUnknown:
 		if shown {
 			r.enter(runOrdered, now)
 		} else if w.report != nil {
-			l.order(id, r, now)
+			l.order(v, id, r, now)
 		}
 	case runUnsure:
 		if shown && fresh {
 			r.enter(runOrdered, now)
 		} else if now.Sub(r.since) >= orderRetry && !w.silent {
-			l.order(id, r, now)
+			l.order(v, id, r, now)
 		}
 	case runOrdered:
 		if fresh && !shown {
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -66,20 +66,20 @@
 }
 
 // beginRun orders a run that was just recorded.
-func (l *loop) beginRun(s *workstate.Start) {
+func (l *loop) beginRun(v *workstate.View, s *workstate.Start) {
 	startedRuns.Inc()
 	r := &run{number: s.Run, worker: s.Worker, pace: pacing.Full}
 	l.runs[s.Task] = r
-	l.order(s.Task, r, time.Now())
+	l.order(v, s.Task, r, time.Now())
 }
 
 // order sends the start of a run.
-func (l *loop) order(id workload.TaskID, r *run, now time.Time) {
+func (l *loop) order(v *workstate.View, id workload.TaskID, r *run, now time.Time) {
 	w := l.workers[r.worker]
 	if w == nil {
 		return
 	}
-	order, ok := l.startOrder(id, r.number)
+	order, ok := l.startOrder(v, id, r.number)
 	if !ok {
 		return
 	}
@@ -97,19 +97,16 @@
 
 // startOrder builds the order from the state, if the run is still the
 // task's newest and its job open.
-func (l *loop) startOrder(id workload.TaskID, number int) (order execution.StartOrder, ok bool) {
-	l.Machine.Read(func(v *workstate.View) {
-		job := v.Job(id.Job)
-		if job == nil || job.Outcome != workstate.Open {
-			return
-		}
-		task := job.Task(id)
-		ok = task != nil && task.Phase == workstate.Running && task.Run == number
-		if ok {
-			order = execution.StartOrder{Task: id, Run: number, Payload: job.Spec.Payload, Fence: l.term, Checkpoint: checkpointOf(job, id)}
-		}
-	})
-	return order, ok
+func (l *loop) startOrder(v *workstate.View, id workload.TaskID, number int) (order execution.StartOrder, ok bool) {
+	job := v.Job(id.Job)
+	if job == nil || job.Outcome != workstate.Open {
+		return order, false
+	}
+	task := job.Task(id)
+	if task == nil || task.Phase != workstate.Running || task.Run != number {
+		return order, false
+	}
+	return execution.StartOrder{Task: id, Run: number, Payload: job.Spec.Payload, Fence: l.term, Checkpoint: checkpointOf(job, id)}, true
 }
 
 // checkpointOf returns what a task resumes from. That of any member is valid
--- a/internal/process/scheduler/runs_test.go
+++ b/internal/process/scheduler/runs_test.go
@@ -125,7 +125,9 @@
 		time.Sleep(time.Second)
 		f.submit(jobA, step(4))
 		time.Sleep(500 * time.Millisecond)
-		*w = fakeWorker{id: "w1", born: time.Now().UnixMilli(), started: time.Now(), capacity: w.capacity, running: map[workload.TaskID]*fakeRun{}, highest: map[workload.TaskID]int{}}
+		f.workers.mu.Lock()
+		f.workers.add("w1", w.capacity.MilliCPU)
+		f.workers.mu.Unlock()
 		f.await(jobA, workstate.Succeeded, 4*time.Second)
 		if f.workers.starts != 8 {
 			t.Errorf("%d starts, expected 4 in each life", f.workers.starts)
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -11,7 +11,8 @@
 )
 
 // Machine is the replicated state machine. Apply, Snapshot and Restore are
-// called by one goroutine; Read is safe for concurrent use.
+// called by one goroutine; Read is safe for concurrent use, but not within
+// another Read, which a waiting Apply would block for good.
 type Machine struct {
 	mu   sync.RWMutex
 	data data
