scheduler: random schedules of runs; leases of a worker that was reborn

Cause of the finds: an order or a grant to a worker's former life tells a time on that life's clock. Where the worker begins a new life under its id (its clock starts anew) such a call gave the new life a lease of up to 10 s, while the leader counted on 4 s; a worker whose new life was known but had not answered counted as lapsed at once, although an order to the former life could arrive there. Ruled out: slow clocks (2 % is allowed for); orders that outlive their connection (a connection ends with the life, the stand-ins now do the same). Change: the state notes that an id was reborn; for such a worker the leader counts with the longest lease that a worker grants (hold_max_ms), and before the first answer waits from when it learned of the life. The schedules play lost, delayed and late calls, lost answers, dark, crashed, reborn and leaving workers, cancels, leaders that follow each other with an overlap, and commits with an unknown result, in virtual time; a ledger at the workers checks.

--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -252,6 +252,9 @@
 			return execution.Report{}, execution.ErrNoAnswer
 		}
 		report, err := f.look(to, q)
+		// What a call says is carried out when it arrives, not again while
+		// it waits.
+		q.AckedEnd, q.LeaseUntilMS = 0, 0
 		next, changed := f.nextEnd(to.ID, deadline)
 		f.mu.Unlock()
 		if err != nil {
@@ -384,7 +387,7 @@
 func newFixture(t *testing.T, duration time.Duration) *fixture {
 	machine := workstate.NewMachine()
 	f := &fixture{t: t, machine: machine, workers: newFakeWorkers(t, duration), vms: newFakePlatform()}
-	f.limits = Limits{StopTimeout: 200 * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, ActionRate: 64}
+	f.limits = Limits{StopTimeout: 200 * time.Millisecond, LongestLease: longestLease * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, ActionRate: 64}
 	f.replica = &fakeReplica{machine: machine, delay: 10 * time.Millisecond, term: 1}
 	f.commit(&workstate.Command{Catalog: testCatalog()})
 	return f
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -49,6 +49,8 @@
 type Limits struct {
 	// StopTimeout bounds the end of a run that is stopped.
 	StopTimeout time.Duration
+	// LongestLease is what a worker grants at most, whatever it is told.
+	LongestLease time.Duration
 	// Fenced says that the platform refuses orders of former leaders.
 	Fenced bool
 	// HolderLease is the time after the last order of another holder
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -178,7 +178,7 @@
 		l.end(id, task.Run, workstate.EndInterrupted, "")
 		return
 	}
-	if w.silent && w.lapsed(now, l.since) {
+	if w.silent && w.lapsed(now, l.Limits.LongestLease) {
 		l.Log.Info("run lapsed with its worker's lease", "task", id.String(), "run", task.Run, "worker", task.Worker)
 		l.end(id, task.Run, workstate.EndInterrupted, w.lastCheckpoint(runKey{id, task.Run}))
 		return
--- /dev/null
+++ b/internal/process/scheduler/schedules_test.go
@@ -0,0 +1,382 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+var (
+	scheduleSeeds = flag.Int("schedules", 2000, "random schedules to play")
+	scheduleFirst = flag.Uint64("schedule.first", 1, "first seed of the random schedules")
+)
+
+// Shape of a random schedule.
+const (
+	faultyTime   = 12 * time.Second
+	calmTime     = 20 * time.Second
+	scheduleVMs  = 4
+	slowestOrder = 4 * time.Second
+)
+
+// TestRandomSchedulesOfRuns plays random faults of calls, workers and leaders
+// against the scheduler: no task may run twice, after its end, out of order
+// or too often, and every job must end once the faults are over.
+func TestRandomSchedulesOfRuns(t *testing.T) {
+	for i := range uint64(*scheduleSeeds) {
+		seed := *scheduleFirst + i
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { newSchedule(t, seed).play() })
+		})
+	}
+}
+
+// schedule is one random course of events.
+type schedule struct {
+	*fixture
+	seed   uint64
+	random *rand.Rand
+	calls  *faultyCalls
+	jobs   []string
+	// retire ends the present leader.
+	retire context.CancelFunc
+	group  sync.WaitGroup
+	// lives counts the workers that were born.
+	lives int
+	// alive holds the present worker of each VM.
+	alive [scheduleVMs]*fakeWorker
+}
+
+func newSchedule(t *testing.T, seed uint64) *schedule {
+	s := &schedule{fixture: newFixture(t, 0), seed: seed, random: rand.New(rand.NewPCG(seed, 11))}
+	s.calls = &faultyCalls{fakeWorkers: s.workers, dice: newDice(seed)}
+	s.workers.durationOf = func(task workload.TaskID, run int) time.Duration {
+		return 50*time.Millisecond + time.Duration(s.calls.roll("duration", task, run)%1200)*time.Millisecond
+	}
+	s.workers.fails = func(task workload.TaskID, run int) bool { return s.calls.roll("fails", task, run)%16 == 0 }
+	for vm := range s.alive {
+		s.bear(vm, "")
+	}
+	return s
+}
+
+// bear gives a VM a new worker, under the given id or a new one.
+func (s *schedule) bear(vm int, id string) {
+	s.lives++
+	if id == "" {
+		id = fmt.Sprintf("w%d", s.lives)
+	}
+	s.workers.mu.Lock()
+	w := s.workers.add(id, 3000)
+	w.rate = 1 - 0.02*s.random.Float64()
+	s.workers.mu.Unlock()
+	s.alive[vm] = w
+}
+
+// crash ends a VM's worker; what ran there is gone.
+func (s *schedule) crash(vm int) {
+	s.workers.mu.Lock()
+	defer s.workers.mu.Unlock()
+	w := s.alive[vm]
+	w.running = map[workload.TaskID]*fakeRun{}
+	w.change()
+	delete(s.workers.workers, w.id)
+}
+
+// announce sends the heartbeats of all workers that are reached.
+func (s *schedule) announce() {
+	for vm, w := range s.alive {
+		s.workers.mu.Lock()
+		dark := w.dark
+		s.workers.mu.Unlock()
+		if dark {
+			continue
+		}
+		known := false
+		s.machine.Read(func(v *workstate.View) {
+			reg := v.Workers()[w.id]
+			known = reg != nil && reg.Born == w.born
+		})
+		if !known {
+			s.register(w, fmt.Sprintf("vm-%d", vm), "svc")
+		}
+		s.loop.post(func(l *loop) { l.heartbeat(w.id, time.Now()) })
+	}
+}
+
+// play goes through the faulty time and the calm one.
+func (s *schedule) play() {
+	s.succeed(0)
+	for end := time.Now().Add(faultyTime); time.Now().Before(end); {
+		s.calls.faulty.Store(s.random.IntN(3) > 0)
+		s.happen()
+		s.announce()
+		time.Sleep(time.Duration(20+s.random.IntN(500)) * time.Millisecond)
+	}
+	s.calls.faulty.Store(false)
+	s.lightAll()
+	for end := time.Now().Add(calmTime); time.Now().Before(end) && !s.ended(); {
+		s.announce()
+		time.Sleep(time.Second)
+	}
+	s.checkJobs()
+	time.Sleep(slowestOrder)
+	s.checkCancelled()
+	s.retire()
+	s.group.Wait()
+	// Calls that the last leader has given up come to their end.
+	time.Sleep(time.Second)
+}
+
+// happen lets one thing happen.
+func (s *schedule) happen() {
+	vm := s.random.IntN(scheduleVMs)
+	switch s.random.IntN(14) {
+	case 0, 1, 2, 3:
+		s.submitRandom()
+	case 4:
+		s.cancelRandom()
+	case 5, 6, 7:
+		s.darken(vm, time.Duration(s.random.IntN(8000))*time.Millisecond)
+	case 8:
+		s.crash(vm)
+		s.bear(vm, "")
+	case 9:
+		id := s.alive[vm].id
+		s.crash(vm)
+		s.bear(vm, id)
+	case 10:
+		s.drain(vm)
+	case 11, 12:
+		s.succeed(time.Duration(s.random.IntN(1200)) * time.Millisecond)
+	}
+}
+
+func (s *schedule) submitRandom() {
+	id := fmt.Sprintf("%016x", len(s.jobs)+1)
+	spec := workload.Spec{Payload: "p"}
+	for i := range 1 + s.random.IntN(3) {
+		st := step(1 + s.random.IntN(4))
+		st.Estimate = 600 * time.Millisecond
+		st.Checkpointing = s.random.IntN(2) == 0
+		if i > 0 {
+			st.DependsOn = []int{s.random.IntN(i)}
+		}
+		spec.Steps = append(spec.Steps, st)
+	}
+	s.jobs = append(s.jobs, id)
+	s.workers.mu.Lock()
+	s.workers.ledger.specs[id] = spec
+	s.workers.mu.Unlock()
+	s.submit(id, spec.Steps...)
+}
+
+func (s *schedule) cancelRandom() {
+	if len(s.jobs) == 0 {
+		return
+	}
+	id := s.jobs[s.random.IntN(len(s.jobs))]
+	if s.outcome(id) != workstate.Open {
+		return
+	}
+	s.commit(&workstate.Command{Cancel: &workstate.Cancel{ID: id}})
+	s.workers.mu.Lock()
+	defer s.workers.mu.Unlock()
+	if s.outcome(id) == workstate.Cancelled {
+		s.workers.ledger.cancelled[id] = time.Now()
+	}
+}
+
+// darken cuts a worker off for a while; it runs on.
+func (s *schedule) darken(vm int, span time.Duration) {
+	w := s.alive[vm]
+	s.workers.mu.Lock()
+	w.dark = true
+	s.workers.mu.Unlock()
+	s.group.Go(func() {
+		time.Sleep(span)
+		s.workers.mu.Lock()
+		w.dark = false
+		s.workers.mu.Unlock()
+	})
+}
+
+func (s *schedule) lightAll() {
+	s.workers.mu.Lock()
+	defer s.workers.mu.Unlock()
+	for _, w := range s.alive {
+		w.dark = false
+	}
+}
+
+// drain lets a worker say that it leaves, and a new one take its place.
+func (s *schedule) drain(vm int) {
+	w := s.alive[vm]
+	name := fmt.Sprintf("vm-%d", vm)
+	s.commit(&workstate.Command{Register: &workstate.Worker{ID: w.id, Address: w.id, Service: "svc", VM: name, Born: w.born, Capacity: w.capacity, Draining: true}})
+	s.workers.mu.Lock()
+	s.workers.ledger.draining[w.id] = time.Now()
+	s.workers.mu.Unlock()
+	time.Sleep(time.Duration(s.random.IntN(3000)) * time.Millisecond)
+	s.crash(vm)
+	s.bear(vm, "")
+}
+
+// succeed starts a new leader; the present one goes on for a while, as one
+// that is cut off.
+func (s *schedule) succeed(overlap time.Duration) {
+	if retire := s.retire; retire != nil {
+		s.group.Go(func() {
+			time.Sleep(overlap)
+			retire()
+		})
+	}
+	s.replica.mu.Lock()
+	s.replica.term++
+	term := s.replica.term
+	s.replica.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	s.retire = cancel
+	log := slog.New(slog.NewTextHandler(testLog{s.t}, nil)).With("leader", term)
+	l := newLoop(ctx, Options{
+		Replica: &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice}, Machine: s.machine, Workers: s.calls, Platform: s.vms,
+		Holder: fmt.Sprint("c", term), Limits: s.limits, Log: log, Now: time.Now,
+	}, term)
+	s.loop = l
+	s.group.Go(l.run)
+}
+
+func (s *schedule) ended() bool {
+	for _, id := range s.jobs {
+		if s.outcome(id) == workstate.Open {
+			return false
+		}
+	}
+	return true
+}
+
+// checkJobs finds jobs that have not ended, or that failed without cause.
+func (s *schedule) checkJobs() {
+	for _, id := range s.jobs {
+		switch outcome := s.outcome(id); {
+		case outcome == workstate.Open:
+			s.t.Errorf("seed %d: job %s has not ended", s.seed, id)
+		case outcome == workstate.Failed && !s.exhausted(id):
+			s.t.Errorf("seed %d: job %s failed with attempts left", s.seed, id)
+		case outcome == workstate.Succeeded:
+			s.checkSucceeded(id)
+		}
+	}
+}
+
+func (s *schedule) exhausted(job string) bool {
+	for task := range s.workers.ledger.tasks {
+		if task.Job == job && s.workers.ledger.count(task, execution.ReasonFailed) >= testAttempts {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *schedule) checkSucceeded(job string) {
+	for i, st := range s.workers.ledger.specs[job].Steps {
+		for k := range st.Count {
+			task := workload.TaskID{Job: job, Step: i, Index: k}
+			if s.workers.ledger.count(task, execution.ReasonDone) == 0 {
+				s.t.Errorf("seed %d: job %s succeeded without %s", s.seed, job, task)
+			}
+		}
+	}
+}
+
+// checkCancelled finds what runs of cancelled jobs in the calm.
+func (s *schedule) checkCancelled() {
+	s.workers.mu.Lock()
+	defer s.workers.mu.Unlock()
+	for _, w := range s.workers.workers {
+		s.workers.advance(w)
+		for task := range w.running {
+			if _, cancelled := s.workers.ledger.cancelled[task.Job]; cancelled {
+				s.t.Errorf("seed %d: %s of a cancelled job runs on %s", s.seed, task, w.id)
+			}
+		}
+	}
+}
+
+// dice draws numbers that depend on the seed and on what they are for, not
+// on the order in which goroutines ask.
+type dice struct {
+	seed   uint64
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func newDice(seed uint64) *dice { return &dice{seed: seed, counts: map[string]int{}} }
+
+// roll draws a number for a purpose.
+func (d *dice) roll(purpose ...any) uint64 {
+	hash := fnv.New64a()
+	_, _ = fmt.Fprint(hash, d.seed, purpose)
+	return rand.NewPCG(hash.Sum64(), 7).Uint64()
+}
+
+// next draws the next number of a purpose.
+func (d *dice) next(purpose ...any) uint64 {
+	key := fmt.Sprint(purpose...)
+	d.mu.Lock()
+	d.counts[key]++
+	count := d.counts[key]
+	d.mu.Unlock()
+	return d.roll(key, count)
+}
+
+// termReplica is the replica as the leader of one term sees it.
+type termReplica struct {
+	*fakeReplica
+	term uint64
+	dice *dice
+}
+
+var errDeposed = errors.New("another term leads")
+
+// Propose implements replica.Replica. Some commands are applied and their
+// result is lost.
+func (r *termReplica) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	draw := r.dice.next("propose", r.term)
+	time.Sleep(time.Duration(5+draw%40) * time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fakeReplica.term != r.term {
+		return nil, errDeposed
+	}
+	r.index++
+	answer := r.machine.Apply(r.index, command)
+	if draw>>32%24 == 0 {
+		return nil, replica.ErrUnknownResult
+	}
+	return answer, nil
+}
+
+// ReadBarrier implements replica.Replica.
+func (r *termReplica) ReadBarrier(context.Context) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fakeReplica.term != r.term {
+		return errDeposed
+	}
+	return nil
+}
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -16,7 +16,7 @@
 		w := l.workers[id]
 		if w == nil || w.reg.Born != reg.Born || w.reg.Address != reg.Address {
 			// A new life knows nothing of the former one.
-			l.workers[id] = &worker{reg: *reg, speed: pacing.Full}
+			l.workers[id] = &worker{reg: *reg, speed: pacing.Full, knownSince: time.Now()}
 			continue
 		}
 		w.reg = *reg
@@ -33,7 +33,7 @@
 // worker that has listed ends is asked again once these are committed.
 func (l *loop) watchWorkers(now time.Time) {
 	for id, w := range l.workers {
-		if !w.forgotten && w.gone(now, l.since) {
+		if !w.forgotten && w.gone(now, l.Limits.LongestLease) {
 			w.forgotten = true
 			l.Log.Warn("worker is gone", "worker", id, "born", w.reg.Born, "answered_ms_ago", now.Sub(w.answeredAt).Milliseconds())
 			l.deregister(id, w.reg.Born)
@@ -87,9 +87,8 @@
 	}
 	w.noteClock(report.ClockMS, now)
 	if !w.contact {
-		// A former leader's lease may last; no later one can be granted.
 		w.contact = true
-		w.leaseMS = max(w.leaseMS, w.clockMS+leaseTime.Milliseconds())
+		w.leaseMS = max(w.leaseMS, w.firstLease(l.Limits.LongestLease))
 	}
 	w.report = newReportView(sentAt, &report)
 	w.listed = max(w.listed, newestEnd(&report))
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -17,9 +17,13 @@
 	// clockDrift is the share by which a worker's clock may be slow.
 	clockDrift = 0.02
 	// inheritedLease bounds the leases that former leaders may have
-	// granted, from the begin of a leadership: their own leaseTime, the
-	// 1.2 s until a leader without a majority notices, and slack.
+	// granted, from when a leader learns of a worker: their own leaseTime,
+	// the 1.2 s until a leader without a majority notices, and slack.
 	inheritedLease = leaseTime + 2*time.Second
+	// formerCalls is how long after a worker's rebirth calls that were made
+	// to its former life have arrived or failed: the longest of them waits
+	// for watchWait and callTimeout, and twice that is slack.
+	formerCalls = 2 * (watchWait + callTimeout)
 	// watchWait is how long a worker holds an answer without news.
 	watchWait = 500 * time.Millisecond
 	// callTimeout bounds an order, and a watch beyond its wait.
@@ -46,6 +50,8 @@
 // worker is what the leader knows of one life of a worker.
 type worker struct {
 	reg workstate.Worker
+	// knownSince is when this leader learned of the life.
+	knownSince time.Time
 	// contact says that the worker has answered this leader, so that it
 	// takes no orders of former ones.
 	contact bool
@@ -134,21 +140,39 @@
 }
 
 // gone says whether nothing has been heard of the worker for long.
-func (w *worker) gone(now, leadingSince time.Time) bool {
-	last := leadingSince
+func (w *worker) gone(now time.Time, longestLease time.Duration) bool {
+	last := w.knownSince
 	for _, at := range []time.Time{w.answeredAt, w.heardAt} {
 		if at.After(last) {
 			last = at
 		}
 	}
-	return w.silent && now.Sub(last) > goneAfter && w.lapsed(now, leadingSince)
+	return w.silent && now.Sub(last) > goneAfter && w.lapsed(now, longestLease)
+}
+
+// firstLease bounds the lease that a worker may hold on its own clock when it
+// first answers this leader. A former leader's lease may last; no later one
+// can be granted. An order to a former life tells a time on that life's
+// clock, which may be far ahead: the worker's own limit bounds it.
+func (w *worker) firstLease(longest time.Duration) int64 {
+	until := w.clockMS + leaseTime.Milliseconds()
+	if w.reg.Reborn {
+		until = max(until, (formerCalls + longest).Milliseconds())
+	}
+	return until
 }
 
 // lapsed says whether every lease that may have been granted has ended for
-// sure, though the worker is not heard: its clock may be slow.
-func (w *worker) lapsed(now, leadingSince time.Time) bool {
+// sure, though the worker is not heard: its clock may be slow. Before the
+// first contact, leases may be those of a former leader, or of an order to
+// the worker's former life that arrived at this one.
+func (w *worker) lapsed(now time.Time, longest time.Duration) bool {
 	if !w.contact || w.clockMS == 0 {
-		return now.Sub(leadingSince) > time.Duration(float64(inheritedLease)*(1+clockDrift))
+		bound := inheritedLease
+		if w.reg.Reborn {
+			bound = max(bound, formerCalls+longest)
+		}
+		return now.Sub(w.knownSince) > time.Duration(float64(bound)*(1+clockDrift))
 	}
 	passed := time.Duration(float64(now.Sub(w.clockAt)) * (1 - clockDrift))
 	return w.clockMS+passed.Milliseconds() > w.leaseMS
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -96,6 +96,9 @@
 	Labels   []string           `cbor:"8,keyasint,omitempty"`
 	// Draining workers take no new tasks.
 	Draining bool `cbor:"9,keyasint,omitempty"`
+	// Reborn says that the id was that of an earlier life, so that calls to
+	// that life may still arrive at this one.
+	Reborn bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Wave is a request for upkeep of some VMs.
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -15,10 +15,12 @@
 		}
 		m.dropWorker(other)
 	}
-	if known := m.data.Workers[w.ID]; known != nil && known.Born > w.Born {
+	known := m.data.Workers[w.ID]
+	if known != nil && known.Born > w.Born {
 		return Result{Code: OK, Repeated: true}
 	}
 	registered := *w
+	registered.Reborn = known != nil && (known.Reborn || known.Born < w.Born)
 	m.data.Workers[w.ID] = &registered
 	return Result{Code: OK}
 }
