scheduler: rounds are spaced out by what they cost

Ruled out: memory (113 MB), the entries (0.003 of a core). Change: after a round the next one waits three times what it took, at most 50 ms, and serves all events that came meanwhile; maps are made in their size.

--- /dev/null
+++ b/internal/process/scheduler/bench_test.go
@@ -0,0 +1,88 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// BenchmarkRound measures one round of a leader whose workers are all in use,
+// as one report brings it about: two runs of each worker, and one job that
+// waits for each ten workers.
+func BenchmarkRound(b *testing.B) {
+	for _, workers := range []int{48, 350, 1000, 2000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			l := busyLeader(b, workers)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.committing = false
+				l.round(time.Now())
+			}
+		})
+	}
+}
+
+// busyLeader returns a leader of some workers. Its commits go nowhere.
+func busyLeader(b *testing.B, workers int) *loop {
+	machine := workstate.NewMachine()
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	l := newLoop(ctx, Options{
+		Replica: &endlessReplica{}, Machine: machine, Workers: newFakeWorkers(nil, time.Second), Log: slog.New(slog.DiscardHandler), Now: time.Now,
+		Limits: Limits{Retention: time.Hour},
+	}, 1)
+	commit := func(c *workstate.Command) {
+		if _, err := propose(ctx, &fakeReplica{machine: machine}, c, time.Now()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	commit(&workstate.Command{Catalog: testCatalog()})
+	reports := map[string]*execution.Report{}
+	for i := range workers {
+		id := fmt.Sprint("w", i)
+		commit(&workstate.Command{Register: &workstate.Worker{ID: id, Address: id, Service: "svc", VM: "vm-" + id, Born: 1, Capacity: workload.Resources{MilliCPU: 8000, MemoryMB: 1 << 16}, Labels: []string{"a", fmt.Sprint("r1-", i/4)}}})
+		reports[id] = &execution.Report{ClockMS: 1000}
+	}
+	for i := range workers / 3 {
+		id := fmt.Sprintf("%016x", i)
+		st := step(6)
+		st.Need, st.Estimate = workload.Resources{MilliCPU: 3500}, time.Second
+		after := st
+		after.DependsOn = []int{0}
+		commit(&workstate.Command{Submit: &workstate.Submit{ID: id, Host: "host", Path: "/q/" + id, Spec: workload.Spec{Payload: "p", Steps: []workload.Step{st, after}}}})
+		var progress workstate.Progress
+		for k := range 6 {
+			w := fmt.Sprint("w", (i*6+k)/2%workers)
+			task := workload.TaskID{Job: id, Index: k}
+			progress.Starts = append(progress.Starts, workstate.Start{Task: task, Run: 1, Worker: w, Born: 1})
+			reports[w].Running = append(reports[w].Running, execution.RunningTask{Task: task, Run: 1, Percent: 40})
+		}
+		commit(&workstate.Command{Progress: &progress})
+	}
+	for i := range workers / 10 {
+		id := fmt.Sprintf("%016x", workers+i)
+		st := step(6)
+		st.Need, st.Estimate = workload.Resources{MilliCPU: 3500}, time.Second
+		commit(&workstate.Command{Submit: &workstate.Submit{ID: id, Host: "host", Path: "/q/" + id, Spec: workload.Spec{Payload: "p", Steps: []workload.Step{st}}}})
+	}
+	machine.Read(func(v *workstate.View) { l.syncWorkers(v) })
+	for id, w := range l.workers {
+		w.contact, w.answeredAt, w.reg.Born = true, time.Now().Add(time.Hour), 1
+		w.report = newReportView(time.Now(), reports[id])
+	}
+	return l
+}
+
+// endlessReplica never commits.
+type endlessReplica struct{ fakeReplica }
+
+func (*endlessReplica) Propose(ctx context.Context, _ []byte) ([]byte, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -82,6 +82,7 @@
 	// committing says that a progress is on its way; dirty that something
 	// has changed since the last plan.
 	committing, dirty bool
+	rounds            roundPace
 	// orphans holds when runs that are not recorded were last told to stop.
 	orphans map[runKey]time.Time
 	fleet   fleet
@@ -121,6 +122,8 @@
 	l.Log.Info("leading", "term", l.term)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	next := time.NewTimer(0)
+	defer next.Stop()
 	for {
 		select {
 		case <-l.ctx.Done():
@@ -131,8 +134,11 @@
 			l.drainEvents()
 		case <-ticker.C:
 			l.dirty = true
+		case <-next.C:
+		}
+		if wait := l.advance(time.Now()); wait > 0 {
+			next.Reset(wait)
 		}
-		l.advance(time.Now())
 	}
 }
 
@@ -148,14 +154,21 @@
 	}
 }
 
-// advance plans and sends what is due.
-func (l *loop) advance(now time.Time) {
+// advance plans and sends what is due, and returns in how long a round that
+// waits for its time is due.
+func (l *loop) advance(now time.Time) (wait time.Duration) {
 	if l.dirty && !l.committing {
-		l.dirty = false
-		l.round(now)
+		due, until := l.rounds.due(now)
+		if due {
+			l.dirty = false
+			l.round(now)
+			l.rounds.ended(now, time.Now())
+		}
+		wait = until
 	}
 	l.watchWorkers(now)
 	l.listVMs(now)
+	return wait
 }
 
 // round reconciles the state with what workers report, plans, and commits
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -34,11 +34,12 @@
 	stepOnWorker map[stepOnWorker]int
 }
 
-func newUsage() *usage {
+// newUsage returns an empty one for about so many workers and runs.
+func newUsage(workers, runs int) *usage {
 	return &usage{
-		taken: map[string]workload.Resources{},
-		runs:  map[string]int{}, lastingRuns: map[string]int{},
-		recorded: map[runKey]bool{}, unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{}, sharing: map[string]*sharing{},
+		taken: make(map[string]workload.Resources, workers),
+		runs:  make(map[string]int, workers), lastingRuns: map[string]int{},
+		recorded: make(map[runKey]bool, runs), unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{}, sharing: map[string]*sharing{},
 	}
 }
 
@@ -96,7 +97,7 @@
 // reconcile compares each recorded run with what its worker reports, and
 // repeats, stops or ends what does not agree.
 func (l *loop) reconcile(v *workstate.View, now time.Time) *usage {
-	u := newUsage()
+	u := newUsage(len(l.workers), len(l.runs))
 	for _, job := range v.Active() {
 		u.noteWaiting(job)
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
