--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -17,6 +17,10 @@
 // tickInterval is the time between looks at what depends on time alone.
 const tickInterval = 50 * time.Millisecond
 
+// lookInterval is the time between looks for workers to be asked again: some
+// hundred are passed over in each, and events come by the millisecond.
+const lookInterval = 5 * time.Millisecond
+
 // eventQueue bounds the events that wait for the loop.
 const eventQueue = 4096
 
@@ -83,6 +87,8 @@
 	// has changed since the last plan.
 	committing, dirty bool
 	rounds            roundPace
+	// nextLook is when workers are next looked through.
+	nextLook time.Time
 	// orphans holds when runs that are not recorded were last told to stop.
 	orphans map[runKey]time.Time
 	fleet   fleet
@@ -154,8 +160,7 @@
 	}
 }
 
-// advance plans and sends what is due, and returns in how long a round that
-// waits for its time is due.
+// advance plans and sends what is due, and returns in how long more is.
 func (l *loop) advance(now time.Time) (wait time.Duration) {
 	if l.dirty && !l.committing {
 		due, until := l.rounds.due(now)
@@ -166,11 +171,23 @@
 		}
 		wait = until
 	}
+	if until := l.nextLook.Sub(now); until > 0 {
+		return earlier(wait, until)
+	}
+	l.nextLook = now.Add(lookInterval)
 	l.watchWorkers(now)
 	l.listVMs(now)
 	return wait
 }
 
+// earlier returns the shorter of two waits, of which 0 is none.
+func earlier(a, b time.Duration) time.Duration {
+	if a <= 0 {
+		return b
+	}
+	return min(a, b)
+}
+
 // round reconciles the state with what workers report, plans, and commits
 // the outcome. At most one commit is on its way, so that each round sees
 // the state that the one before has left.
