scheduler: a repeated order for a VM ends the worker it was given for

Cause: the platform says yes again to an upkeep or a move that is done. The leader then forgot whatever worker lived on the VM, also one that had come after the upkeep: its runs counted as interrupted while they went on, and started again elsewhere. Ruled out by the schedules: leases, acknowledged ends, leaders that overlap. Change: an order remembers the worker's life that it ends. Before: TestRepeatedUpkeepLeavesTheNextWorkerAlone fails. After: it passes.

--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -487,11 +487,16 @@
 	// refusal answers all orders if it is not "".
 	refusal execution.VMRefusal
 	orders  []string
+	done    map[upkeepOf]bool
+	// answersLost is how many orders are carried out without an answer.
+	answersLost int
 	// downNow and mostDown count VMs that are down for upkeep.
 	downNow, mostDown int
 }
 
-func newFakePlatform() *fakePlatform { return &fakePlatform{vms: map[string]*execution.VM{}} }
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{vms: map[string]*execution.VM{}, done: map[upkeepOf]bool{}}
+}
 
 func (p *fakePlatform) VMs(context.Context) ([]execution.VM, error) {
 	p.mu.Lock()
@@ -527,17 +532,52 @@
 	return execution.VMAccepted
 }
 
+// loseAnswers lets some orders be carried out without an answer.
+func (p *fakePlatform) loseAnswers(orders int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answersLost = orders
+}
+
+// upkeepOf names the upkeep of a VM for a wave.
+type upkeepOf struct {
+	vm   string
+	wave int64
+}
+
+// isDone says whether an upkeep was carried out before.
+func (p *fakePlatform) isDone(vm string, wave int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done[upkeepOf{vm, wave}]
+}
+
+// answered says whether the answer to an order arrives.
+func (p *fakePlatform) answered() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.answersLost > 0 {
+		p.answersLost--
+		return execution.ErrNoAnswer
+	}
+	return nil
+}
+
 func (p *fakePlatform) Move(_ context.Context, vm, pool, _ string, _ uint64) (execution.VMRefusal, error) {
-	return p.order(vm, "move", pool, execution.VMMoving), nil
+	return p.order(vm, "move", pool, execution.VMMoving), p.answered()
 }
 
-func (p *fakePlatform) Upkeep(_ context.Context, vm string, _ int64, _ string, _ uint64) (execution.VMRefusal, error) {
+func (p *fakePlatform) Upkeep(_ context.Context, vm string, wave int64, _ string, _ uint64) (execution.VMRefusal, error) {
+	if p.isDone(vm, wave) {
+		return execution.VMAccepted, p.answered()
+	}
 	refusal := p.order(vm, "upkeep", "", execution.VMUpkeep)
 	if refusal == execution.VMAccepted {
 		p.mu.Lock()
+		p.done[upkeepOf{vm, wave}] = true
 		p.downNow++
 		p.mostDown = max(p.mostDown, p.downNow)
 		p.mu.Unlock()
 	}
-	return refusal, nil
+	return refusal, p.answered()
 }
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -24,6 +24,16 @@
 	// pool is where the VM moves; "" is an upkeep of the wave.
 	pool string
 	wave int64
+	// lives are the workers that end with the order: those that lived on the
+	// VM when it was first given. A repeated order may be answered when the
+	// next worker lives there.
+	lives []workerLife
+}
+
+// workerLife names one life of a worker.
+type workerLife struct {
+	id   string
+	born int64
 }
 
 // vmEntry is what the leader knows of a VM.
@@ -152,6 +162,9 @@
 // orderVM tells the platform to move a VM or to begin its upkeep. The
 // leadership is confirmed first, and the fence of the term goes along.
 func (l *loop) orderVM(e *vmEntry, order vmOrder, now time.Time) {
+	if e.order == nil {
+		order.lives = l.livesOn(e.vm.ID)
+	}
 	e.order = &order
 	e.calling = true
 	l.fleet.orders.tokens--
@@ -215,11 +228,20 @@
 		e.vm.State = execution.VMMoving
 		e.vm.Pool = order.pool
 	}
+	for _, life := range order.lives {
+		l.deregister(life)
+	}
+}
+
+// livesOn returns the workers on a VM: one, or none while it is away.
+func (l *loop) livesOn(vm string) []workerLife {
+	var lives []workerLife
 	for id, w := range l.workers {
-		if w.reg.VM == e.vm.ID {
-			l.deregister(id, w.reg.Born)
+		if w.reg.VM == vm {
+			lives = append(lives, workerLife{id, w.reg.Born})
 		}
 	}
+	return lives
 }
 
 // noteUpkeep records that the upkeep of a VM has begun, or never will.
@@ -228,8 +250,8 @@
 }
 
 // deregister records that a worker has ended with its VM.
-func (l *loop) deregister(id string, born int64) {
-	l.record(&workstate.Command{Deregister: &workstate.Deregister{ID: id, Born: born}}, "end of a worker not recorded")
+func (l *loop) deregister(life workerLife) {
+	l.record(&workstate.Command{Deregister: &workstate.Deregister{ID: life.id, Born: life.born}}, "end of a worker not recorded")
 }
 
 // record proposes a command whose loss is made good later.
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -327,3 +327,44 @@
 		}
 	})
 }
+
+func TestRepeatedUpkeepLeavesTheNextWorkerAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.lives(2 * time.Second)
+		f.addVM("w1", "svc")
+		f.lead()
+		defer f.depose()
+		time.Sleep(6 * time.Second)
+		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w1"}, Cap: 1, DeadlineMS: time.Now().Add(20 * time.Second).UnixMilli()}})
+		f.vms.loseAnswers(1)
+		time.Sleep(200 * time.Millisecond)
+		order := f.orderOf("vm-w1")
+		if order == nil || order.wave != 1 {
+			t.Fatalf("order %+v, expected the upkeep without an answer", order)
+		}
+		// The answer to a repeated order comes once the next worker lives.
+		time.Sleep(3 * time.Second)
+		f.loop.post(func(l *loop) { l.vmAnswered(l.fleet.entries["vm-w1"], *order, execution.VMAccepted, nil) })
+		time.Sleep(100 * time.Millisecond)
+		f.machine.Read(func(v *workstate.View) {
+			if v.Workers()["n1"] == nil {
+				t.Error("the worker that came after the upkeep was taken for the one before")
+			}
+		})
+	})
+}
+
+// orderOf returns the open order of a VM.
+func (f *fixture) orderOf(vm string) *vmOrder {
+	result := make(chan *vmOrder, 1)
+	f.loop.post(func(l *loop) {
+		if order := l.fleet.entries[vm].order; order != nil {
+			open := *order
+			result <- &open
+			return
+		}
+		result <- nil
+	})
+	return <-result
+}
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -36,7 +36,7 @@
 		if !w.forgotten && w.gone(now, l.Limits.LongestLease) {
 			w.forgotten = true
 			l.Log.Warn("worker is gone", "worker", id, "born", w.reg.Born, "answered_ms_ago", now.Sub(w.answeredAt).Milliseconds())
-			l.deregister(id, w.reg.Born)
+			l.deregister(workerLife{id, w.reg.Born})
 		}
 		if w.watching || now.Before(w.nextWatch) || w.listed > w.acked {
 			continue
