scheduler: runs are marked by the round that has seen them

Cause: each round made a map of all recorded runs to find those that had gone. Change: a run holds the number of the round that saw it last.

--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -87,6 +87,8 @@
 	// has changed since the last plan.
 	committing, dirty bool
 	rounds            roundPace
+	// roundNumber counts the rounds.
+	roundNumber uint64
 	// nextLook is when workers are next looked through.
 	nextLook time.Time
 	// orphans holds when runs that are not recorded were last told to stop.
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -18,8 +18,6 @@
 	// pool's capacity that is in use.
 	workerOn map[string]*worker
 	pressure map[string]float64
-	// recorded holds the runs that the state knows as executing.
-	recorded map[runKey]bool
 	// lastingTasks are the long-running tasks; unavailable counts those of
 	// each step that are not at work.
 	lastingTasks []lastingTask
@@ -34,12 +32,12 @@
 	stepOnWorker map[stepOnWorker]int
 }
 
-// newUsage returns an empty one for about so many workers and runs.
-func newUsage(workers, runs int) *usage {
+// newUsage returns an empty one for about so many workers.
+func newUsage(workers int) *usage {
 	return &usage{
 		taken: make(map[string]workload.Resources, workers),
 		runs:  make(map[string]int, workers), lastingRuns: map[string]int{},
-		recorded: make(map[runKey]bool, runs), unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{}, sharing: map[string]*sharing{},
+		unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{}, sharing: map[string]*sharing{},
 	}
 }
 
@@ -97,15 +95,16 @@
 // reconcile compares each recorded run with what its worker reports, and
 // repeats, stops or ends what does not agree.
 func (l *loop) reconcile(v *workstate.View, now time.Time) *usage {
-	u := newUsage(len(l.workers), len(l.runs))
+	u := newUsage(len(l.workers))
+	l.roundNumber++
 	for _, job := range v.Active() {
 		u.noteWaiting(job)
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
-			u.recorded[runKey{id, task.Run}] = true
 			step := &job.Spec.Steps[id.Step]
 			key := runKey{id, task.Run}
+			r := l.runOf(id, task, now)
 			if !l.ending(key) {
-				l.reconcileRun(v, job, id, task, now)
+				l.reconcileRun(v, job, id, task, r, now)
 			}
 			if l.ending(key) {
 				u.noteEnding(id, step)
@@ -113,19 +112,19 @@
 			}
 			u.runs[task.Worker]++
 			u.taken[task.Worker] = u.taken[task.Worker].Add(step.Charge())
-			l.noteProgress(u, id, task, step, now)
+			l.noteProgress(u, id, task, step, r, now)
 			u.noteSharing(id, task, step, l.workers[task.Worker])
 			if step.Checkpointing && !step.LongRunning && !step.Gang {
 				u.movable = append(u.movable, movableTask{id: id, worker: task.Worker})
 			}
 			if step.LongRunning {
-				u.noteLasting(id, task, step, l.atWork(id, task))
+				u.noteLasting(id, task, step, l.atWork(id, task, r))
 			}
 		})
 	}
 	l.notePools(u)
-	l.dropEndedRuns(u)
-	l.stopOrphans(u, now)
+	l.dropEndedRuns()
+	l.stopOrphans(now)
 	return u
 }
 
@@ -166,13 +165,20 @@
 	}
 }
 
-// reconcileRun takes one recorded run a step further.
-func (l *loop) reconcileRun(v *workstate.View, job *workstate.Job, id workload.TaskID, task *workstate.Task, now time.Time) {
+// runOf returns what is known of a recorded run, and notes that this round
+// has seen it.
+func (l *loop) runOf(id workload.TaskID, task *workstate.Task, now time.Time) *run {
 	r := l.runs[id]
 	if r == nil || r.number != task.Run {
 		r = &run{number: task.Run, worker: task.Worker, doubt: true, since: now, pace: paceUnknown}
 		l.runs[id] = r
 	}
+	r.seenIn = l.roundNumber
+	return r
+}
+
+// reconcileRun takes one recorded run a step further.
+func (l *loop) reconcileRun(v *workstate.View, job *workstate.Job, id workload.TaskID, task *workstate.Task, r *run, now time.Time) {
 	w := l.workers[task.Worker]
 	if w == nil {
 		// The worker was forgotten while its end was on its way here.
@@ -248,22 +254,28 @@
 }
 
 // dropEndedRuns forgets the runs that the state no longer knows.
-func (l *loop) dropEndedRuns(u *usage) {
+func (l *loop) dropEndedRuns() {
 	for id, r := range l.runs {
-		if !u.recorded[runKey{id, r.number}] {
+		if r.seenIn != l.roundNumber {
 			delete(l.runs, id)
 		}
 	}
 }
 
+// recorded says whether the state of this round knows a run as executing.
+func (l *loop) recorded(key runKey) bool {
+	r := l.runs[key.task]
+	return r != nil && r.number == key.run && r.seenIn == l.roundNumber
+}
+
 // stopOrphans stops what workers execute without a record.
-func (l *loop) stopOrphans(u *usage, now time.Time) {
+func (l *loop) stopOrphans(now time.Time) {
 	for _, w := range l.workers {
 		if w.report == nil {
 			continue
 		}
 		for key := range w.report.running {
-			if !u.recorded[key] && !l.ending(key) {
+			if !l.recorded(key) && !l.ending(key) {
 				l.stopOrphan(w, key, now)
 			}
 		}
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -44,6 +44,8 @@
 	number int
 	worker string
 	phase  runPhase
+	// seenIn is the number of the newest round whose state had the run.
+	seenIn uint64
 	// since is when the phase began.
 	since time.Time
 	// calling says that a call is on its way.
--- a/internal/process/scheduler/stragglers.go
+++ b/internal/process/scheduler/stragglers.go
@@ -29,9 +29,9 @@
 }
 
 // noteProgress gathers how far a run that ends by itself has come.
-func (l *loop) noteProgress(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, now time.Time) {
-	w, r := l.workers[task.Worker], l.runs[id]
-	if step.LongRunning || step.Gang || w == nil || w.report == nil || r == nil || r.phase != runOrdered {
+func (l *loop) noteProgress(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, now time.Time) {
+	w := l.workers[task.Worker]
+	if step.LongRunning || step.Gang || w == nil || w.report == nil || r.phase != runOrdered {
 		return
 	}
 	row, shown := w.report.running[runKey{id, task.Run}]
--- a/internal/process/scheduler/upkeep.go
+++ b/internal/process/scheduler/upkeep.go
@@ -267,9 +267,9 @@
 
 // atWork says whether a long-running task was at work when its worker last
 // answered, and nothing was ordered since.
-func (l *loop) atWork(id workload.TaskID, task *workstate.Task) bool {
-	w, r := l.workers[task.Worker], l.runs[id]
-	if w == nil || w.report == nil || w.silent || r == nil || r.phase != runOrdered {
+func (l *loop) atWork(id workload.TaskID, task *workstate.Task, r *run) bool {
+	w := l.workers[task.Worker]
+	if w == nil || w.report == nil || w.silent || r.phase != runOrdered {
 		return false
 	}
 	return w.report.running[runKey{id, task.Run}].Percent == atWorkPercent
