scheduler, lifecycle: one pace for rounds and looks; collections as before

Change: the heap grows by 100 % between collections again; looks for workers have no interval of their own, they keep to the pace of rounds, which waits by cost and so hardly at all at 49 workers.

--- a/internal/process/lifecycle/hosted.go
+++ b/internal/process/lifecycle/hosted.go
@@ -16,11 +16,6 @@
 // harder; the rest is for unread bytes and stacks.
 const memoryTargetPercent = 65
 
-// collectionPercent is the growth of the heap between collections. A leader
-// of some hundred workers makes garbage at 50 MB a second from 30 MB that
-// live, and the limit above still bounds the heap.
-const collectionPercent = 250
-
 // runHosted runs a program on the users' platform. Its log goes to standard
 // output, which the platform keeps.
 func runHosted(ctx context.Context, program string, prepare func() (*Hosted, error), checkOnly bool) error {
@@ -31,7 +26,6 @@
 	if err != nil || checkOnly {
 		return err
 	}
-	debug.SetGCPercent(collectionPercent)
 	if hosted.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(hosted.MemoryMB) << 20 * memoryTargetPercent / 100)
 	}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -17,10 +17,6 @@
 // tickInterval is the time between looks at what depends on time alone.
 const tickInterval = 50 * time.Millisecond
 
-// lookInterval is the time between looks for workers to be asked again: some
-// hundred are passed over in each, and events come by the millisecond.
-const lookInterval = 5 * time.Millisecond
-
 // eventQueue bounds the events that wait for the loop.
 const eventQueue = 4096
 
@@ -89,8 +85,6 @@
 	rounds            roundPace
 	// roundNumber counts the rounds.
 	roundNumber uint64
-	// nextLook is when workers are next looked through.
-	nextLook time.Time
 	// orphans holds when runs that are not recorded were last told to stop.
 	orphans map[runKey]time.Time
 	fleet   fleet
@@ -162,32 +156,20 @@
 	}
 }
 
-// advance plans and sends what is due, and returns in how long more is.
+// advance plans and sends what is due. It returns in how long it may be called
+// again if it was called too early.
 func (l *loop) advance(now time.Time) (wait time.Duration) {
-	if l.dirty && !l.committing {
-		due, until := l.rounds.due(now)
-		if due {
-			l.dirty = false
-			l.round(now)
-			l.rounds.ended(now, time.Now())
-		}
-		wait = until
+	if due, wait := l.rounds.due(now); !due {
+		return wait
 	}
-	if until := l.nextLook.Sub(now); until > 0 {
-		return earlier(wait, until)
+	if l.dirty && !l.committing {
+		l.dirty = false
+		l.round(now)
 	}
-	l.nextLook = now.Add(lookInterval)
 	l.watchWorkers(now)
 	l.listVMs(now)
-	return wait
-}
-
-// earlier returns the shorter of two waits, of which 0 is none.
-func earlier(a, b time.Duration) time.Duration {
-	if a <= 0 {
-		return b
-	}
-	return min(a, b)
+	l.rounds.ended(now, time.Now())
+	return 0
 }
 
 // round reconciles the state with what workers report, plans, and commits
--- a/internal/process/scheduler/roundpace.go
+++ b/internal/process/scheduler/roundpace.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// roundShare is the part of a processor that rounds may take: the rest
-	// is for the log, the calls to workers and the calls of entries, without
-	// which a round has nothing to decide on.
+	// roundShare is the part of the time that rounds, with their looks for
+	// workers to be asked, may take: the rest is for the log, the calls to
+	// workers and the calls of entries, without which a round has nothing to
+	// decide on.
 	roundShare = 0.25
 	// longestPause bounds the wait for the next round, so that one slow
 	// round does not hold up those after it.
