scheduler: a worker ends with its VM's order only when a list shows it; random schedules of VMs

Cause: a new leader doesn't know of an upkeep that a former one ordered without an answer. It orders it again, the platform says yes because it is done, and the leader forgot the worker that had come after the upkeep, while its tasks went on: they started a second time elsewhere. Ruled out: leases and acknowledged ends (the schedules of runs hold). Change: after a yes the workers that lived on the VM are forgotten once a list that is younger than the order shows the VM away, or another worker on it. Schedules of VMs: waves, bursts and lulls under a platform that loses answers, is late and refuses, crashes of workers, leaders that overlap; caps, holders under a fence, disruption budgets and TWICE are checked, and waves must end.

--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -98,6 +98,10 @@
 	fails      func(workload.TaskID, int) bool
 	ledger     *ledger
 	starts     int
+	// lasting is the job whose tasks last, away what its orders are
+	// checked by; nil where they aren't.
+	lasting string
+	away    *awayTasks
 	// ticket, if set, checks an order's ticket.
 	ticket func(*fakeWorker, execution.StartOrder) bool
 }
@@ -123,6 +127,7 @@
 // end moves a run to the list of ends.
 func (f *fakeWorkers) end(w *fakeWorker, r *fakeRun, how execution.EndReason) {
 	delete(w.running, r.task)
+	f.leave(r.task, how == execution.ReasonStopped)
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.number++
 	w.ended = append(w.ended, execution.EndedRun{Number: w.number, Task: r.task, Run: r.run, How: how})
@@ -191,6 +196,10 @@
 	if f.durationOf != nil {
 		duration = f.durationOf(o.Task, o.Run)
 	}
+	if f.away != nil && o.Task.Job == f.lasting {
+		duration = time.Hour
+		f.away.back(o.Task)
+	}
 	w.running[o.Task] = &fakeRun{task: o.Task, run: o.Run, endsAt: time.Now().Add(duration), begunAt: time.Now()}
 	w.change()
 	if w.loseStarts > 0 {
@@ -200,6 +209,29 @@
 	return execution.Answer{ClockMS: w.clock()}, nil
 }
 
+// endByOrder ends all runs of a worker whose VM goes down on an order.
+func (f *fakeWorkers) endByOrder(w *fakeWorker) {
+	for task := range w.running {
+		f.leave(task, true)
+	}
+	w.running = map[workload.TaskID]*fakeRun{}
+}
+
+// lose ends all runs of a worker that crashes.
+func (f *fakeWorkers) lose(w *fakeWorker) {
+	for task := range w.running {
+		f.leave(task, false)
+	}
+	w.running = map[workload.TaskID]*fakeRun{}
+}
+
+// leave notes that a long-running task is away.
+func (f *fakeWorkers) leave(task workload.TaskID, byOrder bool) {
+	if f.away != nil && task.Job == f.lasting {
+		f.away.gone(task, byOrder)
+	}
+}
+
 // longestLease is what a worker grants at most, in ms.
 const longestLease = 10_000
 
@@ -488,6 +520,8 @@
 	refusal execution.VMRefusal
 	orders  []string
 	done    map[upkeepOf]bool
+	// wave is the newest wave of a VM's upkeep.
+	wave map[string]int64
 	// answersLost is how many orders are carried out without an answer.
 	answersLost int
 	// downNow and mostDown count VMs that are down for upkeep.
@@ -495,7 +529,7 @@
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{vms: map[string]*execution.VM{}, done: map[upkeepOf]bool{}}
+	return &fakePlatform{vms: map[string]*execution.VM{}, done: map[upkeepOf]bool{}, wave: map[string]int64{}}
 }
 
 func (p *fakePlatform) VMs(context.Context) ([]execution.VM, error) {
@@ -575,6 +609,7 @@
 	if refusal == execution.VMAccepted {
 		p.mu.Lock()
 		p.done[upkeepOf{vm, wave}] = true
+		p.wave[vm] = wave
 		p.downNow++
 		p.mostDown = max(p.mostDown, p.downNow)
 		p.mu.Unlock()
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -55,30 +55,39 @@
 	// retire ends the present leader.
 	retire context.CancelFunc
 	group  sync.WaitGroup
-	// lives counts the workers that were born.
-	lives int
+	// born counts the workers that were born.
+	born int
+	// orders carries orders for VMs.
+	orders execution.Platform
 	// alive holds the present worker of each VM.
 	alive [scheduleVMs]*fakeWorker
 }
 
 func newSchedule(t *testing.T, seed uint64) *schedule {
+	s := newBareSchedule(t, seed)
+	for vm := range s.alive {
+		s.bear(vm, "")
+	}
+	return s
+}
+
+// newBareSchedule returns one without workers.
+func newBareSchedule(t *testing.T, seed uint64) *schedule {
 	s := &schedule{fixture: newFixture(t, 0), seed: seed, random: rand.New(rand.NewPCG(seed, 11))}
 	s.calls = &faultyCalls{fakeWorkers: s.workers, dice: newDice(seed)}
 	s.workers.durationOf = func(task workload.TaskID, run int) time.Duration {
 		return 50*time.Millisecond + time.Duration(s.calls.roll("duration", task, run)%1200)*time.Millisecond
 	}
 	s.workers.fails = func(task workload.TaskID, run int) bool { return s.calls.roll("fails", task, run)%16 == 0 }
-	for vm := range s.alive {
-		s.bear(vm, "")
-	}
+	s.orders = s.vms
 	return s
 }
 
 // bear gives a VM a new worker, under the given id or a new one.
 func (s *schedule) bear(vm int, id string) {
-	s.lives++
+	s.born++
 	if id == "" {
-		id = fmt.Sprintf("w%d", s.lives)
+		id = fmt.Sprintf("w%d", s.born)
 	}
 	s.workers.mu.Lock()
 	w := s.workers.add(id, 3000)
@@ -253,7 +262,7 @@
 	s.retire = cancel
 	log := slog.New(slog.NewTextHandler(testLog{s.t}, nil)).With("leader", term)
 	l := newLoop(ctx, Options{
-		Replica: &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice}, Machine: s.machine, Workers: s.calls, Platform: s.vms,
+		Replica: &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice}, Machine: s.machine, Workers: s.calls, Platform: s.orders,
 		Holder: fmt.Sprint("c", term), Limits: s.limits, Log: log, Now: time.Now,
 	}, term)
 	s.loop = l
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -24,9 +24,8 @@
 	// pool is where the VM moves; "" is an upkeep of the wave.
 	pool string
 	wave int64
-	// lives are the workers that end with the order: those that lived on the
-	// VM when it was first given. A repeated order may be answered when the
-	// next worker lives there.
+	// lives are the workers that lived on the VM when the order was first
+	// given. They end with it, unless it was done before they came.
 	lives []workerLife
 }
 
@@ -133,6 +132,7 @@
 	known := map[string]bool{}
 	for _, vm := range vms {
 		known[vm.ID] = true
+		l.endLives(f.entries[vm.ID], vm, askedAt)
 		f.take(vm, askedAt)
 	}
 	for id, e := range f.entries {
@@ -142,6 +142,31 @@
 	}
 }
 
+// endLives records the end of the workers that lived on a VM before its order,
+// once a list shows that the order was carried out: the platform also says yes
+// to what is done already, perhaps on the order of a former leader, and then
+// the worker that came after it lives on.
+func (l *loop) endLives(e *vmEntry, vm execution.VM, askedAt time.Time) {
+	if e == nil || e.order == nil || e.mayBeOlder(askedAt) {
+		return
+	}
+	if vm.State == execution.VMUp && vm.Worker == "" && e.order.pool == "" {
+		// Not told; a worker that has ended falls silent.
+		return
+	}
+	for _, life := range e.order.lives {
+		if vm.State != execution.VMUp || vm.Worker != life.id {
+			l.deregister(life)
+		}
+	}
+	e.order.lives = nil
+}
+
+// mayBeOlder says whether a list may be older than the VM's order.
+func (e *vmEntry) mayBeOlder(askedAt time.Time) bool {
+	return e.calling || (e.order != nil && !askedAt.After(e.orderedAt))
+}
+
 // take notes one VM of a list.
 func (f *fleet) take(vm execution.VM, askedAt time.Time) {
 	e := f.entries[vm.ID]
@@ -149,8 +174,7 @@
 		f.entries[vm.ID] = &vmEntry{vm: vm, barred: map[string]bool{}}
 		return
 	}
-	if e.calling || (e.order != nil && !askedAt.After(e.orderedAt)) {
-		// The list may be older than the order.
+	if e.mayBeOlder(askedAt) {
 		return
 	}
 	e.vm = vm
@@ -218,7 +242,8 @@
 	e.pausedUntil = now.Add(orderPause)
 }
 
-// vmTaken notes that a VM goes down: its worker has ended.
+// vmTaken notes that a VM goes down. The next list tells whether its worker
+// has ended.
 func (l *loop) vmTaken(e *vmEntry, order vmOrder, now time.Time) {
 	e.orderedAt = now
 	if order.pool == "" {
@@ -228,9 +253,6 @@
 		e.vm.State = execution.VMMoving
 		e.vm.Pool = order.pool
 	}
-	for _, life := range order.lives {
-		l.deregister(life)
-	}
 }
 
 // livesOn returns the workers on a VM: one, or none while it is away.
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -20,7 +20,8 @@
 		for id, w := range f.workers.workers {
 			if "vm-"+id == vm || f.vms.vms[vm].Worker == id {
 				w.dark = true
-				f.killRuns(w)
+				f.workers.endByOrder(w)
+				w.change()
 			}
 		}
 		f.workers.mu.Unlock()
@@ -30,11 +31,6 @@
 	}
 }
 
-// killRuns ends all runs of a worker, as when its VM goes down.
-func (f *fixture) killRuns(w *fakeWorker) {
-	w.running = map[workload.TaskID]*fakeRun{}
-}
-
 func (f *fixture) comeBack(vm, pool, name string) {
 	f.vms.mu.Lock()
 	e := f.vms.vms[vm]
