--- a/internal/process/scheduler/faulty_test.go
+++ b/internal/process/scheduler/faulty_test.go
@@ -26,6 +26,7 @@
 	answerLost
 	carriedOutLate
 	callDelayed
+	callRefused
 	callFaults
 )
 
@@ -69,6 +70,9 @@
 // Start implements execution.Workers.
 func (f *faultyCalls) Start(ctx context.Context, to execution.WorkerAddress, o execution.StartOrder) (execution.Answer, error) {
 	fault, delay := f.fault("start", to.ID, o.Task, o.Run)
+	if fault == callRefused {
+		return execution.Answer{Refusal: execution.RefusedUnhealthy}, nil
+	}
 	arrives := f.arrival(to.ID)
 	return pass(ctx, fault, delay, func(late bool) (execution.Answer, error) {
 		if late && !arrives() {
