replica: a large append is not sent again while it may be on its way

Cause: an append without a reply within 200 ms counted as lost and was sent again whole. Change: an append counts as lost after 200 ms and the time that its size takes at 256 KB/s; each loss in a row doubles that, up to 8 times; a member that is heard again after an election timeout gets its append at once; messages hold 256 KB in place of 1 MB, and may take as long as they are waited for.

--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -34,6 +34,9 @@
 	OddVoters bool
 	// MaxAppendBytes bounds the entries in one message.
 	MaxAppendBytes int
+	// BytesPerTick is the rate at which a large append is expected to arrive
+	// at the least; 0 expects any at once.
+	BytesPerTick int
 	// Random draws the election timeouts.
 	Random *rand.Rand
 }
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -9,6 +9,9 @@
 	// awaiting is the number of ticks since an append was sent that is not
 	// answered, counted from 1; 0 if none is.
 	awaiting int
+	// patience is the number of ticks after which that append counts as
+	// lost; losses counts the appends lost since the last reply.
+	patience, losses int
 	// snapshotting says that a snapshot is on its way.
 	snapshotting bool
 	// silent is the number of ticks since the member was heard.
@@ -90,14 +93,33 @@
 		c.ready.SendSnapshot = append(c.ready.SendSnapshot, id)
 		return
 	}
+	entries := c.log.after(previous, c.config.MaxAppendBytes)
 	p.awaiting = 1
+	p.patience = c.patience(entries, p.losses)
 	c.send(id, Message{Append: &AppendRequest{
 		Previous: Position{Index: previous, Term: term},
-		Entries:  c.log.after(previous, c.config.MaxAppendBytes),
+		Entries:  entries,
 		Commit:   c.log.commit,
 	}})
 }
 
+// maxLossDoublings bounds how far repeats of a lost append are spaced out.
+const maxLossDoublings = 3
+
+// patience returns the ticks after which an append counts as lost: repeats of
+// a large one that is still on its way would keep it from ever arriving.
+func (c *Core) patience(entries []Entry, losses int) int {
+	ticks := 2 * c.config.HeartbeatTicks
+	if c.config.BytesPerTick > 0 {
+		bytes := 0
+		for i := range entries {
+			bytes += entries[i].size()
+		}
+		ticks += bytes / c.config.BytesPerTick
+	}
+	return ticks << min(losses, maxLossDoublings)
+}
+
 // SnapshotSent reports the end of a snapshot's transfer to a member.
 func (c *Core) SnapshotSent(id string) {
 	if p := c.peers[id]; p != nil {
@@ -112,6 +134,7 @@
 		return
 	}
 	p.silent = 0
+	p.losses = 0
 	reply := m.AppendReply
 	if reply.Rejected > 0 {
 		if reply.Rejected != p.next-1 || p.snapshotting {
@@ -171,9 +194,10 @@
 		if p.awaiting > 0 {
 			p.awaiting++
 		}
-		if p.awaiting > 2*c.config.HeartbeatTicks {
+		if p.awaiting > p.patience {
 			// The append or its answer was lost.
 			p.awaiting = 0
+			p.losses++
 		}
 	}
 	if c.electionTicks >= c.config.ElectionTicks && !c.checkQuorum() {
@@ -236,6 +260,10 @@
 	if p == nil {
 		return
 	}
+	if !c.isActive(m.From) {
+		// What was sent before is lost for sure.
+		p.awaiting, p.losses = 0, 0
+	}
 	p.silent = 0
 	p.round = max(p.round, m.HeartbeatReply.Round)
 	c.confirmReads()
--- a/internal/process/replica/driver/driver.go
+++ b/internal/process/replica/driver/driver.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/replica"
@@ -117,6 +118,7 @@
 		ElectionTicks:  electionTicks,
 		HeartbeatTicks: heartbeatTicks,
 		MaxAppendBytes: maxAppendBytes,
+		BytesPerTick:   appendRate / int(time.Second/tickTime),
 		OddVoters:      d.options.OddVoters,
 		Random:         rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:]))),
 	}, d.storage.persistent())
--- a/internal/process/replica/driver/options.go
+++ b/internal/process/replica/driver/options.go
@@ -27,7 +27,11 @@
 	MaxCommandBytes = 8 << 20
 	// maxAppendBytes bounds the entries of one message, but for a single
 	// larger one.
-	maxAppendBytes = 1 << 20
+	maxAppendBytes = 256 << 10
+	// appendRate is the least rate in bytes a second at which a message is
+	// expected to arrive: a leader with half a core encrypts some MB a second
+	// for all members together.
+	appendRate = 256 << 10
 	// maxBatchBytes bounds the commands that are proposed in one go.
 	maxBatchBytes = 1 << 20
 	// maxPendingBytes bounds the commands that wait for a majority; further
--- a/internal/process/replica/driver/transport.go
+++ b/internal/process/replica/driver/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/process/logging"
@@ -52,7 +53,7 @@
 	}
 	go func() {
 		defer t.leave(m.To)
-		ctx, cancel := context.WithTimeout(t.ctx, messageTimeout)
+		ctx, cancel := context.WithTimeout(t.ctx, timeoutFor(&m))
 		defer cancel()
 		if _, err := link.Call[core.Message, Received](ctx, t.node, address, MessageKind, m); err != nil {
 			t.log.Debug("replica message was not taken", logging.Err(err))
@@ -60,6 +61,18 @@
 	}()
 }
 
+// timeoutFor returns the time that a message may take, by its size.
+func timeoutFor(m *core.Message) time.Duration {
+	if m.Append == nil {
+		return messageTimeout
+	}
+	bytes := 0
+	for i := range m.Append.Entries {
+		bytes += len(m.Append.Entries[i].Data)
+	}
+	return messageTimeout + time.Duration(bytes)*time.Second/appendRate
+}
+
 func (t *transport) enter(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
