scheduler: a configuration that is sent again enters the log once

Cause: an operator without an answer sends its configuration again each second; each copy was proposed, 180 KB for 1,800 routes, and sent to all members. Change: while a version is on its way, copies wait for its outcome; one that is held already is acknowledged from the committed state. Before: without the gate TestRepeatedConfigurationEntersTheLogOnce fails.

--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -32,6 +32,8 @@
 	// arrived tells it of a new job.
 	arrived func(id string)
 	now     func() time.Time
+	// catalogs are the configurations on their way to the log.
+	catalogs catalogGate
 }
 
 var _ workcall.Local = (*Server)(nil)
@@ -288,17 +290,6 @@
 	return workcall.Done{}, err
 }
 
-// ReplaceCatalog takes a configuration into force if its version is higher
-// than the one held.
-func (s *Server) ReplaceCatalog(ctx context.Context, r workcall.CatalogRequest) (workcall.CatalogResponse, error) {
-	result, err := s.propose(ctx, &workstate.Command{Catalog: &r.Catalog})
-	if err != nil {
-		return workcall.CatalogResponse{}, err
-	}
-	s.log.Info("configuration committed", "version", r.Catalog.Version, "in_force", result.Version, "superseded", result.Repeated, "queues", len(r.Catalog.Queues))
-	return workcall.CatalogResponse{Version: result.Version}, nil
-}
-
 // ReadCatalog returns the configuration in force.
 func (s *Server) ReadCatalog(ctx context.Context, _ workcall.ReadRequest) (workcall.CatalogResponse, error) {
 	var response workcall.CatalogResponse
