--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -95,6 +95,9 @@
 type PendingResponse struct {
 	Verdict Verdict `cbor:"1,keyasint"`
 	Pending int     `cbor:"2,keyasint,omitempty"`
+	// CatalogVersion is the version of the configuration that the answer is
+	// from.
+	CatalogVersion int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // HeartbeatRequest is a worker's report about itself.
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -186,6 +186,7 @@
 		if queue != nil && rest == "" {
 			response = workcall.PendingResponse{Verdict: workcall.Taken, Pending: v.Pending(queue.Key())}
 		}
+		response.CatalogVersion = v.Catalog().Version
 	})
 	return response, err
 }
