scheduler: a job that is known is accepted again without the log

Cause: in bursts on the grown site up to half of the submissions are repeats by clients whose answer was late; each was proposed and stored again. Change: a job in the committed state is answered from it. Before: TestJobThatIsKnownIsAcceptedAgainWithoutTheLog finds 4 commands for 3 submissions of one job (2 expected).

--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -114,7 +114,12 @@
 		}
 		known = v.Job(rest) != nil
 	})
-	if response.Verdict != 0 && !known {
+	if known {
+		// The state holds only what is committed.
+		s.log.Info("job known already", "job", id, "path", r.Path)
+		return workcall.SubmitResponse{Verdict: workcall.Taken}, nil
+	}
+	if response.Verdict != 0 {
 		return s.confirmed(ctx, response)
 	}
 	result, err := s.propose(ctx, &workstate.Command{Submit: &workstate.Submit{ID: id, Host: r.Host, Path: r.Path, Spec: r.Spec}})
--- /dev/null
+++ b/internal/process/scheduler/server_test.go
@@ -0,0 +1,31 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// TestJobThatIsKnownIsAcceptedAgainWithoutTheLog hands a job in again, as a
+// client does whose answer was late: the log must not grow by it.
+func TestJobThatIsKnownIsAcceptedAgainWithoutTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, arrived: func(string) {}, now: time.Now}
+		request := workcall.SubmitRequest{Place: workcall.Place{Host: "host", Path: "/q/" + jobA}, Spec: workload.Spec{Steps: []workload.Step{step(1)}}}
+		for range 3 {
+			if answer, err := s.Submit(context.Background(), request); err != nil || answer.Verdict != workcall.Taken {
+				t.Fatalf("answer %+v, error %v", answer, err)
+			}
+		}
+		// One command is the fixture's configuration.
+		if f.replica.index != 2 {
+			t.Errorf("%d commands in the log, expected the configuration and the job", f.replica.index)
+		}
+	})
+}
