--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -82,7 +82,8 @@
 	// committing says that a progress is on its way; dirty that something
 	// has changed since the last plan.
 	committing, dirty bool
-	rounds            roundPace
+	// rounds spaces rounds out.
+	rounds roundPace
 	// roundNumber counts the rounds.
 	roundNumber uint64
 	// orphans holds when runs that are not recorded were last told to stop.
