scheduler: a new leader orders VMs by a list that holds the former's last order

Cause: a new leader waits until a former one's last order must have been carried out, but then went by a list that it had read before: a VM that went down for its upkeep on that order didn't count, and the wave's cap was exceeded by one. Ruled out: fences (they are kept for each VM, and the VM was another one). Change: VMs are ordered only by a list that was asked for after that time; it is asked for at once. Before: TestNewLeaderCountsTheFormersLastOrder has 2 VMs down, cap 1. Conclusion: mended. Open: an order of one leader that is carried out seconds after a list has shown the VM still up may exceed the cap in the same way.

--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -91,7 +91,7 @@
 	if l.fleet.busy() {
 		interval = listIntervalBusy
 	}
-	if l.Platform == nil || l.fleet.listing || now.Sub(l.fleet.listedAt) < interval {
+	if l.Platform == nil || l.fleet.listing || now.Sub(l.fleet.listedAt) < interval && !l.listIsStale(now) {
 		return
 	}
 	l.fleet.listing = true
@@ -295,12 +295,23 @@
 	if l.Platform == nil || l.fleet.failing {
 		return false
 	}
-	wait := platformTimeout
-	if !l.Limits.Fenced {
-		wait += l.Limits.HolderLease
-	}
-	if now.Sub(l.since) <= wait {
+	if now.Sub(l.since) <= l.formerOrders() || l.listIsStale(now) {
 		return false
 	}
 	return l.fleet.orders.fill(now, l.Limits.ActionRate)
 }
+
+// formerOrders is how long after the begin of a leadership a former leader's
+// last order may still be carried out.
+func (l *loop) formerOrders() time.Duration {
+	if l.Limits.Fenced {
+		return platformTimeout
+	}
+	return platformTimeout + l.Limits.HolderLease
+}
+
+// listIsStale says whether a former leader's last order may be missing from the
+// list though its time has passed: what it sent away would not count.
+func (l *loop) listIsStale(now time.Time) bool {
+	return now.Sub(l.since) > l.formerOrders() && l.fleet.listedAt.Sub(l.since) <= l.formerOrders()
+}
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -364,3 +364,26 @@
 	})
 	return <-result
 }
+
+// TestNewLeaderCountsTheFormersLastOrder lets a VM go down for its upkeep on a
+// former leader's last order, after the new leader has read its first list.
+func TestNewLeaderCountsTheFormersLastOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.limits.Fenced = true
+		f.lives(3 * time.Second)
+		f.addVM("w1", "svc")
+		f.addVM("w2", "svc")
+		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w1", "vm-w2"}, Cap: 1, DeadlineMS: time.Now().Add(10 * time.Second).UnixMilli()}})
+		f.lead()
+		defer f.depose()
+		time.Sleep(platformTimeout - 100*time.Millisecond)
+		if _, err := f.vms.Upkeep(t.Context(), "vm-w2", 1, "former", 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if f.vms.mostDown > 1 {
+			t.Errorf("%d VMs were down at once, the cap is 1", f.vms.mostDown)
+		}
+	})
+}
