Read again: one size of entries, one bound of stray leases

Cause: the log's core and its transport each added up the bytes of an append's entries; the first lease of a worker and the wait for a silent one each wrote the bound for a reborn worker; a named result of the leader's round was shadowed and never used. Change: core.EntriesSize serves both; worker.strayLease serves both; the result has no name. Ruled out: a change of the bounds; no test was touched.

--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -111,11 +111,7 @@
 func (c *Core) patience(entries []Entry, losses int) int {
 	ticks := 2 * c.config.HeartbeatTicks
 	if c.config.BytesPerTick > 0 {
-		bytes := 0
-		for i := range entries {
-			bytes += entries[i].size()
-		}
-		ticks += bytes / c.config.BytesPerTick
+		ticks += EntriesSize(entries) / c.config.BytesPerTick
 	}
 	return ticks << min(losses, maxLossDoublings)
 }
--- a/internal/process/replica/core/message.go
+++ b/internal/process/replica/core/message.go
@@ -27,6 +27,15 @@
 // size estimates the encoded size of the entry in bytes.
 func (e *Entry) size() int { return entryOverheadBytes + len(e.Data) }
 
+// EntriesSize returns the bytes that entries take in a message.
+func EntriesSize(entries []Entry) int {
+	bytes := 0
+	for i := range entries {
+		bytes += entries[i].size()
+	}
+	return bytes
+}
+
 // entryOverheadBytes is the size of an entry without its command.
 const entryOverheadBytes = 32
 
--- a/internal/process/replica/driver/transport.go
+++ b/internal/process/replica/driver/transport.go
@@ -66,11 +66,7 @@
 	if m.Append == nil {
 		return messageTimeout
 	}
-	bytes := 0
-	for i := range m.Append.Entries {
-		bytes += len(m.Append.Entries[i].Data)
-	}
-	return messageTimeout + time.Duration(bytes)*time.Second/appendRate
+	return messageTimeout + time.Duration(core.EntriesSize(m.Append.Entries))*time.Second/appendRate
 }
 
 func (t *transport) enter(id string) bool {
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -159,7 +159,7 @@
 
 // advance plans and sends what is due. It returns in how long it may be called
 // again if it was called too early.
-func (l *loop) advance(now time.Time) (wait time.Duration) {
+func (l *loop) advance(now time.Time) time.Duration {
 	if due, wait := l.rounds.due(now); !due {
 		return wait
 	}
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -152,14 +152,20 @@
 
 // firstLease bounds the lease that a worker may hold on its own clock when it
 // first answers this leader. A former leader's lease may last; no later one
-// can be granted. An order to a former life tells a time on that life's
-// clock, which may be far ahead: the worker's own limit bounds it.
+// can be granted.
 func (w *worker) firstLease(longest time.Duration) int64 {
-	until := w.clockMS + leaseTime.Milliseconds()
-	if w.reg.Reborn {
-		until = max(until, (formerCalls + longest).Milliseconds())
+	return max(w.clockMS+leaseTime.Milliseconds(), w.strayLease(longest).Milliseconds())
+}
+
+// strayLease bounds the lease, from the begin of the worker's life, that calls
+// to a former life under its id may have granted; 0 if there was none. They
+// tell a time on that life's clock, which may be far ahead: the worker's own
+// limit bounds it.
+func (w *worker) strayLease(longest time.Duration) time.Duration {
+	if !w.reg.Reborn {
+		return 0
 	}
-	return until
+	return formerCalls + longest
 }
 
 // lapsed says whether every lease that may have been granted has ended for
@@ -168,10 +174,7 @@
 // the worker's former life that arrived at this one.
 func (w *worker) lapsed(now time.Time, longest time.Duration) bool {
 	if !w.contact || w.clockMS == 0 {
-		bound := inheritedLease
-		if w.reg.Reborn {
-			bound = max(bound, formerCalls+longest)
-		}
+		bound := max(inheritedLease, w.strayLease(longest))
 		return now.Sub(w.knownSince) > time.Duration(float64(bound)*(1+clockDrift))
 	}
 	passed := time.Duration(float64(now.Sub(w.clockAt)) * (1 - clockDrift))
