scheduler: the leader logs its load once a second

The line gives processor time, rounds and their time, commits and the longest, starts, ends, watches, link calls made and served, confirmations of the leadership, garbage collections, queued events and the age of the oldest report.

--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -60,11 +60,12 @@
 func (f *Fault) Error() string { return f.Code + ": " + f.Message }
 
 // Metrics of the message bytes that this process sent and received, without the
-// overhead of QUIC, and of the calls that it made.
+// overhead of QUIC, and of the calls that it made and served.
 var (
 	sentBytes     = metrics.NewCounter(`arbutus_link_message_bytes_total{direction="sent"}`)
 	receivedBytes = metrics.NewCounter(`arbutus_link_message_bytes_total{direction="received"}`)
-	callsMade     = metrics.NewCounter(`arbutus_link_calls_total`)
+	callsMade     = metrics.GetOrCreateCounter(`arbutus_link_calls_total`)
+	callsServed   = metrics.GetOrCreateCounter(`arbutus_link_calls_served_total`)
 )
 
 type request struct {
@@ -205,6 +206,7 @@
 		stream.CancelWrite(abortedCode)
 		return
 	}
+	callsServed.Inc()
 	n.recorder.Observe(req.Stamp)
 	answer := n.handleRequest(stream.Context(), peer, req)
 	answer.Stamp = n.recorder.Now()
--- a/internal/process/replica/driver/metrics.go
+++ b/internal/process/replica/driver/metrics.go
@@ -9,5 +9,6 @@
 	logGauge      = metrics.GetOrCreateGauge("arbutus_replica_log_bytes", nil)
 	snapshotGauge = metrics.GetOrCreateGauge("arbutus_replica_snapshot_bytes", nil)
 	syncSeconds   = metrics.GetOrCreateSummary("arbutus_replica_fsync_seconds")
+	confirmCount  = metrics.GetOrCreateCounter("arbutus_replica_confirmations_total")
 	droppedCount  = metrics.GetOrCreateCounter("arbutus_replica_messages_dropped_total")
 )
--- a/internal/process/replica/driver/queue.go
+++ b/internal/process/replica/driver/queue.go
@@ -64,6 +64,7 @@
 			more = false
 		}
 	}
+	confirmCount.Inc()
 	l.lastReadID++
 	l.pendingReads[l.lastReadID] = batch
 	if err := l.core.ReadIndex(l.lastReadID); err != nil {
--- /dev/null
+++ b/internal/process/scheduler/loadlog.go
@@ -0,0 +1,103 @@
+package scheduler
+
+import (
+	runtimemetrics "runtime/metrics"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// loadLogInterval is the interval of the log lines about the load of the leader.
+const loadLogInterval = time.Second
+
+// Counters of other packages whose growth the load line reports.
+var (
+	linkCallsMade   = metrics.GetOrCreateCounter(`arbutus_link_calls_total`)
+	linkCallsServed = metrics.GetOrCreateCounter(`arbutus_link_calls_served_total`)
+	confirmations   = metrics.GetOrCreateCounter(`arbutus_replica_confirmations_total`)
+)
+
+// loadLog collects what the leader spends its processor time on and how long
+// its decisions wait, and logs it once per interval.
+type loadLog struct {
+	loggedAt time.Time
+	last     loadCounters
+	// rounds, commits and their times cover the present interval.
+	rounds, commits           int
+	roundTime, longestRound   time.Duration
+	commitTime, longestCommit time.Duration
+}
+
+// loadCounters is a sample of ever-growing counters.
+type loadCounters struct {
+	processorTime                time.Duration
+	starts, ends, watches        uint64
+	linkCalls, linkServed, reads uint64
+	collections                  uint64
+}
+
+func sampleLoad() loadCounters {
+	collections := []runtimemetrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}}
+	runtimemetrics.Read(collections)
+	return loadCounters{
+		processorTime: processorTime(),
+		starts:        startedRuns.Get(), ends: endedRuns.Get(), watches: watchCalls.Get(),
+		linkCalls: linkCallsMade.Get(), linkServed: linkCallsServed.Get(), reads: confirmations.Get(),
+		collections: collections[0].Value.Uint64(),
+	}
+}
+
+// processorTime returns the processor time that this process has used, or 0 if
+// the system does not tell.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func (s *loadLog) recordRound(took time.Duration) {
+	s.rounds++
+	s.roundTime += took
+	s.longestRound = max(s.longestRound, took)
+}
+
+func (s *loadLog) recordCommit(took time.Duration) {
+	s.commits++
+	s.commitTime += took
+	s.longestCommit = max(s.longestCommit, took)
+}
+
+// logLoad logs the load of the leader if the interval has passed.
+func (l *loop) logLoad(now time.Time) {
+	s := &l.loadLog
+	if now.Sub(s.loggedAt) < loadLogInterval {
+		return
+	}
+	sample := sampleLoad()
+	if !s.loggedAt.IsZero() {
+		l.Log.Info("leader load", "interval_ms", now.Sub(s.loggedAt).Milliseconds(),
+			"processor_ms", (sample.processorTime - s.last.processorTime).Milliseconds(),
+			"rounds", s.rounds, "round_ms", s.roundTime.Milliseconds(), "longest_round_ms", s.longestRound.Milliseconds(),
+			"commits", s.commits, "commit_ms", s.commitTime.Milliseconds(), "longest_commit_ms", s.longestCommit.Milliseconds(),
+			"starts", sample.starts-s.last.starts, "ends", sample.ends-s.last.ends, "watches", sample.watches-s.last.watches,
+			"link_calls", sample.linkCalls-s.last.linkCalls, "link_served", sample.linkServed-s.last.linkServed,
+			"confirmations", sample.reads-s.last.reads, "collections", sample.collections-s.last.collections,
+			"events_queued", len(l.events), "oldest_report_ms", l.oldestReport(now).Milliseconds())
+	}
+	*s = loadLog{loggedAt: now, last: sample}
+}
+
+// oldestReport returns the age of the oldest report among the workers that get
+// new tasks, which bounds the age of the state that a plan is made from.
+func (l *loop) oldestReport(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, w := range l.workers {
+		if w.report != nil && w.schedulable(now) {
+			oldest = max(oldest, now.Sub(w.answeredAt))
+		}
+	}
+	return oldest
+}
--- /dev/null
+++ b/internal/process/scheduler/loadlog_test.go
@@ -0,0 +1,42 @@
+package scheduler
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// TestLeaderLoadIsLoggedOncePerInterval calls the log faster than its interval.
+func TestLeaderLoadIsLoggedOncePerInterval(t *testing.T) {
+	var out bytes.Buffer
+	l := newLoop(context.Background(), Options{Machine: workstate.NewMachine(), Log: slog.New(slog.NewJSONHandler(&out, nil))}, 1)
+	start := time.Now()
+	for ms := range 3500 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if ms%100 == 0 {
+			l.loadLog.recordRound(2 * time.Millisecond)
+			l.loadLog.recordCommit(time.Duration(ms%1000) * time.Millisecond)
+		}
+		l.logLoad(now)
+	}
+	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
+	if len(lines) != 3 {
+		t.Fatalf("%d lines in 3.5 s", len(lines))
+	}
+	var line struct {
+		Rounds        int `json:"rounds"`
+		RoundMS       int `json:"round_ms"`
+		LongestCommit int `json:"longest_commit_ms"`
+	}
+	if err := json.Unmarshal(lines[1], &line); err != nil {
+		t.Fatal(err)
+	}
+	if line.Rounds != 10 || line.RoundMS != 20 || line.LongestCommit != 900 {
+		t.Errorf("the second line is %s", lines[1])
+	}
+}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -28,6 +28,7 @@
 	lostOrders    = metrics.NewCounter(`arbutus_orders_unanswered_total`)
 	planSeconds   = metrics.NewHistogram(`arbutus_plan_seconds`)
 	commitSeconds = metrics.NewHistogram(`arbutus_progress_commit_seconds`)
+	watchCalls    = metrics.NewCounter(`arbutus_worker_watches_total`)
 )
 
 // Options holds the dependencies and settings of a scheduler.
@@ -105,6 +106,7 @@
 	vmCapacity workload.Resources
 
 	nextPurge time.Time
+	loadLog   loadLog
 }
 
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
@@ -177,7 +179,10 @@
 	}
 	l.watchWorkers(now)
 	l.listVMs(now)
-	l.pacer.record(now, time.Now())
+	end := time.Now()
+	l.pacer.record(now, end)
+	l.loadLog.recordRound(end.Sub(now))
+	l.logLoad(end)
 	return 0
 }
 
@@ -218,7 +223,10 @@
 		start := time.Now()
 		result, err := propose(l.ctx, l.Replica, &workstate.Command{Progress: progress}, l.Now())
 		commitSeconds.UpdateDuration(start)
-		l.post(func(l *loop) { l.committed(progress, result, err) })
+		l.post(func(l *loop) {
+			l.loadLog.recordCommit(time.Since(start))
+			l.committed(progress, result, err)
+		})
 	}()
 }
 
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -59,6 +59,7 @@
 		request.WaitMS = int(watchWait.Milliseconds())
 	}
 	w.watching = true
+	watchCalls.Inc()
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, time.Duration(request.WaitMS)*time.Millisecond+callTimeout)
 		defer cancel()
