scheduler: rounds take 0.12 of the time instead of 0.4

Callers saw short jobs start late on the grown sites. Cause, by the leader's load line: a round costs in proportion to workers, VMs and jobs (0.74 ms at 350 workers), and the pacer let rounds take 0.4 of all time, 220 to 345 a second even on an idle fleet, while commits waited 200 to 525 ms for the processor. The pacer now leaves four fifths and more to the log and to calls; the longest pause is 100 ms, so that also rounds of 12 ms keep to it.

The stricter test failed before: rounds of 3 and 12 ms took 0.40 of the time, the bound is 0.2.

--- a/internal/process/scheduler/roundpacer.go
+++ b/internal/process/scheduler/roundpacer.go
@@ -6,11 +6,11 @@
 	// roundShare is the maximum share of time that rounds may take, including
 	// the search for workers to watch. The rest is left to the replicated log,
 	// the calls to workers and the calls of entries, which provide the input of
-	// the next round.
-	roundShare = 0.4
+	// the next round and wait for the processor while a round runs.
+	roundShare = 0.12
 	// maxPause limits the pause after a round, so that one slow round does not
 	// delay the next ones.
-	maxPause = tickInterval
+	maxPause = 2 * tickInterval
 )
 
 // roundPacer delays each round in proportion to the duration of the previous
--- a/internal/process/scheduler/roundpacer_test.go
+++ b/internal/process/scheduler/roundpacer_test.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// shareOfMessages is the share of time that a leader of a large fleet needs for
+// its log and calls, whose cost is per message.
+const shareOfMessages = 0.8
+
 // TestRoundsTakeALimitedShareOfTime simulates an event every millisecond with
 // rounds of several durations. Rounds must not take more than their share of
 // time, and no event may wait longer than one round and its pause.
@@ -25,7 +29,8 @@
 			waitingSince = now
 			now = now.Add(time.Millisecond)
 		}
-		if share := busy.Seconds() / now.Sub(start).Seconds(); share > roundShare*1.01 {
+		share := busy.Seconds() / now.Sub(start).Seconds()
+		if share > roundShare*1.01 || share > 1-shareOfMessages {
 			t.Errorf("rounds of %s take %.2f of the time", duration, share)
 		}
 		if limit := time.Duration(float64(duration)/roundShare) + time.Millisecond; longest > limit {
