replica: the commit index travels with appends and heartbeats only

Followers serve no reads; a new leader commits an entry of its own term first. They now learn the index with the next append, or with the heartbeat that comes within 100 ms.

--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -176,20 +176,9 @@
 	}
 	c.commitTo(index)
 	c.confirmReads()
-	c.sendCommitIndex()
 	c.stepDownIfRemoved()
 }
 
-// sendCommitIndex sends the commit index to the members without an append in
-// flight; the others receive it with their next append.
-func (c *Core) sendCommitIndex() {
-	for _, m := range c.Members() {
-		if p := c.peers[m.ID]; p.ticksInFlight == 0 {
-			c.sendHeartbeat(m.ID)
-		}
-	}
-}
-
 // tickLeader handles a tick on the leader.
 func (c *Core) tickLeader() {
 	for _, p := range c.peers {
