scheduler: a run is looked up once in each report of its worker

A round looked each executing run up three times in its worker's report and twice among the queued ends, also when neither had changed since the round before. A run now keeps its row of the newest report.

--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -152,6 +152,9 @@
 
 // endQueued reports whether the end of a run waits for a commit.
 func (l *loop) endQueued(key runKey) bool {
+	if len(l.ends) == 0 {
+		return false
+	}
 	_, queued := l.ends[key]
 	return queued
 }
@@ -212,7 +215,8 @@
 // advanceRun sends the next order for a run if one is due, for example again
 // after a lost answer, and updates the phase of the run from the newest report.
 func (l *loop) advanceRun(v *workstate.View, id workload.TaskID, r *run, w *worker, now time.Time) {
-	reported, fresh := w.reportsRun(runKey{id, r.number}, r.since)
+	r.observe(w, runKey{id, r.number})
+	reported, fresh := r.running || r.ended, r.reportedAfter(r.since)
 	switch r.phase {
 	case runUnknown:
 		if reported {
@@ -236,22 +240,31 @@
 			l.sendStop(id, r, now)
 		}
 	case runStopped:
-		_, late := w.reportsRun(runKey{id, r.number}, r.since.Add(l.Limits.StopTimeout+reportSlack))
+		late := r.reportedAfter(r.since.Add(l.Limits.StopTimeout + reportSlack))
 		if late && !reported {
 			l.queueEnd(id, r.number, workstate.EndInterrupted, "")
 		}
 	}
 }
 
-// reportsRun reports whether the newest report lists a run as executing or
-// ended, and whether that report was requested after the given time.
-func (w *worker) reportsRun(key runKey, after time.Time) (reported, fresh bool) {
+// observe looks the run up in the newest report of its worker. It does nothing
+// if that report was looked at before.
+func (r *run) observe(w *worker, key runKey) {
+	if r.report == w.report {
+		return
+	}
+	r.report, r.running, r.ended = w.report, false, false
 	if w.report == nil {
-		return false, false
+		return
 	}
-	_, running := w.report.running[key]
-	_, ended := w.report.ended[key]
-	return running || ended, w.report.sentAt.After(after)
+	r.row, r.running = w.report.running[key]
+	_, r.ended = w.report.ended[key]
+}
+
+// reportedAfter reports whether the newest report was requested after the given
+// time.
+func (r *run) reportedAfter(t time.Time) bool {
+	return r.report != nil && r.report.sentAt.After(t)
 }
 
 // lastCheckpoint returns the last reported checkpoint of a run.
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -56,6 +56,11 @@
 	// unconfirmed is set if a start order got no answer or may have been sent by
 	// a former leader, so that it may still arrive.
 	unconfirmed bool
+	// report is the newest report that was looked at. running and ended tell
+	// whether it lists the run as executing, with the entry row, or as ended.
+	report         *reportView
+	row            execution.RunningTask
+	running, ended bool
 	// percent is the last reported progress, which was first reported at
 	// progressAt.
 	percent    int
--- a/internal/process/scheduler/stragglers.go
+++ b/internal/process/scheduler/stragglers.go
@@ -36,10 +36,11 @@
 	if step.LongRunning || step.Gang || w == nil || w.report == nil || r.phase != runOrdered {
 		return
 	}
-	row, reported := w.report.running[runKey{id, task.Run}]
-	if !reported {
+	r.observe(w, runKey{id, task.Run})
+	if !r.running {
 		return
 	}
+	row := &r.row
 	if row.Percent != r.percent || r.progressAt.IsZero() {
 		r.percent, r.progressAt = row.Percent, now
 	}
