link, replica: messages between members have no answer

Each replica message was a call on a stream of its own, answered by an empty response that nobody used but for a debug line: the core's own replies tell what arrived. An append to seven members thus cost the leader 28 encoded messages, the replies' acknowledgements included. link.Send carries a message on a one-way stream; the limit of messages in flight to one member holds until the connection has taken the message.

--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -60,12 +60,15 @@
 func (f *Fault) Error() string { return f.Code + ": " + f.Message }
 
 // Metrics of the message bytes that this process sent and received, without the
-// overhead of QUIC, and of the calls that it made and served.
+// overhead of QUIC, and of the calls and of the messages without an answer.
 var (
 	sentBytes     = metrics.NewCounter(`arbutus_link_message_bytes_total{direction="sent"}`)
 	receivedBytes = metrics.NewCounter(`arbutus_link_message_bytes_total{direction="received"}`)
 	callsMade     = metrics.GetOrCreateCounter(`arbutus_link_calls_total`)
 	callsServed   = metrics.GetOrCreateCounter(`arbutus_link_calls_served_total`)
+
+	messagesSent     = metrics.GetOrCreateCounter(`arbutus_link_messages_total{direction="sent"}`)
+	messagesReceived = metrics.GetOrCreateCounter(`arbutus_link_messages_total{direction="received"}`)
 )
 
 type request struct {
@@ -109,16 +112,9 @@
 }
 
 func (n *Node) call(ctx context.Context, address string, kind Kind, req any) ([]byte, error) {
-	body, err := cbor.Marshal(req)
-	if err != nil {
-		return nil, fmt.Errorf("encode request: %w", err)
-	}
-	message, err := cbor.Marshal(request{Kind: kind, Stamp: n.recorder.Now(), Body: body})
+	message, err := n.encodeRequest(kind, req)
 	if err != nil {
-		return nil, fmt.Errorf("encode request: %w", err)
-	}
-	if len(message) > MaxMessageBytes {
-		return nil, ErrTooLarge
+		return nil, err
 	}
 	connection, err := n.connect(ctx, address)
 	if err != nil {
@@ -185,6 +181,7 @@
 	if chain := connection.ConnectionState().TLS.PeerCertificates; len(chain) > 0 {
 		peer.ID = chain[0].Subject.CommonName
 	}
+	go n.acceptMessages(connection, peer)
 	for {
 		stream, err := connection.AcceptStream(connection.Context())
 		if err != nil {
@@ -199,10 +196,8 @@
 
 func (n *Node) serveStream(stream *quic.Stream, peer Peer) {
 	defer stream.Close()
-	// SetReadDeadline cannot fail on an open stream.
-	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
-	var req request
-	if err := readMessage(stream, &req); err != nil {
+	req, err := readRequest(stream)
+	if err != nil {
 		stream.CancelWrite(abortedCode)
 		return
 	}
@@ -222,6 +217,21 @@
 	}
 }
 
+// requestStream is the receiving side of a stream.
+type requestStream interface {
+	io.Reader
+	SetReadDeadline(time.Time) error
+}
+
+// readRequest reads the request on a stream within requestTimeout.
+func readRequest(stream requestStream) (request, error) {
+	// SetReadDeadline cannot fail on an open stream.
+	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
+	var req request
+	err := readMessage(stream, &req)
+	return req, err
+}
+
 // handleRequest calls the handler of a request and returns its response.
 func (n *Node) handleRequest(ctx context.Context, peer Peer, req request) response {
 	n.mu.Lock()
--- a/internal/connection/link/node.go
+++ b/internal/connection/link/node.go
@@ -30,7 +30,8 @@
 const (
 	// protocol is the application protocol (ALPN) in the TLS handshake.
 	protocol = "arbutusward/1"
-	// maxStreams bounds the concurrent calls on one connection.
+	// maxStreams bounds the concurrent calls on one connection, and likewise
+	// the messages without an answer.
 	maxStreams = 4096
 )
 
@@ -103,6 +104,8 @@
 		MaxIdleTimeout:       IdleTimeout,
 		KeepAlivePeriod:      KeepAlive,
 		MaxIncomingStreams:   maxStreams,
+
+		MaxIncomingUniStreams: maxStreams,
 	}
 }
 
--- /dev/null
+++ b/internal/connection/link/send.go
@@ -0,0 +1,82 @@
+package link
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+
+	"arbutusward.example/arbutusward/internal/process/logging"
+)
+
+// Send sends a message that has no answer. A nil error means only that the
+// message was handed to the connection: it may be lost with it. The peer passes
+// the message to the handler of its kind and drops the handler's result.
+func Send[Req any](ctx context.Context, n *Node, address string, kind Kind, req Req) error {
+	return logging.Wrap(n.send(ctx, address, kind, req), string(kind), address)
+}
+
+func (n *Node) send(ctx context.Context, address string, kind Kind, req any) error {
+	message, err := n.encodeRequest(kind, req)
+	if err != nil {
+		return err
+	}
+	connection, err := n.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	stream, err := connection.OpenUniStreamSync(ctx)
+	if err != nil {
+		return fmt.Errorf("open stream: %w", err)
+	}
+	messagesSent.Inc()
+	sentBytes.Add(len(message))
+	stop := context.AfterFunc(ctx, func() { stream.CancelWrite(abortedCode) })
+	defer stop()
+	if _, err := stream.Write(message); err != nil {
+		return fmt.Errorf("%w: write: %w", ErrNoAnswer, err)
+	}
+	return stream.Close()
+}
+
+// encodeRequest encodes the request of a Call or a Send.
+func (n *Node) encodeRequest(kind Kind, req any) ([]byte, error) {
+	body, err := cbor.Marshal(req)
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	message, err := cbor.Marshal(request{Kind: kind, Stamp: n.recorder.Now(), Body: body})
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	if len(message) > MaxMessageBytes {
+		return nil, ErrTooLarge
+	}
+	return message, nil
+}
+
+// acceptMessages receives the messages that a peer sends without expecting an
+// answer, until the connection ends.
+func (n *Node) acceptMessages(connection *quic.Conn, peer Peer) {
+	for {
+		stream, err := connection.AcceptUniStream(connection.Context())
+		if err != nil {
+			return
+		}
+		go n.receiveMessage(connection.Context(), stream, peer)
+	}
+}
+
+func (n *Node) receiveMessage(ctx context.Context, stream *quic.ReceiveStream, peer Peer) {
+	req, err := readRequest(stream)
+	if err != nil {
+		n.log.Debug("link message not read", "peer", peer.ID, logging.Err(err))
+		return
+	}
+	messagesReceived.Inc()
+	n.recorder.Observe(req.Stamp)
+	if answer := n.handleRequest(ctx, peer, req); answer.Fault != nil {
+		n.log.Debug("link message refused", "kind", req.Kind, "peer", peer.ID, logging.Err(answer.Fault))
+	}
+}
--- a/internal/process/replica/driver/transport.go
+++ b/internal/process/replica/driver/transport.go
@@ -14,7 +14,8 @@
 
 // Link calls between control processes.
 const (
-	// MessageKind carries a core.Message. It is answered by an Ack.
+	// MessageKind carries a core.Message. It has no answer: the core's own
+	// replies tell what arrived.
 	MessageKind link.Kind = "replica.message"
 	// SnapshotKind carries a SnapshotPart. It is answered by an Ack.
 	SnapshotKind link.Kind = "replica.snapshot"
@@ -56,8 +57,8 @@
 		defer t.release(m.To)
 		ctx, cancel := context.WithTimeout(t.ctx, timeoutFor(&m))
 		defer cancel()
-		if _, err := link.Call[core.Message, Ack](ctx, t.node, address, MessageKind, m); err != nil {
-			t.log.Debug("replica message not acknowledged", logging.Err(err))
+		if err := link.Send(ctx, t.node, address, MessageKind, m); err != nil {
+			t.log.Debug("replica message not sent", logging.Err(err))
 		}
 	}()
 }
