--- a/internal/process/logging/bounded.go
+++ b/internal/process/logging/bounded.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -12,6 +13,14 @@
 // maxQueuedLines bounds the lines that wait for a slow reader of the output.
 const maxQueuedLines = 8192
 
+// Lines are written in chunks, since each write is a system call.
+const (
+	// writeDelay is how long a line may wait for others.
+	writeDelay = 20 * time.Millisecond
+	// maxChunkBytes ends that wait.
+	maxChunkBytes = 32 << 10
+)
+
 // droppedLines counts the lines that were dropped because the queue was full.
 var droppedLines = metrics.NewCounter(`arbutus_log_lines_dropped_total`)
 
@@ -51,33 +60,56 @@
 	for {
 		select {
 		case line := <-w.lines:
-			w.write(out, line)
+			w.collect(out, line)
 		case done := <-w.flushes:
-			w.writeQueued(out)
+			w.writeQueued(out, nil)
 			close(done)
 		}
 	}
 }
 
-// writeQueued writes the lines that are in the queue.
-func (w *boundedWriter) writeQueued(out io.Writer) {
+// collect waits until a chunk is full or the delay is over, and writes it.
+func (w *boundedWriter) collect(out io.Writer, chunk []byte) {
+	delay := time.NewTimer(writeDelay)
+	defer delay.Stop()
+	for len(chunk) < maxChunkBytes {
+		select {
+		case line := <-w.lines:
+			chunk = append(chunk, line...)
+		case <-delay.C:
+			w.write(out, chunk)
+			return
+		case done := <-w.flushes:
+			w.writeQueued(out, chunk)
+			close(done)
+			return
+		}
+	}
+	w.write(out, chunk)
+}
+
+// writeQueued writes a chunk and the lines that are in the queue.
+func (w *boundedWriter) writeQueued(out io.Writer, chunk []byte) {
 	for {
 		select {
 		case line := <-w.lines:
-			w.write(out, line)
+			chunk = append(chunk, line...)
 		default:
+			w.write(out, chunk)
 			return
 		}
 	}
 }
 
-// write writes a line. Errors of the output are ignored, since there is nowhere
-// to report them.
-func (w *boundedWriter) write(out io.Writer, line []byte) {
+// write writes whole lines. Errors of the output are ignored, since there is
+// nowhere to report them.
+func (w *boundedWriter) write(out io.Writer, lines []byte) {
 	if dropped := w.dropped.Swap(0); dropped > 0 {
 		_, _ = fmt.Fprintf(out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", dropped)
 	}
-	_, _ = out.Write(line)
+	if len(lines) > 0 {
+		_, _ = out.Write(lines)
+	}
 }
 
 // flush blocks until all lines queued before the call are written.
