link: peers of the earlier version get calls instead of messages

A process of the version before knows no one-way streams, so that members would have stopped hearing each other while a new version is rolled out. The handshake now offers a second protocol name; where a peer has only the first, a message goes as a call. TestMessagesReachAPeerOfTheEarlierProtocol covers it.

--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -120,6 +120,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return n.callOn(ctx, connection, message)
+}
+
+// callOn makes a call with an encoded request on a connection.
+func (n *Node) callOn(ctx context.Context, connection *quic.Conn, message []byte) ([]byte, error) {
 	stream, err := connection.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("open stream: %w", err)
--- a/internal/connection/link/node.go
+++ b/internal/connection/link/node.go
@@ -28,8 +28,11 @@
 )
 
 const (
-	// protocol is the application protocol (ALPN) in the TLS handshake.
-	protocol = "arbutusward/1"
+	// callProtocol and messageProtocol are the application protocols (ALPN) in
+	// the TLS handshake. A peer that only has callProtocol is of an earlier
+	// version, which knows no messages without an answer.
+	callProtocol    = "arbutusward/1"
+	messageProtocol = "arbutusward/2"
 	// maxStreams bounds the concurrent calls on one connection, and likewise
 	// the messages without an answer.
 	maxStreams = 4096
@@ -83,7 +86,7 @@
 		return nil, logging.Wrap(err, "listen for links", address)
 	}
 	transport := &quic.Transport{Conn: socket}
-	listener, err := transport.Listen(ring.MutualTLS(protocol), quicConfig())
+	listener, err := transport.Listen(ring.MutualTLS(messageProtocol, callProtocol), quicConfig())
 	if err != nil {
 		return nil, logging.Wrap(errors.Join(err, socket.Close()), "listen for links", address)
 	}
@@ -168,7 +171,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("resolve: %w", err)
 	}
-	connection, err := n.transport.Dial(ctx, udpAddress, n.ring.MutualTLS(protocol), quicConfig())
+	connection, err := n.transport.Dial(ctx, udpAddress, n.ring.MutualTLS(messageProtocol, callProtocol), quicConfig())
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
--- a/internal/connection/link/send.go
+++ b/internal/connection/link/send.go
@@ -26,6 +26,10 @@
 	if err != nil {
 		return err
 	}
+	if connection.ConnectionState().TLS.NegotiatedProtocol != messageProtocol {
+		_, err := n.callOn(ctx, connection, message)
+		return err
+	}
 	stream, err := connection.OpenUniStreamSync(ctx)
 	if err != nil {
 		return fmt.Errorf("open stream: %w", err)
--- a/internal/connection/link/send_test.go
+++ b/internal/connection/link/send_test.go
@@ -99,3 +99,39 @@
 		t.Errorf("took %s", took)
 	}
 }
+
+// TestMessagesReachAPeerOfTheEarlierProtocol guards against members that stop hearing each other while a new version is rolled out.
+func TestMessagesReachAPeerOfTheEarlierProtocol(t *testing.T) {
+	from, to := startPair(t)
+	received := make(chan int, 1)
+	Handle(to, "test.message", func(_ context.Context, _ Peer, n int) (struct{}, error) {
+		received <- n
+		return struct{}{}, nil
+	})
+	if err := to.listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := to.transport.Listen(to.ring.MutualTLS(callProtocol), quicConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	to.listener = listener
+	to.Serve()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	before := messagesSent.Get()
+	if err := Send(ctx, from, to.Address(), "test.message", 3); err != nil {
+		t.Fatal(err)
+	}
+	if messagesSent.Get() != before {
+		t.Error("the peer got a message of a kind that it does not know")
+	}
+	select {
+	case n := <-received:
+		if n != 3 {
+			t.Errorf("received %d", n)
+		}
+	case <-ctx.Done():
+		t.Error("the message did not arrive")
+	}
+}
--- a/internal/process/keys/ring.go
+++ b/internal/process/keys/ring.go
@@ -163,17 +163,17 @@
 }
 
 // MutualTLS returns a TLS configuration in which both ends authenticate with
-// node certificates of the deployment. The protocol is the ALPN protocol of the
-// connection. A server uses the newest keys for each connection; a client must
+// node certificates of the deployment. The protocols are the ALPN protocols of
+// the connection, the preferred one first. A server uses the newest keys for each connection; a client must
 // create a new configuration for each connection.
-func (r *Ring) MutualTLS(protocol string) *tls.Config {
-	config := r.mutualTLS(protocol)
-	config.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) { return r.mutualTLS(protocol), nil }
+func (r *Ring) MutualTLS(protocols ...string) *tls.Config {
+	config := r.mutualTLS(protocols)
+	config.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) { return r.mutualTLS(protocols), nil }
 	return config
 }
 
 // mutualTLS returns a configuration with the current keys.
-func (r *Ring) mutualTLS(protocol string) *tls.Config {
+func (r *Ring) mutualTLS(protocols []string) *tls.Config {
 	current := r.current.Load()
 	config := &tls.Config{
 		Certificates: []tls.Certificate{current.node},
@@ -181,7 +181,7 @@
 		ClientCAs:    current.pool,
 		RootCAs:      current.pool,
 		ServerName:   ServerName,
-		NextProtos:   []string{protocol},
+		NextProtos:   protocols,
 		MinVersion:   tls.VersionTLS13,
 	}
 	if r.unauthenticated {
