delegate: other control processes call most workers for the leader

All calls to 349 workers, 2,000 to 3,000 a second in a turn of short jobs, left from the one leader, while seven control processes used 0.045 of their 0.56 of a core: the runs that a deployment could start were bounded by one process. Sites of up to 64 workers keep their path.

That test's workers now send heartbeats each 1.5 s as the sites' do, instead of 0.5 s.

A soak's leader calls one worker in four itself, so that both ways meet faults.

--- a/cmd/arbutus-control/hosted.go
+++ b/cmd/arbutus-control/hosted.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"github.com/urfave/cli/v3"
 	"go.uber.org/fx"
 
 	"arbutusward.example/arbutusward/internal/process/hosted"
@@ -9,9 +10,20 @@
 	"arbutusward.example/arbutusward/platform"
 )
 
+// directWorkersFlag is the name of the flag for hosted.Tuning.DirectWorkers.
+const directWorkersFlag = "direct-workers"
+
+// hostedFlags are the flags on the hosting platform.
+var hostedFlags = []cli.Flag{
+	&cli.IntFlag{
+		Name: directWorkersFlag, Value: hosted.DefaultDirectWorkers,
+		Usage: "workers that the leader calls itself; the further ones are called by the other control processes",
+	},
+}
+
 // hostedControl returns the control process for the hosting platform, with the
 // settings that the platform supplies.
-func hostedControl() (*lifecycle.Hosted, error) {
+func hostedControl(c *cli.Command) (*lifecycle.Hosted, error) {
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return nil, err
@@ -20,7 +32,7 @@
 		Identity: lifecycle.Identity{Program: "arbutus-control", ID: settings.VM, Zone: settings.Zone},
 		MemoryMB: settings.MemoryMB,
 		Options: fx.Options(
-			fx.Supply(settings),
+			fx.Supply(settings, hosted.Tuning{DirectWorkers: c.Int(directWorkersFlag)}),
 			fx.Provide(hosted.NewMembership, hosted.NewControlNode, workstate.NewMachine, hosted.NewReplica, hosted.NewControl),
 			fx.Invoke(func(lc fx.Lifecycle, control *hosted.Control) { lifecycle.Attach(lc, control) }),
 		),
--- a/cmd/arbutus-control/main.go
+++ b/cmd/arbutus-control/main.go
@@ -23,9 +23,10 @@
 
 func main() {
 	lifecycle.Main(lifecycle.Program[settings.Control]{
-		Name:   "arbutus-control",
-		Hosted: hostedControl,
-		Usage:  "maintain the replicated state of a deployment and run its planners",
+		Name:        "arbutus-control",
+		Hosted:      hostedControl,
+		HostedFlags: hostedFlags,
+		Usage:       "maintain the replicated state of a deployment and run its planners",
 		Identity: func(s *settings.Control) lifecycle.Identity {
 			return lifecycle.Identity{Program: "arbutus-control", ID: s.ID, Zone: s.Zone, KeysDir: s.KeysDir}
 		},
--- a/cmd/arbutus-entry/hosted.go
+++ b/cmd/arbutus-entry/hosted.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"github.com/urfave/cli/v3"
 	"go.uber.org/fx"
 
 	"arbutusward.example/arbutusward/internal/process/hosted"
@@ -10,7 +11,7 @@
 
 // hostedEntry returns the entry for the hosting platform, with the settings
 // that the platform supplies.
-func hostedEntry() (*lifecycle.Hosted, error) {
+func hostedEntry(*cli.Command) (*lifecycle.Hosted, error) {
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return nil, err
--- a/integration/hosted_harness_test.go
+++ b/integration/hosted_harness_test.go
@@ -23,8 +23,20 @@
 	ledger            *hostedLedger
 	client            *http.Client
 	version           int
-	// env holds additional environment variables of all processes.
-	env []string
+	// env holds additional environment variables of all processes, controlArgs
+	// additional arguments of the control processes.
+	env, controlArgs []string
+}
+
+// hostedOption changes how the processes of a deployment are started.
+type hostedOption func(*hosted)
+
+// oneCore makes each process run like on a VM with one core.
+func oneCore(h *hosted) { h.env = append(h.env, "GOMAXPROCS=1") }
+
+// directWorkers sets the number of workers that the leader calls itself.
+func directWorkers(count int) hostedOption {
+	return func(h *hosted) { h.controlArgs = append(h.controlArgs, fmt.Sprint("--direct-workers=", count)) }
 }
 
 // Ports of a hosted deployment.
@@ -39,10 +51,13 @@
 // loopback addresses.
 var subnets atomic.Int64
 
-func newHosted(t *testing.T, controls, entries int, env ...string) *hosted {
+func newHosted(t *testing.T, controls, entries int, options ...hostedOption) *hosted {
 	t.Helper()
 	number := (int64(os.Getpid())+subnets.Add(1))%200 + 20
-	h := &hosted{t: t, dir: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d.", number, (os.Getpid()/200)%250), ledger: newHostedLedger(t), client: &http.Client{Timeout: 3 * time.Second}, env: env}
+	h := &hosted{t: t, dir: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d.", number, (os.Getpid()/200)%250), ledger: newHostedLedger(t), client: &http.Client{Timeout: 3 * time.Second}}
+	for _, option := range options {
+		option(h)
+	}
 	t.Cleanup(h.dumpLogs)
 	for i := range controls {
 		h.controls = append(h.controls, h.add("arbutus-control", fmt.Sprintf("core-%d", i+1), h.controlIP(i), min(controls, 3), true))
@@ -82,7 +97,11 @@
 }
 
 func (h *hosted) launch(program, node, settings string) *process {
-	p := &process{t: h.t, id: node, path: filepath.Join(binDir, program), args: []string{"--platform"}, logPath: filepath.Join(h.dir, node+".log"), env: append([]string{"ARBUTUSWARD_BOOT=" + settings}, h.env...)}
+	args := []string{"--platform"}
+	if program == "arbutus-control" {
+		args = append(args, h.controlArgs...)
+	}
+	p := &process{t: h.t, id: node, path: filepath.Join(binDir, program), args: args, logPath: filepath.Join(h.dir, node+".log"), env: append([]string{"ARBUTUSWARD_BOOT=" + settings}, h.env...)}
 	h.t.Cleanup(p.kill)
 	p.start()
 	return p
--- a/integration/hosted_load_test.go
+++ b/integration/hosted_load_test.go
@@ -21,9 +21,8 @@
 	fleetTasksPerJob   = 8
 	fleetReadsPerJob   = 2
 	fleetTaskTime      = 800 * time.Millisecond
+	fleetHeartbeat     = 1500 * time.Millisecond
 	controlShareOfCore = 0.512
-	// oneCore makes each process run like on a VM with one core.
-	oneCore = "GOMAXPROCS=1"
 )
 
 // TestHostedLeaderAffordsTheRunsOfALargeFleet guards against a leader that needs more processor time than a control VM has, so that runs start late.
@@ -31,7 +30,7 @@
 	h := newHosted(t, fleetControls, fleetEntries, oneCore)
 	h.configure()
 	for i := range fleetWorkers {
-		startHostedWorker(t, h.ledger, fmt.Sprint("w", i), "svc", freePort(t), "", 8000, h.controlAddresses())
+		startHostedWorkerEvery(t, fleetHeartbeat, h.ledger, fmt.Sprint("w", i), "svc", freePort(t), "", 8000, h.controlAddresses())
 	}
 	h.submit(jobID(1), 8, 100*time.Millisecond)
 	h.awaitState(jobID(1), "succeeded", 20*time.Second)
--- a/integration/hosted_soak_test.go
+++ b/integration/hosted_soak_test.go
@@ -20,9 +20,13 @@
 // CI runs it for a short time, with the seeds that have failed before and one
 // random seed.
 var (
-	soakSeeds  = flag.Int("soak.seeds", 1, "number of seeds to run")
-	soakFirst  = flag.Uint64("soak.first", 0, "first seed; 0 draws a random one")
-	soakLength = flag.Duration("soak.length", 12*time.Second, "how long faults are injected for each seed")
+	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds to run")
+	soakFirst = flag.Uint64("soak.first", 0, "first seed; 0 draws a random one")
+	// A large run has as many processes and workers as the machine bears.
+	soakControls = flag.Int("soak.controls", 3, "number of control processes")
+	soakEntries  = flag.Int("soak.entries", 2, "number of entries")
+	soakWorkers  = flag.Int("soak.workers", 4, "number of workers")
+	soakLength   = flag.Duration("soak.length", 12*time.Second, "how long faults are injected for each seed")
 )
 
 // failedSeeds are the seeds that have failed before, each with the cause.
@@ -79,11 +83,12 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
-		hosted: newHosted(t, 3, 2), random: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{}, cancelled: map[string]bool{},
+		// Both the leader's own calls and those of delegates meet the faults.
+		hosted: newHosted(t, *soakControls, *soakEntries, directWorkers(*soakWorkers/4)), random: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{}, cancelled: map[string]bool{},
 	}
 	s.configure()
 	s.acked, s.ackedAt = s.version, time.Now()
-	for i := range 4 {
+	for i := range *soakWorkers {
 		w, r := s.addWorker(fmt.Sprint("w", i), 8000)
 		s.workers, s.relays = append(s.workers, w), append(s.relays, r)
 	}
@@ -125,7 +130,7 @@
 func (s *soak) submitOne(i int) {
 	id := jobID(i)
 	body := fmt.Sprintf(`{"spec":"%dms","steps":[{"count":3,"cpu":1000,"mem_mb":1,"estimate_ms":300},{"count":2,"cpu":1000,"mem_mb":1,"estimate_ms":300,"depends_on":[0]}]}`, 100+i%5*150)
-	status, _ := s.request(i%2, http.MethodPost, "/q/"+id, body)
+	status, _ := s.request(i%len(s.entries), http.MethodPost, "/q/"+id, body)
 	if status == http.StatusOK {
 		s.mu.Lock()
 		s.accepted[id] = true
@@ -135,7 +140,7 @@
 		s.mu.Lock()
 		s.cancelled[id] = true
 		s.mu.Unlock()
-		s.request((i+1)%2, http.MethodDelete, "/q/"+id, "")
+		s.request((i+1)%len(s.entries), http.MethodDelete, "/q/"+id, "")
 	}
 	time.Sleep(100 * time.Millisecond)
 }
@@ -154,7 +159,7 @@
 	if id == "" {
 		return
 	}
-	state := s.state(i%2, id)
+	state := s.state(i%len(s.entries), id)
 	if state == "gone" || state == "failed" || (state == "cancelled" && !cancelled) {
 		s.t.Errorf("accepted job %s is shown as %s", id, state)
 	}
--- a/integration/hosted_worker_test.go
+++ b/integration/hosted_worker_test.go
@@ -84,11 +84,13 @@
 	// reports to the scheduler: that of a relay in tests of the network.
 	address, advertised string
 	capacity            int64
-	startedAt           time.Time
-	ledger              *hostedLedger
-	listener            net.Listener
-	server              *http.Server
-	done                chan struct{}
+	// heartbeatInterval is the time between two heartbeats.
+	heartbeatInterval time.Duration
+	startedAt         time.Time
+	ledger            *hostedLedger
+	listener          net.Listener
+	server            *http.Server
+	done              chan struct{}
 
 	mu           sync.Mutex
 	fencingToken uint64
@@ -104,12 +106,18 @@
 // startHostedWorker starts a worker that sends heartbeats to the control
 // addresses.
 func startHostedWorker(t *testing.T, ledger *hostedLedger, id, service, address, advertised string, capacity int64, control []string) *hostedWorker {
+	t.Helper()
+	return startHostedWorkerEvery(t, 500*time.Millisecond, ledger, id, service, address, advertised, capacity, control)
+}
+
+// startHostedWorkerEvery starts a worker with the given heartbeat interval.
+func startHostedWorkerEvery(t *testing.T, interval time.Duration, ledger *hostedLedger, id, service, address, advertised string, capacity int64, control []string) *hostedWorker {
 	t.Helper()
 	if advertised == "" {
 		advertised = address
 	}
 	w := &hostedWorker{
-		id: id, service: service, vm: "vm-" + id, address: address, advertised: advertised, capacity: capacity, startedAt: time.Now(), ledger: ledger,
+		id: id, service: service, vm: "vm-" + id, heartbeatInterval: interval, address: address, advertised: advertised, capacity: capacity, startedAt: time.Now(), ledger: ledger,
 		done: make(chan struct{}), running: map[string]*hostedRun{}, highestRun: map[string]int{},
 	}
 	w.listener = listenWithRetry(t, address)
@@ -322,7 +330,7 @@
 			address = control[sequence%len(control)]
 		}
 		address = w.sendHeartbeat(client, address, sequence)
-		pause := 500 * time.Millisecond
+		pause := w.heartbeatInterval
 		if address == "" {
 			pause = 50 * time.Millisecond
 		}
--- /dev/null
+++ b/internal/connection/delegate/routes.go
@@ -0,0 +1,120 @@
+package delegate
+
+import (
+	"hash/fnv"
+	"io"
+	"slices"
+	"time"
+)
+
+const (
+	// routeAge is how long a worker keeps its delegate before the choice is
+	// made again, so that a delegate that came back gets its share.
+	routeAge = 5 * time.Second
+	// routeIdle is how long a worker that is not called keeps its route. Each
+	// worker of a leader is called every second.
+	routeIdle = 30 * time.Second
+)
+
+// routes assigns workers, by address, to delegates or to direct calls. It is
+// not safe for concurrent use.
+type routes struct {
+	directWorkers int
+	direct        int
+	assigned      map[string]*route
+	prunedAt      time.Time
+}
+
+// route is the choice for one worker.
+type route struct {
+	// delegate is "" if the worker is called directly.
+	delegate          string
+	decidedAt, usedAt time.Time
+}
+
+func newRoutes(directWorkers int) routes {
+	return routes{directWorkers: directWorkers, assigned: map[string]*route{}}
+}
+
+// choose returns the delegate of a worker, or "" for direct calls. The function
+// usable returns the delegates to choose from; if there is none, the call is
+// direct but the worker gets no lasting route.
+func (t *routes) choose(address string, now time.Time, usable func() []string) string {
+	t.prune(now)
+	r := t.assigned[address]
+	if r == nil && t.direct < t.directWorkers {
+		r = &route{decidedAt: now}
+		t.direct++
+		t.assigned[address] = r
+	}
+	if r != nil && r.delegate == "" {
+		r.usedAt = now
+		return ""
+	}
+	delegates := usable()
+	if r != nil && now.Sub(r.decidedAt) < routeAge && slices.Contains(delegates, r.delegate) {
+		r.usedAt = now
+		return r.delegate
+	}
+	if len(delegates) == 0 {
+		delete(t.assigned, address)
+		return ""
+	}
+	r = &route{delegate: highestScore(address, delegates), decidedAt: now, usedAt: now}
+	t.assigned[address] = r
+	return r.delegate
+}
+
+// forget removes the route of a worker and returns its delegate.
+func (t *routes) forget(address string) string {
+	r := t.assigned[address]
+	if r == nil {
+		return ""
+	}
+	t.remove(address, r)
+	return r.delegate
+}
+
+func (t *routes) remove(address string, r *route) {
+	delete(t.assigned, address)
+	if r.delegate == "" {
+		t.direct--
+	}
+}
+
+// prune periodically removes the routes of workers that are no longer called.
+func (t *routes) prune(now time.Time) {
+	if now.Sub(t.prunedAt) < routeIdle {
+		return
+	}
+	t.prunedAt = now
+	for address, r := range t.assigned {
+		if now.Sub(r.usedAt) > routeIdle {
+			t.remove(address, r)
+		}
+	}
+}
+
+// highestScore chooses by rendezvous hashing, so that the loss of a delegate
+// moves only its own workers.
+func highestScore(address string, delegates []string) string {
+	best, bestScore := "", uint64(0)
+	for _, delegate := range delegates {
+		hash := fnv.New64a()
+		// Writes to a hash never fail.
+		_, _ = io.WriteString(hash, delegate)
+		_, _ = io.WriteString(hash, address)
+		if score := mix(hash.Sum64()); best == "" || score > bestScore {
+			best, bestScore = delegate, score
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash whose inputs differ only at their end.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -1,5 +1,6 @@
 // Package execution defines the calls that the scheduler makes to workers
 // and to the platform that manages the VMs, independent of the wire protocol.
+// The calls to workers can be encoded for other processes of the system.
 package execution
 
 import (
@@ -18,9 +19,9 @@
 
 // WorkerAddress identifies the worker that a call is for.
 type WorkerAddress struct {
-	ID string
+	ID string `cbor:"1,keyasint,omitempty"`
 	// Address is HOST:PORT.
-	Address string
+	Address string `cbor:"2,keyasint,omitempty"`
 }
 
 // Refusal is the reason why a worker did not execute an order.
@@ -52,62 +53,62 @@
 
 // Answer is a worker's reply to an order.
 type Answer struct {
-	Refusal Refusal
+	Refusal Refusal `cbor:"1,keyasint,omitempty"`
 	// ClockMS is a reading of the worker's monotonic clock, or 0 if the
 	// answer has none.
-	ClockMS int64
+	ClockMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // StartOrder orders a worker to start one run of a task.
 type StartOrder struct {
-	Task    workload.TaskID
-	Run     int
-	Payload string
+	Task    workload.TaskID `cbor:"1,keyasint,omitempty"`
+	Run     int             `cbor:"2,keyasint,omitempty"`
+	Payload string          `cbor:"3,keyasint,omitempty"`
 	// LeaseUntilMS is the end of the lease on the worker's clock.
-	LeaseUntilMS int64
-	FencingToken uint64
+	LeaseUntilMS int64  `cbor:"4,keyasint,omitempty"`
+	FencingToken uint64 `cbor:"5,keyasint,omitempty"`
 	// Checkpoint is the checkpoint to resume from, or "" to start from the
 	// beginning.
-	Checkpoint string
+	Checkpoint string `cbor:"6,keyasint,omitempty"`
 	// Ticket is the adviser's permit to run the step on the worker, or "" if
 	// the step needs none.
-	Ticket string
+	Ticket string `cbor:"7,keyasint,omitempty"`
 }
 
 // Watch asks a worker for the state of its runs and extends its lease.
 type Watch struct {
-	FencingToken uint64
+	FencingToken uint64 `cbor:"1,keyasint,omitempty"`
 	// LeaseUntilMS is the new end of the lease on the worker's clock; 0 does
 	// not extend the lease.
-	LeaseUntilMS int64
+	LeaseUntilMS int64 `cbor:"2,keyasint,omitempty"`
 	// AckedEnd is the EndedRun.Number up to which ended runs are durably
 	// recorded. The worker discards the acknowledged ones.
-	AckedEnd int64
+	AckedEnd int64 `cbor:"3,keyasint,omitempty"`
 	// WaitMS bounds how long the worker may delay its answer until a run ends.
-	WaitMS int
+	WaitMS int `cbor:"4,keyasint,omitempty"`
 }
 
 // RunningTask is a run in execution on a worker.
 type RunningTask struct {
-	Task       workload.TaskID
-	Run        int
-	Checkpoint string
+	Task       workload.TaskID `cbor:"1,keyasint,omitempty"`
+	Run        int             `cbor:"2,keyasint,omitempty"`
+	Checkpoint string          `cbor:"3,keyasint,omitempty"`
 	// Percent is the progress of the run. It is 100 for a long-running task
 	// that is working.
-	Percent int
+	Percent int `cbor:"4,keyasint,omitempty"`
 	// Usage is the tail latency in ms for a task that serves requests, and
 	// the CPU usage in thousandths of a core for any other task.
-	Usage int64
+	Usage int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // EndedRun is a run that has ended on a worker.
 type EndedRun struct {
 	// Number counts the ended runs of one incarnation of the worker, from 1.
-	Number     int64
-	Task       workload.TaskID
-	Run        int
-	Reason     EndReason
-	Checkpoint string
+	Number     int64           `cbor:"1,keyasint,omitempty"`
+	Task       workload.TaskID `cbor:"2,keyasint,omitempty"`
+	Run        int             `cbor:"3,keyasint,omitempty"`
+	Reason     EndReason       `cbor:"4,keyasint,omitempty"`
+	Checkpoint string          `cbor:"5,keyasint,omitempty"`
 }
 
 // EndReason is the reason why a run ended.
@@ -127,12 +128,12 @@
 
 // Report is a worker's answer to a Watch.
 type Report struct {
-	Refusal Refusal
-	ClockMS int64
+	Refusal Refusal `cbor:"1,keyasint,omitempty"`
+	ClockMS int64   `cbor:"2,keyasint,omitempty"`
 	// Incarnation is the start of the worker's incarnation in ms of Unix time.
-	Incarnation int64
-	Running     []RunningTask
-	Ended       []EndedRun
+	Incarnation int64         `cbor:"3,keyasint,omitempty"`
+	Running     []RunningTask `cbor:"4,keyasint,omitempty"`
+	Ended       []EndedRun    `cbor:"5,keyasint,omitempty"`
 }
 
 // Workers sends orders to workers. Errors wrap ErrNoAnswer or
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/delegate"
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/lifecycle"
@@ -109,6 +110,17 @@
 	})
 }
 
+// DefaultDirectWorkers is the default of Tuning.DirectWorkers.
+const DefaultDirectWorkers = 64
+
+// Tuning holds the settings of a control process that the platform does not
+// supply.
+type Tuning struct {
+	// DirectWorkers is the number of workers that the leader calls itself. The
+	// further ones are called by delegates.
+	DirectWorkers int
+}
+
 // Control is a control process: it keeps the replicated state and, while it
 // leads, schedules jobs.
 type Control struct {
@@ -121,13 +133,21 @@
 	log       *slog.Logger
 
 	servers servers
+	ctx     context.Context
 	cancel  context.CancelFunc
 }
 
 // NewControl returns a control process; Start makes it serve.
-func NewControl(s *platform.Settings, m Membership, node *link.Node, r replica.Replica, machine *workstate.Machine, log *slog.Logger) *Control {
+func NewControl(s *platform.Settings, tuning Tuning, m Membership, node *link.Node, r replica.Replica, machine *workstate.Machine, log *slog.Logger) *Control {
+	ctx, cancel := context.WithCancel(context.Background())
+	direct := platform.NewHTTPWorkers()
+	delegate.Serve(ctx, node, s.LinkAddress, direct, log)
+	workers := delegate.New(ctx, delegate.Options{
+		Direct: direct, Node: node, Self: s.LinkAddress, DirectWorkers: tuning.DirectWorkers, Log: log,
+		Responsive: func() []string { return r.Status().Responsive },
+	})
 	options := scheduler.Options{
-		Replica: r, Machine: machine, Workers: platform.NewHTTPWorkers(), Holder: s.VM, Log: log, Now: time.Now,
+		Replica: r, Machine: machine, Workers: workers, Holder: s.VM, Log: log, Now: time.Now,
 		Limits: scheduler.Limits{
 			StopTimeout: s.Limits.StopTimeout, LongestLease: s.Limits.LongestLease, FencingEnforced: s.Limits.FencingEnforced, HolderLease: s.Limits.HolderLease,
 			Retention: s.Limits.Retention, ActionRate: s.ActionRate,
@@ -142,13 +162,12 @@
 	sched := scheduler.New(options, s.ControlAddress, node)
 	client := workcall.NewClient(node, s.SeedLinks, log)
 	client.ServeLocally(s.LinkAddress, sched.Server())
-	return &Control{settings: s, member: m, node: node, replica: r, scheduler: sched, client: client, log: log}
+	return &Control{settings: s, member: m, node: node, replica: r, scheduler: sched, client: client, log: log, ctx: ctx, cancel: cancel}
 }
 
 // Start starts the control process.
 func (c *Control) Start() error {
-	ctx, cancel := context.WithCancel(context.Background())
-	c.cancel = cancel
+	ctx := c.ctx
 	c.node.Serve()
 	go c.client.Run(ctx)
 	go c.scheduler.Run(ctx)
--- a/internal/process/lifecycle/hosted.go
+++ b/internal/process/lifecycle/hosted.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/urfave/cli/v3"
 	"go.uber.org/fx"
 
 	"arbutusward.example/arbutusward/internal/process/logging"
@@ -19,12 +20,12 @@
 
 // runHosted runs a program on the hosting platform. It logs to standard
 // output, which the platform collects.
-func runHosted(ctx context.Context, program string, prepare func() (*Hosted, error), checkOnly bool) error {
+func runHosted(ctx context.Context, program string, prepare func(*cli.Command) (*Hosted, error), c *cli.Command) error {
 	if prepare == nil {
 		return errNotHosted
 	}
-	hosted, err := prepare()
-	if err != nil || checkOnly {
+	hosted, err := prepare(c)
+	if err != nil || c.Bool("check") {
 		return err
 	}
 	if hosted.MemoryMB > 0 {
--- a/internal/process/lifecycle/lifecycle.go
+++ b/internal/process/lifecycle/lifecycle.go
@@ -63,7 +63,9 @@
 	Options fx.Option
 	// Hosted prepares the program for the hosting platform. It is nil if the
 	// program does not run there.
-	Hosted func() (*Hosted, error)
+	Hosted func(*cli.Command) (*Hosted, error)
+	// HostedFlags are the program's own flags on the hosting platform.
+	HostedFlags []cli.Flag
 }
 
 // Hosted is a program on the hosting platform, which supplies the settings
@@ -83,14 +85,14 @@
 	command := &cli.Command{
 		Name:  p.Name,
 		Usage: p.Usage,
-		Flags: []cli.Flag{
+		Flags: append([]cli.Flag{
 			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "settings file, JSON with comments"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"},
 			&cli.BoolFlag{Name: "platform", Usage: "run on the hosting platform, with its settings"},
-		},
+		}, p.HostedFlags...),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Bool("platform") {
-				return runHosted(ctx, p.Name, p.Hosted, c.Bool("check"))
+				return runHosted(ctx, p.Name, p.Hosted, c)
 			}
 			if c.String("settings") == "" {
 				return errNoSettings
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -229,6 +229,13 @@
 	return c.peers[id].inactiveTicks < c.config.ElectionTicks
 }
 
+// Responsive reports whether another member has answered this leader within
+// the given number of ticks.
+func (c *Core) Responsive(id string, ticks int) bool {
+	p := c.peers[id]
+	return c.role == Leader && id != c.config.ID && p != nil && p.inactiveTicks <= ticks
+}
+
 // broadcastHeartbeat sends a heartbeat to all members.
 func (c *Core) broadcastHeartbeat() {
 	for _, m := range c.Members() {
--- a/internal/process/replica/driver/loop.go
+++ b/internal/process/replica/driver/loop.go
@@ -36,6 +36,9 @@
 	// delivered yet.
 	pendingLeaderChanges []bool
 	members              []replica.Member
+	// responsive holds the link addresses of the members that answer this
+	// leader.
+	responsive []string
 	// senderAddresses holds the last link address that each sender reported.
 	senderAddresses map[string]string
 
@@ -183,6 +186,18 @@
 	for range min(elapsed, 3*electionTicks) {
 		l.core.Tick()
 	}
+	l.updateResponsive()
+}
+
+// updateResponsive finds the members that answer this leader.
+func (l *loop) updateResponsive() {
+	// Published statuses share the former slice.
+	l.responsive = nil
+	for _, m := range l.members {
+		if l.core.Responsive(m.ID, responsiveTicks) {
+			l.responsive = append(l.responsive, m.Link)
+		}
+	}
 }
 
 // step passes a received message to the core.
--- a/internal/process/replica/driver/options.go
+++ b/internal/process/replica/driver/options.go
@@ -12,9 +12,12 @@
 // Timing of the consensus. The shortest election timeout is many round
 // trips between the zones of one region; the longest is twice as long.
 const (
-	tickInterval           = 50 * time.Millisecond
-	heartbeatTicks         = 2
-	electionTicks          = 12
+	tickInterval   = 50 * time.Millisecond
+	heartbeatTicks = 2
+	electionTicks  = 12
+	// responsiveTicks is the number of ticks without an answer after which a
+	// member is unresponsive: several heartbeats, but less than an election.
+	responsiveTicks        = 8
 	messageTimeout         = time.Second
 	chunkTimeout           = 3 * time.Second
 	transferTimeout        = 2 * time.Second
--- a/internal/process/replica/driver/status.go
+++ b/internal/process/replica/driver/status.go
@@ -61,7 +61,7 @@
 func (l *loop) publish() {
 	status := replica.Status{
 		ID: l.options.Self.ID, Role: l.role(), Term: l.core.Term(), Leader: l.core.Leader(),
-		Commit: l.core.Commit(), Applied: l.applied, LogBytes: l.logBytes, Members: l.members,
+		Commit: l.core.Commit(), Applied: l.applied, LogBytes: l.logBytes, Members: l.members, Responsive: l.responsive,
 	}
 	l.status.Store(&status)
 	termGauge.Set(float64(status.Term))
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -94,4 +94,7 @@
 	Applied  uint64   `json:"applied"`
 	LogBytes int64    `json:"log_bytes"`
 	Members  []Member `json:"members"`
+	// Responsive holds the link addresses of the other members that have
+	// answered this process lately. It is empty unless this process leads.
+	Responsive []string `json:"responsive,omitempty"`
 }
