scheduler: a round does what its event asks for

Each round planned moves, maintenance, stragglers and speeds, collected the rows for them from all runs, and followed also from events that change no decision: plain heartbeats, accepted starts, reports without an end.

What acts on a scale of seconds is now planned each 100 ms (planFleet), with its details collected only then; those events wait for the next tick; groups without a limit per worker get no map.

--- a/internal/process/scheduler/bench_test.go
+++ b/internal/process/scheduler/bench_test.go
@@ -43,6 +43,42 @@
 	}
 }
 
+// BenchmarkRoundWithVMs measures a round of a leader that also plans moves and
+// maintenance: all VMs are listed, and a third of them wait in a wave.
+func BenchmarkRoundWithVMs(b *testing.B) {
+	for _, jobs := range []int{35, 300} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			l := busyLeader(b, 350, jobs)
+			l.listBusyVMs(b)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.committing = false
+				l.fleet.listedAt = time.Now()
+				l.round(time.Now())
+			}
+		})
+	}
+}
+
+// listBusyVMs adds a VM for each worker, and a wave.
+func (l *loop) listBusyVMs(b *testing.B) {
+	l.Platform = newFakePlatform()
+	l.Limits.ActionRate, l.Limits.FencingEnforced = 1e-9, true
+	l.since = time.Now().Add(-time.Hour)
+	wave := &workstate.Wave{Number: 1, DeadlineMS: time.Now().Add(time.Hour).UnixMilli(), Cap: 20}
+	for _, w := range l.workers {
+		vm := execution.VM{ID: w.reg.VM, Pool: w.reg.Service, State: execution.VMUp, Zone: "z", Worker: w.reg.ID, Capacity: w.reg.Capacity}
+		l.fleet.entries[vm.ID] = &vmEntry{vm: vm, refusedPools: map[string]bool{}}
+		if len(wave.VMs) < len(l.workers)/3 {
+			wave.VMs = append(wave.VMs, vm.ID)
+		}
+	}
+	l.fleet.orders = orderBudget{tokens: 1, filledAt: time.Now()}
+	if _, err := propose(context.Background(), &fakeReplica{machine: l.Machine}, &workstate.Command{Wave: wave}, time.Now()); err != nil {
+		b.Fatal(err)
+	}
+}
+
 // busyLeader returns a leader with a number of workers and waiting jobs. Its
 // commits never complete.
 func busyLeader(b *testing.B, workers, waiting int) *loop {
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -10,6 +10,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -17,6 +18,10 @@
 // tickInterval is the interval at which the loop runs a round without an event.
 const tickInterval = 50 * time.Millisecond
 
+// fleetInterval is the minimum time between two calls of planFleet. A move of a VM
+// or a restart of a run takes many times as long.
+const fleetInterval = 100 * time.Millisecond
+
 // eventQueue limits the number of events that wait for the loop.
 const eventQueue = 4096
 
@@ -105,8 +110,9 @@
 	// vmCapacity is the mean capacity of a VM.
 	vmCapacity workload.Resources
 
-	nextPurge time.Time
-	loadLog   loadLog
+	fleetPlannedAt time.Time
+	nextPurge      time.Time
+	loadLog        loadLog
 }
 
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
@@ -195,13 +201,14 @@
 	l.Machine.Read(func(v *workstate.View) {
 		l.syncWorkers(v)
 		l.queueReportedEnds(v, now)
-		usage := l.reconcile(v, now)
-		l.stopStragglers(usage, now)
-		l.setBestEffortSpeeds(usage, now)
-		l.planMaintenance(v, usage, now)
+		planFleet := now.Sub(l.fleetPlannedAt) >= fleetInterval
+		usage := l.reconcile(v, planFleet, now)
 		groups := l.waitingGroups(v, now)
 		l.applyAdvice(v, usage, groups, now)
-		l.planMoves(v, usage, groups, now)
+		if planFleet {
+			l.fleetPlannedAt = now
+			l.planFleet(v, usage, groups, now)
+		}
 		progress.Starts = l.placeTasks(v, usage, groups, now)
 	})
 	for _, end := range l.ends {
@@ -216,6 +223,17 @@
 	l.commit(&progress)
 }
 
+// planFleet makes the decisions that act on a scale of seconds: what to do with
+// slow runs and best-effort tasks, and which VMs to maintain and to move.
+func (l *loop) planFleet(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) {
+	l.recordPools(u)
+	l.stopStragglers(u, now)
+	l.setBestEffortSpeeds(u, now)
+	l.stopOrphans(now)
+	l.planMaintenance(v, u, now)
+	l.planMoves(v, u, groups, now)
+}
+
 // commit proposes progress to the replicated log. The result returns as an event.
 func (l *loop) commit(progress *workstate.Progress) {
 	l.committing = true
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -196,13 +196,17 @@
 		}
 		return g
 	}
-	g.OnWorker = map[string]int{}
+	if step.MaxPerWorker > 0 {
+		g.OnWorker = map[string]int{}
+	}
 	for i := range progress.Steps[s].Tasks {
 		switch task := &progress.Steps[s].Tasks[i]; task.Phase {
 		case workstate.Waiting:
 			g.Indexes = append(g.Indexes, i)
 		case workstate.Running:
-			g.OnWorker[task.Worker]++
+			if g.OnWorker != nil {
+				g.OnWorker[task.Worker]++
+			}
 		}
 	}
 	if len(g.Indexes) == 0 {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -9,7 +9,7 @@
 )
 
 // usage summarizes the executing tasks. It is collected from the state in one
-// pass.
+// pass. All but used is collected only for planFleet.
 type usage struct {
 	// used is the capacity in use on each worker. runs counts the executing
 	// tasks of each worker, longRunningRuns the long-running ones among them.
@@ -100,12 +100,15 @@
 }
 
 // reconcile compares each recorded run with the report of its worker. It
-// repeats, stops or ends runs whose recorded and reported states differ.
-func (l *loop) reconcile(v *workstate.View, now time.Time) *usage {
+// repeats, stops or ends runs whose recorded and reported states differ. With
+// details set, the usage also holds what planFleet needs.
+func (l *loop) reconcile(v *workstate.View, details bool, now time.Time) *usage {
 	u := newUsage(len(l.workers))
 	l.roundNumber++
 	for _, job := range v.Active() {
-		u.countWaiting(job)
+		if details {
+			u.countWaiting(job)
+		}
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
 			step := &job.Spec.Steps[id.Step]
 			key := runKey{id, task.Run}
@@ -113,28 +116,36 @@
 			if !l.endQueued(key) {
 				l.reconcileRun(v, job, id, task, r, now)
 			}
-			if l.endQueued(key) {
-				u.countEnding(id, step)
-				return
-			}
-			u.runs[task.Worker]++
-			u.used[task.Worker] = u.used[task.Worker].Add(step.Charge())
-			l.recordProgress(u, id, task, step, r, now)
-			u.recordColocation(id, task, step, l.workers[task.Worker])
-			if step.Checkpointing && !step.LongRunning && !step.Gang {
-				u.resumable = append(u.resumable, resumableTask{id: id, worker: task.Worker})
+			ending := l.endQueued(key)
+			if !ending {
+				u.used[task.Worker] = u.used[task.Worker].Add(step.Charge())
 			}
-			if step.LongRunning {
-				u.countLongRunning(id, task, step, l.atWork(id, task, r))
+			switch {
+			case !details:
+			case ending:
+				u.countEnding(id, step)
+			default:
+				l.recordDetails(u, id, task, step, r, now)
 			}
 		})
 	}
-	l.recordPools(u)
 	l.dropEndedRuns()
-	l.stopOrphans(now)
 	return u
 }
 
+// recordDetails records what planFleet needs to know of an executing run.
+func (l *loop) recordDetails(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, now time.Time) {
+	u.runs[task.Worker]++
+	l.recordProgress(u, id, task, step, r, now)
+	u.recordColocation(id, task, step, l.workers[task.Worker])
+	if step.Checkpointing && !step.LongRunning && !step.Gang {
+		u.resumable = append(u.resumable, resumableTask{id: id, worker: task.Worker})
+	}
+	if step.LongRunning {
+		u.countLongRunning(id, task, step, l.atWork(id, task, r))
+	}
+}
+
 // recordPools records the worker of each VM and the utilization of each pool.
 func (l *loop) recordPools(u *usage) {
 	u.workerOn = make(map[string]*worker, len(l.workers))
--- a/internal/process/scheduler/roundpacer.go
+++ b/internal/process/scheduler/roundpacer.go
@@ -7,7 +7,7 @@
 	// the search for workers to watch. The rest is left to the replicated log,
 	// the calls to workers and the calls of entries, which provide the input of
 	// the next round and wait for the processor while a round runs.
-	roundShare = 0.12
+	roundShare = 0.18
 	// maxPause limits the pause after a round, so that one slow round does not
 	// delay the next ones.
 	maxPause = 2 * tickInterval
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -147,10 +147,15 @@
 func (l *loop) handleStartAnswer(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
 	now := time.Now()
 	r.calling = false
-	l.dirty = true
 	if l.runs[id] != r {
 		return
 	}
+	if err == nil && answer.Refusal == execution.Accepted {
+		w.recordClock(answer.ClockMS, now)
+		r.enter(runOrdered, now)
+		return
+	}
+	l.dirty = true
 	if err != nil {
 		lostOrders.Inc()
 		l.Log.Warn("start order unanswered", "task", id.String(), "run", r.number, "worker", r.worker, "error", err.Error())
@@ -159,10 +164,6 @@
 		return
 	}
 	w.recordClock(answer.ClockMS, now)
-	if answer.Refusal == execution.Accepted {
-		r.enter(runOrdered, now)
-		return
-	}
 	l.handleStartRefusal(id, r, w, answer.Refusal, now)
 }
 
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -75,12 +75,13 @@
 	if l.workers[w.reg.ID] != w {
 		return
 	}
-	l.dirty = true
 	if err != nil || report.Refusal != execution.Accepted {
+		l.dirty = true
 		l.handleWatchFailure(w, now, report.Refusal, err)
 		return
 	}
 	if w.unresponsive || !w.contacted {
+		l.dirty = true
 		l.Log.Info("worker responsive", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "running", len(report.Running), "ended", len(report.Ended))
 	}
 	w.unresponsive = false
@@ -95,7 +96,12 @@
 		w.leaseMS = max(w.leaseMS, w.maxInitialLease(l.Limits.LongestLease))
 	}
 	w.report = newReportView(sentAt, &report)
-	w.reportedEnd = max(w.reportedEnd, newestEnd(&report))
+	if end := newestEnd(&report); end > w.reportedEnd {
+		// The ends free capacity. Anything else in a report can wait for the
+		// next tick.
+		w.reportedEnd = end
+		l.dirty = true
+	}
 }
 
 // handleWatchFailure handles a failed or refused watch. The worker keeps its
@@ -130,7 +136,6 @@
 
 // recordHeartbeat records that a heartbeat of a worker was received.
 func (l *loop) recordHeartbeat(id string, now time.Time) {
-	l.dirty = true
 	if w := l.workers[id]; w != nil {
 		w.heartbeatAt = now
 	}
