scheduler: rounds start at least 10 ms apart

Each commit costs a message to every member, however little it holds. Where the disk is fast, rounds followed each other within 2 to 5 ms and committed one or two ends each; the platform's disks take 9 ms a sync, so that nothing waits longer there.

--- a/internal/process/scheduler/roundpacer.go
+++ b/internal/process/scheduler/roundpacer.go
@@ -8,6 +8,10 @@
 	// the calls to workers and the calls of entries, which provide the input of
 	// the next round and wait for the processor while a round runs.
 	roundShare = 0.18
+	// minInterval is the minimum time between the starts of two rounds. Each
+	// commit costs a message to every member, however little it holds, and takes
+	// longer than this on the platform's disks.
+	minInterval = 10 * time.Millisecond
 	// maxPause limits the pause after a round, so that one slow round does not
 	// delay the next ones.
 	maxPause = 2 * tickInterval
@@ -24,6 +28,9 @@
 	duration := end.Sub(start)
 	pause := time.Duration(float64(duration) * (1/roundShare - 1))
 	p.next = end.Add(min(pause, maxPause))
+	if earliest := start.Add(minInterval); p.next.Before(earliest) {
+		p.next = earliest
+	}
 }
 
 // due reports whether a round may start, and otherwise how long to wait for it.
