--- a/internal/process/replica/core/core_test.go
+++ b/internal/process/replica/core/core_test.go
@@ -133,6 +133,37 @@
 	}
 }
 
+// TestReadAsksNoMoreVotersThanItNeeds guards against reads whose cost for the leader grows with all members, and against reads that no later heartbeat confirms.
+func TestReadAsksNoMoreVotersThanItNeeds(t *testing.T) {
+	c := newTestCore(1)
+	lead(t, c)
+	steps(t, c, Message{From: "a", Term: 2, AppendReply: &AppendReply{Index: 2}}, Message{From: "b", Term: 2, AppendReply: &AppendReply{Index: 2}})
+	for _, id := range []string{"d", "e", "f", "g"} {
+		c.log.memberships[0].members = append(c.log.memberships[0].members, replica.Member{ID: id, Link: id})
+	}
+	c.updatePeers()
+	for _, id := range []string{"b", "c"} {
+		c.peers[id].inactiveTicks = 3
+	}
+	c.Ready()
+	if err := c.ReadIndex(7); err != nil {
+		t.Fatal(err)
+	}
+	asked := map[string]bool{}
+	for _, m := range c.Ready().Messages {
+		asked[m.To] = m.Heartbeat != nil
+	}
+	if len(asked) != 4 || asked["b"] && asked["c"] {
+		t.Errorf("asked %v of six other voters", asked)
+	}
+	c.Tick()
+	for _, m := range c.Ready().Messages {
+		if m.Heartbeat != nil && m.Heartbeat.Round != c.round {
+			t.Errorf("the next heartbeat to %s has round %d, the read has %d", m.To, m.Heartbeat.Round, c.round)
+		}
+	}
+}
+
 func TestMessageToReplacedDiskIsRefused(t *testing.T) {
 	c := newTestCore(1)
 	c.config.DiskID = "empty"
--- a/internal/process/replica/core/reads.go
+++ b/internal/process/replica/core/reads.go
@@ -1,6 +1,9 @@
 package core
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // pendingRead is a read that waits until a majority has answered its
 // heartbeat round.
@@ -20,11 +23,30 @@
 	// has committed an entry of its own term.
 	index := max(c.log.commit, c.termStart)
 	c.reads = append(c.reads, pendingRead{id: id, index: index, round: c.round})
-	c.broadcastHeartbeat()
+	for _, id := range c.confirmers() {
+		c.sendHeartbeat(id)
+	}
 	c.confirmReads()
 	return nil
 }
 
+// confirmers returns the voters that are asked to confirm the leadership for a
+// read: with this process one more than a majority, those that answered last.
+// The periodic heartbeat asks the others, so that a read is delayed but not lost
+// if several of these do not answer.
+func (c *Core) confirmers() []string {
+	var others []string
+	for _, id := range c.voters() {
+		if id != c.config.ID {
+			others = append(others, id)
+		}
+	}
+	slices.SortStableFunc(others, func(a, b string) int {
+		return cmp.Compare(c.peers[a].inactiveTicks, c.peers[b].inactiveTicks)
+	})
+	return others[:min(len(others), c.quorum())]
+}
+
 // confirmReads moves the reads whose round a majority has answered to the
 // next Ready.
 func (c *Core) confirmReads() {
