replica: proposals within 8 ms share an append

Batches now start at least 8 ms apart, about a sync of the platform's disks; a lone proposal is not delayed.

--- a/integration/hosted_load_test.go
+++ b/integration/hosted_load_test.go
@@ -46,6 +46,7 @@
 
 	share := used.Seconds() / took.Seconds()
 	t.Logf("%d jobs accepted in %s; the leader used %.3f of a core, %.3f ms a run", accepted, took.Round(time.Millisecond), share, 1000*used.Seconds()/float64(accepted*fleetTasksPerJob))
+	t.Log(strings.Join(linesWith(t, leader, `"msg":"leader load"`), "\n"))
 	if wanted := int(window.Seconds()) * fleetJobsPerSecond * 9 / 10; accepted < wanted {
 		t.Errorf("%d jobs accepted, wanted %d", accepted, wanted)
 	}
@@ -85,6 +86,20 @@
 	return accepted
 }
 
+// linesWith returns the lines of a process's log that hold a text.
+func linesWith(t *testing.T, p *process, text string) []string {
+	t.Helper()
+	content, err := os.ReadFile(p.logPath)
+	must(t, err)
+	var lines []string
+	for line := range strings.Lines(string(content)) {
+		if strings.Contains(line, text) {
+			lines = append(lines, strings.TrimSpace(line))
+		}
+	}
+	return lines
+}
+
 // awaitMembers waits until that many control processes have joined the log.
 func (h *hosted) awaitMembers(count int) {
 	h.t.Helper()
--- a/internal/process/replica/driver/confirm.go
+++ b/internal/process/replica/driver/confirm.go
@@ -22,10 +22,13 @@
 	due *time.Timer
 }
 
-func newConfirmations() confirmations {
-	due := time.NewTimer(confirmInterval)
-	due.Stop()
-	return confirmations{due: due}
+func newConfirmations() confirmations { return confirmations{due: newStoppedTimer()} }
+
+// newStoppedTimer returns a timer that fires only after a Reset.
+func newStoppedTimer() *time.Timer {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return timer
 }
 
 // read queues a call and the calls behind it for the next confirmation. A call
--- a/internal/process/replica/driver/confirm_test.go
+++ b/internal/process/replica/driver/confirm_test.go
@@ -34,6 +34,30 @@
 	}
 }
 
+// TestManyProposalsDoNotMultiplyMessages guards against a leader that spends its processor on an append to every member for each proposal.
+func TestManyProposalsDoNotMultiplyMessages(t *testing.T) {
+	leader := startGroup(t, 3)
+	const proposals, span = 400, 400 * time.Millisecond
+	before := batchCount.Get()
+	start := time.Now()
+	var wait sync.WaitGroup
+	for range proposals {
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			if _, err := leader.Propose(ctx, []byte("command")); err != nil {
+				t.Error(err)
+			}
+		})
+		time.Sleep(span / proposals)
+	}
+	wait.Wait()
+	limit := uint64(time.Since(start)/proposeInterval) + 2
+	if got := batchCount.Get() - before; got > limit {
+		t.Errorf("%d batches for %d proposals in %s, limit %d", got, proposals, time.Since(start).Round(time.Millisecond), limit)
+	}
+}
+
 func TestLoneReadIsConfirmedWithoutDelay(t *testing.T) {
 	leader := startGroup(t, 1)
 	time.Sleep(2 * confirmInterval)
--- a/internal/process/replica/driver/loop.go
+++ b/internal/process/replica/driver/loop.go
@@ -20,10 +20,14 @@
 	// index.
 	pendingProposals map[uint64]*proposal
 	pendingBytes     int
-	pendingChanges   map[uint64]*change
-	pendingReads     map[uint64][]*read
-	lastReadID       uint64
-	confirms         confirmations
+	// proposedAt is when the last batch of proposals was appended. proposeDue
+	// wakes the loop when the next one may follow.
+	proposedAt     time.Time
+	proposeDue     *time.Timer
+	pendingChanges map[uint64]*change
+	pendingReads   map[uint64][]*read
+	lastReadID     uint64
+	confirms       confirmations
 
 	// jobs are waiting for the disk.
 	jobs []diskJob
@@ -58,7 +62,7 @@
 	l := &loop{
 		Driver: d, core: d.newCore(), disk: newDisk(d.storage.dir, d.storage.log),
 		pendingProposals: map[uint64]*proposal{}, pendingChanges: map[uint64]*change{}, pendingReads: map[uint64][]*read{}, senderAddresses: map[string]string{},
-		confirms: newConfirmations(),
+		confirms: newConfirmations(), proposeDue: newStoppedTimer(),
 		lastTick: time.Now(), logBytes: d.storage.log.Bytes(),
 	}
 	if d.storage.snapshot != nil {
@@ -113,6 +117,8 @@
 		l.read(r)
 	case <-l.confirms.due.C:
 		l.confirm()
+	case <-l.proposeDue.C:
+		// The loop takes proposals again.
 	case c := <-l.Driver.changes:
 		l.change(c)
 	case id := <-l.snapshotsSent:
--- a/internal/process/replica/driver/metrics.go
+++ b/internal/process/replica/driver/metrics.go
@@ -9,6 +9,7 @@
 	logGauge      = metrics.GetOrCreateGauge("arbutus_replica_log_bytes", nil)
 	snapshotGauge = metrics.GetOrCreateGauge("arbutus_replica_snapshot_bytes", nil)
 	syncSeconds   = metrics.GetOrCreateSummary("arbutus_replica_fsync_seconds")
+	batchCount    = metrics.GetOrCreateCounter("arbutus_replica_batches_total")
 	confirmCount  = metrics.GetOrCreateCounter("arbutus_replica_confirmations_total")
 	droppedCount  = metrics.GetOrCreateCounter("arbutus_replica_messages_dropped_total")
 )
--- a/internal/process/replica/driver/queue.go
+++ b/internal/process/replica/driver/queue.go
@@ -1,22 +1,34 @@
 package driver
 
 import (
+	"time"
+
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/replica/core"
 )
 
-// proposalQueue returns the queue of proposals, or nil while too many bytes
-// wait for a majority, so that the loop accepts no further ones.
+// proposeInterval is the minimum time between two batches of proposals. Each
+// batch costs a message to every member, however many proposals it holds.
+const proposeInterval = 8 * time.Millisecond
+
+// proposalQueue returns the queue of proposals. It returns nil, so that the loop
+// accepts no further ones, while too many bytes wait for a majority or the last
+// batch is younger than proposeInterval.
 func (l *loop) proposalQueue() <-chan *proposal {
 	if l.pendingBytes > maxPendingBytes {
 		return nil
 	}
+	if wait := proposeInterval - time.Since(l.proposedAt); wait > 0 {
+		l.proposeDue.Reset(wait)
+		return nil
+	}
 	return l.proposals
 }
 
 // propose appends the command and the commands queued behind it to the log.
 func (l *loop) propose(first *proposal) {
 	batch := l.collect(first)
+	l.proposedAt = time.Now()
 	commands := make([][]byte, len(batch))
 	for i, p := range batch {
 		commands[i] = p.command
@@ -33,6 +45,7 @@
 		l.pendingProposals[index+uint64(i)] = p
 		l.pendingBytes += len(p.command)
 	}
+	batchCount.Inc()
 }
 
 // collect returns the proposal and the ones queued behind it, up to
--- a/internal/process/scheduler/loadlog.go
+++ b/internal/process/scheduler/loadlog.go
@@ -13,9 +13,12 @@
 
 // Counters of other packages whose growth the load line reports.
 var (
-	linkCallsMade   = metrics.GetOrCreateCounter(`arbutus_link_calls_total`)
-	linkCallsServed = metrics.GetOrCreateCounter(`arbutus_link_calls_served_total`)
-	confirmations   = metrics.GetOrCreateCounter(`arbutus_replica_confirmations_total`)
+	linkCallsMade    = metrics.GetOrCreateCounter(`arbutus_link_calls_total`)
+	linkCallsServed  = metrics.GetOrCreateCounter(`arbutus_link_calls_served_total`)
+	messagesSent     = metrics.GetOrCreateCounter(`arbutus_link_messages_total{direction="sent"}`)
+	messagesReceived = metrics.GetOrCreateCounter(`arbutus_link_messages_total{direction="received"}`)
+	confirmations    = metrics.GetOrCreateCounter(`arbutus_replica_confirmations_total`)
+	batches          = metrics.GetOrCreateCounter(`arbutus_replica_batches_total`)
 )
 
 // loadLog collects what the leader spends its processor time on and how long
@@ -34,6 +37,7 @@
 	processorTime                time.Duration
 	starts, ends, watches        uint64
 	linkCalls, linkServed, reads uint64
+	sent, received, batches      uint64
 	collections                  uint64
 }
 
@@ -43,7 +47,8 @@
 	return loadCounters{
 		processorTime: processorTime(),
 		starts:        startedRuns.Get(), ends: endedRuns.Get(), watches: watchCalls.Get(),
-		linkCalls: linkCallsMade.Get(), linkServed: linkCallsServed.Get(), reads: confirmations.Get(),
+		linkCalls: linkCallsMade.Get(), linkServed: linkCallsServed.Get(), sent: messagesSent.Get(), received: messagesReceived.Get(),
+		reads: confirmations.Get(), batches: batches.Get(),
 		collections: collections[0].Value.Uint64(),
 	}
 }
@@ -84,6 +89,7 @@
 			"commits", s.commits, "commit_ms", s.commitTime.Milliseconds(), "longest_commit_ms", s.longestCommit.Milliseconds(),
 			"starts", sample.starts-s.last.starts, "ends", sample.ends-s.last.ends, "watches", sample.watches-s.last.watches,
 			"link_calls", sample.linkCalls-s.last.linkCalls, "link_served", sample.linkServed-s.last.linkServed,
+			"messages_sent", sample.sent-s.last.sent, "messages_received", sample.received-s.last.received, "batches", sample.batches-s.last.batches,
 			"confirmations", sample.reads-s.last.reads, "collections", sample.collections-s.last.collections,
 			"events_queued", len(l.events), "oldest_report_ms", l.oldestReport(now).Milliseconds())
 	}
