--- a/internal/process/control/jobrunner.go
+++ b/internal/process/control/jobrunner.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
-	"sync"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/workerapi"
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/process/timeline"
-	"arbutusward.example/arbutusward/internal/version/fleet"
 	"arbutusward.example/arbutusward/internal/version/jobplan"
 )
 
@@ -70,12 +66,6 @@
 	dirty map[string]bool
 }
 
-// workerClock is a worker's stamp and the time when it was received.
-type workerClock struct {
-	stamp      workerapi.Stamp
-	receivedAt time.Time
-}
-
 func newJobRunner(server *Server, workers workerapi.Client) *jobRunner {
 	return &jobRunner{
 		server: server, workers: workers,
@@ -174,230 +164,6 @@
 	}
 }
 
-// syncWorkers calls the workers that have changes or are due, and returns
-// their answers.
-func (r *jobRunner) syncWorkers(ctx context.Context) map[string]workerapi.SyncAnswer {
-	syncs := r.dueSyncs(time.Now())
-	r.refreshClocks(ctx, syncs)
-	for vm, body := range syncs {
-		if time.Since(r.clocks[vm].receivedAt) > maxStampAge {
-			// The worker did not answer, so no lease can be granted.
-			delete(syncs, vm)
-			continue
-		}
-		syncs[vm] = r.grantLeases(vm, body)
-	}
-	answers := r.callAll(ctx, syncs)
-	for vm := range answers {
-		delete(r.forgettable, vm)
-	}
-	return answers
-}
-
-// refreshClocks requests a new stamp from the workers whose known stamp is
-// too old for a lease.
-func (r *jobRunner) refreshClocks(ctx context.Context, syncs map[string]workerapi.Sync) {
-	stale := map[string]workerapi.Sync{}
-	for vm := range syncs {
-		if time.Since(r.clocks[vm].receivedAt) > maxStampAge {
-			stale[vm] = workerapi.Sync{}
-		}
-	}
-	r.callAll(ctx, stale)
-}
-
-// grantLeases adds a lease to a call, based on the worker's stamp. The lease
-// counts from the receipt of that stamp, whether or not the call is answered.
-func (r *jobRunner) grantLeases(vm string, body workerapi.Sync) workerapi.Sync {
-	clock := r.clocks[vm]
-	body.AsOf = clock.stamp
-	body.LeaseMS = taskLeaseTime.Milliseconds()
-	for _, task := range body.Tasks {
-		ref := workerapi.TaskRef{Job: task.Job, Epoch: task.Epoch}
-		if clock.receivedAt.After(r.leaseStart[ref]) {
-			r.leaseStart[ref] = clock.receivedAt
-		}
-	}
-	return body
-}
-
-// callAll calls the workers, a limited number concurrently, and stores the
-// stamps in their answers.
-func (r *jobRunner) callAll(ctx context.Context, syncs map[string]workerapi.Sync) map[string]workerapi.SyncAnswer {
-	answers := map[string]workerapi.SyncAnswer{}
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	slots := make(chan struct{}, maxSyncsAtOnce)
-	for vm, body := range syncs {
-		slots <- struct{}{}
-		group.Go(func() {
-			defer func() { <-slots }()
-			answer, err := r.workers.Sync(ctx, vm, body)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				r.markUnresponsive(vm, err)
-				return
-			}
-			delete(r.unresponsiveSince, vm)
-			answers[vm] = answer
-			r.clocks[vm] = workerClock{stamp: answer.Now, receivedAt: time.Now()}
-		})
-	}
-	group.Wait()
-	return answers
-}
-
-// markUnresponsive records the first failed call to a worker since its last
-// answer.
-func (r *jobRunner) markUnresponsive(vm string, err error) {
-	if r.unresponsiveSince[vm].IsZero() {
-		r.unresponsiveSince[vm] = time.Now()
-		r.server.log.Warn("worker unresponsive", "vm", vm, logging.Err(err))
-	}
-}
-
-// dueSyncs returns the calls to workers that have changes or were not called
-// for syncInterval, and drops the attempts that have ended from leaseStart.
-func (r *jobRunner) dueSyncs(now time.Time) map[string]workerapi.Sync {
-	byWorker := map[string][]workerapi.TaskOrder{}
-	live := map[workerapi.TaskRef]time.Time{}
-	for _, job := range r.server.machine.ActiveJobs() {
-		if job.Phase != jobplan.Running {
-			continue
-		}
-		ref := workerapi.TaskRef{Job: job.Spec.ID, Epoch: job.Epoch}
-		live[ref] = r.leaseStart[ref]
-		if !r.adopted {
-			live[ref] = now
-		}
-		byWorker[job.Worker] = append(byWorker[job.Worker], taskOrder(job))
-	}
-	r.leaseStart = live
-	r.adopted = true
-	syncs := map[string]workerapi.Sync{}
-	for vm := range r.forgettable {
-		syncs[vm] = workerapi.Sync{Tasks: byWorker[vm], Forget: r.forgettable[vm]}
-	}
-	for vm := range r.unresponsiveSince {
-		if now.Sub(r.syncedAt[vm]) >= syncInterval {
-			syncs[vm] = workerapi.Sync{Tasks: byWorker[vm]}
-		}
-	}
-	for vm, tasks := range byWorker {
-		if r.dirty[vm] || now.Sub(r.syncedAt[vm]) >= syncInterval {
-			syncs[vm] = workerapi.Sync{Tasks: tasks, Forget: r.forgettable[vm]}
-		}
-	}
-	for vm := range syncs {
-		r.syncedAt[vm] = now
-	}
-	clear(r.dirty)
-	return syncs
-}
-
-func taskOrder(job state.Job) workerapi.TaskOrder {
-	return workerapi.TaskOrder{
-		Job: job.Spec.ID, Epoch: job.Epoch, Team: job.Spec.Team, Kind: job.Spec.Kind,
-		Reservation: job.Reserved, Payload: job.Spec.Payload, Order: job.Order, Resume: job.Checkpointed,
-	}
-}
-
-// record proposes the changes that the workers reported, and the loss of
-// attempts whose lease has expired.
-func (r *jobRunner) record(ctx context.Context, answers map[string]workerapi.SyncAnswer) error {
-	var reports []state.TaskReport
-	for vm, answer := range answers {
-		for _, task := range answer.Tasks {
-			report, changed := r.reportFor(vm, task)
-			if changed {
-				reports = append(reports, report)
-			}
-		}
-	}
-	reports = append(reports, r.lostTasks(time.Now())...)
-	if len(reports) == 0 {
-		return nil
-	}
-	answer, err := propose[state.TaskReportsAnswer](ctx, r.server, state.ReportTasks, state.TaskReports{Reports: reports})
-	if err != nil {
-		return err
-	}
-	r.recordReports(reports, answer)
-	return nil
-}
-
-// reportFor converts a worker's task state to a report, and reports whether
-// it has to be recorded. A worker may drop an ended attempt once its end is
-// recorded.
-func (r *jobRunner) reportFor(vm string, task workerapi.TaskInfo) (state.TaskReport, bool) {
-	report := state.TaskReport{Job: task.Job, Epoch: task.Epoch, Outcome: outcomeOf(task.State), Used: task.PeakUsage, RunMS: task.RunMS, Reason: task.Reason}
-	job, known := r.server.machine.JobView(task.Job)
-	current := known && job.Phase == jobplan.Running && job.Epoch == task.Epoch && job.Worker == vm
-	if !current {
-		if task.State.Ended() {
-			r.forgettable[vm] = append(r.forgettable[vm], workerapi.TaskRef{Job: task.Job, Epoch: task.Epoch})
-		}
-		return report, false
-	}
-	switch report.Outcome {
-	case state.TaskRunning:
-		return report, usageChanged(job.Used, task.PeakUsage)
-	case state.TaskCheckpointed:
-		return report, !job.Checkpointed || usageChanged(job.Used, task.PeakUsage)
-	}
-	return report, true
-}
-
-func outcomeOf(s workerapi.TaskState) state.TaskOutcome {
-	switch s {
-	case workerapi.Checkpointed:
-		return state.TaskCheckpointed
-	case workerapi.Done:
-		return state.TaskDone
-	case workerapi.Failed:
-		return state.TaskFailed
-	case workerapi.Stopped:
-		return state.TaskStopped
-	}
-	return state.TaskRunning
-}
-
-// usageChanged reports whether the usage differs by more than usageThreshold.
-func usageChanged(recorded, reported fleet.Resources) bool {
-	changed := func(a, b float64) bool { return b > a*(1+usageThreshold) || b < a*(1-usageThreshold) }
-	return changed(recorded.CPUCores, reported.CPUCores) || changed(recorded.MemoryGiB, reported.MemoryGiB)
-}
-
-// lostTasks returns the attempts that cannot be running any more: those whose
-// lease has expired, and those on unresponsive workers that never got a
-// lease.
-func (r *jobRunner) lostTasks(now time.Time) []state.TaskReport {
-	var reports []state.TaskReport
-	for ref, base := range r.leaseStart {
-		job, known := r.server.machine.JobView(ref.Job)
-		waiting := base.IsZero() && known && r.unresponsiveSince[job.Worker].IsZero()
-		if !waiting && now.Sub(base) > taskLeaseTime+leaseMargin {
-			reports = append(reports, state.TaskReport{Job: ref.Job, Epoch: ref.Epoch, Outcome: state.TaskLost, Reason: "the worker was silent past the lease"})
-		}
-	}
-	return reports
-}
-
-// recordReports records ended attempts and quarantined workers in the
-// timeline.
-func (r *jobRunner) recordReports(reports []state.TaskReport, answer state.TaskReportsAnswer) {
-	for _, report := range reports {
-		if report.Outcome == state.TaskRunning || report.Outcome == state.TaskCheckpointed {
-			continue
-		}
-		r.server.recorder.Record(timeline.Event{Kind: timeline.JobEnded, Job: report.Job, Cause: string(report.Outcome) + " " + report.Reason})
-	}
-	for _, vm := range slices.Sorted(maps.Keys(toSet(answer.Quarantined))) {
-		r.server.recorder.Record(timeline.Event{Kind: timeline.WorkerQuarantined, VM: vm, Cause: "distinct jobs failed on it in a row"})
-	}
-}
-
 func toSet(names []string) map[string]bool {
 	set := make(map[string]bool, len(names))
 	for _, name := range names {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -8,44 +8,6 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// usage summarizes the executing tasks. It is collected from the state in one
-// pass. All but used is collected only for planFleet.
-type usage struct {
-	// used is the capacity in use on each worker. runs counts the executing
-	// tasks of each worker, longRunningRuns the long-running ones among them.
-	used                  map[string]workload.Resources
-	runs, longRunningRuns map[string]int
-	// workerOn holds the worker of each VM, utilization the share of each
-	// pool's capacity that is in use. A pool has the name of its service.
-	workerOn    map[string]*worker
-	utilization map[string]float64
-	// longRunningTasks lists the executing long-running tasks.
-	longRunningTasks []longRunningTask
-	// colocations describes the best-effort and serving tasks on each worker.
-	colocations map[string]*colocation
-	// stragglers lists the runs with reported progress, which are checked for
-	// stragglers.
-	stragglers []straggler
-	// resumable lists the tasks that can resume from a checkpoint on another
-	// worker.
-	resumable []resumableTask
-	// unavailable counts the long-running tasks of each step that are not at
-	// work.
-	unavailable map[stepKey]int
-	// stepOnWorker counts the executing long-running tasks of each step on each
-	// worker.
-	stepOnWorker map[stepOnWorker]int
-}
-
-// newUsage returns an empty usage with space for a number of workers.
-func newUsage(workers int) *usage {
-	return &usage{
-		used: make(map[string]workload.Resources, workers),
-		runs: make(map[string]int, workers), longRunningRuns: map[string]int{},
-		unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{}, colocations: map[string]*colocation{},
-	}
-}
-
 // queueReportedEnds queues the ends that workers report and that are not
 // committed.
 func (l *loop) queueReportedEnds(v *workstate.View, now time.Time) {
@@ -133,34 +95,6 @@
 	return u
 }
 
-// recordDetails records what planFleet needs to know of an executing run.
-func (l *loop) recordDetails(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, now time.Time) {
-	u.runs[task.Worker]++
-	l.recordProgress(u, id, task, step, r, now)
-	u.recordColocation(id, task, step, l.workers[task.Worker])
-	if step.Checkpointing && !step.LongRunning && !step.Gang {
-		u.resumable = append(u.resumable, resumableTask{id: id, worker: task.Worker})
-	}
-	if step.LongRunning {
-		u.countLongRunning(id, task, step, l.atWork(id, task, r))
-	}
-}
-
-// recordPools records the worker of each VM and the utilization of each pool.
-func (l *loop) recordPools(u *usage) {
-	u.workerOn = make(map[string]*worker, len(l.workers))
-	u.utilization = map[string]float64{}
-	sizes := map[string]float64{}
-	for id, w := range l.workers {
-		u.workerOn[w.reg.VM] = w
-		u.utilization[w.reg.Service] += float64(l.load(u.used[id]))
-		sizes[w.reg.Service]++
-	}
-	for pool, size := range sizes {
-		u.utilization[pool] /= size
-	}
-}
-
 // endQueued reports whether the end of a run waits for a commit.
 func (l *loop) endQueued(key runKey) bool {
 	if len(l.ends) == 0 {
@@ -170,22 +104,6 @@
 	return queued
 }
 
-// countWaiting counts the waiting long-running tasks as unavailable.
-func (u *usage) countWaiting(job *workstate.Job) {
-	for k := range job.Occurrences {
-		for s := range job.Occurrences[k].Steps {
-			if !job.Spec.Steps[s].LongRunning {
-				continue
-			}
-			for i := range job.Occurrences[k].Steps[s].Tasks {
-				if job.Occurrences[k].Steps[s].Tasks[i].Phase == workstate.Waiting {
-					u.unavailable[stepKey{job.ID, k, s}]++
-				}
-			}
-		}
-	}
-}
-
 // runOf returns the leader's view of a recorded run and marks it as seen in
 // this round.
 func (l *loop) runOf(id workload.TaskID, task *workstate.Task, now time.Time) *run {
--- /dev/null
+++ b/internal/process/scheduler/server_jobs.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"context"
+	"strings"
+
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// jobIDLength is the length of a job id in hexadecimal digits.
+const jobIDLength = 16
+
+// validJobID reports whether a string is a valid job id.
+func validJobID(id string) bool {
+	return len(id) == jobIDLength && strings.Trim(id, "0123456789abcdefABCDEF") == ""
+}
+
+// Submit accepts a job durably. A job that was accepted before is accepted
+// again without effect.
+func (s *Server) Submit(ctx context.Context, r workcall.SubmitRequest) (workcall.SubmitResponse, error) {
+	var response workcall.SubmitResponse
+	var id string
+	known := false
+	s.machine.Read(func(v *workstate.View) {
+		queue, rest := v.Catalog().Match(r.Host, r.Path)
+		id = rest
+		switch {
+		case v.Catalog().Version == 0:
+			response.Status = workcall.NotReady
+		case queue == nil:
+			response.Status = workcall.UnknownQueue
+		case !validJobID(rest):
+			response = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
+		}
+		known = v.Job(rest) != nil
+	})
+	if known {
+		// The state holds only committed jobs.
+		s.log.Info("job already accepted", "job", id, "path", r.Path)
+		return workcall.SubmitResponse{Status: workcall.OK}, nil
+	}
+	if response.Status != 0 {
+		return s.confirmRefusal(ctx, response)
+	}
+	result, err := s.propose(ctx, &workstate.Command{Submit: &workstate.Submit{ID: id, Host: r.Host, Path: r.Path, Spec: r.Spec}})
+	if err != nil {
+		return response, err
+	}
+	s.log.Info("job submitted", "job", id, "path", r.Path, "result", result.Code, "repeated", result.Repeated, "steps", len(r.Spec.Steps))
+	if result.Code == workstate.OK && !result.Repeated {
+		s.onJobAccepted(id)
+	}
+	if result.Code == workstate.UnknownQueue {
+		return workcall.SubmitResponse{Status: workcall.UnknownQueue}, nil
+	}
+	return workcall.SubmitResponse{Status: workcall.OK}, nil
+}
+
+// confirmRefusal returns a refusal after confirming that this process leads. A
+// process that lags behind could refuse because of an older configuration.
+func (s *Server) confirmRefusal(ctx context.Context, response workcall.SubmitResponse) (workcall.SubmitResponse, error) {
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return response, s.fault(err)
+	}
+	return response, nil
+}
+
+// findJob returns the job that a path names, or nil.
+func findJob(v *workstate.View, location workcall.Location) *workstate.Job {
+	return v.Job(location.Path[strings.LastIndexByte(location.Path, '/')+1:])
+}
+
+// Job returns the state of a job.
+func (s *Server) Job(ctx context.Context, r workcall.JobRequest) (workcall.JobResponse, error) {
+	response := workcall.JobResponse{Status: workcall.UnknownJob}
+	err := s.read(ctx, func(v *workstate.View) {
+		if v.Catalog().Version == 0 {
+			response.Status = workcall.NotReady
+			return
+		}
+		if job := findJob(v, r.Location); job != nil {
+			response = workcall.JobResponse{Status: workcall.OK, Outcome: job.Outcome, Started: job.Started}
+		}
+	})
+	return response, err
+}
+
+// Cancel cancels a job. Its executing tasks are stopped afterwards.
+func (s *Server) Cancel(ctx context.Context, r workcall.JobRequest) (workcall.CancelResponse, error) {
+	id := r.Path[strings.LastIndexByte(r.Path, '/')+1:]
+	result, err := s.propose(ctx, &workstate.Command{Cancel: &workstate.Cancel{ID: id}})
+	if err != nil {
+		return workcall.CancelResponse{}, err
+	}
+	s.log.Info("job cancelled", "job", id, "result", result.Code, "repeated", result.Repeated)
+	if result.Code != workstate.OK {
+		return workcall.CancelResponse{Status: workcall.UnknownJob}, nil
+	}
+	return workcall.CancelResponse{Status: workcall.OK}, nil
+}
+
+// Pending returns the number of a queue's jobs of which no task has started.
+func (s *Server) Pending(ctx context.Context, r workcall.PendingRequest) (workcall.PendingResponse, error) {
+	response := workcall.PendingResponse{Status: workcall.UnknownQueue}
+	err := s.read(ctx, func(v *workstate.View) {
+		if v.Catalog().Version == 0 {
+			response.Status = workcall.NotReady
+			return
+		}
+		queue, rest := v.Catalog().Match(r.Host, r.Path)
+		if queue != nil && rest == "" {
+			response = workcall.PendingResponse{Status: workcall.OK, Pending: v.Pending(queue.Key())}
+		}
+		response.CatalogVersion = v.Catalog().Version
+	})
+	return response, err
+}
--- /dev/null
+++ b/internal/process/scheduler/server_members.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"context"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// notLeader returns a NotLeaderError that names the leader, if it is known.
+func notLeader(status replica.Status) error {
+	for _, m := range status.Members {
+		if m.ID == status.Leader && status.Leader != status.ID {
+			return &replica.NotLeaderError{ID: m.ID, Link: m.Link, Admin: m.Admin}
+		}
+	}
+	return &replica.NotLeaderError{}
+}
+
+// Hello returns the link addresses of the leader and the members.
+func (s *Server) Hello() workcall.HelloResponse {
+	status := s.replica.Status()
+	var response workcall.HelloResponse
+	for _, m := range status.Members {
+		response.Members = append(response.Members, m.Link)
+		if m.ID == status.Leader {
+			response.Leader = m.Link
+		}
+	}
+	s.machine.Read(func(v *workstate.View) { response.CatalogVersion = v.Catalog().Version })
+	return response
+}
+
+// join adds a process with an empty disk as a member. A former member with the
+// same link address has lost its disk and is removed first.
+func (s *Server) join(ctx context.Context, peer link.Peer, r workcall.JoinRequest) (workcall.Done, error) {
+	if peer.ID != r.ID {
+		return workcall.Done{}, &link.Fault{Code: workcall.CodeUnavailable, Message: "the id is not the peer's"}
+	}
+	status := s.replica.Status()
+	if status.Leader != status.ID {
+		return workcall.Done{}, s.fault(notLeader(status))
+	}
+	for _, m := range status.Members {
+		if m.ID == r.ID {
+			return workcall.Done{}, nil
+		}
+		if m.Link != r.Link {
+			continue
+		}
+		if err := s.replica.RemoveMember(ctx, m.ID); err != nil {
+			return workcall.Done{}, s.fault(logging.Wrap(err, "remove the former member", m.ID))
+		}
+		s.log.Info("member with a lost disk removed", "member", m.ID, "link", m.Link)
+	}
+	member := replica.Member{ID: r.ID, Link: r.Link, Admin: r.Admin}
+	if err := s.replica.AddMember(ctx, member); err != nil {
+		return workcall.Done{}, s.fault(logging.Wrap(err, "add member", r.ID))
+	}
+	s.log.Info("member added", "member", r.ID, "link", r.Link)
+	return workcall.Done{}, nil
+}
--- /dev/null
+++ b/internal/process/scheduler/server_workers.go
@@ -0,0 +1,101 @@
+package scheduler
+
+import (
+	"context"
+
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// Heartbeat handles the heartbeat of a worker. If it changes the registration
+// of the worker, it is acknowledged after the change is committed.
+func (s *Server) Heartbeat(ctx context.Context, r workcall.HeartbeatRequest) (workcall.HeartbeatResponse, error) {
+	status := s.replica.Status()
+	if status.Leader != status.ID {
+		return workcall.HeartbeatResponse{}, s.fault(notLeader(status))
+	}
+	response := workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.address}
+	change := s.compareHeartbeat(&r.Worker)
+	if change == unknownService {
+		response.Status = workcall.Invalid
+		return response, nil
+	}
+	if change == changed {
+		result, err := s.propose(ctx, &workstate.Command{Register: &r.Worker})
+		if err != nil {
+			return response, err
+		}
+		s.log.Info("worker registered", "worker", r.Worker.ID, "incarnation", r.Worker.Incarnation, "vm", r.Worker.VM, "address", r.Worker.Address,
+			"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
+	}
+	s.onHeartbeat(r.Worker.ID)
+	return response, nil
+}
+
+// heartbeatChange is the effect of a heartbeat on the registration of a worker.
+type heartbeatChange uint8
+
+const (
+	// unchanged means that the heartbeat has no new information, or that a
+	// later heartbeat has replaced it.
+	unchanged heartbeatChange = iota
+	// changed means that the worker has to be registered with the new
+	// information.
+	changed
+	// unknownService means that the configuration does not have the worker's
+	// service.
+	unknownService
+)
+
+// compareHeartbeat compares a heartbeat with the registered worker.
+func (s *Server) compareHeartbeat(w *workstate.Worker) (change heartbeatChange) {
+	s.machine.Read(func(v *workstate.View) {
+		if c := v.Catalog(); c.Version > 0 && c.Service(w.Service) == nil {
+			change = unknownService
+			return
+		}
+		known := v.Workers()[w.ID]
+		switch {
+		case known == nil:
+			change = changed
+		case known.Incarnation > w.Incarnation || sameWorker(known, w):
+			change = unchanged
+		case known.Incarnation == w.Incarnation && known.Draining:
+			// Draining never ends within an incarnation: a heartbeat that
+			// says otherwise was overtaken by a later one.
+			change = unchanged
+		default:
+			change = changed
+		}
+	})
+	return change
+}
+
+// sameWorker reports whether a heartbeat has no new information about a worker.
+func sameWorker(a, b *workstate.Worker) bool {
+	return a.Address == b.Address && a.Service == b.Service && a.VM == b.VM && a.Incarnation == b.Incarnation &&
+		a.Capacity == b.Capacity && a.Draining == b.Draining
+}
+
+// Deregister removes a worker that has ended.
+func (s *Server) Deregister(ctx context.Context, r workcall.DeregisterRequest) (workcall.Done, error) {
+	status := s.replica.Status()
+	if status.Leader != status.ID {
+		return workcall.Done{}, s.fault(notLeader(status))
+	}
+	incarnation, known := r.Incarnation, false
+	s.machine.Read(func(v *workstate.View) {
+		if worker := v.Workers()[r.ID]; worker != nil {
+			known = true
+			if incarnation == 0 {
+				incarnation = worker.Incarnation
+			}
+		}
+	})
+	if !known {
+		return workcall.Done{}, nil
+	}
+	_, err := s.propose(ctx, &workstate.Command{Deregister: &workstate.Deregister{ID: r.ID, Incarnation: incarnation}})
+	s.log.Info("worker deregistered", "worker", r.ID, "incarnation", incarnation, "committed", err == nil)
+	return workcall.Done{}, err
+}
