--- a/internal/process/replica/driver/confirm.go
+++ b/internal/process/replica/driver/confirm.go
@@ -7,7 +7,7 @@
 )
 
 // confirmInterval is the minimum time between two confirmations of the
-// leadership. Each costs a message to every member and its answer, however many
+// leadership. Each costs messages to a majority and their answers, however many
 // reads it serves.
 const confirmInterval = 20 * time.Millisecond
 
--- a/internal/process/scheduler/loadlog.go
+++ b/internal/process/scheduler/loadlog.go
@@ -26,7 +26,8 @@
 type loadLog struct {
 	loggedAt time.Time
 	last     loadCounters
-	// rounds, commits and their times cover the present interval.
+	// rounds, commits and their times cover the present interval. The time of
+	// rounds includes that of passes without one.
 	rounds, commits           int
 	roundTime, longestRound   time.Duration
 	commitTime, longestCommit time.Duration
@@ -63,8 +64,11 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-func (s *loadLog) recordRound(took time.Duration) {
-	s.rounds++
+// recordPass records a pass of the loop, and whether it was a round.
+func (s *loadLog) recordPass(took time.Duration, round bool) {
+	if round {
+		s.rounds++
+	}
 	s.roundTime += took
 	s.longestRound = max(s.longestRound, took)
 }
--- a/internal/process/scheduler/loadlog_test.go
+++ b/internal/process/scheduler/loadlog_test.go
@@ -19,7 +19,7 @@
 	for ms := range 3500 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
 		if ms%100 == 0 {
-			l.loadLog.recordRound(2 * time.Millisecond)
+			l.loadLog.recordPass(2*time.Millisecond, true)
 			l.loadLog.recordCommit(time.Duration(ms%1000) * time.Millisecond)
 		}
 		l.logLoad(now)
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -179,7 +179,8 @@
 	if due, wait := l.pacer.due(now); !due {
 		return wait
 	}
-	if l.dirty && !l.committing {
+	round := l.dirty && !l.committing
+	if round {
 		l.dirty = false
 		l.round(now)
 	}
@@ -187,7 +188,7 @@
 	l.listVMs(now)
 	end := time.Now()
 	l.pacer.record(now, end)
-	l.loadLog.recordRound(end.Sub(now))
+	l.loadLog.recordPass(end.Sub(now), round)
 	l.logLoad(end)
 	return 0
 }
