delegate: the end of a leadership makes no delegate suspect

When a leader steps down, its open calls end with their context. Only a call whose time is over counts now. TestEndOfLeadershipMakesNoDelegateSuspect failed before: the leader made 1 call.

--- a/internal/connection/delegate/delegate_test.go
+++ b/internal/connection/delegate/delegate_test.go
@@ -243,6 +243,24 @@
 	}
 }
 
+// TestEndOfLeadershipMakesNoDelegateSuspect guards against a leader that is elected again and calls all workers itself at first.
+func TestEndOfLeadershipMakesNoDelegateSuspect(t *testing.T) {
+	g := newGroup(t, 1, 0)
+	g.delegates[0].silent.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if _, err := g.leader.Watch(ctx, workerAt(1), execution.Watch{}); !errors.Is(err, execution.ErrNoAnswer) {
+		t.Fatalf("error %v", err)
+	}
+	g.delegates[0].silent.Store(false)
+	if _, err := g.start(t, 2, 1); err != nil {
+		t.Fatal(err)
+	}
+	if own := g.leaderOwn.count(); own != 0 {
+		t.Errorf("the leader made %d calls", own)
+	}
+}
+
 func TestForgetReachesTheDelegate(t *testing.T) {
 	g := newGroup(t, 1, 0)
 	if _, err := g.start(t, 1, 1); err != nil {
--- a/internal/connection/delegate/workers.go
+++ b/internal/connection/delegate/workers.go
@@ -162,7 +162,9 @@
 		}
 		return a, nil
 	case <-ctx.Done():
-		w.recordTimeout(p)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			w.recordTimeout(p)
+		}
 		return answer{}, fmt.Errorf("%w: %w", execution.ErrNoAnswer, ctx.Err())
 	}
 }
