integration: deployments of two test processes never share addresses

Its log shows the cause: a control process could not listen on 127.49.47.3:7060, address already in use, and its workers were called by a newer leader of another deployment. The range of a deployment came from the test's process id and a counter, which two processes with near ids share at times. A deployment now holds a port of its range until its test ends and takes the next range if it is held.

--- a/integration/hosted_harness_test.go
+++ b/integration/hosted_harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -28,6 +29,24 @@
 	env, controlArgs []string
 }
 
+// reserveSubnet returns a range of loopback addresses that no deployment of this
+// or of another test process uses, as 127.X.Y. with the last number left out. It
+// holds a port of the range until the test ends.
+func reserveSubnet(t *testing.T) string {
+	t.Helper()
+	for range 200 {
+		number := (int64(os.Getpid())+subnets.Add(1))%200 + 20
+		subnet := fmt.Sprintf("127.%d.%d.", number, (os.Getpid()/200)%250)
+		listener, err := net.Listen("tcp", subnet+"250:"+fmt.Sprint(hostedFirstPort))
+		if err == nil {
+			t.Cleanup(func() { _ = listener.Close() })
+			return subnet
+		}
+	}
+	t.Fatal("no free range of loopback addresses")
+	return ""
+}
+
 // hostedOption changes how the processes of a deployment are started.
 type hostedOption func(*hosted)
 
@@ -53,8 +72,7 @@
 
 func newHosted(t *testing.T, controls, entries int, options ...hostedOption) *hosted {
 	t.Helper()
-	number := (int64(os.Getpid())+subnets.Add(1))%200 + 20
-	h := &hosted{t: t, dir: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d.", number, (os.Getpid()/200)%250), ledger: newHostedLedger(t), client: &http.Client{Timeout: 3 * time.Second}}
+	h := &hosted{t: t, dir: t.TempDir(), subnet: reserveSubnet(t), ledger: newHostedLedger(t), client: &http.Client{Timeout: 3 * time.Second}}
 	for _, option := range options {
 		option(h)
 	}
