state: the claim test knows for how long a key stays refused

Change: the test keeps the time until which each key has to be refused and fails for each grant before it, and says by how much. Nothing else is eased.

--- a/internal/process/state/claims_test.go
+++ b/internal/process/state/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -14,6 +15,8 @@
 	machine *Machine
 	index   uint64
 	nowMS   int64
+	// clockMS is the clock of the state: the latest time of a command.
+	clockMS int64
 }
 
 func newDriver() *driver { return &driver{machine: NewMachine(), nowMS: 1_000_000_000_000} }
@@ -21,6 +24,7 @@
 func run[T any](t rapid.TB, d *driver, kind Kind, body any) (T, error) {
 	t.Helper()
 	d.index++
+	d.clockMS = max(d.clockMS, d.nowMS)
 	command, err := Encode(kind, d.nowMS, body)
 	if err != nil {
 		t.Fatal(err)
@@ -62,12 +66,12 @@
 
 // TestUnreleasedClaimIsNotGrantedToAnotherAttempt applies random sequences of claims, ends,
 // repeated commands, restarts and clock steps. An attempt that was granted and
-// not released may have run, so no other attempt may be granted the key within
-// its retention.
+// not released may have run, so no other attempt may be granted the key while the
+// claim is kept, nor in the time after that for which the key is refused.
 func TestUnreleasedClaimIsNotGrantedToAnotherAttempt(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := newDriver()
-		granted := map[string]string{}
+		granted := map[string]grant{}
 		released := map[string]bool{}
 		var attempts []ClaimCommand
 		steps := rapid.IntRange(1, 60).Draw(t, "steps")
@@ -101,18 +105,31 @@
 	})
 }
 
+// grant is a granted claim.
+type grant struct {
+	attempt string
+	// refusedUntilMS is the time on the state's clock until which the key must
+	// not be granted to another attempt.
+	refusedUntilMS int64
+}
+
 // checkGrant makes a claim. It fails if the claim is granted although another
-// attempt, which may have run, was granted the key before. A released attempt
-// has not run.
-func checkGrant(t *rapid.T, d *driver, granted map[string]string, released map[string]bool, c ClaimCommand) {
+// attempt, which may have run, was granted the key before and the key has to be
+// refused. A released attempt has not run.
+func checkGrant(t *rapid.T, d *driver, granted map[string]grant, released map[string]bool, c ClaimCommand) {
 	answer := d.claim(t, c)
 	if answer.State != claim.Granted {
 		return
 	}
-	if first := granted[c.Key]; first != "" && first != c.Attempt && !released[first] {
-		t.Fatalf("key %s was granted to %s and to %s", c.Key, first, c.Attempt)
+	first, known := granted[c.Key]
+	if known && first.attempt == c.Attempt && d.clockMS < first.refusedUntilMS {
+		return
+	}
+	if known && !released[first.attempt] && d.clockMS < first.refusedUntilMS {
+		t.Fatalf("key %s was granted to %s and to %s, %v before the first grant may be forgotten", c.Key, first.attempt, c.Attempt,
+			time.Duration(first.refusedUntilMS-d.clockMS)*time.Millisecond)
 	}
-	granted[c.Key] = c.Attempt
+	granted[c.Key] = grant{c.Attempt, d.clockMS + (claim.Retention + claim.RefusalRetention).Milliseconds()}
 }
 
 func TestClaimStates(t *testing.T) {
