link: a restarted peer is reached at once

Cause: a process that was killed and came back within 2 s got nothing from its peers: they went on writing to connections of its former life until the idle timeout. Votes, answers of delegates and calls of entries were lost that way. A dial to a VM without power repeats its first packet after 0.2, 0.6 and 1.4 s, so that a VM that is back is found up to 0.8 s late.

Change: nodes answer packets of unknown connections with a QUIC stateless reset, whose key is the same in the next life of the process (from its node key or, where links are not authenticated, its address). A dial that got no answer for 200 ms starts another handshake beside the open ones; the first one that ends is used.

--- a/internal/connection/link/node.go
+++ b/internal/connection/link/node.go
@@ -25,6 +25,10 @@
 	KeepAlive = 600 * time.Millisecond
 	// DialTimeout bounds the handshake of a new connection.
 	DialTimeout = time.Second
+	// redialInterval is the time without an answer after which a dial starts
+	// another handshake beside the open ones. QUIC itself repeats a lost first
+	// packet at growing intervals, so that a peer that is back is found late.
+	redialInterval = 200 * time.Millisecond
 )
 
 const (
@@ -85,7 +89,8 @@
 	if err != nil {
 		return nil, logging.Wrap(err, "listen for links", address)
 	}
-	transport := &quic.Transport{Conn: socket}
+	resetKey := quic.StatelessResetKey(ring.ResetKey(socket.LocalAddr().String()))
+	transport := &quic.Transport{Conn: socket, StatelessResetKey: &resetKey}
 	listener, err := transport.Listen(ring.MutualTLS(messageProtocol, callProtocol), quicConfig())
 	if err != nil {
 		return nil, logging.Wrap(errors.Join(err, socket.Close()), "listen for links", address)
@@ -166,16 +171,49 @@
 	n.removeConnection(address, entry)
 }
 
+// handshake is the outcome of one handshake.
+type handshake struct {
+	connection *quic.Conn
+	err        error
+}
+
+// dialOnce starts handshakes at an interval until one ends, and returns its
+// connection.
 func (n *Node) dialOnce(ctx context.Context, address string) (*quic.Conn, error) {
 	udpAddress, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("resolve: %w", err)
 	}
-	connection, err := n.transport.Dial(ctx, udpAddress, n.ring.MutualTLS(messageProtocol, callProtocol), quicConfig())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	first := make(chan handshake)
+	repeat := time.NewTicker(redialInterval)
+	defer repeat.Stop()
+	for {
+		go n.shakeHands(ctx, udpAddress, first)
+		select {
+		case ended := <-first:
+			return ended.connection, ended.err
+		case <-repeat.C:
+		}
+	}
+}
+
+// shakeHands makes one handshake. If another one has ended first, its
+// connection is closed.
+func (n *Node) shakeHands(ctx context.Context, address *net.UDPAddr, first chan<- handshake) {
+	connection, err := n.transport.Dial(ctx, address, n.ring.MutualTLS(messageProtocol, callProtocol), quicConfig())
 	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
+		err = fmt.Errorf("dial: %w", err)
+	}
+	select {
+	case first <- handshake{connection, err}:
+	case <-ctx.Done():
+		if connection != nil {
+			// The peer learns of it or times out; there is nothing else to do.
+			_ = connection.CloseWithError(0, "")
+		}
 	}
-	return connection, nil
 }
 
 // removeConnection removes the entry from the cache, unless a newer one has
--- a/internal/process/keys/ring.go
+++ b/internal/process/keys/ring.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -152,6 +153,18 @@
 	}
 }
 
+// ResetKey returns the key with which a process that was restarted at an
+// address tells its peers that the connections to its former life are gone. It
+// has to be the same in both lives. It is derived from the node key or, where
+// links are not authenticated anyway, from the address.
+func (r *Ring) ResetKey(address string) [sha256.Size]byte {
+	secret := []byte(address)
+	if key, ok := r.current.Load().node.PrivateKey.(ed25519.PrivateKey); ok && !r.unauthenticated {
+		secret = key.Seed()
+	}
+	return sha256.Sum256(append([]byte("arbutusward link reset "), secret...))
+}
+
 // NotAfter returns the expiry time of the node certificate, or the zero time if
 // there is none.
 func (r *Ring) NotAfter() time.Time {
