replica: voters without a leader ask for pre-votes after 150 to 400 ms

Cause: a voter that starts from its disk, or whose pre-vote found too few others yet, waited a whole election timeout of 0.6 to 1.2 s, though a pre-vote deposes nobody. A new leader counted members as responsive before they had answered, the dead former leader among them, and others only with the next tick of 50 ms, so that its first calls to workers went to a dead delegate or were all made by itself.

Change: a short timeout for pre-votes without a leader; the full one stays for a voter that has heard a leader. A member is responsive from its first reply on, at once.

Shown: TestVoterWithoutALeaderAsksForVotesSoon failed before (13 ticks of 12); the model and exploration tests of the core pass.

--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"arbutusward.example/arbutusward/internal/process/replica"
 )
@@ -131,6 +132,7 @@
 	}
 	c.delivered = p.Snapshot.Last.Index
 	c.becomeFollower(p.State.Term, "")
+	c.electionDeadline = c.preVoteTimeout()
 	return c
 }
 
@@ -143,6 +145,30 @@
 // Leader returns the id of the leader, or "" if none is known.
 func (c *Core) Leader() string { return c.leader }
 
+// LeaderSilence returns the ticks since this process last knew of a leader in
+// contact with a majority: on a follower since the leader's last message, on
+// the leader since a majority last answered. It reports false if no leader is
+// known.
+func (c *Core) LeaderSilence() (ticks int, known bool) {
+	if c.leader == "" {
+		return 0, false
+	}
+	if c.role != Leader {
+		return c.electionTicks, true
+	}
+	var silences []int
+	for _, id := range c.voters() {
+		if id != c.config.ID {
+			silences = append(silences, c.peers[id].inactiveTicks)
+		}
+	}
+	slices.Sort(silences)
+	if needed := c.quorum() - 1; needed > 0 {
+		return silences[needed-1], true
+	}
+	return 0, true
+}
+
 // Commit returns the last index known to be committed.
 func (c *Core) Commit() uint64 { return c.log.commit }
 
--- a/internal/process/replica/core/election.go
+++ b/internal/process/replica/core/election.go
@@ -11,6 +11,7 @@
 	term := c.state.Term + 1
 	if pre {
 		c.role = PreCandidate
+		c.electionDeadline = c.preVoteTimeout()
 	} else {
 		c.role = Candidate
 		c.state = HardState{Term: term, Vote: c.config.ID}
@@ -27,6 +28,14 @@
 	}
 }
 
+// preVoteTimeout returns the time, in ticks, after which a process that knows no
+// leader asks for pre-votes. It is shorter than an election timeout: a pre-vote
+// deposes no leader, since the voters in contact with one ignore it.
+func (c *Core) preVoteTimeout() int {
+	shortest := max(c.config.ElectionTicks/4, 1)
+	return shortest + c.config.Random.IntN(max(c.config.ElectionTicks/2, 1))
+}
+
 // hasLease reports whether this process leads or was contacted by a leader
 // within the shortest election timeout.
 func (c *Core) hasLease() bool {
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -15,8 +15,11 @@
 	timeoutTicks, lostAppends int
 	// sendingSnapshot is set while a snapshot is being transferred.
 	sendingSnapshot bool
-	// inactiveTicks is the number of ticks since the member's last reply.
+	// inactiveTicks is the number of ticks since the member's last reply, or
+	// since this process began to lead if answered is not set.
 	inactiveTicks int
+	// answered is set once the member has replied to this leader.
+	answered bool
 	// round is the newest heartbeat round that the member answered.
 	round uint64
 	// catchUpIndex is the commit index at the last heartbeat. A learner whose
@@ -136,7 +139,7 @@
 	if p == nil {
 		return
 	}
-	p.inactiveTicks = 0
+	p.recordReply()
 	p.lostAppends = 0
 	reply := m.AppendReply
 	if reply.Rejected > 0 {
@@ -229,11 +232,17 @@
 	return c.peers[id].inactiveTicks < c.config.ElectionTicks
 }
 
+// recordReply records that the member has replied.
+func (p *progress) recordReply() {
+	p.inactiveTicks = 0
+	p.answered = true
+}
+
 // Responsive reports whether another member has answered this leader within
 // the given number of ticks.
 func (c *Core) Responsive(id string, ticks int) bool {
 	p := c.peers[id]
-	return c.role == Leader && id != c.config.ID && p != nil && p.inactiveTicks <= ticks
+	return c.role == Leader && id != c.config.ID && p != nil && p.answered && p.inactiveTicks <= ticks
 }
 
 // broadcastHeartbeat sends a heartbeat to all members.
@@ -266,7 +275,7 @@
 		// the entries are sent again at once.
 		p.ticksInFlight, p.lostAppends = 0, 0
 	}
-	p.inactiveTicks = 0
+	p.recordReply()
 	p.round = max(p.round, m.HeartbeatReply.Round)
 	c.confirmReads()
 	c.promoteLearner(m.From)
--- a/internal/process/replica/driver/loop.go
+++ b/internal/process/replica/driver/loop.go
@@ -213,6 +213,11 @@
 		l.receivedSnapshot = &m
 	}
 	err := l.core.Step(m.message)
+	if l.core.Role() == core.Leader && len(l.responsive) < len(l.members)-1 {
+		// The reply of a member makes it responsive at once, so that a new
+		// leader need not wait for the next tick.
+		l.updateResponsive()
+	}
 	return logging.Wrap(err, "step", m.message.From)
 }
 
--- a/internal/process/replica/driver/status.go
+++ b/internal/process/replica/driver/status.go
@@ -1,6 +1,8 @@
 package driver
 
 import (
+	"time"
+
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/replica/core"
 	"arbutusward.example/arbutusward/internal/process/timeline"
@@ -59,9 +61,11 @@
 
 // publish updates the published status and the metrics.
 func (l *loop) publish() {
+	silence, _ := l.core.LeaderSilence()
 	status := replica.Status{
 		ID: l.options.Self.ID, Role: l.role(), Term: l.core.Term(), Leader: l.core.Leader(),
 		Commit: l.core.Commit(), Applied: l.applied, LogBytes: l.logBytes, Members: l.members, Responsive: l.responsive,
+		LeaderSilence: time.Duration(silence) * tickInterval,
 	}
 	l.status.Store(&status)
 	termGauge.Set(float64(status.Term))
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Errors of a replica.
@@ -97,4 +98,7 @@
 	// Responsive holds the link addresses of the other members that have
 	// answered this process lately. It is empty unless this process leads.
 	Responsive []string `json:"responsive,omitempty"`
+	// LeaderSilence is the time since this process last knew of a leader in
+	// contact with a majority; of no use while Leader is "".
+	LeaderSilence time.Duration `json:"leader_silence_ns"`
 }
