workcall: a submission that was not sent is answered as not run

Cause: entries learn of a dead leader within 0.9 s. Afterwards they asked one random member at a time, also dead ones, for up to 0.4 s each, and believed followers that had not noticed the loss either.

Change: a submission goes out only if the leader has answered something within 50 ms or answers a hello call; otherwise its outcome is "not run". A leader without contact to a majority for 400 ms refuses jobs before its log holds them. Two members are asked at once, and one that has not heard of its leader for 350 ms names none. Calls that are answered replace hello calls of entries.

Shown: TestSubmissionThatWasNotSentIsNotUnknown failed on the former client with "may have taken effect", TestLostLeaderIsNotTakenFromAMemberThatLostItToo and TestCallsReplaceHellos too; TestSubmissionWithoutAnswerIsUnknown keeps the other kind of outcome.

--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -22,12 +23,30 @@
 	// retryInterval is the time between attempts, well below the duration of
 	// an election.
 	retryInterval = 60 * time.Millisecond
-	// helloInterval is the time between hello calls that look for the leader.
-	helloInterval = 500 * time.Millisecond
+	// checkInterval is the time between two checks whether the leader still
+	// answers.
+	checkInterval = 250 * time.Millisecond
+	// quietAge is the time without an answer of the leader to any call after
+	// which it is sent a hello call.
+	quietAge = 600 * time.Millisecond
 	// helloTimeout bounds one hello call.
 	helloTimeout = 400 * time.Millisecond
+	// confirmedAge is the time after an answer of the leader within which it
+	// gets submissions without a hello call before.
+	confirmedAge = 50 * time.Millisecond
+	// askedMembers is the number of members that are asked at once for a lost
+	// leader, so that one that is gone too does not delay the answer.
+	askedMembers = 2
+	// maxLeaderSilence is the age of a member's own contact with the leader
+	// beyond which its answer names no leader. It is several heartbeats of the
+	// replicated log.
+	maxLeaderSilence = 350 * time.Millisecond
 )
 
+// errNotSent is the failure of a call that was not sent, since the leader does
+// not answer.
+var errNotSent = errors.New("the leader does not answer, the call was not sent")
+
 // Client calls the control leader. It learns the members from its seeds, and
 // Run tracks the leader in the background. It is safe for concurrent use.
 type Client struct {
@@ -39,11 +58,10 @@
 	// responses.
 	seeds, members []string
 	leader         string
+	// answeredBy is the address of the leader that answered last, at answeredAt.
+	answeredBy string
+	answeredAt time.Time
 
-	// lastContact is the monotonic time since started, in nanoseconds, at
-	// which a leader last answered; 0 if none has answered.
-	lastContact    atomic.Int64
-	started        time.Time
 	catalogVersion atomic.Int64
 
 	// local serves calls to self, the link address of this process, without
@@ -63,7 +81,7 @@
 
 // NewClient returns a client that starts from the link addresses of seeds.
 func NewClient(node *link.Node, seeds []string, log *slog.Logger) *Client {
-	return &Client{node: node, log: log, seeds: slices.Clone(seeds), started: time.Now()}
+	return &Client{node: node, log: log, seeds: slices.Clone(seeds)}
 }
 
 // ServeLocally makes local serve the calls to self, the link address of this
@@ -82,10 +100,13 @@
 // Run tracks the leader until the context ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		c.findLeader(ctx)
-		pause := helloInterval
-		if c.Leader() == "" {
+		pause := checkInterval
+		switch leader := c.Leader(); {
+		case leader == "":
+			c.findLeader(ctx)
 			pause = retryInterval
+		case c.sinceAnswer(leader) > quietAge:
+			c.checkLeader(ctx, leader)
 		}
 		select {
 		case <-time.After(pause):
@@ -101,35 +122,81 @@
 	return c.leader
 }
 
-// SinceLeaderContact returns the time since a leader last answered a hello
-// call, or an hour if none has answered yet.
+// SinceLeaderContact returns the time since a leader last answered a call, or
+// an hour if none has answered yet.
 func (c *Client) SinceLeaderContact() time.Duration {
-	contact := c.lastContact.Load()
-	if contact == 0 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answeredBy == "" {
 		return time.Hour
 	}
-	return time.Since(c.started) - time.Duration(contact)
+	return time.Since(c.answeredAt)
+}
+
+// sinceAnswer returns the time since the leader at an address last answered a
+// call, or an hour if another leader has answered since.
+func (c *Client) sinceAnswer(leader string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answeredBy != leader {
+		return time.Hour
+	}
+	return time.Since(c.answeredAt)
+}
+
+// recordAnswer records that the leader at an address has answered a call.
+func (c *Client) recordAnswer(leader string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answeredBy, c.answeredAt = leader, time.Now()
 }
 
 // CatalogVersion returns the newest version of the catalog that a leader has
 // reported.
 func (c *Client) CatalogVersion() int64 { return c.catalogVersion.Load() }
 
-// findLeader asks the known leader, or else a random member or seed, for the
-// present leader.
-func (c *Client) findLeader(ctx context.Context) {
-	address := c.nextAddress()
-	if address == "" {
-		return
-	}
+// checkLeader asks the known leader whether it still leads.
+func (c *Client) checkLeader(ctx context.Context, leader string) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	answer, err := c.hello(ctx, address)
+	answer, err := c.hello(ctx, leader)
 	if err != nil {
-		c.dropLeader(address, err)
+		c.dropLeader(leader, err)
 		return
 	}
-	c.applyHello(address, &answer)
+	c.applyHello(leader, &answer)
+}
+
+// memberAnswer is the answer of one member to a hello call.
+type memberAnswer struct {
+	from  string
+	hello HelloResponse
+	err   error
+}
+
+// findLeader asks some members or seeds at once for the leader and takes the
+// first answer that names one.
+func (c *Client) findLeader(ctx context.Context) {
+	addresses := c.chooseMembers(askedMembers)
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	answers := make(chan memberAnswer, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			hello, err := c.hello(ctx, address)
+			answers <- memberAnswer{address, hello, err}
+		}()
+	}
+	for range addresses {
+		a := <-answers
+		if a.err != nil {
+			continue
+		}
+		c.applyHello(a.from, &a.hello)
+		if c.Leader() != "" {
+			return
+		}
+	}
 }
 
 func (c *Client) hello(ctx context.Context, address string) (HelloResponse, error) {
@@ -153,35 +220,37 @@
 	return err
 }
 
-// nextAddress returns the leader's address or, if none is known, that of a
-// random member or seed.
-func (c *Client) nextAddress() string {
+// chooseMembers returns the addresses of up to count random members or seeds.
+func (c *Client) chooseMembers(count int) []string {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leader != "" {
-		return c.leader
-	}
 	all := append(slices.Clone(c.members), c.seeds...)
-	if len(all) == 0 {
-		return ""
-	}
-	return all[rand.IntN(len(all))]
+	c.mu.Unlock()
+	slices.Sort(all)
+	all = slices.Compact(all)
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(count, len(all))]
 }
 
 // applyHello takes over the members, the leader and, if the leader itself
-// answered, the version of the catalog.
+// answered, the version of the catalog. A member that has not heard of its
+// leader lately names none.
 func (c *Client) applyHello(from string, answer *HelloResponse) {
 	if len(answer.Members) > 0 {
 		c.mu.Lock()
 		c.members = answer.Members
 		c.mu.Unlock()
 	}
-	c.setLeader(answer.Leader)
-	if answer.Leader == from {
-		c.lastContact.Store(int64(time.Since(c.started)))
-		if answer.CatalogVersion > c.catalogVersion.Load() {
-			c.catalogVersion.Store(answer.CatalogVersion)
-		}
+	leader := answer.Leader
+	if answer.LeaderSilenceMS > maxLeaderSilence.Milliseconds() {
+		leader = ""
+	}
+	c.setLeader(leader)
+	if leader != from {
+		return
+	}
+	c.recordAnswer(leader)
+	if answer.CatalogVersion > c.catalogVersion.Load() {
+		c.catalogVersion.Store(answer.CatalogVersion)
 	}
 }
 
@@ -222,6 +291,7 @@
 		if address != "" {
 			answer, err := attempt(ctx, c, address, kind, serve, request)
 			if err == nil {
+				c.recordAnswer(address)
 				return answer, nil
 			}
 			if mayHaveTakenEffect(err) {
@@ -243,9 +313,36 @@
 	if c.local != nil && address == c.self {
 		return serve(c.local, ctx, request)
 	}
+	if kind == submitKind {
+		if err := c.confirmLeader(ctx, address); err != nil {
+			var none Resp
+			return none, err
+		}
+	}
 	return link.Call[Req, Resp](ctx, c.node, address, kind, request)
 }
 
+// confirmLeader makes sure that the leader at an address answers before it is
+// sent a call whose loss leaves the caller without a definite answer. A leader
+// that answered a moment ago is not asked.
+func (c *Client) confirmLeader(ctx context.Context, address string) error {
+	if c.sinceAnswer(address) < confirmedAge {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	answer, err := c.hello(ctx, address)
+	if err != nil {
+		// The cause is quoted only: the call itself was not sent.
+		return fmt.Errorf("%w: %v", errNotSent, err)
+	}
+	c.applyHello(address, &answer)
+	if c.Leader() != address {
+		return &link.Fault{Code: link.CodeNotLeader, Message: "the peer does not lead", Leader: c.Leader()}
+	}
+	return nil
+}
+
 // handleFailure updates the known leader after a failed call.
 func (c *Client) handleFailure(address string, err error) {
 	var fault *link.Fault
--- /dev/null
+++ b/internal/connection/workcall/client_test.go
@@ -0,0 +1,169 @@
+package workcall
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+)
+
+// member is a control process that answers hello calls and takes submissions.
+type member struct {
+	node *link.Node
+	// leader is the address that it names, silence the age of its contact.
+	leader  atomic.Pointer[string]
+	silence atomic.Int64
+	// frozen makes it answer nothing, losing makes it take submissions without
+	// an answer.
+	frozen, losing atomic.Bool
+	hellos, taken  atomic.Int64
+}
+
+func startMember(t *testing.T) *member {
+	t.Helper()
+	m := &member{node: startNode(t)}
+	address := m.node.Address()
+	m.leader.Store(&address)
+	link.Handle(m.node, HelloKind, func(ctx context.Context, _ link.Peer, _ HelloRequest) (HelloResponse, error) {
+		if m.frozen.Load() {
+			<-ctx.Done()
+		}
+		m.hellos.Add(1)
+		return HelloResponse{Leader: *m.leader.Load(), LeaderSilenceMS: m.silence.Load(), CatalogVersion: 1}, nil
+	})
+	link.Handle(m.node, submitKind, func(ctx context.Context, _ link.Peer, _ SubmitRequest) (SubmitResponse, error) {
+		m.taken.Add(1)
+		if m.frozen.Load() || m.losing.Load() {
+			<-ctx.Done()
+		}
+		return SubmitResponse{Status: OK}, nil
+	})
+	m.node.Serve()
+	return m
+}
+
+func startNode(t *testing.T) *link.Node {
+	t.Helper()
+	ring, err := keys.NewEphemeral("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	node, err := link.Listen("127.0.0.1:0", ring, timeline.NewRecorder("test", "z"), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = node.Close() })
+	return node
+}
+
+func startClient(t *testing.T, members ...*member) *Client {
+	t.Helper()
+	var seeds []string
+	for _, m := range members {
+		seeds = append(seeds, m.node.Address())
+	}
+	return NewClient(startNode(t), seeds, slog.New(slog.DiscardHandler))
+}
+
+// submit submits a job that may wait for a second.
+func submit(t *testing.T, c *Client) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := c.Submit(ctx, SubmitRequest{})
+	return err
+}
+
+// waitForLeader runs the client until it knows the leader.
+func waitForLeader(t *testing.T, c *Client, address string) {
+	t.Helper()
+	deadline := time.Now().Add(3 * time.Second)
+	for c.Leader() != address {
+		if time.Now().After(deadline) {
+			t.Fatalf("leader %q, want %q", c.Leader(), address)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestSubmissionThatWasNotSentIsNotUnknown guards against a caller who cannot
+// submit again, since its job may run, although it reached no control process.
+func TestSubmissionThatWasNotSentIsNotUnknown(t *testing.T) {
+	leader := startMember(t)
+	c := startClient(t, leader)
+	go c.Run(t.Context())
+	waitForLeader(t, c, leader.node.Address())
+	if err := submit(t, c); err != nil {
+		t.Fatal(err)
+	}
+	taken := leader.taken.Load()
+	leader.frozen.Store(true)
+	time.Sleep(2 * confirmedAge)
+	if err := submit(t, c); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("error %v, want %v", err, ErrUnavailable)
+	}
+	if got := leader.taken.Load(); got != taken {
+		t.Errorf("%d submissions were sent to the frozen leader", got-taken)
+	}
+}
+
+// TestSubmissionWithoutAnswerIsUnknown guards against a caller who is told that
+// a job has not run although the leader took it.
+func TestSubmissionWithoutAnswerIsUnknown(t *testing.T) {
+	leader := startMember(t)
+	c := startClient(t, leader)
+	go c.Run(t.Context())
+	waitForLeader(t, c, leader.node.Address())
+	leader.losing.Store(true)
+	if err := submit(t, c); !errors.Is(err, ErrUnknown) {
+		t.Errorf("error %v, want %v", err, ErrUnknown)
+	}
+}
+
+// TestLostLeaderIsNotTakenFromAMemberThatLostItToo guards against entries that
+// go on calling a dead leader until its followers elect another one.
+func TestLostLeaderIsNotTakenFromAMemberThatLostItToo(t *testing.T) {
+	follower, leader := startMember(t), startMember(t)
+	dead := startNode(t).Address()
+	follower.leader.Store(&dead)
+	follower.silence.Store(2 * maxLeaderSilence.Milliseconds())
+	c := startClient(t, follower)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	c.findLeader(ctx)
+	if got := c.Leader(); got != "" {
+		t.Errorf("leader %q", got)
+	}
+	elected := leader.node.Address()
+	follower.leader.Store(&elected)
+	follower.silence.Store(0)
+	c.findLeader(ctx)
+	if got := c.Leader(); got != elected {
+		t.Errorf("leader %q, want %q", got, elected)
+	}
+}
+
+// TestCallsReplaceHellos guards against a leader that spends its processor on
+// entries that ask whether it leads although it answers their calls.
+func TestCallsReplaceHellos(t *testing.T) {
+	leader := startMember(t)
+	c := startClient(t, leader)
+	go c.Run(t.Context())
+	waitForLeader(t, c, leader.node.Address())
+	hellos := leader.hellos.Load()
+	for start := time.Now(); time.Since(start) < 2*quietAge; {
+		if err := submit(t, c); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(confirmedAge / 5)
+	}
+	if asked := leader.hellos.Load() - hellos; asked > 1 {
+		t.Errorf("%d hello calls beside submissions", asked)
+	}
+}
--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -173,6 +173,9 @@
 	Members []string `cbor:"2,keyasint,omitempty"`
 	// CatalogVersion is 0 before the first catalog.
 	CatalogVersion int64 `cbor:"3,keyasint,omitempty"`
+	// LeaderSilenceMS is the time since the process that answers knew of a
+	// leader in contact with a majority.
+	LeaderSilenceMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // JoinRequest asks the leader to admit a process with an empty disk as a
--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"strings"
+	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
@@ -16,6 +18,11 @@
 	return len(id) == jobIDLength && strings.Trim(id, "0123456789abcdefABCDEF") == ""
 }
 
+// maxQuorumSilence is the time without contact to a majority after which the
+// leader refuses jobs: several heartbeats of the log. A job that is proposed
+// later would most likely wait in a log that no majority gets.
+const maxQuorumSilence = 400 * time.Millisecond
+
 // Submit accepts a job durably. A job that was accepted before is accepted
 // again without effect.
 func (s *Server) Submit(ctx context.Context, r workcall.SubmitRequest) (workcall.SubmitResponse, error) {
@@ -43,6 +50,10 @@
 	if response.Status != 0 {
 		return s.confirmRefusal(ctx, response)
 	}
+	if silence := s.replica.Status().LeaderSilence; silence > maxQuorumSilence {
+		s.log.Warn("job refused, no contact to a majority", "job", id, "path", r.Path, "silent_ms", silence.Milliseconds())
+		return response, &link.Fault{Code: workcall.CodeUnavailable, Message: "the leader has no contact to a majority"}
+	}
 	result, err := s.propose(ctx, &workstate.Command{Submit: &workstate.Submit{ID: id, Host: r.Host, Path: r.Path, Spec: r.Spec}})
 	if err != nil {
 		return response, err
--- a/internal/process/scheduler/server_members.go
+++ b/internal/process/scheduler/server_members.go
@@ -23,7 +23,7 @@
 // Hello returns the link addresses of the leader and the members.
 func (s *Server) Hello() workcall.HelloResponse {
 	status := s.replica.Status()
-	var response workcall.HelloResponse
+	response := workcall.HelloResponse{LeaderSilenceMS: status.LeaderSilence.Milliseconds()}
 	for _, m := range status.Members {
 		response.Members = append(response.Members, m.Link)
 		if m.ID == status.Leader {
