--- a/internal/process/logging/bounded.go
+++ b/internal/process/logging/bounded.go
@@ -17,8 +17,10 @@
 const (
 	// writeDelay is how long a line may wait for others.
 	writeDelay = 20 * time.Millisecond
-	// maxChunkBytes ends that wait.
-	maxChunkBytes = 32 << 10
+	// maxChunkBytes bounds a chunk of several lines. A write of up to this size to a pipe is
+	// atomic (PIPE_BUF on Linux), so that a process that is killed leaves no part
+	// of a line, to which the next process would append its first one.
+	maxChunkBytes = 4096
 )
 
 // droppedLines counts the lines that were dropped because the queue was full.
@@ -62,40 +64,56 @@
 		case line := <-w.lines:
 			w.collect(out, line)
 		case done := <-w.flushes:
-			w.writeQueued(out, nil)
+			w.writeQueued(out, chunk{})
 			close(done)
 		}
 	}
 }
 
-// collect waits until a chunk is full or the delay is over, and writes it.
-func (w *boundedWriter) collect(out io.Writer, chunk []byte) {
+// chunk collects whole lines for one write.
+type chunk struct{ bytes []byte }
+
+// add appends a line. If the chunk would grow beyond its limit, add first writes
+// the lines that it holds.
+func (c *chunk) add(line []byte, write func([]byte)) {
+	if len(c.bytes) > 0 && len(c.bytes)+len(line) > maxChunkBytes {
+		write(c.bytes)
+		c.bytes = c.bytes[:0]
+	}
+	c.bytes = append(c.bytes, line...)
+}
+
+// collect waits until the delay is over and writes the lines that came until
+// then, in one chunk or more.
+func (w *boundedWriter) collect(out io.Writer, first []byte) {
+	c := chunk{bytes: first}
+	write := func(lines []byte) { w.write(out, lines) }
 	delay := time.NewTimer(writeDelay)
 	defer delay.Stop()
-	for len(chunk) < maxChunkBytes {
+	for {
 		select {
 		case line := <-w.lines:
-			chunk = append(chunk, line...)
+			c.add(line, write)
 		case <-delay.C:
-			w.write(out, chunk)
+			w.write(out, c.bytes)
 			return
 		case done := <-w.flushes:
-			w.writeQueued(out, chunk)
+			w.writeQueued(out, c)
 			close(done)
 			return
 		}
 	}
-	w.write(out, chunk)
 }
 
 // writeQueued writes a chunk and the lines that are in the queue.
-func (w *boundedWriter) writeQueued(out io.Writer, chunk []byte) {
+func (w *boundedWriter) writeQueued(out io.Writer, c chunk) {
+	write := func(lines []byte) { w.write(out, lines) }
 	for {
 		select {
 		case line := <-w.lines:
-			chunk = append(chunk, line...)
+			c.add(line, write)
 		default:
-			w.write(out, chunk)
+			w.write(out, c.bytes)
 			return
 		}
 	}
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -214,31 +214,3 @@
 	}
 	return g
 }
-
-// logProgress logs the starts and ends of runs, one line for each step and
-// kind.
-func (l *loop) logProgress(p *workstate.Progress, started []bool) {
-	type line struct {
-		job              string
-		occurrence, step int
-		what             string
-	}
-	lines := map[line][]string{}
-	for i := range p.Ends {
-		e := &p.Ends[i]
-		what := [...]string{"", "done", "failed", "interrupted"}[e.Kind]
-		key := line{e.Task.Job, e.Task.Occurrence, e.Task.Step, what}
-		lines[key] = append(lines[key], formatRun(e.Task.Index, e.Run, ""))
-	}
-	for i := range p.Starts {
-		s := &p.Starts[i]
-		key := line{s.Task.Job, s.Task.Occurrence, s.Task.Step, "started"}
-		if !started[i] {
-			key.what = "not started, start no longer valid"
-		}
-		lines[key] = append(lines[key], formatRun(s.Task.Index, s.Run, s.Worker))
-	}
-	for key, runs := range lines {
-		l.Log.Info("tasks "+key.what, "job", key.job, "occurrence", key.occurrence, "step", key.step, "runs", strings.Join(runs, " "))
-	}
-}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -109,12 +108,3 @@
 	}
 	return false
 }
-
-// formatRun formats a run for a log line as INDEX#RUN@WORKER.
-func formatRun(index, run int, worker string) string {
-	text := fmt.Sprintf("%d#%d", index, run)
-	if worker != "" {
-		text += "@" + worker
-	}
-	return text
-}
