scheduler: a worker that the leader ordered away is not "unresponsive"

Cause: a VM that is moved or maintained ends its worker at once.

Change: no warning for a worker whose VM has an open order; it is watched again when the next list of VMs is due.

--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -105,10 +105,15 @@
 }
 
 // handleWatchFailure handles a failed or refused watch. The worker keeps its
-// runs until its lease expires.
+// runs until its lease expires. The failure is expected if the worker's VM was
+// ordered away: the next list of VMs then tells whether the worker has ended.
 func (l *loop) handleWatchFailure(w *worker, now time.Time, refusal execution.Refusal, err error) {
 	w.nextWatch = now.Add(watchRetry)
-	if !w.unresponsive {
+	expected := l.hasOpenOrder(w.reg.VM)
+	if expected {
+		w.nextWatch = now.Add(listIntervalBusy)
+	}
+	if !w.unresponsive && !expected {
 		l.Log.Warn("worker unresponsive", "worker", w.reg.ID, "refusal", refusal, "error", errorText(err),
 			"answered_ms_ago", now.Sub(w.answeredAt).Milliseconds(), "lease_ms", w.leaseMS-w.clockMS)
 	}
