scheduler: a worker whose deregistration is under way gets no tasks

If it answered before the command was committed it got tasks at once; the commit then removed it, its new runs counted as ended with it and were started elsewhere while they executed: a task ran twice.

Change: a worker is not schedulable from the proposal of its deregistration on.

--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -286,6 +286,9 @@
 
 // deregister records that a worker has ended.
 func (l *loop) deregister(w workerIncarnation) {
+	if known := l.workers[w.id]; known != nil && known.reg.Incarnation == w.incarnation {
+		known.deregistering = true
+	}
 	l.proposeAsync(&workstate.Command{Deregister: &workstate.Deregister{ID: w.id, Incarnation: w.incarnation}}, "deregistration of a worker not confirmed")
 }
 
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -35,7 +35,6 @@
 func (l *loop) watchWorkers(now time.Time) {
 	for id, w := range l.workers {
 		if !w.deregistering && w.lost(now, l.Limits.LongestLease) {
-			w.deregistering = true
 			l.Log.Warn("worker lost", "worker", id, "incarnation", w.reg.Incarnation, "answered_ms_ago", now.Sub(w.answeredAt).Milliseconds())
 			l.deregister(workerIncarnation{id, w.reg.Incarnation})
 		}
--- a/internal/process/scheduler/watch_test.go
+++ b/internal/process/scheduler/watch_test.go
@@ -38,3 +38,19 @@
 		}
 	}
 }
+
+// TestWorkerThatAnswersWhileItIsDeregisteredGetsNoTasks guards against tasks that run twice: what is started on a worker before its deregistration is committed counts as ended with it, although the worker is alive.
+func TestWorkerThatAnswersWhileItIsDeregisteredGetsNoTasks(t *testing.T) {
+	now := time.Now()
+	l := newLoop(t.Context(), Options{Log: slog.New(slog.DiscardHandler), Replica: &stuckReplica{}, Now: time.Now}, 1)
+	w := &worker{reg: workstate.Worker{ID: "w1", VM: "vm1", Incarnation: 7}, knownSince: now.Add(-time.Hour), unresponsive: true, watching: true}
+	l.workers["w1"] = w
+	l.watchWorkers(now)
+	l.handleReport(w, now, execution.Report{ClockMS: 1000, Incarnation: 7}, nil)
+	if w.unresponsive || !w.contacted {
+		t.Fatal("the report was not taken")
+	}
+	if w.schedulable(time.Now()) {
+		t.Error("the worker may get tasks")
+	}
+}
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -77,6 +77,8 @@
 	watching  bool
 	nextWatch time.Time
 	// deregistering is set once the deregistration of the worker was proposed.
+	// It gets no tasks from then on: they would count as ended with it, although
+	// it may be alive.
 	deregistering bool
 	// report is the newest report, or nil before the first one.
 	report *reportView
@@ -124,7 +126,7 @@
 
 // schedulable reports whether the worker may get new tasks.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.contacted && !w.unresponsive && !w.reg.Draining && now.After(w.pausedUntil) && now.Sub(w.answeredAt) < maxAnswerAge
+	return w.contacted && !w.unresponsive && !w.deregistering && !w.reg.Draining && now.After(w.pausedUntil) && now.Sub(w.answeredAt) < maxAnswerAge
 }
 
 // recordClock records the worker's clock from an answer.
