delegate, scheduler, replica: fewer messages for the same work

Cause: the leader's processor goes into messages, not into decisions.

Change: calls and answers of delegates that call for no decision (a watch that waits for the next end, an accepted order, a report without ends) wait up to 25 ms for others. Workers without runs are watched each second in place of each half second. Proposals of 16 ms share an append in place of 8.

--- a/internal/connection/delegate/batcher.go
+++ b/internal/connection/delegate/batcher.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// batchDelay is how long the first item of a batch waits for others.
-	batchDelay = 3 * time.Millisecond
+	// promptDelay is how long the first prompt item of a batch waits for others,
+	// patientDelay the same for a batch of patient ones.
+	promptDelay  = 3 * time.Millisecond
+	patientDelay = 25 * time.Millisecond
 	// maxBatch bounds the items of one message.
 	maxBatch = 256
 	// maxQueued bounds the items that wait for one peer.
@@ -17,10 +19,23 @@
 	sendTimeout = 500 * time.Millisecond
 )
 
-// batcher sends items to one peer in batches, one message at a time.
+// urgency tells how long an item may wait for others.
+type urgency bool
+
+const (
+	// patient items are of no use a few milliseconds earlier.
+	patient urgency = false
+	// prompt items hold up a run or a decision.
+	prompt urgency = true
+)
+
+// batcher sends items to one peer in batches, one message at a time. Patient
+// items leave with the next prompt one.
 type batcher[T any] struct {
 	send func(context.Context, []T)
-	wake chan struct{}
+	// queuedAny and queuedPrompt are signalled when an item and a prompt item
+	// was queued.
+	queuedAny, queuedPrompt chan struct{}
 
 	mu     sync.Mutex
 	queued []T
@@ -29,40 +44,58 @@
 // newBatcher starts a batcher that runs until the context ends. The function
 // send owns the slice that it gets.
 func newBatcher[T any](ctx context.Context, send func(context.Context, []T)) *batcher[T] {
-	b := &batcher[T]{send: send, wake: make(chan struct{}, 1)}
+	b := &batcher[T]{send: send, queuedAny: make(chan struct{}, 1), queuedPrompt: make(chan struct{}, 1)}
 	go b.run(ctx)
 	return b
 }
 
 // add queues an item. It returns false if too many wait.
-func (b *batcher[T]) add(item T) bool {
+func (b *batcher[T]) add(item T, u urgency) bool {
 	b.mu.Lock()
 	full := len(b.queued) >= maxQueued
 	if !full {
 		b.queued = append(b.queued, item)
 	}
 	b.mu.Unlock()
+	signal(b.queuedAny)
+	if u == prompt {
+		signal(b.queuedPrompt)
+	}
+	return !full
+}
+
+// signal wakes the receiver of a channel with space for one signal.
+func signal(c chan<- struct{}) {
 	select {
-	case b.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
-	return !full
 }
 
 func (b *batcher[T]) run(ctx context.Context) {
 	for {
 		select {
-		case <-b.wake:
+		case <-b.queuedAny:
 		case <-ctx.Done():
 			return
 		}
-		time.Sleep(batchDelay)
+		b.awaitOthers(ctx)
 		for batch := b.take(); len(batch) > 0; batch = b.take() {
 			b.sendBatch(ctx, batch)
 		}
 	}
 }
 
+// awaitOthers waits while a batch is filled.
+func (b *batcher[T]) awaitOthers(ctx context.Context) {
+	select {
+	case <-b.queuedPrompt:
+		time.Sleep(promptDelay)
+	case <-time.After(patientDelay):
+	case <-ctx.Done():
+	}
+}
+
 func (b *batcher[T]) sendBatch(ctx context.Context, batch []T) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
--- a/internal/connection/delegate/routes.go
+++ b/internal/connection/delegate/routes.go
@@ -16,11 +16,11 @@
 	routeIdle = 30 * time.Second
 )
 
-// routes assigns workers, by address, to delegates or to direct calls. It is
-// not safe for concurrent use.
+// routes assigns workers, by address, to delegates or to direct calls. In a
+// fleet of at most directWorkers workers all calls are direct; in a larger one
+// none is, as long as there are delegates. It is not safe for concurrent use.
 type routes struct {
 	directWorkers int
-	direct        int
 	assigned      map[string]*route
 	prunedAt      time.Time
 }
@@ -38,30 +38,27 @@
 
 // choose returns the delegate of a worker, or "" for direct calls. The function
 // usable returns the delegates to choose from; if there is none, the call is
-// direct but the worker gets no lasting route.
+// direct.
 func (t *routes) choose(address string, now time.Time, usable func() []string) string {
 	t.prune(now)
 	r := t.assigned[address]
-	if r == nil && t.direct < t.directWorkers {
-		r = &route{decidedAt: now}
-		t.direct++
+	if r == nil {
+		r = &route{}
 		t.assigned[address] = r
 	}
-	if r != nil && r.delegate == "" {
-		r.usedAt = now
+	r.usedAt = now
+	if len(t.assigned) <= t.directWorkers {
+		r.delegate = ""
 		return ""
 	}
 	delegates := usable()
-	if r != nil && now.Sub(r.decidedAt) < routeAge && slices.Contains(delegates, r.delegate) {
-		r.usedAt = now
-		return r.delegate
-	}
 	if len(delegates) == 0 {
-		delete(t.assigned, address)
+		r.delegate = ""
 		return ""
 	}
-	r = &route{delegate: highestScore(address, delegates), decidedAt: now, usedAt: now}
-	t.assigned[address] = r
+	if now.Sub(r.decidedAt) >= routeAge || !slices.Contains(delegates, r.delegate) {
+		r.delegate, r.decidedAt = highestScore(address, delegates), now
+	}
 	return r.delegate
 }
 
@@ -71,15 +68,8 @@
 	if r == nil {
 		return ""
 	}
-	t.remove(address, r)
-	return r.delegate
-}
-
-func (t *routes) remove(address string, r *route) {
 	delete(t.assigned, address)
-	if r.delegate == "" {
-		t.direct--
-	}
+	return r.delegate
 }
 
 // prune periodically removes the routes of workers that are no longer called.
@@ -90,7 +80,7 @@
 	t.prunedAt = now
 	for address, r := range t.assigned {
 		if now.Sub(r.usedAt) > routeIdle {
-			t.remove(address, r)
+			delete(t.assigned, address)
 		}
 	}
 }
--- a/internal/connection/delegate/server.go
+++ b/internal/connection/delegate/server.go
@@ -66,7 +66,7 @@
 			if fresh {
 				s.open.Add(-1)
 			}
-			reply.add(failedAnswer(c.Number, execution.ErrNoAnswer))
+			reply.add(failedAnswer(c.Number, execution.ErrNoAnswer), prompt)
 		default:
 			go s.serve(c, reply)
 		}
@@ -122,7 +122,7 @@
 		a = failedAnswer(c.Number, err)
 	}
 	a.Number = c.Number
-	reply.add(a)
+	reply.add(a, a.urgency(c.Watch != nil && c.Watch.WaitMS == 0))
 }
 
 // make calls the worker.
--- a/internal/connection/delegate/wire.go
+++ b/internal/connection/delegate/wire.go
@@ -42,6 +42,12 @@
 	Forget bool `cbor:"8,keyasint,omitempty"`
 }
 
+// urgency returns how long the call may wait for others. A watch that only
+// extends a lease and waits for the next end is patient.
+func (c *call) urgency() urgency {
+	return urgency(c.Watch == nil || c.Watch.Prompt)
+}
+
 type stopOrder struct {
 	Task         workload.TaskID `cbor:"1,keyasint"`
 	Run          int             `cbor:"2,keyasint"`
@@ -72,6 +78,21 @@
 	Text    string            `cbor:"5,keyasint,omitempty"`
 }
 
+// urgency returns how long the answer may wait for others. Reports of ends free
+// capacity, refusals and failures call for a decision, and a first report is
+// awaited by a new leader. An accepted order and a report without news call for
+// nothing.
+func (a *answer) urgency(firstReport bool) urgency {
+	switch {
+	case a.Failure != 0 || firstReport:
+		return prompt
+	case a.Order != nil:
+		return urgency(a.Order.Refusal != execution.Accepted)
+	default:
+		return urgency(len(a.Report.Ended) > 0 || a.Report.Refusal != execution.Accepted)
+	}
+}
+
 // failure is the kind of error of a call.
 type failure uint8
 
--- a/internal/connection/delegate/workers.go
+++ b/internal/connection/delegate/workers.go
@@ -27,7 +27,8 @@
 	// Responsive returns the link addresses of the other members that answer
 	// this process, if it leads.
 	Responsive func() []string
-	// DirectWorkers is the number of workers that this process calls itself.
+	// DirectWorkers is the size of the largest fleet whose workers this process
+	// calls itself.
 	DirectWorkers int
 	Log           *slog.Logger
 }
@@ -122,7 +123,7 @@
 	w.mu.Unlock()
 	w.options.Direct.Forget(address)
 	if p != nil {
-		p.calls.add(queuedCall{call: call{Worker: execution.WorkerAddress{Address: address}, Forget: true}, deadline: time.Now().Add(sendTimeout)})
+		p.calls.add(queuedCall{call: call{Worker: execution.WorkerAddress{Address: address}, Forget: true}, deadline: time.Now().Add(sendTimeout)}, patient)
 	}
 }
 
@@ -152,7 +153,7 @@
 	queue := w.peerAt(delegate).calls
 	w.mu.Unlock()
 	defer w.forgetCall(c.Number)
-	if !queue.add(queuedCall{call: c, deadline: deadline}) {
+	if !queue.add(queuedCall{call: c, deadline: deadline}, c.urgency()) {
 		return answer{}, fmt.Errorf("%w: %w", execution.ErrNoAnswer, errQueueFull)
 	}
 	select {
--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -86,6 +86,9 @@
 	AckedEnd int64 `cbor:"3,keyasint,omitempty"`
 	// WaitMS bounds how long the worker may delay its answer until a run ends.
 	WaitMS int `cbor:"4,keyasint,omitempty"`
+	// Prompt is set if the call should not wait for other calls on its way to
+	// the worker: it fetches a first report, or the next end on a busy worker.
+	Prompt bool `cbor:"5,keyasint,omitempty"`
 }
 
 // RunningTask is a run in execution on a worker.
--- a/internal/process/replica/driver/queue.go
+++ b/internal/process/replica/driver/queue.go
@@ -9,7 +9,7 @@
 
 // proposeInterval is the minimum time between two batches of proposals. Each
 // batch costs a message to every member, however many proposals it holds.
-const proposeInterval = 8 * time.Millisecond
+const proposeInterval = 16 * time.Millisecond
 
 // proposalQueue returns the queue of proposals. It returns nil, so that the loop
 // accepts no further ones, while too many bytes wait for a majority or the last
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -55,8 +55,10 @@
 	if w.contacted && !w.unresponsive {
 		request.LeaseUntilMS = w.grantLease(now)
 		request.AckedEnd = w.ackedEnd
-		request.WaitMS = int(watchWait.Milliseconds())
+		request.WaitMS = int(w.watchWait().Milliseconds())
 	}
+	request.Prompt = request.WaitMS == 0 || w.ackedEnd > w.requestedAck
+	w.requestedAck = w.ackedEnd
 	w.watching = true
 	watchCalls.Inc()
 	go func() {
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -23,17 +23,20 @@
 	inheritedLease = leaseTime + 2*time.Second
 	// staleCallTime is the time after a worker's restart by which all calls to
 	// its former incarnation have arrived or failed. The longest of them takes
-	// watchWait plus callTimeout; the factor of two is slack.
-	staleCallTime = 2 * (watchWait + callTimeout)
-	// watchWait is how long a worker delays a report that has no new ends.
-	watchWait = 500 * time.Millisecond
+	// idleWatchWait plus callTimeout; the factor of two is slack.
+	staleCallTime = 2 * (idleWatchWait + callTimeout)
+	// busyWatchWait is how long a worker that executes runs delays a report that
+	// has no new ends: the reports also tell the progress of its runs.
+	// idleWatchWait is the same for a worker without runs.
+	busyWatchWait = 500 * time.Millisecond
+	idleWatchWait = time.Second
 	// callTimeout is the timeout of an order, and of a watch after its wait.
 	callTimeout = 500 * time.Millisecond
 	// watchRetry is the pause after a watch without an answer.
 	watchRetry = 200 * time.Millisecond
 	// maxAnswerAge is the age of the newest answer to a watch beyond which a
 	// worker gets no new tasks.
-	maxAnswerAge = watchWait + callTimeout + 100*time.Millisecond
+	maxAnswerAge = idleWatchWait + callTimeout + 100*time.Millisecond
 	// lostAfter is the time without an answer or heartbeat after which a worker
 	// is deregistered. It covers several heartbeats and is longer than a lease.
 	// A worker that is still alive registers again.
@@ -67,6 +70,8 @@
 	// queuedEnd that of the newest one queued for a commit, and ackedEnd that
 	// of the newest committed one.
 	reportedEnd, queuedEnd, ackedEnd int64
+	// requestedAck is the ackedEnd that the last watch carried.
+	requestedAck int64
 	// unresponsive is set if the last watch failed or was refused.
 	unresponsive bool
 	// answeredAt is when the worker last answered a watch, heartbeatAt when its
@@ -129,6 +134,14 @@
 	return w.contacted && !w.unresponsive && !w.deregistering && !w.reg.Draining && now.After(w.pausedUntil) && now.Sub(w.answeredAt) < maxAnswerAge
 }
 
+// watchWait returns how long the worker may delay a report without new ends.
+func (w *worker) watchWait() time.Duration {
+	if w.report != nil && len(w.report.running) == 0 {
+		return idleWatchWait
+	}
+	return busyWatchWait
+}
+
 // recordClock records the worker's clock from an answer.
 func (w *worker) recordClock(clockMS int64, now time.Time) {
 	if clockMS > 0 {
