link, replica: messages to a peer share a stream

Cause: each message without an answer opened a QUIC stream of its own and a goroutine at either end, whose stack grew while it decoded: 9 % of the leader's samples were copies of stacks.

Change: peers of the new protocol version take messages as frames with their length on one stream, in order; one goroutine reads them. A message of more than 32 KB gets a stream of its own, so that it does not hold up heartbeats. A failed write ends the stream, and the next message opens another. Peers of the former two versions get what they know. The replica sends the messages to a member from one goroutine, large appends beside it.

Tests: order across a lost stream, a large message beside small ones, peers of both former versions.

--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -116,11 +116,11 @@
 	if err != nil {
 		return nil, err
 	}
-	connection, err := n.connect(ctx, address)
+	peer, err := n.connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return n.callOn(ctx, connection, message)
+	return n.callOn(ctx, peer.connection, message)
 }
 
 // callOn makes a call with an encoded request on a connection.
--- a/internal/connection/link/node.go
+++ b/internal/connection/link/node.go
@@ -32,11 +32,12 @@
 )
 
 const (
-	// callProtocol and messageProtocol are the application protocols (ALPN) in
-	// the TLS handshake. A peer that only has callProtocol is of an earlier
-	// version, which knows no messages without an answer.
+	// The application protocols (ALPN) in the TLS handshake, the earliest version
+	// first. A peer of callProtocol knows no messages without an answer, one of
+	// messageProtocol takes each message on a stream of its own.
 	callProtocol    = "arbutusward/1"
 	messageProtocol = "arbutusward/2"
+	sharedProtocol  = "arbutusward/3"
 	// maxStreams bounds the concurrent calls on one connection, and likewise
 	// the messages without an answer.
 	maxStreams = 4096
@@ -70,12 +71,21 @@
 	closed      bool
 }
 
+// protocols lists the application protocols of this version, the preferred one
+// first.
+var protocols = []string{sharedProtocol, messageProtocol, callProtocol}
+
 // outgoingConn is a cached connection, or a dial in progress. The other fields
 // are valid once ready is closed.
 type outgoingConn struct {
 	ready      chan struct{}
 	connection *quic.Conn
-	err        error
+	// protocol is the application protocol that the peer has chosen.
+	protocol string
+	err      error
+	// messages carries the messages without an answer to a peer of
+	// sharedProtocol.
+	messages messageStream
 }
 
 // Listen opens the UDP socket and returns a node. The node makes calls
@@ -91,7 +101,7 @@
 	}
 	resetKey := quic.StatelessResetKey(ring.ResetKey(socket.LocalAddr().String()))
 	transport := &quic.Transport{Conn: socket, StatelessResetKey: &resetKey}
-	listener, err := transport.Listen(ring.MutualTLS(messageProtocol, callProtocol), quicConfig())
+	listener, err := transport.Listen(ring.MutualTLS(protocols...), quicConfig())
 	if err != nil {
 		return nil, logging.Wrap(errors.Join(err, socket.Close()), "listen for links", address)
 	}
@@ -134,7 +144,7 @@
 }
 
 // connect returns the cached connection to the address, or dials a new one.
-func (n *Node) connect(ctx context.Context, address string) (*quic.Conn, error) {
+func (n *Node) connect(ctx context.Context, address string) (*outgoingConn, error) {
 	n.mu.Lock()
 	if n.closed {
 		n.mu.Unlock()
@@ -142,14 +152,14 @@
 	}
 	entry := n.connections[address]
 	if entry == nil {
-		entry = &outgoingConn{ready: make(chan struct{})}
+		entry = &outgoingConn{ready: make(chan struct{}), messages: newMessageStream()}
 		n.connections[address] = entry
 		go n.dial(address, entry)
 	}
 	n.mu.Unlock()
 	select {
 	case <-entry.ready:
-		return entry.connection, entry.err
+		return entry, entry.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -166,6 +176,7 @@
 		close(entry.ready)
 		return
 	}
+	entry.protocol = entry.connection.ConnectionState().TLS.NegotiatedProtocol
 	close(entry.ready)
 	<-entry.connection.Context().Done()
 	n.removeConnection(address, entry)
@@ -202,7 +213,7 @@
 // shakeHands makes one handshake. If another one has ended first, its
 // connection is closed.
 func (n *Node) shakeHands(ctx context.Context, address *net.UDPAddr, first chan<- handshake) {
-	connection, err := n.transport.Dial(ctx, address, n.ring.MutualTLS(messageProtocol, callProtocol), quicConfig())
+	connection, err := n.transport.Dial(ctx, address, n.ring.MutualTLS(protocols...), quicConfig())
 	if err != nil {
 		err = fmt.Errorf("dial: %w", err)
 	}
--- a/internal/connection/link/send.go
+++ b/internal/connection/link/send.go
@@ -22,20 +22,32 @@
 	if err != nil {
 		return err
 	}
-	connection, err := n.connect(ctx, address)
+	peer, err := n.connect(ctx, address)
 	if err != nil {
 		return err
 	}
-	if connection.ConnectionState().TLS.NegotiatedProtocol != messageProtocol {
-		_, err := n.callOn(ctx, connection, message)
+	if peer.protocol == callProtocol {
+		_, err := n.callOn(ctx, peer.connection, message)
 		return err
 	}
+	messagesSent.Inc()
+	sentBytes.Add(len(message))
+	if peer.protocol == messageProtocol {
+		return sendAlone(ctx, peer.connection, message)
+	}
+	framed := frame(message)
+	if len(framed) > maxSharedBytes {
+		return sendAlone(ctx, peer.connection, framed)
+	}
+	return peer.messages.send(ctx, peer.connection, framed)
+}
+
+// sendAlone sends a message on a stream of its own.
+func sendAlone(ctx context.Context, connection *quic.Conn, message []byte) error {
 	stream, err := connection.OpenUniStreamSync(ctx)
 	if err != nil {
 		return fmt.Errorf("open stream: %w", err)
 	}
-	messagesSent.Inc()
-	sentBytes.Add(len(message))
 	stop := context.AfterFunc(ctx, func() { stream.CancelWrite(abortedCode) })
 	defer stop()
 	if _, err := stream.Write(message); err != nil {
@@ -63,21 +75,31 @@
 // acceptMessages receives the messages that a peer sends without expecting an
 // answer, until the connection ends.
 func (n *Node) acceptMessages(connection *quic.Conn, peer Peer) {
+	receive := n.receiveFrames
+	if connection.ConnectionState().TLS.NegotiatedProtocol != sharedProtocol {
+		receive = n.receiveMessage
+	}
 	for {
 		stream, err := connection.AcceptUniStream(connection.Context())
 		if err != nil {
 			return
 		}
-		go n.receiveMessage(connection.Context(), stream, peer)
+		go receive(connection.Context(), stream, peer)
 	}
 }
 
+// receiveMessage receives the only message on a stream.
 func (n *Node) receiveMessage(ctx context.Context, stream *quic.ReceiveStream, peer Peer) {
 	req, err := readRequest(stream)
 	if err != nil {
 		n.log.Debug("link message not read", "peer", peer.ID, logging.Err(err))
 		return
 	}
+	n.handleMessage(ctx, peer, req)
+}
+
+// handleMessage passes a message to the handler of its kind.
+func (n *Node) handleMessage(ctx context.Context, peer Peer, req request) {
 	messagesReceived.Inc()
 	n.recorder.Observe(req.Stamp)
 	if answer := n.handleRequest(ctx, peer, req); answer.Fault != nil {
--- a/internal/process/replica/driver/options.go
+++ b/internal/process/replica/driver/options.go
@@ -44,7 +44,7 @@
 	maxFrameEntriesBytes = 16 << 20
 	// minLogBytes is the minimum growth of the log between two snapshots.
 	minLogBytes = 1 << 20
-	// maxMessages limits the calls in flight to one member.
+	// maxMessages limits the messages that wait for one member.
 	maxMessages = 64
 	inboxLength = 1024
 )
--- a/internal/process/replica/driver/transport.go
+++ b/internal/process/replica/driver/transport.go
@@ -31,6 +31,10 @@
 	Chunk   snapshot.Chunk `cbor:"2,keyasint"`
 }
 
+// largeEntriesBytes is the size of the entries of an append from which on it is
+// sent beside the other messages to its member, which it would hold up.
+const largeEntriesBytes = 32 << 10
+
 // transport sends messages to members.
 type transport struct {
 	node *link.Node
@@ -38,31 +42,86 @@
 	ctx  context.Context
 
 	mu sync.Mutex
-	// inFlight counts the calls to each member.
-	inFlight map[string]int
+	// queues holds the messages that wait for each address.
+	queues map[string]chan outboundMessage
+	// largeInFlight counts the large messages in flight to each address.
+	largeInFlight map[string]int
+}
+
+// outboundMessage is a message that is of no use after its deadline.
+type outboundMessage struct {
+	message  core.Message
+	deadline time.Time
 }
 
 func newTransport(ctx context.Context, node *link.Node, log *slog.Logger) *transport {
-	return &transport{node: node, log: log, ctx: ctx, inFlight: map[string]int{}}
+	return &transport{node: node, log: log, ctx: ctx, queues: map[string]chan outboundMessage{}, largeInFlight: map[string]int{}}
 }
 
 // send sends a message without waiting for its delivery. The message may be
 // lost.
 func (t *transport) send(address string, m core.Message) {
-	if address == "" || !t.acquire(m.To) {
+	if address == "" {
 		droppedCount.Inc()
 		return
 	}
-	go func() {
-		defer t.release(m.To)
-		ctx, cancel := context.WithTimeout(t.ctx, timeoutFor(&m))
-		defer cancel()
-		if err := link.Send(ctx, t.node, address, MessageKind, m); err != nil {
-			t.log.Debug("replica message not sent", logging.Err(err))
+	o := outboundMessage{message: m, deadline: time.Now().Add(timeoutFor(&m))}
+	if m.Append != nil && core.EntriesSize(m.Append.Entries) >= largeEntriesBytes {
+		t.sendLarge(address, o)
+		return
+	}
+	select {
+	case t.queue(address) <- o:
+	default:
+		droppedCount.Inc()
+	}
+}
+
+// queue returns the queue of an address, whose messages one goroutine sends in
+// order.
+func (t *transport) queue(address string) chan<- outboundMessage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	queue := t.queues[address]
+	if queue == nil {
+		queue = make(chan outboundMessage, maxMessages)
+		t.queues[address] = queue
+		go t.sendQueued(address, queue)
+	}
+	return queue
+}
+
+func (t *transport) sendQueued(address string, queue <-chan outboundMessage) {
+	for {
+		select {
+		case o := <-queue:
+			t.sendNow(address, o)
+		case <-t.ctx.Done():
+			return
 		}
+	}
+}
+
+// sendLarge sends a message on a goroutine of its own.
+func (t *transport) sendLarge(address string, o outboundMessage) {
+	if !t.acquire(address) {
+		droppedCount.Inc()
+		return
+	}
+	go func() {
+		defer t.release(address)
+		t.sendNow(address, o)
 	}()
 }
 
+func (t *transport) sendNow(address string, o outboundMessage) {
+	ctx, cancel := context.WithDeadline(t.ctx, o.deadline)
+	defer cancel()
+	if err := link.Send(ctx, t.node, address, MessageKind, o.message); err != nil {
+		t.log.Debug("replica message not sent", logging.Err(err))
+	}
+}
+
 // timeoutFor returns the timeout of a message, which grows with its size.
 func timeoutFor(m *core.Message) time.Duration {
 	if m.Append == nil {
@@ -71,22 +130,22 @@
 	return messageTimeout + time.Duration(core.EntriesSize(m.Append.Entries))*time.Second/appendRate
 }
 
-// acquire reserves a call to a member. It reports whether fewer than
+// acquire reserves a large message to an address. It reports whether fewer than
 // maxMessages are in flight.
-func (t *transport) acquire(id string) bool {
+func (t *transport) acquire(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.inFlight[id] >= maxMessages {
+	if t.largeInFlight[address] >= maxMessages {
 		return false
 	}
-	t.inFlight[id]++
+	t.largeInFlight[address]++
 	return true
 }
 
-func (t *transport) release(id string) {
+func (t *transport) release(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.inFlight[id]--
+	t.largeInFlight[address]--
 }
 
 // sendSnapshot sends all chunks in order.
