workcall, platform: an entry waits for a leader that has taken a submission

Cause: an entry that has not reached a leader for 1.5 s gives a submission 150 ms in all.

Change: the short time bounds how long a submission waits until a leader takes it; the wait for the answer of one that took it ends with the client's deadline. A submission that may have been taken is not refused but repeated, since a later answer settles it.

--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -37,6 +37,14 @@
 	// askedMembers is the number of members that are asked at once for a lost
 	// leader, so that one that is gone too does not delay the answer.
 	askedMembers = 2
+	// maxLeaderWait bounds how long a submission waits for a leader that takes
+	// it: an election takes up to 1.2 s.
+	maxLeaderWait = 1500 * time.Millisecond
+	// maxLeaderWaitCutOff replaces maxLeaderWait if no leader has answered for
+	// cutOffAge, which is longer than an election: the caller then finds another
+	// entry sooner than this one finds a leader.
+	maxLeaderWaitCutOff = 150 * time.Millisecond
+	cutOffAge           = 1500 * time.Millisecond
 	// maxLeaderSilence is the age of a member's own contact with the leader
 	// beyond which its answer names no leader. It is several heartbeats of the
 	// replicated log.
@@ -280,16 +288,32 @@
 // method is one method of Control.
 type method[Req, Resp any] func(Control, context.Context, Req) (Resp, error)
 
-// call calls the leader and retries until it gets an answer or the context
-// ends. Retries are safe because each call of Control is idempotent. The error
-// is ErrUnavailable if no attempt can have taken effect, else ErrUnknown.
+// refusalTime returns when a call that no leader has taken is given up, so that
+// its caller may try elsewhere. It is the zero time for calls that wait for as
+// long as their context.
+func (c *Client) refusalTime(kind link.Kind) time.Time {
+	switch {
+	case kind != submitKind:
+		return time.Time{}
+	case c.SinceLeaderContact() > cutOffAge:
+		return time.Now().Add(maxLeaderWaitCutOff)
+	}
+	return time.Now().Add(maxLeaderWait)
+}
+
+// call calls the leader and retries until it gets an answer, the context ends or
+// the time of refusal comes. Retries are safe because each call of Control is
+// idempotent. The error is ErrUnavailable if no attempt can have taken effect,
+// else ErrUnknown; a call that may have taken effect is not refused, since a
+// later answer tells its caller whether it has.
 func call[Req, Resp any](ctx context.Context, c *Client, kind link.Kind, serve method[Req, Resp], request Req) (Resp, error) {
 	var none Resp
 	failure := ErrUnavailable
+	refuseAt := c.refusalTime(kind)
 	for {
 		address := c.Leader()
 		if address != "" {
-			answer, err := attempt(ctx, c, address, kind, serve, request)
+			answer, err := attempt(ctx, c, address, kind, serve, request, refuseAt)
 			if err == nil {
 				c.recordAnswer(address)
 				return answer, nil
@@ -299,22 +323,30 @@
 			}
 			c.handleFailure(address, err)
 		}
-		select {
-		case <-ctx.Done():
+		if !pause(ctx, retryInterval) || failure == ErrUnavailable && !refuseAt.IsZero() && !time.Now().Before(refuseAt) {
 			return none, logging.Wrap(failure, string(kind), address)
-		case <-time.After(retryInterval):
 		}
 	}
 }
 
-func attempt[Req, Resp any](ctx context.Context, c *Client, address string, kind link.Kind, serve method[Req, Resp], request Req) (Resp, error) {
+// pause waits for a duration. It returns false if the context ends before.
+func pause(ctx context.Context, duration time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(duration):
+		return true
+	}
+}
+
+func attempt[Req, Resp any](ctx context.Context, c *Client, address string, kind link.Kind, serve method[Req, Resp], request Req, refuseAt time.Time) (Resp, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	if c.local != nil && address == c.self {
 		return serve(c.local, ctx, request)
 	}
 	if kind == submitKind {
-		if err := c.confirmLeader(ctx, address); err != nil {
+		if err := c.confirmLeader(ctx, address, refuseAt); err != nil {
 			var none Resp
 			return none, err
 		}
@@ -322,14 +354,14 @@
 	return link.Call[Req, Resp](ctx, c.node, address, kind, request)
 }
 
-// confirmLeader makes sure that the leader at an address answers before it is
-// sent a call whose loss leaves the caller without a definite answer. A leader
-// that answered a moment ago is not asked.
-func (c *Client) confirmLeader(ctx context.Context, address string) error {
+// confirmLeader makes sure, by the given time, that the leader at an address
+// answers before it is sent a call whose loss leaves the caller without a
+// definite answer. A leader that answered a moment ago is not asked.
+func (c *Client) confirmLeader(ctx context.Context, address string, by time.Time) error {
 	if c.sinceAnswer(address) < confirmedAge {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(helloTimeout, max(time.Until(by), confirmedAge)))
 	defer cancel()
 	answer, err := c.hello(ctx, address)
 	if err != nil {
--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -23,6 +23,8 @@
 	// an answer.
 	frozen, losing atomic.Bool
 	hellos, taken  atomic.Int64
+	// slow is the time that it takes to accept a submission.
+	slow atomic.Int64
 }
 
 func startMember(t *testing.T) *member {
@@ -42,6 +44,7 @@
 		if m.frozen.Load() || m.losing.Load() {
 			<-ctx.Done()
 		}
+		time.Sleep(time.Duration(m.slow.Load()))
 		return SubmitResponse{Status: OK}, nil
 	})
 	m.node.Serve()
@@ -167,3 +170,30 @@
 		t.Errorf("%d hello calls beside submissions", asked)
 	}
 }
+
+// TestSubmissionWaitIsShorterWithoutRecentLeaderContact guards against callers who wait at an entry that was cut off, and against refusals during each election.
+func TestSubmissionWaitIsShorterWithoutRecentLeaderContact(t *testing.T) {
+	for _, c := range []struct{ sinceLeader, limit time.Duration }{{0, maxLeaderWait}, {2 * cutOffAge, maxLeaderWaitCutOff}} {
+		client := startClient(t, startMember(t))
+		client.answeredBy, client.answeredAt = "former", time.Now().Add(-c.sinceLeader)
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*maxLeaderWait)
+		_, err := client.Submit(ctx, SubmitRequest{})
+		cancel()
+		took := time.Since(start)
+		if !errors.Is(err, ErrUnavailable) || took < c.limit || took > c.limit+5*retryInterval {
+			t.Errorf("leader reached %s ago: %v after %s, expected a refusal after %s", c.sinceLeader, err, took, c.limit)
+		}
+	}
+}
+
+// TestSubmissionThatALeaderTookIsAwaited guards against callers who are left without a definite answer because the entry stopped waiting while the leader committed their job.
+func TestSubmissionThatALeaderTookIsAwaited(t *testing.T) {
+	leader := startMember(t)
+	leader.slow.Store(int64(2 * maxLeaderWaitCutOff))
+	c := startClient(t, leader)
+	c.setLeader(leader.node.Address())
+	if err := submit(t, c); err != nil {
+		t.Errorf("error %v", err)
+	}
+}
