placement: the best fit is found by search in place of a scan

Cause: each task looks at every worker of its pool; a round of a queue's turn places hundreds of tasks in pools of 200 to 900 workers.

Change: workers are kept by free CPU and id while groups without constraints are placed, so that the best fit takes a binary search and one move. Groups with constraints, data racks or long-running tasks look at each worker as before.

--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -83,7 +83,7 @@
 			p = &pool{}
 			pools[w.Service] = p
 		}
-		p.workers = append(p.workers, w)
+		p.add(w)
 	}
 	var plan []Placement
 	for _, g := range groups {
@@ -91,7 +91,7 @@
 		if p == nil || p.knownNotToFit(g.Charge) {
 			continue
 		}
-		placed := placeGroup(g, p.workers)
+		placed := p.place(g)
 		if g.unconstrained() && len(placed) < len(g.Indexes) {
 			p.misfits = append(p.misfits, g.Charge)
 		}
@@ -100,45 +100,12 @@
 	return plan
 }
 
-// pool holds the workers of one service while tasks are placed.
-type pool struct {
-	workers []*Worker
-	// misfits lists charges that no worker has the free capacity for. Free
-	// capacity only shrinks during a plan, so that with a long backlog most
-	// groups are skipped without looking at the workers.
-	misfits []workload.Resources
-}
-
-// knownNotToFit reports whether this charge or a smaller one did not fit on any
-// worker before.
-func (p *pool) knownNotToFit(charge workload.Resources) bool {
-	for _, misfit := range p.misfits {
-		if charge.Fits(misfit) {
-			return true
-		}
-	}
-	return false
-}
-
 // unconstrained reports whether any worker with enough free capacity may take
 // the group's tasks.
 func (g *Group) unconstrained() bool {
 	return g.Label == "" && !g.Restricted && g.MaxPerWorker == 0 && !g.Gang && !g.SameRack
 }
 
-// placeGroup places the tasks of one group on the workers of its pool.
-func placeGroup(g *Group, pool []*Worker) []Placement {
-	if g.Gang && len(g.Indexes) < g.Total {
-		return nil
-	}
-	if g.SameRack {
-		if plan := placeInOneRack(g, pool); plan != nil {
-			return plan
-		}
-	}
-	return placeTasks(g, pool)
-}
-
 // placeInOneRack places a whole group on the first rack with enough capacity.
 // It returns nil if there is none.
 func placeInOneRack(g *Group, pool []*Worker) []Placement {
--- a/internal/version/placement/placement_test.go
+++ b/internal/version/placement/placement_test.go
@@ -156,7 +156,7 @@
 		_, workers = draw()
 		var wanted []Placement
 		for _, g := range groups {
-			wanted = append(wanted, placeGroup(g, workers)...)
+			wanted = append(wanted, (&pool{workers: workers}).placeByScan(g)...)
 		}
 		if !reflect.DeepEqual(got, placements(wanted)) {
 			t.Fatalf("seed %d: placed %v, separately %v", seed, got, placements(wanted))
--- /dev/null
+++ b/internal/version/placement/pool.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// pool holds the workers of one service while tasks are placed.
+type pool struct {
+	workers []*Worker
+	// byFree holds the workers by free CPU and id, so that the best fit is found
+	// without a look at each of them. It is nil unless it is up to date.
+	byFree []*Worker
+	// penalized is set if the caller prefers some workers to others.
+	penalized bool
+	// misfits lists charges that no worker has the free capacity for. Free
+	// capacity only shrinks during a plan, so that with a long backlog most
+	// groups are skipped without looking at the workers.
+	misfits []workload.Resources
+}
+
+func (p *pool) add(w *Worker) {
+	p.workers = append(p.workers, w)
+	p.penalized = p.penalized || w.Penalty != 0
+}
+
+// knownNotToFit reports whether this charge or a smaller one did not fit on any
+// worker before.
+func (p *pool) knownNotToFit(charge workload.Resources) bool {
+	for _, misfit := range p.misfits {
+		if charge.Fits(misfit) {
+			return true
+		}
+	}
+	return false
+}
+
+// place places the tasks of one group.
+func (p *pool) place(g *Group) []Placement {
+	if g.unconstrained() && !g.LongRunning && g.DataRack == "" && !p.penalized {
+		return p.placeByFree(g)
+	}
+	plan := p.placeByScan(g)
+	if len(plan) > 0 {
+		p.byFree = nil
+	}
+	return plan
+}
+
+// placeByScan places the tasks of a group that some workers suit better than
+// others.
+func (p *pool) placeByScan(g *Group) []Placement {
+	if g.Gang && len(g.Indexes) < g.Total {
+		return nil
+	}
+	if g.SameRack {
+		if plan := placeInOneRack(g, p.workers); plan != nil {
+			return plan
+		}
+	}
+	return placeTasks(g, p.workers)
+}
+
+// placeByFree places the tasks of a group for which workers differ only in their
+// free capacity. It chooses the same workers as placeTasks.
+func (p *pool) placeByFree(g *Group) []Placement {
+	if p.byFree == nil {
+		p.byFree = slices.Clone(p.workers)
+		slices.SortFunc(p.byFree, compareFree)
+	}
+	plan := make([]Placement, 0, len(g.Indexes))
+	for _, index := range g.Indexes {
+		at := p.bestFit(g.Charge)
+		if at < 0 {
+			break
+		}
+		w := p.byFree[at]
+		w.Free = w.Free.Sub(g.Charge)
+		p.moveDown(at)
+		plan = append(plan, Placement{Group: g, Index: index, Worker: w.ID})
+	}
+	return plan
+}
+
+func compareFree(a, b *Worker) int {
+	return cmp.Or(cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU), cmp.Compare(a.ID, b.ID))
+}
+
+// bestFit returns the position of the first worker with enough free capacity,
+// or -1.
+func (p *pool) bestFit(charge workload.Resources) int {
+	first := sort.Search(len(p.byFree), func(i int) bool { return p.byFree[i].Free.MilliCPU >= charge.MilliCPU })
+	for i := first; i < len(p.byFree); i++ {
+		if p.byFree[i].Free.Fits(charge) {
+			return i
+		}
+	}
+	return -1
+}
+
+// moveDown restores the order after the free capacity of the worker at a
+// position has shrunk.
+func (p *pool) moveDown(at int) {
+	w := p.byFree[at]
+	to := sort.Search(at, func(i int) bool { return compareFree(p.byFree[i], w) > 0 })
+	copy(p.byFree[to+1:at+1], p.byFree[to:at])
+	p.byFree[to] = w
+}
