scheduler, link: heartbeats go to followers; a lost message loses no earlier ones

A profile of an idle fleet (500 workers) shows 28 % of it in the HTTP heartbeats, which all workers send to the leader since each answer names its address, and 16 % in rounds, half of it in copying the table of workers.

Change: the leader names a responsive follower, by rendezvous hashing, as the address for later heartbeats. Rounds without an event come every 100 ms in place of 50, and the table of workers is copied when it has changed.

--- a/internal/connection/delegate/routes.go
+++ b/internal/connection/delegate/routes.go
@@ -1,10 +1,10 @@
 package delegate
 
 import (
-	"hash/fnv"
-	"io"
 	"slices"
 	"time"
+
+	"arbutusward.example/arbutusward/internal/version/rendezvous"
 )
 
 const (
@@ -57,7 +57,7 @@
 		return ""
 	}
 	if now.Sub(r.decidedAt) >= routeAge || !slices.Contains(delegates, r.delegate) {
-		r.delegate, r.decidedAt = highestScore(address, delegates), now
+		r.delegate, r.decidedAt = rendezvous.Choose(address, delegates), now
 	}
 	return r.delegate
 }
@@ -84,27 +84,3 @@
 		}
 	}
 }
-
-// highestScore chooses by rendezvous hashing, so that the loss of a delegate
-// moves only its own workers.
-func highestScore(address string, delegates []string) string {
-	best, bestScore := "", uint64(0)
-	for _, delegate := range delegates {
-		hash := fnv.New64a()
-		// Writes to a hash never fail.
-		_, _ = io.WriteString(hash, delegate)
-		_, _ = io.WriteString(hash, address)
-		if score := mix(hash.Sum64()); best == "" || score > bestScore {
-			best, bestScore = delegate, score
-		}
-	}
-	return best
-}
-
-// mix spreads the bits of a hash whose inputs differ only at their end.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	return h
-}
--- a/internal/connection/link/frames.go
+++ b/internal/connection/link/frames.go
@@ -60,12 +60,15 @@
 	deadline, _ := ctx.Deadline()
 	// SetWriteDeadline cannot fail on an open stream.
 	_ = s.stream.SetWriteDeadline(deadline)
-	if _, err := s.stream.Write(framed); err != nil {
-		s.stream.CancelWrite(abortedCode)
-		s.stream = nil
-		return fmt.Errorf("%w: write: %w", ErrNoAnswer, err)
+	_, err := s.stream.Write(framed)
+	if err == nil {
+		return nil
 	}
-	return nil
+	// The peer drops the part of this frame at the end of the stream. Cancelling
+	// the stream would lose earlier frames too.
+	closeErr := s.stream.Close()
+	s.stream = nil
+	return fmt.Errorf("%w: write: %w", ErrNoAnswer, errors.Join(err, closeErr))
 }
 
 // frame returns a message with its length before it.
--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -41,10 +41,10 @@
 	// entry sooner than this one finds a leader.
 	maxLeaderWaitCutOff = 150 * time.Millisecond
 	cutOffAge           = 1500 * time.Millisecond
-	// maxLeaderSilence is the age of a member's own contact with the leader
-	// beyond which its answer names no leader. It is several heartbeats of the
+	// MaxLeaderSilence is the age of a member's own contact with the leader
+	// beyond which it does not count on it, and its answer names no leader. It is several heartbeats of the
 	// replicated log.
-	maxLeaderSilence = 350 * time.Millisecond
+	MaxLeaderSilence = 350 * time.Millisecond
 )
 
 // Client calls the control leader. It learns the members from its seeds, and
@@ -75,6 +75,9 @@
 	Control
 	// Hello returns the leader and the members as this process knows them.
 	Hello() HelloResponse
+	// KnownHeartbeat acknowledges the heartbeat of a worker at a follower. It
+	// reports false if the leader has to handle the heartbeat.
+	KnownHeartbeat(r HeartbeatRequest) (HeartbeatResponse, bool)
 }
 
 var _ Control = (*Client)(nil)
--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -135,7 +135,7 @@
 	follower, leader := startMember(t), startMember(t)
 	dead := startNode(t).Address()
 	follower.leader.Store(&dead)
-	follower.silence.Store(2 * maxLeaderSilence.Milliseconds())
+	follower.silence.Store(2 * MaxLeaderSilence.Milliseconds())
 	c := startClient(t, follower)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
--- a/internal/connection/workcall/kinds.go
+++ b/internal/connection/workcall/kinds.go
@@ -17,6 +17,7 @@
 	cancelKind     link.Kind = "work.cancel"
 	pendingKind    link.Kind = "work.pending"
 	heartbeatKind  link.Kind = "work.heartbeat"
+	HeardKind      link.Kind = "work.heard"
 	deregisterKind link.Kind = "work.deregister"
 	catalogKind    link.Kind = "work.catalog"
 	readKind       link.Kind = "work.read"
@@ -74,8 +75,14 @@
 	return call(ctx, c, pendingKind, Control.Pending, r)
 }
 
-// Heartbeat forwards a worker's heartbeat.
+// Heartbeat acknowledges a worker's heartbeat if this process can, and otherwise
+// forwards it to the leader.
 func (c *Client) Heartbeat(ctx context.Context, r HeartbeatRequest) (HeartbeatResponse, error) {
+	if c.local != nil {
+		if answer, known := c.local.KnownHeartbeat(r); known {
+			return answer, nil
+		}
+	}
 	return call(ctx, c, heartbeatKind, Control.Heartbeat, r)
 }
 
--- a/internal/connection/workcall/leader.go
+++ b/internal/connection/workcall/leader.go
@@ -95,7 +95,7 @@
 		c.mu.Unlock()
 	}
 	leader := answer.Leader
-	if answer.LeaderSilenceMS > maxLeaderSilence.Milliseconds() {
+	if answer.LeaderSilenceMS > MaxLeaderSilence.Milliseconds() {
 		leader = ""
 	}
 	c.setLeader(leader)
--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -118,6 +118,12 @@
 	NextAddress string `cbor:"2,keyasint,omitempty"`
 }
 
+// HeardMessage tells the leader from which workers a follower has received
+// heartbeats lately. It has no answer.
+type HeardMessage struct {
+	Workers []string `cbor:"1,keyasint"`
+}
+
 // DeregisterRequest removes a worker that has shut down.
 type DeregisterRequest struct {
 	ID string `cbor:"1,keyasint"`
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -16,7 +16,7 @@
 )
 
 // tickInterval is the interval at which the loop runs a round without an event.
-const tickInterval = 50 * time.Millisecond
+const tickInterval = 100 * time.Millisecond
 
 // fleetInterval is the minimum time between two calls of planFleet. A move of a VM
 // or a restart of a run takes many times as long.
@@ -86,7 +86,9 @@
 	events chan event
 
 	workers map[string]*worker
-	runs    map[workload.TaskID]*run
+	// syncedVersion is the workstate.View.WorkersVersion that workers shows.
+	syncedVersion uint64
+	runs          map[workload.TaskID]*run
 	// ends holds the ends of runs that wait for the next commit.
 	ends map[runKey]workstate.End
 	// committing is set while a commit of progress is in flight. dirty is set
--- a/internal/process/scheduler/roundpacer.go
+++ b/internal/process/scheduler/roundpacer.go
@@ -14,7 +14,7 @@
 	minInterval = 10 * time.Millisecond
 	// maxPause limits the pause after a round, so that one slow round does not
 	// delay the next ones.
-	maxPause = 2 * tickInterval
+	maxPause = tickInterval
 )
 
 // roundPacer delays each round in proportion to the duration of the previous
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 // Scheduler runs the scheduling loop while this process is the leader.
 type Scheduler struct {
 	options Options
+	node    *link.Node
 	server  *Server
 	// current is the loop of the current term of leadership; nil in a follower.
 	current atomic.Pointer[loop]
@@ -20,16 +21,20 @@
 // New returns a scheduler and registers its server with the node. Workers and
 // operators reach this process at address.
 func New(options Options, address string, node *link.Node) *Scheduler {
-	s := &Scheduler{options: options}
+	s := &Scheduler{options: options, node: node}
 	s.server = &Server{
 		replica: options.Replica, machine: options.Machine, log: options.Log, address: address,
-		wake: s.wake, onHeartbeat: s.heartbeatReceived, onJobAccepted: s.jobAccepted, now: options.Now,
+		wake: s.wake, onHeartbeats: s.heartbeatsReceived, onJobAccepted: s.jobAccepted, now: options.Now,
 	}
 	workcall.Register(node, s.server)
 	link.Handle(node, workcall.HelloKind, func(context.Context, link.Peer, workcall.HelloRequest) (workcall.HelloResponse, error) {
 		return s.server.Hello(), nil
 	})
 	link.Handle(node, workcall.JoinKind, s.server.join)
+	link.Handle(node, workcall.HeardKind, func(_ context.Context, _ link.Peer, m workcall.HeardMessage) (struct{}, error) {
+		s.heartbeatsReceived(m.Workers)
+		return struct{}{}, nil
+	})
 	return s
 }
 
@@ -43,10 +48,11 @@
 	}
 }
 
-// heartbeatReceived passes a worker's heartbeat to the loop.
-func (s *Scheduler) heartbeatReceived(id string) {
+// heartbeatsReceived passes the ids of workers that have sent heartbeats to the
+// loop.
+func (s *Scheduler) heartbeatsReceived(ids []string) {
 	if l := s.current.Load(); l != nil {
-		l.post(func(l *loop) { l.recordHeartbeat(id, time.Now()) })
+		l.post(func(l *loop) { l.recordHeartbeats(ids, time.Now()) })
 	}
 }
 
@@ -62,6 +68,7 @@
 func (s *Scheduler) Run(ctx context.Context) {
 	end := func() {}
 	defer func() { end() }()
+	go s.server.relayHeard(ctx, s.node)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -123,7 +123,7 @@
 		if !known {
 			s.register(w, fmt.Sprintf("vm-%d", vm), "svc")
 		}
-		s.loop.post(func(l *loop) { l.recordHeartbeat(w.id, time.Now()) })
+		s.loop.post(func(l *loop) { l.recordHeartbeats([]string{w.id}, time.Now()) })
 	}
 }
 
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -25,8 +25,11 @@
 	address string
 	// wake requests a round of the leader's loop after a change of the state.
 	wake func()
-	// onHeartbeat passes a worker's heartbeat to the leader's loop.
-	onHeartbeat func(id string)
+	// onHeartbeats passes the ids of workers that have sent heartbeats to the
+	// leader's loop.
+	onHeartbeats func(ids []string)
+	// heard collects the workers whose heartbeats a follower has acknowledged.
+	heard heardWorkers
 	// onJobAccepted passes a new job to the leader's loop.
 	onJobAccepted func(id string)
 	now           func() time.Time
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -1,10 +1,14 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/rendezvous"
 )
 
 // Heartbeat handles the heartbeat of a worker. If it changes the registration
@@ -14,7 +18,7 @@
 	if status.Leader != status.ID {
 		return workcall.HeartbeatResponse{}, s.fault(notLeader(status))
 	}
-	response := workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.address}
+	response := workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.heartbeatAddress(r.Worker.ID, status)}
 	change := s.compareHeartbeat(&r.Worker)
 	if change == unknownService {
 		response.Status = workcall.Invalid
@@ -28,10 +32,38 @@
 		s.log.Info("worker registered", "worker", r.Worker.ID, "incarnation", r.Worker.Incarnation, "vm", r.Worker.VM, "address", r.Worker.Address,
 			"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
 	}
-	s.onHeartbeat(r.Worker.ID)
+	s.onHeartbeats([]string{r.Worker.ID})
 	return response, nil
 }
 
+// heartbeatAddress returns the address to which a worker of this leader sends its
+// later heartbeats: that of a follower, which acknowledges those without news, or
+// its own if no follower answers.
+func (s *Server) heartbeatAddress(worker string, status replica.Status) string {
+	var followers []string
+	for _, m := range status.Members {
+		if slices.Contains(status.Responsive, m.Link) {
+			followers = append(followers, m.Admin)
+		}
+	}
+	return cmp.Or(rendezvous.Choose(worker, followers), s.address)
+}
+
+// KnownHeartbeat acknowledges a heartbeat without news at a follower that hears
+// the leader, so that the heartbeats of a large fleet are spread over the members.
+// Everything else is for the leader.
+func (s *Server) KnownHeartbeat(r workcall.HeartbeatRequest) (workcall.HeartbeatResponse, bool) {
+	status := s.replica.Status()
+	if status.Leader == "" || status.Leader == status.ID || status.LeaderSilence > workcall.MaxLeaderSilence {
+		return workcall.HeartbeatResponse{}, false
+	}
+	if s.compareHeartbeat(&r.Worker) != unchanged {
+		return workcall.HeartbeatResponse{}, false
+	}
+	s.heard.add(r.Worker.ID)
+	return workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.address}, true
+}
+
 // heartbeatChange is the effect of a heartbeat on the registration of a worker.
 type heartbeatChange uint8
 
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -10,8 +10,13 @@
 	"arbutusward.example/arbutusward/internal/version/pacing"
 )
 
-// syncWorkers updates the table of workers from the registered workers.
+// syncWorkers updates the table of workers from the registered workers, if these
+// have changed.
 func (l *loop) syncWorkers(v *workstate.View) {
+	if version := v.WorkersVersion(); version == l.syncedVersion {
+		return
+	}
+	l.syncedVersion = v.WorkersVersion()
 	for id, reg := range v.Workers() {
 		w := l.workers[id]
 		if w == nil || w.reg.Incarnation != reg.Incarnation || w.reg.Address != reg.Address {
@@ -140,10 +145,12 @@
 	}()
 }
 
-// recordHeartbeat records that a heartbeat of a worker was received.
-func (l *loop) recordHeartbeat(id string, now time.Time) {
-	if w := l.workers[id]; w != nil {
-		w.heartbeatAt = now
+// recordHeartbeats records that heartbeats of workers were received.
+func (l *loop) recordHeartbeats(ids []string, now time.Time) {
+	for _, id := range ids {
+		if w := l.workers[id]; w != nil {
+			w.heartbeatAt = now
+		}
 	}
 }
 
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -24,6 +24,8 @@
 	active map[string]*Job
 	// queues holds the catalog's queues by key.
 	queues map[string]*catalog.Queue
+	// workersVersion changes with each change of the registered workers.
+	workersVersion uint64
 }
 
 var _ replica.StateMachine = (*Machine)(nil)
@@ -37,6 +39,7 @@
 
 // derive rebuilds the fields that are derived from data.
 func (m *Machine) derive() {
+	m.workersVersion++
 	m.active = map[string]*Job{}
 	for id, job := range m.data.Jobs {
 		if job.Outcome == Open || job.Executing > 0 {
--- a/internal/process/workstate/view.go
+++ b/internal/process/workstate/view.go
@@ -20,6 +20,10 @@
 // Workers returns the registered workers by id.
 func (v *View) Workers() map[string]*Worker { return v.m.data.Workers }
 
+// WorkersVersion returns a number that differs from that of an earlier view of
+// this process if the registered workers have changed since.
+func (v *View) WorkersVersion() uint64 { return v.m.workersVersion }
+
 // Waves returns all waves by number.
 func (v *View) Waves() map[int64]*Wave { return v.m.data.Waves }
 
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -21,6 +21,7 @@
 	registered := *w
 	registered.Restarted = known != nil && (known.Restarted || known.Incarnation < w.Incarnation)
 	m.data.Workers[w.ID] = &registered
+	m.workersVersion++
 	return Result{Code: OK}
 }
 
@@ -43,6 +44,7 @@
 // removeWorker removes a worker and interrupts the runs on it.
 func (m *Machine) removeWorker(worker *Worker) {
 	delete(m.data.Workers, worker.ID)
+	m.workersVersion++
 	for _, job := range m.active {
 		for _, run := range job.RunsOn(worker.ID) {
 			m.applyEnd(&End{Task: run.Task, Run: run.Run, Kind: EndInterrupted})
