--- a/cmd/arbutus-control/hosted.go
+++ b/cmd/arbutus-control/hosted.go
@@ -17,7 +17,7 @@
 var hostedFlags = []cli.Flag{
 	&cli.IntFlag{
 		Name: directWorkersFlag, Value: hosted.DefaultDirectWorkers,
-		Usage: "workers that the leader calls itself; the further ones are called by the other control processes",
+		Usage: "size of the largest fleet whose workers the leader calls itself; those of a larger one are called by the other control processes",
 	},
 }
 
--- a/integration/hosted_harness_test.go
+++ b/integration/hosted_harness_test.go
@@ -53,7 +53,8 @@
 // oneCore makes each process run like on a VM with one core.
 func oneCore(h *hosted) { h.env = append(h.env, "GOMAXPROCS=1") }
 
-// directWorkers sets the number of workers that the leader calls itself.
+// directWorkers sets the size of the largest fleet whose workers the leader calls
+// itself.
 func directWorkers(count int) hostedOption {
 	return func(h *hosted) { h.controlArgs = append(h.controlArgs, fmt.Sprint("--direct-workers=", count)) }
 }
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -116,8 +116,8 @@
 // Tuning holds the settings of a control process that the platform does not
 // supply.
 type Tuning struct {
-	// DirectWorkers is the number of workers that the leader calls itself. The
-	// further ones are called by delegates.
+	// DirectWorkers is the size of the largest fleet whose workers the leader
+	// calls itself. Those of a larger one are called by delegates.
 	DirectWorkers int
 }
 
