entry: a lost answer leaves time for another call to the leader

The calls are idempotent.

Shown: TestLostAnswerLeavesTimeForAnotherCall failed before after one call.

--- a/internal/process/entry/leader.go
+++ b/internal/process/entry/leader.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// attemptTimeout bounds one attempt of a call to the leader.
-	attemptTimeout = 2 * time.Second
+	// attemptTimeout bounds one attempt of a call to the leader. It leaves a
+	// request with a deadline of a few seconds time for others.
+	attemptTimeout = 700 * time.Millisecond
 	// retryAllPause is the time between two rounds of attempts at all control
 	// processes.
 	retryAllPause = 100 * time.Millisecond
--- /dev/null
+++ b/internal/process/entry/leader_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+)
+
+// TestLostAnswerLeavesTimeForAnotherCall guards against a claim whose only attempt takes the whole deadline of its request.
+func TestLostAnswerLeavesTimeForAnotherCall(t *testing.T) {
+	start := func(id string) *link.Node {
+		ring, err := keys.NewEphemeral(id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		node, err := link.Listen("127.0.0.1:0", ring, timeline.NewRecorder(id, "z"), slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = node.Close() })
+		return node
+	}
+	leader, entry := start("leader"), start("entry")
+	var calls atomic.Int64
+	link.Handle(leader, "test.call", func(ctx context.Context, _ link.Peer, n int) (int, error) {
+		if calls.Add(1) == 1 {
+			<-ctx.Done()
+			return 0, ctx.Err()
+		}
+		return n, nil
+	})
+	leader.Serve()
+	// The deadline of a request with an idempotency key.
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	got, err := callLeader[int, int](ctx, newControls(entry, []string{leader.Address()}), "test.call", 7)
+	if got != 7 || err != nil {
+		t.Errorf("%d %v after %d calls", got, err, calls.Load())
+	}
+}
