--- a/internal/connection/delegate/delegate_test.go
+++ b/internal/connection/delegate/delegate_test.go
@@ -12,8 +12,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/link"
-	"arbutusward.example/arbutusward/internal/process/keys"
-	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/connection/link/linktest"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -84,14 +83,10 @@
 
 func newGroup(t *testing.T, delegates, directWorkers int) *group {
 	t.Helper()
-	dir := t.TempDir()
-	if err := keys.Init(dir + "/ca"); err != nil {
-		t.Fatal(err)
-	}
 	g := &group{leaderOwn: &fakeWorkers{}}
 	var addresses []string
 	for i := range delegates {
-		node := startNode(t, dir, fmt.Sprint("d", i))
+		node := linktest.Start(t, fmt.Sprint("d", i))
 		own := &fakeWorkers{}
 		Serve(t.Context(), node, node.Address(), own, slog.New(slog.DiscardHandler))
 		node.Serve()
@@ -99,7 +94,7 @@
 		addresses = append(addresses, node.Address())
 	}
 	g.responsive.Store(&addresses)
-	node := startNode(t, dir, "leader")
+	node := linktest.Start(t, "leader")
 	g.leader = New(t.Context(), Options{
 		Direct: g.leaderOwn, Node: node, Self: node.Address(), DirectWorkers: directWorkers, Log: slog.New(slog.DiscardHandler),
 		Responsive: func() []string { return *g.responsive.Load() },
@@ -108,23 +103,6 @@
 	return g
 }
 
-func startNode(t *testing.T, dir, id string) *link.Node {
-	t.Helper()
-	if err := keys.Issue(dir+"/ca", dir+"/"+id, id); err != nil {
-		t.Fatal(err)
-	}
-	ring, err := keys.Load(dir + "/" + id)
-	if err != nil {
-		t.Fatal(err)
-	}
-	node, err := link.Listen("127.0.0.1:0", ring, timeline.NewRecorder(id, "z"), slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = node.Close() })
-	return node
-}
-
 func workerAt(i int) execution.WorkerAddress {
 	return execution.WorkerAddress{ID: fmt.Sprint("w", i), Address: fmt.Sprintf("10.0.0.%d:80", i)}
 }
@@ -266,13 +244,10 @@
 	}
 }
 
-// TestSilentWorkerDoesNotMakeItsDelegateSuspect guards against one dead worker that takes its delegate from all others.
-func TestSilentWorkerDoesNotMakeItsDelegateSuspect(t *testing.T) {
-	g := newGroup(t, 1, 0)
-	g.delegates[0].silent.Store(true)
-	if _, err := g.start(t, 1, 1); !errors.Is(err, execution.ErrNoAnswer) {
-		t.Fatalf("error %v", err)
-	}
+// checkDelegateIsUsed lets the only delegate answer again and checks that it, and
+// not the leader, calls the next worker.
+func (g *group) checkDelegateIsUsed(t *testing.T) {
+	t.Helper()
 	g.delegates[0].silent.Store(false)
 	if _, err := g.start(t, 2, 1); err != nil {
 		t.Fatal(err)
@@ -282,6 +257,16 @@
 	}
 }
 
+// TestSilentWorkerDoesNotMakeItsDelegateSuspect guards against one dead worker that takes its delegate from all others.
+func TestSilentWorkerDoesNotMakeItsDelegateSuspect(t *testing.T) {
+	g := newGroup(t, 1, 0)
+	g.delegates[0].silent.Store(true)
+	if _, err := g.start(t, 1, 1); !errors.Is(err, execution.ErrNoAnswer) {
+		t.Fatalf("error %v", err)
+	}
+	g.checkDelegateIsUsed(t)
+}
+
 // TestEndOfLeadershipMakesNoDelegateSuspect guards against a leader that is elected again and calls all workers itself at first.
 func TestEndOfLeadershipMakesNoDelegateSuspect(t *testing.T) {
 	g := newGroup(t, 1, 0)
@@ -291,13 +276,7 @@
 	if _, err := g.leader.Watch(ctx, workerAt(1), execution.Watch{}); !errors.Is(err, execution.ErrNoAnswer) {
 		t.Fatalf("error %v", err)
 	}
-	g.delegates[0].silent.Store(false)
-	if _, err := g.start(t, 2, 1); err != nil {
-		t.Fatal(err)
-	}
-	if own := g.leaderOwn.count(); own != 0 {
-		t.Errorf("the leader made %d calls", own)
-	}
+	g.checkDelegateIsUsed(t)
 }
 
 func TestForgetReachesTheDelegate(t *testing.T) {
--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -9,8 +9,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
-	"arbutusward.example/arbutusward/internal/process/keys"
-	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/connection/link/linktest"
 )
 
 // member is a control process that answers hello calls and takes submissions.
@@ -29,7 +28,7 @@
 
 func startMember(t *testing.T) *member {
 	t.Helper()
-	m := &member{node: startNode(t)}
+	m := &member{node: linktest.Start(t, "test")}
 	address := m.node.Address()
 	m.leader.Store(&address)
 	link.Handle(m.node, HelloKind, func(ctx context.Context, _ link.Peer, _ HelloRequest) (HelloResponse, error) {
@@ -51,27 +50,13 @@
 	return m
 }
 
-func startNode(t *testing.T) *link.Node {
-	t.Helper()
-	ring, err := keys.NewEphemeral("test")
-	if err != nil {
-		t.Fatal(err)
-	}
-	node, err := link.Listen("127.0.0.1:0", ring, timeline.NewRecorder("test", "z"), slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = node.Close() })
-	return node
-}
-
 func startClient(t *testing.T, members ...*member) *Client {
 	t.Helper()
 	var seeds []string
 	for _, m := range members {
 		seeds = append(seeds, m.node.Address())
 	}
-	return NewClient(startNode(t), seeds, slog.New(slog.DiscardHandler))
+	return NewClient(linktest.Start(t, "test"), seeds, slog.New(slog.DiscardHandler))
 }
 
 // submit submits a job that may wait for a second.
@@ -133,7 +118,7 @@
 // go on calling a dead leader until its followers elect another one.
 func TestLostLeaderIsNotTakenFromAMemberThatLostItToo(t *testing.T) {
 	follower, leader := startMember(t), startMember(t)
-	dead := startNode(t).Address()
+	dead := linktest.Start(t, "test").Address()
 	follower.leader.Store(&dead)
 	follower.silence.Store(2 * MaxLeaderSilence.Milliseconds())
 	c := startClient(t, follower)
--- a/internal/process/entry/leader_test.go
+++ b/internal/process/entry/leader_test.go
@@ -2,31 +2,17 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
-	"arbutusward.example/arbutusward/internal/process/keys"
-	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/connection/link/linktest"
 )
 
 // TestLostAnswerLeavesTimeForAnotherCall guards against a claim whose only attempt takes the whole deadline of its request.
 func TestLostAnswerLeavesTimeForAnotherCall(t *testing.T) {
-	start := func(id string) *link.Node {
-		ring, err := keys.NewEphemeral(id)
-		if err != nil {
-			t.Fatal(err)
-		}
-		node, err := link.Listen("127.0.0.1:0", ring, timeline.NewRecorder(id, "z"), slog.New(slog.DiscardHandler))
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = node.Close() })
-		return node
-	}
-	leader, entry := start("leader"), start("entry")
+	leader, entry := linktest.Start(t, "leader"), linktest.Start(t, "entry")
 	var calls atomic.Int64
 	link.Handle(leader, "test.call", func(ctx context.Context, _ link.Peer, n int) (int, error) {
 		if calls.Add(1) == 1 {
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -205,7 +205,11 @@
 		l.syncWorkers(v)
 		l.queueReportedEnds(v, now)
 		planFleet := now.Sub(l.fleetPlannedAt) >= fleetInterval
-		usage := l.reconcile(v, planFleet, now)
+		detail := capacityInUse
+		if planFleet {
+			detail = fleetDetails
+		}
+		usage := l.reconcile(v, detail, now)
 		groups := l.waitingGroups(v, now)
 		l.applyAdvice(v, usage, groups, now)
 		if planFleet {
--- a/internal/process/scheduler/nested_test.go
+++ b/internal/process/scheduler/nested_test.go
@@ -40,7 +40,7 @@
 			}
 			go f.machine.Apply(99, command)
 			time.Sleep(50 * time.Millisecond)
-			l.reconcile(v, true, time.Now())
+			l.reconcile(v, fleetDetails, time.Now())
 		})
 	}()
 	select {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -62,13 +62,12 @@
 }
 
 // reconcile compares each recorded run with the report of its worker. It
-// repeats, stops or ends runs whose recorded and reported states differ. With
-// details set, the usage also holds what planFleet needs.
-func (l *loop) reconcile(v *workstate.View, details bool, now time.Time) *usage {
+// repeats, stops or ends runs whose recorded and reported states differ.
+func (l *loop) reconcile(v *workstate.View, detail usageDetail, now time.Time) *usage {
 	u := newUsage(len(l.workers))
 	l.roundNumber++
 	for _, job := range v.Active() {
-		if details {
+		if detail == fleetDetails {
 			u.countWaiting(job)
 		}
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
@@ -83,7 +82,7 @@
 				u.used[task.Worker] = u.used[task.Worker].Add(step.Charge())
 			}
 			switch {
-			case !details:
+			case detail == capacityInUse:
 			case ending:
 				u.countEnding(id, step)
 			default:
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -7,6 +7,16 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
+// usageDetail selects what is collected in a usage.
+type usageDetail uint8
+
+const (
+	// capacityInUse is what placing tasks needs.
+	capacityInUse usageDetail = iota
+	// fleetDetails is what planFleet needs besides.
+	fleetDetails
+)
+
 // usage summarizes the executing tasks. It is collected from the state in one
 // pass. All but used is collected only for planFleet.
 type usage struct {
