scheduler, delegate: a report of ends may leave out the other runs

Change: a watch says that the delegate may pass on the ends alone if the leader has a full report that is younger than 0.4 s, which is about how often progress is looked at. The ends are added to the view without making it younger, so that a run that was left out is not taken for missing.

--- a/internal/connection/delegate/delegate_test.go
+++ b/internal/connection/delegate/delegate_test.go
@@ -62,7 +62,7 @@
 }
 
 func (f *fakeWorkers) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
-	report := execution.Report{ClockMS: q.AckedEnd, Incarnation: 9, Ended: []execution.EndedRun{{Number: 3, Task: workload.TaskID{Job: "j", Index: 2}, Run: 4, Reason: execution.ReasonDone, Checkpoint: "c"}}}
+	report := execution.Report{ClockMS: q.AckedEnd, Incarnation: 9, Running: []execution.RunningTask{{Task: workload.TaskID{Job: "j"}, Run: 2, Percent: 30}}, Ended: []execution.EndedRun{{Number: 3, Task: workload.TaskID{Job: "j", Index: 2}, Run: 4, Reason: execution.ReasonDone, Checkpoint: "c"}}}
 	return report, f.record(ctx, to)
 }
 
@@ -199,6 +199,19 @@
 	wait.Wait()
 }
 
+// TestReportOfEndsLeavesOutRunningTasksOnRequest guards against a leader that decodes all runs of a worker for each end.
+func TestReportOfEndsLeavesOutRunningTasksOnRequest(t *testing.T) {
+	g := newGroup(t, 1, 0)
+	for _, endsOnly := range []bool{false, true} {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		report, err := g.leader.Watch(ctx, workerAt(1), execution.Watch{WaitMS: 10, EndsOnly: endsOnly})
+		cancel()
+		if err != nil || report.EndsOnly != endsOnly || (len(report.Running) == 0) != endsOnly || len(report.Ended) != 1 {
+			t.Errorf("ends only %v: %+v %v", endsOnly, report, err)
+		}
+	}
+}
+
 // TestWorkersOfALostDelegateAreCalledAgain guards against workers that stay unreachable because the process that called them is gone.
 func TestWorkersOfALostDelegateAreCalledAgain(t *testing.T) {
 	g := newGroup(t, 2, 0)
--- a/internal/connection/delegate/server.go
+++ b/internal/connection/delegate/server.go
@@ -132,6 +132,9 @@
 	switch {
 	case c.Watch != nil:
 		report, err := s.workers.Watch(ctx, c.Worker, *c.Watch)
+		if c.Watch.EndsOnly && len(report.Ended) > 0 {
+			report.Running, report.EndsOnly = nil, true
+		}
 		return answer{Report: &report}, err
 	case c.Start != nil:
 		order, err = s.workers.Start(ctx, c.Worker, *c.Start)
--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -89,6 +89,8 @@
 	// Prompt is set if the call should not wait for other calls on its way to
 	// the worker: it fetches a first report, or the next end on a busy worker.
 	Prompt bool `cbor:"5,keyasint,omitempty"`
+	// EndsOnly allows a report of ends to leave out what the worker executes.
+	EndsOnly bool `cbor:"6,keyasint,omitempty"`
 }
 
 // RunningTask is a run in execution on a worker.
@@ -137,6 +139,8 @@
 	Incarnation int64         `cbor:"3,keyasint,omitempty"`
 	Running     []RunningTask `cbor:"4,keyasint,omitempty"`
 	Ended       []EndedRun    `cbor:"5,keyasint,omitempty"`
+	// EndsOnly is set if Running was left out.
+	EndsOnly bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Workers sends orders to workers. Errors wrap ErrNoAnswer or
--- a/internal/process/scheduler/bench_test.go
+++ b/internal/process/scheduler/bench_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -138,3 +140,38 @@
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
+
+// BenchmarkReportOfAnEnd measures what the leader does with the report of one end
+// on a worker that executes seven other runs, from its encoding on, with and
+// without these runs in it.
+func BenchmarkReportOfAnEnd(b *testing.B) {
+	for _, endsOnly := range []bool{false, true} {
+		b.Run(fmt.Sprintf("ends_only=%v", endsOnly), func(b *testing.B) {
+			l := newLoop(b.Context(), Options{Log: slog.New(slog.DiscardHandler), Now: time.Now}, 1)
+			w := &worker{reg: workstate.Worker{ID: "w1"}, contacted: true}
+			l.workers["w1"] = w
+			task := func(i int) workload.TaskID { return workload.TaskID{Job: "5c0e7a21d94b36f8", Step: 1, Index: i} }
+			var running []execution.RunningTask
+			for i := range 7 {
+				running = append(running, execution.RunningTask{Task: task(i), Run: 1, Percent: 40, Usage: 8900})
+			}
+			l.handleReport(w, time.Now(), execution.Report{ClockMS: 1, Running: running}, nil)
+			report := execution.Report{ClockMS: 2, Ended: []execution.EndedRun{{Number: 1, Task: task(7), Run: 1, Reason: execution.ReasonDone}}, EndsOnly: endsOnly}
+			if !endsOnly {
+				report.Running = running
+			}
+			encoded, err := cbor.Marshal(report)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				var decoded execution.Report
+				if err := cbor.Unmarshal(encoded, &decoded); err != nil {
+					b.Fatal(err)
+				}
+				l.handleReport(w, time.Now(), decoded, nil)
+			}
+		})
+	}
+}
--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -347,6 +347,10 @@
 	}
 	w.ended = kept
 	report := execution.Report{ClockMS: w.clock(), Incarnation: w.incarnation, Ended: append([]execution.EndedRun(nil), w.ended...)}
+	if q.EndsOnly && len(report.Ended) > 0 {
+		report.EndsOnly = true
+		return report, nil
+	}
 	for _, r := range w.running {
 		report.Running = append(report.Running, execution.RunningTask{Task: r.task, Run: r.run, Percent: w.percent(r), Usage: w.usage(r.task)})
 	}
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -62,6 +62,7 @@
 		request.AckedEnd = w.ackedEnd
 		request.WaitMS = int(w.watchWait().Milliseconds())
 	}
+	request.EndsOnly = w.report != nil && now.Sub(w.report.sentAt) < rowsAge
 	request.Prompt = request.WaitMS == 0 || w.ackedEnd > w.requestedAck
 	w.requestedAck = w.ackedEnd
 	w.watching = true
@@ -101,7 +102,12 @@
 		w.contacted = true
 		w.leaseMS = max(w.leaseMS, w.maxInitialLease(l.Limits.LongestLease))
 	}
-	w.report = newReportView(sentAt, &report)
+	w.endsOnly = report.EndsOnly
+	if report.EndsOnly && w.report != nil {
+		w.report.addEnds(&report)
+	} else {
+		w.report = newReportView(sentAt, &report)
+	}
 	if end := newestEnd(&report); end > w.reportedEnd {
 		// The ends free capacity. Anything else in a report can wait for the
 		// next tick.
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -34,6 +34,10 @@
 	callTimeout = 500 * time.Millisecond
 	// watchRetry is the pause after a watch without an answer.
 	watchRetry = 200 * time.Millisecond
+	// rowsAge is the age of the last report with all runs of a worker within
+	// which a report of ends may leave them out. They tell the progress of runs,
+	// which is looked at about as often.
+	rowsAge = 400 * time.Millisecond
 	// maxAnswerAge is the age of the newest answer to a watch beyond which a
 	// worker gets no new tasks.
 	maxAnswerAge = idleWatchWait + callTimeout + 100*time.Millisecond
@@ -85,8 +89,11 @@
 	// It gets no tasks from then on: they would count as ended with it, although
 	// it may be alive.
 	deregistering bool
-	// report is the newest report, or nil before the first one.
+	// report is the newest report that lists what the worker executes, with the
+	// ends of later reports; nil before the first one.
 	report *reportView
+	// endsOnly is set if the last report left out what the worker executes.
+	endsOnly bool
 	// pausedUntil is the time before which the worker gets no new tasks.
 	pausedUntil time.Time
 	// speed is the desired speed of the worker's best-effort tasks in percent. It
@@ -105,6 +112,16 @@
 	ended   map[runKey]execution.EndedRun
 }
 
+// addEnds adds the ends of a later report that lists nothing else. It does not
+// make the view younger.
+func (v *reportView) addEnds(r *execution.Report) {
+	for _, row := range r.Ended {
+		key := runKey{row.Task, row.Run}
+		v.ended[key] = row
+		delete(v.running, key)
+	}
+}
+
 func newReportView(sentAt time.Time, r *execution.Report) *reportView {
 	view := &reportView{sentAt: sentAt, running: map[runKey]execution.RunningTask{}, ended: map[runKey]execution.EndedRun{}}
 	for _, row := range r.Running {
@@ -136,7 +153,7 @@
 
 // watchWait returns how long the worker may delay a report without new ends.
 func (w *worker) watchWait() time.Duration {
-	if w.report != nil && len(w.report.running) == 0 {
+	if w.report != nil && !w.endsOnly && len(w.report.running) == 0 {
 		return idleWatchWait
 	}
 	return busyWatchWait
