--- a/internal/process/entry/leader.go
+++ b/internal/process/entry/leader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
+	"arbutusward.example/arbutusward/internal/connection/message"
 	"arbutusward.example/arbutusward/internal/process/logging"
 )
 
@@ -15,6 +16,9 @@
 	// attemptTimeout bounds one attempt of a call to the leader. It leaves a
 	// request with a deadline of a few seconds time for others.
 	attemptTimeout = 700 * time.Millisecond
+	// pullTimeout replaces attemptTimeout for pulls of batch requests, which the
+	// leader holds for a second while there is nothing to lease.
+	pullTimeout = 2 * time.Second
 	// retryAllPause is the time between two rounds of attempts at all control
 	// processes.
 	retryAllPause = 100 * time.Millisecond
@@ -88,7 +92,11 @@
 
 // callOnce makes one attempt of a call at the control process with an index.
 func callOnce[Req, Resp any](ctx context.Context, c *controls, at int64, kind link.Kind, req Req) (Resp, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	timeout := attemptTimeout
+	if kind == message.PullBatchKind {
+		timeout = pullTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return link.Call[Req, Resp](ctx, c.node, c.addresses[at], kind, req)
 }
