replica: only the hosted deployment lets proposals wait for each other

Change: the interval is an option of the driver; the hosted deployment sets 16 ms, as it has had since the messages were made fewer, and the product's own none.

The hosted programs behave as before.

--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -38,6 +38,9 @@
 	// controlShutdownTimeout bounds the calls that are still answered during
 	// a graceful stop.
 	controlShutdownTimeout = time.Second
+	// proposeInterval lets the hundreds of proposals a second of a large fleet
+	// share messages. It is about as long as a commit.
+	proposeInterval = 16 * time.Millisecond
 )
 
 // joinSeparator separates the link address from the random suffix in the id
@@ -95,13 +98,14 @@
 		Join:           m.Join,
 		// With an odd number of voters one side keeps a quorum if the platform
 		// partitions the control processes into two halves.
-		OddVoters:   true,
-		AllowRejoin: true,
-		Dir:         s.DataDir,
-		Machine:     machine,
-		Node:        node,
-		Recorder:    recorder,
-		Log:         log,
+		OddVoters:       true,
+		ProposeInterval: proposeInterval,
+		AllowRejoin:     true,
+		Dir:             s.DataDir,
+		Machine:         machine,
+		Node:            node,
+		Recorder:        recorder,
+		Log:             log,
 		Fatal: func(err error) {
 			log.Error("replica failed, exiting", logging.Err(err), "exit_in_ms", exitDelay.Milliseconds())
 			time.Sleep(exitDelay)
--- a/internal/process/replica/driver/options.go
+++ b/internal/process/replica/driver/options.go
@@ -59,6 +59,10 @@
 	// Join makes a process with an empty data directory wait until it is added
 	// to an existing deployment, instead of bootstrapping a new one.
 	Join bool
+	// ProposeInterval is the minimum time between two batches of proposals. Each
+	// batch costs a message to every member, however many proposals it holds. With
+	// 0 a proposal never waits for others.
+	ProposeInterval time.Duration
 	// OddVoters keeps the number of voters odd, and lets a learner replace a
 	// voter that has been unresponsive for some seconds.
 	OddVoters bool
--- a/internal/process/replica/driver/queue.go
+++ b/internal/process/replica/driver/queue.go
@@ -7,18 +7,14 @@
 	"arbutusward.example/arbutusward/internal/process/replica/core"
 )
 
-// proposeInterval is the minimum time between two batches of proposals. Each
-// batch costs a message to every member, however many proposals it holds.
-const proposeInterval = 16 * time.Millisecond
-
 // proposalQueue returns the queue of proposals. It returns nil, so that the loop
 // accepts no further ones, while too many bytes wait for a majority or the last
-// batch is younger than proposeInterval.
+// batch is younger than Options.ProposeInterval.
 func (l *loop) proposalQueue() <-chan *proposal {
 	if l.pendingBytes > maxPendingBytes {
 		return nil
 	}
-	if wait := proposeInterval - time.Since(l.proposedAt); wait > 0 {
+	if wait := l.options.ProposeInterval - time.Since(l.proposedAt); wait > 0 {
 		l.proposeDue.Reset(wait)
 		return nil
 	}
