replica: one measure of the leader's contact with a majority

Cause: the change added LeaderSilence, which sorts the voters' ages, beside checkQuorum, which counts the same ages against the election timeout.

Change: both use quorumSilence. checkQuorum asks whether it is below the timeout, which is the same question. A leader that is no voter, while it is being removed, now needs the majority from the others in both, as checkQuorum had it.

Result: the tests of core and driver, the model and the exploration pass unchanged.

--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 
 	"arbutusward.example/arbutusward/internal/process/replica"
 )
@@ -156,17 +155,7 @@
 	if c.role != Leader {
 		return c.electionTicks, true
 	}
-	var silences []int
-	for _, id := range c.voters() {
-		if id != c.config.ID {
-			silences = append(silences, c.peers[id].inactiveTicks)
-		}
-	}
-	slices.Sort(silences)
-	if needed := c.quorum() - 1; needed > 0 {
-		return silences[needed-1], true
-	}
-	return 0, true
+	return c.quorumSilence(), true
 }
 
 // Commit returns the last index known to be committed.
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -213,19 +213,28 @@
 // this process still leads.
 func (c *Core) checkQuorum() bool {
 	c.electionTicks = 0
-	active := 0
-	for _, id := range c.voters() {
-		if id == c.config.ID || c.isActive(id) {
-			active++
-		}
-	}
-	if active >= c.quorum() {
+	if c.quorumSilence() < c.config.ElectionTicks {
 		return true
 	}
 	c.becomeFollower(c.state.Term, "")
 	return false
 }
 
+// quorumSilence returns the ticks since a majority of the voters, with this leader
+// if it is one, last answered.
+func (c *Core) quorumSilence() int {
+	var silences []int
+	for _, id := range c.voters() {
+		if id == c.config.ID {
+			silences = append(silences, 0)
+			continue
+		}
+		silences = append(silences, c.peers[id].inactiveTicks)
+	}
+	slices.Sort(silences)
+	return silences[c.quorum()-1]
+}
+
 // isActive reports whether a member answered within the shortest election
 // timeout.
 func (c *Core) isActive(id string) bool {
