logging: the bounded writer holds its output

Cause: the output was passed through four methods, two of which built the same closure over it for the chunks.

Change: it is a field, and the chunk gets the method. Nothing else changes; the tests of the package pass unchanged.

--- a/internal/process/logging/bounded.go
+++ b/internal/process/logging/bounded.go
@@ -31,13 +31,14 @@
 // written is preceded by one with the number of dropped lines. The function
 // flush writes out the queued lines.
 func NewBounded(out io.Writer, program, id, zone string) (log *slog.Logger, flush func()) {
-	w := &boundedWriter{lines: make(chan []byte, maxQueuedLines), flushes: make(chan chan struct{})}
-	go w.run(out)
+	w := &boundedWriter{out: out, lines: make(chan []byte, maxQueuedLines), flushes: make(chan chan struct{})}
+	go w.run()
 	return New(w, program, id, zone), w.flush
 }
 
 // boundedWriter queues lines for a goroutine that writes them.
 type boundedWriter struct {
+	out     io.Writer
 	lines   chan []byte
 	flushes chan chan struct{}
 	dropped atomic.Int64
@@ -58,13 +59,13 @@
 }
 
 // run writes queued lines forever.
-func (w *boundedWriter) run(out io.Writer) {
+func (w *boundedWriter) run() {
 	for {
 		select {
 		case line := <-w.lines:
-			w.collect(out, line)
+			w.collect(line)
 		case done := <-w.flushes:
-			w.writeQueued(out, chunk{})
+			w.writeQueued(chunk{})
 			close(done)
 		}
 	}
@@ -85,20 +86,19 @@
 
 // collect waits until the delay is over and writes the lines that came until
 // then, in one chunk or more.
-func (w *boundedWriter) collect(out io.Writer, first []byte) {
+func (w *boundedWriter) collect(first []byte) {
 	c := chunk{bytes: first}
-	write := func(lines []byte) { w.write(out, lines) }
 	delay := time.NewTimer(writeDelay)
 	defer delay.Stop()
 	for {
 		select {
 		case line := <-w.lines:
-			c.add(line, write)
+			c.add(line, w.write)
 		case <-delay.C:
-			w.write(out, c.bytes)
+			w.write(c.bytes)
 			return
 		case done := <-w.flushes:
-			w.writeQueued(out, c)
+			w.writeQueued(c)
 			close(done)
 			return
 		}
@@ -106,14 +106,13 @@
 }
 
 // writeQueued writes a chunk and the lines that are in the queue.
-func (w *boundedWriter) writeQueued(out io.Writer, c chunk) {
-	write := func(lines []byte) { w.write(out, lines) }
+func (w *boundedWriter) writeQueued(c chunk) {
 	for {
 		select {
 		case line := <-w.lines:
-			c.add(line, write)
+			c.add(line, w.write)
 		default:
-			w.write(out, c.bytes)
+			w.write(c.bytes)
 			return
 		}
 	}
@@ -121,12 +120,12 @@
 
 // write writes whole lines. Errors of the output are ignored, since there is
 // nowhere to report them.
-func (w *boundedWriter) write(out io.Writer, lines []byte) {
+func (w *boundedWriter) write(lines []byte) {
 	if dropped := w.dropped.Swap(0); dropped > 0 {
-		_, _ = fmt.Fprintf(out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", dropped)
+		_, _ = fmt.Fprintf(w.out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", dropped)
 	}
 	if len(lines) > 0 {
-		_, _ = out.Write(lines)
+		_, _ = w.out.Write(lines)
 	}
 }
 
