--- a/integration/hosted_harness_test.go
+++ b/integration/hosted_harness_test.go
@@ -198,14 +198,7 @@
 // request sends a client's request to an entry and returns the status and the
 // body. Status 0 means that there was no answer.
 func (h *hosted) request(entry int, method, path, body string) (int, []byte) {
-	address := fmt.Sprintf("http://%s:%d%s", h.entryIP(entry), hostedFront, path)
-	request, err := http.NewRequest(method, address, strings.NewReader(body))
-	if err != nil {
-		return 0, nil
-	}
-	request.Host = "h.example"
-	request.Header.Set("X-Deadline-Ms", "3000")
-	response, err := h.client.Do(request)
+	response, err := h.send(entry, method, path, body)
 	if err != nil {
 		return 0, nil
 	}
@@ -217,6 +210,18 @@
 	return response.StatusCode, raw
 }
 
+// send sends a client's request to an entry.
+func (h *hosted) send(entry int, method, path, body string) (*http.Response, error) {
+	address := fmt.Sprintf("http://%s:%d%s", h.entryIP(entry), hostedFront, path)
+	request, err := http.NewRequest(method, address, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Host = "h.example"
+	request.Header.Set("X-Deadline-Ms", "3000")
+	return h.client.Do(request)
+}
+
 // submit submits a job until it is accepted. Its first step has the given number
 // of tasks, its second step one task.
 func (h *hosted) submit(id string, tasks int, each time.Duration) {
--- a/integration/hosted_outage_test.go
+++ b/integration/hosted_outage_test.go
@@ -1,11 +1,9 @@
 package integration
 
 import (
-	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -35,13 +33,7 @@
 func (c *outageClient) run(entry int) {
 	body := `{"spec":"200ms","steps":[{"count":4,"cpu":1000,"mem_mb":1,"estimate_ms":200}]}`
 	for try := range outageTries {
-		request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/q/%s", c.h.entryIP((entry+try)%len(c.h.entries)), hostedFront, c.id), strings.NewReader(body))
-		if err != nil {
-			return
-		}
-		request.Host = "h.example"
-		request.Header.Set("X-Deadline-Ms", "3000")
-		response, err := c.h.client.Do(request)
+		response, err := c.h.send((entry+try)%len(c.h.entries), http.MethodPost, "/q/"+c.id, body)
 		if err != nil {
 			c.answers = append(c.answers, 0)
 			return
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -13,10 +13,11 @@
 // syncWorkers updates the table of workers from the registered workers, if these
 // have changed.
 func (l *loop) syncWorkers(v *workstate.View) {
-	if version := v.WorkersVersion(); version == l.syncedVersion {
+	version := v.WorkersVersion()
+	if version == l.syncedVersion {
 		return
 	}
-	l.syncedVersion = v.WorkersVersion()
+	l.syncedVersion = version
 	for id, reg := range v.Workers() {
 		w := l.workers[id]
 		if w == nil || w.reg.Incarnation != reg.Incarnation || w.reg.Address != reg.Address {
