scheduler: a test that fails: a task runs twice when its worker misses the answer to its deregistration

The state ends the runs of a worker with the command that deregisters it, and the leader starts them elsewhere at once. The worker is up until it has the answer, and works on for some seconds if the answer is lost.

Shown: run 2 starts on w2 while run 1 executes on w1.

--- /dev/null
+++ b/internal/process/scheduler/leaving_test.go
@@ -0,0 +1,42 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// leadingServer returns the server of the fixture's leader.
+func (f *fixture) leadingServer() *Server {
+	return &Server{
+		replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), onHeartbeats: func([]string) {}, now: time.Now,
+		wake: func() { f.loop.post(func(l *loop) { l.dirty = true }) },
+	}
+}
+
+// TestTaskOfAWorkerThatMissesTheAnswerToItsDeregistrationRunsOnce guards against a second run of a task while a worker that says it ends still executes the first.
+func TestTaskOfAWorkerThatMissesTheAnswerToItsDeregistrationRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3*time.Second)
+		leaving := f.addWorker("w1", 8000)
+		f.lead()
+		defer f.depose()
+		f.submit(jobA, step(2))
+		time.Sleep(500 * time.Millisecond)
+		f.addWorker("w2", 8000)
+		time.Sleep(500 * time.Millisecond)
+		// The worker works on: the answer does not reach it.
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := f.leadingServer().Deregister(ctx, workcall.DeregisterRequest{ID: leaving.id, Incarnation: leaving.incarnation})
+		if err != nil {
+			t.Errorf("the worker may not leave: %v", err)
+		}
+		f.await(jobA, workstate.Succeeded, 8*time.Second)
+	})
+}
