scheduler, workstate: a worker that announces its end leaves once its runs are stopped

Callers saw a task run twice at the same time.

Cause: the command that deregisters a worker ended the runs on it, and the next round started them elsewhere. That is right for a worker known to have ended, but one that announces its end is up until it has the answer, and works on for some seconds if the answer is lost: a cut one way, a lossy link, a process that is killed or frozen between the commit and the answer. Class: an intention is taken for the fact.

Change: an announced end removes a worker only if no run is recorded on it. The mark is replicated, so a new leader goes on.

--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -129,7 +129,7 @@
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, w.lastCheckpoint(runKey{id, task.Run}))
 		return
 	}
-	unwanted := job.Outcome != workstate.Open || task.Incarnation != w.reg.Incarnation
+	unwanted := job.Outcome != workstate.Open || task.Incarnation != w.reg.Incarnation || w.reg.Leaving
 	if unwanted && r.phase != runStopping && r.phase != runStopped {
 		// The stop order is due at once.
 		r.enter(runStopping, time.Time{})
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -108,26 +108,3 @@
 	return a.Address == b.Address && a.Service == b.Service && a.VM == b.VM && a.Incarnation == b.Incarnation &&
 		a.Capacity == b.Capacity && a.Draining == b.Draining
 }
-
-// Deregister removes a worker that has ended.
-func (s *Server) Deregister(ctx context.Context, r workcall.DeregisterRequest) (workcall.Done, error) {
-	status := s.replica.Status()
-	if status.Leader != status.ID {
-		return workcall.Done{}, s.fault(notLeader(status))
-	}
-	incarnation, known := r.Incarnation, false
-	s.machine.Read(func(v *workstate.View) {
-		if worker := v.Workers()[r.ID]; worker != nil {
-			known = true
-			if incarnation == 0 {
-				incarnation = worker.Incarnation
-			}
-		}
-	})
-	if !known {
-		return workcall.Done{}, nil
-	}
-	_, err := s.propose(ctx, &workstate.Command{Deregister: &workstate.Deregister{ID: r.ID, Incarnation: incarnation}})
-	s.log.Info("worker deregistered", "worker", r.ID, "incarnation", incarnation, "committed", err == nil)
-	return workcall.Done{}, err
-}
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -74,11 +74,15 @@
 	Starts []Start `cbor:"2,keyasint,omitempty"`
 }
 
-// Deregister records the end of a worker's incarnation, which no longer executes
-// anything.
+// Deregister removes a worker's incarnation, which no longer executes anything
+// or, if Announced is set, is about to end.
 type Deregister struct {
 	ID          string `cbor:"1,keyasint"`
 	Incarnation int64  `cbor:"2,keyasint"`
+	// Announced is set if the worker itself has announced its end. It may work
+	// until that is acknowledged, so it is removed only if no run is recorded on
+	// it; otherwise the result is Busy and the worker is marked as leaving.
+	Announced bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Maintenance records that the maintenance of a VM is about to be ordered or, if
@@ -108,6 +112,8 @@
 	// Malformed means that the command could not be decoded or has no known
 	// field.
 	Malformed
+	// Busy means that runs are recorded on a worker that announced its end.
+	Busy
 )
 
 // Result is the result of applying a command.
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -124,6 +124,10 @@
 	// Restarted is set if an earlier incarnation had the same id. Calls to that
 	// incarnation may still arrive at this one.
 	Restarted bool `cbor:"10,keyasint,omitempty"`
+	// Leaving is set if the worker has announced its end while runs were
+	// recorded on it. It may execute them until its announcement is
+	// acknowledged.
+	Leaving bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Wave is a request for the maintenance of a list of VMs.
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -19,6 +19,7 @@
 		return Result{Code: OK, Repeated: true}
 	}
 	registered := *w
+	registered.Leaving = known != nil && known.Leaving && known.Incarnation == w.Incarnation
 	registered.Restarted = known != nil && (known.Restarted || known.Incarnation < w.Incarnation)
 	m.data.Workers[w.ID] = &registered
 	m.workersVersion++
@@ -31,12 +32,18 @@
 	return a.Address == b.Address || (a.VM != "" && a.VM == b.VM)
 }
 
-// applyDeregister removes a worker that has ended.
+// applyDeregister removes a worker that has ended. One that has announced its end
+// while runs are recorded on it is marked as leaving instead.
 func (m *Machine) applyDeregister(d *Deregister) Result {
 	worker := m.data.Workers[d.ID]
 	if worker == nil || worker.Incarnation != d.Incarnation {
 		return Result{Code: OK, Repeated: true}
 	}
+	if d.Announced && m.hasRuns(worker.ID) {
+		worker.Draining, worker.Leaving = true, true
+		m.workersVersion++
+		return Result{Code: Busy}
+	}
 	m.removeWorker(worker)
 	return Result{Code: OK}
 }
@@ -52,6 +59,16 @@
 	}
 }
 
+// hasRuns reports whether a run is recorded on a worker.
+func (m *Machine) hasRuns(worker string) bool {
+	for _, job := range m.active {
+		if len(job.RunsOn(worker)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Run identifies one run of a task.
 type Run struct {
 	Task workload.TaskID
