scheduler, replica: a leader without recent contact to a majority sends no starts and extends no leases

Callers could see a task run twice at the same time.

Cause: the loop of a leader orders workers by its own clock. Class: a decision is acted on by a process that may no longer be entitled to it.

--- a/internal/process/replica/driver/driver.go
+++ b/internal/process/replica/driver/driver.go
@@ -27,7 +27,7 @@
 	changes       chan *change
 	snapshotsSent chan string
 	leaderChanges chan bool
-	status        atomic.Pointer[replica.Status]
+	status        atomic.Pointer[publishedStatus]
 	// bootstrapped is set once the loop serves calls.
 	bootstrapped atomic.Bool
 
@@ -68,7 +68,7 @@
 	d.ended, d.end = context.WithCancel(context.Background())
 	d.receiver = newReceiver(d.stopped)
 	d.transport = newTransport(d.ended, options.Node, options.Log)
-	d.status.Store(&replica.Status{ID: options.Self.ID, Role: "founding"})
+	d.status.Store(&publishedStatus{status: replica.Status{ID: options.Self.ID, Role: "founding"}, at: time.Now()})
 	d.receiver.register(options.Node)
 	d.registrar.register(options.Node)
 	go d.run()
@@ -126,8 +126,13 @@
 	}, d.storage.persistent())
 }
 
-// Status returns the last published status.
-func (d *Driver) Status() replica.Status { return *d.status.Load() }
+// Status returns the last published status, with the time that has passed since.
+func (d *Driver) Status() replica.Status {
+	p := d.status.Load()
+	status := p.status
+	status.LeaderSilence += time.Since(p.at)
+	return status
+}
 
 // LeaderChanges delivers true when this process becomes the leader and false
 // when it loses the leadership.
--- a/internal/process/replica/driver/status.go
+++ b/internal/process/replica/driver/status.go
@@ -59,6 +59,12 @@
 	l.members = members
 }
 
+// publishedStatus is a status and the time of the tick that it shows.
+type publishedStatus struct {
+	status replica.Status
+	at     time.Time
+}
+
 // publish updates the published status and the metrics.
 func (l *loop) publish() {
 	silence, _ := l.core.LeaderSilence()
@@ -67,7 +73,7 @@
 		Commit: l.core.Commit(), Applied: l.applied, LogBytes: l.logBytes, Members: l.members, Responsive: l.responsive,
 		LeaderSilence: time.Duration(silence) * tickInterval,
 	}
-	l.status.Store(&status)
+	l.status.Store(&publishedStatus{status: status, at: l.lastTick})
 	termGauge.Set(float64(status.Term))
 	commitGauge.Set(float64(status.Commit))
 	logGauge.Set(float64(status.LogBytes))
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -103,6 +103,11 @@
 	if !ok {
 		return
 	}
+	if !l.inContact() {
+		l.Log.Warn("start order held back, no contact to a majority", "task", id.String(), "run", r.number, "worker", r.worker)
+		r.enter(runRetrying, now)
+		return
+	}
 	order.LeaseUntilMS = w.grantLease(now)
 	order.Ticket = l.ticketFor(id, r.worker)
 	r.enter(runOrdering, now)
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -58,7 +58,7 @@
 	// receive calls, and its lease must not be extended. It may also have
 	// restarted, in which case the ends of the new incarnation must not be
 	// acknowledged.
-	if w.contacted && !w.unresponsive {
+	if w.contacted && !w.unresponsive && l.inContact() {
 		request.LeaseUntilMS = w.grantLease(now)
 		request.AckedEnd = w.ackedEnd
 		request.WaitMS = int(w.watchWait().Milliseconds())
@@ -76,6 +76,10 @@
 	}()
 }
 
+// inContact reports whether this leader has been in contact with a majority
+// recently, so that no other process can have led for long.
+func (l *loop) inContact() bool { return l.Replica.Status().LeaderSilence <= maxOrderSilence }
+
 // handleReport handles the answer to a watch.
 func (l *loop) handleReport(w *worker, sentAt time.Time, report execution.Report, err error) {
 	now := time.Now()
