scheduler, platform, delegate: a worker that has left ends its runs without its lease

Change: a refused connection is told apart from other missing answers, through delegates too. After an announced end it is proof that the process has ended. Alone it is none, since a cut may refuse connections.

TestTaskOfAWorkerThatHasLeftDoesNotWaitForItsLease failed before.

--- a/internal/connection/delegate/wire.go
+++ b/internal/connection/delegate/wire.go
@@ -99,13 +99,17 @@
 const (
 	failedNoAnswer failure = iota + 1
 	failedMalformed
+	failedConnectionRefused
 )
 
 // failedAnswer returns the answer that carries an error of execution.Workers.
 func failedAnswer(number uint64, err error) answer {
 	kind := failedNoAnswer
-	if errors.Is(err, execution.ErrMalformedAnswer) {
+	switch {
+	case errors.Is(err, execution.ErrMalformedAnswer):
 		kind = failedMalformed
+	case errors.Is(err, execution.ErrConnectionRefused):
+		kind = failedConnectionRefused
 	}
 	return answer{Number: number, Failure: kind, Text: err.Error()}
 }
@@ -117,6 +121,8 @@
 		return nil
 	case failedMalformed:
 		return fmt.Errorf("%w: at the delegate: %s", execution.ErrMalformedAnswer, a.Text)
+	case failedConnectionRefused:
+		return fmt.Errorf("%w: at the delegate: %s", execution.ErrConnectionRefused, a.Text)
 	default:
 		return fmt.Errorf("%w: at the delegate: %s", execution.ErrNoAnswer, a.Text)
 	}
--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -14,6 +15,10 @@
 // executed, or may still be executed later.
 var ErrNoAnswer = errors.New("no answer, the order may still be executed")
 
+// ErrConnectionRefused is returned when no process accepts connections at the
+// worker's address. It is an ErrNoAnswer.
+var ErrConnectionRefused = fmt.Errorf("%w: connection refused", ErrNoAnswer)
+
 // ErrMalformedAnswer is returned when an answer could not be decoded.
 var ErrMalformedAnswer = errors.New("the answer could not be read")
 
--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -78,6 +79,8 @@
 	// that are executed without an answer.
 	unreachable bool
 	loseStarts  int
+	// refusesConnections is set once the process has ended.
+	refusesConnections bool
 	// failAll makes every run fail; hangAll keeps every run from making
 	// progress.
 	failAll, hangAll bool
@@ -158,6 +161,9 @@
 // The lock must be held.
 func (f *fakeWorkers) reach(to execution.WorkerAddress, token uint64) (*fakeWorker, execution.Refusal, error) {
 	w := f.workers[to.ID]
+	if w != nil && w.refusesConnections {
+		return nil, "", execution.ErrConnectionRefused
+	}
 	if w == nil || w.unreachable {
 		return nil, "", execution.ErrNoAnswer
 	}
@@ -293,6 +299,9 @@
 		q.AckedEnd, q.LeaseUntilMS = 0, 0
 		next, changed := f.nextEnd(to.ID, deadline)
 		f.mu.Unlock()
+		if errors.Is(err, execution.ErrConnectionRefused) {
+			return report, err
+		}
 		if err != nil {
 			<-ctx.Done()
 			return report, err
--- a/internal/process/scheduler/leaving_test.go
+++ b/internal/process/scheduler/leaving_test.go
@@ -19,6 +19,29 @@
 	}
 }
 
+// TestTaskOfAWorkerThatHasLeftDoesNotWaitForItsLease guards against seconds without a long-running task whose worker ended with its announcement.
+func TestTaskOfAWorkerThatHasLeftDoesNotWaitForItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		leaving := f.addWorker("w1", 8000)
+		f.lead()
+		defer f.depose()
+		f.submit(jobA, step(1))
+		time.Sleep(500 * time.Millisecond)
+		f.addWorker("w2", 8000)
+		f.workers.mu.Lock()
+		f.workers.crash(leaving)
+		leaving.refusesConnections = true
+		f.workers.mu.Unlock()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := f.leadingServer().Deregister(ctx, workcall.DeregisterRequest{ID: leaving.id, Incarnation: leaving.incarnation}); err != nil {
+			t.Errorf("the worker may not leave: %v", err)
+		}
+		f.await(jobA, workstate.Succeeded, 1500*time.Millisecond)
+	})
+}
+
 // TestTaskOfAWorkerThatMissesTheAnswerToItsDeregistrationRunsOnce guards against a second run of a task while a worker that says it ends still executes the first.
 func TestTaskOfAWorkerThatMissesTheAnswerToItsDeregistrationRunsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -124,8 +124,8 @@
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, "")
 		return
 	}
-	if w.unresponsive && w.leasesExpired(now, l.Limits.LongestLease) {
-		l.Log.Info("run ended with the lease of its worker", "task", id.String(), "run", task.Run, "worker", task.Worker)
+	if w.left() || w.unresponsive && w.leasesExpired(now, l.Limits.LongestLease) {
+		l.Log.Info("run ended with the lease of its worker", "task", id.String(), "run", task.Run, "worker", task.Worker, "left", w.left())
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, w.lastCheckpoint(runKey{id, task.Run}))
 		return
 	}
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -83,6 +83,9 @@
 	requestedAck int64
 	// unresponsive is set if the last watch failed or was refused.
 	unresponsive bool
+	// connectionRefused is set if nothing accepted the connection for the last
+	// watch.
+	connectionRefused bool
 	// answeredAt is when the worker last answered a watch, heartbeatAt when its
 	// last heartbeat was received.
 	answeredAt, heartbeatAt time.Time
@@ -164,6 +167,10 @@
 	return busyWatchWait
 }
 
+// left reports whether the worker has announced its end and accepts no connection
+// any more. The refusal alone proves nothing: a cut may refuse connections too.
+func (w *worker) left() bool { return w.reg.Leaving && w.connectionRefused }
+
 // recordClock records the worker's clock from an answer.
 func (w *worker) recordClock(clockMS int64, now time.Time) {
 	if clockMS > 0 {
