platform, scheduler: an order that was sent twice is not taken for refused

Callers could see a task run twice at the same time.

Cause: the client to workers sends a call again if its connection was closed without an answer. The worker may carry the first copy out seconds later; if it refused the second (unhealthy, no room), the leader took the run for ended and started the next one elsewhere. Class: an order without an answer is taken for one that was not carried out.

A refused start that was repeated is stopped at its worker before its task goes on, like any other unconfirmed start.

Shown: TestRefusedStartThatWasSentTwiceIsStopped fails without the mark (run 1 starts on w1 while run 2 executes on w2).

--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -62,6 +62,10 @@
 	// ClockMS is a reading of the worker's monotonic clock, or 0 if the
 	// answer has none.
 	ClockMS int64 `cbor:"2,keyasint,omitempty"`
+	// Repeated is set if the order was sent again within the call because its
+	// connection was closed. The first one may still be executed, also if this
+	// answer is a refusal.
+	Repeated bool `cbor:"3,keyasint,omitempty"`
 }
 
 // StartOrder orders a worker to start one run of a task.
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -169,6 +169,7 @@
 		return
 	}
 	w.recordClock(answer.ClockMS, now)
+	r.unconfirmed = r.unconfirmed || answer.Repeated
 	l.handleStartRefusal(id, r, w, answer.Refusal, now)
 }
 
