scheduler: long-running tasks leave a draining worker while there is room elsewhere

Waves and moves of VMs evacuated them, drains did not.

Change: each plan of the fleet evacuates draining workers too, within the disruption budgets.

Shown: TestLongRunningTaskLeavesADrainingWorker failed before; the tests of waves and the random schedules of VMs pass.

--- a/internal/process/scheduler/leaving_test.go
+++ b/internal/process/scheduler/leaving_test.go
@@ -63,3 +63,26 @@
 		f.await(jobA, workstate.Succeeded, 8*time.Second)
 	})
 }
+
+// TestLongRunningTaskLeavesADrainingWorker guards against a long-running task that stays until its worker ends and is then missing.
+func TestLongRunningTaskLeavesADrainingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Hour)
+		w1 := f.addWorker("w1", 8000)
+		f.lead()
+		defer f.depose()
+		lasting := step(1)
+		lasting.LongRunning = true
+		f.submit(jobA, lasting)
+		time.Sleep(time.Second)
+		w2 := f.addWorker("w2", 8000)
+		time.Sleep(time.Second)
+		f.commit(&workstate.Command{Register: &workstate.Worker{ID: w1.id, Address: w1.id, Service: "svc", VM: "vm-w1", Incarnation: w1.incarnation, Capacity: w1.capacity, Draining: true}})
+		time.Sleep(time.Second)
+		f.workers.mu.Lock()
+		defer f.workers.mu.Unlock()
+		if len(w1.running) != 0 || len(w2.running) != 1 {
+			t.Errorf("%d tasks on the draining worker, %d on the other", len(w1.running), len(w2.running))
+		}
+	})
+}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -237,6 +237,7 @@
 	l.stopStragglers(u, now)
 	l.setBestEffortSpeeds(u, now)
 	l.stopOrphans(now)
+	l.evacuateDraining(u, now)
 	l.planMaintenance(v, u, now)
 	l.planMoves(v, u, groups, now)
 }
