scheduler, workstate: a gang is done as soon as one member reports it, whatever became of the others

Callers saw a job that never ended. Cause: the end of one member ended only those members whose runs were still recorded as executing; one that had been interrupted, because its worker was replaced or its lease expired first, waited forever beside members that were done. Class: the loss of a report taken for the loss of the run.

Change: the end as done is queued for all members with the same run and replaces an interruption, in the queue and in the state.

Shown: TestGangIsDoneAlthoughTheWorkerOfAMemberWasReplacedBeforeAnotherReports failed before and passes; the tests of both packages pass, with 200 random schedules.

--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -52,13 +52,18 @@
 }
 
 // endGang queues the ends of all tasks of a gang when one of them is done,
-// since they are done together.
+// since they are done together. They replace interruptions, also of tasks whose
+// worker was lost before it reported the end.
 func (l *loop) endGang(job *workstate.Job, key runKey) {
-	job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
-		if id.Step == key.task.Step && id.Occurrence == key.task.Occurrence && task.Run == key.run {
-			l.queueEnd(id, task.Run, workstate.EndDone, "")
+	tasks := job.Occurrences[key.task.Occurrence].Steps[key.task.Step].Tasks
+	for i := range tasks {
+		if tasks[i].Run != key.run || tasks[i].Phase == workstate.Done {
+			continue
 		}
-	})
+		member := key.task
+		member.Index = i
+		l.ends[runKey{member, key.run}] = workstate.End{Task: member, Run: key.run, Kind: workstate.EndDone}
+	}
 }
 
 // reconcile compares each recorded run with the report of its worker. It
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -85,24 +85,31 @@
 }
 
 // applyEnd ends the newest run of a task. It ignores ends of earlier runs and
-// repeated ends.
+// repeated ends, except that a task of a gang is done although its run was
+// interrupted before: the end of another member shows it.
 func (m *Machine) applyEnd(e *End) {
 	job, task := m.task(e.Task)
-	if task == nil || task.Phase != Running || task.Run != e.Run {
+	if task == nil || task.Run != e.Run {
+		return
+	}
+	step := &job.Spec.Steps[e.Task.Step]
+	done := e.Kind == EndDone && !step.LongRunning
+	if task.Phase != Running && !(task.Phase == Waiting && step.Gang && done) {
 		return
 	}
 	if e.Checkpoint != "" {
 		task.Checkpoint = e.Checkpoint
 	}
+	if task.Phase == Running {
+		task.Worker = ""
+		job.Executing--
+		job.Occurrences[e.Task.Occurrence].Steps[e.Task.Step].Running--
+	}
 	task.Phase = Waiting
-	task.Worker = ""
-	job.Executing--
-	job.Occurrences[e.Task.Occurrence].Steps[e.Task.Step].Running--
-	step := &job.Spec.Steps[e.Task.Step]
 	switch {
 	case e.Kind == EndFailed:
 		task.Failures++
-	case e.Kind == EndDone && !step.LongRunning:
+	case done:
 		task.Phase = Done
 		m.countDone(job, e.Task)
 	}
