scheduler: a list without the worker of a VM that has not moved does not end its runs

Callers could see a task run twice at the same time. Cause: a list that shows a VM up without a worker was taken for its executed move, as for a VM that is powered off in the standby pool, whichever pool the list shows. Class: an intention is taken for the fact. Now the list has to show the pool that was ordered.

Shown: TestWorkerOfAVMWhoseMoveWasNotExecutedKeepsItsRuns failed before and passes; 100 random schedules pass.

--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -158,9 +158,9 @@
 	if e == nil || e.order == nil || e.mayPredateOrder(requestedAt) {
 		return
 	}
-	if vm.State == execution.VMUp && vm.Worker == "" && e.order.pool == "" {
-		// The list does not name the worker. If the worker has ended, it will
-		// become unresponsive.
+	if vm.State == execution.VMUp && vm.Worker == "" && (e.order.pool == "" || vm.Pool != e.order.pool) {
+		// The list does not name the worker, nor does it show that the VM has
+		// moved. If the worker has ended, it will become unresponsive.
 		return
 	}
 	for _, w := range e.order.workers {
