scheduler: a process that no longer leads extends no leases and sends no starts until its loop ends

Class: a decision is acted on by a process that is no longer entitled to it.

Change: the loop asks whether the status still shows this process as the leader of the loop's term, besides the silence. The random schedules' former leaders do not know of the next one, as before.

Shown: TestDeposedLeaderExtendsNoLease failed before (lease extended although the leader is another, or none) and passes.

--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -381,6 +381,12 @@
 	return answer, nil
 }
 
+// Status implements replica.Replica. A former leader does not know of the next
+// one until its loop ends.
+func (r *termReplica) Status() replica.Status {
+	return replica.Status{ID: "c1", Leader: "c1", Term: r.term}
+}
+
 // ReadBarrier implements replica.Replica.
 func (r *termReplica) ReadBarrier(context.Context) error {
 	r.mu.Lock()
--- a/internal/process/scheduler/thaw_test.go
+++ b/internal/process/scheduler/thaw_test.go
@@ -140,3 +140,31 @@
 		}
 	})
 }
+
+// deposedReplica is the replica of a process that knows that it leads no more.
+type deposedReplica struct {
+	*fakeReplica
+	leader string
+}
+
+func (r *deposedReplica) Status() replica.Status { return replica.Status{ID: "c1", Leader: r.leader} }
+
+// TestDeposedLeaderExtendsNoLease guards against two runs of a task: until its loop is stopped, a process that no longer leads is in contact with another leader or knows of no silence.
+func TestDeposedLeaderExtendsNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.addWorker("w1", 1000)
+		for _, leader := range []string{"", "c2"} {
+			calls := &recordedWatches{f.workers, make(chan execution.Watch, 1)}
+			l := newLoop(t.Context(), Options{Replica: &deposedReplica{f.replica, leader}, Machine: f.machine, Workers: calls, Log: slog.New(slog.DiscardHandler), Now: time.Now}, 1)
+			f.machine.Read(l.syncWorkers)
+			w := l.workers["w1"]
+			w.contacted, w.clockMS, w.clockAt = true, 1000, time.Now()
+			l.watch(w, time.Now())
+			if (<-calls.watches).LeaseUntilMS > 0 {
+				t.Errorf("lease extended although the leader is %q", leader)
+			}
+		}
+		time.Sleep(2 * idleWatchWait)
+	})
+}
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -76,9 +76,13 @@
 	}()
 }
 
-// inContact reports whether this leader has been in contact with a majority
-// recently, so that no other process can have led for long.
-func (l *loop) inContact() bool { return l.Replica.Status().LeaderSilence <= maxOrderSilence }
+// inContact reports whether this process still leads in the loop's term and has
+// been in contact with a majority recently, so that no other process can have led
+// for long. The loop ends a moment after its leadership.
+func (l *loop) inContact() bool {
+	status := l.Replica.Status()
+	return status.Leader == status.ID && status.Term == l.term && status.LeaderSilence <= maxOrderSilence
+}
 
 // handleReport handles the answer to a watch.
 func (l *loop) handleReport(w *worker, sentAt time.Time, report execution.Report, err error) {
