--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -35,7 +35,7 @@
 	} else if task := job.Task(id); task != nil {
 		number = task.Run + 1
 	}
-	return workstate.Start{Task: id, Run: number, Worker: p.Worker, Incarnation: l.workers[p.Worker].reg.Incarnation}
+	return workstate.Start{Task: id, Run: number, Worker: p.Worker, Incarnation: l.workers[p.Worker].reg.Incarnation, Term: l.term}
 }
 
 // nextGangRun returns the next run number of a gang, which its tasks share. It
--- a/internal/process/scheduler/thaw_test.go
+++ b/internal/process/scheduler/thaw_test.go
@@ -10,6 +10,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 // suspendedReplica is the replica of a leader whose process was suspended since
@@ -168,3 +169,24 @@
 		time.Sleep(2 * idleWatchWait)
 	})
 }
+
+// TestDeposedLeaderSendsNoStartOfARunThatItsSuccessorRecorded guards against two runs of a task: the successor may take its own refused order for the end of the run.
+func TestDeposedLeaderSendsNoStartOfARunThatItsSuccessorRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		w := f.addWorker("w1", 1000)
+		f.lead()
+		time.Sleep(time.Second)
+		f.loop.post(func(l *loop) { l.committing = true })
+		f.submit(jobA, step(1))
+		start := workstate.Start{Task: workload.TaskID{Job: jobA}, Run: 1, Worker: w.id, Incarnation: w.incarnation, Term: f.replica.term + 1}
+		f.commit(&workstate.Command{Progress: &workstate.Progress{Starts: []workstate.Start{start}}})
+		f.loop.post(func(l *loop) { l.committing = false })
+		time.Sleep(time.Second)
+		if f.workers.starts != 0 {
+			t.Errorf("%d starts", f.workers.starts)
+		}
+		f.depose()
+		time.Sleep(2 * idleWatchWait)
+	})
+}
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -66,6 +66,8 @@
 	Worker string          `cbor:"3,keyasint"`
 	// Incarnation is the worker's incarnation for which the start was planned.
 	Incarnation int64 `cbor:"4,keyasint"`
+	// Term is the term of the leader that plans the start.
+	Term uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Progress records ends and starts of runs. The ends are applied first.
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -172,6 +172,7 @@
 	task.Run = s.Run
 	task.Worker = s.Worker
 	task.Incarnation = s.Incarnation
+	task.Term = s.Term
 	job.Executing++
 	occurrence.Steps[s.Task.Step].Running++
 	job.Started = true
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -32,6 +32,8 @@
 	// Checkpoint is the checkpoint from which the next run resumes; "" means
 	// that it starts from the beginning.
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
+	// Term is the term of the leader that recorded the newest run.
+	Term uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // StepProgress is the progress of one step.
