KNOWN-RED: a late heartbeat brings back a worker's former capacity

Two tests that fail: a heartbeat that arrives after a newer one of the same incarnation, and two that are in flight together, both register the former capacity (8000 instead of 2000 thousandths of a core).

--- /dev/null
+++ b/internal/process/scheduler/capacity_test.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// registeredCapacity returns the registered CPU capacity of worker w1.
+func registeredCapacity(s *Server) int64 {
+	var capacity int64
+	s.machine.Read(func(v *workstate.View) { capacity = v.Workers()["w1"].Capacity.MilliCPU })
+	return capacity
+}
+
+// beat sends a heartbeat of a worker with a capacity to a leader.
+func beat(t *testing.T, s *Server, w workstate.Worker, sequence, milliCPU int64) {
+	t.Helper()
+	w.Capacity = workload.Resources{MilliCPU: milliCPU, MemoryMB: 1 << 20}
+	if _, err := s.Heartbeat(t.Context(), workcall.HeartbeatRequest{Worker: w, Sequence: sequence}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestLateHeartbeatDoesNotBringBackAFormerCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, w := startMember(t, replica.Status{ID: "c1", Leader: "c1"})
+		beat(t, s, w, 1, 8000)
+		beat(t, s, w, 3, 2000)
+		beat(t, s, w, 2, 8000)
+		if capacity := registeredCapacity(s); capacity != 2000 {
+			t.Errorf("capacity %d after a late heartbeat, expected 2000", capacity)
+		}
+		beat(t, s, w, 4, 6000)
+		if capacity := registeredCapacity(s); capacity != 6000 {
+			t.Errorf("capacity %d after a newer heartbeat, expected 6000", capacity)
+		}
+		w.Incarnation++
+		beat(t, s, w, 1, 4000)
+		if capacity := registeredCapacity(s); capacity != 4000 {
+			t.Errorf("capacity %d after a restart, expected 4000", capacity)
+		}
+	})
+}
+
+func TestHeartbeatsCommittedOutOfOrderKeepTheNewestCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m, w := startMember(t, replica.Status{ID: "c1", Leader: "c1"})
+		m.delay = 100 * time.Millisecond
+		go beat(t, s, w, 3, 2000)
+		time.Sleep(10 * time.Millisecond)
+		beat(t, s, w, 2, 8000)
+		synctest.Wait()
+		if capacity := registeredCapacity(s); capacity != 2000 {
+			t.Errorf("capacity %d after heartbeats in flight together, expected 2000", capacity)
+		}
+	})
+}
