scheduler, workstate: a late heartbeat changes nothing

Seen: a worker says that its capacity has shrunk; an earlier heartbeat of the same incarnation that was held up arrives afterwards, and the former, larger capacity is in force again until the next heartbeat. Starts then bring a worker that does not enforce its capacity over it. The same could end a drain, if both heartbeats were in flight together.

Cause: heartbeats of one incarnation were compared by content only. Class: information that arrives late is taken as the newest.

Change: the registration keeps the sequence number of its heartbeat. One with a lower number is acknowledged and changes nothing, where heartbeats are compared (leader and followers) and again where the command is applied, since two may be in flight together. A later incarnation starts anew; a restart that a report shows is registered with number 0.

--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -19,6 +19,7 @@
 		return workcall.HeartbeatResponse{}, s.fault(notLeader(status))
 	}
 	response := workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.heartbeatAddress(r.Worker.ID, status)}
+	r.Worker.Sequence = r.Sequence
 	change := s.compareHeartbeat(&r.Worker)
 	if change == unknownService {
 		response.Status = workcall.Invalid
@@ -57,6 +58,7 @@
 	if status.Leader == "" || status.Leader == status.ID || status.LeaderSilence > workcall.MaxLeaderSilence {
 		return workcall.HeartbeatResponse{}, false
 	}
+	r.Worker.Sequence = r.Sequence
 	if s.compareHeartbeat(&r.Worker) != unchanged {
 		return workcall.HeartbeatResponse{}, false
 	}
@@ -90,7 +92,7 @@
 		switch {
 		case known == nil:
 			change = changed
-		case known.Incarnation > w.Incarnation || sameWorker(known, w):
+		case !w.Replaces(known) || sameWorker(known, w):
 			change = unchanged
 		case known.Incarnation == w.Incarnation && known.Draining:
 			// Draining never ends within an incarnation: a heartbeat that
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -150,6 +150,7 @@
 func (l *loop) registerRestart(w *worker, incarnation int64) {
 	reg := w.reg
 	reg.Incarnation = incarnation
+	reg.Sequence = 0
 	w.nextWatch = time.Now().Add(watchRetry)
 	l.Log.Info("worker restarted", "worker", reg.ID, "from", w.reg.Incarnation, "to", incarnation)
 	go func() {
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -126,12 +126,24 @@
 	// Restarted is set if an earlier incarnation had the same id. Calls to that
 	// incarnation may still arrive at this one.
 	Restarted bool `cbor:"10,keyasint,omitempty"`
+	// Sequence is the number of the heartbeat that registered the worker; 0 if
+	// this incarnation was registered without a heartbeat.
+	Sequence int64 `cbor:"11,keyasint,omitempty"`
 	// Leaving is set if the worker has announced its end while runs were
 	// recorded on it. It may execute them until its announcement is
 	// acknowledged.
 	Leaving bool `cbor:"12,keyasint,omitempty"`
 }
 
+// Replaces reports whether a registration is newer than the known one of the
+// same worker. Heartbeats may arrive in another order than they were sent.
+func (w *Worker) Replaces(known *Worker) bool {
+	if w.Incarnation != known.Incarnation {
+		return w.Incarnation > known.Incarnation
+	}
+	return w.Sequence >= known.Sequence
+}
+
 // Wave is a request for the maintenance of a list of VMs.
 type Wave struct {
 	Number int64    `cbor:"1,keyasint"`
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -3,8 +3,13 @@
 import "arbutusward.example/arbutusward/internal/version/workload"
 
 // applyRegister records a worker. If another worker has the same VM or address,
-// the later incarnation replaces the earlier one, whose runs have ended with it.
+// the later incarnation replaces the earlier one, whose runs have ended with it. A
+// registration by a heartbeat older than the known one has no effect.
 func (m *Machine) applyRegister(w *Worker) Result {
+	known := m.data.Workers[w.ID]
+	if known != nil && !w.Replaces(known) {
+		return Result{Code: OK, Repeated: true}
+	}
 	for id, other := range m.data.Workers {
 		if id == w.ID || !sameAddressOrVM(other, w) {
 			continue
@@ -14,10 +19,6 @@
 		}
 		m.removeWorker(other)
 	}
-	known := m.data.Workers[w.ID]
-	if known != nil && known.Incarnation > w.Incarnation {
-		return Result{Code: OK, Repeated: true}
-	}
 	registered := *w
 	registered.Leaving = known != nil && known.Leaving && known.Incarnation == w.Incarnation
 	registered.Restarted = known != nil && (known.Restarted || known.Incarnation < w.Incarnation)
