scheduler: no start is repeated on a worker that has shrunk

Seen: a start order gets no answer, or a new leader takes over a run that its worker does not report. Meanwhile the worker says that its capacity has shrunk. Seconds later the order is sent (again), and a worker that does not enforce its capacity starts the task and is over it.

Cause: free capacity is looked at when a run is planned, and never again before its order is repeated. Class: a decision is carried out later on information that no longer holds.

Change: a round notes the workers whose recorded runs, those that are being stopped included, take more than their capacity. A start order is not sent to them: once a report newer than the last order does not show the run, it is stopped and its task waits for a place. Without such a report nothing is done, since the run may execute.

--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -100,6 +100,10 @@
 		r.enter(runStopping, time.Time{})
 		return
 	}
+	if w.overCapacity {
+		l.withdrawStart(r, w)
+		return
+	}
 	order, ok := l.startOrder(v, id, r.number)
 	if !ok {
 		return
@@ -121,6 +125,16 @@
 	}()
 }
 
+// withdrawStart stops a run whose start order must not be sent because its worker's
+// capacity has shrunk. An earlier order may have been executed without an answer, so
+// that a report newer than it has to be there first.
+func (l *loop) withdrawStart(r *run, w *worker) {
+	if w.report != nil && w.report.sentAt.After(r.since) {
+		// The stop order is due at once.
+		r.enter(runStopping, time.Time{})
+	}
+}
+
 // startOrder builds the start order from the state. It returns false unless the
 // run is the task's newest, no later leader has recorded it, and the job is open.
 func (l *loop) startOrder(v *workstate.View, id workload.TaskID, number int) (order execution.StartOrder, ok bool) {
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -36,7 +36,8 @@
 
 // TestRandomSchedulesOfRuns injects random faults of calls, workers and
 // leaders. No task may run twice at the same time, after its end, before its
-// dependencies or too often, no start may bring a worker over its capacity, and every job must end once the faults are over.
+// dependencies or too often, no start may bring a worker over its capacity, which
+// shrinks and grows, and every job must end once the faults are over.
 func TestRandomSchedulesOfRuns(t *testing.T) {
 	for i := range uint64(*scheduleSeeds) {
 		seed := *scheduleFirst + i
@@ -144,6 +145,13 @@
 	})
 }
 
+// resize changes the capacity of the worker of a VM.
+func (s *schedule) resize(vm int, milliCPU int64) {
+	s.workers.mu.Lock()
+	defer s.workers.mu.Unlock()
+	s.current[vm].resize(milliCPU)
+}
+
 // run runs the schedule: a time with faults, then a time without faults in
 // which all jobs must end.
 func (s *schedule) run() {
@@ -156,6 +164,9 @@
 	}
 	s.calls.faulty.Store(false)
 	s.reconnectAll()
+	for vm := range s.current {
+		s.resize(vm, workerMilliCPU)
+	}
 	for end := time.Now().Add(calmTime); time.Now().Before(end) && !s.ended(); {
 		s.sendHeartbeats()
 		time.Sleep(time.Second)
@@ -172,7 +183,7 @@
 // randomEvent triggers one random event.
 func (s *schedule) randomEvent() {
 	vm := s.random.IntN(scheduleVMs)
-	switch s.random.IntN(14) {
+	switch s.random.IntN(15) {
 	case 0, 1, 2, 3:
 		s.submitRandom()
 	case 4:
@@ -188,6 +199,8 @@
 		s.startWorker(vm, id)
 	case 10:
 		s.drain(vm)
+	case 13, 14:
+		s.resize(vm, int64(s.random.IntN(5))*1000)
 	case 11, 12:
 		s.startLeader(time.Duration(s.random.IntN(1200)) * time.Millisecond)
 	}
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// compareCapacity records which workers have more runs than their capacity allows.
+func (l *loop) compareCapacity(u *usage) {
+	for id, w := range l.workers {
+		w.overCapacity = !w.reg.Capacity.Fits(u.used[id])
+	}
+}
+
 // recordDetails records what planFleet needs to know of an executing run.
 func (l *loop) recordDetails(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, now time.Time) {
 	u.runs[task.Worker]++
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -102,6 +102,9 @@
 	report *reportView
 	// endsOnly is set if the last report left out what the worker executes.
 	endsOnly bool
+	// overCapacity is set if the recorded runs took more than the capacity in the
+	// last round, as they may after it has shrunk.
+	overCapacity bool
 	// pausedUntil is the time before which the worker gets no new tasks.
 	pausedUntil time.Time
 	// speed is the desired speed of the worker's best-effort tasks in percent. It
