KNOWN-RED: a restarted worker counts with what its former incarnation said

Two tests that fail. A restart that a report shows before any heartbeat is registered with the former capacity (three tasks of 1000 on a worker of 1000) and the former drain, which the heartbeats of the new incarnation never end.

--- a/internal/process/scheduler/capacity_test.go
+++ b/internal/process/scheduler/capacity_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,3 +86,46 @@
 		f.await(jobA, workstate.Succeeded, 2*time.Second)
 	})
 }
+
+// restartUnseen restarts worker w1 with a capacity, before any heartbeat of the new incarnation.
+func restartUnseen(f *fixture, milliCPU int64) *fakeWorker {
+	time.Sleep(time.Second)
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	return f.workers.add("w1", milliCPU)
+}
+
+func TestRestartedWorkerGetsNoTasksByItsFormerCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 100*time.Millisecond)
+		f.stopEnforcingCapacity()
+		f.addWorker("w1", 4000)
+		f.lead()
+		defer f.depose()
+		w := restartUnseen(f, 1000)
+		time.Sleep(2 * time.Second)
+		f.submit(jobA, step(3))
+		time.Sleep(500 * time.Millisecond)
+		f.register(w, "vm-w1", "svc")
+		f.await(jobA, workstate.Succeeded, 3*time.Second)
+	})
+}
+
+func TestRestartEndsTheDrainOfAWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 100*time.Millisecond)
+		w := f.addWorker("w1", 4000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		draining := f.heartbeat(w, "vm-w1", "svc")
+		draining.Draining = true
+		f.commit(&workstate.Command{Register: draining})
+		w = restartUnseen(f, 4000)
+		time.Sleep(2 * time.Second)
+		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onHeartbeats: func([]string) {}, now: time.Now}
+		beat(t, s, *f.heartbeat(w, "vm-w1", "svc"), 1, 4000)
+		f.submit(jobA, step(1))
+		f.await(jobA, workstate.Succeeded, 3*time.Second)
+	})
+}
--- a/internal/process/scheduler/limit_test.go
+++ b/internal/process/scheduler/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -21,6 +22,14 @@
 	sequence int64
 }
 
+// stopEnforcingCapacity makes the workers of "svc" start whatever they are told.
+func (f *fixture) stopEnforcingCapacity() {
+	c := testCatalog()
+	c.Version++
+	c.Services[0].EnforcesCapacity = false
+	f.commit(&workstate.Command{Catalog: c})
+}
+
 func larger(a, b workload.Resources) workload.Resources {
 	return workload.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPU: max(a.GPU, b.GPU)}
 }
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -83,6 +83,7 @@
 	}
 	s.workers.fails = func(task workload.TaskID, run int) bool { return s.calls.draw("fails", task, run)%16 == 0 }
 	s.orders = s.vms
+	s.stopEnforcingCapacity()
 	return s
 }
 
