scheduler: a restarted worker does not inherit a drain or a capacity

Seen: a worker restarts under its id, and a report shows that before its first heartbeat does. A worker that starts whatever it is told then gets tasks by the capacity of its former incarnation and is over its own. One that was draining counts as draining for good: its heartbeats that say ready are taken for overtaken ones.

Cause: the restart is registered with all that the former incarnation said. Class: information about one incarnation is applied to the next.

Change: the registration of a restart does not drain, and has no capacity if the service does not enforce it, until the first heartbeat. Workers that refuse what does not fit are used at once as before (TestTasksOfRestartedWorkerAreStartedAgain).

--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -8,6 +8,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/pacing"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 // syncWorkers updates the table of workers from the registered workers, if these
@@ -146,11 +147,16 @@
 }
 
 // registerRestart registers a new incarnation of a worker that has restarted
-// under the same id.
+// under the same id. Until its first heartbeat it is taken for like the former one,
+// but it does not drain, and if it starts whatever it is told, it has no capacity.
 func (l *loop) registerRestart(w *worker, incarnation int64) {
 	reg := w.reg
 	reg.Incarnation = incarnation
 	reg.Sequence = 0
+	reg.Draining = false
+	if !l.enforcesCapacity(reg.Service) {
+		reg.Capacity = workload.Resources{}
+	}
 	w.nextWatch = time.Now().Add(watchRetry)
 	l.Log.Info("worker restarted", "worker", reg.ID, "from", w.reg.Incarnation, "to", incarnation)
 	go func() {
@@ -162,6 +168,17 @@
 	}()
 }
 
+// enforcesCapacity reports whether the workers of a service refuse what does not
+// fit.
+func (l *loop) enforcesCapacity(service string) bool {
+	enforces := false
+	l.Machine.Read(func(v *workstate.View) {
+		s := v.Catalog().Service(service)
+		enforces = s != nil && s.EnforcesCapacity
+	})
+	return enforces
+}
+
 // recordHeartbeats records that heartbeats of workers were received.
 func (l *loop) recordHeartbeats(ids []string, now time.Time) {
 	for _, id := range ids {
