KNOWN-RED: an unrecorded run does not count against a worker's capacity

The new test fails: a worker of 1000 reports a run of 1000 that is not recorded, and gets another before the first has stopped.

--- a/internal/process/scheduler/capacity_test.go
+++ b/internal/process/scheduler/capacity_test.go
@@ -129,3 +129,23 @@
 		f.await(jobA, workstate.Succeeded, 3*time.Second)
 	})
 }
+
+func TestUnrecordedRunCountsUntilItHasStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobB = "bbbbbbbbbbbbbbbb"
+		f := newFixture(t, 3*time.Second)
+		f.stopEnforcingCapacity()
+		w := f.addWorker("w1", 1000)
+		w.stopTime = 200 * time.Millisecond
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		time.Sleep(time.Second)
+		f.commit(&workstate.Command{Deregister: &workstate.Deregister{ID: "w1", Incarnation: w.incarnation}})
+		f.commit(&workstate.Command{Cancel: &workstate.Cancel{ID: jobA}})
+		f.submit(jobB, step(1))
+		f.register(w, "vm-w1", "svc")
+		f.await(jobB, workstate.Succeeded, 5*time.Second)
+	})
+}
