scheduler: an unrecorded run counts until it has stopped

Seen: a worker that does not enforce its capacity executes a run that is not recorded (any more), for example after it was deregistered and is alive, or after a late order. The run is stopped, but until then its place counts as free, and the next start brings the worker over its capacity.

Cause: the capacity in use was summed over the recorded runs alone. Class: what is recorded is taken for all that there is.

Change: for workers that do not enforce their capacity, the runs in the newest report that do not count as recorded there are added: unrecorded ones, and those whose end is queued though the report still shows them. If the job is not known any more, the run counts as the whole worker.

--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -96,6 +96,7 @@
 		})
 	}
 	l.dropEndedRuns()
+	l.countUnrecorded(v, u)
 	l.compareCapacity(u)
 	return u
 }
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -55,6 +55,44 @@
 	}
 }
 
+// countUnrecorded adds the runs that workers report and that no longer count as
+// recorded. They are about to be stopped, and take capacity until then. Workers that
+// refuse what does not fit are left out.
+func (l *loop) countUnrecorded(v *workstate.View, u *usage) {
+	for id, w := range l.workers {
+		if w.report == nil || serviceEnforces(v, w.reg.Service) {
+			continue
+		}
+		for key := range w.report.running {
+			if !l.countsOn(id, key) {
+				u.used[id] = u.used[id].Add(l.unrecordedCharge(v, w, key))
+			}
+		}
+	}
+}
+
+// countsOn reports whether a run counts in this round as one that executes on the
+// worker.
+func (l *loop) countsOn(worker string, key runKey) bool {
+	return l.isRecorded(key) && l.runs[key.task].worker == worker && !l.endQueued(key)
+}
+
+// unrecordedCharge returns what a run takes of its worker's capacity: all of it, if
+// its job is not known any more.
+func (l *loop) unrecordedCharge(v *workstate.View, w *worker, key runKey) workload.Resources {
+	job := v.Job(key.task.Job)
+	if job == nil || key.task.Step >= len(job.Spec.Steps) {
+		return w.reg.Capacity
+	}
+	return job.Spec.Steps[key.task.Step].Charge()
+}
+
+// serviceEnforces reports whether the workers of a service refuse what does not fit.
+func serviceEnforces(v *workstate.View, service string) bool {
+	s := v.Catalog().Service(service)
+	return s != nil && s.EnforcesCapacity
+}
+
 // compareCapacity records which workers have more runs than their capacity allows.
 func (l *loop) compareCapacity(u *usage) {
 	for id, w := range l.workers {
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -154,9 +154,11 @@
 	reg.Incarnation = incarnation
 	reg.Sequence = 0
 	reg.Draining = false
-	if !l.enforcesCapacity(reg.Service) {
-		reg.Capacity = workload.Resources{}
-	}
+	l.Machine.Read(func(v *workstate.View) {
+		if !serviceEnforces(v, reg.Service) {
+			reg.Capacity = workload.Resources{}
+		}
+	})
 	w.nextWatch = time.Now().Add(watchRetry)
 	l.Log.Info("worker restarted", "worker", reg.ID, "from", w.reg.Incarnation, "to", incarnation)
 	go func() {
@@ -168,17 +170,6 @@
 	}()
 }
 
-// enforcesCapacity reports whether the workers of a service refuse what does not
-// fit.
-func (l *loop) enforcesCapacity(service string) bool {
-	enforces := false
-	l.Machine.Read(func(v *workstate.View) {
-		s := v.Catalog().Service(service)
-		enforces = s != nil && s.EnforcesCapacity
-	})
-	return enforces
-}
-
 // recordHeartbeats records that heartbeats of workers were received.
 func (l *loop) recordHeartbeats(ids []string, now time.Time) {
 	for _, id := range ids {
