KNOWN-RED: a heartbeat that is held up while others bring no news

TestLateHeartbeatWithoutNewsSinceDoesNotGrowAWorker fails: the state keeps the number of the heartbeat that changed the registration, not of those since that brought no news. A worker has to grow and shrink while one heartbeat is held up; the next one mends it. The leader would have to remember the newest numbers, and followers to tell it theirs.

TestWorkerThatHasShrunkBelowItsRunsGetsTasksOnceTheyFit passed at once: below its runs, down to nothing, a worker gets no start, keeps what runs, and gets tasks again after it has grown.

--- a/internal/process/scheduler/capacity_test.go
+++ b/internal/process/scheduler/capacity_test.go
@@ -149,3 +149,40 @@
 		f.await(jobB, workstate.Succeeded, 5*time.Second)
 	})
 }
+
+func TestLateHeartbeatWithoutNewsSinceDoesNotGrowAWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, w := startMember(t, replica.Status{ID: "c1", Leader: "c1"})
+		beat(t, s, w, 1, 2000)
+		beat(t, s, w, 3, 2000)
+		beat(t, s, w, 2, 8000)
+		if capacity := registeredCapacity(s); capacity != 2000 {
+			t.Errorf("capacity %d after a late heartbeat, expected 2000", capacity)
+		}
+	})
+}
+
+func TestWorkerThatHasShrunkBelowItsRunsGetsTasksOnceTheyFit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2*time.Second)
+		f.stopEnforcingCapacity()
+		w := f.addWorker("w1", 3000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(3))
+		time.Sleep(500 * time.Millisecond)
+		w.resize(0)
+		f.register(w, "vm-w1", "svc")
+		time.Sleep(1200 * time.Millisecond)
+		f.submit("bbbbbbbbbbbbbbbb", step(3))
+		f.await(jobA, workstate.Succeeded, 2*time.Second)
+		time.Sleep(3 * time.Second)
+		w.resize(2000)
+		f.register(w, "vm-w1", "svc")
+		f.await("bbbbbbbbbbbbbbbb", workstate.Succeeded, 5*time.Second)
+		if f.workers.starts != 6 {
+			t.Errorf("%d starts of 6 tasks", f.workers.starts)
+		}
+	})
+}
