delegate: a batch of calls is acknowledged, so that a late failure is no silence

In a deployment a wrong suspicion ends every call in flight at that delegate and takes it from all workers for 2 s.

Cause: the leader took a delegate for silent if nothing came from it between the queueing of a call and its timeout. The failure of a call to a dead worker was the only sign of life in a quiet moment, and had 30 ms (answerMargin) for the way back after the delegate's timeout. That timeout counts from the arrival, so that the first dial, encoding, batching and a wait for a processor on either way used up the same 30 ms.

Change: a delegate acknowledges each batch on arrival, with the answers, as a patient item. The acknowledgement has the whole timeout of the call to arrive, and takes the same way as answers, so that it shows both directions. It is an answer with number 0, which an earlier leader passes to no call; an earlier delegate is judged as before. A delegate that does not acknowledge is suspect as before: TestSilentDelegateIsSuspect is new. answerMargin keeps its value; it only brings the cause to the leader in time.

The cost of the acknowledgements was not measured: at most one message each 25 ms and delegate.

--- a/internal/connection/delegate/delegate_test.go
+++ b/internal/connection/delegate/delegate_test.go
@@ -23,6 +23,8 @@
 	forgotten []string
 	// silent workers answer nothing until the call's context ends.
 	silent atomic.Bool
+	// failureDelay is how long after that the failure is known.
+	failureDelay time.Duration
 }
 
 func (f *fakeWorkers) record(ctx context.Context, to execution.WorkerAddress) error {
@@ -34,6 +36,7 @@
 	f.mu.Unlock()
 	if f.silent.Load() {
 		<-ctx.Done()
+		time.Sleep(f.failureDelay)
 		return execution.ErrNoAnswer
 	}
 	return nil
@@ -280,6 +283,29 @@
 	g.checkDelegateIsUsed(t)
 }
 
+// TestLateFailureDoesNotMakeItsDelegateSuspect guards against a delegate that is taken for silent since the failure of a call comes after the leader's timeout.
+func TestLateFailureDoesNotMakeItsDelegateSuspect(t *testing.T) {
+	g := newGroup(t, 1, 0)
+	g.delegates[0].silent.Store(true)
+	g.delegates[0].failureDelay = 2 * answerMargin
+	if _, err := g.start(t, 1, 1); !errors.Is(err, execution.ErrNoAnswer) {
+		t.Fatalf("error %v", err)
+	}
+	g.checkDelegateIsUsed(t)
+}
+
+// TestSilentDelegateIsSuspect guards against workers that stay unreachable because the process that should call them is connected but stopped.
+func TestSilentDelegateIsSuspect(t *testing.T) {
+	g := newGroup(t, 1, 0)
+	link.Handle(g.nodes[0], callsKind, func(context.Context, link.Peer, callBatch) (struct{}, error) { return struct{}{}, nil })
+	if _, err := g.start(t, 1, 1); !errors.Is(err, execution.ErrNoAnswer) {
+		t.Fatalf("error %v", err)
+	}
+	if _, err := g.start(t, 2, 1); err != nil {
+		t.Errorf("the next worker was not called: %v", err)
+	}
+}
+
 // TestEndOfLeadershipMakesNoDelegateSuspect guards against a leader that is elected again and calls all workers itself at first.
 func TestEndOfLeadershipMakesNoDelegateSuspect(t *testing.T) {
 	g := newGroup(t, 1, 0)
--- a/internal/connection/delegate/doc.go
+++ b/internal/connection/delegate/doc.go
@@ -6,6 +6,8 @@
 // the number of runs a second is not bounded by one process.
 //
 // A delegate decides nothing: it makes each call at most once and only while
-// the call is fresh. A call whose delegate does not answer ends like a call
-// whose worker does not answer: it may have been executed.
+// the call is fresh. It acknowledges each batch, so that the leader can tell a
+// silent delegate from one whose workers are silent. A call whose delegate does
+// not answer ends like a call whose worker does not answer: it may have been
+// executed.
 package delegate
--- a/internal/connection/delegate/peers.go
+++ b/internal/connection/delegate/peers.go
@@ -14,8 +14,7 @@
 	suspectTime     = 2 * time.Second
 	unsupportedTime = time.Minute
 	// answerMargin is the time left for the answer of a call that fails at the
-	// delegate, so that a call without any answer means that the delegate is
-	// unresponsive.
+	// delegate, so that its cause reaches the leader.
 	answerMargin = 30 * time.Millisecond
 )
 
@@ -25,8 +24,8 @@
 // peer is what is known about one delegate.
 type peer struct {
 	calls *batcher[queuedCall]
-	// heardAt is when its last answers arrived. It gets no calls before
-	// suspectUntil.
+	// heardAt is when its last answers or acknowledgements arrived. It gets no
+	// calls before suspectUntil.
 	heardAt, suspectUntil time.Time
 }
 
@@ -87,7 +86,7 @@
 }
 
 // recordTimeout handles a call that got no answer in time. If the delegate has
-// sent no answer at all since, it is suspect.
+// neither answered nor acknowledged anything since, it is suspect.
 func (w *Workers) recordTimeout(p *pendingCall) {
 	w.mu.Lock()
 	silent := !w.peerAt(p.delegate).heardAt.After(p.sentAt)
--- a/internal/connection/delegate/server.go
+++ b/internal/connection/delegate/server.go
@@ -49,10 +49,11 @@
 	return s
 }
 
-// handleCalls starts the calls of a batch.
+// handleCalls acknowledges a batch and starts its calls.
 func (s *Server) handleCalls(_ context.Context, peer link.Peer, batch callBatch) (struct{}, error) {
 	fresh := s.isFresh(batch.Session, batch.SentMS, clockMS())
 	reply := s.replyTo(batch.ReplyTo)
+	reply.add(acknowledgement(), patient)
 	if !fresh {
 		staleBatches.Inc()
 		s.log.Warn("delegated calls arrived late and were not made", "leader", batch.ReplyTo, "peer", peer.ID, "calls", len(batch.Calls))
--- a/internal/connection/delegate/wire.go
+++ b/internal/connection/delegate/wire.go
@@ -71,6 +71,7 @@
 // answer is the worker's answer to one call: an Answer to an order, a Report to
 // a watch, or a failure.
 type answer struct {
+	// Number is 0 in an acknowledgement, which belongs to no call.
 	Number  uint64            `cbor:"1,keyasint"`
 	Order   *execution.Answer `cbor:"2,keyasint,omitempty"`
 	Report  *execution.Report `cbor:"3,keyasint,omitempty"`
@@ -78,6 +79,10 @@
 	Text    string            `cbor:"5,keyasint,omitempty"`
 }
 
+// acknowledgement returns the answer that tells the leader that a batch of calls
+// has arrived.
+func acknowledgement() answer { return answer{} }
+
 // urgency returns how long the answer may wait for others. Reports of ends free
 // capacity, refusals and failures call for a decision, and a first report is
 // awaited by a new leader. An accepted order and a report without news call for
