--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -1,10 +1,6 @@
 package core
 
-import (
-	"math/rand/v2"
-
-	"arbutusward.example/arbutusward/internal/process/replica"
-)
+import "arbutusward.example/arbutusward/internal/process/replica"
 
 // Role is the Raft role of a process in its current term.
 type Role uint8
@@ -22,67 +18,6 @@
 	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
 }
 
-// Config configures a core.
-type Config struct {
-	// ID identifies this process, DiskID its data directory.
-	ID, DiskID string
-	// ElectionTicks is the shortest election timeout in ticks; the longest
-	// is twice that. HeartbeatTicks is the heartbeat interval in ticks.
-	ElectionTicks, HeartbeatTicks int
-	// OddVoters keeps the number of voters odd: a learner that would make
-	// it even stays a learner, on standby.
-	OddVoters bool
-	// MaxAppendBytes limits the size of the entries in one message; a single
-	// larger entry is sent alone.
-	MaxAppendBytes int
-	// BytesPerTick is the lowest expected transfer rate of an append. The
-	// time after which an append counts as lost grows with its size at this
-	// rate; with 0 it does not depend on the size.
-	BytesPerTick int
-	// Random is the source of the randomized election timeouts.
-	Random *rand.Rand
-}
-
-// Persistent is the state that a process reads from its disk at start.
-type Persistent struct {
-	State HardState
-	// Base is the position of the last entry before Entries.
-	Base     Position
-	Entries  []Entry
-	Snapshot SnapshotMeta
-}
-
-// Ready lists the work that the caller has to do, in the order of its
-// fields.
-type Ready struct {
-	// State, Install and Entries must be written to the disk in this order.
-	State *HardState
-	// Install is a received snapshot that replaces the log and the state.
-	Install *SnapshotMeta
-	// Entries must be appended to the log. The first one may replace an
-	// earlier entry of the same index and all entries after it.
-	Entries []Entry
-	// Messages may be sent at once.
-	Messages []Message
-	// AfterSync must not be sent before the state, snapshot and entries of
-	// this Ready and of all earlier ones are synced. Messages addressed to
-	// this process itself must be passed to Step.
-	AfterSync []Message
-	// Committed entries must be applied in order.
-	Committed []Entry
-	// Reads are confirmed reads: each may be answered once its index is
-	// applied.
-	Reads []ConfirmedRead
-	// SendSnapshot lists the peers that need the newest snapshot.
-	SendSnapshot []string
-}
-
-// ConfirmedRead is a read for which a majority confirmed, after the read
-// started, that this process leads.
-type ConfirmedRead struct {
-	ID, Index uint64
-}
-
 // Core is the consensus state of one process. It is not safe for
 // concurrent use.
 type Core struct {
@@ -200,22 +135,6 @@
 // them.
 func (c *Core) Compact(index uint64) { c.log.compact(index) }
 
-// Ready returns the work that has accumulated since the last call.
-func (c *Core) Ready() Ready {
-	out := c.ready
-	c.ready = Ready{}
-	if c.state != c.savedState {
-		state := c.state
-		out.State = &state
-		c.savedState = state
-	}
-	if c.log.commit > c.delivered {
-		out.Committed = c.log.between(c.delivered, c.log.commit)
-		c.delivered = c.log.commit
-	}
-	return out
-}
-
 // Tick advances the clock by one tick.
 func (c *Core) Tick() {
 	c.electionTicks++
@@ -284,32 +203,3 @@
 
 // quorum returns the size of the smallest majority of the voters.
 func (c *Core) quorum() int { return len(c.voters())/2 + 1 }
-
-// message returns the message with its envelope filled in.
-func (c *Core) message(to string, m Message) Message {
-	m.From, m.To = c.config.ID, to
-	if m.Term == 0 {
-		m.Term = c.state.Term
-	}
-	for _, member := range c.Members() {
-		if member.ID == to {
-			m.ToDisk = member.Disk
-		}
-	}
-	return m
-}
-
-// send queues a message that does not depend on this process's disk, so
-// that it may be sent before the next sync.
-func (c *Core) send(to string, m Message) {
-	c.ready.Messages = append(c.ready.Messages, c.message(to, m))
-}
-
-// sendAfterSync queues a message that must not be sent before the next
-// sync, such as a vote or an acknowledgement.
-func (c *Core) sendAfterSync(to string, m Message) {
-	c.ready.AfterSync = append(c.ready.AfterSync, c.message(to, m))
-}
-
-// Envelope returns a message to the member with no body set.
-func (c *Core) Envelope(to string) Message { return c.message(to, Message{}) }
