console: one file for each kind of page

forms.go held the draft's overview, the tables of sections and the forms; draft.go also held what pages show of a draft and where its problems belong. Each job now has its file. No logic changes.

--- a/internal/console/draft/draft.go
+++ b/internal/console/draft/draft.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/url"
 	"slices"
-	"strconv"
 	"strings"
 
 	"arbutusward.example/arbutusward/internal/jsonc"
@@ -42,6 +40,7 @@
 
 // emptyContent is the initial content for a deployment without a document.
 const emptyContent = `{"schema": 1, "deployment": "", "zones": [], "pools": [], "vms": [], "services": [],
+
 "teams": [], "waves": [], "weights": {"buffer": 1, "rollout": 1, "moves": 1}}`
 
 // New opens a draft on version base with its document; a nil document gives an
@@ -165,85 +164,6 @@
 	return names
 }
 
-// Options returns the values that a field with the option source may take.
-func (d *Draft) Options(source OptionSource) []string {
-	switch source {
-	case Classes:
-		return []string{string(fleet.Interactive), string(fleet.Batch)}
-	case RackNames:
-		var racks []string
-		for _, zone := range d.elements("zones") {
-			racks = append(racks, strings.Fields(formatValue(zone.get("racks")))...)
-		}
-		return racks
-	}
-	return d.Names(string(source))
-}
-
-// Row is one element as a row of its section's table.
-type Row struct {
-	Name  string
-	Cells []string
-}
-
-// Rows returns a table row for each element of the section that has the search
-// text in one of its cells.
-func (d *Draft) Rows(section Section, search string) []Row {
-	var rows []Row
-	for _, e := range d.elements(section.Name) {
-		row := Row{Name: e.name()}
-		matches := search == ""
-		for _, path := range section.Columns {
-			cell := formatValue(e.get(path))
-			matches = matches || strings.Contains(cell, search)
-			row.Cells = append(row.Cells, cell)
-		}
-		if matches {
-			rows = append(rows, row)
-		}
-	}
-	return rows
-}
-
-// Values returns the form values of the element with the name, or the values of
-// an empty form if the name is "".
-func (d *Draft) Values(section Section, name string) (url.Values, error) {
-	values := url.Values{}
-	var e element
-	switch {
-	case section.Single:
-		object, _ := d.content[section.Name].(map[string]any)
-		e = object
-	case name != "":
-		elements := d.elements(section.Name)
-		index := indexByName(elements, name)
-		if index < 0 {
-			return nil, ErrUnknownElement
-		}
-		e = elements[index]
-	}
-	for _, field := range section.Fields {
-		values[field.Path] = formValues(field, e.get(field.Path))
-	}
-	return values, nil
-}
-
-// formValues returns the value of a field as the strings that its form control
-// takes.
-func formValues(field Field, value any) []string {
-	if list, ok := value.([]any); ok && field.Kind == MultipleChoice {
-		var words []string
-		for _, word := range list {
-			words = append(words, formatValue(word))
-		}
-		return words
-	}
-	if list, ok := value.([]any); ok && field.AllowNone && len(list) == 0 {
-		return []string{noneWord}
-	}
-	return []string{formatValue(value)}
-}
-
 // Remove deletes an element. Remaining references to the element become problems
 // of the draft.
 func (d *Draft) Remove(section Section, name string) error {
@@ -258,61 +178,3 @@
 	d.setElements(section.Name, slices.Delete(elements, index, index+1))
 	return d.validate()
 }
-
-// Problem is one validation problem of the draft and the form field where it can
-// be fixed.
-type Problem struct {
-	// Section and Name identify the form. Field is the path of the form's field,
-	// or "" if the problem belongs to no field.
-	Section, Name, Field string
-	Message              string
-}
-
-// Problems returns the reasons why the content is not valid.
-func (d *Draft) Problems() []Problem {
-	var problems []Problem
-	for _, problem := range d.problems {
-		problems = append(problems, d.locateProblem(problem))
-	}
-	return problems
-}
-
-// locateProblem maps the JSON pointer of a problem to a form and its field.
-func (d *Draft) locateProblem(problem jsonc.Problem) Problem {
-	located := Problem{Message: problem.Message}
-	parts := strings.SplitN(strings.TrimPrefix(problem.Path, "/"), "/", 3)
-	located.Section = parts[0]
-	section, known := FindSection(parts[0])
-	if !known {
-		return located
-	}
-	rest := strings.Join(parts[1:], "/")
-	if !section.Single && len(parts) > 1 {
-		located.Name = d.elementNameAt(section, parts[1])
-		rest = strings.Join(parts[2:], "/")
-	}
-	located.Field = section.fieldPathOf(rest)
-	return located
-}
-
-// elementNameAt returns the name of the element at an index taken from a JSON
-// pointer, or "" if there is no such element.
-func (d *Draft) elementNameAt(section Section, token string) string {
-	elements := d.elements(section.Name)
-	index, err := strconv.Atoi(token)
-	if err != nil || index < 0 || index >= len(elements) {
-		return ""
-	}
-	return elements[index].name()
-}
-
-// fieldPathOf returns the path of the field that contains the pointer, which is
-// relative to the element, or "" if no field does.
-func (s Section) fieldPathOf(pointer string) string {
-	for _, field := range s.Fields {
-		if pointer == field.Path || strings.HasPrefix(pointer, field.Path+"/") {
-			return field.Path
-		}
-	}
-	return ""
-}
