control: checks of the operators' calls stand once

Nine handlers repeated the read barrier, three the decoding of a JSON body, two the reading of a document. They share confirmLeader, bindJSON and readDocument; statuses, codes and messages are as before.

--- a/internal/process/control/documents.go
+++ b/internal/process/control/documents.go
@@ -11,7 +11,6 @@
 	"arbutusward.example/arbutusward/internal/jsonc"
 	"arbutusward.example/arbutusward/internal/process/adminhttp"
 	"arbutusward.example/arbutusward/internal/process/keys"
-	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/state"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 )
@@ -45,9 +44,8 @@
 		c.JSON(http.StatusBadRequest, SubmitRefusal{Fault: adminhttp.Fault{Code: "bad_base", Message: "expected ?base= as a version number"}})
 		return
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, jsonc.MaxBytes))
-	if err != nil {
-		c.JSON(http.StatusRequestEntityTooLarge, SubmitRefusal{Fault: adminhttp.Fault{Code: "too_large", Message: err.Error()}})
+	text, ok := readDocument(c)
+	if !ok {
 		return
 	}
 	if _, err := s.machine.Validate(c.DefaultQuery("file", "document"), text); err != nil {
@@ -66,6 +64,17 @@
 	c.JSON(http.StatusOK, answer)
 }
 
+// readDocument reads the document in the body. If it is too large, it answers
+// the call with the error and returns false.
+func readDocument(c *gin.Context) ([]byte, bool) {
+	text, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, jsonc.MaxBytes))
+	if err != nil {
+		c.JSON(http.StatusRequestEntityTooLarge, SubmitRefusal{Fault: adminhttp.Fault{Code: "too_large", Message: err.Error()}})
+		return nil, false
+	}
+	return text, true
+}
+
 // answerInvalidDocument records and answers a document that does not
 // validate.
 func (s *Server) answerInvalidDocument(c *gin.Context, err error) {
@@ -87,28 +96,10 @@
 	answerProposalError(c, err)
 }
 
-// answerProposalError answers an operator's call whose command was not
-// accepted or has an unknown result.
-func answerProposalError(c *gin.Context, err error) {
-	var notLeader *replica.NotLeaderError
-	var result *state.Result
-	switch {
-	case errors.As(err, &notLeader):
-		c.JSON(http.StatusMisdirectedRequest, adminhttp.Fault{Code: "not_leader", Message: err.Error(), Leader: notLeader.Admin})
-	case errors.As(err, &result) && result.Code == state.NotFound:
-		c.JSON(http.StatusNotFound, adminhttp.Fault{Code: string(result.Code), Message: result.Message})
-	case errors.As(err, &result):
-		c.JSON(http.StatusConflict, adminhttp.Fault{Code: string(result.Code), Message: result.Message})
-	default:
-		c.JSON(http.StatusServiceUnavailable, adminhttp.Fault{Code: "unknown_result", Message: err.Error()})
-	}
-}
-
 // getDocument returns the newest accepted document. Only a confirmed leader
 // is sure to know it.
 func (s *Server) getDocument(c *gin.Context) {
-	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
-		answerProposalError(c, err)
+	if !s.confirmLeader(c) {
 		return
 	}
 	f := s.machine.Fleet()
--- a/internal/process/control/jobs.go
+++ b/internal/process/control/jobs.go
@@ -22,20 +22,15 @@
 	engine.GET("/v1/jobs/:id", s.admin.Require(keys.Viewer), s.getJob)
 }
 
-// bindJSON decodes the body. If that fails, it answers the call with the
-// error and returns false.
-func bindJSON(c *gin.Context, into any) bool {
+// bindJobs is bindJSON with a limit on the size of the body.
+func bindJobs(c *gin.Context, into any) bool {
 	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxJobBodyBytes)
-	if err := c.ShouldBindJSON(into); err != nil {
-		c.JSON(http.StatusBadRequest, adminhttp.Fault{Code: "malformed", Message: err.Error()})
-		return false
-	}
-	return true
+	return bindJSON(c, into)
 }
 
 func (s *Server) postJobs(c *gin.Context) {
 	var submission state.JobSubmission
-	if !bindJSON(c, &submission) {
+	if !bindJobs(c, &submission) {
 		return
 	}
 	submission.By = adminhttp.CallerClaims(c).Subject
@@ -52,7 +47,7 @@
 
 func (s *Server) cancelJobs(c *gin.Context) {
 	var cancellation state.JobCancellation
-	if !bindJSON(c, &cancellation) {
+	if !bindJobs(c, &cancellation) {
 		return
 	}
 	cancellation.By = adminhttp.CallerClaims(c).Subject
@@ -67,16 +62,14 @@
 
 // listJobs returns the jobs that have not ended.
 func (s *Server) listJobs(c *gin.Context) {
-	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
-		answerProposalError(c, err)
+	if !s.confirmLeader(c) {
 		return
 	}
 	c.JSON(http.StatusOK, s.machine.ActiveJobs())
 }
 
 func (s *Server) getJob(c *gin.Context) {
-	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
-		answerProposalError(c, err)
+	if !s.confirmLeader(c) {
 		return
 	}
 	job, known := s.machine.JobView(c.Param("id"))
--- a/internal/process/control/members.go
+++ b/internal/process/control/members.go
@@ -28,12 +28,10 @@
 }
 
 func (s *Server) getMembers(c *gin.Context) {
-	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
-		answerProposalError(c, err)
+	if !s.confirmLeader(c) {
 		return
 	}
-	status := s.replica.Status()
-	c.JSON(http.StatusOK, MemberList{Leader: status.Leader, Members: status.Members})
+	s.answerMembers(c)
 }
 
 // postMember adds a process as a learner, which becomes a voter once it has
@@ -60,12 +58,16 @@
 	s.answerMemberChange(c, id, "member remove")
 }
 
+func (s *Server) answerMembers(c *gin.Context) {
+	status := s.replica.Status()
+	c.JSON(http.StatusOK, MemberList{Leader: status.Leader, Members: status.Members})
+}
+
 // answerMemberChange records a membership change and answers with the
 // members.
 func (s *Server) answerMemberChange(c *gin.Context, id, action string) {
 	s.recorder.Record(timeline.Event{Kind: timeline.OperatorAction, Peer: id, Cause: action + " by " + adminhttp.CallerClaims(c).Subject})
-	status := s.replica.Status()
-	c.JSON(http.StatusOK, MemberList{Leader: status.Leader, Members: status.Members})
+	s.answerMembers(c)
 }
 
 // answerMemberChangeError answers a membership change that was rejected
--- a/internal/process/control/moves.go
+++ b/internal/process/control/moves.go
@@ -49,8 +49,7 @@
 }
 
 func (s *Server) getMoves(c *gin.Context) {
-	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
-		answerProposalError(c, err)
+	if !s.confirmLeader(c) {
 		return
 	}
 	report := MoveReport{Moves: []plan.Move{}, Blocked: []plan.Blocked{}, Proposals: []moves.Proposal{}}
@@ -69,8 +68,7 @@
 // stays the only definition of the fleet, and must keep the budgets.
 func (s *Server) postMove(c *gin.Context) {
 	var request MoveRequest
-	if err := c.ShouldBindJSON(&request); err != nil {
-		c.JSON(http.StatusBadRequest, adminhttp.Fault{Code: "malformed", Message: err.Error()})
+	if !bindJSON(c, &request) {
 		return
 	}
 	input := s.snapshot.Load()
@@ -102,8 +100,7 @@
 // it no longer blocks moves and reboots in its zone as an unresponsive entry.
 func (s *Server) postEntryRemoval(c *gin.Context) {
 	var request EntryRemovalRequest
-	if err := c.ShouldBindJSON(&request); err != nil {
-		c.JSON(http.StatusBadRequest, adminhttp.Fault{Code: "malformed", Message: err.Error()})
+	if !bindJSON(c, &request) {
 		return
 	}
 	by := adminhttp.CallerClaims(c).Subject
--- a/internal/process/control/plan.go
+++ b/internal/process/control/plan.go
@@ -2,14 +2,11 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
 
-	"arbutusward.example/arbutusward/internal/jsonc"
-	"arbutusward.example/arbutusward/internal/process/adminhttp"
 	"arbutusward.example/arbutusward/internal/process/keys"
 	"arbutusward.example/arbutusward/internal/version/fleet"
 	"arbutusward.example/arbutusward/internal/version/plan"
@@ -25,9 +22,8 @@
 
 // postPlan returns what a document would change, and the cost of the changes.
 func (s *Server) postPlan(c *gin.Context) {
-	text, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, jsonc.MaxBytes))
-	if err != nil {
-		c.JSON(http.StatusRequestEntityTooLarge, SubmitRefusal{Fault: adminhttp.Fault{Code: "too_large", Message: err.Error()}})
+	text, ok := readDocument(c)
+	if !ok {
 		return
 	}
 	document, err := fleet.Parse(c.DefaultQuery("file", "document"), text)
@@ -54,8 +50,7 @@
 // as the leader. Otherwise it answers the call with an error and returns
 // false.
 func (s *Server) confirmedSnapshot(c *gin.Context) (*plan.Input, bool) {
-	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
-		answerProposalError(c, err)
+	if !s.confirmLeader(c) {
 		return nil, false
 	}
 	in := s.snapshot.Load()
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -42,8 +42,7 @@
 }
 
 func (s *Server) getStatus(c *gin.Context) {
-	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
-		answerProposalError(c, err)
+	if !s.confirmLeader(c) {
 		return
 	}
 	c.JSON(http.StatusOK, s.status())
--- a/internal/process/control/waves.go
+++ b/internal/process/control/waves.go
@@ -79,8 +79,7 @@
 
 // getWaves returns the runs of one wave, or of all waves.
 func (s *Server) getWaves(c *gin.Context) {
-	if err := s.replica.ReadBarrier(c.Request.Context()); err != nil {
-		answerProposalError(c, err)
+	if !s.confirmLeader(c) {
 		return
 	}
 	report := WaveReport{Runs: []RunReport{}}
