integration: shared set-ups stand once

Twelve tests repeated the start of one control process with smallFleet, five that of a relay before it, three the edit and finish of a draft, two the list of voters. The checks are the same ones.

--- a/integration/cli_test.go
+++ b/integration/cli_test.go
@@ -136,9 +136,7 @@
 
 func TestCLIDryRunShowsTheDifferenceAndSubmitsNothing(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	changed := d.writeFile("changed.jsonc", strings.Replace(smallFleet, `"deadline_ms": 2000`, `"deadline_ms": 2500`, 1))
 	d.ctl(keys.Operator, "apply", "--dry-run", changed).expect(t, 0, "services booking: deadline_ms from 2000 to 2500", "nothing was submitted")
 	status, err := d.status()
@@ -153,9 +151,7 @@
 // top of it, and the first operator runs the same command again.
 func TestCLIResendAfterALostAnswerDoesNotOverwriteWhatOthersAppliedSince(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	mine := d.writeFile("mine.jsonc", strings.Replace(smallFleet, `"deadline_ms": 2000`, `"deadline_ms": 2500`, 1))
 	lossy, _ := d.newAnswerDropper(d.controls["control-1"].settings.Admin)
 	lostAnswer := runCLI(t, "--config", d.cliConfig(keys.Operator, lossy), "apply", "--resend-for", "0s", mine)
--- a/integration/console_browser_test.go
+++ b/integration/console_browser_test.go
@@ -150,5 +150,12 @@
 // bookingPath is where bookingForm is posted to.
 const bookingPath = "/draft/section/services/edit"
 
+// editAndFinish edits service booking in the draft and finishes the draft.
+func (b *browser) editAndFinish() {
+	b.t.Helper()
+	b.post(bookingPath, bookingForm("2500")).expect(b.t, http.StatusSeeOther)
+	b.post("/draft/finish", nil).expect(b.t, http.StatusSeeOther)
+}
+
 // consoleLimit bounds the start of a console and other waits of its tests.
 const consoleLimit = 10 * time.Second
--- a/integration/console_security_test.go
+++ b/integration/console_security_test.go
@@ -11,9 +11,7 @@
 
 func TestConsoleRefusesAPostWithoutTheSessionsCSRFToken(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	base := d.addConsole()
 	b := d.signIn(base, keys.Operator)
 	other := d.signIn(base, keys.Operator)
@@ -29,12 +27,9 @@
 
 func TestConsoleViewerMayDownloadButNotApply(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	b := d.signIn(d.addConsole(), keys.Viewer)
-	b.post(bookingPath, bookingForm("2500")).expect(t, http.StatusSeeOther)
-	b.post("/draft/finish", nil).expect(t, http.StatusSeeOther)
+	b.editAndFinish()
 	b.get("/draft/document").expect(t, http.StatusOK, "Your role may not apply it")
 	b.get("/draft/download").expect(t, http.StatusOK)
 	b.post("/draft/apply", nil).expect(t, http.StatusForbidden, "needs the role operator")
@@ -47,9 +42,7 @@
 
 func TestConsoleRefusesAnOverLargeForm(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	b := d.signIn(d.addConsole(), keys.Operator)
 	form := bookingForm("2500")
 	form.Set("path_prefix", "/"+strings.Repeat("x", 70<<10))
@@ -58,9 +51,7 @@
 
 func TestConsoleRequiresAValidOperatorToken(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	base := d.addConsole()
 	b := d.signIn(base, keys.Operator)
 	signedOut := newBrowser(t, base)
@@ -81,9 +72,7 @@
 
 func TestConsoleRotatesTheSessionAtSignInAndHardensItsCookieAndPages(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	base := d.addConsole()
 	b := d.signIn(base, keys.Operator)
 	address, err := url.Parse(base)
@@ -109,9 +98,7 @@
 
 func TestConsolePresentsTheNodeCertificate(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	base := d.addConsole()
 	d.signIn(base, keys.Viewer)
 	ring, err := keys.LoadCA(d.dir + "/ca")
--- a/integration/console_test.go
+++ b/integration/console_test.go
@@ -17,9 +17,7 @@
 // and finishes the draft, downloads the document and applies it.
 func TestConsoleSessionEndsInOneDocumentThatValidatesAndIsApplied(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	b := d.signIn(d.addConsole(), keys.Operator)
 
 	b.post(bookingPath, bookingForm("soon")).expect(t, http.StatusUnprocessableEntity,
@@ -53,12 +51,9 @@
 // after another operator has changed the document.
 func TestConsoleConflictIsShownAsADifferenceAndOverwritesNothing(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	b := d.signIn(d.addConsole(), keys.Operator)
-	b.post(bookingPath, bookingForm("2500")).expect(t, http.StatusSeeOther)
-	b.post("/draft/finish", nil).expect(t, http.StatusSeeOther)
+	b.editAndFinish()
 	d.apply(strings.Replace(smallFleet, `"deadline_ms": 2000`, `"deadline_ms": 2200`, 1))
 	b.post("/draft/apply", nil).expect(t, http.StatusConflict,
 		"Nothing was overwritten", "version 2 by tester", "Changed by both", "services booking", "2200", "2500")
@@ -99,9 +94,7 @@
 // The draft is kept and can be applied later.
 func TestConsoleSurvivesControlOutOfReach(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	b := d.signIn(d.addConsole(), keys.Operator)
 	b.post(bookingPath, bookingForm("2500")).expect(t, http.StatusSeeOther)
 	d.controls["control-1"].kill()
@@ -120,13 +113,10 @@
 // first operator applies the draft again.
 func TestConsoleResendAfterALostAnswerIsTheSameSubmission(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.apply(smallFleet)
+	d := newSmallDeployment(t)
 	lossy, passAnswers := d.newAnswerDropper(d.controls["control-1"].settings.Admin)
 	b := d.signIn(d.addConsole(lossy), keys.Operator)
-	b.post(bookingPath, bookingForm("2500")).expect(t, http.StatusSeeOther)
-	b.post("/draft/finish", nil).expect(t, http.StatusSeeOther)
+	b.editAndFinish()
 	b.post("/draft/apply", nil).expect(t, http.StatusBadGateway, "Apply it again")
 	if version := d.apply(strings.Replace(smallFleet, `"deadline_ms": 3000`, `"deadline_ms": 3500`, 1)); version != 3 {
 		t.Fatalf("the other operator got version %d, expected 3", version)
--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -78,16 +78,24 @@
 // control-2 in zones[1], and so on.
 func (d *deployment) addControls(zones ...string) {
 	d.t.Helper()
-	var members []settings.Member
-	for i := range zones {
-		members = append(members, settings.Member{ID: fmt.Sprintf("control-%d", i+1), Link: freePort(d.t), Admin: freePort(d.t)})
-	}
+	members := newMembers(d.t, len(zones))
 	for i, zone := range zones {
 		d.startControl(settings.Control{ID: members[i].ID, Zone: zone, Link: members[i].Link, Admin: members[i].Admin, Members: members})
 	}
 	d.connect()
 }
 
+// newMembers returns the given number of voters, control-1 and so on, on free
+// ports.
+func newMembers(t *testing.T, count int) []settings.Member {
+	t.Helper()
+	var members []settings.Member
+	for i := range count {
+		members = append(members, settings.Member{ID: fmt.Sprintf("control-%d", i+1), Link: freePort(t), Admin: freePort(t)})
+	}
+	return members
+}
+
 // startControl adds the directories and the platform's address to the settings
 // and starts the control process.
 func (d *deployment) startControl(s settings.Control) *controlProcess {
--- a/integration/entry_cost_test.go
+++ b/integration/entry_cost_test.go
@@ -13,9 +13,7 @@
 // TestBytesBetweenEntryAndControl counts the bytes of watches, reports and batch
 // pulls while idle and under load, without the IP and UDP headers.
 func TestBytesBetweenEntryAndControl(t *testing.T) {
-	d := newDeployment(t)
-	d.addControls("za")
-	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
+	d, relay := newRelayedDeployment(t)
 	entry := d.addEntry("entry-a1", "za", relay.address)
 	d.addSmallTargets()
 	d.apply(smallFleet)
--- a/integration/entry_view_test.go
+++ b/integration/entry_view_test.go
@@ -56,9 +56,7 @@
 // data directory while its zone cannot reach control.
 func TestRestartedEntryCutOffTakesItsViewFromAZonePeer(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
+	d, relay := newRelayedDeployment(t)
 	restarted := d.addEntry("entry-a1", "za", relay.address)
 	d.addEntry("entry-a2", "za", relay.address)
 	d.addSmallTargets()
@@ -79,9 +77,7 @@
 // which keeps its view on disk, while it cannot reach control.
 func TestRestartedEntryCutOffStartsFromItsDisk(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
+	d, relay := newRelayedDeployment(t)
 	entry := d.addEntry("entry-a1", "za", relay.address)
 	entry.kill()
 	entry.settings.DataDir = d.dir + "/entry-a1/data"
@@ -100,9 +96,7 @@
 // zone, which has no data directory, while it cannot reach control.
 func TestRestartedEntryWithoutAnyViewRefusesAsNotRun(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
+	d, relay := newRelayedDeployment(t)
 	entry := d.addEntry("entry-a1", "za", relay.address)
 	d.addSmallTargets()
 	d.apply(smallFleet)
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -39,9 +39,7 @@
 // to control. The next change must come in force over a new connection.
 func TestLinkSilentForGoodWhileNewConnectionsWork(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	relay := newUDPRelay(t, d.controls["control-1"].settings.Link)
+	d, relay := newRelayedDeployment(t)
 	d.addEntry("entry-a1", "za", relay.address)
 	d.apply(smallFleet)
 	d.waitInForce(5 * time.Second)
--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -206,3 +206,12 @@
 	}
 	time.AfterFunc(delay, send)
 }
+
+// newRelayedDeployment starts one control process and a relay through which
+// entries can reach it.
+func newRelayedDeployment(t *testing.T) (*deployment, *relay) {
+	t.Helper()
+	d := newDeployment(t)
+	d.addControls("za")
+	return d, newUDPRelay(t, d.controls["control-1"].settings.Link)
+}
--- a/integration/replica_test.go
+++ b/integration/replica_test.go
@@ -99,10 +99,7 @@
 // returns the relays by the sending and then by the receiving voter.
 func (d *deployment) addRelayedControls(zones ...string) map[string]map[string]*relay {
 	d.t.Helper()
-	var members []settings.Member
-	for i := range zones {
-		members = append(members, settings.Member{ID: fmt.Sprintf("control-%d", i+1), Link: freePort(d.t), Admin: freePort(d.t)})
-	}
+	members := newMembers(d.t, len(zones))
 	relays := map[string]map[string]*relay{}
 	for i, zone := range zones {
 		self := members[i]
--- a/integration/smallfleet_test.go
+++ b/integration/smallfleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"testing"
 
 	"arbutusward.example/arbutusward/internal/standin"
 )
@@ -34,6 +35,15 @@
 // smallServices lists the services of smallFleet.
 var smallServices = []string{"booking", "office", "cleanup"}
 
+// newSmallDeployment starts one control process and applies smallFleet.
+func newSmallDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := newDeployment(t)
+	d.addControls("za")
+	d.apply(smallFleet)
+	return d
+}
+
 // addSmallTargets starts the targets of the eight VMs of smallFleet and returns
 // them by the name of the VM.
 func (d *deployment) addSmallTargets() map[string]*standin.Target {
