--- a/internal/process/state/claims.go
+++ b/internal/process/state/claims.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"time"
 
 	"arbutusward.example/arbutusward/internal/request/claim"
 )
 
+// claimGrace is the time after the end of a claim's timeout after which its
+// owner is considered lost.
+const claimGrace = 30 * time.Second
+
 // ClaimCommand is the body of a ClaimKey command.
 type ClaimCommand struct {
 	// Key is the scoped digest of the caller's key.
--- a/internal/process/state/claimtable.go
+++ b/internal/process/state/claimtable.go
@@ -1,10 +1,6 @@
 package state
 
-import (
-	"time"
-
-	"arbutusward.example/arbutusward/internal/request/claim"
-)
+import "arbutusward.example/arbutusward/internal/request/claim"
 
 // Limits of the claim table. At a limit, new claims are refused. A claim is
 // never removed within its retention.
@@ -12,9 +8,6 @@
 	maxClaims       = 100_000
 	maxRetiredKeys  = 500_000
 	maxClaimAnswers = 32 << 20
-	// claimGrace is the time after the end of a claim's timeout after which
-	// its owner is considered lost.
-	claimGrace = 30 * time.Second
 	// orderSlack is the number of superseded records in Order that are
 	// tolerated before Order is compacted.
 	orderSlack = 1024
