--- a/internal/request/handler_test.go
+++ b/internal/request/handler_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"log/slog"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,81 +12,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"arbutusward.example/arbutusward/internal/connection/announce"
-	"arbutusward.example/arbutusward/internal/connection/targetconn"
-	"arbutusward.example/arbutusward/internal/process/timeline"
-	"arbutusward.example/arbutusward/internal/request/claim"
-	"arbutusward.example/arbutusward/internal/version/fleet"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
-// testFleet is a handler with VMs whose targets run in the test.
-type testFleet struct {
-	handler *Handler
-	view    *view.View
-	targets map[string]announce.Target
-}
-
-// Snapshot implements LeaseSource.
-func (f *testFleet) Snapshot() *announce.Snapshot { return &announce.Snapshot{Targets: f.targets} }
-
-// newTestFleet returns a fleet without VMs. It has a pool "home" with the
-// services "interactive" and "batch", which may spill, and a pool "spare" with
-// the service "own".
-func newTestFleet(claimer claim.Claimer) *testFleet {
-	f := &testFleet{view: view.Empty(), targets: map[string]announce.Target{}}
-	recorder := timeline.NewRecorder("test", "z")
-	f.handler = NewHandler(targetconn.NewClient(), claimer, recorder, slog.New(slog.DiscardHandler))
-	f.handler.SetLeaseSource(f)
-	f.view.Version, f.view.SparePool = 1, "spare"
-	f.addService("interactive", "home", fleet.Interactive)
-	f.addService("batch", "home", fleet.Batch)
-	f.addService("own", "spare", fleet.Interactive)
-	return f
-}
-
-func (f *testFleet) addService(name, pool string, class fleet.Class) {
-	f.view.Services[name] = fleet.Service{Name: name, Pool: pool, PathPrefix: "/" + name + "/", Class: class, DeadlineMS: 2000,
-		QueueLimit: 64, MaxRequestBytes: 1 << 20, MaxResponseBytes: 8 << 20, Spill: pool == "home", IdempotentMethods: []string{"GET"}}
-}
-
-// addVM adds a VM with a target at the address.
-func (f *testFleet) addVM(name, pool, address string) {
-	f.view.VMs[name] = view.VM{Name: name, Pool: pool, Zone: "z", Rack: "r" + name, Epoch: 1, Phase: view.Serving, Slots: 8, Connections: 64}
-	f.targets[name] = announce.Target{Announcement: announce.Announcement{VM: name, Address: address, Incarnation: "1"},
-		Pool: pool, Expires: time.Now().Add(time.Hour)}
-}
-
-// publish sets the handler's table from the present view and targets.
-func (f *testFleet) publish() { f.handler.SetTable(NewTable(f.view, f.Snapshot(), 1)) }
-
-// setPhase changes the phase of a VM and returns the VM's new epoch.
-func (f *testFleet) setPhase(name string, phase view.Phase) uint64 {
-	vm := f.view.VMs[name]
-	vm.Phase = phase
-	vm.Epoch++
-	next := *f.view
-	next.VMs = map[string]view.VM{}
-	for other := range f.view.VMs {
-		next.VMs[other] = f.view.VMs[other]
-	}
-	next.VMs[name] = vm
-	f.view = &next
-	f.publish()
-	return vm.Epoch
-}
-
-// serveTarget runs a target until the test ends and returns its address.
-func serveTarget(t *testing.T, handler http.HandlerFunc) string {
-	server := httptest.NewServer(handler)
-	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
-}
-
-// slotRequestFor returns a request for a slot of a service.
-func (f *testFleet) slotRequestFor(service, caller string) slotRequest {
-	return slotRequest{service: f.handler.scheduler.services[service], caller: caller, deadline: time.Now().Add(2 * time.Second)}
-}
-
 // TestDrainedVMGetsNoRequestUnderAnyTable guards against a request that is
 // admitted under an older table and reaches a VM after Drained has confirmed
 // its drain. Requests run while one VM is drained and restored repeatedly.
@@ -301,91 +225,3 @@
 		})
 	})
 }
-
-// fakeClaimer returns a fixed decision and records how claims end.
-type fakeClaimer struct {
-	err      error
-	decision claim.Decision
-	finished []*claim.Answer
-	released int
-}
-
-// Claim implements claim.Claimer.
-func (c *fakeClaimer) Claim(context.Context, claim.Request) (claim.Decision, error) {
-	return c.decision, c.err
-}
-
-// Finish implements claim.Claimer.
-func (c *fakeClaimer) Finish(_ context.Context, _ string, answer *claim.Answer) error {
-	c.finished = append(c.finished, answer)
-	return nil
-}
-
-// Release implements claim.Claimer.
-func (c *fakeClaimer) Release(context.Context, string) error {
-	c.released++
-	return nil
-}
-
-func TestKeyedRequests(t *testing.T) {
-	Convey("Given a service and a claimer", t, func() {
-		claimer := &fakeClaimer{decision: claim.Decision{State: claim.Granted, Token: "t"}}
-		f := newTestFleet(claimer)
-		var runs atomic.Int64
-		var cut atomic.Bool
-		address := serveTarget(t, func(w http.ResponseWriter, _ *http.Request) {
-			runs.Add(1)
-			if cut.Load() {
-				panic(http.ErrAbortHandler)
-			}
-			_, _ = w.Write([]byte("receipt"))
-		})
-		f.addVM("a", "home", address)
-		f.publish()
-		send := func() *httptest.ResponseRecorder {
-			r := httptest.NewRequest(http.MethodPost, "/interactive/fee", nil)
-			r.Header.Set(claim.KeyHeader, "k")
-			w := httptest.NewRecorder()
-			f.handler.ServeHTTP(w, r)
-			return w
-		}
-		outcome := func(w *httptest.ResponseRecorder) Outcome { return Outcome(w.Header().Get(OutcomeHeader)) }
-		Convey("a request with a granted claim runs and its answer is recorded", func() {
-			So(outcome(send()), ShouldEqual, Ran)
-			So(string(claimer.finished[0].Body), ShouldEqual, "receipt")
-		})
-		Convey("a recorded answer is returned without a run", func() {
-			claimer.decision = claim.Decision{State: claim.Finished, Answer: &claim.Answer{Status: 201, Body: []byte("old")}}
-			w := send()
-			So(w.Code, ShouldEqual, 201)
-			So(w.Body.String(), ShouldEqual, "old")
-			So(runs.Load(), ShouldEqual, 0)
-		})
-		Convey("a request whose claim is in progress, unknown or expired never runs", func() {
-			for _, state := range []claim.State{claim.InProgress, claim.Unknown, claim.Expired} {
-				claimer.decision = claim.Decision{State: state}
-				So(outcome(send()), ShouldEqual, Unknown)
-			}
-			So(runs.Load(), ShouldEqual, 0)
-		})
-		Convey("without a durable claim nothing is dispatched", func() {
-			claimer.err = errors.New("no majority")
-			w := send()
-			So(outcome(w), ShouldEqual, NotRun)
-			So(w.Header().Get("Retry-After"), ShouldNotBeBlank)
-			So(runs.Load(), ShouldEqual, 0)
-		})
-		Convey("a lost answer is recorded as an unknown outcome", func() {
-			cut.Store(true)
-			So(outcome(send()), ShouldEqual, Unknown)
-			So(claimer.finished, ShouldResemble, []*claim.Answer{nil})
-			So(runs.Load(), ShouldEqual, 1)
-		})
-		Convey("the claim is released if no byte was sent", func() {
-			f.addVM("a", "home", "127.0.0.1:1")
-			f.publish()
-			So(outcome(send()), ShouldEqual, NotRun)
-			So(claimer.released, ShouldEqual, 1)
-		})
-	})
-}
