--- a/internal/process/replica/core/append_test.go
+++ b/internal/process/replica/core/append_test.go
@@ -28,15 +28,22 @@
 	return sentToB
 }
 
-func TestLargeAppendIsNotSentAgainWhileItMayBeOnItsWay(t *testing.T) {
-	c := newTestCore(1)
-	c.config.BytesPerTick = 1 << 10
+// leadAndPropose makes c the leader, has b acknowledge the log and proposes a
+// command, whose append is ready to be sent to b.
+func leadAndPropose(t *testing.T, c *Core, command []byte) {
+	t.Helper()
 	lead(t, c)
 	steps(t, c, Message{From: "b", Term: 2, AppendReply: &AppendReply{Index: 2}})
 	c.Ready()
-	if _, err := c.Propose(make([]byte, 20<<10)); err != nil {
+	if _, err := c.Propose(command); err != nil {
 		t.Fatal(err)
 	}
+}
+
+func TestLargeAppendIsNotSentAgainWhileItMayBeOnItsWay(t *testing.T) {
+	c := newTestCore(1)
+	c.config.BytesPerTick = 1 << 10
+	leadAndPropose(t, c, make([]byte, 20<<10))
 	if sent := entriesTo(c, "b") + tickWithHeartbeats(t, c, 20); sent != 1 {
 		t.Errorf("an append that takes 20 ticks was sent %d times within them", sent)
 	}
@@ -47,12 +54,7 @@
 
 func TestLostAppendIsSentAgainLessAndLessOften(t *testing.T) {
 	c := newTestCore(1)
-	lead(t, c)
-	steps(t, c, Message{From: "b", Term: 2, AppendReply: &AppendReply{Index: 2}})
-	c.Ready()
-	if _, err := c.Propose([]byte("x")); err != nil {
-		t.Fatal(err)
-	}
+	leadAndPropose(t, c, []byte("x"))
 	early := entriesTo(c, "b") + tickWithHeartbeats(t, c, 12)
 	later := tickWithHeartbeats(t, c, 40)
 	if early < 2 || early > 4 || later > 4 {
@@ -62,12 +64,7 @@
 
 func TestMemberThatAnswersAgainGetsItsAppendAtOnce(t *testing.T) {
 	c := newTestCore(1)
-	lead(t, c)
-	steps(t, c, Message{From: "b", Term: 2, AppendReply: &AppendReply{Index: 2}})
-	c.Ready()
-	if _, err := c.Propose([]byte("x")); err != nil {
-		t.Fatal(err)
-	}
+	leadAndPropose(t, c, []byte("x"))
 	for range 60 {
 		c.Tick()
 		steps(t, c, Message{From: "c", Term: 2, HeartbeatReply: &HeartbeatReply{Round: c.round}})
