link, workcall: plainer names and comments

shakeHands and dialOnce made one of several handshakes and several of them; turn was a lock. MaxLeaderSilence and the protocol versions say in one sentence what they stand for.

--- a/internal/connection/link/frames.go
+++ b/internal/connection/link/frames.go
@@ -29,27 +29,28 @@
 // messageStream is the stream for the messages without an answer to one peer.
 // Opening a stream for each would cost more than the message itself.
 type messageStream struct {
-	// turn holds a token while no message is being written.
-	turn chan struct{}
+	// idle holds a token while no message is being written. Unlike a mutex, it
+	// can be awaited until a context ends.
+	idle chan struct{}
 	// stream is nil before the first message, and after a failed write, which
 	// may have left a part of a frame.
 	stream *quic.SendStream
 }
 
 func newMessageStream() messageStream {
-	s := messageStream{turn: make(chan struct{}, 1)}
-	s.turn <- struct{}{}
+	s := messageStream{idle: make(chan struct{}, 1)}
+	s.idle <- struct{}{}
 	return s
 }
 
 // send writes one frame after the earlier ones.
 func (s *messageStream) send(ctx context.Context, connection *quic.Conn, framed []byte) error {
 	select {
-	case <-s.turn:
+	case <-s.idle:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	defer func() { s.turn <- struct{}{} }()
+	defer func() { s.idle <- struct{}{} }()
 	if s.stream == nil {
 		stream, err := connection.OpenUniStreamSync(ctx)
 		if err != nil {
--- a/internal/connection/link/node.go
+++ b/internal/connection/link/node.go
@@ -33,8 +33,8 @@
 
 const (
 	// The application protocols (ALPN) in the TLS handshake, the earliest version
-	// first. A peer of callProtocol knows no messages without an answer, one of
-	// messageProtocol takes each message on a stream of its own.
+	// first: with calls only, with messages without an answer on a stream each,
+	// and with such messages on a shared stream.
 	callProtocol    = "arbutusward/1"
 	messageProtocol = "arbutusward/2"
 	sharedProtocol  = "arbutusward/3"
@@ -170,7 +170,7 @@
 func (n *Node) dial(address string, entry *outgoingConn) {
 	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
 	defer cancel()
-	entry.connection, entry.err = n.dialOnce(ctx, address)
+	entry.connection, entry.err = n.dialFirst(ctx, address)
 	if entry.err != nil {
 		n.removeConnection(address, entry)
 		close(entry.ready)
@@ -182,26 +182,26 @@
 	n.removeConnection(address, entry)
 }
 
-// handshake is the outcome of one handshake.
-type handshake struct {
+// handshakeResult is the outcome of one handshake.
+type handshakeResult struct {
 	connection *quic.Conn
 	err        error
 }
 
-// dialOnce starts handshakes at an interval until one ends, and returns its
-// connection.
-func (n *Node) dialOnce(ctx context.Context, address string) (*quic.Conn, error) {
+// dialFirst starts handshakes at an interval until one of them ends, and returns
+// its connection.
+func (n *Node) dialFirst(ctx context.Context, address string) (*quic.Conn, error) {
 	udpAddress, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("resolve: %w", err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	first := make(chan handshake)
+	first := make(chan handshakeResult)
 	repeat := time.NewTicker(redialInterval)
 	defer repeat.Stop()
 	for {
-		go n.shakeHands(ctx, udpAddress, first)
+		go n.handshakeOnce(ctx, udpAddress, first)
 		select {
 		case ended := <-first:
 			return ended.connection, ended.err
@@ -210,15 +210,15 @@
 	}
 }
 
-// shakeHands makes one handshake. If another one has ended first, its
+// handshakeOnce makes one handshake. If another one has ended first, its
 // connection is closed.
-func (n *Node) shakeHands(ctx context.Context, address *net.UDPAddr, first chan<- handshake) {
+func (n *Node) handshakeOnce(ctx context.Context, address *net.UDPAddr, first chan<- handshakeResult) {
 	connection, err := n.transport.Dial(ctx, address, n.ring.MutualTLS(protocols...), quicConfig())
 	if err != nil {
 		err = fmt.Errorf("dial: %w", err)
 	}
 	select {
-	case first <- handshake{connection, err}:
+	case first <- handshakeResult{connection, err}:
 	case <-ctx.Done():
 		if connection != nil {
 			// The peer learns of it or times out; there is nothing else to do.
--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -27,13 +27,13 @@
 	quietAge = 600 * time.Millisecond
 	// helloTimeout bounds one hello call.
 	helloTimeout = 400 * time.Millisecond
-	// confirmedAge is the time after an answer of the leader within which it
-	// gets submissions without a hello call before.
+	// confirmedAge is the time after an answer of the leader within which
+	// submissions are sent to it without a hello call first.
 	confirmedAge = 50 * time.Millisecond
 	// askedMembers is the number of members that are asked at once for a lost
 	// leader, so that one that is gone too does not delay the answer.
 	askedMembers = 2
-	// maxLeaderWait bounds how long a submission waits for a leader that takes
+	// maxLeaderWait bounds how long a submission waits for a leader that accepts
 	// it: an election takes up to 1.2 s.
 	maxLeaderWait = 1500 * time.Millisecond
 	// maxLeaderWaitCutOff replaces maxLeaderWait if no leader has answered for
@@ -41,9 +41,9 @@
 	// entry sooner than this one finds a leader.
 	maxLeaderWaitCutOff = 150 * time.Millisecond
 	cutOffAge           = 1500 * time.Millisecond
-	// MaxLeaderSilence is the age of a member's own contact with the leader
-	// beyond which it does not count on it, and its answer names no leader. It is several heartbeats of the
-	// replicated log.
+	// MaxLeaderSilence is the time without contact to the leader after which a
+	// member's answer to a hello call names no leader. It is several heartbeats
+	// of the replicated log.
 	MaxLeaderSilence = 350 * time.Millisecond
 )
 
