--- a/internal/standin/respond.go
+++ b/internal/standin/respond.go
@@ -65,6 +65,11 @@
 	if err != nil {
 		panic(err)
 	}
+	respond(w, query, id, reply)
+}
+
+// respond sends the reply as the query parameters ask for it.
+func respond(w http.ResponseWriter, query url.Values, id string, reply []byte) {
 	if size, err := strconv.Atoi(query.Get("bytes")); err == nil {
 		reply = bytes.Repeat([]byte("x"), size)
 	}
