--- a/integration/cli_test.go
+++ b/integration/cli_test.go
@@ -82,10 +82,7 @@
 
 func TestCLIApplyWaitNamesTheEntryThatIsNotInForce(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.addEntry("entry-a1", "za")
-	frozen := d.addEntry("entry-a2", "za")
+	d, _, frozen := newZonePeers(t)
 	d.apply(smallFleet)
 	d.waitInForce(5 * time.Second)
 	frozen.signal(syscall.SIGSTOP)
--- a/integration/console_test.go
+++ b/integration/console_test.go
@@ -70,10 +70,7 @@
 // checks the three pages that show the current state.
 func TestConsoleLivePagesShowRefusalsPlotsAndAnUnreachableProcess(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	entry := d.addEntry("entry-a1", "za")
-	killed := d.addEntry("entry-a2", "za")
+	d, entry, killed := newZonePeers(t)
 	d.apply(smallFleet)
 	d.waitInForce(consoleLimit)
 	b := d.signIn(d.addConsole(), keys.Viewer)
--- a/integration/entry_leases_test.go
+++ b/integration/entry_leases_test.go
@@ -17,10 +17,7 @@
 // to it too, the entry of zb must not.
 func TestTargetHeardByOneEntryIsServedByItsZonePeersOnly(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	first := d.addEntry("entry-a1", "za")
-	peer := d.addEntry("entry-a2", "za")
+	d, first, peer := newZonePeers(t)
 	other := d.addEntry("entry-b1", "zb")
 	d.addTargetAt("booking-a-1", "booking", first.settings.Announce)
 	d.apply(smallFleet)
@@ -35,10 +32,7 @@
 // one entry. Neither that entry nor its zone peer may send it more work.
 func TestLeavingTargetGetsNoNewWorkInAnyEntry(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	first := d.addEntry("entry-a1", "za")
-	peer := d.addEntry("entry-a2", "za")
+	d, first, peer := newZonePeers(t)
 	leaving := d.addTargetAt("booking-a-1", "booking", first.settings.Announce)
 	d.addTargetAt("booking-a-2", "booking", first.settings.Announce)
 	d.apply(smallFleet)
@@ -62,10 +56,7 @@
 // that still serves.
 func TestSilentTargetGetsNoNewWorkInAnyEntry(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	first := d.addEntry("entry-a1", "za")
-	peer := d.addEntry("entry-a2", "za")
+	d, first, peer := newZonePeers(t)
 	relay := newTCPRelay(t, first.settings.Announce)
 	unresponsive := d.addTargetAt("booking-a-1", "booking", relay.address)
 	d.apply(smallFleet)
@@ -88,10 +79,7 @@
 // to the other entry.
 func TestTargetsOfASilentEntryExpireAtItsPeersUnlessAnnouncedElsewhere(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	holder := d.addEntry("entry-a1", "za")
-	peer := d.addEntry("entry-a2", "za")
+	d, holder, peer := newZonePeers(t)
 	lost := d.addTargetAt("booking-a-1", "booking", holder.settings.Announce)
 	d.addTargetAt("booking-a-2", "booking", holder.settings.Announce, peer.settings.Announce)
 	d.apply(smallFleet)
@@ -187,10 +175,7 @@
 func TestSlotsOfAVMAreSharedByTheEntriesOfItsZone(t *testing.T) {
 	t.Parallel()
 	const slots = 8
-	d := newDeployment(t)
-	d.addControls("za")
-	first := d.addEntry("entry-a1", "za")
-	second := d.addEntry("entry-a2", "za")
+	d, first, second := newZonePeers(t)
 	target := d.addTargetAt("office-a-1", "office", first.settings.Announce, second.settings.Announce)
 	d.apply(smallFleet)
 	d.waitEntriesServe("/office/1")
--- a/integration/entry_removed_test.go
+++ b/integration/entry_removed_test.go
@@ -16,10 +16,7 @@
 // statement that it is powered off, although it still runs.
 func TestRemovedEntrySendsNoWorkUntilItsRestart(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	removed := d.addEntry("entry-a1", "za")
-	stays := d.addEntry("entry-a2", "za")
+	d, removed, stays := newZonePeers(t)
 	d.addSmallTargets()
 	d.apply(smallFleet)
 	d.waitEntriesServe("/booking/1")
--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -12,6 +12,15 @@
 // jobID returns the ID of the job with the given number.
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
 
+// newHostedWithWorker starts a deployment with a configuration and one worker.
+func newHostedWithWorker(t *testing.T, controls, entries int) *hosted {
+	t.Helper()
+	h := newHosted(t, controls, entries)
+	h.configure()
+	h.addWorker("w1", 8000)
+	return h
+}
+
 func TestHostedJobIsServed(t *testing.T) {
 	t.Parallel()
 	h := newHosted(t, 3, 2)
@@ -73,9 +82,7 @@
 
 func TestHostedLeaderKilledLosesNoJob(t *testing.T) {
 	t.Parallel()
-	h := newHosted(t, 3, 2)
-	h.configure()
-	h.addWorker("w1", 8000)
+	h := newHostedWithWorker(t, 3, 2)
 	h.addWorker("w2", 8000)
 	for i := range 10 {
 		h.submit(jobID(i), 3, 800*time.Millisecond)
@@ -92,9 +99,7 @@
 
 func TestHostedLeaderFrozenIsReplaced(t *testing.T) {
 	t.Parallel()
-	h := newHosted(t, 3, 2)
-	h.configure()
-	h.addWorker("w1", 8000)
+	h := newHostedWithWorker(t, 3, 2)
 	h.submit(jobID(1), 3, 3*time.Second)
 	leader := h.controls[h.leader()]
 	leader.signal(syscall.SIGSTOP)
@@ -109,9 +114,7 @@
 // process was admitted as a new voter.
 func TestHostedLostDiskComesBackAsANewMember(t *testing.T) {
 	t.Parallel()
-	h := newHosted(t, 3, 2)
-	h.configure()
-	h.addWorker("w1", 8000)
+	h := newHostedWithWorker(t, 3, 2)
 	h.submit(jobID(1), 3, 100*time.Millisecond)
 	lost := h.leader()
 	h.controls[lost].kill()
@@ -167,9 +170,7 @@
 
 func TestHostedEntryStopsGracefully(t *testing.T) {
 	t.Parallel()
-	h := newHosted(t, 3, 1)
-	h.configure()
-	h.addWorker("w1", 8000)
+	h := newHostedWithWorker(t, 3, 1)
 	h.submit(jobID(1), 1, 100*time.Millisecond)
 	exited := h.entries[0].exited
 	h.entries[0].signal(syscall.SIGTERM)
@@ -195,9 +196,7 @@
 // the first lost voter before the second was lost.
 func TestHostedReplacementOfALostVoterVotes(t *testing.T) {
 	t.Parallel()
-	h := newHosted(t, 3, 2)
-	h.configure()
-	h.addWorker("w1", 8000)
+	h := newHostedWithWorker(t, 3, 2)
 	h.submit(jobID(1), 3, 100*time.Millisecond)
 	h.controls = append(h.controls, h.addJoiningControl("core-4", h.controlIP(3)))
 	time.Sleep(2 * time.Second)
@@ -214,9 +213,7 @@
 // processes only if the voter has rejoined.
 func TestHostedRemovedVoterRejoins(t *testing.T) {
 	t.Parallel()
-	h := newHosted(t, 4, 2)
-	h.configure()
-	h.addWorker("w1", 8000)
+	h := newHostedWithWorker(t, 4, 2)
 	leader := h.leader()
 	removed := (leader + 1) % 3
 	h.controls[removed].signal(syscall.SIGSTOP)
--- a/integration/keys_test.go
+++ b/integration/keys_test.go
@@ -53,12 +53,7 @@
 // certificate authority while requests are sent, and restarts an entry after it.
 func TestKeysRotationOfTheAuthorityCutsNoRequest(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	entry := d.addEntry("entry-a1", "za")
-	d.addSmallTargets()
-	d.apply(smallFleet)
-	d.waitServed(entry.url() + "/booking/1")
+	d, entry, _ := newServingDeployment(t)
 	oldToken := d.token(keys.Viewer, "old")
 	failures := make(chan error, 1)
 	sending, stop := context.WithCancel(context.Background())
--- a/integration/move_failures_test.go
+++ b/integration/move_failures_test.go
@@ -46,16 +46,28 @@
 	return found
 }
 
+// newMovableDeployment starts one control process, an entry in each zone and the
+// targets of smallFleet, applies fleetWithVMIn("booking") and waits until zone za
+// serves.
+func newMovableDeployment(t *testing.T) (*deployment, map[string]*standin.Target) {
+	t.Helper()
+	d := newDeployment(t)
+	d.addControls("za")
+	entry := d.addEntry("entry-a1", "za")
+	d.addEntry("entry-b1", "zb")
+	targets := d.addSmallTargets()
+	d.apply(fleetWithVMIn("booking"))
+	d.waitServed(entry.url() + "/booking/1")
+	return d, targets
+}
+
 // TestDocumentThatChangesPoolsMovesAVMWithOneOwner moves a VM while an entry of
 // its zone is frozen. The VM must drain, wait for the confirmation of the entry,
 // and then serve its new pool only. The test fails if an entry that does not
 // answer counts as confirming the move.
 func TestDocumentThatChangesPoolsMovesAVMWithOneOwner(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	first := d.addEntry("entry-a1", "za")
-	frozen := d.addEntry("entry-a2", "za")
+	d, first, frozen := newZonePeers(t)
 	d.addEntry("entry-b1", "zb")
 	targets := d.addSmallTargets()
 	d.apply(fleetWithVMIn("booking"))
@@ -100,13 +112,7 @@
 // drain.
 func TestVMDroppedFromTheDocumentIsDrainedAndRemoved(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	entry := d.addEntry("entry-a1", "za")
-	d.addEntry("entry-b1", "zb")
-	targets := d.addSmallTargets()
-	d.apply(fleetWithVMIn("booking"))
-	d.waitServed(entry.url() + "/booking/1")
+	d, targets := newMovableDeployment(t)
 	dropped := "booking-a-2"
 	load := d.startLoad()
 	eventually(t, 5*time.Second, "requests run on the VM", func() error {
@@ -162,13 +168,7 @@
 // checks that its cost is shown.
 func TestOperatorMoveThatDisagreesWithTheDocumentIsRefused(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	entry := d.addEntry("entry-a1", "za")
-	d.addEntry("entry-b1", "zb")
-	d.addSmallTargets()
-	d.apply(fleetWithVMIn("booking"))
-	d.waitServed(entry.url() + "/booking/1")
+	d, _ := newMovableDeployment(t)
 	eventually(t, 5*time.Second, "the order is refused for the document", func() error {
 		result := d.ctl(keys.Operator, "move", "booking-a-2", "office")
 		if result.code == 0 || !strings.Contains(result.stderr, "document") {
--- a/integration/observability_test.go
+++ b/integration/observability_test.go
@@ -19,10 +19,7 @@
 
 func TestCLITimelineExplainsARequestAndNamesAnUnreachableProcess(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	entry := d.addEntry("entry-a1", "za")
-	killed := d.addEntry("entry-a2", "za")
+	d, entry, killed := newZonePeers(t)
 	d.addSmallTargets()
 	d.apply(smallFleet)
 	d.waitInForce(5 * time.Second)
@@ -62,10 +59,7 @@
 // refused and kills a target and an entry within the time span of the report.
 func TestReportNamesTheKilledTargetTheRefusalAndTheUnreachableProcess(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	entry := d.addEntry("entry-a1", "za")
-	killed := d.addEntry("entry-a2", "za")
+	d, entry, killed := newZonePeers(t)
 	targets := d.addSmallTargets()
 	d.apply(smallFleet)
 	d.waitInForce(5 * time.Second)
@@ -103,10 +97,7 @@
 
 func TestMetricsNameTheLagOfAnEntryThatIsNotInForce(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	d.addEntry("entry-a1", "za")
-	frozen := d.addEntry("entry-a2", "za")
+	d, _, frozen := newZonePeers(t)
 	d.apply(smallFleet)
 	d.waitInForce(5 * time.Second)
 	frozen.signal(syscall.SIGSTOP)
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -15,10 +15,7 @@
 // processes to their targets.
 func TestRequestFromCallerToTarget(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	first := d.addEntry("entry-a1", "za")
-	second := d.addEntry("entry-a2", "za")
+	d, first, second := newZonePeers(t)
 	d.addSmallTargets()
 	d.apply(smallFleet)
 	d.waitInForce(5 * time.Second)
@@ -54,12 +51,7 @@
 // requests run. Each request must get its whole answer.
 func TestPlannedStopOfAnEntryUnderLoadCutsNoRequest(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	entry := d.addEntry("entry-a1", "za")
-	d.addSmallTargets()
-	d.apply(smallFleet)
-	d.waitServed(entry.url() + "/booking/1")
+	_, entry, _ := newServingDeployment(t)
 	const requests = 12
 	var group sync.WaitGroup
 	failures := make(chan error, requests)
@@ -89,12 +81,7 @@
 // long answer must still arrive whole.
 func TestTargetAnswersLateThroughARelay(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	d.addControls("za")
-	entry := d.addEntry("entry-a1", "za")
-	targets := d.addSmallTargets()
-	d.apply(smallFleet)
-	d.waitServed(entry.url() + "/booking/1")
+	_, _, targets := newServingDeployment(t)
 	relay := newTCPRelay(t, targets["booking-a-1"].Address())
 	relay.toClient.delayNS.Store(int64(300 * time.Millisecond))
 	resp, err := http.Get("http://" + relay.address + "/booking/late?bytes=100000")
--- a/integration/smallfleet_test.go
+++ b/integration/smallfleet_test.go
@@ -44,6 +44,27 @@
 	return d
 }
 
+// newZonePeers starts one control process and two entries of zone za.
+func newZonePeers(t *testing.T) (d *deployment, first, second *entryProcess) {
+	t.Helper()
+	d = newDeployment(t)
+	d.addControls("za")
+	return d, d.addEntry("entry-a1", "za"), d.addEntry("entry-a2", "za")
+}
+
+// newServingDeployment starts one control process, one entry and the targets of
+// smallFleet, and waits until the entry serves.
+func newServingDeployment(t *testing.T) (*deployment, *entryProcess, map[string]*standin.Target) {
+	t.Helper()
+	d := newDeployment(t)
+	d.addControls("za")
+	entry := d.addEntry("entry-a1", "za")
+	targets := d.addSmallTargets()
+	d.apply(smallFleet)
+	d.waitServed(entry.url() + "/booking/1")
+	return d, entry, targets
+}
+
 // addSmallTargets starts the targets of the eight VMs of smallFleet and returns
 // them by the name of the VM.
 func (d *deployment) addSmallTargets() map[string]*standin.Target {
