--- a/internal/process/control/executor_test.go
+++ b/internal/process/control/executor_test.go
@@ -44,7 +44,7 @@
 	c := newTestControl(t)
 	c.entry("entry-1").update(func(e *fakeEntry) { e.confirm = confirmNothing })
 	c.apply("a")
-	c.eventually(5*time.Second, "b-4 drains", func() bool { return c.vm("b-4").Phase == view.Draining })
+	c.eventually(5*time.Second, "b-4 drains", c.isDraining)
 	epoch := c.vm("b-4").Epoch
 	c.apply("b")
 	c.eventually(5*time.Second, "b-4 serves pool b again", func() bool {
@@ -61,7 +61,7 @@
 	entry := c.entry("entry-1")
 	entry.update(func(e *fakeEntry) { e.confirm = confirmNothing })
 	c.apply("a")
-	c.eventually(5*time.Second, "b-4 drains", func() bool { return c.vm("b-4").Phase == view.Draining })
+	c.eventually(5*time.Second, "b-4 drains", c.isDraining)
 	entry.update(func(e *fakeEntry) { e.unresponsive = true })
 	next, _ := entry.report()
 	next.Incarnation = "run-2"
@@ -73,7 +73,7 @@
 		if _, err := link.Call[message.Report, message.ReportAnswer](context.Background(), entry.node, c.server.node.Address(), message.ReportKind, late); err == nil {
 			t.Fatal("the report of an earlier incarnation was accepted")
 		}
-		c.holds(100*time.Millisecond, "draining", func() bool { return c.vm("b-4").Phase == view.Draining })
+		c.holds(100*time.Millisecond, "draining", c.isDraining)
 	}
 }
 
@@ -85,9 +85,9 @@
 	second := c.entry("entry-2")
 	second.update(func(e *fakeEntry) { e.confirm = confirmNothing })
 	c.apply("a")
-	c.eventually(5*time.Second, "b-4 drains", func() bool { return c.vm("b-4").Phase == view.Draining })
+	c.eventually(5*time.Second, "b-4 drains", c.isDraining)
 	second.update(func(e *fakeEntry) { e.unresponsive = true })
-	c.holds(reportLifetime+time.Second, "draining", func() bool { return c.vm("b-4").Phase == view.Draining })
+	c.holds(reportLifetime+time.Second, "draining", c.isDraining)
 	removal := state.EntryRemoval{ID: "entry-2", Attestation: "the VM was taken out of its rack"}
 	_, err := propose[state.EntryRemoval](context.Background(), c.server, state.RemoveEntry, removal)
 	c.must(err)
--- a/internal/process/control/testcontrol_test.go
+++ b/internal/process/control/testcontrol_test.go
@@ -21,6 +21,7 @@
 	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/standin"
 	"arbutusward.example/arbutusward/internal/version/plan"
+	"arbutusward.example/arbutusward/internal/version/view"
 )
 
 // executorDocument has one zone with two pools of four VMs. The pool of VM
@@ -149,6 +150,9 @@
 
 func (c *testControl) vm(name string) state.OwnedVM { return c.server.machine.Fleet().VMs[name] }
 
+// isDraining reports whether b-4, the VM that apply moves, is draining.
+func (c *testControl) isDraining() bool { return c.vm("b-4").Phase == view.Draining }
+
 func (c *testControl) eventually(limit time.Duration, what string, check func() bool) {
 	c.t.Helper()
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
