scheduler: a line for each worker that crashes with runs

The log named the runs that were interrupted, but not that their worker had been replaced or restarted, nor which of them had only just been started. So a task that crashes its workers, a crash without any task's guilt and a lost lease looked alike.

When a worker is replaced on its VM or restarts, one line names the worker, its successor and the unsettled runs, and counts the settled ones. No decision depends on it yet.

--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -33,6 +33,7 @@
 	lostOrders    = metrics.NewCounter(`arbutus_orders_unanswered_total`)
 	planSeconds   = metrics.NewHistogram(`arbutus_plan_seconds`)
 	commitSeconds = metrics.NewHistogram(`arbutus_progress_commit_seconds`)
+	workerCrashes = metrics.NewCounter(`arbutus_worker_crashes_total`)
 	watchCalls    = metrics.NewCounter(`arbutus_worker_watches_total`)
 )
 
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -194,6 +194,7 @@
 	}
 	r.row, r.running = w.report.running[key]
 	_, r.ended = w.report.ended[key]
+	r.settle()
 }
 
 // reportedAfter reports whether the newest report was requested after the given
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -53,6 +53,11 @@
 	since time.Time
 	// calling is set while a call about the run is in flight.
 	calling bool
+	// orderedAt is when the worker first accepted the start order, or was first
+	// reported to know the run; zero before. settled is set once a report that
+	// was requested at least settleTime later lists the run as executing.
+	orderedAt time.Time
+	settled   bool
 	// unconfirmed is set if a start order got no answer or may have been sent by
 	// a former leader, so that it may still arrive.
 	unconfirmed bool
@@ -76,6 +81,9 @@
 func (r *run) enter(phase runPhase, now time.Time) {
 	r.phase = phase
 	r.since = now
+	if phase == runOrdered && r.orderedAt.IsZero() {
+		r.orderedAt = now
+	}
 }
 
 // startRun sends the start order of a run that was just recorded.
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -21,6 +21,9 @@
 	l.syncedVersion = version
 	for id, reg := range v.Workers() {
 		w := l.workers[id]
+		if w != nil && w.reg.Incarnation != reg.Incarnation {
+			l.logCrash(w, reg)
+		}
 		if w == nil || w.reg.Incarnation != reg.Incarnation || w.reg.Address != reg.Address {
 			// What was known about an earlier incarnation does not apply to a
 			// new one.
@@ -31,6 +34,9 @@
 	}
 	for id, w := range l.workers {
 		if v.Workers()[id] == nil {
+			if successor := successorOf(v, &w.reg); successor != nil {
+				l.logCrash(w, successor)
+			}
 			delete(l.workers, id)
 			l.Workers.Forget(w.reg.Address)
 		}
