--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -118,10 +118,15 @@
 	ticket func(*fakeWorker, execution.StartOrder) bool
 	// submitted holds the jobs whose tasks count against the capacity of workers.
 	submitted map[string]workload.Spec
+	// deadly, if set, tells which tasks crash each worker that starts them, and
+	// onCrash is called for each such worker. deadlyCrashes counts them by task.
+	deadly        func(workload.TaskID) bool
+	onCrash       func(*fakeWorker)
+	deadlyCrashes map[workload.TaskID]int
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration) *fakeWorkers {
-	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, duration: duration, ledger: newLedger(t), submitted: map[string]workload.Spec{}}
+	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, duration: duration, ledger: newLedger(t), submitted: map[string]workload.Spec{}, deadlyCrashes: map[workload.TaskID]int{}}
 }
 
 func (f *fakeWorkers) add(id string, milliCPU int64) *fakeWorker {
@@ -223,6 +228,9 @@
 	}
 	w.running[o.Task] = &fakeRun{task: o.Task, run: o.Run, endsAt: time.Now().Add(duration), startedAt: time.Now()}
 	w.notifyChanged()
+	if f.deadly != nil && f.deadly(o.Task) {
+		go f.crashSoon(w, o.Task)
+	}
 	if w.loseStarts > 0 {
 		w.loseStarts--
 		return execution.Answer{}, fmt.Errorf("lost: %w", execution.ErrNoAnswer)
