scheduler, placement: a task that crashes its workers runs apart and is given up

Cause: a run that is lost with its worker is nobody's failure and was counted nowhere, so that its retries had no bound. The state machine ended such runs when the worker's successor registered, and the leader never looked at them.

Change: a run is blamed if its worker was replaced on its VM, restarted, or silent until its lease ended, before a report showed that the run had survived its start. The count is in the replicated state and ends with a run that survives. Drained, maintained and moved workers are exempt. After four crashes in a row the job fails; for a long-running task only crashes without other suspects count.

Open: TestRandomSchedulesOfRuns is not green; its schedules differ a little from run to run.

--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -6,12 +6,25 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 // settleTime is the time after its start within which a run that crashes its
 // worker by starting does so.
 const settleTime = 300 * time.Millisecond
 
+// settlingWatchWait is how long a worker delays a report while a suspect may be
+// starting on it, so that it is soon known to have survived.
+const settlingWatchWait = 100 * time.Millisecond
+
+// watchWait returns how long a worker may delay a report without new ends.
+func (l *loop) watchWait(w *worker) time.Duration {
+	if w.settlingRound > 0 && w.settlingRound == l.roundNumber {
+		return settlingWatchWait
+	}
+	return w.watchWait()
+}
+
 // settle marks the run as settled if the report that was looked at last shows
 // that its worker has survived its start.
 func (r *run) settle() {
@@ -31,25 +44,156 @@
 	return nil
 }
 
-// logCrash logs that a worker was replaced or restarted while it had runs.
-func (l *loop) logCrash(w *worker, successor *workstate.Worker) {
-	var unsettled []string
-	settled := 0
-	for id, r := range l.runs {
-		switch {
-		case r.worker != w.reg.ID:
-		case r.settled:
-			settled++
-		default:
-			unsettled = append(unsettled, fmt.Sprintf("%s#%d", id, r.number))
+// crash is the loss of an incarnation of a worker with its runs.
+type crash struct {
+	workerIncarnation
+	// alone is set if it is certain that no run of another job has caused it, and
+	// that those that may have were starting.
+	alone bool
+}
+
+// lostRuns are the runs that were lost with an incarnation of a worker.
+type lostRuns struct {
+	// suspects are the runs that may have crashed the worker.
+	suspects []*run
+	// names holds each suspect as TASK#RUN, with the crashes under its task in
+	// parentheses.
+	names []string
+	// job is the job of the first suspect. mixed is set if not all suspects are
+	// of this job, or if it is not certain that the suspects were starting.
+	job   string
+	mixed bool
+	// settled counts the other runs.
+	settled int
+}
+
+// findCrashes looks for runs whose worker was replaced or has restarted, and
+// blames those that may have crashed it. It is called before the table of workers
+// is updated.
+func (l *loop) findCrashes(v *workstate.View) {
+	crashes := map[workerIncarnation]*lostRuns{}
+	for _, job := range v.Active() {
+		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
+			if l.isLost(v, id, task) {
+				l.addLostRun(crashes, id, task)
+			}
+		})
+	}
+	for ended, lost := range crashes {
+		c := &crash{workerIncarnation: ended, alone: !lost.mixed}
+		for _, r := range lost.suspects {
+			r.blame = c
 		}
+		l.logCrash(v, c, lost)
+	}
+}
+
+// isLost reports whether the worker of a recorded run has crashed.
+func (l *loop) isLost(v *workstate.View, id workload.TaskID, task *workstate.Task) bool {
+	reg := v.Workers()[task.Worker]
+	if reg != nil && (reg.Incarnation == task.Incarnation || task.Incarnation <= reg.EndsByOrder) {
+		return false
 	}
-	if len(unsettled)+settled == 0 {
+	return !l.endQueued(runKey{id, task.Run})
+}
+
+// addLostRun adds a run to those that were lost with its worker.
+func (l *loop) addLostRun(crashes map[workerIncarnation]*lostRuns, id workload.TaskID, task *workstate.Task) {
+	r := l.runOf(id, task, time.Now())
+	if r.lost {
 		return
 	}
+	r.lost = true
+	ended := workerIncarnation{task.Worker, task.Incarnation}
+	lost := crashes[ended]
+	if lost == nil {
+		lost = &lostRuns{}
+		crashes[ended] = lost
+	}
+	lost.add(id, task, r)
+}
+
+func (s *lostRuns) add(id workload.TaskID, task *workstate.Task, r *run) {
+	if !r.mayCrashWorker() {
+		s.settled++
+		return
+	}
+	if len(s.suspects) == 0 {
+		s.job = id.Job
+	}
+	s.mixed = s.mixed || s.job != id.Job || r.inherited
+	s.suspects = append(s.suspects, r)
+	s.names = append(s.names, fmt.Sprintf("%s#%d(%d)", id, r.number, task.Crashes+1))
+}
+
+// mayCrashWorker reports whether the run may be starting. A run whose order this
+// leader has recorded but not sent is not.
+func (r *run) mayCrashWorker() bool {
+	unsent := r.phase == runUnknown && !r.unconfirmed
+	return !r.settled && !unsent
+}
+
+// suspectUnheard blames the run for the silence of its worker if it may have been
+// starting when the silence began. The worker may have crashed or be cut off, so
+// that this is a weaker suspicion than a crash with no other suspects.
+func (r *run) suspectUnheard() {
+	if r.mayCrashWorker() {
+		r.blame = &crash{workerIncarnation: workerIncarnation{id: r.worker}}
+	}
+}
+
+// judge completes the end of the run with what is known of its start.
+func (r *run) judge(end *workstate.End) {
+	end.Survived = r.settled
+	if end.Kind == workstate.EndInterrupted && r.blame != nil {
+		end.Kind, end.Alone = workstate.EndCrashed, r.blame.alone
+	}
+}
+
+// logCrash logs that a worker was replaced or restarted while it had runs.
+func (l *loop) logCrash(v *workstate.View, c *crash, lost *lostRuns) {
 	workerCrashes.Inc()
-	slices.Sort(unsettled)
-	l.Log.Warn("worker crashed with runs", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "vm", w.reg.VM,
-		"successor", successor.ID, "successor_incarnation", successor.Incarnation,
-		"unsettled", unsettled[:min(len(unsettled), maxRunsPerLine)], "unsettled_count", len(unsettled), "settled_count", settled)
+	attrs := []any{"worker", c.id, "incarnation", c.incarnation}
+	if successor := l.successor(v, c.id); successor != nil {
+		attrs = append(attrs, "vm", successor.VM, "successor", successor.ID, "successor_incarnation", successor.Incarnation)
+	}
+	slices.Sort(lost.names)
+	l.Log.Warn("worker crashed with runs", append(attrs, "suspects", lost.names[:min(len(lost.names), maxRunsPerLine)],
+		"suspect_count", len(lost.names), "alone", c.alone, "settled_count", lost.settled)...)
+}
+
+// successor returns the worker that has replaced a worker, or its later
+// incarnation. It is nil if this leader did not know the former one.
+func (l *loop) successor(v *workstate.View, id string) *workstate.Worker {
+	if reg := v.Workers()[id]; reg != nil {
+		return reg
+	}
+	if former := l.workers[id]; former != nil {
+		return successorOf(v, &former.reg)
+	}
+	return nil
+}
+
+// logGivenUp logs the jobs that have failed with committed ends because of the
+// crashes under a task.
+func (l *loop) logGivenUp(v *workstate.View, ends []workstate.End) {
+	logged := map[string]bool{}
+	for i := range ends {
+		e := &ends[i]
+		job := v.Job(e.Task.Job)
+		if e.Kind != workstate.EndCrashed || job == nil || job.Outcome != workstate.Failed || logged[job.ID] {
+			continue
+		}
+		task := job.Task(e.Task)
+		if !task.GivenUp(&job.Spec.Steps[e.Task.Step]) {
+			continue
+		}
+		logged[job.ID] = true
+		jobsGivenUp.Inc()
+		attrs := []any{"job", job.ID, "task", e.Task.String(), "run", e.Run, "crashes", task.Crashes, "crashes_alone", task.CrashesAlone, "alone", e.Alone}
+		if r := l.runs[e.Task]; r != nil && r.blame != nil {
+			attrs = append(attrs, "worker", r.blame.id, "incarnation", r.blame.incarnation)
+		}
+		l.Log.Warn("job given up, its task crashes workers", attrs...)
+	}
 }
--- a/internal/process/scheduler/fake_test.go
+++ b/internal/process/scheduler/fake_test.go
@@ -83,6 +83,8 @@
 	loseStarts  int
 	// refusesConnections is set once the process has ended.
 	refusesConnections bool
+	// crashedAt is when a deadly task crashed the worker; zero before.
+	crashedAt time.Time
 	// failAll makes every run fail; hangAll keeps every run from making
 	// progress.
 	failAll, hangAll bool
@@ -250,6 +252,7 @@
 func (f *fakeWorkers) crash(w *fakeWorker) {
 	for task := range w.running {
 		f.recordAway(task, false)
+		f.ledger.crashed(task)
 	}
 	w.running = map[workload.TaskID]*fakeRun{}
 }
--- a/internal/process/scheduler/ledger_test.go
+++ b/internal/process/scheduler/ledger_test.go
@@ -14,6 +14,9 @@
 	drainBound  = 2 * time.Second
 	// testAttempts is how often a task of testCatalog's queue may fail.
 	testAttempts = 2
+	// testCrashes is how many workers must have crashed under a task before its
+	// job may be given up.
+	testCrashes = 2
 )
 
 // runEnd is the end of a run as its worker reports it.
@@ -31,6 +34,8 @@
 	// starts holds the order of each start.
 	starts []int
 	ends   []*runEnd
+	// crashes counts the workers that crashed under the task.
+	crashes int
 }
 
 // ledger records the starts and ends of runs on all workers and reports
@@ -138,3 +143,16 @@
 	}
 	return count
 }
+
+// crashed records that a worker crashed under a task.
+func (g *ledger) crashed(task workload.TaskID) { g.history(task).crashes++ }
+
+// mayBeGivenUp reports whether enough workers have crashed under a task of a job.
+func (g *ledger) mayBeGivenUp(job string) bool {
+	for task, h := range g.tasks {
+		if task.Job == job && h.crashes >= testCrashes {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -34,6 +34,7 @@
 	planSeconds   = metrics.NewHistogram(`arbutus_plan_seconds`)
 	commitSeconds = metrics.NewHistogram(`arbutus_progress_commit_seconds`)
 	workerCrashes = metrics.NewCounter(`arbutus_worker_crashes_total`)
+	jobsGivenUp   = metrics.NewCounter(`arbutus_jobs_given_up_total`)
 	watchCalls    = metrics.NewCounter(`arbutus_worker_watches_total`)
 )
 
@@ -273,6 +274,7 @@
 	endedRuns.Add(len(progress.Ends))
 	l.logProgress(progress, result.Started)
 	l.Machine.Read(func(v *workstate.View) {
+		l.logGivenUp(v, progress.Ends)
 		for i, ok := range result.Started {
 			if ok {
 				l.startRun(v, &progress.Starts[i])
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -18,7 +18,11 @@
 	if len(groups) == 0 {
 		return nil
 	}
+	if u.suspectStarting || hasSuspects(groups) {
+		l.countStarting(v, u)
+	}
 	placed := placement.Plan(groups, l.schedulableWorkers(u, now))
+	l.logSuspects(v, placed)
 	starts := make([]workstate.Start, 0, len(placed))
 	for _, p := range placed {
 		starts = append(starts, l.newStart(v, p))
@@ -53,15 +57,22 @@
 // schedulableWorkers returns the workers that accept new tasks, with their free
 // capacity.
 func (l *loop) schedulableWorkers(u *usage, now time.Time) []*placement.Worker {
+	youngSince := l.Now().Add(-youngTime).UnixMilli()
 	all := make([]placement.Worker, 0, len(l.workers))
 	for id, w := range l.workers {
 		if !w.schedulable(now) || l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM] {
 			continue
 		}
-		all = append(all, placement.Worker{
+		worker := placement.Worker{
 			ID: id, Service: w.reg.Service, Rack: rackOf(w.reg.Labels), Labels: w.reg.Labels,
 			Free: w.reg.Capacity.Sub(u.used[id]), DrainPending: l.maintenance.due[w.reg.VM],
-		})
+			Capacity: w.reg.Capacity, Incarnation: w.reg.Incarnation,
+		}
+		if s := u.starting[id]; s != nil {
+			worker.Runs, worker.Starting = s.runs, s.Starting
+		}
+		worker.Young = w.reg.Incarnation > youngSince
+		all = append(all, worker)
 	}
 	workers := make([]*placement.Worker, len(all))
 	for i := range all {
@@ -125,7 +136,7 @@
 			continue
 		}
 		if g := l.waitingGroup(v, job, progress, k, s); g != nil {
-			groups = append(groups, g)
+			groups = appendGroup(groups, g, progress)
 		}
 	}
 	l.rankGroups(v, job, progress, k, groups[first:], now)
--- a/internal/process/scheduler/progresslog.go
+++ b/internal/process/scheduler/progresslog.go
@@ -59,6 +59,8 @@
 		return "tasks done"
 	case workstate.EndFailed:
 		return "tasks failed"
+	case workstate.EndCrashed:
+		return "tasks lost with their worker at their start"
 	}
 	return "tasks interrupted"
 }
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -84,6 +84,7 @@
 			}
 			ending := l.endQueued(key)
 			if !ending {
+				l.markSuspect(u, task, r)
 				u.used[task.Worker] = u.used[task.Worker].Add(step.Charge())
 			}
 			switch {
@@ -115,7 +116,7 @@
 func (l *loop) runOf(id workload.TaskID, task *workstate.Task, now time.Time) *run {
 	r := l.runs[id]
 	if r == nil || r.number != task.Run {
-		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, since: now, speed: speedUnknown}
+		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, inherited: true, since: now, speed: speedUnknown}
 		l.runs[id] = r
 	}
 	r.seenInRound = l.roundNumber
@@ -127,12 +128,18 @@
 func (l *loop) reconcileRun(v *workstate.View, job *workstate.Job, id workload.TaskID, task *workstate.Task, r *run, now time.Time) {
 	w := l.workers[task.Worker]
 	if w == nil {
-		// The worker is no longer registered, so its runs have ended with it.
+		// Another worker has replaced it on its VM, so its runs have ended with it.
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, "")
 		return
 	}
-	if w.left() || w.unresponsive && w.leasesExpired(now, l.Limits.LongestLease) {
-		l.Log.Info("run ended with the lease of its worker", "task", id.String(), "run", task.Run, "worker", task.Worker, "left", w.left())
+	if w.left() {
+		l.Log.Info("run ended with its worker, which has left", "task", id.String(), "run", task.Run, "worker", task.Worker)
+		l.queueEnd(id, task.Run, workstate.EndInterrupted, w.lastCheckpoint(runKey{id, task.Run}))
+		return
+	}
+	if w.unresponsive && w.leasesExpired(now, l.Limits.LongestLease) {
+		l.Log.Info("run ended with the lease of its worker", "task", id.String(), "run", task.Run, "worker", task.Worker, "settled", r.settled)
+		r.suspectUnheard()
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, w.lastCheckpoint(runKey{id, task.Run}))
 		return
 	}
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -58,6 +58,13 @@
 	// was requested at least settleTime later lists the run as executing.
 	orderedAt time.Time
 	settled   bool
+	// inherited is set if a former leader ordered the run, so that this one does
+	// not know whether its worker has listed it long ago.
+	inherited bool
+	// lost is set once the loss of the run with its worker was looked at. blame is
+	// the crash that the run may have caused, or nil.
+	lost  bool
+	blame *crash
 	// unconfirmed is set if a start order got no answer or may have been sent by
 	// a former leader, so that it may still arrive.
 	unconfirmed bool
@@ -268,9 +275,14 @@
 // run counts.
 func (l *loop) queueEnd(id workload.TaskID, number int, kind workstate.EndKind, checkpoint string) {
 	key := runKey{id, number}
-	if _, known := l.ends[key]; !known {
-		l.ends[key] = workstate.End{Task: id, Run: number, Kind: kind, Checkpoint: checkpoint}
+	if _, known := l.ends[key]; known {
+		return
+	}
+	end := workstate.End{Task: id, Run: number, Kind: kind, Checkpoint: checkpoint}
+	if r := l.runs[id]; r != nil && r.number == number {
+		r.judge(&end)
 	}
+	l.ends[key] = end
 }
 
 // stopOrphan stops a run that a worker reports but that is not recorded as the
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -22,7 +22,12 @@
 type usage struct {
 	// used is the capacity in use on each worker. runs counts the executing
 	// tasks of each worker, longRunningRuns the long-running ones among them.
-	used                  map[string]workload.Resources
+	used map[string]workload.Resources
+	// suspectStarting is set if an unsettled run is one of a suspect. starting
+	// describes the runs of each worker; it is collected only if there are
+	// suspects.
+	suspectStarting       bool
+	starting              map[string]*workerRuns
 	runs, longRunningRuns map[string]int
 	// workerOn holds the worker of each VM, utilization the share of each
 	// pool's capacity that is in use. A pool has the name of its service.
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -19,11 +19,9 @@
 		return
 	}
 	l.syncedVersion = version
+	l.findCrashes(v)
 	for id, reg := range v.Workers() {
 		w := l.workers[id]
-		if w != nil && w.reg.Incarnation != reg.Incarnation {
-			l.logCrash(w, reg)
-		}
 		if w == nil || w.reg.Incarnation != reg.Incarnation || w.reg.Address != reg.Address {
 			// What was known about an earlier incarnation does not apply to a
 			// new one.
@@ -34,9 +32,6 @@
 	}
 	for id, w := range l.workers {
 		if v.Workers()[id] == nil {
-			if successor := successorOf(v, &w.reg); successor != nil {
-				l.logCrash(w, successor)
-			}
 			delete(l.workers, id)
 			l.Workers.Forget(w.reg.Address)
 		}
@@ -68,7 +63,7 @@
 	if w.contacted && !w.unresponsive && l.inContact() {
 		request.LeaseUntilMS = w.grantLease(now)
 		request.AckedEnd = w.ackedEnd
-		request.WaitMS = int(w.watchWait().Milliseconds())
+		request.WaitMS = int(l.watchWait(w).Milliseconds())
 	}
 	request.EndsOnly = w.report != nil && now.Sub(w.report.sentAt) < rowsAge
 	request.Prompt = request.WaitMS == 0 || w.ackedEnd > w.requestedAck
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -105,6 +105,9 @@
 	// overCapacity is set if the recorded runs took more than the capacity in the
 	// last round, as they may after it has shrunk.
 	overCapacity bool
+	// settlingRound is the number of the last round in which a suspect may have
+	// been starting on the worker.
+	settlingRound uint64
 	// pausedUntil is the time before which the worker gets no new tasks.
 	pausedUntil time.Time
 	// speed is the desired speed of the worker's best-effort tasks in percent. It
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -48,6 +48,10 @@
 	// example because it was stopped, lost or refused by the worker. The task
 	// may run again, and this does not count against its attempts.
 	EndInterrupted
+	// EndCrashed means that the run's worker crashed, or was not heard of until
+	// its lease had expired, before the run was known to have survived its start.
+	// So the run may have crashed it.
+	EndCrashed
 )
 
 // End records the end of a run.
@@ -57,6 +61,12 @@
 	Kind EndKind         `cbor:"3,keyasint"`
 	// Checkpoint is the newest known checkpoint; "" keeps the recorded one.
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
+	// Alone is set for EndCrashed if no run of another job may have crashed the
+	// worker.
+	Alone bool `cbor:"5,keyasint,omitempty"`
+	// Survived is set if the run is known to have survived its start, so that it
+	// did not crash its worker by starting.
+	Survived bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Start records a run. It is committed before the start order is sent.
--- /dev/null
+++ b/internal/process/workstate/crashes.go
@@ -0,0 +1,60 @@
+package workstate
+
+import "arbutusward.example/arbutusward/internal/version/workload"
+
+// maxCrashes is the number of crashes in a row, without a run that survived its
+// start, after which a task is given up. Workers crash without any task's guilt
+// too, but hardly as often just when the same task starts on them. Long-running
+// tasks live through more crashes than others: for them only those count that no
+// other job's task can have caused.
+const maxCrashes = 4
+
+// GivenUp reports whether the job of a task of a step fails because of the
+// crashes under the task.
+func (t *Task) GivenUp(step *workload.Step) bool {
+	if step.LongRunning {
+		return t.CrashesAlone >= maxCrashes
+	}
+	return t.Crashes >= maxCrashes
+}
+
+// countCrash counts a crash that the task may have caused.
+func (t *Task) countCrash(alone bool) {
+	t.Crashes++
+	if alone {
+		t.CrashesAlone++
+	}
+}
+
+// crashed reports whether a worker that a later one replaces has crashed. It has
+// not if its end was expected, or if the later one is on another VM or in another
+// service.
+func crashed(former, next *Worker) bool {
+	if former.EndsByOrder == former.Incarnation || former.Service != next.Service || former.VM != next.VM {
+		return false
+	}
+	return former.VM != "" || former.Address == next.Address
+}
+
+// newestOrderedEnd returns the EndsByOrder of a worker that registers, given its
+// former registration, which may be nil.
+func newestOrderedEnd(known, next *Worker) int64 {
+	switch {
+	case next.Draining:
+		return next.Incarnation
+	case known == nil:
+		return 0
+	case known.Incarnation < next.Incarnation && !crashed(known, next):
+		return known.Incarnation
+	}
+	return known.EndsByOrder
+}
+
+// expectMaintenance records that the worker on a VM is about to end by order.
+func (m *Machine) expectMaintenance(vm string) {
+	for _, worker := range m.data.Workers {
+		if worker.VM == vm && vm != "" {
+			worker.EndsByOrder = worker.Incarnation
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/workstate/crashes_test.go
@@ -0,0 +1,65 @@
+package workstate
+
+import "testing"
+
+// crash starts and crashes a task a number of times and returns the outcome of
+// its job.
+func crash(t *testing.T, m *Machine, crashes int, alone bool) Outcome {
+	t.Helper()
+	for run := 1; run <= crashes; run++ {
+		start(t, m, id(0, 0), run, "w0")
+		apply(t, m, Command{Progress: &Progress{Ends: []End{{Task: id(0, 0), Run: run, Kind: EndCrashed, Alone: alone}}}})
+	}
+	return m.data.Jobs[testJob].Outcome
+}
+
+func TestTaskIsGivenUpAfterItsCrashes(t *testing.T) {
+	cases := []struct {
+		crashes     int
+		alone       bool
+		longRunning bool
+		want        Outcome
+	}{
+		{crashes: 1, alone: true, want: Open},
+		{crashes: 2, alone: true, want: Open},
+		{crashes: 3, alone: true, want: Open},
+		{crashes: 4, alone: true, want: Failed},
+		{crashes: 3, want: Open},
+		{crashes: 4, want: Failed},
+		{crashes: 9, longRunning: true, want: Open},
+		{crashes: 4, alone: true, longRunning: true, want: Failed},
+	}
+	for _, c := range cases {
+		m := newTestMachine(t)
+		m.data.Jobs[testJob].Spec.Steps[0].LongRunning = c.longRunning
+		if got := crash(t, m, c.crashes, c.alone); got != c.want {
+			t.Errorf("%+v: outcome %d", c, got)
+		}
+	}
+}
+
+func TestSurvivedStartEndsTheSuspicion(t *testing.T) {
+	m := newTestMachine(t)
+	crash(t, m, 2, true)
+	start(t, m, id(0, 0), 3, "w0")
+	apply(t, m, Command{Progress: &Progress{Ends: []End{{Task: id(0, 0), Run: 3, Kind: EndInterrupted, Survived: true}}}})
+	if task := m.data.Jobs[testJob].Task(id(0, 0)); task.Crashes != 0 || task.CrashesAlone != 0 {
+		t.Errorf("%d crashes, %d alone", task.Crashes, task.CrashesAlone)
+	}
+}
+
+func TestCrashesAreInTheSnapshot(t *testing.T) {
+	m := newTestMachine(t)
+	crash(t, m, 1, true)
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewMachine()
+	if err := restored.Restore(1, snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if crashes := restored.data.Jobs[testJob].Task(id(0, 0)).Crashes; crashes != 1 {
+		t.Errorf("%d crashes", crashes)
+	}
+}
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -106,14 +106,20 @@
 		job.Occurrences[e.Task.Occurrence].Steps[e.Task.Step].Running--
 	}
 	task.Phase = Waiting
+	if e.Survived {
+		task.Crashes, task.CrashesAlone = 0, 0
+	}
 	switch {
 	case e.Kind == EndFailed:
 		task.Failures++
+	case e.Kind == EndCrashed:
+		task.countCrash(e.Alone)
 	case done:
 		task.Phase = Done
 		m.countDone(job, e.Task)
 	}
-	if job.Outcome == Open && m.exhausted(job, step, task) {
+	givenUp := e.Kind == EndCrashed && task.GivenUp(step)
+	if job.Outcome == Open && (givenUp || m.exhausted(job, step, task)) {
 		m.endJob(job, Failed)
 	}
 	m.deactivateEnded(job)
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -32,6 +32,11 @@
 	// Checkpoint is the checkpoint from which the next run resumes; "" means
 	// that it starts from the beginning.
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
+	// Crashes counts the runs that may have crashed their worker since a run last
+	// survived its start. CrashesAlone counts those among them that no run of
+	// another job can have caused.
+	Crashes      int `cbor:"7,keyasint,omitempty"`
+	CrashesAlone int `cbor:"8,keyasint,omitempty"`
 	// Term is the term of the leader that recorded the newest run.
 	Term uint64 `cbor:"10,keyasint,omitempty"`
 }
@@ -133,6 +138,10 @@
 	// recorded on it. It may execute them until its announcement is
 	// acknowledged.
 	Leaving bool `cbor:"12,keyasint,omitempty"`
+	// EndsByOrder is the newest incarnation of this id that was about to end
+	// without a crash: by draining, maintenance or a change of service. It is 0
+	// if there was none.
+	EndsByOrder int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Replaces reports whether a registration is newer than the known one of the
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -3,8 +3,10 @@
 import "arbutusward.example/arbutusward/internal/version/workload"
 
 // applyRegister records a worker. If another worker has the same VM or address,
-// the later incarnation replaces the earlier one, whose runs have ended with it. A
-// registration by a heartbeat older than the known one has no effect.
+// the later incarnation replaces the earlier one, whose runs have ended with it.
+// If the earlier one has crashed, the leader records the ends of these runs, since
+// only the leader knows which of them may have crashed it. A registration by a
+// heartbeat older than the known one has no effect.
 func (m *Machine) applyRegister(w *Worker) Result {
 	known := m.data.Workers[w.ID]
 	if known != nil && !w.Replaces(known) {
@@ -17,11 +19,16 @@
 		if other.Incarnation > w.Incarnation {
 			return Result{Code: OK, Repeated: true}
 		}
+		if crashed(other, w) {
+			m.forgetWorker(other)
+			continue
+		}
 		m.removeWorker(other)
 	}
 	registered := *w
 	registered.Leaving = known != nil && known.Leaving && known.Incarnation == w.Incarnation
 	registered.Restarted = known != nil && (known.Restarted || known.Incarnation < w.Incarnation)
+	registered.EndsByOrder = newestOrderedEnd(known, w)
 	m.data.Workers[w.ID] = &registered
 	m.workersVersion++
 	return Result{Code: OK}
@@ -41,7 +48,7 @@
 		return Result{Code: OK, Repeated: true}
 	}
 	if d.Announced && m.hasRuns(worker.ID) {
-		worker.Draining, worker.Leaving = true, true
+		worker.Draining, worker.Leaving, worker.EndsByOrder = true, true, worker.Incarnation
 		m.workersVersion++
 		return Result{Code: Busy}
 	}
@@ -51,8 +58,7 @@
 
 // removeWorker removes a worker and interrupts the runs on it.
 func (m *Machine) removeWorker(worker *Worker) {
-	delete(m.data.Workers, worker.ID)
-	m.workersVersion++
+	m.forgetWorker(worker)
 	for _, job := range m.active {
 		for _, run := range job.RunsOn(worker.ID) {
 			m.applyEnd(&End{Task: run.Task, Run: run.Run, Kind: EndInterrupted})
@@ -60,6 +66,12 @@
 	}
 }
 
+// forgetWorker removes a worker, but not the runs on it.
+func (m *Machine) forgetWorker(worker *Worker) {
+	delete(m.data.Workers, worker.ID)
+	m.workersVersion++
+}
+
 // hasRuns reports whether a run is recorded on a worker.
 func (m *Machine) hasRuns(worker string) bool {
 	for _, job := range m.active {
@@ -134,6 +146,8 @@
 	wave.Ordered[r.VM] = true
 	if r.Settled {
 		wave.Settled[r.VM] = true
+	} else {
+		m.expectMaintenance(r.VM)
 	}
 	return Result{Code: OK}
 }
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -23,6 +23,14 @@
 	// DrainPending is set if the worker will be drained soon. Long-running
 	// tasks are placed on other workers if possible.
 	DrainPending bool
+	// The following fields are used for suspects only. Capacity is the whole
+	// capacity, Runs the number of executing runs, and Incarnation the start of
+	// the worker in milliseconds of Unix time. Young is set if that was lately.
+	Capacity    workload.Resources
+	Runs        int
+	Incarnation int64
+	Young       bool
+	Starting    Starting
 }
 
 // Group holds the waiting tasks of one step.
@@ -60,6 +68,9 @@
 	SameRack bool
 	// LongRunning is set if the tasks run until they are stopped.
 	LongRunning bool
+	// Suspect is set if the tasks may crash their workers, so that they start
+	// apart from the tasks of other jobs.
+	Suspect bool
 }
 
 // Placement assigns one task to a worker.
@@ -69,8 +80,8 @@
 	Worker string
 }
 
-// Plan places as many tasks as fit, in the order of the groups' priority and
-// rank. It sorts groups and reduces the workers' free capacity.
+// Plan places as many tasks as fit, suspects first and then in the order of the
+// groups' priority and rank. It sorts groups and reduces the workers' free capacity.
 func Plan(groups []*Group, workers []*Worker) []Placement {
 	slices.SortFunc(groups, compareGroups)
 	pools := map[string]*pool{}
@@ -85,7 +96,14 @@
 	var plan []Placement
 	for _, g := range groups {
 		p := pools[g.Service]
-		if p == nil || p.knownNotToFit(g.Charge) {
+		if p == nil {
+			continue
+		}
+		if g.Suspect {
+			plan = append(plan, p.placeSuspects(g)...)
+			continue
+		}
+		if p.knownNotToFit(g.Charge) {
 			continue
 		}
 		placed := p.place(g)
@@ -97,9 +115,12 @@
 	return plan
 }
 
-// compareGroups orders groups by priority and rank. Groups that are equal in both
+// compareGroups orders groups: suspects first, then by priority and rank. Groups that are equal in both
 // have a fixed order too.
 func compareGroups(a, b *Group) int {
+	if a.Suspect != b.Suspect {
+		return compareTrueFirst(a.Suspect, b.Suspect)
+	}
 	if a.Priority != b.Priority {
 		return cmp.Compare(a.Priority, b.Priority)
 	}
@@ -191,7 +212,12 @@
 // eligible reports whether the worker may take one more task of the group,
 // given the tasks of the group that this plan has placed by worker.
 func eligible(g *Group, w *Worker, placed map[string]int) bool {
-	if !w.Free.Fits(g.Charge) || (g.Restricted && !g.Allowed[w.ID]) {
+	return w.Free.Fits(g.Charge) && suitable(g, w, placed)
+}
+
+// suitable is eligible without regard to the worker's capacity.
+func suitable(g *Group, w *Worker, placed map[string]int) bool {
+	if g.Restricted && !g.Allowed[w.ID] {
 		return false
 	}
 	if g.Label != "" && !slices.Contains(w.Labels, g.Label) {
@@ -201,9 +227,12 @@
 }
 
 // preferred reports whether the group's tasks should be placed on a rather than
-// on b. The order of preference is: no pending drain (for long-running tasks),
+// on b. Suspects have an order of their own. Otherwise it is: no pending drain (for long-running tasks),
 // lower penalty, the group's data rack, less free CPU, lower id.
 func preferred(g *Group, a, b *Worker) bool {
+	if g.Suspect {
+		return compareForSuspects(a, b) < 0
+	}
 	if g.LongRunning && a.DrainPending != b.DrainPending {
 		return b.DrainPending
 	}
--- a/internal/version/placement/pool.go
+++ b/internal/version/placement/pool.go
@@ -10,7 +10,11 @@
 
 // pool holds the workers of one service while tasks are placed.
 type pool struct {
-	workers []*Worker
+	// workers holds the workers without those that are isolated for suspects.
+	workers  []*Worker
+	isolated []*Worker
+	// reserved is the set of jobs for whose suspects a worker is kept free.
+	reserved map[string]bool
 	// byFree holds the workers by free CPU and id, so that the best fit is found
 	// without a look at each of them. It is nil unless it is up to date.
 	byFree []*Worker
@@ -23,6 +27,10 @@
 }
 
 func (p *pool) add(w *Worker) {
+	if w.Starting.Suspect {
+		p.isolated = append(p.isolated, w)
+		return
+	}
 	p.workers = append(p.workers, w)
 	p.penalized = p.penalized || w.Penalty != 0
 }
@@ -53,15 +61,21 @@
 // placeByScan places the tasks of a group that some workers suit better than
 // others.
 func (p *pool) placeByScan(g *Group) []Placement {
+	return placeOn(g, p.workers)
+}
+
+// placeOn places the tasks of a group on workers, if possible on one rack if the
+// group asks for that.
+func placeOn(g *Group, workers []*Worker) []Placement {
 	if g.Gang && len(g.Indexes) < g.Total {
 		return nil
 	}
 	if g.SameRack {
-		if plan := placeInOneRack(g, p.workers); plan != nil {
+		if plan := placeInOneRack(g, workers); plan != nil {
 			return plan
 		}
 	}
-	return placeTasks(g, p.workers)
+	return placeTasks(g, workers)
 }
 
 // placeByFree places the tasks of a group for which workers differ only in their
