--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -13,6 +13,10 @@
 // worker by starting does so.
 const settleTime = 300 * time.Millisecond
 
+// startCrashTime is the time after its start within which the silence of a worker
+// that a run has crashed by starting is noticed: settleTime and a failed watch.
+const startCrashTime = settleTime + busyWatchWait + callTimeout
+
 // settlingWatchWait is how long a worker delays a report while a suspect may be
 // starting on it, so that it is soon known to have survived.
 const settlingWatchWait = 100 * time.Millisecond
@@ -48,7 +52,8 @@
 type crash struct {
 	workerIncarnation
 	// alone is set if it is certain that no run of another job has caused it, and
-	// that those that may have were starting.
+	// that those that may have were starting: the worker had accepted their orders
+	// from this leader.
 	alone bool
 }
 
@@ -70,12 +75,12 @@
 // findCrashes looks for runs whose worker was replaced or has restarted, and
 // blames those that may have crashed it. It is called before the table of workers
 // is updated.
-func (l *loop) findCrashes(v *workstate.View) {
+func (l *loop) findCrashes(v *workstate.View, now time.Time) {
 	crashes := map[workerIncarnation]*lostRuns{}
 	for _, job := range v.Active() {
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
 			if l.isLost(v, id, task) {
-				l.addLostRun(crashes, id, task)
+				l.addLostRun(crashes, id, task, now)
 			}
 		})
 	}
@@ -98,8 +103,8 @@
 }
 
 // addLostRun adds a run to those that were lost with its worker.
-func (l *loop) addLostRun(crashes map[workerIncarnation]*lostRuns, id workload.TaskID, task *workstate.Task) {
-	r := l.runOf(id, task, time.Now())
+func (l *loop) addLostRun(crashes map[workerIncarnation]*lostRuns, id workload.TaskID, task *workstate.Task, now time.Time) {
+	r := l.runOf(id, task, now)
 	if r.lost {
 		return
 	}
@@ -110,10 +115,19 @@
 		lost = &lostRuns{}
 		crashes[ended] = lost
 	}
-	lost.add(id, task, r)
+	lost.add(id, task, r, l.crashedBy(task.Worker, now))
+}
+
+// crashedBy returns when an incarnation that was lost was first found silent.
+func (l *loop) crashedBy(worker string, now time.Time) time.Time {
+	if w := l.workers[worker]; w != nil && w.unresponsive {
+		return w.failedAt
+	}
+	return now
 }
 
-func (s *lostRuns) add(id workload.TaskID, task *workstate.Task, r *run) {
+// add adds a run whose worker was found silent at the given time.
+func (s *lostRuns) add(id workload.TaskID, task *workstate.Task, r *run, silentAt time.Time) {
 	if !r.mayCrashWorker() {
 		s.settled++
 		return
@@ -121,11 +135,17 @@
 	if len(s.suspects) == 0 {
 		s.job = id.Job
 	}
-	s.mixed = s.mixed || s.job != id.Job || r.inherited
+	s.mixed = s.mixed || s.job != id.Job || r.inherited || !r.wasStarting(silentAt)
 	s.suspects = append(s.suspects, r)
 	s.names = append(s.names, fmt.Sprintf("%s#%d(%d)", id, r.number, task.Crashes+1))
 }
 
+// wasStarting reports whether it is certain that the run had been ordered shortly
+// before its worker was found silent.
+func (r *run) wasStarting(silentAt time.Time) bool {
+	return !r.orderedAt.IsZero() && silentAt.Sub(r.orderedAt) <= startCrashTime
+}
+
 // mayCrashWorker reports whether the run may be starting. A run whose order this
 // leader has recorded but not sent is not.
 func (r *run) mayCrashWorker() bool {
@@ -185,7 +205,7 @@
 			continue
 		}
 		task := job.Task(e.Task)
-		if !task.GivenUp(&job.Spec.Steps[e.Task.Step]) {
+		if !task.GivenUp(&job.Spec.Steps[e.Task.Step], e.Alone) {
 			continue
 		}
 		logged[job.ID] = true
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -19,7 +19,7 @@
 		return
 	}
 	l.syncedVersion = version
-	l.findCrashes(v)
+	l.findCrashes(v, time.Now())
 	for id, reg := range v.Workers() {
 		w := l.workers[id]
 		if w == nil || w.reg.Incarnation != reg.Incarnation || w.reg.Address != reg.Address {
@@ -140,6 +140,9 @@
 		l.Log.Warn("worker unresponsive", "worker", w.reg.ID, "refusal", refusal, "error", errorText(err),
 			"answered_ms_ago", now.Sub(w.answeredAt).Milliseconds(), "lease_ms", w.leaseMS-w.clockMS)
 	}
+	if !w.unresponsive {
+		w.failedAt = now
+	}
 	w.unresponsive = true
 	w.connectionRefused = errors.Is(err, execution.ErrConnectionRefused)
 	if refusal == execution.RefusedFencingToken {
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -83,6 +83,8 @@
 	requestedAck int64
 	// unresponsive is set if the last watch failed or was refused.
 	unresponsive bool
+	// failedAt is when the first watch since the last answer failed.
+	failedAt time.Time
 	// connectionRefused is set if nothing accepted the connection for the last
 	// watch.
 	connectionRefused bool
--- a/internal/process/workstate/crashes.go
+++ b/internal/process/workstate/crashes.go
@@ -2,20 +2,27 @@
 
 import "arbutusward.example/arbutusward/internal/version/workload"
 
-// maxCrashes is the number of crashes in a row, without a run that survived its
-// start, after which a task is given up. Workers crash without any task's guilt
-// too, but hardly as often just when the same task starts on them. Long-running
-// tasks live through more crashes than others: for them only those count that no
-// other job's task can have caused.
-const maxCrashes = 4
+// Crashes in a row, without a run that survived its start, after which a task is
+// given up. Workers crash without any task's guilt too, but hardly as often just
+// when the same task starts on them apart from the tasks of other jobs.
+const (
+	// maxCrashes bounds all crashes that the task may have caused.
+	maxCrashes = 4
+	// maxLikelyCrashes bounds them if minCrashesAlone of them, the last one
+	// included, are such that no other job's task can have caused them.
+	maxLikelyCrashes = 3
+	minCrashesAlone  = 2
+)
 
 // GivenUp reports whether the job of a task of a step fails because of the
-// crashes under the task.
-func (t *Task) GivenUp(step *workload.Step) bool {
+// crashes under the task, of which alone describes the last one. Long-running tasks live through more crashes than
+// others: for them only those count that no other job's task can have caused.
+func (t *Task) GivenUp(step *workload.Step, alone bool) bool {
 	if step.LongRunning {
 		return t.CrashesAlone >= maxCrashes
 	}
-	return t.Crashes >= maxCrashes
+	likely := alone && t.CrashesAlone >= minCrashesAlone
+	return t.Crashes >= maxCrashes || likely && t.Crashes >= maxLikelyCrashes
 }
 
 // countCrash counts a crash that the task may have caused.
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -118,7 +118,7 @@
 		task.Phase = Done
 		m.countDone(job, e.Task)
 	}
-	givenUp := e.Kind == EndCrashed && task.GivenUp(step)
+	givenUp := e.Kind == EndCrashed && task.GivenUp(step, e.Alone)
 	if job.Outcome == Open && (givenUp || m.exhausted(job, step, task)) {
 		m.endJob(job, Failed)
 	}
