announce: a live target keeps its lease when its entry was stopped briefly

Seen by callers: "no target of the service is live" although all targets were up; in the report an interruption and lower capacity.

Cause: an entry that finds that it was stopped for more than 0.7 s refused every announcement for another second, since it may have waited in a socket and its sender may be gone. A target announces itself every 0.8 s. An age of up to 0.8 s, a stop of 0.7 s and 1 s of refusals use up the lease of 2.5 s, and the target asks again only 0.8 s after a refusal. So nearly every stop that was noticed ended the leases of all targets of that entry at once, as was seen; a stop is noticed from 0.5 s on, since the entry reads the clock every 0.2 s.

Change: during that second an announcement is trusted if it cannot have been sent before the end of the stop: its connection was accepted, or the last request on it answered, after that, and the kernel received it after that (TCP_INFO). Whatever may have waited is refused as before, for the same time, and so is all without such knowledge. The second now counts from the first reading after a stop and no longer moves on until the next tick. NetConn of the listener's connection gives the socket.

A target still loses its lease if its entry or the target itself stands still for about 1.3 s or longer.

--- a/integration/entry_leases_test.go
+++ b/integration/entry_leases_test.go
@@ -1,11 +1,17 @@
 package integration
 
 import (
+	"encoding/json"
 	"net/http"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/announce"
+	"arbutusward.example/arbutusward/internal/process/keys"
+	"arbutusward.example/arbutusward/internal/process/timeline"
+	"arbutusward.example/arbutusward/internal/report"
 )
 
 // noNewWorkAfter is the time after which a target that is leaving or has stopped
@@ -138,6 +144,35 @@
 	}
 }
 
+// TestBriefStopOfAnEntryEndsNoLeaseOfALiveTarget suspends an entry for a third of
+// a lease, at several moments of the interval of the announcements.
+func TestBriefStopOfAnEntryEndsNoLeaseOfALiveTarget(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.addControls("za")
+	entry := d.addEntry("entry-a1", "za")
+	d.addSmallTargets()
+	d.apply(smallFleet)
+	d.waitInForce(consoleLimit)
+	d.waitServed(entry.url() + "/booking/1")
+	from := time.Now().UTC().Format(time.RFC3339Nano)
+	for i := range 5 {
+		entry.freeze()
+		time.Sleep(announce.LeaseTime / 3)
+		entry.signal(syscall.SIGCONT)
+		time.Sleep(announce.LeaseTime + time.Duration(i)*announce.NextInterval/5)
+	}
+	result := d.ctl(keys.Viewer, "report", "--from", from, "-o", "json")
+	result.expect(t, 0)
+	var built report.Report
+	must(t, json.Unmarshal([]byte(result.stdout), &built))
+	for _, found := range built.Interruptions {
+		if found.Kind == timeline.TargetLost {
+			t.Errorf("%s was lost: %+v", found.Subject, found)
+		}
+	}
+}
+
 // TestAnnouncementIsRefusedWithAClearAnswer sends announcements with tokens and VM
 // names that are not valid.
 func TestAnnouncementIsRefusedWithAClearAnswer(t *testing.T) {
--- a/internal/connection/announce/http.go
+++ b/internal/connection/announce/http.go
@@ -28,6 +28,8 @@
 }
 
 func (t *Table) serve(c *gin.Context, ring *keys.Ring) {
+	from := senderOf(c.Request.Context())
+	defer from.recordContact()
 	token, _ := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
 	claims, err := ring.CheckToken(token, time.Now())
 	if err != nil {
@@ -48,7 +50,7 @@
 		c.JSON(http.StatusBadRequest, Refusal{Code: "malformed", Message: "expected vm, incarnation and address as host:port"})
 		return
 	}
-	lease, err := t.Accept(a, claims.Subject)
+	lease, err := t.acceptSent(a, claims.Subject, from.sentAfter())
 	if err != nil {
 		refuse(c, err)
 		return
--- a/internal/connection/announce/stall.go
+++ b/internal/connection/announce/stall.go
@@ -9,8 +9,9 @@
 	// maxStall is the longest time between two clock readings that does not
 	// count as a stall of the process.
 	maxStall = 700 * time.Millisecond
-	// distrustTime is the time after a stall during which received
-	// announcements may have been waiting in a socket since the stall.
+	// distrustTime is the time after a stall during which a received
+	// announcement may have been waiting in a socket since the stall, unless it
+	// is known to have been sent later.
 	distrustTime = time.Second
 )
 
@@ -21,8 +22,9 @@
 type stallGuard struct {
 	mu       sync.Mutex
 	lastTick time.Time
-	// distrustUntil is the end of the time in which no announcement is trusted.
-	distrustUntil time.Time
+	// stallEnd is when the last stall was detected, distrustUntil the end of the
+	// time in which only announcements that were sent later are trusted.
+	stallEnd, distrustUntil time.Time
 }
 
 // tick records that the process is running. It must be called several times per
@@ -31,21 +33,25 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.detectStall(now)
-	g.lastTick = now
+	if now.After(g.lastTick) {
+		g.lastTick = now
+	}
 }
 
 // canTrust reports whether an announcement that is read now was sent recently.
-func (g *stallGuard) canTrust(now time.Time) bool {
+// It was not sent before sentAfter, which may be the zero time.
+func (g *stallGuard) canTrust(now, sentAfter time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.detectStall(now)
-	return !now.Before(g.distrustUntil)
+	return !now.Before(g.distrustUntil) || sentAfter.After(g.stallEnd)
 }
 
-// detectStall sets distrustUntil if the process was suspended since the last
-// tick.
+// detectStall records a stall if the process was suspended since the last tick.
+// It counts as a tick then, since each stall ends once.
 func (g *stallGuard) detectStall(now time.Time) {
 	if now.Sub(g.lastTick) > maxStall {
-		g.distrustUntil = now.Add(distrustTime)
+		g.stallEnd, g.distrustUntil = now, now.Add(distrustTime)
+		g.lastTick = now
 	}
 }
--- a/internal/connection/announce/table.go
+++ b/internal/connection/announce/table.go
@@ -76,11 +76,16 @@
 // Accept grants or renews the lease of a target that announced itself with the
 // token of a pool.
 func (t *Table) Accept(a Announcement, pool string) (Lease, error) {
+	return t.acceptSent(a, pool, time.Time{})
+}
+
+// acceptSent is Accept for an announcement that was not sent before sentAfter.
+func (t *Table) acceptSent(a Announcement, pool string, sentAfter time.Time) (Lease, error) {
 	if !t.isKnownVM(a.VM) {
 		return Lease{}, ErrUnknownVM
 	}
 	now := time.Now()
-	if !a.Leaving && !t.guard.canTrust(now) {
+	if !a.Leaving && !t.guard.canTrust(now, sentAfter) {
 		return Lease{}, ErrStalled
 	}
 	t.mu.Lock()
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -79,6 +79,7 @@
 	server.batch = batch.NewRunner(store, server.handler, server.service, server.runnableBatch, log)
 	server.callers = server.newHTTP(server.callerRoutes(batch.NewRoutes(store, server.service)))
 	server.announce = server.newHTTP(server.announceRoutes(ring))
+	server.announce.ConnContext = announce.ConnContext
 	return server
 }
 
--- a/internal/request/listener.go
+++ b/internal/request/listener.go
@@ -26,6 +26,9 @@
 
 type outcomeConn struct{ net.Conn }
 
+// NetConn returns the underlying connection.
+func (c outcomeConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c outcomeConn) Write(data []byte) (int, error) {
 	marked := markBuiltinError(data)
