entry: a stop of the process is logged

Change: the entry logs `entry was suspended` with stall_ms, once for each stop that its leases' guard notices. TestBriefStopOfAnEntryEndsNoLeaseOfALiveTarget now also checks that the entry noticed each stop, so that it cannot pass without one.

--- a/integration/entry_leases_test.go
+++ b/integration/entry_leases_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -156,7 +158,8 @@
 	d.waitInForce(consoleLimit)
 	d.waitServed(entry.url() + "/booking/1")
 	from := time.Now().UTC().Format(time.RFC3339Nano)
-	for i := range 5 {
+	const stops = 5
+	for i := range stops {
 		entry.freeze()
 		time.Sleep(announce.LeaseTime / 3)
 		entry.signal(syscall.SIGCONT)
@@ -171,6 +174,11 @@
 			t.Errorf("%s was lost: %+v", found.Subject, found)
 		}
 	}
+	log, err := os.ReadFile(entry.logPath)
+	must(t, err)
+	if noticed := strings.Count(string(log), "entry was suspended"); noticed < stops {
+		t.Errorf("the entry noticed %d of %d stops", noticed, stops)
+	}
 }
 
 // TestAnnouncementIsRefusedWithAClearAnswer sends announcements with tokens and VM
--- a/internal/connection/announce/stall.go
+++ b/internal/connection/announce/stall.go
@@ -25,6 +25,8 @@
 	// stallEnd is when the last stall was detected, distrustUntil the end of the
 	// time in which only announcements that were sent later are trusted.
 	stallEnd, distrustUntil time.Time
+	// unreported is the duration of the last stall until it is reported.
+	unreported time.Duration
 }
 
 // tick records that the process is running. It must be called several times per
@@ -51,7 +53,18 @@
 // It counts as a tick then, since each stall ends once.
 func (g *stallGuard) detectStall(now time.Time) {
 	if now.Sub(g.lastTick) > maxStall {
+		g.unreported = now.Sub(g.lastTick)
 		g.stallEnd, g.distrustUntil = now, now.Add(distrustTime)
 		g.lastTick = now
 	}
 }
+
+// takeUnreported returns the duration of a stall that was not returned before,
+// or 0.
+func (g *stallGuard) takeUnreported() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	stall := g.unreported
+	g.unreported = 0
+	return stall
+}
--- a/internal/connection/announce/stall_test.go
+++ b/internal/connection/announce/stall_test.go
@@ -20,6 +20,12 @@
 		t.Error("trusted before the first tick after a stall")
 	}
 	guard.tick(at(3001))
+	if stall := guard.takeUnreported(); stall != 2800*time.Millisecond {
+		t.Errorf("a stall of %s is reported", stall)
+	}
+	if stall := guard.takeUnreported(); stall != 0 {
+		t.Errorf("the stall is reported again with %s", stall)
+	}
 	if !guard.canTrust(at(3500), at(3400)) {
 		t.Error("an announcement that was sent after the stall is not trusted")
 	}
--- a/internal/connection/announce/table.go
+++ b/internal/connection/announce/table.go
@@ -146,6 +146,10 @@
 	}
 }
 
+// TakeStall returns how long the process was suspended, if that was noticed
+// since the last call, or 0.
+func (t *Table) TakeStall() time.Duration { return t.guard.takeUnreported() }
+
 func (t *Table) dropHeld(vm string) {
 	held := t.held[vm]
 	delete(t.held, vm)
--- a/internal/process/entry/server.go
+++ b/internal/process/entry/server.go
@@ -177,6 +177,13 @@
 	return nil
 }
 
+// logStall logs that the process was suspended.
+func (s *Server) logStall() {
+	if stall := s.targets.TakeStall(); stall > 0 {
+		s.log.Warn("entry was suspended, announcements that may have waited are refused", "stall_ms", stall.Milliseconds())
+	}
+}
+
 // maintainTable expires leases and rebuilds the routing table whenever the view,
 // the targets or the live peers have changed. Only its goroutine rebuilds the
 // table.
@@ -190,6 +197,7 @@
 			return
 		case now := <-ticker.C:
 			s.targets.Expire(now)
+			s.logStall()
 			if live := s.targets.LivePeers(now); !slices.Equal(live, livePeers) {
 				livePeers = live
 				livePeersGauge.Set(float64(len(live)))
