--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -175,6 +175,12 @@
 	VMDown        VMState = "down"
 )
 
+// Known reports whether the state is one of those above. An entry with another
+// state was not written by the platform and proves nothing.
+func (s VMState) Known() bool {
+	return s == VMUp || s == VMMoving || s == VMMaintenance || s == VMDown
+}
+
 // VM is a machine on which workers run.
 type VM struct {
 	ID string
--- a/internal/process/scheduler/unexecuted_test.go
+++ b/internal/process/scheduler/unexecuted_test.go
@@ -37,3 +37,26 @@
 		f.await(jobA, workstate.Succeeded, 10*time.Second)
 	})
 }
+
+// TestVMInAStateThatIsNotKnownKeepsTheRunsOfItsWorker guards against two runs of a task when an entry of the list was written by another writer.
+func TestVMInAStateThatIsNotKnownKeepsTheRunsOfItsWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 5*time.Second)
+		f.vms.vms["vm-w1"] = &execution.VM{ID: "vm-w1", Pool: "svc", State: execution.VMUp, Worker: "w1"}
+		f.addWorker("w1", 1000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		time.Sleep(500 * time.Millisecond)
+		f.addWorker("w2", 1000)
+		f.vms.mu.Lock()
+		f.vms.vms["vm-w1"].State = "unlisted"
+		f.vms.mu.Unlock()
+		f.loop.post(func(l *loop) {
+			l.Platform = &deafPlatform{f.vms}
+			l.orderVM(l.fleet.entries["vm-w1"], vmOrder{pool: "spare"}, time.Now())
+		})
+		f.await(jobA, workstate.Succeeded, 10*time.Second)
+	})
+}
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -163,6 +163,9 @@
 		// moved. If the worker has ended, it will become unresponsive.
 		return
 	}
+	if !vm.State.Known() {
+		return
+	}
 	for _, w := range e.order.workers {
 		if vm.State != execution.VMUp || vm.Worker != w.id {
 			l.deregister(w)
