scheduler: a start order with an answer that is no refusal is stopped before its task goes on

Class: an order without an answer is taken for one that was not carried out.

Shown: TestStartWithAnUnknownAnswerIsStoppedBeforeItsTaskGoesOn failed before (run 2 starts on w2 while run 1 executes on w1) and passes.

--- a/internal/process/scheduler/repeated_test.go
+++ b/internal/process/scheduler/repeated_test.go
@@ -42,3 +42,34 @@
 		f.await(jobA, workstate.Succeeded, 10*time.Second)
 	})
 }
+
+// brokenWorkers executes the first start order and answers with a status that
+// says nothing about it.
+type brokenWorkers struct {
+	*fakeWorkers
+	used bool
+}
+
+func (b *brokenWorkers) Start(ctx context.Context, to execution.WorkerAddress, o execution.StartOrder) (execution.Answer, error) {
+	answer, err := b.fakeWorkers.Start(ctx, to, o)
+	if !b.used {
+		b.used = true
+		return execution.Answer{Refusal: execution.RefusedOther}, nil
+	}
+	return answer, err
+}
+
+// TestStartWithAnUnknownAnswerIsStoppedBeforeItsTaskGoesOn guards against two runs of a task: a status that is no refusal does not tell whether the order was carried out.
+func TestStartWithAnUnknownAnswerIsStoppedBeforeItsTaskGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4*time.Second)
+		f.addWorker("w1", 1000)
+		f.lead()
+		defer f.depose()
+		f.loop.post(func(l *loop) { l.Workers = &brokenWorkers{fakeWorkers: f.workers} })
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		f.addWorker("w2", 1000)
+		f.await(jobA, workstate.Succeeded, 10*time.Second)
+	})
+}
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -199,7 +199,7 @@
 		return
 	}
 	w.recordClock(answer.ClockMS, now)
-	r.unconfirmed = r.unconfirmed || answer.Repeated
+	r.unconfirmed = r.unconfirmed || answer.Repeated || answer.Refusal == execution.RefusedOther
 	l.handleStartRefusal(id, r, w, answer.Refusal, now)
 }
 
