replica: time in which the machine is suspended counts as silence and as ticks

Callers could see a task run twice at the same time. Class: a decision is acted on by a process that is no longer entitled to it.

Change: the silence and the ticks are measured with CLOCK_BOOTTIME, as the freshness of delegated calls is.

Shown: TestStatusOfALeaderOnASuspendedMachineTellsHowLongItHeardOfNoMajority fails if the status reads a clock without the suspension and passes; the tests of the replica pass.

--- a/internal/process/replica/driver/bench_test.go
+++ b/internal/process/replica/driver/bench_test.go
@@ -43,6 +43,12 @@
 // startGroup starts the given number of members in this process, with
 // loopback links and separate files, and returns the leader.
 func startGroup(b testing.TB, size int) *Driver {
+	b.Helper()
+	return startGroupWithClock(b, size, nil)
+}
+
+// startGroupWithClock starts members that share a clock.
+func startGroupWithClock(b testing.TB, size int, clock func() time.Duration) *Driver {
 	b.Helper()
 	dir := b.TempDir()
 	check(b, keys.Init(dir+"/ca"))
@@ -61,7 +67,7 @@
 	}
 	var drivers []*Driver
 	for i, member := range members {
-		d, err := Open(Options{Self: member, InitialMembers: slices.Clone(members), ProposeInterval: testProposeInterval, Dir: dir + "/" + member.ID + "/data", Machine: &counter{}, Node: nodes[i],
+		d, err := Open(Options{Self: member, InitialMembers: slices.Clone(members), Clock: clock, ProposeInterval: testProposeInterval, Dir: dir + "/" + member.ID + "/data", Machine: &counter{}, Node: nodes[i],
 			Recorder: timeline.NewRecorder(member.ID, "z"), Log: slog.New(slog.DiscardHandler), Fatal: func(err error) { b.Error(err) }})
 		check(b, err)
 		b.Cleanup(func() { check(b, d.Stop()) })
--- a/internal/process/replica/driver/driver.go
+++ b/internal/process/replica/driver/driver.go
@@ -54,6 +54,9 @@
 	if cut := storage.contents.TornBytes; cut > 0 {
 		options.Log.Warn("torn tail of the log truncated", "bytes", cut)
 	}
+	if options.Clock == nil {
+		options.Clock = bootClock
+	}
 	d := &Driver{
 		options: options, storage: storage,
 		registrar:     newRegistrar(&options, storage),
@@ -68,7 +71,7 @@
 	d.ended, d.end = context.WithCancel(context.Background())
 	d.receiver = newReceiver(d.stopped)
 	d.transport = newTransport(d.ended, options.Node, options.Log)
-	d.status.Store(&publishedStatus{status: replica.Status{ID: options.Self.ID, Role: "founding"}, at: time.Now()})
+	d.status.Store(&publishedStatus{status: replica.Status{ID: options.Self.ID, Role: "founding"}, at: options.Clock()})
 	d.receiver.register(options.Node)
 	d.registrar.register(options.Node)
 	go d.run()
@@ -130,7 +133,7 @@
 func (d *Driver) Status() replica.Status {
 	p := d.status.Load()
 	status := p.status
-	status.LeaderSilence += time.Since(p.at)
+	status.LeaderSilence += d.options.Clock() - p.at
 	return status
 }
 
--- a/internal/process/replica/driver/loop.go
+++ b/internal/process/replica/driver/loop.go
@@ -46,7 +46,8 @@
 	// senderAddresses holds the last link address that each sender reported.
 	senderAddresses map[string]string
 
-	lastTick time.Time
+	// lastTick is the reading of the clock up to which the core was advanced.
+	lastTick time.Duration
 	// bytesSinceSnapshot is the growth of the log since the last snapshot.
 	bytesSinceSnapshot int
 	snapshotPending    bool
@@ -63,7 +64,7 @@
 		Driver: d, core: d.newCore(), disk: newDisk(d.storage.dir, d.storage.log),
 		pendingProposals: map[uint64]*proposal{}, pendingChanges: map[uint64]*change{}, pendingReads: map[uint64][]*read{}, senderAddresses: map[string]string{},
 		confirms: newConfirmations(), proposeDue: newStoppedTimer(),
-		lastTick: time.Now(), logBytes: d.storage.log.Bytes(),
+		lastTick: d.options.Clock(), logBytes: d.storage.log.Bytes(),
 	}
 	if d.storage.snapshot != nil {
 		l.applied = d.storage.snapshot.Meta.Last.Index
@@ -158,11 +159,11 @@
 }
 
 // tick advances the core by the time since the last tick. After a suspension
-// of the process it catches up at once, so that the core notices elapsed
+// of the process or of the machine it catches up at once, so that the core notices elapsed
 // timeouts.
 func (l *loop) tick() {
-	elapsed := int(time.Since(l.lastTick) / tickInterval)
-	l.lastTick = l.lastTick.Add(time.Duration(elapsed) * tickInterval)
+	elapsed := int((l.options.Clock() - l.lastTick) / tickInterval)
+	l.lastTick += time.Duration(elapsed) * tickInterval
 	for range min(elapsed, 3*electionTicks) {
 		l.core.Tick()
 	}
--- a/internal/process/replica/driver/options.go
+++ b/internal/process/replica/driver/options.go
@@ -68,11 +68,14 @@
 	OddVoters bool
 	// AllowRejoin lets a process that was removed join again with its disk.
 	AllowRejoin bool
-	Dir         string
-	Machine     replica.StateMachine
-	Node        *link.Node
-	Recorder    *timeline.Recorder
-	Log         *slog.Logger
+	// Clock reads a clock that counts the time in which the machine is suspended.
+	// It is set only in tests.
+	Clock    func() time.Duration
+	Dir      string
+	Machine  replica.StateMachine
+	Node     *link.Node
+	Recorder *timeline.Recorder
+	Log      *slog.Logger
 	// Fatal is called once if the process must not continue, because its disk
 	// has failed or is not the one that the other members know.
 	Fatal func(error)
--- a/internal/process/replica/driver/status.go
+++ b/internal/process/replica/driver/status.go
@@ -59,10 +59,10 @@
 	l.members = members
 }
 
-// publishedStatus is a status and the time of the tick that it shows.
+// publishedStatus is a status and the clock reading of the tick that it shows.
 type publishedStatus struct {
 	status replica.Status
-	at     time.Time
+	at     time.Duration
 }
 
 // publish updates the published status and the metrics.
--- a/internal/process/replica/driver/suspend_test.go
+++ b/internal/process/replica/driver/suspend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -32,3 +33,14 @@
 	}
 	<-suspended
 }
+
+// TestStatusOfALeaderOnASuspendedMachineTellsHowLongItHeardOfNoMajority guards against orders of a leader whose monotonic clock stood still during the suspension.
+func TestStatusOfALeaderOnASuspendedMachineTellsHowLongItHeardOfNoMajority(t *testing.T) {
+	var suspended atomic.Int64
+	leader := startGroupWithClock(t, 3, func() time.Duration { return bootClock() + time.Duration(suspended.Load()) })
+	const span = 5 * time.Second
+	suspended.Store(int64(span))
+	if silence := leader.Status().LeaderSilence; silence < span {
+		t.Errorf("silence of %s after a suspension of %s", silence, span)
+	}
+}
