workstate: a registration does not take back the drain of the same incarnation

Found by review: a heartbeat of a ready worker that was proposed before its announced end is committed after it set the worker back to accepting tasks. Class: information that arrives late is taken as the newest.

Shown: TestDrainOfALeavingWorkerIsNotTakenBack failed before.

--- a/internal/process/workstate/machine_test.go
+++ b/internal/process/workstate/machine_test.go
@@ -300,3 +300,18 @@
 		}
 	}
 }
+
+// TestDrainOfALeavingWorkerIsNotTakenBack guards against new tasks on a worker whose heartbeat from before its announcement is committed after it.
+func TestDrainOfALeavingWorkerIsNotTakenBack(t *testing.T) {
+	m := newTestMachine(t)
+	start(t, m, id(0, 0), 1, "w0")
+	if got := apply(t, m, Command{Deregister: &Deregister{ID: "w0", Incarnation: 1, Announced: true}}); got.Code != Busy {
+		t.Fatalf("code %d", got.Code)
+	}
+	ready := *m.data.Workers["w0"]
+	ready.Draining, ready.Capacity.MilliCPU = false, 1
+	apply(t, m, Command{Register: &ready})
+	if w := m.data.Workers["w0"]; !w.Draining || !w.Leaving {
+		t.Errorf("draining %v, leaving %v", w.Draining, w.Leaving)
+	}
+}
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -26,6 +26,9 @@
 		m.removeWorker(other)
 	}
 	registered := *w
+	if known != nil && known.Draining && known.Incarnation == w.Incarnation {
+		registered.Draining = true
+	}
 	registered.Leaving = known != nil && known.Leaving && known.Incarnation == w.Incarnation
 	registered.Restarted = known != nil && (known.Restarted || known.Incarnation < w.Incarnation)
 	registered.EndsByOrder = newestOrderedEnd(known, w)
