replica: the boot clock is read once a millisecond

Each status is now told by a clock that costs a system call, and each order asks for the status. A reading is carried forward by the monotonic clock for a millisecond, which is all that a suspension can hide.

--- a/internal/process/replica/driver/driver.go
+++ b/internal/process/replica/driver/driver.go
@@ -55,7 +55,7 @@
 		options.Log.Warn("torn tail of the log truncated", "bytes", cut)
 	}
 	if options.Clock == nil {
-		options.Clock = bootClock
+		options.Clock = newBootClock().now
 	}
 	d := &Driver{
 		options: options, storage: storage,
--- a/internal/process/replica/driver/loop.go
+++ b/internal/process/replica/driver/loop.go
@@ -159,8 +159,8 @@
 }
 
 // tick advances the core by the time since the last tick. After a suspension
-// of the process or of the machine it catches up at once, so that the core notices elapsed
-// timeouts.
+// of the process or of the machine it catches up at once, so that the core
+// notices elapsed timeouts.
 func (l *loop) tick() {
 	elapsed := int((l.options.Clock() - l.lastTick) / tickInterval)
 	l.lastTick += time.Duration(elapsed) * tickInterval
--- a/internal/process/replica/driver/suspend_test.go
+++ b/internal/process/replica/driver/suspend_test.go
@@ -36,8 +36,9 @@
 
 // TestStatusOfALeaderOnASuspendedMachineTellsHowLongItHeardOfNoMajority guards against orders of a leader whose monotonic clock stood still during the suspension.
 func TestStatusOfALeaderOnASuspendedMachineTellsHowLongItHeardOfNoMajority(t *testing.T) {
+	clock := newBootClock()
 	var suspended atomic.Int64
-	leader := startGroupWithClock(t, 3, func() time.Duration { return bootClock() + time.Duration(suspended.Load()) })
+	leader := startGroupWithClock(t, 3, func() time.Duration { return clock.now() + time.Duration(suspended.Load()) })
 	const span = 5 * time.Second
 	suspended.Store(int64(span))
 	if silence := leader.Status().LeaderSilence; silence < span {
