scheduler: heartbeats without news leave their number at the leader

A worker grew and shrank again while the heartbeat in between was held up; that one then brought the larger capacity back until the next, since only heartbeats with news left a number. Class: information that arrives late is taken as the newest.

Change: each process remembers the newest heartbeat of each worker that it has acknowledged; followers tell the leader theirs with the message that they send each second. A late one is acknowledged and changes nothing. A worker that changes followers within that second, and a change of leader, leave a window of as long.

--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -121,7 +121,22 @@
 // HeardMessage tells the leader from which workers a follower has received
 // heartbeats lately. It has no answer.
 type HeardMessage struct {
-	Workers []string `cbor:"1,keyasint"`
+	Heartbeats []HeardHeartbeat `cbor:"2,keyasint"`
+}
+
+// HeardHeartbeat is the newest heartbeat of a worker that a process has received.
+type HeardHeartbeat struct {
+	Worker      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Sequence    int64  `cbor:"3,keyasint"`
+}
+
+// Newer reports whether a heartbeat of the same worker was sent after another.
+func (h HeardHeartbeat) Newer(other HeardHeartbeat) bool {
+	if h.Incarnation != other.Incarnation {
+		return h.Incarnation > other.Incarnation
+	}
+	return h.Sequence > other.Sequence
 }
 
 // DeregisterRequest removes a worker that has shut down.
--- a/internal/process/scheduler/capacity_test.go
+++ b/internal/process/scheduler/capacity_test.go
@@ -123,7 +123,7 @@
 		f.commit(&workstate.Command{Register: draining})
 		w = restartUnseen(f, 4000)
 		time.Sleep(2 * time.Second)
-		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onHeartbeats: func([]string) {}, now: time.Now}
+		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onHeartbeats: func([]workcall.HeardHeartbeat) {}, now: time.Now}
 		beat(t, s, *f.heartbeat(w, "vm-w1", "svc"), 1, 4000)
 		f.submit(jobA, step(1))
 		f.await(jobA, workstate.Succeeded, 3*time.Second)
--- a/internal/process/scheduler/heard.go
+++ b/internal/process/scheduler/heard.go
@@ -8,38 +8,81 @@
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/logging"
+	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
 // heardInterval is the interval at which a follower tells the leader whose
 // heartbeats it has acknowledged, a small part of lostAfter.
 const heardInterval = time.Second
 
-// heardWorkers collects workers whose heartbeats were acknowledged. It is safe
-// for concurrent use.
+// heardWorkers holds the newest heartbeat of each worker that was acknowledged here
+// or that a follower has told of. It is safe for concurrent use.
 type heardWorkers struct {
-	mu  sync.Mutex
-	ids map[string]bool
+	mu     sync.Mutex
+	newest map[string]workcall.HeardHeartbeat
+	// untold holds the workers of which the leader was not told yet.
+	untold map[string]bool
 }
 
-func (h *heardWorkers) add(id string) {
+// add records a heartbeat that the leader is to be told of.
+func (h *heardWorkers) add(heartbeat workcall.HeardHeartbeat) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ids == nil {
-		h.ids = map[string]bool{}
+	h.record(heartbeat)
+	if h.untold == nil {
+		h.untold = map[string]bool{}
 	}
-	h.ids[id] = true
+	h.untold[heartbeat.Worker] = true
 }
 
-// take removes and returns the collected workers.
-func (h *heardWorkers) take() []string {
+// addAll records heartbeats at the leader.
+func (h *heardWorkers) addAll(heartbeats []workcall.HeardHeartbeat) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	ids := make([]string, 0, len(h.ids))
-	for id := range h.ids {
-		ids = append(ids, id)
+	for _, heartbeat := range heartbeats {
+		h.record(heartbeat)
+	}
+}
+
+// record records a heartbeat unless a newer one is known. The caller holds h.mu.
+func (h *heardWorkers) record(heartbeat workcall.HeardHeartbeat) {
+	if h.newest == nil {
+		h.newest = map[string]workcall.HeardHeartbeat{}
+	}
+	if known, ok := h.newest[heartbeat.Worker]; !ok || heartbeat.Newer(known) {
+		h.newest[heartbeat.Worker] = heartbeat
+	}
+}
+
+// isLate reports whether a newer heartbeat of the worker is known.
+func (h *heardWorkers) isLate(heartbeat workcall.HeardHeartbeat) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known, ok := h.newest[heartbeat.Worker]
+	return ok && known.Newer(heartbeat)
+}
+
+// take returns the heartbeats of which the leader was not told yet.
+func (h *heardWorkers) take() []workcall.HeardHeartbeat {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	heartbeats := make([]workcall.HeardHeartbeat, 0, len(h.untold))
+	for id := range h.untold {
+		heartbeats = append(heartbeats, h.newest[id])
+	}
+	h.untold = nil
+	return heartbeats
+}
+
+// forgetOthers forgets the workers that are not registered.
+func (h *heardWorkers) forgetOthers(registered func(id string) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id := range h.newest {
+		if !registered(id) {
+			delete(h.newest, id)
+		}
 	}
-	h.ids = nil
-	return ids
 }
 
 // relayHeard periodically tells the leader whose heartbeats this process has
@@ -58,14 +101,17 @@
 }
 
 func (s *Server) relayHeardOnce(ctx context.Context, node *link.Node) {
-	ids := s.heard.take()
+	s.machine.Read(func(v *workstate.View) {
+		s.heard.forgetOthers(func(id string) bool { return v.Workers()[id] != nil })
+	})
+	heartbeats := s.heard.take()
 	leader := s.Hello().Leader
-	if len(ids) == 0 || leader == "" {
+	if len(heartbeats) == 0 || leader == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, heardInterval)
 	defer cancel()
-	if err := link.Send(ctx, node, leader, workcall.HeardKind, workcall.HeardMessage{Workers: ids}); err != nil && ctx.Err() == nil {
-		s.log.Warn("acknowledged heartbeats not told to the leader", "leader", leader, "workers", len(ids), logging.Err(err))
+	if err := link.Send(ctx, node, leader, workcall.HeardKind, workcall.HeardMessage{Heartbeats: heartbeats}); err != nil && ctx.Err() == nil {
+		s.log.Warn("acknowledged heartbeats not told to the leader", "leader", leader, "workers", len(heartbeats), logging.Err(err))
 	}
 }
--- a/internal/process/scheduler/heard_test.go
+++ b/internal/process/scheduler/heard_test.go
@@ -25,7 +25,7 @@
 func startMember(t *testing.T, status replica.Status) (*Server, *memberReplica, workstate.Worker) {
 	f := newFixture(t, time.Second)
 	m := &memberReplica{f.replica, status}
-	s := &Server{replica: m, machine: f.machine, log: slog.New(slog.DiscardHandler), address: "admin-1", wake: func() {}, onHeartbeats: func([]string) {}, now: time.Now}
+	s := &Server{replica: m, machine: f.machine, log: slog.New(slog.DiscardHandler), address: "admin-1", wake: func() {}, onHeartbeats: func([]workcall.HeardHeartbeat) {}, now: time.Now}
 	w := workstate.Worker{ID: "w1", Address: "10.0.0.1:80", Service: "svc", VM: "vm-1", Incarnation: 5}
 	if _, err := propose(t.Context(), m, &workstate.Command{Register: &w}, time.Now()); err != nil {
 		t.Fatal(err)
@@ -41,7 +41,7 @@
 		if !known || answer.Status != workcall.OK || answer.NextAddress != "admin-1" {
 			t.Errorf("%+v, known %v", answer, known)
 		}
-		if heard := s.heard.take(); !slices.Equal(heard, []string{"w1"}) {
+		if heard := s.heard.take(); !slices.Equal(heard, []workcall.HeardHeartbeat{{Worker: "w1", Incarnation: w.Incarnation}}) {
 			t.Errorf("the leader will be told of %v", heard)
 		}
 		draining, restarted, unknown := w, w, w
--- a/internal/process/scheduler/leaving_test.go
+++ b/internal/process/scheduler/leaving_test.go
@@ -14,7 +14,7 @@
 // leadingServer returns the server of the fixture's leader.
 func (f *fixture) leadingServer() *Server {
 	return &Server{
-		replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), onHeartbeats: func([]string) {}, now: time.Now,
+		replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), onHeartbeats: func([]workcall.HeardHeartbeat) {}, now: time.Now,
 		wake: func() { f.loop.post(func(l *loop) { l.dirty = true }) },
 	}
 }
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -32,7 +32,8 @@
 	})
 	link.Handle(node, workcall.JoinKind, s.server.join)
 	link.Handle(node, workcall.HeardKind, func(_ context.Context, _ link.Peer, m workcall.HeardMessage) (struct{}, error) {
-		s.heartbeatsReceived(m.Workers)
+		s.server.heard.addAll(m.Heartbeats)
+		s.heartbeatsReceived(m.Heartbeats)
 		return struct{}{}, nil
 	})
 	return s
@@ -48,9 +49,12 @@
 	}
 }
 
-// heartbeatsReceived passes the ids of workers that have sent heartbeats to the
-// loop.
-func (s *Scheduler) heartbeatsReceived(ids []string) {
+// heartbeatsReceived tells the loop which workers have sent heartbeats.
+func (s *Scheduler) heartbeatsReceived(heartbeats []workcall.HeardHeartbeat) {
+	ids := make([]string, 0, len(heartbeats))
+	for _, heartbeat := range heartbeats {
+		ids = append(ids, heartbeat.Worker)
+	}
 	if l := s.current.Load(); l != nil {
 		l.post(func(l *loop) { l.recordHeartbeats(ids, time.Now()) })
 	}
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -25,10 +25,9 @@
 	address string
 	// wake requests a round of the leader's loop after a change of the state.
 	wake func()
-	// onHeartbeats passes the ids of workers that have sent heartbeats to the
-	// leader's loop.
-	onHeartbeats func(ids []string)
-	// heard collects the workers whose heartbeats a follower has acknowledged.
+	// onHeartbeats passes received heartbeats to the leader's loop.
+	onHeartbeats func([]workcall.HeardHeartbeat)
+	// heard holds the newest heartbeats that are known here.
 	heard heardWorkers
 	// onJobAccepted passes a new job to the leader's loop.
 	onJobAccepted func(id string)
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -33,7 +33,9 @@
 		s.log.Info("worker registered", "worker", r.Worker.ID, "incarnation", r.Worker.Incarnation, "vm", r.Worker.VM, "address", r.Worker.Address,
 			"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
 	}
-	s.onHeartbeats([]string{r.Worker.ID})
+	heard := []workcall.HeardHeartbeat{heardFrom(&r.Worker)}
+	s.heard.addAll(heard)
+	s.onHeartbeats(heard)
 	return response, nil
 }
 
@@ -62,10 +64,15 @@
 	if s.compareHeartbeat(&r.Worker) != unchanged {
 		return workcall.HeartbeatResponse{}, false
 	}
-	s.heard.add(r.Worker.ID)
+	s.heard.add(heardFrom(&r.Worker))
 	return workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.address}, true
 }
 
+// heardFrom returns what identifies a worker's heartbeat.
+func heardFrom(w *workstate.Worker) workcall.HeardHeartbeat {
+	return workcall.HeardHeartbeat{Worker: w.ID, Incarnation: w.Incarnation, Sequence: w.Sequence}
+}
+
 // heartbeatChange is the effect of a heartbeat on the registration of a worker.
 type heartbeatChange uint8
 
@@ -83,6 +90,7 @@
 
 // compareHeartbeat compares a heartbeat with the registered worker.
 func (s *Server) compareHeartbeat(w *workstate.Worker) (change heartbeatChange) {
+	late := s.heard.isLate(heardFrom(w))
 	s.machine.Read(func(v *workstate.View) {
 		if c := v.Catalog(); c.Version > 0 && c.Service(w.Service) == nil {
 			change = unknownService
@@ -92,6 +100,8 @@
 		switch {
 		case known == nil:
 			change = changed
+		case late:
+			change = unchanged
 		case !w.Replaces(known) || sameWorker(known, w):
 			change = unchanged
 		case known.Incarnation == w.Incarnation && known.Draining:
