scheduler: a worker that has restarted gets no orders for its former incarnation

A watch that shows a new incarnation under the same id clears the worker's unresponsive mark; until its registration is committed the leader repeated start orders, placed tasks, extended leases by the former clock and acknowledged ends by the former numbers at the new incarnation. A deadly run was so started twice, and counted as one crash.

--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -148,7 +148,7 @@
 		// The stop order is due at once.
 		r.enter(runStopping, time.Time{})
 	}
-	if !w.contacted || r.calling {
+	if !w.contacted || w.superseded || r.calling {
 		return
 	}
 	l.advanceRun(v, id, r, w, now)
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -60,7 +60,7 @@
 	// receive calls, and its lease must not be extended. It may also have
 	// restarted, in which case the ends of the new incarnation must not be
 	// acknowledged.
-	if w.contacted && !w.unresponsive && l.inContact() {
+	if w.contacted && !w.unresponsive && !w.superseded && l.inContact() {
 		request.LeaseUntilMS = w.grantLease(now)
 		request.AckedEnd = w.ackedEnd
 		request.WaitMS = int(l.watchWait(w).Milliseconds())
@@ -105,6 +105,7 @@
 	w.unresponsive, w.connectionRefused = false, false
 	w.answeredAt = now
 	if report.Incarnation > w.reg.Incarnation {
+		w.superseded = true
 		l.registerRestart(w, report.Incarnation)
 		return
 	}
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -99,6 +99,9 @@
 	// It gets no tasks from then on: they would count as ended with it, although
 	// it may be alive.
 	deregistering bool
+	// superseded is set once a later incarnation has answered in this one's place.
+	// Until that is registered, it gets no orders for this one.
+	superseded bool
 	// report is the newest report that lists what the worker executes, with the
 	// ends of later reports; nil before the first one.
 	report *reportView
@@ -164,7 +167,7 @@
 
 // schedulable reports whether the worker may get new tasks.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.contacted && !w.unresponsive && !w.deregistering && !w.reg.Draining && now.After(w.pausedUntil) && now.Sub(w.answeredAt) < maxAnswerAge
+	return w.contacted && !w.unresponsive && !w.deregistering && !w.superseded && !w.reg.Draining && now.After(w.pausedUntil) && now.Sub(w.answeredAt) < maxAnswerAge
 }
 
 // watchWait returns how long the worker may delay a report without new ends.
