scheduler: a run whose order was never sent is not blamed for a crash

A start that is recorded while its worker is replaced, drains or is over its capacity goes to stopping without an order. By its phase it counted as one that may have crashed the worker, so that four of these fail an innocent job. Failed before: TestRunThatWasNeverOrderedIsNotBlamed.

--- /dev/null
+++ b/internal/process/scheduler/blame_test.go
@@ -0,0 +1,34 @@
+package scheduler
+
+import (
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// TestRunThatWasNeverOrderedIsNotBlamed guards against a job that is given up for crashes of workers that have not started its task.
+func TestRunThatWasNeverOrderedIsNotBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		former := f.addWorker("w1", 4000)
+		f.submit(jobA, step(1))
+		start := workstate.Start{Task: workload.TaskID{Job: jobA}, Run: 1, Worker: "w1", Incarnation: former.incarnation, Term: 1}
+		f.commit(&workstate.Command{Progress: &workstate.Progress{Starts: []workstate.Start{start}}})
+		l := newLoop(t.Context(), Options{Replica: f.replica, Machine: f.machine, Workers: f.workers, Limits: f.limits, Log: slog.New(slog.DiscardHandler), Now: time.Now}, 1)
+		f.machine.Read(l.syncWorkers)
+		time.Sleep(time.Second)
+		successor := f.workers.add("w2", 4000)
+		f.register(successor, "vm-w1", "svc")
+		f.machine.Read(func(v *workstate.View) {
+			l.startRun(v, &start)
+			l.findCrashes(v, time.Now())
+		})
+		if blame := l.runs[start.Task].blame; blame != nil {
+			t.Errorf("blamed for %+v", blame)
+		}
+	})
+}
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -148,10 +148,7 @@
 
 // mayCrashWorker reports whether the run may be starting. A run whose order this
 // leader has recorded but not sent is not.
-func (r *run) mayCrashWorker() bool {
-	unsent := r.phase == runUnknown && !r.unconfirmed
-	return !r.settled && !unsent
-}
+func (r *run) mayCrashWorker() bool { return !r.settled && (r.sent || r.inherited) }
 
 // suspectUnheard blames the run for the silence of its worker if it may have been
 // starting when the silence began. The worker may have crashed or be cut off, so
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -58,6 +58,8 @@
 	// was requested at least settleTime later lists the run as executing.
 	orderedAt time.Time
 	settled   bool
+	// sent is set once this leader has sent a start order.
+	sent bool
 	// inherited is set if a former leader ordered the run, so that this one does
 	// not know whether its worker has listed it long ago.
 	inherited bool
@@ -131,7 +133,7 @@
 	order.LeaseUntilMS = w.grantLease(now)
 	order.Ticket = l.ticketFor(id, r.worker)
 	r.enter(runOrdering, now)
-	r.calling = true
+	r.calling, r.sent = true, true
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
