scheduler: a worker is reserved for a suspect only if long-running tasks leave the room

The reservation looked at a worker's whole capacity and preferred few runs. One that a long-running task fills never becomes free: it stayed isolated for as long as the suspect waited, and on the others, where short tasks of other jobs are always starting, the suspect never found its turn. Failed before: TestSuspectWaitsForNoLongRunningTask (waits while the backlog lasts).

--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -70,6 +70,7 @@
 		}
 		if s := u.starting[id]; s != nil {
 			worker.Runs, worker.Starting = s.runs, s.Starting
+			worker.Capacity = worker.Capacity.Sub(s.longRunning)
 		}
 		worker.Young = w.reg.Incarnation > youngSince
 		all = append(all, worker)
--- a/internal/process/scheduler/suspects.go
+++ b/internal/process/scheduler/suspects.go
@@ -18,6 +18,8 @@
 type workerRuns struct {
 	placement.Starting
 	runs int
+	// longRunning is what the long-running ones take of the capacity.
+	longRunning workload.Resources
 }
 
 // appendGroup appends the waiting tasks of a step. Suspects form a group of their
@@ -72,6 +74,9 @@
 				u.starting[task.Worker] = runs
 			}
 			runs.runs++
+			if step := &job.Spec.Steps[id.Step]; step.LongRunning {
+				runs.longRunning = runs.longRunning.Add(step.Charge())
+			}
 			if r := l.runs[id]; r == nil || !r.settled {
 				runs.Add(id.Job, isSuspect(job, id, task))
 			}
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -23,9 +23,10 @@
 	// DrainPending is set if the worker will be drained soon. Long-running
 	// tasks are placed on other workers if possible.
 	DrainPending bool
-	// The following fields are used for suspects only. Capacity is the whole
-	// capacity, Runs the number of executing runs, and Incarnation the start of
-	// the worker in milliseconds of Unix time. Young is set if that was lately.
+	// The following fields are used for suspects only. Capacity is what is free
+	// once all but the long-running tasks have ended, Runs the number of executing
+	// runs, and Incarnation the start of the worker in milliseconds of Unix time.
+	// Young is set if that was lately.
 	Capacity    workload.Resources
 	Runs        int
 	Incarnation int64
