scheduler, placement: suspects avoid workers that fell silent lately

Only young workers came last. One that falls silent after each start is emptied by the end of its lease, and by that came first again: two of these gave an innocent job up within 17 s and without any crash, beside three sound workers with room. Failed before: TestTaskOfSilentWorkersIsStartedElsewhere.

--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -57,7 +57,7 @@
 // schedulableWorkers returns the workers that accept new tasks, with their free
 // capacity.
 func (l *loop) schedulableWorkers(u *usage, now time.Time) []*placement.Worker {
-	youngSince := l.Now().Add(-youngTime).UnixMilli()
+	startedSince := l.Now().Add(-flappingTime).UnixMilli()
 	all := make([]placement.Worker, 0, len(l.workers))
 	for id, w := range l.workers {
 		if !w.schedulable(now) || l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM] {
@@ -72,7 +72,7 @@
 			worker.Runs, worker.Starting = s.runs, s.Starting
 			worker.Capacity = worker.Capacity.Sub(s.longRunning)
 		}
-		worker.Young = w.reg.Incarnation > youngSince
+		worker.Flapping = w.reg.Incarnation > startedSince || now.Sub(w.failedAt) < flappingTime
 		all = append(all, worker)
 	}
 	workers := make([]*placement.Worker, len(all))
--- a/internal/process/scheduler/suspects.go
+++ b/internal/process/scheduler/suspects.go
@@ -10,9 +10,9 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// youngTime is the time after its start for which a worker may be one that crashes
-// again and again.
-const youngTime = 15 * time.Second
+// flappingTime is the time after its start, or after it was found silent, for which a
+// worker may be one that crashes or falls silent again and again.
+const flappingTime = 15 * time.Second
 
 // workerRuns describes the runs of a worker to the placement of suspects.
 type workerRuns struct {
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -26,11 +26,11 @@
 	// The following fields are used for suspects only. Capacity is what is free
 	// once all but the long-running tasks have ended, Runs the number of executing
 	// runs, and Incarnation the start of the worker in milliseconds of Unix time.
-	// Young is set if that was lately.
+	// Flapping is set if it has started or was silent lately.
 	Capacity    workload.Resources
 	Runs        int
 	Incarnation int64
-	Young       bool
+	Flapping    bool
 	Starting    Starting
 }
 
--- a/internal/version/placement/suspects.go
+++ b/internal/version/placement/suspects.go
@@ -51,7 +51,7 @@
 // flapping workers, then those that lose the fewest runs by a crash, then the
 // oldest ones.
 func compareForSuspects(a, b *Worker) int {
-	return cmp.Or(compareTrueFirst(a.Starting.Suspect, b.Starting.Suspect), compareTrueFirst(!a.Young, !b.Young),
+	return cmp.Or(compareTrueFirst(a.Starting.Suspect, b.Starting.Suspect), compareTrueFirst(!a.Flapping, !b.Flapping),
 		cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.ID, b.ID))
 }
 
