workstate: a worker that gets tasks after its maintenance was ordered may crash again

The order of a maintenance is recorded before it is sent. When the platform refused it (overloaded, busy) or never answered, the worker stayed marked as one that ends by order though it went on and got tasks, so that no crash on it counted: a deadly task was started 13 times in 40 s (bound 5), and would be on to the wave's end. A start is recorded only once the VM is no longer ordered, so it takes the mark back.

--- a/internal/process/workstate/crashes.go
+++ b/internal/process/workstate/crashes.go
@@ -57,6 +57,14 @@
 	return known.EndsByOrder
 }
 
+// forgetExpectedEnd records that a worker gets tasks, so that the order that was
+// about to end it was refused or never arrived.
+func (w *Worker) forgetExpectedEnd() {
+	if w.EndsByOrder == w.Incarnation {
+		w.EndsByOrder = 0
+	}
+}
+
 // expectMaintenance records that the worker on a VM is about to end by order.
 func (m *Machine) expectMaintenance(vm string) {
 	for _, worker := range m.data.Workers {
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -174,6 +174,7 @@
 	if task.Phase != Waiting || s.Run <= task.Run || !occurrence.Ready(step) {
 		return false
 	}
+	worker.forgetExpectedEnd()
 	task.Phase = Running
 	task.Run = s.Run
 	task.Worker = s.Worker
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -140,7 +140,7 @@
 	Leaving bool `cbor:"12,keyasint,omitempty"`
 	// EndsByOrder is the newest incarnation of this id that was about to end
 	// without a crash: by draining, maintenance or a change of service. It is 0
-	// if there was none.
+	// if there was none, and again once the worker gets a task after all.
 	EndsByOrder int64 `cbor:"13,keyasint,omitempty"`
 }
 
