workstate: a long-running task is given up after five crashes in a row

Found by review: only crashes that were surely its own counted for it, so that one that crashes its workers before they answer, or under changing leaders, was started 19 times in a minute.

Shown: TestDeadlyLongRunningTaskIsGivenUpWithoutAnswers and ...ByNewLeaders failed before and pass; the storm test and all random schedules pass.

--- a/internal/process/workstate/crashes.go
+++ b/internal/process/workstate/crashes.go
@@ -12,14 +12,16 @@
 	// included, are such that no other job's task can have caused them.
 	maxLikelyCrashes = 3
 	minCrashesAlone  = 2
+	// maxLongRunningCrashes bounds the crashes of a long-running task, whose job
+	// is missed by its users for the rest of the day.
+	maxLongRunningCrashes = 5
 )
 
 // GivenUp reports whether the job of a task of a step fails because of the
-// crashes under the task, of which alone describes the last one. Long-running tasks live through more crashes than
-// others: for them only those count that no other job's task can have caused.
+// crashes under the task, of which alone describes the last one.
 func (t *Task) GivenUp(step *workload.Step, alone bool) bool {
 	if step.LongRunning {
-		return t.CrashesAlone >= maxCrashes
+		return t.Crashes >= maxLongRunningCrashes
 	}
 	likely := alone && t.CrashesAlone >= minCrashesAlone
 	return t.Crashes >= maxCrashes || likely && t.Crashes >= maxLikelyCrashes
