--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -14,9 +14,8 @@
 const settleTime = 300 * time.Millisecond
 
 // startCrashTime is the time after its start within which the silence of a worker
-// that a run has crashed by starting is noticed: settleTime and a failed watch, which
-// may have begun when the worker was idle.
-const startCrashTime = settleTime + idleWatchWait + callTimeout
+// that a run has crashed by starting is noticed: settleTime and a failed watch.
+const startCrashTime = settleTime + busyWatchWait + callTimeout
 
 // settlingWatchWait is how long a worker delays a report while a suspect may be
 // starting on it, so that it is soon known to have survived.
