scheduler: a run that fails by itself ends the suspicion

Only a report at least settleTime after the start did. A run that failed earlier has not crashed its worker either, but the crashes before and after it counted as in a row. Failed before: TestFailedRunEndsTheSuspicion; seen in random schedule 60681.

--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -32,3 +32,30 @@
 		}
 	})
 }
+
+// TestFailedRunEndsTheSuspicion guards against a job that is given up for crashes before and after a run that its worker has reported as failed.
+func TestFailedRunEndsTheSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 100*time.Millisecond)
+		f.addWorker("w1", 4000)
+		f.submit(jobA, step(1))
+		task := workload.TaskID{Job: jobA}
+		f.recordCrash(task, "w1")
+		f.workers.fails = func(_ workload.TaskID, run int) bool { return run == 2 }
+		f.workers.durationOf = func(_ workload.TaskID, run int) time.Duration {
+			if run == 2 {
+				return 100 * time.Millisecond
+			}
+			return 2 * time.Second
+		}
+		f.lead()
+		defer time.Sleep(time.Second)
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.machine.Read(func(v *workstate.View) {
+			if progress := v.Job(jobA).Task(task); progress.Failures != 1 || progress.Crashes != 0 {
+				t.Errorf("%d failures, %d crashes", progress.Failures, progress.Crashes)
+			}
+		})
+	})
+}
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -159,9 +159,10 @@
 	}
 }
 
-// judge completes the end of the run with what is known of its start.
+// judge completes the end of the run with what is known of its start. A run that
+// its worker reports as failed has not crashed it.
 func (r *run) judge(end *workstate.End) {
-	end.Survived = r.settled
+	end.Survived = r.settled || end.Kind == workstate.EndFailed
 	if end.Kind == workstate.EndInterrupted && r.blame != nil {
 		end.Kind, end.Alone = workstate.EndCrashed, r.blame.alone
 	}
