workstate: the end of a worker by order does not hide the crash of its former incarnation

The runs of an incarnation that has crashed stay recorded for up to two seconds while its next one is asked. If that one then drained, was deregistered or moved, they ended as interrupted by the state, and their crash counted for nothing.

--- a/internal/process/workstate/crashes_test.go
+++ b/internal/process/workstate/crashes_test.go
@@ -62,3 +62,16 @@
 		t.Errorf("%d crashes", crashes)
 	}
 }
+
+// TestDrainOfARestartedWorkerHidesNoCrash guards against a crash that counts for nothing, since the worker's next incarnation ends by order before the leader has recorded it.
+func TestDrainOfARestartedWorkerHidesNoCrash(t *testing.T) {
+	m := newTestMachine(t)
+	start(t, m, id(0, 0), 1, "w0")
+	restarted := Worker{ID: "w0", Address: "a0", VM: "v0", Service: "s", Incarnation: 2, Draining: true}
+	apply(t, m, Command{Register: &restarted})
+	apply(t, m, Command{Register: &Worker{ID: "w9", Address: "a0", VM: "v0", Service: "s", Incarnation: 3}})
+	apply(t, m, Command{Progress: &Progress{Ends: []End{{Task: id(0, 0), Run: 1, Kind: EndCrashed}}}})
+	if crashes := m.data.Jobs[testJob].Task(id(0, 0)).Crashes; crashes != 1 {
+		t.Errorf("%d crashes", crashes)
+	}
+}
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -59,11 +59,15 @@
 	return Result{Code: OK}
 }
 
-// removeWorker removes a worker and interrupts the runs on it.
+// removeWorker removes a worker and interrupts the runs on it. Those of an earlier
+// incarnation, which may have crashed, are left to the leader.
 func (m *Machine) removeWorker(worker *Worker) {
 	m.forgetWorker(worker)
 	for _, job := range m.active {
 		for _, run := range job.RunsOn(worker.ID) {
+			if job.Task(run.Task).Incarnation != worker.Incarnation {
+				continue
+			}
 			m.applyEnd(&End{Task: run.Task, Run: run.Run, Kind: EndInterrupted})
 		}
 	}
