state: failing test of a job whose workers are lost each time

The product's own deployment counts lost attempts but bounds only failed ones: a job that crashes its workers was started 20 times of 20, on the same workers too, which are avoided only after a failure.

--- a/internal/process/state/jobs_test.go
+++ b/internal/process/state/jobs_test.go
@@ -214,3 +214,20 @@
 	apply[TaskReportsAnswer](d, ReportTasks, TaskReports{Reports: []TaskReport{{Job: "j", Epoch: 1, Outcome: TaskStopped}}})
 	apply[plan.Progress](d, StepWave, reboot)
 }
+
+// TestJobWhoseWorkersAreLostIsNotRetriedForever guards against a job that crashes one worker after another: lost attempts have no bound.
+func TestJobWhoseWorkersAreLostIsNotRetriedForever(t *testing.T) {
+	const attempts = 20
+	d := newJobDriver(t, jobFleet)
+	spec := JobSpec{ID: "j", Team: "red", Kind: "k", Declared: fleet.Resources{CPUCores: 1, MemoryGiB: 1}}
+	apply[JobSubmissionAnswer](d, SubmitJobs, JobSubmission{Jobs: []JobSpec{spec}})
+	for range attempts {
+		d.plan()
+		job, _ := d.machine.JobView("j")
+		if job.Phase == jobplan.Failed {
+			return
+		}
+		apply[TaskReportsAnswer](d, ReportTasks, TaskReports{Reports: []TaskReport{{Job: "j", Epoch: job.Epoch, Outcome: TaskLost}}})
+	}
+	t.Errorf("started %d times, and lost with its worker each time", attempts)
+}
