state: a job whose attempts are lost before any report ends as failed

Five attempts lost in a row, none of which a worker has reported on, fail the job with that reason; a report starts the count anew, so that long jobs outlive any number of lost workers.

--- a/internal/process/state/jobreport.go
+++ b/internal/process/state/jobreport.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -71,9 +72,11 @@
 	switch report.Outcome {
 	case TaskRunning:
 		job.Used = report.Used
+		job.LostUnreported = 0
 	case TaskCheckpointed:
 		job.Used = report.Used
 		job.Checkpointed = true
+		job.LostUnreported = 0
 	case TaskDone:
 		s.recordObservation(job, report)
 		s.workerRecord(job.Worker).RecordSuccess()
@@ -86,13 +89,26 @@
 		job.Preempted++
 		s.requeue(pos, job)
 	case TaskLost:
-		job.Lost++
-		job.Checkpointed = false
-		s.requeue(pos, job)
+		s.loseAttempt(pos, job)
 	}
 	return false
 }
 
+// loseAttempt ends an attempt whose lease expired. The job is queued again, unless
+// too many attempts in a row were lost before their workers reported on them.
+func (s *jobState) loseAttempt(pos position, job *Job) {
+	job.Lost++
+	job.LostUnreported++
+	job.Checkpointed = false
+	if job.LostUnreported < maxLostUnreported || job.Cancelling {
+		s.requeue(pos, job)
+		return
+	}
+	s.detach(job)
+	s.end(pos, job, jobplan.Failed)
+	job.Reason = fmt.Sprintf("%d attempts in a row were lost before a worker reported on them", job.LostUnreported)
+}
+
 // failAttempt records a failed attempt for the job and for its worker. It
 // returns true if the worker was quarantined because of it.
 func (m *Machine) failAttempt(pos position, job *Job, report TaskReport) bool {
--- a/internal/process/state/jobs.go
+++ b/internal/process/state/jobs.go
@@ -17,6 +17,10 @@
 	// maxAttempts is the number of failed attempts after which a job has
 	// failed.
 	maxAttempts = 3
+	// maxLostUnreported is the number of attempts lost in a row, none of which
+	// its worker has reported on, after which a job has failed: it may be the job
+	// that ends its workers.
+	maxLostUnreported = 5
 	// maxEndedJobs is the number of ended jobs that are kept.
 	maxEndedJobs = 20000
 )
@@ -61,6 +65,9 @@
 	Failures  int `cbor:"15,keyasint" json:"failures"`
 	Preempted int `cbor:"16,keyasint" json:"preempted"`
 	Lost      int `cbor:"17,keyasint" json:"lost"`
+	// LostUnreported counts the lost attempts in a row of which the worker has
+	// reported nothing.
+	LostUnreported int `cbor:"19,keyasint,omitempty" json:"lost_unreported,omitempty"`
 	// Reason explains why the job is waiting, is being preempted, has failed
 	// or was cancelled.
 	Reason string `cbor:"18,keyasint,omitempty" json:"reason,omitempty"`
