scheduler: the fakes of the tests by job

fake_test.go had 681 lines: the replica, the workers, their calls, the platform and the fixture have files of their own, and so have the faults of random schedules. Lines are moved, none is changed.

--- /dev/null
+++ b/internal/process/scheduler/fakereplica_test.go
@@ -0,0 +1,35 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// fakeReplica applies each command after a delay.
+type fakeReplica struct {
+	mu      sync.Mutex
+	machine *workstate.Machine
+	delay   time.Duration
+	index   uint64
+	term    uint64
+}
+
+func (f *fakeReplica) Propose(_ context.Context, command []byte) ([]byte, error) {
+	time.Sleep(f.delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.index++
+	return f.machine.Apply(f.index, command), nil
+}
+func (f *fakeReplica) ReadBarrier(context.Context) error { return nil }
+func (f *fakeReplica) Status() replica.Status {
+	return replica.Status{ID: "c1", Leader: "c1", Term: f.term}
+}
+func (f *fakeReplica) AddMember(context.Context, replica.Member) error { return nil }
+func (f *fakeReplica) RemoveMember(context.Context, string) error      { return nil }
+func (f *fakeReplica) LeaderChanges() <-chan bool                      { return nil }
+func (f *fakeReplica) Stop() error                                     { return nil }
--- /dev/null
+++ b/internal/process/scheduler/fixture_test.go
@@ -0,0 +1,145 @@
+package scheduler
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// fixture is a leader with fake workers and a fake platform.
+type fixture struct {
+	t       *testing.T
+	replica *fakeReplica
+	machine *workstate.Machine
+	workers *fakeWorkers
+	vms     *fakePlatform
+	limits  Limits
+	adviser execution.Adviser
+	end     context.CancelFunc
+	ended   chan struct{}
+	loop    *loop
+}
+
+// testCatalog returns a configuration with one queue on the service "svc" and a
+// standby pool.
+func testCatalog() *catalog.Catalog {
+	return &catalog.Catalog{
+		Version:  1,
+		Queues:   []catalog.Queue{{Name: "q", Host: "host", PathPrefix: "/q/", Service: "svc", Timeout: time.Second, MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second}},
+		Services: []catalog.Service{{Name: "svc", EnforcesCapacity: true}, {Name: "spare", Standby: true}},
+	}
+}
+
+// newFixture returns a fixture without a leader. It must be called in a
+// synctest bubble.
+func newFixture(t *testing.T, duration time.Duration) *fixture {
+	machine := workstate.NewMachine()
+	f := &fixture{t: t, machine: machine, workers: newFakeWorkers(t, duration), vms: newFakePlatform()}
+	f.limits = Limits{StopTimeout: 200 * time.Millisecond, LongestLease: longestLease * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, ActionRate: 64}
+	f.replica = &fakeReplica{machine: machine, delay: 10 * time.Millisecond, term: 1}
+	f.commit(&workstate.Command{Catalog: testCatalog()})
+	return f
+}
+
+func (f *fixture) commit(c *workstate.Command) workstate.Result {
+	f.t.Helper()
+	result, err := propose(context.Background(), f.replica, c, time.Now())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if f.loop != nil {
+		f.loop.post(func(l *loop) { l.dirty = true })
+	}
+	return result
+}
+
+// addWorker adds a worker of "svc" on a VM of its own and registers it.
+func (f *fixture) addWorker(id string, milliCPU int64) *fakeWorker {
+	w := f.workers.add(id, milliCPU)
+	f.register(w, "vm-"+id, "svc")
+	return w
+}
+
+func (f *fixture) register(w *fakeWorker, vm, service string) {
+	f.commit(&workstate.Command{Register: f.heartbeat(w, vm, service)})
+}
+
+// heartbeat returns the next heartbeat of a worker.
+func (f *fixture) heartbeat(w *fakeWorker, vm, service string) *workstate.Worker {
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	return &workstate.Worker{ID: w.id, Address: w.id, Service: service, VM: vm, Incarnation: w.incarnation, Capacity: w.capacity, Sequence: w.announce()}
+}
+
+func (f *fixture) submit(id string, steps ...workload.Step) {
+	f.t.Helper()
+	spec := workload.Spec{Payload: "p", Steps: steps}
+	f.workers.mu.Lock()
+	f.workers.submitted[id] = spec
+	f.workers.mu.Unlock()
+	if r := f.commit(&workstate.Command{Submit: &workstate.Submit{ID: id, Host: "host", Path: "/q/" + id, Spec: spec}}); r.Code != workstate.OK {
+		f.t.Fatalf("submit: %+v", r)
+	}
+}
+
+// lead starts a leader with the replica's term.
+func (f *fixture) lead() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.end = cancel
+	f.ended = make(chan struct{})
+	f.loop = newLoop(ctx, Options{
+		Replica: f.replica, Machine: f.machine, Workers: f.workers, Platform: f.vms, Adviser: f.adviser, Holder: "c1",
+		Limits: f.limits,
+		Log:    slog.New(slog.NewTextHandler(testLog{f.t}, nil)), Now: time.Now,
+	}, f.replica.term)
+	loop, ended := f.loop, f.ended
+	go func() {
+		loop.run()
+		close(ended)
+	}()
+}
+
+// depose stops the leader. The next one has a higher term.
+func (f *fixture) depose() {
+	f.end()
+	<-f.ended
+	synctest.Wait()
+	f.loop = nil
+	f.replica.term++
+}
+
+func (f *fixture) outcome(id string) workstate.Outcome {
+	var outcome workstate.Outcome
+	f.machine.Read(func(v *workstate.View) { outcome = v.Job(id).Outcome })
+	return outcome
+}
+
+// await waits for a job to have an outcome.
+func (f *fixture) await(id string, wanted workstate.Outcome, limit time.Duration) {
+	f.t.Helper()
+	for end := time.Now().Add(limit); f.outcome(id) != wanted; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("job %s is %d after %s, expected %d", id, f.outcome(id), limit, wanted)
+		}
+	}
+}
+
+// testLog writes log lines to the test's log in verbose mode.
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(line []byte) (int, error) {
+	if testing.Verbose() {
+		l.t.Log(string(line))
+	}
+	return len(line), nil
+}
+
+var _ io.Writer = testLog{}
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
-	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -15,7 +13,6 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
-	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -415,73 +412,3 @@
 		}
 	}
 }
-
-// dice draws random numbers that depend on the seed and on their purpose, but
-// not on the order in which goroutines draw them.
-type dice struct {
-	seed   uint64
-	mu     sync.Mutex
-	counts map[string]int
-}
-
-func newDice(seed uint64) *dice { return &dice{seed: seed, counts: map[string]int{}} }
-
-// draw returns a random number for a purpose.
-func (d *dice) draw(purpose ...any) uint64 {
-	hash := fnv.New64a()
-	_, _ = fmt.Fprint(hash, d.seed, purpose)
-	return rand.NewPCG(hash.Sum64(), 7).Uint64()
-}
-
-// drawNext returns the next random number for a purpose.
-func (d *dice) drawNext(purpose ...any) uint64 {
-	key := fmt.Sprint(purpose...)
-	d.mu.Lock()
-	d.counts[key]++
-	count := d.counts[key]
-	d.mu.Unlock()
-	return d.draw(key, count)
-}
-
-// termReplica is the replica as seen by the leader of one term.
-type termReplica struct {
-	*fakeReplica
-	term uint64
-	dice *dice
-}
-
-var errDeposed = errors.New("another term leads")
-
-// Propose implements replica.Replica. Some commands are applied but their
-// result is lost.
-func (r *termReplica) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	draw := r.dice.drawNext("propose", r.term)
-	time.Sleep(time.Duration(5+draw%40) * time.Millisecond)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.fakeReplica.term != r.term {
-		return nil, errDeposed
-	}
-	r.index++
-	answer := r.machine.Apply(r.index, command)
-	if draw>>32%24 == 0 {
-		return nil, replica.ErrUnknownResult
-	}
-	return answer, nil
-}
-
-// Status implements replica.Replica. A former leader does not know of the next
-// one until its loop ends.
-func (r *termReplica) Status() replica.Status {
-	return replica.Status{ID: "c1", Leader: "c1", Term: r.term}
-}
-
-// ReadBarrier implements replica.Replica.
-func (r *termReplica) ReadBarrier(context.Context) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.fakeReplica.term != r.term {
-		return errDeposed
-	}
-	return nil
-}
