--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -68,30 +68,6 @@
 	orders  orderBudget
 }
 
-// orderBudget is a token bucket that keeps orders below the rate that the
-// platform accepts.
-type orderBudget struct {
-	tokens   float64
-	filledAt time.Time
-}
-
-// burstShare is the share of a second's orders that may be given at once. The
-// rest is left to a former leader that may still give orders in the same
-// second.
-const burstShare = 0.5
-
-// refill adds the tokens for the elapsed time and reports whether an order may
-// be given.
-func (b *orderBudget) refill(now time.Time, rate float64) bool {
-	if b.filledAt.IsZero() {
-		b.tokens = rate * burstShare
-	} else {
-		b.tokens = min(rate*burstShare, b.tokens+now.Sub(b.filledAt).Seconds()*rate*burstShare)
-	}
-	b.filledAt = now
-	return b.tokens >= 1
-}
-
 // listVMs reads the platform's list of VMs if it is due.
 func (l *loop) listVMs(now time.Time) {
 	interval := listInterval
@@ -195,80 +171,6 @@
 	}
 }
 
-// orderVM orders the platform to move a VM or to start its maintenance. The
-// leadership is confirmed first, and the order carries the term as its fencing
-// token.
-func (l *loop) orderVM(e *vmEntry, order vmOrder, now time.Time) {
-	if e.order == nil {
-		order.workers = l.workersOn(e.vm.ID)
-	}
-	e.order = &order
-	e.calling = true
-	l.fleet.orders.tokens--
-	id := e.vm.ID
-	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, platformTimeout)
-		defer cancel()
-		refusal, err := l.callPlatform(ctx, id, order)
-		l.post(func(l *loop) { l.handleVMAnswer(e, order, refusal, err) })
-	}()
-}
-
-func (l *loop) callPlatform(ctx context.Context, id string, order vmOrder) (execution.VMRefusal, error) {
-	if order.pool == "" {
-		// The maintenance is recorded before the VM may go down.
-		maintenance := &workstate.Maintenance{Wave: order.wave, VM: id}
-		if _, err := propose(ctx, l.Replica, &workstate.Command{Maintenance: maintenance}, l.Now()); err != nil {
-			return execution.VMOverloaded, err
-		}
-	}
-	if err := l.Replica.ReadBarrier(ctx); err != nil {
-		return execution.VMOverloaded, err
-	}
-	if order.pool == "" {
-		return l.Platform.StartMaintenance(ctx, id, order.wave, l.Holder, l.term)
-	}
-	return l.Platform.Move(ctx, id, order.pool, l.Holder, l.term)
-}
-
-// handleVMAnswer handles the platform's answer to an order. An order without an
-// answer may have been executed: it is repeated, and until then the VM is left
-// alone.
-func (l *loop) handleVMAnswer(e *vmEntry, order vmOrder, refusal execution.VMRefusal, err error) {
-	now := time.Now()
-	e.calling = false
-	l.dirty = true
-	l.Log.Info("VM order finished", "vm", e.vm.ID, "from", e.vm.Pool, "to", order.pool, "wave", order.wave, "refusal", refusal, "error", errorText(err))
-	switch {
-	case err != nil:
-		e.pausedUntil = now.Add(orderPause)
-		e.orderedAt = now
-		return
-	case refusal == execution.VMAccepted:
-		l.recordVMOrder(e, order, now)
-		return
-	case refusal == execution.VMRefusedOther && order.pool != "":
-		e.refusedPools[order.pool] = true
-	case refusal == execution.VMNotInWave, refusal == execution.VMRefusedOther:
-		l.recordMaintenance(order.wave, e.vm.ID)
-	}
-	e.order = nil
-	e.pausedUntil = now.Add(orderPause)
-}
-
-// recordVMOrder records that the platform accepted an order, so that the VM
-// goes down. The next list shows whether its worker has ended.
-func (l *loop) recordVMOrder(e *vmEntry, order vmOrder, now time.Time) {
-	e.orderedAt = now
-	if order.pool == "" {
-		e.vm.State = execution.VMMaintenance
-		l.recordMaintenance(order.wave, e.vm.ID)
-	} else {
-		e.vm.State = execution.VMMoving
-		e.vm.Pool = order.pool
-	}
-}
-
 // workersOn returns the workers on a VM: one, or none while the VM is
 // unavailable.
 func (l *loop) workersOn(vm string) []workerIncarnation {
@@ -309,33 +211,3 @@
 		l.post(func(l *loop) { l.dirty = true })
 	}()
 }
-
-// mayOrderVM reports whether a VM may be ordered now. A former leader confirms
-// its leadership before each order, so that its last order ends with the
-// timeout of that call. If the platform does not check fencing tokens, the
-// lease of the former holder must have expired as well.
-func (l *loop) mayOrderVM(now time.Time) bool {
-	if l.Platform == nil || l.fleet.failing {
-		return false
-	}
-	if now.Sub(l.since) <= l.formerOrderTime() || l.listIsStale(now) {
-		return false
-	}
-	return l.fleet.orders.refill(now, l.Limits.ActionRate)
-}
-
-// formerOrderTime returns how long after the start of a leadership the last
-// order of a former leader may still be executed.
-func (l *loop) formerOrderTime() time.Duration {
-	if l.Limits.FencingEnforced {
-		return platformTimeout
-	}
-	return platformTimeout + l.Limits.HolderLease
-}
-
-// listIsStale reports whether the list of VMs may not show the last order of a
-// former leader although the time for it has passed. The VMs that this order
-// took down would not be counted.
-func (l *loop) listIsStale(now time.Time) bool {
-	return now.Sub(l.since) > l.formerOrderTime() && l.fleet.listedAt.Sub(l.since) <= l.formerOrderTime()
-}
