integration: the timeline test waits until the home pool serves

The timelines show the request spilled to office-a-1.

Cause: the test's harness. Targets start before their entries listen; in a traced run all first announcements were refused (connection refused) and all were repeated 800 ms later, an office target's accepted 0.4 ms before the first booking target's. In that gap a request for booking spills to the spare pool, as the service asks, and the wait for any answer 200 was satisfied by it.

Change: the test waits until a VM of the pool booking answers. This is a stricter wait; its limit of 10 s and all assertions stay.

Evidence (scratch edit, not committed: announcements of booking targets start 1.2 s late): old test failed 9 of 10 runs with the same message, the new one passed 10 of 10. A delay of 0.7 s, shorter than the repeat, did not provoke it (10 of 10 passed).

--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -233,3 +233,19 @@
 		return nil
 	})
 }
+
+// waitServedBy waits until a GET of the URL is answered by a VM of the pool. Until
+// the pool's targets have announced themselves, requests spill onto the spare pool.
+func (d *deployment) waitServedBy(pool, url string) {
+	d.t.Helper()
+	eventually(d.t, 10*time.Second, "pool "+pool+" serves "+url, func() error {
+		got, err := call(http.MethodGet, url)
+		if err != nil {
+			return err
+		}
+		if got.status != http.StatusOK || !strings.HasPrefix(got.vm(), pool+"-") {
+			return fmt.Errorf("status %d from VM %q", got.status, got.vm())
+		}
+		return nil
+	})
+}
--- a/integration/observability_test.go
+++ b/integration/observability_test.go
@@ -23,7 +23,7 @@
 	d.addSmallTargets()
 	d.apply(smallFleet)
 	d.waitInForce(5 * time.Second)
-	d.waitServed(entry.url() + "/booking/1")
+	d.waitServedBy("booking", entry.url()+"/booking/1")
 	// The timeline keeps every success of a non-idempotent request.
 	sendMethodWithID(t, http.MethodPost, entry.url()+"/booking/2", "ask-ran")
 	sendWithID(t, entry.url()+"/nowhere", "ask-refused")
