integration: the tests of lost voters wait for the replacement

Seen: TestHostedRemovedVoterRejoins failed once under heavy load: "job 2 is accepted: status 503" for 30 s. The log: the leader was killed at 12:39:10.9, the next one led from 12:39:14.07 and was killed at about 12:39:16.9. The voters were then core-2, core-3 and core-4; no log shows core-3 removed.

Cause: the test's harness. A leader replaces a voter after five election timeouts of silence, 3.0 s, counted from its own election. The test slept 6 s after the first loss, which leaves less than 3 s for the election; nobody promises that. Two of three voters were lost, so there was no quorum.

Change: after the first loss the test submits a job, which only a leader accepts, and then waits, 6 s at most, until all survivors of the second loss have logged the promotion. The same for the removal (6 s) and the return (4 s), which were slept through without a check. Jobs must still be accepted and succeed after the second loss. TestHostedReplacementOfALostVoterVotes made the same assumption and is changed alike; its wait for the fourth process becomes awaitMembers.

Why that election took 3 s was not traced.

--- a/integration/hosted_harness_test.go
+++ b/integration/hosted_harness_test.go
@@ -286,3 +286,36 @@
 	}
 	return latest
 }
+
+// awaitMemberChange waits until each of the given control processes has logged a
+// change of a member. The change outlives the loss of any of them.
+func (h *hosted) awaitMemberChange(member int, change string, limit time.Duration, loggedBy ...int) {
+	h.t.Helper()
+	address := fmt.Sprintf("%s:%d", h.controlIP(member), hostedFirstPort)
+	eventually(h.t, limit, h.controls[member].id+" is "+change, func() error {
+		for _, i := range loggedBy {
+			if !h.controls[i].hasLoggedMemberChange(address, change) {
+				return fmt.Errorf("not logged by %s", h.controls[i].id)
+			}
+		}
+		return nil
+	})
+}
+
+// hasLoggedMemberChange reports whether the process has logged a change of the
+// member with the given link address.
+func (p *process) hasLoggedMemberChange(address, change string) bool {
+	content, err := os.ReadFile(p.logPath)
+	must(p.t, err)
+	for line := range strings.Lines(string(content)) {
+		var entry struct{ Msg, Member, Change string }
+		if json.Unmarshal([]byte(line), &entry) != nil || entry.Msg != "member changed" || entry.Change != change {
+			continue
+		}
+		// A member that has joined later has a random part after its address.
+		if link, _, _ := strings.Cut(entry.Member, "/"); link == address {
+			return true
+		}
+	}
+	return false
+}
--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -199,12 +199,14 @@
 	h := newHostedWithWorker(t, 3, 2)
 	h.submit(jobID(1), 3, 100*time.Millisecond)
 	h.controls = append(h.controls, h.addJoiningControl("core-4", h.controlIP(3)))
-	time.Sleep(2 * time.Second)
+	h.awaitMembers(4)
 	h.controls[0].kill()
-	time.Sleep(6 * time.Second)
-	h.controls[1].kill()
 	h.submit(jobID(2), 3, 100*time.Millisecond)
-	h.awaitState(jobID(2), "succeeded", 20*time.Second)
+	h.awaitMemberChange(3, "promoted to voter", 6*time.Second, 1, 2, 3)
+	h.controls[1].kill()
+	h.submit(jobID(3), 3, 100*time.Millisecond)
+	h.awaitState(jobID(3), "succeeded", 20*time.Second)
+	h.awaitState(jobID(2), "succeeded", 5*time.Second)
 	h.awaitState(jobID(1), "succeeded", 5*time.Second)
 }
 
@@ -215,16 +217,16 @@
 	t.Parallel()
 	h := newHostedWithWorker(t, 4, 2)
 	leader := h.leader()
-	removed := (leader + 1) % 3
+	removed, other := (leader+1)%3, (leader+2)%3
 	h.controls[removed].signal(syscall.SIGSTOP)
-	time.Sleep(6 * time.Second)
+	h.awaitMemberChange(removed, "removed", 6*time.Second, leader, other, 3)
 	h.controls[removed].signal(syscall.SIGCONT)
-	time.Sleep(4 * time.Second)
+	h.awaitMemberChange(removed, "added as a learner", 4*time.Second, leader, other, 3)
 	// Once the removed voter has rejoined, two of the four voters may be lost
 	// one after the other.
 	h.controls[leader].kill()
-	time.Sleep(6 * time.Second)
 	h.submit(jobID(1), 3, 100*time.Millisecond)
+	h.awaitMemberChange(removed, "promoted to voter", 6*time.Second, removed, other, 3)
 	h.controls[h.leader()].kill()
 	h.submit(jobID(2), 3, 100*time.Millisecond)
 	h.awaitState(jobID(2), "succeeded", 20*time.Second)
