--- a/integration/hosted_heartbeat_test.go
+++ b/integration/hosted_heartbeat_test.go
@@ -25,8 +25,8 @@
 			address = control[sequence%len(control)]
 		}
 		if body := w.heartbeat(sequence); w.unsteady && sequence%lateHeartbeats == 0 {
-			delay := time.Duration(sequence) * 397 * time.Millisecond % maxHeartbeatDelay
-			time.AfterFunc(delay, func() { w.sendHeartbeat(client, address, body) })
+			delay, current := time.Duration(sequence)*397*time.Millisecond%maxHeartbeatDelay, address
+			time.AfterFunc(delay, func() { w.sendHeartbeat(client, current, body) })
 		} else {
 			address = w.sendHeartbeat(client, address, body)
 		}
--- a/integration/hosted_ledger_test.go
+++ b/integration/hosted_ledger_test.go
@@ -14,6 +14,8 @@
 	task   string
 	run    int
 	endsAt time.Time
+	// stopped is set once the run was told to stop, which it has done at endsAt.
+	stopped bool
 }
 
 // hostedLedger records the runs on all stand-in workers of a deployment. It fails
--- a/integration/hosted_orders_test.go
+++ b/integration/hosted_orders_test.go
@@ -98,8 +98,9 @@
 	}
 	defer w.mu.Unlock()
 	w.highestRun[o.Task] = max(w.highestRun[o.Task], o.Run)
-	if running := w.running[o.Task]; running != nil && running.run == o.Run {
-		w.endRun(running, "stopped")
+	if running := w.running[o.Task]; running != nil && running.run == o.Run && !running.stopped {
+		running.stopped, running.endsAt = true, time.Now().Add(w.stopTime)
+		w.advance()
 	}
 	w.accept(rw)
 }
--- a/integration/hosted_soak_test.go
+++ b/integration/hosted_soak_test.go
@@ -140,11 +140,11 @@
 // deadlyJobs has a task that crashes its workers, one in four is for the workers
 // that do not enforce their capacity.
 func (s *soak) submitOne(i int) {
-	id, path, spec := jobID(i), "/q/", fmt.Sprintf("%dms", 100+i%5*150)
+	id, path, count, spec := jobID(i), "/q/", 3, fmt.Sprintf("%dms", 100+i%5*150)
 	if i%4 == 1 {
-		path = "/o/"
+		path, count = "/o/", 8
 	}
-	steps := `{"count":3,"cpu":1000,"mem_mb":1,"estimate_ms":300},{"count":2,"cpu":1000,"mem_mb":1,"estimate_ms":300,"depends_on":[0]}`
+	steps := fmt.Sprintf(`{"count":%d,"cpu":1000,"mem_mb":1,"estimate_ms":300},{"count":2,"cpu":1000,"mem_mb":1,"estimate_ms":300,"depends_on":[0]}`, count)
 	deadly := i%deadlyJobs == 5
 	if deadly {
 		spec = fmt.Sprintf("%s%dms", deadlySpec, 5+(s.seed+uint64(i))%120)
--- a/integration/hosted_soak_workers_test.go
+++ b/integration/hosted_soak_workers_test.go
@@ -35,6 +35,7 @@
 // startWorker starts the worker with the given index.
 func (s *soak) startWorker(i int, w *hostedWorker) {
 	w.overcommits, w.unsteady = w.service == "open", w.service == "open"
+	w.stopTime = time.Duration(i%3) * 75 * time.Millisecond
 	w.onCrash = func(w *hostedWorker) {
 		s.schedule(crashPause, func() { s.replaceWorker(i, w, true) })
 	}
--- a/integration/hosted_worker_test.go
+++ b/integration/hosted_worker_test.go
@@ -21,6 +21,8 @@
 	unsteady          bool
 	// overcommits is set if the worker starts whatever it is told to start.
 	overcommits bool
+	// stopTime is how long a run takes to stop.
+	stopTime time.Duration
 	// onCrash is called after a task has crashed the worker.
 	onCrash   func(*hostedWorker)
 	startedAt time.Time
@@ -131,6 +133,8 @@
 		switch {
 		case w.clock() > w.leaseMS:
 			w.endRun(r, "lapsed")
+		case r.stopped && !time.Now().Before(r.endsAt):
+			w.endRun(r, "stopped")
 		case time.Now().After(r.endsAt):
 			w.endRun(r, "done")
 		}
