workstate: a late heartbeat does not bring back a worker that has left

Class: information that arrives late is taken as the newest.

Change: the state remembers, for a minute, which incarnations have left by an announcement of their own; a registration of these or of earlier ones has no effect.

--- a/internal/process/workstate/machine_test.go
+++ b/internal/process/workstate/machine_test.go
@@ -315,3 +315,19 @@
 		t.Errorf("draining %v, leaving %v", w.Draining, w.Leaving)
 	}
 }
+
+// TestLateHeartbeatDoesNotBringBackAWorkerThatHasLeft guards against tasks on a worker that has announced its end.
+func TestLateHeartbeatDoesNotBringBackAWorkerThatHasLeft(t *testing.T) {
+	m := newTestMachine(t)
+	ready := *m.data.Workers["w0"]
+	apply(t, m, Command{Deregister: &Deregister{ID: "w0", Incarnation: ready.Incarnation, Announced: true}})
+	late := ready
+	if apply(t, m, Command{Register: &late}); m.data.Workers["w0"] != nil {
+		t.Error("the worker is registered again")
+	}
+	next := ready
+	next.Incarnation++
+	if apply(t, m, Command{Register: &next}); m.data.Workers["w0"] == nil {
+		t.Error("the next incarnation is not registered")
+	}
+}
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -180,8 +180,17 @@
 	// ClockMS is the latest time of any command in milliseconds; it never
 	// decreases.
 	ClockMS int64 `cbor:"5,keyasint"`
+	// Left holds, by id, the workers that have left lately.
+	Left map[string]LeftWorker `cbor:"6,keyasint,omitempty"`
+}
+
+// LeftWorker is an incarnation of a worker that has announced its end and was
+// removed, at a time on the state's clock in milliseconds.
+type LeftWorker struct {
+	Incarnation int64 `cbor:"1,keyasint"`
+	AtMS        int64 `cbor:"2,keyasint"`
 }
 
 func emptyData() data {
-	return data{Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[int64]*Wave{}}
+	return data{Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[int64]*Wave{}, Left: map[string]LeftWorker{}}
 }
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -6,8 +6,12 @@
 // the later incarnation replaces the earlier one, whose runs have ended with it.
 // If the earlier one has crashed, the leader records the ends of these runs, since
 // only the leader knows which of them may have crashed it. A registration by a
-// heartbeat older than the known one has no effect.
+// heartbeat older than the known one, or of an incarnation that has left, has no
+// effect.
 func (m *Machine) applyRegister(w *Worker) Result {
+	if left, known := m.data.Left[w.ID]; known && w.Incarnation <= left.Incarnation {
+		return Result{Code: OK, Repeated: true}
+	}
 	known := m.data.Workers[w.ID]
 	if known != nil && !w.Replaces(known) {
 		return Result{Code: OK, Repeated: true}
@@ -56,9 +60,27 @@
 		return Result{Code: Busy}
 	}
 	m.removeWorker(worker)
+	if d.Announced {
+		m.recordLeft(worker)
+	}
 	return Result{Code: OK}
 }
 
+// leftMemoryMS is how long a worker that has left is remembered, longer than any
+// of its heartbeats is on its way.
+const leftMemoryMS = 60_000
+
+// recordLeft keeps a heartbeat that arrives after its worker has left from
+// registering it again, and forgets those that left long ago.
+func (m *Machine) recordLeft(worker *Worker) {
+	for id, left := range m.data.Left {
+		if m.data.ClockMS-left.AtMS > leftMemoryMS {
+			delete(m.data.Left, id)
+		}
+	}
+	m.data.Left[worker.ID] = LeftWorker{Incarnation: worker.Incarnation, AtMS: m.data.ClockMS}
+}
+
 // removeWorker removes a worker and interrupts the runs on it. Those of an earlier
 // incarnation, which may have crashed, are left to the leader.
 func (m *Machine) removeWorker(worker *Worker) {
