--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -116,8 +116,8 @@
 	return plan
 }
 
-// compareGroups orders groups: suspects first, then by priority and rank. Groups that are equal in both
-// have a fixed order too.
+// compareGroups orders groups: suspects first, then by priority and rank. Groups
+// that are equal in both have a fixed order too.
 func compareGroups(a, b *Group) int {
 	if a.Suspect != b.Suspect {
 		return compareTrueFirst(a.Suspect, b.Suspect)
@@ -228,8 +228,8 @@
 }
 
 // preferred reports whether the group's tasks should be placed on a rather than
-// on b. Suspects have an order of their own. Otherwise it is: no pending drain (for long-running tasks),
-// lower penalty, the group's data rack, less free CPU, lower id.
+// on b. Suspects have an order of their own. Otherwise it is: no pending drain (for
+// long-running tasks), lower penalty, the group's data rack, less free CPU, lower id.
 func preferred(g *Group, a, b *Worker) bool {
 	if g.Suspect {
 		return compareForSuspects(a, b) < 0
