scheduler: an order for a VM stays open until it cannot be executed any more

Cause: an order that gets no answer may be executed later. The next list still showed its VM up, the order was forgotten, another VM was ordered down in its place, and then the first order was executed. A move that was forgotten in the same way interrupted the tasks that had been started on its VM meanwhile.

An unanswered order now stays open, counts against the cap and keeps new tasks off the VM, and is repeated until the platform has answered or a list shows that it was executed; both kinds of order are idempotent for the platform. It is closed without that only if its wave has finished. The workers that end with it stay known until then.

The fake platform answers a move to the pool that the VM is in without moving it again, as the platform's protocol says.

TestMaintenanceExecutedLateDoesNotExceedTheCap and TestMoveExecutedLateInterruptsNoTask failed before.

--- a/internal/process/scheduler/fakeplatform_test.go
+++ b/internal/process/scheduler/fakeplatform_test.go
@@ -95,7 +95,18 @@
 	return nil
 }
 
+// isIn reports whether a VM is in a pool already.
+func (p *fakePlatform) isIn(vm, pool string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.vms[vm]
+	return known != nil && known.Pool == pool
+}
+
 func (p *fakePlatform) Move(_ context.Context, vm, pool, _ string, _ uint64) (execution.VMRefusal, error) {
+	if p.isIn(vm, pool) {
+		return execution.VMAccepted, p.answerError()
+	}
 	return p.order(vm, "move", pool, execution.VMMoving), p.answerError()
 }
 
--- /dev/null
+++ b/internal/process/scheduler/lateorders_test.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// latePlatform does not answer the first order and executes it late.
+type latePlatform struct {
+	*fakePlatform
+	delay   time.Duration
+	ordered atomic.Bool
+}
+
+func (p *latePlatform) StartMaintenance(ctx context.Context, vm string, wave int64, holder string, token uint64) (execution.VMRefusal, error) {
+	return p.call(ctx, func() (execution.VMRefusal, error) {
+		return p.fakePlatform.StartMaintenance(context.Background(), vm, wave, holder, token)
+	})
+}
+
+func (p *latePlatform) Move(ctx context.Context, vm, pool, holder string, token uint64) (execution.VMRefusal, error) {
+	return p.call(ctx, func() (execution.VMRefusal, error) {
+		return p.fakePlatform.Move(context.Background(), vm, pool, holder, token)
+	})
+}
+
+func (p *latePlatform) call(ctx context.Context, order func() (execution.VMRefusal, error)) (execution.VMRefusal, error) {
+	if p.ordered.Swap(true) {
+		return order()
+	}
+	time.AfterFunc(p.delay, func() { _, _ = order() })
+	<-ctx.Done()
+	return execution.VMOverloaded, execution.ErrNoAnswer
+}
+
+// platform replaces the platform of the leader.
+func (f *fixture) platform(p execution.Platform) {
+	f.loop.post(func(l *loop) { l.Platform = p })
+}
+
+// TestMaintenanceExecutedLateDoesNotExceedTheCap guards against another VM being ordered down in place of one whose order got no answer.
+func TestMaintenanceExecutedLateDoesNotExceedTheCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.replaceWorkers(2 * time.Second)
+		f.addVM("w1", "svc")
+		f.addVM("w2", "svc")
+		f.lead()
+		defer f.depose()
+		f.platform(&latePlatform{fakePlatform: f.vms, delay: 2 * time.Second})
+		time.Sleep(6 * time.Second)
+		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w1", "vm-w2"}, Cap: 1, DeadlineMS: time.Now().Add(30 * time.Second).UnixMilli()}})
+		time.Sleep(10 * time.Second)
+		f.machine.Read(func(v *workstate.View) {
+			if !v.Waves()[1].Finished() {
+				t.Errorf("the wave has not finished: %v", v.Waves()[1].Settled)
+			}
+		})
+		if f.vms.maxDown > 1 {
+			t.Errorf("%d VMs were down at once, the cap is 1", f.vms.maxDown)
+		}
+	})
+}
+
+// TestMoveExecutedLateInterruptsNoTask guards against tasks on a VM whose move got no answer and is still executed.
+func TestMoveExecutedLateInterruptsNoTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3*time.Second)
+		f.replaceWorkers(2 * time.Second)
+		f.addVM("w1", "svc")
+		f.lead()
+		defer f.depose()
+		f.platform(&latePlatform{fakePlatform: f.vms, delay: 3 * time.Second})
+		time.Sleep(6 * time.Second)
+		f.loop.post(func(l *loop) { l.orderVM(l.fleet.entries["vm-w1"], vmOrder{pool: "spare"}, time.Now()) })
+		time.Sleep(2 * time.Second)
+		f.submit(jobA, step(1))
+		time.Sleep(500 * time.Millisecond)
+		f.addWorker("w2", 1000)
+		f.await(jobA, workstate.Succeeded, 10*time.Second)
+		if f.workers.starts != 1 {
+			t.Errorf("the task started %d times", f.workers.starts)
+		}
+	})
+}
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -83,6 +83,7 @@
 			l.planWave(v, u, wave, previouslyCordoned, now)
 		}
 	}
+	l.closeOrdersOfFinishedWaves(v)
 }
 
 // planWave cordons as many VMs of a wave as its cap allows, drains them and
@@ -100,7 +101,7 @@
 			l.handleMissingVM(wave, id, now)
 		case e.order != nil && e.order.pool == "" && e.order.wave == wave.Number:
 			available--
-			l.repeatMaintenance(e, now)
+			l.repeatOrder(e, now)
 		case e.vm.State == execution.VMMaintenance:
 			available--
 		case !wave.Settled[id]:
@@ -126,13 +127,6 @@
 	l.recordMaintenance(wave.Number, id)
 }
 
-// repeatMaintenance repeats a maintenance order that got no answer.
-func (l *loop) repeatMaintenance(e *vmEntry, now time.Time) {
-	if !e.calling && e.vm.State == execution.VMUp && now.After(e.pausedUntil) && l.mayOrderVM(now) {
-		l.orderVM(e, *e.order, now)
-	}
-}
-
 // newMaintenanceVM returns a VM with its class and the utilization of its pool.
 func newMaintenanceVM(v *workstate.View, u *usage, e *vmEntry) maintenanceVM {
 	vm := maintenanceVM{entry: e, worker: u.workerOn[e.vm.ID], class: busy, utilization: u.utilization[e.vm.Pool]}
--- a/internal/process/scheduler/vmorders.go
+++ b/internal/process/scheduler/vmorders.go
@@ -69,8 +69,8 @@
 }
 
 // handleVMAnswer handles the platform's answer to an order. An order without an
-// answer may have been executed: it is repeated, and until then the VM is left
-// alone.
+// answer may have been executed, or may be later: it stays open and is repeated
+// until the platform has executed it or will never do so.
 func (l *loop) handleVMAnswer(e *vmEntry, order vmOrder, refusal execution.VMRefusal, err error) {
 	now := time.Now()
 	e.calling = false
@@ -78,21 +78,55 @@
 	l.Log.Info("VM order finished", "vm", e.vm.ID, "from", e.vm.Pool, "to", order.pool, "wave", order.wave, "refusal", refusal, "error", errorText(err))
 	switch {
 	case err != nil:
+		e.unanswered = true
 		e.pausedUntil = now.Add(orderPause)
 		e.orderedAt = now
 		return
 	case refusal == execution.VMAccepted:
+		e.unanswered = false
 		l.recordVMOrder(e, order, now)
 		return
 	case refusal == execution.VMRefusedOther && order.pool != "":
 		e.refusedPools[order.pool] = true
+		e.closeOrder()
 	case refusal == execution.VMNotInWave, refusal == execution.VMRefusedOther:
 		l.recordMaintenance(order.wave, e.vm.ID)
+		e.closeOrder()
+	case !e.unanswered:
+		e.closeOrder()
 	}
-	e.order = nil
 	e.pausedUntil = now.Add(orderPause)
 }
 
+// repeatOrder repeats an order that got no answer.
+func (l *loop) repeatOrder(e *vmEntry, now time.Time) {
+	if !e.calling && e.vm.State == execution.VMUp && now.After(e.pausedUntil) && l.mayOrderVM(now) {
+		l.orderVM(e, *e.order, now)
+	}
+}
+
+// repeatMoves repeats the moves that got no answer.
+func (l *loop) repeatMoves(now time.Time) {
+	for _, e := range l.fleet.entries {
+		if e.unanswered && e.order.pool != "" {
+			l.repeatOrder(e, now)
+		}
+	}
+}
+
+// closeOrdersOfFinishedWaves closes the orders for the maintenance of VMs that
+// no wave waits for any more.
+func (l *loop) closeOrdersOfFinishedWaves(v *workstate.View) {
+	for _, e := range l.fleet.entries {
+		if !e.unanswered || e.calling || e.order.pool != "" {
+			continue
+		}
+		if wave := v.Waves()[e.order.wave]; wave == nil || wave.Finished() {
+			e.closeOrder()
+		}
+	}
+}
+
 // recordVMOrder records that the platform accepted an order, so that the VM
 // goes down. The next list shows whether its worker has ended.
 func (l *loop) recordVMOrder(e *vmEntry, order vmOrder, now time.Time) {
@@ -111,15 +145,18 @@
 // timeout of that call. If the platform does not check fencing tokens, the
 // lease of the former holder must have expired as well.
 func (l *loop) mayOrderVM(now time.Time) bool {
-	if l.Platform == nil || l.fleet.failing {
-		return false
-	}
-	if now.Sub(l.since) <= l.formerOrderTime() || l.listIsStale(now) {
+	if l.Platform == nil || l.fleet.failing || !l.knowsFormerOrders(now) {
 		return false
 	}
 	return l.fleet.orders.refill(now, l.Limits.ActionRate)
 }
 
+// knowsFormerOrders reports whether the list of VMs shows the last order of a
+// former leader.
+func (l *loop) knowsFormerOrders(now time.Time) bool {
+	return now.Sub(l.since) > l.formerOrderTime() && !l.listIsStale(now)
+}
+
 // formerOrderTime returns how long after the start of a leadership the last
 // order of a former leader may still be executed.
 func (l *loop) formerOrderTime() time.Duration {
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
@@ -42,8 +43,12 @@
 // vmEntry is what the leader knows about a VM.
 type vmEntry struct {
 	vm execution.VM
-	// order is the open order, or nil. It stays open until the VM is up again.
+	// order is the open order, or nil. It stays open until the VM is up again
+	// and the platform can no longer execute it.
 	order *vmOrder
+	// unanswered is set if the order got no answer, so that the platform may
+	// still execute it.
+	unanswered bool
 	// calling is set while the order is in flight.
 	calling bool
 	// orderedAt is when the platform accepted the order, or when the order
@@ -142,12 +147,13 @@
 	if !vm.State.Known() {
 		return
 	}
-	for _, w := range e.order.workers {
-		if vm.State != execution.VMUp || vm.Worker != w.id {
+	e.order.workers = slices.DeleteFunc(e.order.workers, func(w workerIncarnation) bool {
+		ended := vm.State != execution.VMUp || vm.Worker != w.id
+		if ended {
 			l.deregister(w)
 		}
-	}
-	e.order.workers = nil
+		return ended
+	})
 }
 
 // mayPredateOrder reports whether a list may be older than the VM's order.
@@ -166,11 +172,29 @@
 		return
 	}
 	e.vm = vm
-	if vm.State == execution.VMUp {
-		e.order = nil
+	if e.order != nil && e.order.executed(vm) {
+		e.unanswered = false
+	}
+	if vm.State == execution.VMUp && !e.unanswered {
+		e.closeOrder()
 	}
 }
 
+// executed reports whether a list shows that the platform has executed an order.
+// To execute it again would have no effect.
+func (o *vmOrder) executed(vm execution.VM) bool {
+	if o.pool == "" {
+		return vm.State == execution.VMMaintenance
+	}
+	return vm.Pool == o.pool && vm.State.Known()
+}
+
+// closeOrder records that the open order has had its effect, or has none.
+func (e *vmEntry) closeOrder() {
+	e.order = nil
+	e.unanswered = false
+}
+
 // workersOn returns the workers on a VM: one, or none while the VM is
 // unavailable.
 func (l *loop) workersOn(vm string) []workerIncarnation {
