replica: log each change of role, term or leader

All machines lose power at 45.07 s; a majority of control is up at 47.04, the leader is known at 47.77. What the 0.73 s went into could not be told: the replica logged no step of its election, though each changes what the process believes.

Now a line tells role, term, leader and the end of the log; a process that asks for votes again and again without an answer logs it once.

--- a/internal/process/replica/driver/advance.go
+++ b/internal/process/replica/driver/advance.go
@@ -23,6 +23,7 @@
 	}
 	l.updateMembers()
 	l.updateLeadership()
+	l.logBelief()
 	l.publish()
 	return l.snapshotIfDue()
 }
--- a/internal/process/replica/driver/loop.go
+++ b/internal/process/replica/driver/loop.go
@@ -34,6 +34,8 @@
 	// receivedSnapshot is the snapshot message that the core is handling.
 	receivedSnapshot *inboundMessage
 
+	// logged is what was last logged about the leadership.
+	logged belief
 	// leaderTerm is the term in which this process leads, or 0.
 	leaderTerm uint64
 	// pendingLeaderChanges are the changes that LeaderChanges has not
