boottime: one reading of the clock that counts suspensions

Cause: the replica's driver and the delegate each read CLOCK_BOOTTIME by a copy of the same system call. Change: internal/boottime has the one function Now. The driver keeps its cache of readings and its fall back to the monotonic clock, the delegate its 0 without the clock; both fall backs were and are never reached on a supported kernel. Conclusion: no change of behaviour.

--- a/internal/connection/delegate/freshness.go
+++ b/internal/connection/delegate/freshness.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"golang.org/x/sys/unix"
+	"arbutusward.example/arbutusward/internal/boottime"
 )
 
 const (
@@ -17,15 +17,11 @@
 	delayWindow = 10 * time.Second
 )
 
-// clockMS reads a clock that counts the time in which the machine is suspended.
+// clockMS returns the time of the boot clock in milliseconds.
 func clockMS() int64 {
-	var now unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &now) != nil {
-		// The clock exists on every supported kernel; without it no message is
-		// found to be late.
-		return 0
-	}
-	return now.Nano() / int64(time.Millisecond)
+	// Without the clock the time is 0, and no message is found to be late.
+	now, _ := boottime.Now()
+	return now.Milliseconds()
 }
 
 // freshness tells how late the messages of one sender are, although its clock
--- a/internal/process/replica/driver/clock.go
+++ b/internal/process/replica/driver/clock.go
@@ -4,15 +4,15 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"arbutusward.example/arbutusward/internal/boottime"
 )
 
 // clockResolution is the time for which a reading of the boot clock is carried
-// forward by the monotonic clock. The boot clock costs a system call.
+// forward by the monotonic clock.
 const clockResolution = time.Millisecond
 
-// bootClock reads a clock that counts the time in which the machine is suspended,
-// unlike the monotonic clock of the time package. It is safe for concurrent use.
+// bootClock reads the boot clock at most once per clockResolution. It is safe for
+// concurrent use.
 type bootClock struct {
 	start time.Time
 	last  atomic.Pointer[clockReading]
@@ -28,12 +28,11 @@
 	if last := c.last.Load(); last != nil && monotonic-last.monotonic < clockResolution {
 		return last.boot + monotonic - last.monotonic
 	}
-	var now unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &now) != nil {
-		// The clock exists on every supported kernel.
+	boot, known := boottime.Now()
+	if !known {
 		return monotonic
 	}
-	reading := &clockReading{monotonic: monotonic, boot: time.Duration(now.Nano())}
+	reading := &clockReading{monotonic: monotonic, boot: boot}
 	c.last.Store(reading)
 	return reading.boot
 }
