replica: tell which part holds up a slow commit

Cause: after a failure of the load test the logs told that commits took up to 2.9 s, but not whether the leader's disk, the followers or the processor held them up. The leader's load line has the sums and the longest ones of its second, the metrics their summaries.

one line a second from each of the disk, the loop and the commits; 'commit slow' names what held it. The load test logs these lines of all its control processes. Conclusion: the next slow commit says what it waited for.

--- a/integration/hosted_load_test.go
+++ b/integration/hosted_load_test.go
@@ -47,6 +47,7 @@
 	share := used.Seconds() / took.Seconds()
 	t.Logf("%d jobs accepted in %s; the leader used %.3f of a core, %.3f ms a run", accepted, took.Round(time.Millisecond), share, 1000*used.Seconds()/float64(accepted*fleetTasksPerJob))
 	t.Log(strings.Join(linesWith(t, leader, `"msg":"leader load"`), "\n"))
+	h.logSlowCommits()
 	if wanted := int(window.Seconds()) * fleetJobsPerSecond * 9 / 10; accepted < wanted {
 		t.Errorf("%d jobs accepted, wanted %d", accepted, wanted)
 	}
@@ -86,6 +87,17 @@
 	return accepted
 }
 
+// logSlowCommits logs what the control processes told about slow commits.
+func (h *hosted) logSlowCommits() {
+	for _, p := range h.controls {
+		for _, message := range []string{"commit slow", "log sync slow", "snapshot save slow", "replica loop late"} {
+			for _, line := range linesWith(h.t, p, fmt.Sprintf(`"msg":%q`, message)) {
+				h.t.Log(line)
+			}
+		}
+	}
+}
+
 // linesWith returns the lines of a process's log that hold a text.
 func linesWith(t *testing.T, p *process, text string) []string {
 	t.Helper()
--- a/internal/process/control/testcontrol_test.go
+++ b/internal/process/control/testcontrol_test.go
@@ -67,6 +67,9 @@
 // Status returns the state of a leader.
 func (r *fakeReplica) Status() replica.Status { return replica.Status{Role: "leader", Term: 1} }
 
+// TakeDelays returns none.
+func (r *fakeReplica) TakeDelays() replica.Delays { return replica.Delays{} }
+
 // AddMember returns an error.
 func (r *fakeReplica) AddMember(context.Context, replica.Member) error { return replica.ErrStopped }
 
--- a/internal/process/replica/core/append_test.go
+++ b/internal/process/replica/core/append_test.go
@@ -75,3 +75,17 @@
 		t.Errorf("sent %d entries to a member that answers again", sent)
 	}
 }
+
+func TestFollowersMatchLeavesOutTheLeader(t *testing.T) {
+	c := newTestCore(1)
+	leadAndPropose(t, c, []byte("x"))
+	last := c.Last().Index
+	steps(t, c, Message{From: "a", Term: 2, AppendReply: &AppendReply{Index: last}})
+	if got := c.FollowersMatch(); got != last-1 {
+		t.Errorf("the followers hold %d before any has acknowledged %d", got, last)
+	}
+	steps(t, c, Message{From: "c", Term: 2, AppendReply: &AppendReply{Index: last}})
+	if got := c.FollowersMatch(); got != last || c.Commit() != last {
+		t.Errorf("the followers hold %d, %d is committed, want %d", got, c.Commit(), last)
+	}
+}
--- a/internal/process/replica/core/replicate.go
+++ b/internal/process/replica/core/replicate.go
@@ -131,6 +131,28 @@
 	c.continueTransfer()
 }
 
+// FollowersMatch returns the index up to which so many other voters have synced
+// the log that they make a majority together with this leader.
+func (c *Core) FollowersMatch() uint64 {
+	if c.role != Leader {
+		return 0
+	}
+	needed := c.quorum()
+	var matches []uint64
+	for _, id := range c.voters() {
+		if id == c.config.ID {
+			needed--
+			continue
+		}
+		matches = append(matches, c.peers[id].match)
+	}
+	if needed == 0 {
+		return c.log.last().Index
+	}
+	slices.Sort(matches)
+	return matches[len(matches)-needed]
+}
+
 // advanceCommit commits the highest entry of the current term that a
 // majority of the voters has synced.
 func (c *Core) advanceCommit() {
--- a/internal/process/replica/driver/advance.go
+++ b/internal/process/replica/driver/advance.go
@@ -4,6 +4,7 @@
 
 // advance does the work that the core has accumulated.
 func (l *loop) advance() error {
+	l.recordCommits()
 	ready := l.core.Ready()
 	if err := l.install(&ready); err != nil {
 		return err
--- a/internal/process/replica/driver/api.go
+++ b/internal/process/replica/driver/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/replica"
@@ -18,8 +19,10 @@
 // proposal is a call of Propose.
 type proposal struct {
 	command []byte
-	term    uint64
-	done    chan outcome
+	// submitted is when Propose was called.
+	submitted time.Time
+	term      uint64
+	done      chan outcome
 }
 
 // read is a call of ReadBarrier.
@@ -63,7 +66,7 @@
 	if len(command) > MaxCommandBytes {
 		return nil, ErrTooLarge
 	}
-	p := &proposal{command: command, done: make(chan outcome, 1)}
+	p := &proposal{command: command, submitted: time.Now(), done: make(chan outcome, 1)}
 	return submit(ctx, d, d.proposals, p, p.done)
 }
 
--- a/internal/process/replica/driver/disk.go
+++ b/internal/process/replica/driver/disk.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"log/slog"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/replica/core"
@@ -30,19 +31,23 @@
 	compacted     uint64
 	logBytes      int64
 	snapshotBytes int
-	err           error
+	// finished is when the disk had finished.
+	finished time.Time
+	err      error
 }
 
 // disk owns the files of the replica.
 type disk struct {
-	dir  string
-	log  *wal.Log
-	jobs chan []diskJob
-	done chan diskResult
+	dir    string
+	log    *wal.Log
+	delays *delays
+	slow   slowLine
+	jobs   chan []diskJob
+	done   chan diskResult
 }
 
-func newDisk(dir string, log *wal.Log) *disk {
-	return &disk{dir: dir, log: log, jobs: make(chan []diskJob), done: make(chan diskResult, 1)}
+func newDisk(dir string, log *wal.Log, delays *delays, lines *slog.Logger) *disk {
+	return &disk{dir: dir, log: log, delays: delays, slow: slowLine{log: lines}, jobs: make(chan []diskJob), done: make(chan diskResult, 1)}
 }
 
 // run executes batches of jobs until jobs is closed. It ends after an error:
@@ -51,6 +56,7 @@
 	defer close(d.done)
 	for batch := range d.jobs {
 		result := d.perform(batch)
+		result.finished = time.Now()
 		d.done <- result
 		if result.err != nil {
 			return
@@ -106,7 +112,12 @@
 	}
 	start := time.Now()
 	err := d.log.Append(frame)
-	syncSeconds.UpdateDuration(start)
+	took := time.Since(start)
+	syncSeconds.Update(took.Seconds())
+	d.delays.record(&d.delays.taken.Sync, took)
+	if took >= slowSync {
+		d.slow.warn("log sync slow", "append_ms", took.Milliseconds(), "sync_ms", d.log.SyncTime().Milliseconds(), "entries", len(frame.Entries))
+	}
 	*frame = wal.Frame{}
 	return err
 }
@@ -115,6 +126,8 @@
 // after a crash between the two, both exist and the older entries of the log
 // are skipped.
 func (d *disk) saveSnapshot(job *diskJob, result *diskResult) error {
+	start := time.Now()
+	defer func() { d.recordSnapshot(time.Since(start), len(job.snapshot)) }()
 	if err := snapshot.Save(d.dir, job.snapshot); err != nil {
 		return err
 	}
@@ -127,3 +140,11 @@
 	}
 	return nil
 }
+
+func (d *disk) recordSnapshot(took time.Duration, bytes int) {
+	snapshotSeconds.Update(took.Seconds())
+	d.delays.record(&d.delays.taken.Snapshot, took)
+	if took >= slowSync {
+		d.slow.warn("snapshot save slow", "save_ms", took.Milliseconds(), "bytes", bytes)
+	}
+}
--- a/internal/process/replica/driver/driver.go
+++ b/internal/process/replica/driver/driver.go
@@ -21,6 +21,7 @@
 	registrar *registrar
 	receiver  *receiver
 	transport *transport
+	delays    *delays
 
 	proposals     chan *proposal
 	reads         chan *read
@@ -58,7 +59,7 @@
 		options.Clock = newBootClock().now
 	}
 	d := &Driver{
-		options: options, storage: storage,
+		options: options, storage: storage, delays: &delays{},
 		registrar:     newRegistrar(&options, storage),
 		proposals:     make(chan *proposal),
 		reads:         make(chan *read),
@@ -137,6 +138,9 @@
 	return status
 }
 
+// TakeDelays returns the delays since the last call.
+func (d *Driver) TakeDelays() replica.Delays { return d.delays.take() }
+
 // LeaderChanges delivers true when this process becomes the leader and false
 // when it loses the leadership.
 func (d *Driver) LeaderChanges() <-chan bool { return d.leaderChanges }
--- a/internal/process/replica/driver/loop.go
+++ b/internal/process/replica/driver/loop.go
@@ -28,6 +28,8 @@
 	pendingReads   map[uint64][]*read
 	lastReadID     uint64
 	confirms       confirmations
+	commitTimes    commitTimes
+	lateness       lateness
 
 	// jobs are waiting for the disk.
 	jobs []diskJob
@@ -63,7 +65,7 @@
 
 func (d *Driver) newLoop() *loop {
 	l := &loop{
-		Driver: d, core: d.newCore(), disk: newDisk(d.storage.dir, d.storage.log),
+		Driver: d, core: d.newCore(), disk: newDisk(d.storage.dir, d.storage.log, d.delays, d.options.Log),
 		pendingProposals: map[uint64]*proposal{}, pendingChanges: map[uint64]*change{}, pendingReads: map[uint64][]*read{}, senderAddresses: map[string]string{},
 		confirms: newConfirmations(), proposeDue: newStoppedTimer(),
 		lastTick: d.options.Clock(), logBytes: d.storage.log.Bytes(),
@@ -78,6 +80,8 @@
 		}
 	}
 	l.members = l.core.Members()
+	l.commitTimes = commitTimes{delays: d.delays, slow: slowLine{log: d.options.Log}}
+	l.lateness = lateness{delays: d.delays, slow: slowLine{log: d.options.Log}, tickedAt: time.Now()}
 	return l
 }
 
@@ -100,9 +104,11 @@
 		if err := l.serveEvent(ticker.C); err != nil {
 			return err
 		}
+		start := time.Now()
 		if err := l.advance(); err != nil {
 			return err
 		}
+		l.lateness.recordPass(time.Since(start))
 	}
 	return nil
 }
@@ -170,6 +176,7 @@
 		l.core.Tick()
 	}
 	l.updateResponsive()
+	l.lateness.recordTick(time.Now())
 }
 
 // updateResponsive finds the members that answer this leader.
@@ -213,6 +220,9 @@
 		l.snapshotPending = false
 	}
 	for _, m := range result.messages {
+		if m.To == l.options.Self.ID && m.AppendReply != nil {
+			l.commitTimes.synced(m.AppendReply.Index, result.finished)
+		}
 		if m.To != l.options.Self.ID {
 			l.send(m)
 			continue
--- a/internal/process/replica/driver/queue.go
+++ b/internal/process/replica/driver/queue.go
@@ -41,6 +41,7 @@
 		l.pendingProposals[index+uint64(i)] = p
 		l.pendingBytes += len(p.command)
 	}
+	l.commitTimes.appended(index+uint64(len(batch))-1, first.submitted, l.proposedAt, l.lateness.upTo(l.proposedAt))
 	batchCount.Inc()
 }
 
--- a/internal/process/replica/driver/status.go
+++ b/internal/process/replica/driver/status.go
@@ -46,6 +46,7 @@
 	l.confirms.waiting = nil
 	clear(l.pendingProposals)
 	clear(l.pendingChanges)
+	l.commitTimes.clear()
 	l.pendingBytes = 0
 }
 
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -60,6 +60,8 @@
 	ReadBarrier(ctx context.Context) error
 	// Status returns the current state of the replica.
 	Status() Status
+	// TakeDelays returns the delays since the last call.
+	TakeDelays() Delays
 	// AddMember adds a control process as a learner, which becomes a voter
 	// once it has caught up. RemoveMember removes a control process. Only one
 	// change may be pending at a time.
--- a/internal/process/replica/wal/wal.go
+++ b/internal/process/replica/wal/wal.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/replica/core"
@@ -29,6 +30,8 @@
 	file  *os.File
 	size  int64
 	state core.HardState
+	// syncTime is the time that the last sync of an Append took.
+	syncTime time.Duration
 }
 
 // Open reads the log in the directory, truncates a torn tail, and opens the
@@ -123,10 +126,12 @@
 	if _, err := l.file.Write(data); err != nil {
 		return logging.Wrap(err, "write log", l.file.Name())
 	}
+	start := time.Now()
 	// Votes and acknowledgements must not be sent before this sync.
 	if err := l.file.Sync(); err != nil {
 		return logging.Wrap(err, "sync log", l.file.Name())
 	}
+	l.syncTime = time.Since(start)
 	l.size += int64(len(data))
 	if frame.State != nil {
 		l.state = *frame.State
@@ -159,5 +164,8 @@
 // Bytes returns the size of the file.
 func (l *Log) Bytes() int64 { return l.size }
 
+// SyncTime returns the part of the last Append that the sync took.
+func (l *Log) SyncTime() time.Duration { return l.syncTime }
+
 // Close closes the file.
 func (l *Log) Close() error { return l.file.Close() }
--- a/internal/process/scheduler/fakereplica_test.go
+++ b/internal/process/scheduler/fakereplica_test.go
@@ -16,6 +16,22 @@
 	delay   time.Duration
 	index   uint64
 	term    uint64
+	delays  replica.Delays
+}
+
+// addSync adds the time of a sync to the delays.
+func (f *fakeReplica) addSync(took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delays.Sync.Add(took)
+}
+
+func (f *fakeReplica) TakeDelays() replica.Delays {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	taken := f.delays
+	f.delays = replica.Delays{}
+	return taken
 }
 
 func (f *fakeReplica) Propose(_ context.Context, command []byte) ([]byte, error) {
--- a/internal/process/scheduler/loadlog.go
+++ b/internal/process/scheduler/loadlog.go
@@ -86,11 +86,16 @@
 		return
 	}
 	sample := sampleLoad()
+	delays := l.Replica.TakeDelays()
 	if !s.loggedAt.IsZero() {
 		l.Log.Info("leader load", "interval_ms", now.Sub(s.loggedAt).Milliseconds(),
 			"processor_ms", (sample.processorTime - s.last.processorTime).Milliseconds(),
 			"rounds", s.rounds, "round_ms", s.roundTime.Milliseconds(), "longest_round_ms", s.longestRound.Milliseconds(),
 			"commits", s.commits, "commit_ms", s.commitTime.Milliseconds(), "longest_commit_ms", s.longestCommit.Milliseconds(),
+			"syncs", delays.Sync.Count, "sync_ms", delays.Sync.Total.Milliseconds(), "longest_sync_ms", delays.Sync.Longest.Milliseconds(),
+			"longest_snapshot_ms", delays.Snapshot.Longest.Milliseconds(), "longest_queue_ms", delays.Queue.Longest.Milliseconds(),
+			"follower_ack_ms", delays.Followers.Total.Milliseconds(), "longest_follower_ack_ms", delays.Followers.Longest.Milliseconds(),
+			"longest_pass_ms", delays.Pass.Longest.Milliseconds(), "late_ms", delays.Late.Total.Milliseconds(), "longest_late_ms", delays.Late.Longest.Milliseconds(),
 			"starts", sample.starts-s.last.starts, "ends", sample.ends-s.last.ends, "watches", sample.watches-s.last.watches,
 			"link_calls", sample.linkCalls-s.last.linkCalls, "link_served", sample.linkServed-s.last.linkServed,
 			"messages_sent", sample.sent-s.last.sent, "messages_received", sample.received-s.last.received, "batches", sample.batches-s.last.batches,
