scheduler: stop an unrecorded run only by a report that holds

Cause: stopOrphans read the newest report of every worker, also that of a worker whose watches fail since or that refuses this leader's fencing token. Each unrecorded run of such a report was ordered to stop twice a second: into the void, or at a worker that refuses the order.

Change: the report counts only while its worker is in touch: it has answered this leader, answered its last watch, and no later incarnation has answered in its place. Once it answers again, its new report decides.

What could go wrong: a run that must not go on executes at a worker that receives calls while its answers are lost; the stop orders might have reached it. A worker that refuses our token holds the lease of a newer leader, which stops the run by the report that it gets.

--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -233,10 +233,13 @@
 	return r != nil && r.number == key.run && r.seenInRound == l.roundNumber
 }
 
-// stopOrphans stops runs that workers execute without a record in the state.
+// stopOrphans stops runs that workers execute without a record in the state. A
+// worker that is not in touch gets no lease either, so that its runs end with the
+// one it has unless its next report comes first. The runs of a worker that obeys a
+// newer leader are left to that leader.
 func (l *loop) stopOrphans(now time.Time) {
 	for _, w := range l.workers {
-		if w.report == nil {
+		if w.report == nil || !w.inTouch() {
 			continue
 		}
 		for key := range w.report.running {
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -165,6 +165,12 @@
 	return execution.WorkerAddress{ID: w.reg.ID, Address: w.reg.Address}
 }
 
+// inTouch reports whether this incarnation has answered the last watch of this
+// leader, so that its newest report holds.
+func (w *worker) inTouch() bool {
+	return w.contacted && !w.unresponsive && !w.superseded
+}
+
 // schedulable reports whether the worker may get new tasks.
 func (w *worker) schedulable(now time.Time) bool {
 	return w.contacted && !w.unresponsive && !w.deregistering && !w.superseded && !w.reg.Draining && now.After(w.pausedUntil) && now.Sub(w.answeredAt) < maxAnswerAge
