scheduler: predicates of a worker with one job each

Cause: contacted, unresponsive, superseded, deregistering and Draining were combined by hand at each call site, each time in another selection.

Change, without an effect on behaviour: answering contacted, not unresponsive mayGetOrders contacted, not superseded inTouch answering and mayGetOrders mayGetStarts registered, not Draining, not deregistering, not superseded schedulable inTouch, mayGetStarts, not paused, with a recent answer

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -254,7 +254,7 @@
 			// The VM is powered off, or its worker has not registered yet.
 			vm.Serving = false
 			vm.Movable = !paused && !cutOff[e.vm.Zone]
-		case w.unresponsive || !w.contacted:
+		case !w.answering():
 			// The VM would be unreachable in another pool as well.
 		default:
 			vm.Serving = w.schedulable(now) && !l.maintenance.isCordoned(id)
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -148,7 +148,7 @@
 		// The stop order is due at once.
 		r.enter(runStopping, time.Time{})
 	}
-	if !w.contacted || w.superseded || r.calling {
+	if !w.mayGetOrders() || r.calling {
 		return
 	}
 	l.advanceRun(v, id, r, w, now)
@@ -169,7 +169,7 @@
 	case runRetrying:
 		if reported && fresh {
 			r.enter(runOrdered, now)
-		} else if now.Sub(r.since) >= orderRetry && !w.unresponsive {
+		} else if now.Sub(r.since) >= orderRetry && w.inTouch() {
 			l.sendStart(v, id, r, now)
 		}
 	case runOrdered:
@@ -178,7 +178,7 @@
 			l.sendStop(id, r, now)
 		}
 	case runStopping:
-		if now.Sub(r.since) >= orderRetry && !w.unresponsive {
+		if now.Sub(r.since) >= orderRetry && w.inTouch() {
 			l.sendStop(id, r, now)
 		}
 	case runStopped:
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -103,16 +103,14 @@
 	l.sendStart(v, s.Task, r, time.Now())
 }
 
-// sendStart sends the start order of a run, unless the worker is draining, is
-// being deregistered or has restarted: a repeated order could arrive after the time
-// at which a draining worker stops accepting orders, and a deregistration ends the
-// run in the state.
+// sendStart sends the start order of a run, also again, unless the worker may get
+// none any more.
 func (l *loop) sendStart(v *workstate.View, id workload.TaskID, r *run, now time.Time) {
 	w := l.workers[r.worker]
 	if w == nil {
 		return
 	}
-	if reg := v.Workers()[r.worker]; reg == nil || reg.Draining || w.deregistering || w.superseded {
+	if !w.mayGetStarts(v.Workers()[r.worker]) {
 		// The stop order is due at once.
 		r.enter(runStopping, time.Time{})
 		return
--- a/internal/process/scheduler/throttle.go
+++ b/internal/process/scheduler/throttle.go
@@ -58,7 +58,7 @@
 func (l *loop) setBestEffortSpeeds(u *usage, now time.Time) {
 	for id, c := range u.colocations {
 		w := l.workers[id]
-		if w == nil || !w.contacted || w.unresponsive || len(c.bestEffort) == 0 {
+		if w == nil || !w.answering() || len(c.bestEffort) == 0 {
 			continue
 		}
 		if now.Sub(w.speedSetAt) >= speedInterval {
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -60,7 +60,7 @@
 	// receive calls, and its lease must not be extended. It may also have
 	// restarted, in which case the ends of the new incarnation must not be
 	// acknowledged.
-	if w.contacted && !w.unresponsive && !w.superseded && l.inContact() {
+	if w.inTouch() && l.inContact() {
 		request.LeaseUntilMS = w.grantLease(now)
 		request.AckedEnd = w.ackedEnd
 		request.WaitMS = int(l.watchWait(w).Milliseconds())
@@ -98,7 +98,7 @@
 		l.handleWatchFailure(w, now, report.Refusal, err)
 		return
 	}
-	if w.unresponsive || !w.contacted {
+	if !w.answering() {
 		l.dirty = true
 		l.Log.Info("worker responsive", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "running", len(report.Running), "ended", len(report.Ended))
 	}
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -165,15 +165,30 @@
 	return execution.WorkerAddress{ID: w.reg.ID, Address: w.reg.Address}
 }
 
-// inTouch reports whether this incarnation has answered the last watch of this
-// leader, so that its newest report holds.
-func (w *worker) inTouch() bool {
-	return w.contacted && !w.unresponsive && !w.superseded
+// answering reports whether something answered the last watch at the worker's
+// address. It may be a later incarnation, whose registration is not known yet.
+func (w *worker) answering() bool { return w.contacted && !w.unresponsive }
+
+// mayGetOrders reports whether this incarnation may be sent orders about its runs.
+// Before the first contact it may still obey a former leader. A worker that does
+// not answer may get an order nonetheless.
+func (w *worker) mayGetOrders() bool { return w.contacted && !w.superseded }
+
+// inTouch reports whether this incarnation answered the last watch, so that its
+// newest report and its clock hold, and its lease may be extended.
+func (w *worker) inTouch() bool { return w.answering() && w.mayGetOrders() }
+
+// mayGetStarts reports whether this incarnation may start runs, according to its
+// newest registration, which is nil if it is registered no more. A start order could
+// arrive after the time at which a draining worker stops accepting orders, and a
+// deregistration ends the run in the state. The worker may be out of touch.
+func (w *worker) mayGetStarts(reg *workstate.Worker) bool {
+	return reg != nil && !reg.Draining && !w.deregistering && !w.superseded
 }
 
-// schedulable reports whether the worker may get new tasks.
+// schedulable reports whether the worker may be chosen for new tasks.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.contacted && !w.unresponsive && !w.deregistering && !w.superseded && !w.reg.Draining && now.After(w.pausedUntil) && now.Sub(w.answeredAt) < maxAnswerAge
+	return w.inTouch() && w.mayGetStarts(&w.reg) && now.After(w.pausedUntil) && now.Sub(w.answeredAt) < maxAnswerAge
 }
 
 // watchWait returns how long the worker may delay a report without new ends.
