workstate: one order of heartbeats

Cause: Worker.Replaces and HeardHeartbeat.Newer each compared incarnation and sequence by hand.

Change: both compare a HeartbeatOrder. Replaces still holds for the same heartbeat, Newer does not. The encoding of both types is unchanged.

--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -133,10 +133,11 @@
 
 // Newer reports whether a heartbeat of the same worker was sent after another.
 func (h HeardHeartbeat) Newer(other HeardHeartbeat) bool {
-	if h.Incarnation != other.Incarnation {
-		return h.Incarnation > other.Incarnation
-	}
-	return h.Sequence > other.Sequence
+	return h.order().Compare(other.order()) > 0
+}
+
+func (h HeardHeartbeat) order() workstate.HeartbeatOrder {
+	return workstate.HeartbeatOrder{Incarnation: h.Incarnation, Sequence: h.Sequence}
 }
 
 // DeregisterRequest removes a worker that has shut down.
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -1,6 +1,8 @@
 package workstate
 
 import (
+	"cmp"
+
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -144,13 +146,23 @@
 	EndsByOrder int64 `cbor:"13,keyasint,omitempty"`
 }
 
-// Replaces reports whether a registration is newer than the known one of the
-// same worker. Heartbeats may arrive in another order than they were sent.
-func (w *Worker) Replaces(known *Worker) bool {
-	if w.Incarnation != known.Incarnation {
-		return w.Incarnation > known.Incarnation
-	}
-	return w.Sequence >= known.Sequence
+// Order returns the place of the registration among the heartbeats of the worker.
+func (w *Worker) Order() HeartbeatOrder {
+	return HeartbeatOrder{Incarnation: w.Incarnation, Sequence: w.Sequence}
+}
+
+// Replaces reports whether a registration is as new as the known one of the same
+// worker. Heartbeats may arrive in another order than they were sent.
+func (w *Worker) Replaces(known *Worker) bool { return w.Order().Compare(known.Order()) >= 0 }
+
+// HeartbeatOrder tells in which order the heartbeats of a worker were sent: by
+// incarnation, and by number within one.
+type HeartbeatOrder struct{ Incarnation, Sequence int64 }
+
+// Compare returns -1 if the heartbeat was sent before another, +1 if after it, and
+// 0 if they are the same.
+func (o HeartbeatOrder) Compare(other HeartbeatOrder) int {
+	return cmp.Or(cmp.Compare(o.Incarnation, other.Incarnation), cmp.Compare(o.Sequence, other.Sequence))
 }
 
 // Wave is a request for the maintenance of a list of VMs.
