--- a/internal/process/scheduler/server_leaving.go
+++ b/internal/process/scheduler/server_leaving.go
@@ -53,14 +53,16 @@
 // awaitNoRuns waits until no run is recorded on a leaving worker. The leader's
 // loop stops them.
 func (s *Server) awaitNoRuns(ctx context.Context, worker string, incarnation int64) error {
-	runs := s.runsOn(worker)
+	runs := 0
+	countRuns := func(v *workstate.View) { runs = v.RunsOn(worker) }
+	s.machine.Read(countRuns)
 	s.log.Info("worker leaving, its runs are stopped first", "worker", worker, "incarnation", incarnation, "runs", runs)
 	ticker := time.NewTicker(leavingPoll)
 	defer ticker.Stop()
 	for runs > 0 {
 		select {
 		case <-ticker.C:
-			runs = s.runsOn(worker)
+			s.machine.Read(countRuns)
 		case <-ctx.Done():
 			s.log.Warn("worker may not leave yet, its runs have not ended", "worker", worker, "incarnation", incarnation, "runs", runs)
 			return &link.Fault{Code: workcall.CodeUnavailable, Message: "the worker's runs have not ended"}
@@ -68,14 +70,3 @@
 	}
 	return nil
 }
-
-// runsOn returns the number of runs that are recorded on a worker.
-func (s *Server) runsOn(worker string) int {
-	runs := 0
-	s.machine.Read(func(v *workstate.View) {
-		for _, job := range v.Active() {
-			runs += len(job.RunsOn(worker))
-		}
-	})
-	return runs
-}
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -54,7 +54,7 @@
 	if worker == nil || worker.Incarnation != d.Incarnation {
 		return Result{Code: OK, Repeated: true}
 	}
-	if d.Announced && m.hasRuns(worker.ID) {
+	if d.Announced && m.runsOn(worker.ID) > 0 {
 		worker.Draining, worker.Leaving, worker.EndsByOrder = true, true, worker.Incarnation
 		m.workersVersion++
 		return Result{Code: Busy}
@@ -101,14 +101,13 @@
 	m.workersVersion++
 }
 
-// hasRuns reports whether a run is recorded on a worker.
-func (m *Machine) hasRuns(worker string) bool {
+// runsOn returns the number of runs that are recorded on a worker.
+func (m *Machine) runsOn(worker string) int {
+	runs := 0
 	for _, job := range m.active {
-		if len(job.RunsOn(worker)) > 0 {
-			return true
-		}
+		runs += len(job.RunsOn(worker))
 	}
-	return false
+	return runs
 }
 
 // Run identifies one run of a task.
