scheduler: one fixture method announces a drain

Cause: three tests built the heartbeat of a draining worker line by line.

Change: fixture.announceDrain. The tests check what they did.

--- a/internal/process/scheduler/capacity_test.go
+++ b/internal/process/scheduler/capacity_test.go
@@ -118,9 +118,7 @@
 		f.lead()
 		defer f.depose()
 		time.Sleep(time.Second)
-		draining := f.heartbeat(w, "vm-w1", "svc")
-		draining.Draining = true
-		f.commit(&workstate.Command{Register: draining})
+		f.announceDrain(w, "vm-w1")
 		w = restartUnseen(f, 4000)
 		time.Sleep(2 * time.Second)
 		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onHeartbeats: func([]workcall.HeardHeartbeat) {}, now: time.Now}
--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -79,6 +79,13 @@
 	return &workstate.Worker{ID: w.id, Address: w.id, Service: service, VM: vm, Incarnation: w.incarnation, Capacity: w.capacity, Sequence: w.announce()}
 }
 
+// announceDrain commits the heartbeat by which a worker of "svc" announces that it drains.
+func (f *fixture) announceDrain(w *fakeWorker, vm string) {
+	heartbeat := f.heartbeat(w, vm, "svc")
+	heartbeat.Draining = true
+	f.commit(&workstate.Command{Register: heartbeat})
+}
+
 func (f *fixture) submit(id string, steps ...workload.Step) {
 	f.t.Helper()
 	spec := workload.Spec{Payload: "p", Steps: steps}
--- a/internal/process/scheduler/leaving_test.go
+++ b/internal/process/scheduler/leaving_test.go
@@ -77,9 +77,7 @@
 		time.Sleep(time.Second)
 		w2 := f.addWorker("w2", 8000)
 		time.Sleep(time.Second)
-		heartbeat := f.heartbeat(w1, "vm-w1", "svc")
-		heartbeat.Draining = true
-		f.commit(&workstate.Command{Register: heartbeat})
+		f.announceDrain(w1, "vm-w1")
 		time.Sleep(time.Second)
 		f.workers.mu.Lock()
 		defer f.workers.mu.Unlock()
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -298,10 +298,7 @@
 // drain announces that a worker is draining, and later replaces it.
 func (s *schedule) drain(vm int) {
 	w := s.current[vm]
-	name := fmt.Sprintf("vm-%d", vm)
-	heartbeat := s.heartbeat(w, name, "svc")
-	heartbeat.Draining = true
-	s.commit(&workstate.Command{Register: heartbeat})
+	s.announceDrain(w, fmt.Sprintf("vm-%d", vm))
 	s.workers.mu.Lock()
 	s.workers.ledger.draining[w.id] = time.Now()
 	s.workers.mu.Unlock()
