scheduler: test of unrecorded runs replaces the workers before any call

Cause: the fixture of the new tests replaced the loop's workers while a watch could be reading them: a data race in about one of ten runs under -race.

Change: the replacement comes before the first worker is registered.

--- a/internal/process/scheduler/orphans_test.go
+++ b/internal/process/scheduler/orphans_test.go
@@ -34,11 +34,13 @@
 
 // leadWithUnrecordedRun starts a leader whose only worker executes a run that is not recorded and takes long to stop.
 func (f *fixture) leadWithUnrecordedRun() (*fakeWorker, *silentWorkers) {
-	w := f.addWorker("w1", 1000)
-	w.stopTime = time.Minute
 	f.lead()
 	workers := &silentWorkers{fakeWorkers: f.workers}
 	f.loop.post(func(l *loop) { l.Workers = workers })
+	synctest.Wait()
+	w := f.workers.add("w1", 1000)
+	w.stopTime = time.Minute
+	f.register(w, "vm-w1", "svc")
 	time.Sleep(time.Second)
 	f.submit(jobA, step(1))
 	time.Sleep(time.Second)
