scheduler: calls to workers take the address before their goroutine starts

The text behind the pointer stays equal, so that no caller is known to have seen anything; the read was still undefined.

--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -132,10 +132,11 @@
 	order.Ticket = l.ticketFor(id, r.worker)
 	r.enter(runOrdering, now)
 	r.calling, r.sent = true, true
+	address := w.address()
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
-		answer, err := l.Workers.Start(ctx, w.address(), order)
+		answer, err := l.Workers.Start(ctx, address, order)
 		l.post(func(l *loop) { l.handleStartAnswer(id, r, w, answer, err) })
 	}()
 }
@@ -241,10 +242,11 @@
 	}
 	r.enter(runStopping, now)
 	r.calling = true
+	address := w.address()
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
-		answer, err := l.Workers.Stop(ctx, w.address(), id, r.number, l.term)
+		answer, err := l.Workers.Stop(ctx, address, id, r.number, l.term)
 		l.post(func(l *loop) { l.handleStopAnswer(id, r, answer, err) })
 	}()
 }
@@ -293,10 +295,11 @@
 	}
 	l.orphans[key] = now
 	l.Log.Info("stopping unrecorded run", "task", key.task.String(), "run", key.run, "worker", w.reg.ID)
+	address := w.address()
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
-		if _, err := l.Workers.Stop(ctx, w.address(), key.task, key.run, l.term); err != nil {
+		if _, err := l.Workers.Stop(ctx, address, key.task, key.run, l.term); err != nil {
 			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", w.reg.ID, "error", err.Error())
 		}
 	}()
--- a/internal/process/scheduler/throttle.go
+++ b/internal/process/scheduler/throttle.go
@@ -87,10 +87,11 @@
 	}
 	speed, number := w.speed, r.number
 	r.settingSpeed, r.speedSetAt = true, now
+	address := w.address()
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
-		answer, err := l.Workers.Throttle(ctx, w.address(), id, number, speed, l.term)
+		answer, err := l.Workers.Throttle(ctx, address, id, number, speed, l.term)
 		l.post(func(l *loop) { l.handleSpeedAnswer(id, r, speed, answer, err) })
 	}()
 }
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -70,10 +70,11 @@
 	w.requestedAck = w.ackedEnd
 	w.watching = true
 	watchCalls.Inc()
+	address := w.address()
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, time.Duration(request.WaitMS)*time.Millisecond+callTimeout)
 		defer cancel()
-		report, err := l.Workers.Watch(ctx, w.address(), request)
+		report, err := l.Workers.Watch(ctx, address, request)
 		l.post(func(l *loop) { l.handleReport(w, now, report, err) })
 	}()
 }
