scheduler: an order for a VM that was never sent does not stay open

If the record of a maintenance or the confirmation of the leadership failed, the platform was not called, but the order was taken for unanswered: the VM got no tasks, and a move that nobody wanted any more was carried out by the repeat.

Such a failure now closes the order, unless an earlier copy of it got no answer. TestOrderThatWasNotSentDoesNotStayOpen failed before.

--- a/internal/process/scheduler/lateorders_test.go
+++ b/internal/process/scheduler/lateorders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -89,3 +90,36 @@
 		}
 	})
 }
+
+// barrierReplica fails some confirmations of the leadership.
+type barrierReplica struct {
+	*fakeReplica
+	failing atomic.Bool
+}
+
+func (r *barrierReplica) ReadBarrier(context.Context) error {
+	if r.failing.Load() {
+		return errors.New("no majority")
+	}
+	return nil
+}
+
+// TestOrderThatWasNotSentDoesNotStayOpen guards against an order that the platform was never called for being taken for unanswered.
+func TestOrderThatWasNotSentDoesNotStayOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.replaceWorkers(2 * time.Second)
+		f.addVM("w1", "svc")
+		f.lead()
+		defer f.depose()
+		r := &barrierReplica{fakeReplica: f.replica}
+		f.loop.post(func(l *loop) { l.Replica = r })
+		time.Sleep(6 * time.Second)
+		r.failing.Store(true)
+		f.loop.post(func(l *loop) { l.orderVM(l.fleet.entries["vm-w1"], vmOrder{pool: "spare"}, time.Now()) })
+		time.Sleep(100 * time.Millisecond)
+		if f.orderOf("vm-w1") != nil {
+			t.Error("an order that was not sent is open")
+		}
+	})
+}
--- a/internal/process/scheduler/vmorders.go
+++ b/internal/process/scheduler/vmorders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
@@ -51,16 +53,19 @@
 	}()
 }
 
+// errNotSent means that the platform was not called.
+var errNotSent = errors.New("the order was not sent")
+
 func (l *loop) callPlatform(ctx context.Context, id string, order vmOrder) (execution.VMRefusal, error) {
 	if order.pool == "" {
 		// The maintenance is recorded before the VM may go down.
 		maintenance := &workstate.Maintenance{Wave: order.wave, VM: id}
 		if _, err := propose(ctx, l.Replica, &workstate.Command{Maintenance: maintenance}, l.Now()); err != nil {
-			return execution.VMOverloaded, err
+			return execution.VMOverloaded, fmt.Errorf("%w: %w", errNotSent, err)
 		}
 	}
 	if err := l.Replica.ReadBarrier(ctx); err != nil {
-		return execution.VMOverloaded, err
+		return execution.VMOverloaded, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	if order.pool == "" {
 		return l.Platform.StartMaintenance(ctx, id, order.wave, l.Holder, l.term)
@@ -77,6 +82,8 @@
 	l.dirty = true
 	l.Log.Info("VM order finished", "vm", e.vm.ID, "from", e.vm.Pool, "to", order.pool, "wave", order.wave, "refusal", refusal, "error", errorText(err))
 	switch {
+	case errors.Is(err, errNotSent) && !e.unanswered:
+		e.closeOrder()
 	case err != nil:
 		e.unanswered = true
 		e.pausedUntil = now.Add(orderPause)
