scheduler: a move without an answer is repeated for 3 s only

A move is now given up 3 s after it was first ordered and the VM left alone for 3 s more. A move that is executed later interrupts tasks, but no cap depends on it. Orders for maintenance stay open: their cap does.

--- a/internal/process/scheduler/vmorders.go
+++ b/internal/process/scheduler/vmorders.go
@@ -17,6 +17,13 @@
 	filledAt time.Time
 }
 
+const (
+	// maxMoveRepeats is the time for which a move without an answer is repeated.
+	maxMoveRepeats = 3 * time.Second
+	// abandonedMovePause is how long a VM is not ordered after such a move.
+	abandonedMovePause = 3 * time.Second
+)
+
 // burstShare is the share of a second's orders that may be given at once. The
 // rest is left to a former leader that may still give orders in the same
 // second.
@@ -39,6 +46,7 @@
 // token.
 func (l *loop) orderVM(e *vmEntry, order vmOrder, now time.Time) {
 	if e.order == nil {
+		e.openSince = now
 		order.workers = l.workersOn(e.vm.ID)
 	}
 	e.order = &order
@@ -112,12 +120,20 @@
 	}
 }
 
-// repeatMoves repeats the moves that got no answer.
+// repeatMoves repeats the moves that got no answer. One that was repeated for
+// maxMoveRepeats is given up, so that its VM serves its pool for a while: a move
+// that is executed nonetheless interrupts tasks, but breaks no cap.
 func (l *loop) repeatMoves(now time.Time) {
 	for _, e := range l.fleet.entries {
-		if e.unanswered && e.order.pool != "" {
-			l.repeatOrder(e, now)
+		if !e.unanswered || e.calling || e.order.pool == "" {
+			continue
+		}
+		if now.Sub(e.openSince) > maxMoveRepeats {
+			e.closeOrder()
+			e.pausedUntil = now.Add(abandonedMovePause)
+			continue
 		}
+		l.repeatOrder(e, now)
 	}
 }
 
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -49,6 +49,8 @@
 	// unanswered is set if the order got no answer, so that the platform may
 	// still execute it.
 	unanswered bool
+	// openSince is when the open order was first given.
+	openSince time.Time
 	// calling is set while the order is in flight.
 	calling bool
 	// orderedAt is when the platform accepted the order, or when the order
