scheduler: an unanswered move to a pool that has disappeared is given up

The repeat moved the VM to a service that the configuration no longer has, where rebalancing does not look for it. TestRepeatedMoveGoesToNoPoolThatHasDisappeared failed before.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -131,7 +131,7 @@
 	if !l.mayOrderVM(now) || l.fleet.listedAt.IsZero() {
 		return
 	}
-	l.repeatMoves(now)
+	l.repeatMoves(v, now)
 	l.updateVMCapacity()
 	pools := l.desiredPools(v, u, groups, now)
 	vms := l.rebalanceVMs(u, now)
--- a/internal/process/scheduler/lateorders_test.go
+++ b/internal/process/scheduler/lateorders_test.go
@@ -123,3 +123,39 @@
 		}
 	})
 }
+
+// deafOnce does not execute the first move.
+type deafOnce struct {
+	*fakePlatform
+	called atomic.Bool
+}
+
+func (p *deafOnce) Move(ctx context.Context, vm, pool, holder string, token uint64) (execution.VMRefusal, error) {
+	if !p.called.Swap(true) {
+		<-ctx.Done()
+		return execution.VMOverloaded, execution.ErrNoAnswer
+	}
+	return p.fakePlatform.Move(ctx, vm, pool, holder, token)
+}
+
+// TestRepeatedMoveGoesToNoPoolThatHasDisappeared guards against a VM being moved to a service that is no longer configured.
+func TestRepeatedMoveGoesToNoPoolThatHasDisappeared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.replaceWorkers(2 * time.Second)
+		for _, w := range []string{"w1", "w2", "w3"} {
+			f.addVM(w, "svc")
+		}
+		f.lead()
+		defer f.depose()
+		f.platform(&deafOnce{fakePlatform: f.vms})
+		time.Sleep(6 * time.Second)
+		f.loop.post(func(l *loop) { l.orderVM(l.fleet.entries["vm-w1"], vmOrder{pool: "gone"}, time.Now()) })
+		time.Sleep(20 * time.Second)
+		f.vms.mu.Lock()
+		defer f.vms.mu.Unlock()
+		if pool := f.vms.vms["vm-w1"].Pool; pool == "gone" {
+			t.Errorf("the VM is in %s, orders %v", pool, f.vms.orders)
+		}
+	})
+}
