scheduler: a leader without a list of VMs abandons none of them

Cause: listedAt is set by a list that failed as well. To a new leader whose lists all fail each VM of a wave seemed missing, and after the deadline it abandoned them all.

Waves and moves are now planned only after the first list that was answered, and nothing is abandoned while the lists fail.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -128,7 +128,7 @@
 // planMoves moves VMs between pools to follow the load.
 func (l *loop) planMoves(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) {
 	l.draining = map[string]bool{}
-	if !l.mayOrderVM(now) || l.fleet.listedAt.IsZero() {
+	if !l.mayOrderVM(now) || !l.fleet.listed {
 		return
 	}
 	l.repeatMoves(v, now)
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -75,7 +75,7 @@
 	previouslyCordoned := l.maintenance.cordoned
 	l.maintenance.cordoned = map[string]time.Time{}
 	l.maintenance.due = map[string]bool{}
-	if l.fleet.listedAt.IsZero() {
+	if !l.fleet.listed {
 		return
 	}
 	for _, wave := range v.Waves() {
@@ -120,7 +120,7 @@
 		l.maintenance.missing[id] = now
 	}
 	overdue := time.Duration(l.Now().UnixMilli()-wave.DeadlineMS) * time.Millisecond
-	if wave.Settled[id] || overdue < missingGrace || now.Sub(l.maintenance.missing[id]) < missingTime || now.Sub(l.fleet.listedAt) > listInterval {
+	if l.fleet.failing || wave.Settled[id] || overdue < missingGrace || now.Sub(l.maintenance.missing[id]) < missingTime || now.Sub(l.fleet.listedAt) > listInterval {
 		return
 	}
 	l.Log.Info("VM abandoned, missing past the deadline of its wave", "wave", wave.Number, "vm", id, "overdue_ms", overdue.Milliseconds())
--- a/internal/process/scheduler/vmorders.go
+++ b/internal/process/scheduler/vmorders.go
@@ -121,8 +121,9 @@
 }
 
 // repeatMoves repeats the moves that got no answer. One that was repeated for
-// maxMoveRepeats, or whose pool is no longer configured, is given up, so that its VM serves its pool for a while: a move
-// that is executed nonetheless interrupts tasks, but breaks no cap.
+// maxMoveRepeats, or whose pool is no longer configured, is given up, so that its
+// VM serves its pool for a while: a move that is executed nonetheless interrupts
+// tasks, but breaks no cap.
 func (l *loop) repeatMoves(v *workstate.View, now time.Time) {
 	for _, e := range l.fleet.entries {
 		if !e.unanswered || e.calling || e.order.pool == "" {
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -67,7 +67,10 @@
 
 // fleet is what the leader knows about the platform's VMs.
 type fleet struct {
-	entries  map[string]*vmEntry
+	entries map[string]*vmEntry
+	// listed is set once the platform has answered with a list.
+	listed bool
+	// listedAt is when the last list was requested, answered or not.
 	listedAt time.Time
 	listing  bool
 	// failing is set if the last call to list the VMs got no answer.
@@ -118,7 +121,7 @@
 	if f.failing {
 		l.Log.Info("platform responsive", "vms", len(vms))
 	}
-	f.failing = false
+	f.failing, f.listed = false, true
 	known := map[string]bool{}
 	for _, vm := range vms {
 		known[vm.ID] = true
