scheduler: a VM that a list leaves out keeps its order and its place under the cap

A VM that a list leaves out was forgotten with its unanswered order, or with its maintenance, and another one ordered down in its place.

Such a VM is now forgotten only after missingTime if it is or may go down, its order is not repeated meanwhile (the platform's 400 would settle it), and a new leader counts a missing VM whose maintenance was ordered.

--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -99,6 +99,9 @@
 		switch {
 		case e == nil:
 			l.handleMissingVM(wave, id, now)
+			if l.maybeInMaintenance(wave, id, now) {
+				available--
+			}
 		case e.order != nil && e.order.pool == "" && e.order.wave == wave.Number:
 			available--
 			l.repeatOrder(e, now)
@@ -127,6 +130,12 @@
 	l.recordMaintenance(wave.Number, id)
 }
 
+// maybeInMaintenance reports whether a VM that the platform does not list may be
+// down for a wave by order of a former leader.
+func (l *loop) maybeInMaintenance(wave *workstate.Wave, id string, now time.Time) bool {
+	return wave.Ordered[id] && now.Sub(l.maintenance.missing[id]) < missingTime
+}
+
 // newMaintenanceVM returns a VM with its class and the utilization of its pool.
 func newMaintenanceVM(v *workstate.View, u *usage, e *vmEntry) maintenanceVM {
 	vm := maintenanceVM{entry: e, worker: u.workerOn[e.vm.ID], class: busy, utilization: u.utilization[e.vm.Pool]}
--- a/internal/process/scheduler/vmorders.go
+++ b/internal/process/scheduler/vmorders.go
@@ -115,7 +115,7 @@
 
 // repeatOrder repeats an order that got no answer.
 func (l *loop) repeatOrder(e *vmEntry, now time.Time) {
-	if !e.calling && e.vm.State == execution.VMUp && now.After(e.pausedUntil) && l.mayOrderVM(now) {
+	if !e.calling && e.missingSince.IsZero() && e.vm.State == execution.VMUp && now.After(e.pausedUntil) && l.mayOrderVM(now) {
 		l.orderVM(e, *e.order, now)
 	}
 }
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -58,6 +58,9 @@
 	orderedAt time.Time
 	// pausedUntil is the time before which no further order is given.
 	pausedUntil time.Time
+	// missingSince is when the first list was requested that left the VM out; zero
+	// if the last one showed it.
+	missingSince time.Time
 	// refusedPools is the set of pools that the VM can't move to.
 	refusedPools map[string]bool
 }
@@ -65,6 +68,26 @@
 // unavailable reports whether the VM is not up or has an open order.
 func (e *vmEntry) unavailable() bool { return e.order != nil || e.vm.State != execution.VMUp }
 
+// recordListing records whether the list requested at a time shows the VM.
+func (e *vmEntry) recordListing(listed bool, requestedAt time.Time) {
+	switch {
+	case listed:
+		e.missingSince = time.Time{}
+	case e.missingSince.IsZero():
+		e.missingSince = requestedAt
+	}
+}
+
+// gone reports whether a VM that the list requested at a time leaves out can be
+// forgotten. One that is or may go down counts against the cap of its wave for
+// missingTime.
+func (e *vmEntry) gone(requestedAt time.Time) bool {
+	if e.missingSince.IsZero() || e.calling {
+		return false
+	}
+	return !e.unavailable() || requestedAt.Sub(e.missingSince) >= missingTime
+}
+
 // fleet is what the leader knows about the platform's VMs.
 type fleet struct {
 	entries map[string]*vmEntry
@@ -129,7 +152,8 @@
 		f.update(vm, requestedAt)
 	}
 	for id, e := range f.entries {
-		if !known[id] && !e.calling {
+		e.recordListing(known[id], requestedAt)
+		if e.gone(requestedAt) {
 			delete(f.entries, id)
 		}
 	}
--- a/internal/process/scheduler/vmschedules_test.go
+++ b/internal/process/scheduler/vmschedules_test.go
@@ -235,6 +235,31 @@
 	return false
 }
 
+// VMs implements execution.Platform. Some lists fail, are late or leave out VMs.
+func (p *faultyPlatform) VMs(ctx context.Context) ([]execution.VM, error) {
+	vms, err := p.fakePlatform.VMs(ctx)
+	if !p.faulty.Load() {
+		return vms, err
+	}
+	draw := p.drawNext("list")
+	switch draw % 6 {
+	case 0:
+		<-ctx.Done()
+		return nil, execution.ErrNoAnswer
+	case 1, 2:
+		time.Sleep(time.Duration(draw >> 20 % uint64(platformTimeout)))
+	case 3:
+		var listed []execution.VM
+		for _, vm := range vms {
+			if p.draw("omit", draw, vm.ID)%6 > 0 {
+				listed = append(listed, vm)
+			}
+		}
+		return listed, nil
+	}
+	return vms, err
+}
+
 // Move implements execution.Platform.
 func (p *faultyPlatform) Move(ctx context.Context, vm, pool, holder string, token uint64) (execution.VMRefusal, error) {
 	return p.call(ctx, vm, holder, token, func() (execution.VMRefusal, error) { return p.fakePlatform.Move(ctx, vm, pool, holder, token) })
