scheduler: VMs whose maintenance a former leader ordered go first and hold their place

Fencing tokens hold for each VM apart, so an order of the new leader for another VM does not stop it; that the VM was ordered is in the state (Wave.Ordered), but nobody read it.

VMs that are ordered and not settled now come first, and hold a place under the cap also while they cannot be ordered.

--- a/internal/process/scheduler/lateorders_test.go
+++ b/internal/process/scheduler/lateorders_test.go
@@ -159,3 +159,40 @@
 		}
 	})
 }
+
+// fencedPlatform refuses orders with a stale fencing token.
+type fencedPlatform struct {
+	*fakePlatform
+	tokens map[string]uint64
+}
+
+func (p *fencedPlatform) StartMaintenance(ctx context.Context, vm string, wave int64, holder string, token uint64) (execution.VMRefusal, error) {
+	p.mu.Lock()
+	stale := token < p.tokens[vm]
+	p.tokens[vm] = max(token, p.tokens[vm])
+	p.mu.Unlock()
+	if stale {
+		return execution.VMRefusedFencingToken, nil
+	}
+	return p.fakePlatform.StartMaintenance(ctx, vm, wave, holder, token)
+}
+
+// TestFormerLeadersLateOrderDoesNotExceedTheCap guards against a VM whose order a former leader has recorded being passed over for another one.
+func TestFormerLeadersLateOrderDoesNotExceedTheCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.limits.FencingEnforced = true
+		f.replaceWorkers(2 * time.Second)
+		f.addVM("w1", "svc")
+		f.addVM("w2", "svc")
+		p := &fencedPlatform{fakePlatform: f.vms, tokens: map[string]uint64{}}
+		f.commitWave("vm-w1", "vm-w2")
+		f.commit(&workstate.Command{Maintenance: &workstate.Maintenance{Wave: 1, VM: "vm-w2"}})
+		time.AfterFunc(1500*time.Millisecond, func() { _, _ = p.StartMaintenance(context.Background(), "vm-w2", 1, "former", 0) })
+		f.lead()
+		defer f.depose()
+		f.platform(p)
+		time.Sleep(15 * time.Second)
+		f.checkOneDown()
+	})
+}
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -152,7 +152,7 @@
 // and orders the maintenance of the drained ones.
 func (l *loop) cordonAndOrder(u *usage, wave *workstate.Wave, waiting []maintenanceVM, available int, previouslyCordoned map[string]time.Time, now time.Time) {
 	slices.SortStableFunc(waiting, func(a, b maintenanceVM) int {
-		return cmp.Or(cmp.Compare(cordonRank(previouslyCordoned, a), cordonRank(previouslyCordoned, b)), cmp.Compare(a.class, b.class),
+		return cmp.Or(cmp.Compare(cordonRank(wave, previouslyCordoned, a), cordonRank(wave, previouslyCordoned, b)), cmp.Compare(a.class, b.class),
 			cmp.Compare(a.utilization, b.utilization), cmp.Compare(a.entry.vm.ID, b.entry.vm.ID))
 	})
 	remaining := time.Duration(wave.DeadlineMS-l.Now().UnixMilli()) * time.Millisecond
@@ -163,9 +163,12 @@
 			return
 		}
 		if vm.entry.unavailable() || now.Before(vm.entry.pausedUntil) {
+			if wave.Ordered[vm.entry.vm.ID] {
+				available--
+			}
 			continue
 		}
-		if !urgent && vm.class == busy && vm.utilization > busyUtilization {
+		if !urgent && vm.class == busy && vm.utilization > busyUtilization && !wave.Ordered[vm.entry.vm.ID] {
 			continue
 		}
 		available--
@@ -173,12 +176,16 @@
 	}
 }
 
-// cordonRank orders VMs that are already cordoned first.
-func cordonRank(previouslyCordoned map[string]time.Time, vm maintenanceVM) int {
-	if _, ok := previouslyCordoned[vm.entry.vm.ID]; ok {
+// cordonRank orders VMs first whose maintenance was ordered before, since a former
+// leader's order may still be executed, and then those that are already cordoned.
+func cordonRank(wave *workstate.Wave, previouslyCordoned map[string]time.Time, vm maintenanceVM) int {
+	if wave.Ordered[vm.entry.vm.ID] {
 		return 0
 	}
-	return 1
+	if _, ok := previouslyCordoned[vm.entry.vm.ID]; ok {
+		return 1
+	}
+	return 2
 }
 
 // cordonVM keeps new tasks from a VM. It orders the maintenance once no
