scheduler: a listed maintenance settles its VM without an answer to the order

With a cap of 1 the second VM still waited after 20 s.

A VM that is listed in maintenance while this wave's order is open is now settled, unless another unfinished wave has the VM as well. TestWaveGoesOnWhileThePlatformAnswersTooLate failed before.

--- a/internal/process/scheduler/lateorders_test.go
+++ b/internal/process/scheduler/lateorders_test.go
@@ -196,3 +196,44 @@
 		f.checkOneDown()
 	})
 }
+
+// slowPlatform executes orders at once and answers them too late, until it recovers.
+type slowPlatform struct {
+	*fakePlatform
+	slow  atomic.Bool
+	calls atomic.Int64
+}
+
+func (p *slowPlatform) StartMaintenance(ctx context.Context, vm string, wave int64, holder string, token uint64) (execution.VMRefusal, error) {
+	p.calls.Add(1)
+	r, err := p.fakePlatform.StartMaintenance(ctx, vm, wave, holder, token)
+	if p.slow.Load() {
+		<-ctx.Done()
+		return execution.VMOverloaded, execution.ErrNoAnswer
+	}
+	return r, err
+}
+
+// TestWaveGoesOnWhileThePlatformAnswersTooLate guards against a wave that waits for the answer to an order that a list has shown as executed.
+func TestWaveGoesOnWhileThePlatformAnswersTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.replaceWorkers(2 * time.Second)
+		f.addVM("w1", "svc")
+		f.addVM("w2", "svc")
+		f.lead()
+		defer f.depose()
+		p := &slowPlatform{fakePlatform: f.vms}
+		p.slow.Store(true)
+		f.platform(p)
+		time.Sleep(6 * time.Second)
+		f.commitWave("vm-w1", "vm-w2")
+		time.Sleep(20 * time.Second)
+		if !f.vms.isMaintained("vm-w2", 1) {
+			t.Errorf("the second VM waits, %d calls", p.calls.Load())
+		}
+		p.slow.Store(false)
+		time.Sleep(15 * time.Second)
+		f.checkOneDown()
+	})
+}
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -104,6 +104,7 @@
 			}
 		case e.order != nil && e.order.pool == "" && e.order.wave == wave.Number:
 			available--
+			l.settleListed(v, wave, e)
 			l.repeatOrder(e, now)
 		case e.vm.State == execution.VMMaintenance:
 			available--
@@ -115,6 +116,25 @@
 	l.cordonAndOrder(u, wave, waiting, available, previouslyCordoned, now)
 }
 
+// settleListed records that the maintenance of a VM has started if the list shows
+// it while an order for it is open, whether or not the order was answered.
+func (l *loop) settleListed(v *workstate.View, wave *workstate.Wave, e *vmEntry) {
+	if e.vm.State == execution.VMMaintenance && !wave.Settled[e.vm.ID] && !inAnotherWave(v, wave, e.vm.ID) {
+		l.recordMaintenance(wave.Number, e.vm.ID)
+	}
+}
+
+// inAnotherWave reports whether the maintenance of a VM may be that of another
+// unfinished wave.
+func inAnotherWave(v *workstate.View, wave *workstate.Wave, vm string) bool {
+	for _, other := range v.Waves() {
+		if other != wave && !other.Finished() && slices.Contains(other.VMs, vm) {
+			return true
+		}
+	}
+	return false
+}
+
 // handleMissingVM handles a VM of a wave that the platform does not list. Such
 // a VM may reappear after some seconds, so it is abandoned only after the wave's
 // deadline.
