workstate: a crash under an inherited run does not count towards the three

Cause: a leader does not know whether a run of a former leader is starting or has been executing for long, and blames it for a crash either way. With two later crashes at a start, its task's job was given up.

Change: the end of such a run says so, the task counts these crashes, and only the bound of four includes them. The time of the start on the state's clock was weighed as evidence instead: that clock is the latest of all members, so that it jumps when a member with a faster clock leads, and a task that does crash its workers could then be cleared again and again.

TestOldRunOfAFormerLeaderIsNotTakenForAStartingOne fails without the change of crash.go.

Conclusion: a deadly task whose first crash falls on a change of leader costs up to four workers where it cost three; the bound of four is as it was.

--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -59,3 +59,22 @@
 		})
 	})
 }
+
+// TestOldRunOfAFormerLeaderIsNotTakenForAStartingOne guards against a job that is given up for a crash long after the start of a run that its leader has inherited, and two without guilt.
+func TestOldRunOfAFormerLeaderIsNotTakenForAStartingOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFixture(t, 4*time.Second, 4)
+		f.lead()
+		defer func() { f.finish() }()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		time.Sleep(2 * time.Second)
+		f.depose()
+		f.crashWorker(f.workerOf(jobA))
+		f.lead()
+		for range 2 {
+			f.crashNextRun(jobA)
+		}
+		f.await(jobA, workstate.Succeeded, 20*time.Second)
+	})
+}
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -164,7 +164,7 @@
 func (r *run) judge(end *workstate.End) {
 	end.Survived = r.settled || end.Kind == workstate.EndFailed
 	if end.Kind == workstate.EndInterrupted && r.blame != nil {
-		end.Kind, end.Alone = workstate.EndCrashed, r.blame.alone
+		end.Kind, end.Alone, end.Inherited = workstate.EndCrashed, r.blame.alone, r.inherited
 	}
 }
 
@@ -208,7 +208,8 @@
 		}
 		logged[job.ID] = true
 		jobsGivenUp.Inc()
-		attrs := []any{"job", job.ID, "task", e.Task.String(), "run", e.Run, "crashes", task.Crashes, "crashes_alone", task.CrashesAlone, "alone", e.Alone}
+		attrs := []any{"job", job.ID, "task", e.Task.String(), "run", e.Run, "crashes", task.Crashes, "crashes_alone", task.CrashesAlone,
+			"crashes_inherited", task.CrashesInherited, "alone", e.Alone}
 		if r := l.runs[e.Task]; r != nil && r.blame != nil {
 			attrs = append(attrs, "worker", r.blame.id, "incarnation", r.blame.incarnation)
 		}
--- a/internal/process/scheduler/deadly_test.go
+++ b/internal/process/scheduler/deadly_test.go
@@ -99,6 +99,33 @@
 	go f.restartLater(w)
 }
 
+// workerOf returns the worker that executes a task of a job, or nil.
+func (f *crashFixture) workerOf(job string) *fakeWorker {
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	for _, w := range f.workers.workers {
+		for task := range w.running {
+			if task.Job == job {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+// crashNextRun crashes the next worker that starts a task of a job, at its start.
+func (f *crashFixture) crashNextRun(job string) {
+	f.t.Helper()
+	for range 1000 {
+		time.Sleep(10 * time.Millisecond)
+		if w := f.workerOf(job); w != nil {
+			f.crashWorker(w)
+			return
+		}
+	}
+	f.t.Fatalf("no task of job %s has started", job)
+}
+
 // aliveWorkers returns the workers that are up, by name of their VM.
 func (f *crashFixture) aliveWorkers() map[string]*fakeWorker {
 	f.workers.mu.Lock()
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -67,6 +67,9 @@
 	// Survived is set if the run is known to have survived its start, so that it
 	// did not crash its worker by starting.
 	Survived bool `cbor:"6,keyasint,omitempty"`
+	// Inherited is set for EndCrashed if a leader before the one that records the
+	// end had ordered the run.
+	Inherited bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Start records a run. It is committed before the start order is sent.
--- a/internal/process/workstate/crashes.go
+++ b/internal/process/workstate/crashes.go
@@ -8,8 +8,9 @@
 const (
 	// maxCrashes bounds all crashes that the task may have caused.
 	maxCrashes = 4
-	// maxLikelyCrashes bounds them if minCrashesAlone of them, the last one
-	// included, are such that no other job's task can have caused them.
+	// maxLikelyCrashes bounds those under runs that the leader of that time had
+	// ordered itself, if minCrashesAlone of them, the last one included, are such
+	// that no other job's task can have caused them.
 	maxLikelyCrashes = 3
 	minCrashesAlone  = 2
 	// maxLongRunningCrashes bounds the crashes of a long-running task, whose job
@@ -24,15 +25,23 @@
 		return t.Crashes >= maxLongRunningCrashes
 	}
 	likely := alone && t.CrashesAlone >= minCrashesAlone
-	return t.Crashes >= maxCrashes || likely && t.Crashes >= maxLikelyCrashes
+	return t.Crashes >= maxCrashes || likely && t.Crashes-t.CrashesInherited >= maxLikelyCrashes
 }
 
-// countCrash counts a crash that the task may have caused.
-func (t *Task) countCrash(alone bool) {
+// countCrash counts a crash that the task may have caused, from the end of its run.
+func (t *Task) countCrash(e *End) {
 	t.Crashes++
-	if alone {
+	if e.Alone {
 		t.CrashesAlone++
 	}
+	if e.Inherited {
+		t.CrashesInherited++
+	}
+}
+
+// forgetCrashes records that a run has survived its start.
+func (t *Task) forgetCrashes() {
+	t.Crashes, t.CrashesAlone, t.CrashesInherited = 0, 0, 0
 }
 
 // crashed reports whether a worker that a later one replaces has crashed. It has
--- a/internal/process/workstate/crashes_test.go
+++ b/internal/process/workstate/crashes_test.go
@@ -1,6 +1,10 @@
 package workstate
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
 
 // crash starts and crashes a task a number of times and returns the outcome of
 // its job.
@@ -75,3 +79,35 @@
 		t.Errorf("%d crashes", crashes)
 	}
 }
+
+// TestCrashUnderAnInheritedRunCountsForLess guards against a job that is given up at three crashes, one of which was under a run of a former leader that had been executing for long.
+func TestCrashUnderAnInheritedRunCountsForLess(t *testing.T) {
+	m := newTestMachine(t)
+	for run, want := range []Outcome{Open, Open, Open, Failed} {
+		start(t, m, id(0, 0), run+1, "w0")
+		end := End{Task: id(0, 0), Run: run + 1, Kind: EndCrashed, Alone: run > 0, Inherited: run == 0}
+		apply(t, m, Command{Progress: &Progress{Ends: []End{end}}})
+		if outcome := m.data.Jobs[testJob].Outcome; outcome != want {
+			t.Errorf("outcome %d after crash %d, expected %d", outcome, run+1, want)
+		}
+	}
+}
+
+// TestSnapshotWithoutInheritedCrashesIsRestored guards against crash counts that are lost with an older snapshot.
+func TestSnapshotWithoutInheritedCrashesIsRestored(t *testing.T) {
+	type olderTask struct {
+		Crashes      int `cbor:"7,keyasint,omitempty"`
+		CrashesAlone int `cbor:"8,keyasint,omitempty"`
+	}
+	encoded, err := cbor.Marshal(olderTask{Crashes: 2, CrashesAlone: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var task Task
+	if err := cbor.Unmarshal(encoded, &task); err != nil {
+		t.Fatal(err)
+	}
+	if task.Crashes != 2 || task.CrashesAlone != 1 || task.CrashesInherited != 0 {
+		t.Errorf("%+v", task)
+	}
+}
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -107,13 +107,13 @@
 	}
 	task.Phase = Waiting
 	if e.Survived {
-		task.Crashes, task.CrashesAlone = 0, 0
+		task.forgetCrashes()
 	}
 	switch {
 	case e.Kind == EndFailed:
 		task.Failures++
 	case e.Kind == EndCrashed:
-		task.countCrash(e.Alone)
+		task.countCrash(e)
 	case done:
 		task.Phase = Done
 		m.countDone(job, e.Task)
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -36,9 +36,11 @@
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
 	// Crashes counts the runs that may have crashed their worker since a run last
 	// survived its start. CrashesAlone counts those among them that no run of
-	// another job can have caused.
-	Crashes      int `cbor:"7,keyasint,omitempty"`
-	CrashesAlone int `cbor:"8,keyasint,omitempty"`
+	// another job can have caused, and CrashesInherited those of runs that a
+	// former leader had ordered, which may have been executing for long.
+	Crashes          int `cbor:"7,keyasint,omitempty"`
+	CrashesAlone     int `cbor:"8,keyasint,omitempty"`
+	CrashesInherited int `cbor:"11,keyasint,omitempty"`
 	// Term is the term of the leader that recorded the newest run.
 	Term uint64 `cbor:"10,keyasint,omitempty"`
 }
