scheduler: a heartbeat sent after a start clears the run of the worker's crash

Cause: only a report that lists a run as executing showed that its worker had survived the start. A run that ended before such a report, on a worker whose watches then got no answer, was blamed for a crash more than a second later.

Hypotheses before the change: a start that never arrived is blamed; a run that has ended unreported is blamed; a run that is seen executing too late is blamed.

Change: a heartbeat carries the worker's clock, as does the answer to a start order. If the heartbeat's is at least settleTime later, the worker has survived the start. The time of arrival is not used: a heartbeat that was held up would clear a deadly task. Readings that may be another incarnation's are not compared. The followers pass the clock on to the leader. The random schedules now pass the clock with each heartbeat, as workers do.

--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -129,6 +129,9 @@
 	Worker      string `cbor:"1,keyasint"`
 	Incarnation int64  `cbor:"2,keyasint"`
 	Sequence    int64  `cbor:"3,keyasint"`
+	// ClockMS is the worker's monotonic clock when it sent the heartbeat, or 0 if
+	// that is not known.
+	ClockMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Newer reports whether a heartbeat of the same worker was sent after another.
--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -73,8 +74,87 @@
 		f.crashWorker(f.workerOf(jobA))
 		f.lead()
 		for range 2 {
-			f.crashNextRun(jobA)
+			f.crashWorker(f.awaitRun(jobA))
 		}
 		f.await(jobA, workstate.Succeeded, 20*time.Second)
 	})
 }
+
+// hear lets a leader hear of a worker.
+func hear(leader *loop, heartbeat workcall.HeardHeartbeat) {
+	leader.post(func(l *loop) { l.recordHeartbeats([]workcall.HeardHeartbeat{heartbeat}, time.Now()) })
+}
+
+// TestHeartbeatAfterItsStartClearsARun guards against a job that is given up for crashes long after its starts, of workers that answer no watch but send heartbeats.
+func TestHeartbeatAfterItsStartClearsARun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFixture(t, 2*time.Second, 4)
+		f.lead()
+		defer func() { f.finish() }()
+		calls := &strayWatches{fakeWorkers: f.workers}
+		f.loop.post(func(l *loop) { l.Workers = calls })
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		for range 4 {
+			w := f.awaitRun(jobA)
+			calls.silent.Store(true)
+			time.Sleep(settleTime + 100*time.Millisecond)
+			hear(f.loop, w.heard())
+			time.Sleep(100 * time.Millisecond)
+			f.crashWorker(w)
+			calls.silent.Store(false)
+		}
+		f.await(jobA, workstate.Succeeded, 20*time.Second)
+	})
+}
+
+// TestLateHeartbeatClearsNoRun guards against a deadly task that is started on and on because heartbeats sent before its starts arrive after the crashes.
+func TestLateHeartbeatClearsNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFixture(t, 800*time.Millisecond, 4)
+		deadly := f.makeDeadly(jobA)
+		f.workers.onCrash = func(w *fakeWorker) {
+			leader, heartbeat := f.loop, w.heard()
+			go func() {
+				time.Sleep(crashOutage / 2)
+				hear(leader, heartbeat)
+			}()
+			go f.restartLater(w)
+		}
+		f.lead()
+		defer func() { f.finish() }()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		f.await(jobA, workstate.Failed, 20*time.Second)
+		f.checkDeadlyStarts(deadly)
+	})
+}
+
+// TestHeartbeatOfAnotherIncarnationClearsNoRun guards against a run that is cleared by a heartbeat whose clock is that of a former incarnation with the same id.
+func TestHeartbeatOfAnotherIncarnationClearsNoRun(t *testing.T) {
+	l := newLoop(t.Context(), Options{}, 1)
+	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}, clockMS: 1000}
+	l.workers["w1"] = w
+	task := &workstate.Task{Worker: "w1", Incarnation: 7}
+	cases := []struct {
+		name        string
+		acceptedMS  int64
+		incarnation int64
+		heartbeatMS int64
+		want        bool
+	}{
+		{"of this incarnation", 1100, 7, 1400, true},
+		{"before the start is survived", 1100, 7, 1399, false},
+		{"of the former incarnation", 1100, 6, 9000, false},
+		{"after an order that the next incarnation accepted", 20, 7, 1400, false},
+	}
+	for _, c := range cases {
+		w.heartbeatClockMS = 0
+		r := &run{}
+		r.recordAcceptance(w, c.acceptedMS)
+		l.recordHeartbeats([]workcall.HeardHeartbeat{{Worker: "w1", Incarnation: c.incarnation, ClockMS: c.heartbeatMS}}, time.Now())
+		if r.settleByHeartbeat(w, task); r.settled != c.want {
+			t.Errorf("heartbeat %s: settled %v", c.name, r.settled)
+		}
+	}
+}
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -37,6 +37,26 @@
 	}
 }
 
+// recordAcceptance records the worker's clock in the answer that accepts the start
+// order. One that is behind a known reading may be another incarnation's.
+func (r *run) recordAcceptance(w *worker, clockMS int64) {
+	if clockMS >= max(w.clockMS, w.heartbeatClockMS) {
+		r.acceptedClockMS = clockMS
+	}
+}
+
+// settleByHeartbeat marks the run as settled if its worker has sent a heartbeat after
+// it survived the start. The time at which that arrives shows nothing: it may have
+// been held up.
+func (r *run) settleByHeartbeat(w *worker, task *workstate.Task) {
+	if r.acceptedClockMS == 0 || w == nil || w.reg.Incarnation != task.Incarnation {
+		return
+	}
+	if w.heartbeatClockMS >= r.acceptedClockMS+settleTime.Milliseconds() {
+		r.settled = true
+	}
+}
+
 // successorOf returns the registered worker that has replaced a worker on its VM
 // in the same service, or nil.
 func successorOf(v *workstate.View, former *workstate.Worker) *workstate.Worker {
@@ -109,6 +129,7 @@
 		return
 	}
 	r.lost = true
+	r.settleByHeartbeat(l.workers[task.Worker], task)
 	ended := workerIncarnation{task.Worker, task.Incarnation}
 	lost := crashes[ended]
 	if lost == nil {
--- a/internal/process/scheduler/deadly_test.go
+++ b/internal/process/scheduler/deadly_test.go
@@ -113,17 +113,17 @@
 	return nil
 }
 
-// crashNextRun crashes the next worker that starts a task of a job, at its start.
-func (f *crashFixture) crashNextRun(job string) {
+// awaitRun waits until a worker executes a task of a job and returns the worker.
+func (f *crashFixture) awaitRun(job string) *fakeWorker {
 	f.t.Helper()
 	for range 1000 {
 		time.Sleep(10 * time.Millisecond)
 		if w := f.workerOf(job); w != nil {
-			f.crashWorker(w)
-			return
+			return w
 		}
 	}
-	f.t.Fatalf("no task of job %s has started", job)
+	f.t.Fatalf("no task of job %s executes", job)
+	return nil
 }
 
 // aliveWorkers returns the workers that are up, by name of their VM.
--- a/internal/process/scheduler/heard_test.go
+++ b/internal/process/scheduler/heard_test.go
@@ -64,6 +64,27 @@
 	})
 }
 
+// TestHeardHeartbeatHasTheClockOfItsWorker guards against a leader that cannot tell a late heartbeat from one sent after a start.
+func TestHeardHeartbeatHasTheClockOfItsWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m, w := startMember(t, replica.Status{ID: "c1", Leader: "c2"})
+		want := []workcall.HeardHeartbeat{{Worker: "w1", Incarnation: w.Incarnation, Sequence: 3, ClockMS: 700}}
+		request := workcall.HeartbeatRequest{Worker: w, Sequence: 3, ClockMS: 700}
+		if _, known := s.KnownHeartbeat(request); !known || !slices.Equal(s.heard.take(), want) {
+			t.Error("a follower does not tell the leader of the clock")
+		}
+		m.status.Leader = "c1"
+		s.onHeartbeats = func(heard []workcall.HeardHeartbeat) {
+			if !slices.Equal(heard, want) {
+				t.Errorf("the leader has heard %+v", heard)
+			}
+		}
+		if _, err := s.Heartbeat(t.Context(), request); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // TestLeaderSendsHeartbeatsToItsFollowers names the member to which a worker of the leader turns next.
 func TestLeaderSendsHeartbeatsToItsFollowers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/scheduler/limit_test.go
+++ b/internal/process/scheduler/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -54,6 +55,11 @@
 	return w.limit.sequence
 }
 
+// heard returns what the leader hears of a heartbeat that the worker sends now.
+func (w *fakeWorker) heard() workcall.HeardHeartbeat {
+	return workcall.HeardHeartbeat{Worker: w.id, Incarnation: w.incarnation, Sequence: w.limit.sequence, ClockMS: w.clock()}
+}
+
 // limitAt returns the capacity up to which a start may be executed. A late order
 // may count on the capacity at the time at which it was sent.
 func (w *fakeWorker) limitAt(now time.Time, late bool) workload.Resources {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -132,6 +132,7 @@
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, "")
 		return
 	}
+	r.settleByHeartbeat(w, task)
 	if w.left() {
 		l.Log.Info("run ended with its worker, which has left", "task", id.String(), "run", task.Run, "worker", task.Worker)
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, w.lastCheckpoint(runKey{id, task.Run}))
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -54,10 +54,14 @@
 	// calling is set while a call about the run is in flight.
 	calling bool
 	// orderedAt is when the worker first accepted the start order, or was first
-	// reported to know the run; zero before. settled is set once a report that
-	// was requested at least settleTime later lists the run as executing.
-	orderedAt time.Time
-	settled   bool
+	// reported to know the run; zero before. acceptedClockMS is the worker's clock
+	// when it accepted the order; 0 if that is not known.
+	orderedAt       time.Time
+	acceptedClockMS int64
+	// settled is set once the worker is known to have survived the start: a report
+	// that was requested at least settleTime later lists the run as executing, or
+	// a heartbeat was sent at least settleTime later.
+	settled bool
 	// sent is set once this leader has sent a start order.
 	sent bool
 	// inherited is set if a former leader ordered the run, so that this one does
@@ -187,6 +191,7 @@
 		return
 	}
 	if err == nil && answer.Refusal == execution.Accepted {
+		r.recordAcceptance(w, answer.ClockMS)
 		w.recordClock(answer.ClockMS, now)
 		r.enter(runOrdered, now)
 		return
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -49,14 +49,10 @@
 	}
 }
 
-// heartbeatsReceived tells the loop which workers have sent heartbeats.
+// heartbeatsReceived passes the heartbeats of workers to the loop.
 func (s *Scheduler) heartbeatsReceived(heartbeats []workcall.HeardHeartbeat) {
-	ids := make([]string, 0, len(heartbeats))
-	for _, heartbeat := range heartbeats {
-		ids = append(ids, heartbeat.Worker)
-	}
 	if l := s.current.Load(); l != nil {
-		l.post(func(l *loop) { l.recordHeartbeats(ids, time.Now()) })
+		l.post(func(l *loop) { l.recordHeartbeats(heartbeats, time.Now()) })
 	}
 }
 
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -139,7 +140,7 @@
 func (s *schedule) sendHeartbeats() {
 	for vm, w := range s.current {
 		s.workers.mu.Lock()
-		unreachable, crashedAt := w.unreachable, w.crashedAt
+		unreachable, crashedAt, heard := w.unreachable, w.crashedAt, w.heard()
 		s.workers.mu.Unlock()
 		if !crashedAt.IsZero() {
 			s.restartCrashed(vm, crashedAt)
@@ -156,7 +157,7 @@
 		if !known {
 			s.sendHeartbeat(vm, w)
 		}
-		s.loop.post(func(l *loop) { l.recordHeartbeats([]string{w.id}, time.Now()) })
+		s.loop.post(func(l *loop) { l.recordHeartbeats([]workcall.HeardHeartbeat{heard}, time.Now()) })
 	}
 }
 
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -20,7 +20,7 @@
 	}
 	response := workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.heartbeatAddress(r.Worker.ID, status)}
 	r.Worker.Sequence = r.Sequence
-	change := s.compareHeartbeat(&r.Worker)
+	change := s.compareHeartbeat(&r)
 	if change == unknownService {
 		response.Status = workcall.Invalid
 		return response, nil
@@ -33,7 +33,7 @@
 		s.log.Info("worker registered", "worker", r.Worker.ID, "incarnation", r.Worker.Incarnation, "vm", r.Worker.VM, "address", r.Worker.Address,
 			"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
 	}
-	heard := []workcall.HeardHeartbeat{heardFrom(&r.Worker)}
+	heard := []workcall.HeardHeartbeat{heardFrom(&r)}
 	s.heard.addAll(heard)
 	s.onHeartbeats(heard)
 	return response, nil
@@ -61,16 +61,16 @@
 		return workcall.HeartbeatResponse{}, false
 	}
 	r.Worker.Sequence = r.Sequence
-	if s.compareHeartbeat(&r.Worker) != unchanged {
+	if s.compareHeartbeat(&r) != unchanged {
 		return workcall.HeartbeatResponse{}, false
 	}
-	s.heard.add(heardFrom(&r.Worker))
+	s.heard.add(heardFrom(&r))
 	return workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.address}, true
 }
 
-// heardFrom returns what identifies a worker's heartbeat.
-func heardFrom(w *workstate.Worker) workcall.HeardHeartbeat {
-	return workcall.HeardHeartbeat{Worker: w.ID, Incarnation: w.Incarnation, Sequence: w.Sequence}
+// heardFrom returns what identifies a worker's heartbeat, and when it was sent.
+func heardFrom(r *workcall.HeartbeatRequest) workcall.HeardHeartbeat {
+	return workcall.HeardHeartbeat{Worker: r.Worker.ID, Incarnation: r.Worker.Incarnation, Sequence: r.Sequence, ClockMS: r.ClockMS}
 }
 
 // heartbeatChange is the effect of a heartbeat on the registration of a worker.
@@ -89,8 +89,8 @@
 )
 
 // compareHeartbeat compares a heartbeat with the registered worker.
-func (s *Server) compareHeartbeat(w *workstate.Worker) (change heartbeatChange) {
-	late := s.heard.isLate(heardFrom(w))
+func (s *Server) compareHeartbeat(r *workcall.HeartbeatRequest) (change heartbeatChange) {
+	w, late := &r.Worker, s.heard.isLate(heardFrom(r))
 	s.machine.Read(func(v *workstate.View) {
 		if c := v.Catalog(); c.Version > 0 && c.Service(w.Service) == nil {
 			change = unknownService
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/pacing"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -177,10 +178,15 @@
 }
 
 // recordHeartbeats records that heartbeats of workers were received.
-func (l *loop) recordHeartbeats(ids []string, now time.Time) {
-	for _, id := range ids {
-		if w := l.workers[id]; w != nil {
-			w.heartbeatAt = now
+func (l *loop) recordHeartbeats(heartbeats []workcall.HeardHeartbeat, now time.Time) {
+	for _, heartbeat := range heartbeats {
+		w := l.workers[heartbeat.Worker]
+		if w == nil {
+			continue
+		}
+		w.heartbeatAt = now
+		if heartbeat.Incarnation == w.reg.Incarnation && heartbeat.Incarnation != 0 {
+			w.heartbeatClockMS = max(w.heartbeatClockMS, heartbeat.ClockMS)
 		}
 	}
 }
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -91,6 +91,9 @@
 	// answeredAt is when the worker last answered a watch, heartbeatAt when its
 	// last heartbeat was received.
 	answeredAt, heartbeatAt time.Time
+	// heartbeatClockMS is the worker's clock in the newest heartbeat of this
+	// incarnation; 0 if there was none.
+	heartbeatClockMS int64
 	// watching is set while a watch is in flight. The next one is not sent
 	// before nextWatch.
 	watching  bool
