--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -118,6 +118,8 @@
 func (f *fixture) depose() {
 	f.end()
 	<-f.ended
+	// A call to a fake worker may be in its last sleep.
+	time.Sleep(10 * time.Millisecond)
 	synctest.Wait()
 	f.loop = nil
 	f.replica.term++
--- a/internal/process/scheduler/silentplatform_test.go
+++ b/internal/process/scheduler/silentplatform_test.go
@@ -47,10 +47,7 @@
 			f.addVM(fmt.Sprint("w", i), "svc")
 		}
 		f.lead()
-		defer func() {
-			f.depose()
-			time.Sleep(10 * time.Millisecond)
-		}()
+		defer f.depose()
 		p := &silentPlatform{fakePlatform: f.vms}
 		p.silent.Store(true)
 		f.platform(p)
