rebalance: the first load that a new leader sees is not a rise

Cause: Predict took a forecast for fresh by its newest bucket, which AddArrival fills too. A new leader counts arrivals from its first moment but plans moves 0.6 s later, so each pool with an arrival in between seemed to have risen from 0 to its whole load: three times the load was desired for 1.25 s and retained for 2 s more. Change: a forecast records by itself whether it has seen a load.

--- a/internal/version/rebalance/forecast.go
+++ b/internal/version/rebalance/forecast.go
@@ -35,6 +35,9 @@
 	// newest is the number of the bucket that is being filled; 0 means that
 	// nothing has been recorded yet.
 	newest int64
+	// loadKnown is set once a load has been recorded. Arrivals may be recorded
+	// earlier.
+	loadKnown bool
 	// peaks are the recent peaks of the desired number of VMs, oldest and
 	// highest first.
 	peaks []peak
@@ -81,10 +84,10 @@
 // a VM that is ordered now has joined the pool. A rise is extrapolated after
 // subtracting the part that the random arrival of single jobs explains.
 func (f *Forecast) Predict(now time.Time, load Load) Load {
-	first := f.newest == 0
 	f.advance(now).load = load
-	if first {
+	if !f.loadKnown {
 		// The earlier load is unknown: the first one must not look like a rise.
+		f.loadKnown = true
 		for i := range f.buckets {
 			f.buckets[i].load = load
 		}
--- a/internal/version/rebalance/rebalance_test.go
+++ b/internal/version/rebalance/rebalance_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// A new leader counts the jobs that arrive before it may order VMs.
+func TestFirstLoadAfterArrivalsIsNotARise(t *testing.T) {
+	var f Forecast
+	start := time.Unix(1000, 0)
+	for i := range 30 {
+		f.AddArrival(start.Add(time.Duration(i)*20*time.Millisecond), 0.1)
+	}
+	if predicted := f.Predict(start.Add(600*time.Millisecond), 20); predicted != 20 {
+		t.Errorf("predicted %.1f VMs for a first load of 20", predicted)
+	}
+}
+
+func TestNewLeaderLendsTheIdleVMsOfAPoolWithASteadyLoad(t *testing.T) {
+	var f Forecast
+	start := time.Unix(1000, 0)
+	for i := range 3 {
+		f.AddArrival(start.Add(time.Duration(i)*200*time.Millisecond), 1)
+	}
+	now := start.Add(700 * time.Millisecond)
+	desired := int(f.Predict(now, 20))
+	pools := []Pool{{Name: "a", Desired: desired, Retain: f.RecentPeak(now, desired)}, {Name: "b", Desired: 15, Retain: 15}}
+	if moves := Plan(pools, append(vms("a", 30, 10), vms("b", 5, 0)...)); len(moves) != 10 {
+		t.Errorf("moves %v, expected the ten idle VMs", moves)
+	}
+}
+
 func TestForecastDoesNotContinueOneLargeJob(t *testing.T) {
 	var f Forecast
 	now := time.Unix(1000, 0)
