placement: the tasks of a step stay in one availability zone if they fit

Change: a step's tasks go to the zone in which its other tasks execute, or the first zone with room for all, and elsewhere only if it is full. Long-running tasks are placed as before: they must not be away together.

--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		worker := placement.Worker{
-			ID: id, Service: w.reg.Service, Rack: rackOf(w.reg.Labels), Labels: w.reg.Labels,
+			ID: id, Service: w.reg.Service, Zone: w.reg.Zone, Rack: rackOf(w.reg.Labels), Labels: w.reg.Labels,
 			Free: w.reg.Capacity.Sub(u.used[id]), DrainPending: l.maintenance.due[w.reg.VM],
 			Capacity: w.reg.Capacity, Incarnation: w.reg.Incarnation,
 		}
@@ -82,6 +82,14 @@
 	return workers
 }
 
+// zoneOf returns the availability zone of a worker, or "" if it is unknown.
+func (l *loop) zoneOf(id string) string {
+	if w := l.workers[id]; w != nil {
+		return w.reg.Zone
+	}
+	return ""
+}
+
 // hasOpenOrder reports whether an order for a VM is open.
 func (l *loop) hasOpenOrder(vm string) bool {
 	e := l.fleet.entries[vm]
@@ -229,6 +237,7 @@
 		case workstate.Waiting:
 			g.Indexes = append(g.Indexes, i)
 		case workstate.Running:
+			g.Zone = l.zoneOf(task.Worker)
 			if g.OnWorker != nil {
 				g.OnWorker[task.Worker]++
 			}
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -13,8 +13,10 @@
 type Worker struct {
 	ID      string
 	Service string
-	Rack    string
-	Labels  []string
+	// Zone is the availability zone.
+	Zone   string
+	Rack   string
+	Labels []string
 	// Free is the capacity that executing tasks leave.
 	Free workload.Resources
 	// Penalty is higher for workers that the caller prefers not to use. The
@@ -54,6 +56,8 @@
 	Label string
 	// DataRack is the rack on which the tasks run at full speed; "" is any.
 	DataRack string
+	// Zone is the availability zone of one of the step's executing tasks, or "".
+	Zone string
 	// MaxPerWorker limits the step's tasks on a worker; 0 means no limit.
 	MaxPerWorker int
 	// OnWorker counts the step's executing tasks by worker.
--- a/internal/version/placement/pool.go
+++ b/internal/version/placement/pool.go
@@ -79,15 +79,21 @@
 }
 
 // placeByFree places the tasks of a group for which workers differ only in their
-// free capacity. It chooses the same workers as placeTasks.
+// free capacity and their zone. Within a zone it chooses the same workers as
+// placeTasks.
 func (p *pool) placeByFree(g *Group) []Placement {
 	if p.byFree == nil {
 		p.byFree = slices.Clone(p.workers)
 		slices.SortFunc(p.byFree, compareFree)
 	}
+	home := p.homeZone(g)
 	plan := make([]Placement, 0, len(g.Indexes))
 	for _, index := range g.Indexes {
-		at := p.bestFit(g.Charge)
+		at := p.bestFit(g.Charge, home)
+		if at < 0 && home != "" {
+			home = ""
+			at = p.bestFit(g.Charge, home)
+		}
 		if at < 0 {
 			break
 		}
@@ -106,18 +112,23 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
-// bestFit returns the position of the first worker with enough free capacity,
-// or -1.
-func (p *pool) bestFit(charge workload.Resources) int {
-	first := sort.Search(len(p.byFree), func(i int) bool { return p.byFree[i].Free.MilliCPU >= charge.MilliCPU })
-	for i := first; i < len(p.byFree); i++ {
-		if p.byFree[i].Free.Fits(charge) {
+// bestFit returns the position of the first worker of a zone, or of any if the zone
+// is "", with enough free capacity, or -1.
+func (p *pool) bestFit(charge workload.Resources, zone string) int {
+	for i := p.firstWithCPU(charge.MilliCPU); i < len(p.byFree); i++ {
+		if w := p.byFree[i]; w.Free.Fits(charge) && (zone == "" || w.Zone == zone) {
 			return i
 		}
 	}
 	return -1
 }
 
+// firstWithCPU returns the position of the first worker with enough free CPU
+// capacity.
+func (p *pool) firstWithCPU(milliCPU int64) int {
+	return sort.Search(len(p.byFree), func(i int) bool { return p.byFree[i].Free.MilliCPU >= milliCPU })
+}
+
 // moveDown restores the order after the free capacity of the worker at a
 // position has shrunk.
 func (p *pool) moveDown(at int) {
--- a/internal/version/placement/simulation_test.go
+++ b/internal/version/placement/simulation_test.go
@@ -130,6 +130,7 @@
 type simulatedRun struct {
 	at     time.Time
 	job    *simulatedJob
+	index  int
 	worker *Worker
 	charge workload.Resources
 }
@@ -191,7 +192,7 @@
 		job := jobs[placed.Group.Job]
 		job.unplaced = slices.DeleteFunc(slices.Clone(job.unplaced), func(i int) bool { return i == placed.Index })
 		started = append(started, simulatedRun{
-			at: now.Add(job.steps[job.step].durations[placed.Index]), job: job, worker: byID[placed.Worker], charge: placed.Group.Charge,
+			at: now.Add(job.steps[job.step].durations[placed.Index]), job: job, index: placed.Index, worker: byID[placed.Worker], charge: placed.Group.Charge,
 		})
 	}
 	return started
