--- a/internal/process/scheduler/bench_test.go
+++ b/internal/process/scheduler/bench_test.go
@@ -48,9 +48,9 @@
 // BenchmarkRoundWithVMs measures a round of a leader that also plans moves and
 // maintenance: all VMs are listed, and a third of them wait in a wave.
 func BenchmarkRoundWithVMs(b *testing.B) {
-	for _, jobs := range []int{35, 300} {
-		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
-			l := busyLeader(b, 350, jobs)
+	for _, size := range []struct{ workers, jobs int }{{350, 35}, {350, 300}, {1000, 100}} {
+		b.Run(fmt.Sprintf("%d/jobs=%d", size.workers, size.jobs), func(b *testing.B) {
+			l := busyLeader(b, size.workers, size.jobs)
 			l.listBusyVMs(b)
 			b.ReportAllocs()
 			for b.Loop() {
@@ -81,9 +81,14 @@
 	}
 }
 
-// busyLeader returns a leader with a number of workers and waiting jobs. Its
-// commits never complete.
+// busyLeader returns a leader with a number of workers, which execute two runs each,
+// and waiting jobs. Its commits never complete.
 func busyLeader(b *testing.B, workers, waiting int) *loop {
+	return loadedLeader(b, workers, 2, waiting)
+}
+
+// loadedLeader is busyLeader with a number of runs on each worker.
+func loadedLeader(b *testing.B, workers, runsPerWorker, waiting int) *loop {
 	machine := workstate.NewMachine()
 	ctx, cancel := context.WithCancel(context.Background())
 	b.Cleanup(cancel)
@@ -103,16 +108,16 @@
 		commit(&workstate.Command{Register: &workstate.Worker{ID: id, Address: id, Service: "svc", VM: "vm-" + id, Incarnation: 1, Capacity: workload.Resources{MilliCPU: 8000, MemoryMB: 1 << 16}, Labels: []string{"a", fmt.Sprint("r1-", i/4)}}})
 		reports[id] = &execution.Report{ClockMS: 1000}
 	}
-	for i := range workers / 3 {
+	for i := range workers * runsPerWorker / 6 {
 		id := fmt.Sprintf("%016x", i)
 		st := step(6)
-		st.Need, st.Estimate = workload.Resources{MilliCPU: 3500}, time.Second
+		st.Need, st.Estimate = workload.Resources{MilliCPU: 7000 / int64(runsPerWorker)}, time.Second
 		after := st
 		after.DependsOn = []int{0}
 		commit(&workstate.Command{Submit: &workstate.Submit{ID: id, Host: "host", Path: "/q/" + id, Spec: workload.Spec{Payload: "p", Steps: []workload.Step{st, after}}}})
 		var progress workstate.Progress
 		for k := range 6 {
-			w := fmt.Sprint("w", (i*6+k)/2%workers)
+			w := fmt.Sprint("w", (i*6+k)/runsPerWorker%workers)
 			task := workload.TaskID{Job: id, Index: k}
 			progress.Starts = append(progress.Starts, workstate.Start{Task: task, Run: 1, Worker: w, Incarnation: 1})
 			reports[w].Running = append(reports[w].Running, execution.RunningTask{Task: task, Run: 1, Percent: 40})
@@ -120,7 +125,7 @@
 		commit(&workstate.Command{Progress: &progress})
 	}
 	for i := range waiting {
-		id := fmt.Sprintf("%016x", workers+i)
+		id := fmt.Sprintf("%016x", workers*runsPerWorker+i)
 		st := step(6)
 		st.Need, st.Estimate = workload.Resources{MilliCPU: 3500}, time.Second
 		commit(&workstate.Command{Submit: &workstate.Submit{ID: id, Host: "host", Path: "/q/" + id, Spec: workload.Spec{Payload: "p", Steps: []workload.Step{st}}}})
