workstate: the runs on each worker are counted as they start and end

Cause: since each announced end of a worker walks all executing tasks twice on every member, and the leader walks them every 20 ms while the worker leaves.

Change: a derived count of executing runs by worker and incarnation, rebuilt with the other derived fields. No decision changes: both walks only asked for the count.

TestRandomCommandsKeepStateConsistent compares the counts with the tasks, also of the restored state; it fails without any of the three updates of the counts (each tried).

--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -101,6 +101,7 @@
 		task.Checkpoint = e.Checkpoint
 	}
 	if task.Phase == Running {
+		m.executing.remove(task.Worker, task.Incarnation)
 		task.Worker = ""
 		job.Executing--
 		job.Occurrences[e.Task.Occurrence].Steps[e.Task.Step].Running--
@@ -180,6 +181,7 @@
 	task.Worker = s.Worker
 	task.Incarnation = s.Incarnation
 	task.Term = s.Term
+	m.executing.add(task.Worker, task.Incarnation)
 	job.Executing++
 	occurrence.Steps[s.Task.Step].Running++
 	job.Started = true
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -8,6 +8,7 @@
 
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 // Machine is the replicated state machine. Apply, Snapshot and Restore must be
@@ -22,6 +23,8 @@
 
 	// active holds the jobs that are open or have tasks executing.
 	active map[string]*Job
+	// executing counts the executing runs by worker.
+	executing executingRuns
 	// queues holds the catalog's queues by key.
 	queues map[string]*catalog.Queue
 	// workersVersion changes with each change of the registered workers.
@@ -41,10 +44,12 @@
 func (m *Machine) derive() {
 	m.workersVersion++
 	m.active = map[string]*Job{}
+	m.executing = executingRuns{}
 	for id, job := range m.data.Jobs {
 		if job.Outcome == Open || job.Executing > 0 {
 			m.active[id] = job
 			job.countRunning()
+			job.EachExecuting(func(_ workload.TaskID, task *Task) { m.executing.add(task.Worker, task.Incarnation) })
 		}
 	}
 	m.indexQueues()
--- a/internal/process/workstate/machine_test.go
+++ b/internal/process/workstate/machine_test.go
@@ -258,6 +258,7 @@
 		if len(restored.active) != len(m.active) || len(restored.data.Workers) != len(m.data.Workers) {
 			t.Fatalf("seed %d: a restored state differs", seed)
 		}
+		checkExecuting(t, seed, restored)
 		if restored.active[testJob] != nil {
 			checkCounters(t, seed, restored)
 		}
@@ -280,6 +281,7 @@
 	if (job.Outcome == Open || executing > 0) != (m.active[testJob] != nil) {
 		t.Fatalf("seed %d: outcome %d with %d executing, active %t", seed, job.Outcome, executing, m.active[testJob] != nil)
 	}
+	checkExecuting(t, seed, m)
 	for _, o := range job.Occurrences {
 		for s := range o.Steps {
 			done, running := 0, 0
@@ -301,6 +303,28 @@
 	}
 }
 
+// checkExecuting compares the runs counted by worker with the tasks.
+func checkExecuting(t *testing.T, seed uint64, m *Machine) {
+	t.Helper()
+	counted := executingRuns{}
+	for _, job := range m.data.Jobs {
+		job.EachExecuting(func(_ workload.TaskID, task *Task) { counted.add(task.Worker, task.Incarnation) })
+	}
+	if len(counted) != len(m.executing) {
+		t.Fatalf("seed %d: %d workers have runs, %d are counted", seed, len(counted), len(m.executing))
+	}
+	for worker, counts := range counted {
+		for _, c := range counts {
+			if got := m.executing.onIncarnation(worker, c.incarnation); got != c.runs || m.executing.on(worker) < got {
+				t.Fatalf("seed %d: %d runs on %s.%d, %d are counted", seed, c.runs, worker, c.incarnation, got)
+			}
+		}
+		if len(counts) != len(m.executing[worker]) {
+			t.Fatalf("seed %d: %d incarnations of %s have runs, %d are counted", seed, len(counts), worker, len(m.executing[worker]))
+		}
+	}
+}
+
 // TestDrainOfALeavingWorkerIsNotTakenBack guards against new tasks on a worker whose heartbeat from before its announcement is committed after it.
 func TestDrainOfALeavingWorkerIsNotTakenBack(t *testing.T) {
 	m := newTestMachine(t)
--- a/internal/process/workstate/view.go
+++ b/internal/process/workstate/view.go
@@ -20,9 +20,6 @@
 // Workers returns the registered workers by id.
 func (v *View) Workers() map[string]*Worker { return v.m.data.Workers }
 
-// RunsOn returns the number of runs that are recorded on a worker.
-func (v *View) RunsOn(worker string) int { return v.m.runsOn(worker) }
-
 // WorkersVersion returns a number that differs from that of an earlier view of
 // this process if the registered workers have changed since.
 func (v *View) WorkersVersion() uint64 { return v.m.workersVersion }
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -54,7 +54,7 @@
 	if worker == nil || worker.Incarnation != d.Incarnation {
 		return Result{Code: OK, Repeated: true}
 	}
-	if d.Announced && m.runsOn(worker.ID) > 0 {
+	if d.Announced && m.executing.on(worker.ID) > 0 {
 		worker.Draining, worker.Leaving, worker.EndsByOrder = true, true, worker.Incarnation
 		m.workersVersion++
 		return Result{Code: Busy}
@@ -85,6 +85,9 @@
 // incarnation, which may have crashed, are left to the leader.
 func (m *Machine) removeWorker(worker *Worker) {
 	m.forgetWorker(worker)
+	if m.executing.onIncarnation(worker.ID, worker.Incarnation) == 0 {
+		return
+	}
 	for _, job := range m.active {
 		for _, run := range job.RunsOn(worker.ID) {
 			if job.Task(run.Task).Incarnation != worker.Incarnation {
@@ -101,15 +104,6 @@
 	m.workersVersion++
 }
 
-// runsOn returns the number of runs that are recorded on a worker.
-func (m *Machine) runsOn(worker string) int {
-	runs := 0
-	for _, job := range m.active {
-		runs += len(job.RunsOn(worker))
-	}
-	return runs
-}
-
 // Run identifies one run of a task.
 type Run struct {
 	Task workload.TaskID
