scheduler: runs are searched for crashes only if a worker with runs has crashed

Cause: each change of the registered workers walked all executing tasks, also when only an idle worker had come or gone.

Change: the walk is left out unless one of the incarnations with runs is gone, by the same condition as for each run.

Four tests of deadly tasks, among them TestTaskThatCrashesItsWorkersIsGivenUp, fail if the walk is always left out (tried).

--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -96,6 +96,9 @@
 // blames those that may have crashed it. It is called before the table of workers
 // is updated.
 func (l *loop) findCrashes(v *workstate.View, now time.Time) {
+	if !hasLostRuns(v) {
+		return
+	}
 	crashes := map[workerIncarnation]*lostRuns{}
 	for _, job := range v.Active() {
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
@@ -113,13 +116,25 @@
 	}
 }
 
+// hasLostRuns reports whether a run is recorded on a worker that has crashed.
+func hasLostRuns(v *workstate.View) bool {
+	found := false
+	v.EachBusyWorker(func(id string, incarnation int64) bool {
+		found = hasCrashed(v, id, incarnation)
+		return !found
+	})
+	return found
+}
+
+// hasCrashed reports whether an incarnation of a worker has ended by a crash.
+func hasCrashed(v *workstate.View, id string, incarnation int64) bool {
+	reg := v.Workers()[id]
+	return reg == nil || (reg.Incarnation != incarnation && incarnation > reg.EndsByOrder)
+}
+
 // isLost reports whether the worker of a recorded run has crashed.
 func (l *loop) isLost(v *workstate.View, id workload.TaskID, task *workstate.Task) bool {
-	reg := v.Workers()[task.Worker]
-	if reg != nil && (reg.Incarnation == task.Incarnation || task.Incarnation <= reg.EndsByOrder) {
-		return false
-	}
-	return !l.endQueued(runKey{id, task.Run})
+	return hasCrashed(v, task.Worker, task.Incarnation) && !l.endQueued(runKey{id, task.Run})
 }
 
 // addLostRun adds a run to those that were lost with its worker.
