scheduler: a run keeps its worker and whether its end is queued

Cause: each round looked each run up four to seven times in tables by strings: its worker, the capacity in use there (twice), and, while ends wait for a commit, its key among them two or three times. The table of the capacity in use was made anew each round.

Change: the leader's view of a run points to its worker, until that is marked as removed from the table, and is marked while its end is queued. The capacity in use is kept with the worker, for the round that it was counted in. No decision changes.

The random schedules compare both marks with the tables; they or the new test fail without any of the five places that set one (each tried).

--- a/internal/process/scheduler/advice.go
+++ b/internal/process/scheduler/advice.go
@@ -123,7 +123,7 @@
 		if !w.schedulable(now) {
 			continue
 		}
-		free := w.reg.Capacity.Sub(u.used[id])
+		free := w.reg.Capacity.Sub(u.usedOn(w))
 		for range g.Indexes {
 			if !free.Fits(g.Charge) {
 				break
@@ -151,7 +151,7 @@
 		return
 	}
 	slices.SortFunc(candidates, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(u.used[a.reg.ID].MilliCPU, u.used[b.reg.ID].MilliCPU), cmp.Compare(a.reg.ID, b.reg.ID))
+		return cmp.Or(cmp.Compare(u.usedOn(a).MilliCPU, u.usedOn(b).MilliCPU), cmp.Compare(a.reg.ID, b.reg.ID))
 	})
 	candidates = candidates[:min(len(candidates), adviceWorkers)]
 	l.callAdviser(stepKey{g.Job, g.Occurrence, g.Step}, advice, candidates, config)
--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -230,10 +230,8 @@
 // poolLoads returns the load of the executing tasks of each pool.
 func (l *loop) poolLoads(u *usage) map[string]rebalance.Load {
 	loads := map[string]rebalance.Load{}
-	for id, used := range u.used {
-		if w := l.workers[id]; w != nil {
-			loads[w.reg.Service] += l.load(used)
-		}
+	for _, w := range l.workers {
+		loads[w.reg.Service] += l.load(u.usedOn(w))
 	}
 	return loads
 }
@@ -259,7 +257,7 @@
 		default:
 			vm.Serving = w.schedulable(now) && !l.maintenance.isCordoned(id)
 			vm.Movable = !paused && !w.reg.Draining && u.runs[w.reg.ID] == 0
-			vm.Load = float64(l.load(u.used[w.reg.ID]))
+			vm.Load = float64(l.load(u.usedOn(w)))
 			vm.LongRunning = u.longRunningRuns[w.reg.ID] > 0
 			vm.Drainable = !paused && !w.reg.Draining && (!vm.LongRunning || l.canRelocate(u, w, now))
 		}
--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		onWorker := u.stepOnWorker[stepOnWorker{stepKeyOf(t.id), id}]
-		if w.reg.Capacity.Sub(u.used[id]).Fits(t.charge) && (t.maxPerWorker == 0 || onWorker < t.maxPerWorker) {
+		if w.reg.Capacity.Sub(u.usedOn(w)).Fits(t.charge) && (t.maxPerWorker == 0 || onWorker < t.maxPerWorker) {
 			return true
 		}
 	}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -268,7 +268,7 @@
 		return
 	}
 	for _, end := range progress.Ends {
-		delete(l.ends, runKey{end.Task, end.Run})
+		l.dropEnd(runKey{end.Task, end.Run})
 	}
 	l.ackEnds()
 	endedRuns.Add(len(progress.Ends))
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -309,15 +309,14 @@
 // atWork reports whether a long-running task was at work, and not merely started,
 // in the last report of its worker, no order for it has been sent since, and its
 // VM is listed as up.
-func (l *loop) atWork(id workload.TaskID, task *workstate.Task, r *run) bool {
-	w := l.workers[task.Worker]
+func (l *loop) atWork(r *run, w *worker, key runKey) bool {
 	if w == nil || w.report == nil || w.unresponsive || r.phase != runOrdered {
 		return false
 	}
 	if e := l.fleet.entries[w.reg.VM]; e != nil && e.vm.State != execution.VMUp {
 		return false
 	}
-	return w.report.running[runKey{id, task.Run}].Percent == atWorkPercent
+	return w.report.running[key].Percent == atWorkPercent
 }
 
 // atWorkPercent is the progress that reports show for a long-running task at
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -65,7 +65,7 @@
 		}
 		worker := placement.Worker{
 			ID: id, Service: w.reg.Service, Zone: w.reg.Zone, Rack: rackOf(w.reg.Labels), Labels: w.reg.Labels,
-			Free: w.reg.Capacity.Sub(u.used[id]), DrainPending: l.maintenance.due[w.reg.VM],
+			Free: w.reg.Capacity.Sub(u.usedOn(w)), DrainPending: l.maintenance.due[w.reg.VM],
 			Capacity: w.reg.Capacity, Incarnation: w.reg.Incarnation,
 		}
 		if s := u.starting[id]; s != nil {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -62,37 +62,36 @@
 		}
 		member := key.task
 		member.Index = i
-		l.ends[runKey{member, key.run}] = workstate.End{Task: member, Run: key.run, Kind: workstate.EndDone}
+		l.setEnd(runKey{member, key.run}, workstate.End{Task: member, Run: key.run, Kind: workstate.EndDone})
 	}
 }
 
 // reconcile compares each recorded run with the report of its worker. It
 // repeats, stops or ends runs whose recorded and reported states differ.
 func (l *loop) reconcile(v *workstate.View, detail usageDetail, now time.Time) *usage {
-	u := newUsage(len(l.workers))
 	l.roundNumber++
+	u := newUsage(l.roundNumber, detail, len(l.workers))
 	for _, job := range v.Active() {
 		if detail == fleetDetails {
 			u.countWaiting(job)
 		}
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
 			step := &job.Spec.Steps[id.Step]
-			key := runKey{id, task.Run}
 			r := l.runOf(id, task, now)
-			if !l.endQueued(key) {
-				l.reconcileRun(v, job, id, task, r, now)
+			w := l.workerOf(r)
+			if !r.ending {
+				l.reconcileRun(v, job, id, task, r, w, now)
 			}
-			ending := l.endQueued(key)
-			if !ending {
-				l.markSuspect(u, task, r)
-				u.used[task.Worker] = u.used[task.Worker].Add(step.Charge())
+			if !r.ending && w != nil {
+				l.markSuspect(u, task, r, w)
+				u.charge(w, step.Charge())
 			}
 			switch {
 			case detail == capacityInUse:
-			case ending:
+			case r.ending:
 				u.countEnding(id, step)
 			default:
-				l.recordDetails(u, id, task, step, r, now)
+				l.recordDetails(u, id, task, step, r, w, now)
 			}
 		})
 	}
@@ -116,17 +115,24 @@
 func (l *loop) runOf(id workload.TaskID, task *workstate.Task, now time.Time) *run {
 	r := l.runs[id]
 	if r == nil || r.number != task.Run {
-		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, inherited: true, since: now, speed: speedUnknown}
+		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, inherited: true, since: now, speed: speedUnknown, ending: l.endQueued(runKey{id, task.Run})}
 		l.runs[id] = r
 	}
 	r.seenInRound = l.roundNumber
 	return r
 }
 
+// workerOf returns the worker of a run, or nil if it is not registered any more.
+func (l *loop) workerOf(r *run) *worker {
+	if r.on == nil || r.on.removed {
+		r.on = l.workers[r.worker]
+	}
+	return r.on
+}
+
 // reconcileRun checks one recorded run and sends the next order for it if one
-// is due.
-func (l *loop) reconcileRun(v *workstate.View, job *workstate.Job, id workload.TaskID, task *workstate.Task, r *run, now time.Time) {
-	w := l.workers[task.Worker]
+// is due. The worker w is nil if it is not registered any more.
+func (l *loop) reconcileRun(v *workstate.View, job *workstate.Job, id workload.TaskID, task *workstate.Task, r *run, w *worker, now time.Time) {
 	if w == nil {
 		// Another worker has replaced it on its VM, so its runs have ended with it.
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, "")
@@ -229,9 +235,15 @@
 }
 
 // isRecorded reports whether the state of this round has the run as executing.
-func (l *loop) isRecorded(key runKey) bool {
+func (l *loop) isRecorded(key runKey) bool { return l.recordedRun(key) != nil }
+
+// recordedRun returns the run if the state of this round has it as executing, or nil.
+func (l *loop) recordedRun(key runKey) *run {
 	r := l.runs[key.task]
-	return r != nil && r.number == key.run && r.seenInRound == l.roundNumber
+	if r == nil || r.number != key.run || r.seenInRound != l.roundNumber {
+		return nil
+	}
+	return r
 }
 
 // stopOrphans stops runs that workers execute without a record in the state. A
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -45,6 +45,10 @@
 type run struct {
 	number int
 	worker string
+	// on is the worker, if the loop's table held it when it was last looked up.
+	on *worker
+	// ending is set while the end of the run waits for a commit.
+	ending bool
 	phase  runPhase
 	// seenInRound is the number of the last round in which the state had the
 	// run.
@@ -289,7 +293,26 @@
 	if r := l.runs[id]; r != nil && r.number == number {
 		r.judge(&end)
 	}
+	l.setEnd(key, end)
+}
+
+// setEnd queues an end, or replaces the queued one.
+func (l *loop) setEnd(key runKey, end workstate.End) {
 	l.ends[key] = end
+	l.markEnding(key, true)
+}
+
+// dropEnd removes an end that was committed.
+func (l *loop) dropEnd(key runKey) {
+	delete(l.ends, key)
+	l.markEnding(key, false)
+}
+
+// markEnding records in the leader's view of a run whether its end is queued.
+func (l *loop) markEnding(key runKey, ending bool) {
+	if r := l.runs[key.task]; r != nil && r.number == key.run {
+		r.ending = ending
+	}
 }
 
 // stopOrphan stops a run that a worker reports but that is not recorded as the
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -157,7 +157,10 @@
 		if !known {
 			s.sendHeartbeat(vm, w)
 		}
-		s.loop.post(func(l *loop) { l.recordHeartbeats([]workcall.HeardHeartbeat{heard}, time.Now()) })
+		s.loop.post(func(l *loop) {
+			l.recordHeartbeats([]workcall.HeardHeartbeat{heard}, time.Now())
+			l.checkRuns(s.t)
+		})
 	}
 }
 
@@ -410,3 +413,16 @@
 		}
 	}
 }
+
+// checkRuns compares what the leader keeps with a run with the tables that it is
+// derived from.
+func (l *loop) checkRuns(t *testing.T) {
+	for id, r := range l.runs {
+		if queued := l.endQueued(runKey{id, r.number}); r.ending != queued {
+			t.Errorf("%s#%d: ending %t, an end is queued: %t", id, r.number, r.ending, queued)
+		}
+		if r.on != nil && !r.on.removed && r.on != l.workers[r.worker] {
+			t.Errorf("%s#%d: its worker %s is another one in the table", id, r.number, r.worker)
+		}
+	}
+}
--- a/internal/process/scheduler/stragglers.go
+++ b/internal/process/scheduler/stragglers.go
@@ -31,8 +31,7 @@
 }
 
 // recordProgress records the reported progress of a run that ends by itself.
-func (l *loop) recordProgress(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, now time.Time) {
-	w := l.workers[task.Worker]
+func (l *loop) recordProgress(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, w *worker, now time.Time) {
 	if step.LongRunning || step.Gang || w == nil || w.report == nil || r.phase != runOrdered {
 		return
 	}
--- a/internal/process/scheduler/suspects.go
+++ b/internal/process/scheduler/suspects.go
@@ -116,12 +116,10 @@
 }
 
 // markSuspect records that a run is one of a suspect that may still be starting.
-func (l *loop) markSuspect(u *usage, task *workstate.Task, r *run) {
+func (l *loop) markSuspect(u *usage, task *workstate.Task, r *run, w *worker) {
 	if task.Crashes == 0 || r.settled {
 		return
 	}
 	u.suspectStarting = true
-	if w := l.workers[task.Worker]; w != nil {
-		w.settlingRound = l.roundNumber
-	}
+	w.settlingRound = l.roundNumber
 }
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -18,16 +18,17 @@
 )
 
 // usage summarizes the executing tasks. It is collected from the state in one
-// pass. All but used is collected only for planFleet.
+// pass, most of it only for planFleet.
 type usage struct {
-	// used is the capacity in use on each worker. runs counts the executing
-	// tasks of each worker, longRunningRuns the long-running ones among them.
-	used map[string]workload.Resources
+	// round is the number of the round, in which charges count.
+	round uint64
 	// suspectStarting is set if an unsettled run is one of a suspect. starting
 	// describes the runs of each worker; it is collected only if there are
 	// suspects.
-	suspectStarting       bool
-	starting              map[string]*workerRuns
+	suspectStarting bool
+	starting        map[string]*workerRuns
+	// runs counts the executing tasks of each worker, longRunningRuns the
+	// long-running ones among them.
 	runs, longRunningRuns map[string]int
 	// workerOn holds the worker of each VM, utilization the share of each
 	// pool's capacity that is in use. A pool has the name of its service.
@@ -51,15 +52,32 @@
 	stepOnWorker map[stepOnWorker]int
 }
 
-// newUsage returns an empty usage with space for a number of workers.
-func newUsage(workers int) *usage {
+// newUsage returns an empty usage for a round. Only one with fleetDetails has space
+// for the runs of a number of workers.
+func newUsage(round uint64, detail usageDetail, workers int) *usage {
+	if detail == capacityInUse {
+		return &usage{round: round}
+	}
 	return &usage{
-		used: make(map[string]workload.Resources, workers),
-		runs: make(map[string]int, workers), longRunningRuns: map[string]int{},
+		round: round, runs: make(map[string]int, workers), longRunningRuns: map[string]int{},
 		unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{}, colocations: map[string]*colocation{},
 	}
 }
 
+// charge adds what a run takes to the capacity in use on its worker.
+func (u *usage) charge(w *worker, charge workload.Resources) {
+	w.used = u.usedOn(w).Add(charge)
+	w.chargedRound = u.round
+}
+
+// usedOn returns the capacity in use on a worker.
+func (u *usage) usedOn(w *worker) workload.Resources {
+	if w.chargedRound != u.round {
+		return workload.Resources{}
+	}
+	return w.used
+}
+
 // countUnrecorded adds the runs that workers report and that no longer count as
 // recorded. They are about to be stopped, and take capacity until then. Workers that
 // refuse what does not fit are left out.
@@ -70,7 +88,7 @@
 		}
 		for key := range w.report.running {
 			if !l.countsOn(id, key) {
-				u.used[id] = u.used[id].Add(l.unrecordedCharge(v, w, key))
+				u.charge(w, l.unrecordedCharge(v, w, key))
 			}
 		}
 	}
@@ -79,7 +97,8 @@
 // countsOn reports whether a run counts in this round as one that executes on the
 // worker.
 func (l *loop) countsOn(worker string, key runKey) bool {
-	return l.isRecorded(key) && l.runs[key.task].worker == worker && !l.endQueued(key)
+	r := l.recordedRun(key)
+	return r != nil && r.worker == worker && !r.ending
 }
 
 // unrecordedCharge returns what a run takes of its worker's capacity: all of it, if
@@ -100,21 +119,21 @@
 
 // compareCapacity records which workers have more runs than their capacity allows.
 func (l *loop) compareCapacity(u *usage) {
-	for id, w := range l.workers {
-		w.overCapacity = !w.reg.Capacity.Fits(u.used[id])
+	for _, w := range l.workers {
+		w.overCapacity = !w.reg.Capacity.Fits(u.usedOn(w))
 	}
 }
 
 // recordDetails records what planFleet needs to know of an executing run.
-func (l *loop) recordDetails(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, now time.Time) {
+func (l *loop) recordDetails(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, w *worker, now time.Time) {
 	u.runs[task.Worker]++
-	l.recordProgress(u, id, task, step, r, now)
-	u.recordColocation(id, task, step, l.workers[task.Worker])
+	l.recordProgress(u, id, task, step, r, w, now)
+	u.recordColocation(id, task, step, w)
 	if step.Checkpointing && !step.LongRunning && !step.Gang {
 		u.resumable = append(u.resumable, resumableTask{id: id, worker: task.Worker})
 	}
 	if step.LongRunning {
-		u.countLongRunning(id, task, step, l.atWork(id, task, r))
+		u.countLongRunning(id, task, step, l.atWork(r, w, runKey{id, task.Run}))
 	}
 }
 
@@ -123,9 +142,9 @@
 	u.workerOn = make(map[string]*worker, len(l.workers))
 	u.utilization = map[string]float64{}
 	sizes := map[string]float64{}
-	for id, w := range l.workers {
+	for _, w := range l.workers {
 		u.workerOn[w.reg.VM] = w
-		u.utilization[w.reg.Service] += float64(l.load(u.used[id]))
+		u.utilization[w.reg.Service] += float64(l.load(u.usedOn(w)))
 		sizes[w.reg.Service]++
 	}
 	for pool, size := range sizes {
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -26,6 +26,7 @@
 		if w == nil || w.reg.Incarnation != reg.Incarnation || w.reg.Address != reg.Address {
 			// What was known about an earlier incarnation does not apply to a
 			// new one.
+			w.markRemoved()
 			l.workers[id] = &worker{reg: *reg, speed: pacing.Full, knownSince: time.Now()}
 			continue
 		}
@@ -33,12 +34,21 @@
 	}
 	for id, w := range l.workers {
 		if v.Workers()[id] == nil {
+			w.markRemoved()
 			delete(l.workers, id)
 			l.Workers.Forget(w.reg.Address)
 		}
 	}
 }
 
+// markRemoved records that the loop's table holds the incarnation, which may be nil,
+// no longer.
+func (w *worker) markRemoved() {
+	if w != nil {
+		w.removed = true
+	}
+}
+
 // watchWorkers requests a report from each worker, one at a time per worker. A
 // worker that has reported ends is watched again once these are committed.
 func (l *loop) watchWorkers(now time.Time) {
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -64,6 +64,11 @@
 // worker is what the leader knows about one incarnation of a worker.
 type worker struct {
 	reg workstate.Worker
+	// removed is set once the loop's table holds the incarnation no longer.
+	removed bool
+	// used is the capacity that runs took in the round chargedRound.
+	used         workload.Resources
+	chargedRound uint64
 	// knownSince is when this leader learned of the incarnation.
 	knownSince time.Time
 	// contacted is set if the worker has answered this leader, after which it
