scheduler: passes over the workers follow a list, and only those with news are looked at

Change: the workers are listed by id when the registered ones change. Whether a worker enforces its capacity is noted then, or when the catalog changes. Reports are searched for ends only if one of them is not acknowledged, which is the condition for each end. One pass compares capacities and counts unrecorded runs.

The random schedules compare the list with the table. The test that fills the table by hand adds its worker with the function that does both.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -114,7 +114,7 @@
 func (l *loop) updateVMCapacity() {
 	var sum workload.Resources
 	count := int64(0)
-	for _, w := range l.workers {
+	for _, w := range l.workerList {
 		if w.reg.Capacity.MilliCPU > 0 && w.reg.Capacity.MemoryMB > 0 {
 			sum = sum.Add(w.reg.Capacity)
 			count++
@@ -230,7 +230,7 @@
 // poolLoads returns the load of the executing tasks of each pool.
 func (l *loop) poolLoads(u *usage) map[string]rebalance.Load {
 	loads := map[string]rebalance.Load{}
-	for _, w := range l.workers {
+	for _, w := range l.workerList {
 		loads[w.reg.Service] += l.load(u.usedOn(w))
 	}
 	return loads
@@ -270,7 +270,7 @@
 // unresponsive.
 func (l *loop) unresponsiveZones() map[string]bool {
 	balance := map[string]int{}
-	for _, w := range l.workers {
+	for _, w := range l.workerList {
 		if w.unresponsive {
 			balance[w.reg.Zone]++
 		} else {
--- a/internal/process/scheduler/ending_test.go
+++ b/internal/process/scheduler/derived_test.go
@@ -34,6 +34,26 @@
 				t.Error("the run takes capacity")
 			}
 		})
-		l.checkRuns(t)
+		l.checkDerived(t)
+	})
+}
+
+// TestCatalogChangesWhetherAWorkerEnforcesItsCapacity guards against starts that exceed a worker's capacity after its service has stopped enforcing it.
+func TestCatalogChangesWhetherAWorkerEnforcesItsCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.addWorker("w1", 8000)
+		l := newIdleLoop(f)
+		enforces := func() (enforces bool) {
+			f.machine.Read(func(v *workstate.View) { l.syncWorkers(v) })
+			return l.workers["w1"].enforcesCapacity
+		}
+		if !enforces() {
+			t.Error("not enforced at first")
+		}
+		f.stopEnforcingCapacity()
+		if enforces() {
+			t.Error("still enforced after the change")
+		}
 	})
 }
--- a/internal/process/scheduler/loadlog.go
+++ b/internal/process/scheduler/loadlog.go
@@ -109,7 +109,7 @@
 // new tasks, which bounds the age of the state that a plan is made from.
 func (l *loop) oldestReport(now time.Time) time.Duration {
 	oldest := time.Duration(0)
-	for _, w := range l.workers {
+	for _, w := range l.workerList {
 		if w.report != nil && w.schedulable(now) {
 			oldest = max(oldest, now.Sub(w.answeredAt))
 		}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -88,8 +88,12 @@
 	events chan event
 
 	workers map[string]*worker
-	// syncedVersion is the workstate.View.WorkersVersion that workers shows.
+	// workerList lists the workers by id.
+	workerList []*worker
+	// syncedVersion is the workstate.View.WorkersVersion, and syncedCatalog the
+	// version of the catalog, that workers shows.
 	syncedVersion uint64
+	syncedCatalog int64
 	runs          map[workload.TaskID]*run
 	// ends holds the ends of runs that wait for the next commit.
 	ends map[runKey]workstate.End
@@ -286,7 +290,7 @@
 // ackEnds acknowledges the committed ends to the workers, which then drop them
 // from their reports.
 func (l *loop) ackEnds() {
-	for _, w := range l.workers {
+	for _, w := range l.workerList {
 		w.ackedEnd = max(w.ackedEnd, w.queuedEnd)
 	}
 }
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -58,17 +58,17 @@
 // capacity.
 func (l *loop) schedulableWorkers(u *usage, now time.Time) []*placement.Worker {
 	startedSince := l.Now().Add(-flappingTime).UnixMilli()
-	all := make([]placement.Worker, 0, len(l.workers))
-	for id, w := range l.workers {
+	all := make([]placement.Worker, 0, len(l.workerList))
+	for _, w := range l.workerList {
 		if !w.schedulable(now) || l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM] {
 			continue
 		}
 		worker := placement.Worker{
-			ID: id, Service: w.reg.Service, Zone: w.reg.Zone, Rack: rackOf(w.reg.Labels), Labels: w.reg.Labels,
+			ID: w.reg.ID, Service: w.reg.Service, Zone: w.reg.Zone, Rack: rackOf(w.reg.Labels), Labels: w.reg.Labels,
 			Free: w.reg.Capacity.Sub(u.usedOn(w)), DrainPending: l.maintenance.due[w.reg.VM],
 			Capacity: w.reg.Capacity, Incarnation: w.reg.Incarnation,
 		}
-		if s := u.starting[id]; s != nil {
+		if s := u.starting[w.reg.ID]; s != nil {
 			worker.Runs, worker.Starting = s.runs, s.Starting
 			worker.Capacity = worker.Capacity.Sub(s.longRunning)
 		}
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -11,8 +11,8 @@
 // queueReportedEnds queues the ends that workers report and that are not
 // committed.
 func (l *loop) queueReportedEnds(v *workstate.View, now time.Time) {
-	for _, w := range l.workers {
-		if w.report == nil {
+	for _, w := range l.workerList {
+		if w.report == nil || w.reportedEnd <= w.ackedEnd {
 			continue
 		}
 		for key, ended := range w.report.ended {
@@ -96,8 +96,12 @@
 		})
 	}
 	l.dropEndedRuns()
-	l.countUnrecorded(v, u)
-	l.compareCapacity(u)
+	for _, w := range l.workerList {
+		if w.report != nil && !w.enforcesCapacity {
+			l.countUnrecorded(v, u, w)
+		}
+		w.overCapacity = !w.reg.Capacity.Fits(u.usedOn(w))
+	}
 	return u
 }
 
@@ -251,7 +255,7 @@
 // one it has unless its next report comes first. The runs of a worker that obeys a
 // newer leader are left to that leader.
 func (l *loop) stopOrphans(now time.Time) {
-	for _, w := range l.workers {
+	for _, w := range l.workerList {
 		if w.report == nil || !w.inTouch() {
 			continue
 		}
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -159,7 +161,7 @@
 		}
 		s.loop.post(func(l *loop) {
 			l.recordHeartbeats([]workcall.HeardHeartbeat{heard}, time.Now())
-			l.checkRuns(s.t)
+			l.checkDerived(s.t)
 		})
 	}
 }
@@ -414,9 +416,13 @@
 	}
 }
 
-// checkRuns compares what the leader keeps with a run with the tables that it is
-// derived from.
-func (l *loop) checkRuns(t *testing.T) {
+// checkDerived compares what the leader keeps with its runs and workers with the
+// tables that it is derived from.
+func (l *loop) checkDerived(t *testing.T) {
+	listed := func(a, b *worker) int { return cmp.Compare(a.reg.ID, b.reg.ID) }
+	if table := slices.SortedFunc(maps.Values(l.workers), listed); !slices.Equal(table, l.workerList) {
+		t.Errorf("the list has %d workers, the table %d, or they differ", len(l.workerList), len(table))
+	}
 	for id, r := range l.runs {
 		if queued := l.endQueued(runKey{id, r.number}); r.ending != queued {
 			t.Errorf("%s#%d: ending %t, an end is queued: %t", id, r.number, r.ending, queued)
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -78,18 +78,12 @@
 	return w.used
 }
 
-// countUnrecorded adds the runs that workers report and that no longer count as
-// recorded. They are about to be stopped, and take capacity until then. Workers that
-// refuse what does not fit are left out.
-func (l *loop) countUnrecorded(v *workstate.View, u *usage) {
-	for id, w := range l.workers {
-		if w.report == nil || serviceEnforces(v, w.reg.Service) {
-			continue
-		}
-		for key := range w.report.running {
-			if !l.countsOn(id, key) {
-				u.charge(w, l.unrecordedCharge(v, w, key))
-			}
+// countUnrecorded adds the runs that a worker reports and that no longer count as
+// recorded. They are about to be stopped, and take capacity until then.
+func (l *loop) countUnrecorded(v *workstate.View, u *usage, w *worker) {
+	for key := range w.report.running {
+		if !l.countsOn(w.reg.ID, key) {
+			u.charge(w, l.unrecordedCharge(v, w, key))
 		}
 	}
 }
@@ -117,13 +111,6 @@
 	return s != nil && s.EnforcesCapacity
 }
 
-// compareCapacity records which workers have more runs than their capacity allows.
-func (l *loop) compareCapacity(u *usage) {
-	for _, w := range l.workers {
-		w.overCapacity = !w.reg.Capacity.Fits(u.usedOn(w))
-	}
-}
-
 // recordDetails records what planFleet needs to know of an executing run.
 func (l *loop) recordDetails(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, w *worker, now time.Time) {
 	u.runs[task.Worker]++
@@ -142,7 +129,7 @@
 	u.workerOn = make(map[string]*worker, len(l.workers))
 	u.utilization = map[string]float64{}
 	sizes := map[string]float64{}
-	for _, w := range l.workers {
+	for _, w := range l.workerList {
 		u.workerOn[w.reg.VM] = w
 		u.utilization[w.reg.Service] += float64(l.load(u.usedOn(w)))
 		sizes[w.reg.Service]++
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
@@ -15,47 +17,52 @@
 // syncWorkers updates the table of workers from the registered workers, if these
 // have changed.
 func (l *loop) syncWorkers(v *workstate.View) {
-	version := v.WorkersVersion()
-	if version == l.syncedVersion {
+	version, catalog := v.WorkersVersion(), v.Catalog().Version
+	if version == l.syncedVersion && catalog == l.syncedCatalog {
 		return
 	}
-	l.syncedVersion = version
+	l.syncedVersion, l.syncedCatalog = version, catalog
 	l.findCrashes(v, time.Now())
 	for id, reg := range v.Workers() {
 		w := l.workers[id]
 		if w == nil || w.reg.Incarnation != reg.Incarnation || w.reg.Address != reg.Address {
 			// What was known about an earlier incarnation does not apply to a
 			// new one.
-			w.markRemoved()
-			l.workers[id] = &worker{reg: *reg, speed: pacing.Full, knownSince: time.Now()}
+			if w != nil {
+				w.removed = true
+			}
+			l.addWorker(&worker{reg: *reg, speed: pacing.Full, knownSince: time.Now()})
 			continue
 		}
 		w.reg = *reg
 	}
 	for id, w := range l.workers {
 		if v.Workers()[id] == nil {
-			w.markRemoved()
+			w.removed = true
 			delete(l.workers, id)
 			l.Workers.Forget(w.reg.Address)
 		}
 	}
+	l.workerList = slices.DeleteFunc(l.workerList, func(w *worker) bool { return w.removed })
+	for _, w := range l.workerList {
+		w.enforcesCapacity = serviceEnforces(v, w.reg.Service)
+	}
 }
 
-// markRemoved records that the loop's table holds the incarnation, which may be nil,
-// no longer.
-func (w *worker) markRemoved() {
-	if w != nil {
-		w.removed = true
-	}
+// addWorker adds a worker to the table and to the list.
+func (l *loop) addWorker(w *worker) {
+	l.workers[w.reg.ID] = w
+	at, _ := slices.BinarySearchFunc(l.workerList, w.reg.ID, func(listed *worker, id string) int { return cmp.Compare(listed.reg.ID, id) })
+	l.workerList = slices.Insert(l.workerList, at, w)
 }
 
 // watchWorkers requests a report from each worker, one at a time per worker. A
 // worker that has reported ends is watched again once these are committed.
 func (l *loop) watchWorkers(now time.Time) {
-	for id, w := range l.workers {
-		if !w.deregistering && w.lost(now, l.Limits.LongestLease) {
-			l.Log.Warn("worker lost", "worker", id, "incarnation", w.reg.Incarnation, "answered_ms_ago", now.Sub(w.answeredAt).Milliseconds())
-			l.deregister(workerIncarnation{id, w.reg.Incarnation})
+	for _, w := range l.workerList {
+		if w.unresponsive && !w.deregistering && w.lost(now, l.Limits.LongestLease) {
+			l.Log.Warn("worker lost", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "answered_ms_ago", now.Sub(w.answeredAt).Milliseconds())
+			l.deregister(workerIncarnation{w.reg.ID, w.reg.Incarnation})
 		}
 		if w.watching || now.Before(w.nextWatch) || w.reportedEnd > w.ackedEnd {
 			continue
--- a/internal/process/scheduler/watch_test.go
+++ b/internal/process/scheduler/watch_test.go
@@ -45,7 +45,7 @@
 	now := time.Now()
 	l := newLoop(t.Context(), Options{Log: slog.New(slog.DiscardHandler), Replica: &stuckReplica{}, Now: time.Now}, 1)
 	w := &worker{reg: workstate.Worker{ID: "w1", VM: "vm1", Incarnation: 7}, knownSince: now.Add(-time.Hour), unresponsive: true, watching: true}
-	l.workers["w1"] = w
+	l.addWorker(w)
 	l.watchWorkers(now)
 	l.handleReport(w, now, execution.Report{ClockMS: 1000, Incarnation: 7}, nil)
 	if w.unresponsive || !w.contacted {
