placement: workers are sorted by free capacity without their ids

Cause: with tasks of equal size most workers have the same free capacity, so that the sort of each plan compares the strings of their ids.

Change: if the workers come in the order of their ids, as the scheduler now lists them, their position takes the place of the id; otherwise they are sorted by id first. The order is the same.

The test that compares the sorted search with the scan now also draws workers in the order of their ids; it fails if the sort by id is left out and if positions are compared the other way round (each tried).

--- a/internal/version/placement/pool.go
+++ b/internal/version/placement/pool.go
@@ -83,8 +83,7 @@
 // placeTasks.
 func (p *pool) placeByFree(g *Group) []Placement {
 	if p.byFree == nil {
-		p.byFree = slices.Clone(p.workers)
-		slices.SortFunc(p.byFree, compareFree)
+		p.byFree = sortByFree(p.workers)
 	}
 	home := p.homeZone(g)
 	plan := make([]Placement, 0, len(g.Indexes))
@@ -105,6 +104,36 @@
 	return plan
 }
 
+// freeCPU is the free CPU capacity of the worker at a position of a list by id.
+type freeCPU struct {
+	milliCPU int64
+	position int
+}
+
+// sortByFree returns the workers by free CPU and id. The strings of most ids need not
+// be compared if the workers are already in the order of their ids.
+func sortByFree(workers []*Worker) []*Worker {
+	byID := func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) }
+	if !slices.IsSortedFunc(workers, byID) {
+		workers = slices.SortedFunc(slices.Values(workers), byID)
+	}
+	keys := make([]freeCPU, len(workers))
+	for i, w := range workers {
+		keys[i] = freeCPU{w.Free.MilliCPU, i}
+	}
+	slices.SortFunc(keys, func(a, b freeCPU) int {
+		if a.milliCPU != b.milliCPU {
+			return cmp.Compare(a.milliCPU, b.milliCPU)
+		}
+		return a.position - b.position
+	})
+	sorted := make([]*Worker, len(workers))
+	for i, key := range keys {
+		sorted[i] = workers[key.position]
+	}
+	return sorted
+}
+
 func compareFree(a, b *Worker) int {
 	if a.Free.MilliCPU != b.Free.MilliCPU {
 		return cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
--- a/internal/version/placement/pool_test.go
+++ b/internal/version/placement/pool_test.go
@@ -14,9 +14,13 @@
 func TestPlacementByFreeCapacityChoosesTheSameWorkers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sorted, scanned := &pool{}, &pool{}
+		ordered := rapid.Bool().Draw(t, "ordered")
 		for i := range rapid.IntRange(0, 12).Draw(t, "workers") {
 			free := workload.Resources{MilliCPU: rapid.Int64Range(-1, 6).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(0, 6).Draw(t, "mem")}
-			id := fmt.Sprint("w", i*7%12)
+			id := fmt.Sprintf("w%02d", i)
+			if !ordered {
+				id = fmt.Sprint("w", i*7%12)
+			}
 			sorted.add(&Worker{ID: id, Free: free})
 			scanned.add(&Worker{ID: id, Free: free})
 		}
