scheduler: a plan reuses the records of its workers and describes them for suspects only if there are any

The rack was searched among the labels each round.

Change: the records are written to the space of the last plan, which keeps none of them. The fields for suspects are set only if suspects are waiting or starting, as before for their runs. The rack is noted when the registered workers change.

--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -90,6 +90,8 @@
 	workers map[string]*worker
 	// workerList lists the workers by id.
 	workerList []*worker
+	// schedulable is the space for the workers of a plan.
+	schedulable []placement.Worker
 	// syncedVersion is the workstate.View.WorkersVersion, and syncedCatalog the
 	// version of the catalog, that workers shows.
 	syncedVersion uint64
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -55,26 +56,22 @@
 }
 
 // schedulableWorkers returns the workers that accept new tasks, with their free
-// capacity.
+// capacity. They are valid until the next call.
 func (l *loop) schedulableWorkers(u *usage, now time.Time) []*placement.Worker {
-	startedSince := l.Now().Add(-flappingTime).UnixMilli()
-	all := make([]placement.Worker, 0, len(l.workerList))
+	all := slices.Grow(l.schedulable[:0], len(l.workerList))
 	for _, w := range l.workerList {
 		if !w.schedulable(now) || l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM] {
 			continue
 		}
-		worker := placement.Worker{
-			ID: w.reg.ID, Service: w.reg.Service, Zone: w.reg.Zone, Rack: rackOf(w.reg.Labels), Labels: w.reg.Labels,
+		all = append(all, placement.Worker{
+			ID: w.reg.ID, Service: w.reg.Service, Zone: w.reg.Zone, Rack: w.rack, Labels: w.reg.Labels,
 			Free: w.reg.Capacity.Sub(u.usedOn(w)), DrainPending: l.maintenance.due[w.reg.VM],
-			Capacity: w.reg.Capacity, Incarnation: w.reg.Incarnation,
-		}
-		if s := u.starting[w.reg.ID]; s != nil {
-			worker.Runs, worker.Starting = s.runs, s.Starting
-			worker.Capacity = worker.Capacity.Sub(s.longRunning)
+		})
+		if u.starting != nil {
+			l.describeForSuspects(&all[len(all)-1], u, w, now)
 		}
-		worker.Flapping = w.reg.Incarnation > startedSince || now.Sub(w.failedAt) < flappingTime
-		all = append(all, worker)
 	}
+	l.schedulable = all
 	workers := make([]*placement.Worker, len(all))
 	for i := range all {
 		workers[i] = &all[i]
--- a/internal/process/scheduler/suspects.go
+++ b/internal/process/scheduler/suspects.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// describeForSuspects sets what only the placement of suspects needs.
+func (l *loop) describeForSuspects(p *placement.Worker, u *usage, w *worker, now time.Time) {
+	p.Capacity, p.Incarnation = w.reg.Capacity, w.reg.Incarnation
+	p.Flapping = w.reg.Incarnation > l.Now().Add(-flappingTime).UnixMilli() || now.Sub(w.failedAt) < flappingTime
+	if s := u.starting[w.reg.ID]; s != nil {
+		p.Runs, p.Starting = s.runs, s.Starting
+		p.Capacity = p.Capacity.Sub(s.longRunning)
+	}
+}
+
 // isSuspect reports whether a task, or one of its gang, may crash its worker.
 func isSuspect(job *workstate.Job, id workload.TaskID, task *workstate.Task) bool {
 	if task.Crashes > 0 || !job.Spec.Steps[id.Step].Gang {
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -23,8 +23,7 @@
 	// round is the number of the round, in which charges count.
 	round uint64
 	// suspectStarting is set if an unsettled run is one of a suspect. starting
-	// describes the runs of each worker; it is collected only if there are
-	// suspects.
+	// describes the runs of each worker; it is nil unless there are suspects.
 	suspectStarting bool
 	starting        map[string]*workerRuns
 	// runs counts the executing tasks of each worker, longRunningRuns the
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -46,6 +46,7 @@
 	l.workerList = slices.DeleteFunc(l.workerList, func(w *worker) bool { return w.removed })
 	for _, w := range l.workerList {
 		w.enforcesCapacity = serviceEnforces(v, w.reg.Service)
+		w.rack = rackOf(w.reg.Labels)
 	}
 }
 
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -69,6 +69,8 @@
 	// used is the capacity that runs took in the round chargedRound.
 	used         workload.Resources
 	chargedRound uint64
+	// rack names the worker's rack.
+	rack string
 	// enforcesCapacity is set if the worker refuses what does not fit.
 	enforcesCapacity bool
 	// knownSince is when this leader learned of the incarnation.
