scheduler: a benchmark of an idle round that plans moves

The benchmarks with VMs gave no order a token, so that planMoves returned at once.

go test -run '^$' -bench Idle -benchmem ./internal/process/scheduler

--- a/internal/process/scheduler/bench_test.go
+++ b/internal/process/scheduler/bench_test.go
@@ -64,15 +64,12 @@
 
 // listBusyVMs adds a VM for each worker, and a wave.
 func (l *loop) listBusyVMs(b *testing.B) {
-	l.Platform = newFakePlatform()
-	l.Limits.ActionRate, l.Limits.FencingEnforced = 1e-9, true
-	l.since = time.Now().Add(-time.Hour)
+	l.listVMsOfWorkers()
+	l.Limits.ActionRate = 1e-9
 	wave := &workstate.Wave{Number: 1, DeadlineMS: time.Now().Add(time.Hour).UnixMilli(), Cap: 20}
 	for _, w := range l.workers {
-		vm := execution.VM{ID: w.reg.VM, Pool: w.reg.Service, State: execution.VMUp, Zone: "z", Worker: w.reg.ID, Capacity: w.reg.Capacity}
-		l.fleet.entries[vm.ID] = &vmEntry{vm: vm, refusedPools: map[string]bool{}}
 		if len(wave.VMs) < len(l.workers)/3 {
-			wave.VMs = append(wave.VMs, vm.ID)
+			wave.VMs = append(wave.VMs, w.reg.VM)
 		}
 	}
 	l.fleet.orders = orderBudget{tokens: 1, filledAt: time.Now()}
@@ -81,6 +78,17 @@
 	}
 }
 
+// listVMsOfWorkers adds a VM for each worker.
+func (l *loop) listVMsOfWorkers() {
+	l.Platform = newFakePlatform()
+	l.Limits.FencingEnforced = true
+	l.since = time.Now().Add(-time.Hour)
+	for _, w := range l.workers {
+		vm := execution.VM{ID: w.reg.VM, Pool: w.reg.Service, State: execution.VMUp, Zone: "z", Worker: w.reg.ID, Capacity: w.reg.Capacity}
+		l.fleet.entries[vm.ID] = &vmEntry{vm: vm, refusedPools: map[string]bool{}}
+	}
+}
+
 // busyLeader returns a leader with a number of workers, which execute two runs each,
 // and waiting jobs. Its commits never complete.
 func busyLeader(b *testing.B, workers, waiting int) *loop {
--- a/internal/process/scheduler/benchrun_test.go
+++ b/internal/process/scheduler/benchrun_test.go
@@ -36,22 +36,42 @@
 }
 
 // BenchmarkIdleRound measures a round of a leader without runs and jobs that plans
-// moves and maintenance.
+// maintenance.
 func BenchmarkIdleRound(b *testing.B) {
 	for _, workers := range []int{48, 350, 1000, 2000} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			l := loadedLeader(b, workers, 0, 0)
 			l.listBusyVMs(b)
-			b.ReportAllocs()
-			for b.Loop() {
-				l.committing = false
-				l.fleet.listedAt, l.fleetPlannedAt = time.Now(), time.Time{}
-				l.round(time.Now())
-			}
+			l.planIdleFleet(b, func() {})
 		})
 	}
 }
 
+// BenchmarkIdleRoundWithMoves measures a round of a leader without runs and jobs that
+// plans moves.
+func BenchmarkIdleRoundWithMoves(b *testing.B) {
+	for _, workers := range []int{48, 350, 1000, 2000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			l := loadedLeader(b, workers, 0, 0)
+			l.listVMsOfWorkers()
+			l.Limits.ActionRate = 4
+			l.planIdleFleet(b, func() { l.fleet.orders = orderBudget{tokens: 1, filledAt: time.Now()} })
+		})
+	}
+}
+
+// planIdleFleet measures rounds that plan the fleet, before each of which it calls a
+// function.
+func (l *loop) planIdleFleet(b *testing.B, prepare func()) {
+	b.ReportAllocs()
+	for b.Loop() {
+		prepare()
+		l.committing = false
+		l.fleet.listedAt, l.fleetPlannedAt = time.Now(), time.Time{}
+		l.round(time.Now())
+	}
+}
+
 // BenchmarkRoundWithQueuedEnds measures a round while the ends of a tenth of the runs
 // wait for a commit, with four runs on each worker.
 func BenchmarkRoundWithQueuedEnds(b *testing.B) {
