rebalance: only the VMs of pools that give one away are sorted

Cause: each plan, ten a second, sorted the records of all VMs by id, also if no VM moves.

Change: the ids of a pool's movable VMs are sorted before the first of them moves. The moves are the same.

The new test fails without the sort (tried; the other tests of the package did not).

--- a/internal/version/rebalance/rebalance.go
+++ b/internal/version/rebalance/rebalance.go
@@ -54,17 +54,19 @@
 type planner struct {
 	pools   []Pool
 	serving map[string]int
-	// movable lists the ids of the movable VMs by pool.
+	// movable lists the ids of the movable VMs by pool, in order for the pools in
+	// sorted.
 	movable map[string][]string
+	sorted  map[string]bool
 	moves   []Move
 }
 
 // Plan returns the moves that bring each pool closer to its desired size.
 func Plan(pools []Pool, vms []VM) []Move {
-	p := &planner{pools: slices.Clone(pools), serving: map[string]int{}, movable: map[string][]string{}}
+	p := &planner{pools: slices.Clone(pools), serving: map[string]int{}, movable: map[string][]string{}, sorted: map[string]bool{}}
 	slices.SortFunc(p.pools, func(a, b Pool) int { return cmp.Compare(a.Name, b.Name) })
-	sorted := slices.SortedFunc(slices.Values(vms), func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
-	for _, vm := range sorted {
+	for i := range vms {
+		vm := &vms[i]
 		if vm.Serving {
 			p.serving[vm.Pool]++
 		}
@@ -143,9 +145,13 @@
 	}
 }
 
-// move moves the last movable VM of a pool to another pool.
+// move moves the last movable VM of a pool, by id, to another pool.
 func (p *planner) move(from, to string) {
 	movable := p.movable[from]
+	if !p.sorted[from] {
+		slices.Sort(movable)
+		p.sorted[from] = true
+	}
 	vm := movable[len(movable)-1]
 	p.movable[from] = movable[:len(movable)-1]
 	p.serving[from]--
--- a/internal/version/rebalance/rebalance_test.go
+++ b/internal/version/rebalance/rebalance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -149,3 +150,14 @@
 		t.Errorf("recent peak %d long after a peak", recent)
 	}
 }
+
+// TestPlanDoesNotDependOnTheOrderOfTheVMs guards against two plans in a row that choose other VMs of a pool, as the VMs come from a map.
+func TestPlanDoesNotDependOnTheOrderOfTheVMs(t *testing.T) {
+	pools := []Pool{{Name: "a", Desired: 4, Retain: 4}, {Name: "b", Desired: 1, Retain: 2}, {Name: "off", Standby: true}}
+	all := append(vms("a", 2, 0), vms("b", 6, 6)...)
+	moves := Plan(pools, all)
+	slices.Reverse(all)
+	if again := Plan(pools, all); !slices.Equal(moves, again) || len(moves) != 4 {
+		t.Errorf("moves %v, with the VMs in another order %v", moves, again)
+	}
+}
