scheduler: the plan of the fleet does not sort and index what has not changed

Cause: ten times a second the plan of the fleet indexed the workers by VM, sorted the VMs of a wave also while its cap was reached, with look-ups in each comparison, looked for room for the long-running tasks of draining workers also without such tasks, and grew the list of VMs step by step.

Change: the index by VM is kept until the synced version of the workers changes, a wave without room for another VM is not sorted, the order has no look-ups, and the rest is left out or allocated once. No decision changes.

TestRandomSchedulesOfVMs fails if the index is not renewed (tried).

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -231,7 +231,9 @@
 func (l *loop) poolLoads(u *usage) map[string]rebalance.Load {
 	loads := map[string]rebalance.Load{}
 	for _, w := range l.workerList {
-		loads[w.reg.Service] += l.load(u.usedOn(w))
+		if used := u.usedOn(w); used != (workload.Resources{}) {
+			loads[w.reg.Service] += l.load(used)
+		}
 	}
 	return loads
 }
@@ -239,7 +241,7 @@
 // rebalanceVMs returns all known VMs in the form that package rebalance uses.
 func (l *loop) rebalanceVMs(u *usage, now time.Time) []rebalance.VM {
 	cutOff := l.unresponsiveZones()
-	var vms []rebalance.VM
+	vms := make([]rebalance.VM, 0, len(l.fleet.entries))
 	for id, e := range l.fleet.entries {
 		w := u.workerOn[id]
 		vm := rebalance.VM{ID: id, Pool: e.vm.Pool}
--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -39,6 +39,9 @@
 // evacuateDraining moves the long-running tasks of workers that are about to
 // shut down, which would end with them, if there is room elsewhere.
 func (l *loop) evacuateDraining(u *usage, now time.Time) {
+	if len(u.longRunningTasks) == 0 {
+		return
+	}
 	for _, w := range l.workers {
 		if w.reg.Draining && !w.unresponsive && u.longRunningRuns[w.reg.ID] > 0 && l.canRelocate(u, w, now) {
 			l.evacuate(u, w, now)
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -90,6 +90,9 @@
 	workers map[string]*worker
 	// workerList lists the workers by id.
 	workerList []*worker
+	// byVM holds the workers by VM, as of the synced version byVMVersion.
+	byVM        map[string]*worker
+	byVMVersion uint64
 	// schedulable is the space for the workers of a plan.
 	schedulable []placement.Worker
 	// syncedVersion is the workstate.View.WorkersVersion, and syncedCatalog the
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -62,6 +62,8 @@
 	// worker is nil if the VM is powered off.
 	worker *worker
 	class  maintenanceClass
+	// rank is the cordonRank of the VM.
+	rank int
 	// utilization is the share of the pool's capacity that is in use.
 	utilization float64
 }
@@ -171,10 +173,13 @@
 // cordonAndOrder cordons waiting VMs, as many as may still go down for the wave,
 // and orders the maintenance of the drained ones.
 func (l *loop) cordonAndOrder(u *usage, wave *workstate.Wave, waiting []maintenanceVM, available int, previouslyCordoned map[string]time.Time, now time.Time) {
-	slices.SortStableFunc(waiting, func(a, b maintenanceVM) int {
-		return cmp.Or(cmp.Compare(cordonRank(wave, previouslyCordoned, a), cordonRank(wave, previouslyCordoned, b)), cmp.Compare(a.class, b.class),
-			cmp.Compare(a.utilization, b.utilization), cmp.Compare(a.entry.vm.ID, b.entry.vm.ID))
-	})
+	if available <= 0 {
+		return
+	}
+	for i := range waiting {
+		waiting[i].rank = cordonRank(wave, previouslyCordoned, waiting[i].entry.vm.ID)
+	}
+	slices.SortFunc(waiting, compareCordonOrder)
 	remaining := time.Duration(wave.DeadlineMS-l.Now().UnixMilli()) * time.Millisecond
 	batches := (len(waiting) + wave.Cap - 1) / wave.Cap
 	urgent := remaining < time.Duration(batches)*maintenanceRound+deadlineReserve
@@ -198,16 +203,31 @@
 
 // cordonRank orders VMs first whose maintenance was ordered before, since a former
 // leader's order may still be executed, and then those that are already cordoned.
-func cordonRank(wave *workstate.Wave, previouslyCordoned map[string]time.Time, vm maintenanceVM) int {
-	if wave.Ordered[vm.entry.vm.ID] {
+func cordonRank(wave *workstate.Wave, previouslyCordoned map[string]time.Time, vm string) int {
+	if wave.Ordered[vm] {
 		return 0
 	}
-	if _, ok := previouslyCordoned[vm.entry.vm.ID]; ok {
+	if _, ok := previouslyCordoned[vm]; ok {
 		return 1
 	}
 	return 2
 }
 
+// compareCordonOrder orders VMs by rank, then those first whose maintenance
+// disrupts least.
+func compareCordonOrder(a, b maintenanceVM) int {
+	if a.rank != b.rank {
+		return cmp.Compare(a.rank, b.rank)
+	}
+	if a.class != b.class {
+		return cmp.Compare(a.class, b.class)
+	}
+	if a.utilization != b.utilization {
+		return cmp.Compare(a.utilization, b.utilization)
+	}
+	return cmp.Compare(a.entry.vm.ID, b.entry.vm.ID)
+}
+
 // cordonVM keeps new tasks from a VM. It orders the maintenance once no
 // long-running task executes there and the short tasks have ended, drainTime has
 // passed or the wave is urgent. The maintenance interrupts the short tasks that
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -125,17 +125,36 @@
 
 // recordPools records the worker of each VM and the utilization of each pool.
 func (l *loop) recordPools(u *usage) {
-	u.workerOn = make(map[string]*worker, len(l.workers))
+	u.workerOn = l.workersByVM()
 	u.utilization = map[string]float64{}
-	sizes := map[string]float64{}
+	pools := map[string]*poolLoad{}
 	for _, w := range l.workerList {
-		u.workerOn[w.reg.VM] = w
-		u.utilization[w.reg.Service] += float64(l.load(u.usedOn(w)))
-		sizes[w.reg.Service]++
+		pool := pools[w.reg.Service]
+		if pool == nil {
+			pool = &poolLoad{}
+			pools[w.reg.Service] = pool
+		}
+		pool.load += float64(l.load(u.usedOn(w)))
+		pool.workers++
+	}
+	for name, pool := range pools {
+		u.utilization[name] = pool.load / pool.workers
 	}
-	for pool, size := range sizes {
-		u.utilization[pool] /= size
+}
+
+// poolLoad is the load of the workers of a pool.
+type poolLoad struct{ load, workers float64 }
+
+// workersByVM returns the worker of each VM, from the table as it was synced last.
+func (l *loop) workersByVM() map[string]*worker {
+	if l.byVM != nil && l.byVMVersion == l.syncedVersion {
+		return l.byVM
+	}
+	l.byVM, l.byVMVersion = make(map[string]*worker, len(l.workerList)), l.syncedVersion
+	for _, w := range l.workerList {
+		l.byVM[w.reg.VM] = w
 	}
+	return l.byVM
 }
 
 // countWaiting counts the waiting long-running tasks as unavailable.
