replica: a benchmark of the status that precedes each order

It stays as it is: the reading at each order is what keeps a leader that was suspended from ordering.

--- a/internal/process/replica/driver/bench_test.go
+++ b/internal/process/replica/driver/bench_test.go
@@ -157,3 +157,17 @@
 	check(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkStatus measures a reading of the status, which precedes each order to a
+// worker.
+func BenchmarkStatus(b *testing.B) {
+	leader := startGroup(b, 3)
+	b.ReportAllocs()
+	silence := time.Duration(0)
+	for b.Loop() {
+		silence += leader.Status().LeaderSilence
+	}
+	if silence < 0 {
+		b.Fatal("negative silence")
+	}
+}
