--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -106,17 +106,17 @@
 
 // waitingGroups returns the waiting tasks of all open jobs, grouped by step.
 func (l *loop) waitingGroups(v *workstate.View, now time.Time) []*placement.Group {
-	nowMS := l.Now().UnixMilli()
+	at := planTime{now: now, wallMS: l.Now().UnixMilli()}
 	var groups []*placement.Group
 	for _, job := range v.Active() {
 		if job.Outcome != workstate.Open {
 			continue
 		}
 		for k := range job.Spec.Occurrences() {
-			if job.Spec.DueMS(k) > nowMS {
+			if job.Spec.DueMS(k) > at.wallMS {
 				break
 			}
-			groups = l.appendWaiting(groups, v, job, k, now)
+			groups = l.appendWaiting(groups, v, job, k, at)
 		}
 	}
 	return groups
@@ -124,7 +124,7 @@
 
 // appendWaiting appends the waiting tasks of the steps of one occurrence that
 // may start.
-func (l *loop) appendWaiting(groups []*placement.Group, v *workstate.View, job *workstate.Job, k int, now time.Time) []*placement.Group {
+func (l *loop) appendWaiting(groups []*placement.Group, v *workstate.View, job *workstate.Job, k int, at planTime) []*placement.Group {
 	var progress *workstate.Occurrence
 	if k < len(job.Occurrences) {
 		progress = &job.Occurrences[k]
@@ -145,16 +145,16 @@
 			groups = appendGroup(groups, g, progress)
 		}
 	}
-	l.rankGroups(v, job, progress, k, groups[first:], now)
+	l.rankGroups(v, job, progress, k, groups[first:], at)
 	return groups
 }
 
 // rankGroups sets the rank of the groups of one occurrence.
-func (l *loop) rankGroups(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k int, groups []*placement.Group, now time.Time) {
+func (l *loop) rankGroups(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k int, groups []*placement.Group, at planTime) {
 	if len(groups) == 0 {
 		return
 	}
-	rank := l.rank(v, job, progress, k, now)
+	rank := l.rank(v, job, progress, k, at)
 	for _, g := range groups {
 		g.Rank = rank
 		if g.LongRunning {
@@ -168,12 +168,12 @@
 const longRunningRank = -1e6
 
 // rank returns the rank of one occurrence of a job.
-func (l *loop) rank(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k int, now time.Time) float64 {
+func (l *loop) rank(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k int, at planTime) float64 {
 	queue := v.Queue(job.Queue)
 	if queue == nil {
 		return 0
 	}
-	objective := placement.Objective{Accepted: l.arrivalTime(job, k, now), Stretch: queue.Stretch, TargetLatency: queue.TargetLatency, MeanWork: l.demand.meanWork[job.Queue]}
+	objective := placement.Objective{Accepted: at.arrivalTime(job, k), Stretch: queue.Stretch, TargetLatency: queue.TargetLatency, MeanWork: l.demand.meanWork[job.Queue]}
 	count := len(job.Spec.Steps)
 	times := make([]time.Duration, 2*count)
 	durations, remaining := times[:count], times[count:]
@@ -192,14 +192,21 @@
 	}
 	objective.Chain = placement.LongestChain(durations, dependsOn)
 	objective.Remaining = placement.LongestChain(remaining, dependsOn)
-	return objective.Rank(now)
+	return objective.Rank(at.now)
+}
+
+// planTime is the time of a plan on the local clock and on the wall clock, which the
+// times of the state are on.
+type planTime struct {
+	now    time.Time
+	wallMS int64
 }
 
 // arrivalTime returns when an occurrence was accepted or due, on the local
 // clock.
-func (l *loop) arrivalTime(job *workstate.Job, k int, now time.Time) time.Time {
-	at := max(job.AcceptedMS, job.Spec.DueMS(k))
-	return now.Add(-time.Duration(l.Now().UnixMilli()-at) * time.Millisecond)
+func (t planTime) arrivalTime(job *workstate.Job, k int) time.Time {
+	arrivedMS := max(job.AcceptedMS, job.Spec.DueMS(k))
+	return t.now.Add(-time.Duration(t.wallMS-arrivedMS) * time.Millisecond)
 }
 
 // waitingGroup returns the waiting tasks of a step, or nil if there are none.
