scheduler: a pass without a round does not search the list of VMs for a busy one

Cause: each pass of the loop, up to a hundred a second, searched all VMs for one that is unavailable to learn how old the list of VMs may be.

Change: the search is left out while the list is younger than the shorter of the two intervals. The list is read at the same times.

--- a/internal/process/scheduler/benchrun_test.go
+++ b/internal/process/scheduler/benchrun_test.go
@@ -60,6 +60,26 @@
 	}
 }
 
+// BenchmarkPassWithoutRound measures what the loop does after events that call for no
+// round, in a leader whose workers are all being watched.
+func BenchmarkPassWithoutRound(b *testing.B) {
+	for _, workers := range []int{48, 350, 1000, 2000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			l := loadedLeader(b, workers, 0, 0)
+			l.listVMsOfWorkers()
+			for _, w := range l.workers {
+				w.watching = true
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now := time.Now()
+				l.dirty, l.pacer, l.fleet.listedAt = false, roundPacer{}, now
+				l.advance(now)
+			}
+		})
+	}
+}
+
 // planIdleFleet measures rounds that plan the fleet, before each of which it calls a
 // function.
 func (l *loop) planIdleFleet(b *testing.B, prepare func()) {
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -103,11 +103,7 @@
 
 // listVMs reads the platform's list of VMs if it is due.
 func (l *loop) listVMs(now time.Time) {
-	interval := listInterval
-	if l.fleet.busy() {
-		interval = listIntervalBusy
-	}
-	if l.Platform == nil || l.fleet.listing || now.Sub(l.fleet.listedAt) < interval && !l.listIsStale(now) {
+	if l.Platform == nil || l.fleet.listing || !l.listIsDue(now) {
 		return
 	}
 	l.fleet.listing = true
@@ -119,6 +115,18 @@
 	}()
 }
 
+// listIsDue reports whether the list of VMs has to be read again.
+func (l *loop) listIsDue(now time.Time) bool {
+	age := now.Sub(l.fleet.listedAt)
+	switch {
+	case age >= listInterval || l.listIsStale(now):
+		return true
+	case age < listIntervalBusy:
+		return false
+	}
+	return l.fleet.busy()
+}
+
 func (f *fleet) busy() bool {
 	for _, e := range f.entries {
 		if e.unavailable() {
