--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"arbutusward.example/arbutusward/internal/connection/execution"
-	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/rebalance"
@@ -38,41 +35,6 @@
 	watchCalls    = metrics.NewCounter(`arbutus_worker_watches_total`)
 )
 
-// Options holds the dependencies and settings of a scheduler.
-type Options struct {
-	Replica  replica.Replica
-	Machine  *workstate.Machine
-	Workers  execution.Workers
-	Platform execution.Platform
-	// Adviser is nil if no queue needs advice.
-	Adviser execution.Adviser
-	// Holder names this process to the platform.
-	Holder string
-	Limits Limits
-	Log    *slog.Logger
-	Now    func() time.Time
-}
-
-// Limits holds the timeouts and limits of a deployment.
-type Limits struct {
-	// StopTimeout is the maximum time that a run takes to end after it was
-	// ordered to stop.
-	StopTimeout time.Duration
-	// LongestLease is the longest lease that a worker accepts, whatever it is
-	// offered.
-	LongestLease time.Duration
-	// FencingEnforced is set if the platform refuses orders of former leaders.
-	FencingEnforced bool
-	// HolderLease is the time for which a VM must not be ordered after the last
-	// order of another holder.
-	HolderLease time.Duration
-	// Retention is how long jobs are kept after they have ended.
-	Retention time.Duration
-	// ActionRate is the number of orders for VMs per second that the platform
-	// accepts from all processes together.
-	ActionRate float64
-}
-
 // event is a function that updates the state of the loop. It is called on the
 // loop's goroutine.
 type event func(*loop)
@@ -252,65 +214,3 @@
 	l.planMaintenance(v, u, now)
 	l.planMoves(v, u, groups, now)
 }
-
-// commit proposes progress to the replicated log. The result returns as an event.
-func (l *loop) commit(progress *workstate.Progress) {
-	l.committing = true
-	go func() {
-		start := time.Now()
-		result, err := propose(l.ctx, l.Replica, &workstate.Command{Progress: progress}, l.Now())
-		commitSeconds.UpdateDuration(start)
-		l.post(func(l *loop) {
-			l.loadLog.recordCommit(time.Since(start))
-			l.committed(progress, result, err)
-		})
-	}()
-}
-
-// committed handles the result of a commit and sends the start orders of the
-// runs that were recorded.
-func (l *loop) committed(progress *workstate.Progress, result workstate.Result, err error) {
-	l.committing = false
-	l.dirty = true
-	if err != nil {
-		l.Log.Warn("commit of progress not confirmed", "starts", len(progress.Starts), "ends", len(progress.Ends), "error", err.Error())
-		return
-	}
-	for _, end := range progress.Ends {
-		l.dropEnd(runKey{end.Task, end.Run})
-	}
-	l.ackEnds()
-	endedRuns.Add(len(progress.Ends))
-	l.logProgress(progress, result.Started)
-	l.Machine.Read(func(v *workstate.View) {
-		l.logGivenUp(v, progress.Ends)
-		for i, ok := range result.Started {
-			if ok {
-				l.startRun(v, &progress.Starts[i])
-			}
-		}
-	})
-}
-
-// ackEnds acknowledges the committed ends to the workers, which then drop them
-// from their reports.
-func (l *loop) ackEnds() {
-	for _, w := range l.workerList {
-		w.ackedEnd = max(w.ackedEnd, w.queuedEnd)
-	}
-}
-
-// purgeJobs periodically removes jobs that ended long ago.
-func (l *loop) purgeJobs(now time.Time) {
-	if now.Before(l.nextPurge) {
-		return
-	}
-	l.nextPurge = now.Add(l.Limits.Retention / 4)
-	before := l.Now().Add(-2 * l.Limits.Retention).UnixMilli()
-	go func() {
-		_, err := propose(l.ctx, l.Replica, &workstate.Command{PurgeJobs: &workstate.PurgeJobs{EndedBeforeMS: before}}, l.Now())
-		if err != nil && l.ctx.Err() == nil {
-			l.Log.Warn("purge of old jobs failed", "error", err.Error())
-		}
-	}()
-}
--- /dev/null
+++ b/internal/process/scheduler/moves.go
@@ -0,0 +1,193 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/placement"
+	"arbutusward.example/arbutusward/internal/version/rebalance"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+const (
+	// packingRatio is the share of a VM's capacity that can be filled with
+	// tasks of up to a third of it.
+	packingRatio = 0.85
+	// minPoolVMs is the minimum number of VMs in each pool, so that a new job
+	// finds a VM at once and another one if that VM fails.
+	minPoolVMs = 2
+	// warmUpTime is how long a new leader observes arrivals before it powers
+	// VMs off, since it does not know the earlier load.
+	warmUpTime = 4 * time.Second
+)
+
+// planMoves moves VMs between pools to follow the load.
+func (l *loop) planMoves(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) {
+	l.draining = map[string]bool{}
+	if !l.mayOrderVM(now) || !l.fleet.listed {
+		return
+	}
+	l.repeatMoves(v, now)
+	l.updateVMCapacity()
+	pools := l.desiredPools(v, u, groups, now)
+	vms := l.rebalanceVMs(u, now)
+	l.logPools(pools, vms, now)
+	moves := rebalance.Plan(pools, vms)
+	l.drainForPools(rebalance.SelectDrains(pools, vms, moves), u, now)
+	for _, move := range moves {
+		e := l.fleet.entries[move.VM]
+		if !l.mayOrderVM(now) || e.refusedPools[move.To] {
+			continue
+		}
+		l.orderVM(e, vmOrder{pool: move.To}, now)
+	}
+}
+
+// poolLogInterval is the minimum time between log lines about pools that are
+// short of VMs.
+const poolLogInterval = 500 * time.Millisecond
+
+// logPools logs the state of all pools if one is short of VMs, as
+// SERVING/DESIRED/RETAIN+MOVABLE. It explains why VMs are moved.
+func (l *loop) logPools(pools []rebalance.Pool, vms []rebalance.VM, now time.Time) {
+	if now.Before(l.demand.nextLog) {
+		return
+	}
+	serving, movable := map[string]int{}, map[string]int{}
+	for _, vm := range vms {
+		if vm.Serving {
+			serving[vm.Pool]++
+		}
+		if vm.Movable {
+			movable[vm.Pool]++
+		}
+	}
+	short := false
+	var attrs []any
+	for _, p := range pools {
+		short = short || p.Desired > serving[p.Name]
+		attrs = append(attrs, p.Name, fmt.Sprintf("%d/%d/%d+%d", serving[p.Name], p.Desired, p.Retain, movable[p.Name]))
+	}
+	if short {
+		l.demand.nextLog = now.Add(poolLogInterval)
+		l.Log.Info("pools short of VMs", attrs...)
+	}
+}
+
+// desiredPools returns the pools with their desired numbers of VMs.
+func (l *loop) desiredPools(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) []rebalance.Pool {
+	loads := l.poolLoads(u)
+	for _, g := range groups {
+		loads[g.Service] += l.load(g.Charge) * rebalance.Load(len(g.Indexes))
+	}
+	spread := l.vmsForSpread(v, groups)
+	warmingUp := l.demand.firstArrival.IsZero() || now.Sub(l.demand.firstArrival) < warmUpTime || now.Sub(l.since) < warmUpTime
+	var pools []rebalance.Pool
+	for i := range v.Catalog().Services {
+		service := &v.Catalog().Services[i]
+		pool := rebalance.Pool{Name: service.Name, Standby: service.Standby}
+		if !service.Standby {
+			f := l.demand.forecast(service.Name)
+			load := f.Predict(now, loads[service.Name])
+			pool.Desired = max(minPoolVMs, int(math.Ceil(float64(load)/packingRatio)), spread[service.Name])
+			pool.Retain = f.RecentPeak(now, pool.Desired)
+			pool.WarmingUp = warmingUp
+		}
+		pools = append(pools, pool)
+	}
+	return pools
+}
+
+// vmsForSpread returns the number of VMs that each pool needs because some
+// steps have a limit of tasks per worker.
+func (l *loop) vmsForSpread(v *workstate.View, groups []*placement.Group) map[string]int {
+	spread := map[string]int{}
+	need := func(service string, tasks, perWorker int) {
+		if perWorker > 0 {
+			spread[service] = max(spread[service], (tasks+perWorker-1)/perWorker)
+		}
+	}
+	for _, g := range groups {
+		need(g.Service, len(g.Indexes), g.MaxPerWorker)
+	}
+	for _, job := range v.Active() {
+		if job.Outcome != workstate.Open {
+			continue
+		}
+		for s := range job.Spec.Steps {
+			if step := &job.Spec.Steps[s]; step.LongRunning {
+				need(v.ServiceOf(job), step.Count, step.MaxPerWorker)
+			}
+		}
+	}
+	return spread
+}
+
+// poolLoads returns the load of the executing tasks of each pool.
+func (l *loop) poolLoads(u *usage) map[string]rebalance.Load {
+	loads := map[string]rebalance.Load{}
+	for _, w := range l.workerList {
+		if used := u.usedOn(w); used != (workload.Resources{}) {
+			loads[w.reg.Service] += l.load(used)
+		}
+	}
+	return loads
+}
+
+// rebalanceVMs returns all known VMs in the form that package rebalance uses.
+func (l *loop) rebalanceVMs(u *usage, now time.Time) []rebalance.VM {
+	cutOff := l.unresponsiveZones()
+	vms := make([]rebalance.VM, 0, len(l.fleet.entries))
+	for id, e := range l.fleet.entries {
+		w := u.workerOn[id]
+		vm := rebalance.VM{ID: id, Pool: e.vm.Pool}
+		paused := now.Before(e.pausedUntil) || l.maintenance.isCordoned(id) || e.calling
+		switch {
+		case e.order != nil && e.order.pool != "":
+			vm.Pool, vm.Serving = e.order.pool, true
+		case e.unavailable():
+		case w == nil:
+			// The VM is powered off, or its worker has not registered yet.
+			vm.Serving = false
+			vm.Movable = !paused && !cutOff[e.vm.Zone]
+		case !w.answering():
+			// The VM would be unreachable in another pool as well.
+		default:
+			vm.Serving = w.schedulable(now) && !l.maintenance.isCordoned(id)
+			vm.Movable = !paused && !w.reg.Draining && u.runs[w.reg.ID] == 0
+			vm.Load = float64(l.load(u.usedOn(w)))
+			vm.LongRunning = u.longRunningRuns[w.reg.ID] > 0
+			vm.Drainable = !paused && !w.reg.Draining && (!vm.LongRunning || l.canRelocate(u, w, now))
+		}
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// unresponsiveZones returns the availability zones in which most workers are
+// unresponsive.
+func (l *loop) unresponsiveZones() map[string]bool {
+	balance := map[string]int{}
+	for _, w := range l.workerList {
+		if w.unresponsive {
+			balance[w.reg.Zone]++
+		} else {
+			balance[w.reg.Zone]--
+		}
+	}
+	unresponsive := map[string]bool{}
+	for zone, difference := range balance {
+		unresponsive[zone] = difference > 0
+	}
+	return unresponsive
+}
+
+// isStandby reports whether a VM is in the standby pool, where it is powered
+// off.
+func (e *vmEntry) isStandby(v *workstate.View) bool {
+	service := v.Catalog().Service(e.vm.Pool)
+	return service != nil && service.Standby && e.vm.State == execution.VMUp
+}
--- /dev/null
+++ b/internal/process/scheduler/options.go
@@ -0,0 +1,45 @@
+package scheduler
+
+import (
+	"log/slog"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// Options holds the dependencies and settings of a scheduler.
+type Options struct {
+	Replica  replica.Replica
+	Machine  *workstate.Machine
+	Workers  execution.Workers
+	Platform execution.Platform
+	// Adviser is nil if no queue needs advice.
+	Adviser execution.Adviser
+	// Holder names this process to the platform.
+	Holder string
+	Limits Limits
+	Log    *slog.Logger
+	Now    func() time.Time
+}
+
+// Limits holds the timeouts and limits of a deployment.
+type Limits struct {
+	// StopTimeout is the maximum time that a run takes to end after it was
+	// ordered to stop.
+	StopTimeout time.Duration
+	// LongestLease is the longest lease that a worker accepts, whatever it is
+	// offered.
+	LongestLease time.Duration
+	// FencingEnforced is set if the platform refuses orders of former leaders.
+	FencingEnforced bool
+	// HolderLease is the time for which a VM must not be ordered after the last
+	// order of another holder.
+	HolderLease time.Duration
+	// Retention is how long jobs are kept after they have ended.
+	Retention time.Duration
+	// ActionRate is the number of orders for VMs per second that the platform
+	// accepts from all processes together.
+	ActionRate float64
+}
--- /dev/null
+++ b/internal/process/scheduler/progress.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import (
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// commit proposes progress to the replicated log. The result returns as an event.
+func (l *loop) commit(progress *workstate.Progress) {
+	l.committing = true
+	go func() {
+		start := time.Now()
+		result, err := propose(l.ctx, l.Replica, &workstate.Command{Progress: progress}, l.Now())
+		commitSeconds.UpdateDuration(start)
+		l.post(func(l *loop) {
+			l.loadLog.recordCommit(time.Since(start))
+			l.committed(progress, result, err)
+		})
+	}()
+}
+
+// committed handles the result of a commit and sends the start orders of the
+// runs that were recorded.
+func (l *loop) committed(progress *workstate.Progress, result workstate.Result, err error) {
+	l.committing = false
+	l.dirty = true
+	if err != nil {
+		l.Log.Warn("commit of progress not confirmed", "starts", len(progress.Starts), "ends", len(progress.Ends), "error", err.Error())
+		return
+	}
+	for _, end := range progress.Ends {
+		l.dropEnd(runKey{end.Task, end.Run})
+	}
+	l.ackEnds()
+	endedRuns.Add(len(progress.Ends))
+	l.logProgress(progress, result.Started)
+	l.Machine.Read(func(v *workstate.View) {
+		l.logGivenUp(v, progress.Ends)
+		for i, ok := range result.Started {
+			if ok {
+				l.startRun(v, &progress.Starts[i])
+			}
+		}
+	})
+}
+
+// ackEnds acknowledges the committed ends to the workers, which then drop them
+// from their reports.
+func (l *loop) ackEnds() {
+	for _, w := range l.workerList {
+		w.ackedEnd = max(w.ackedEnd, w.queuedEnd)
+	}
+}
+
+// purgeJobs periodically removes jobs that ended long ago.
+func (l *loop) purgeJobs(now time.Time) {
+	if now.Before(l.nextPurge) {
+		return
+	}
+	l.nextPurge = now.Add(l.Limits.Retention / 4)
+	before := l.Now().Add(-2 * l.Limits.Retention).UnixMilli()
+	go func() {
+		_, err := propose(l.ctx, l.Replica, &workstate.Command{PurgeJobs: &workstate.PurgeJobs{EndedBeforeMS: before}}, l.Now())
+		if err != nil && l.ctx.Err() == nil {
+			l.Log.Warn("purge of old jobs failed", "error", err.Error())
+		}
+	}()
+}
--- /dev/null
+++ b/internal/process/scheduler/starts.go
@@ -0,0 +1,151 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/pacing"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// startRun sends the start order of a run that was just recorded.
+func (l *loop) startRun(v *workstate.View, s *workstate.Start) {
+	startedRuns.Inc()
+	r := &run{number: s.Run, worker: s.Worker, speed: pacing.Full}
+	l.runs[s.Task] = r
+	l.sendStart(v, s.Task, r, time.Now())
+}
+
+// sendStart sends the start order of a run, also again, unless the worker may get
+// none any more.
+func (l *loop) sendStart(v *workstate.View, id workload.TaskID, r *run, now time.Time) {
+	w := l.workers[r.worker]
+	if w == nil {
+		return
+	}
+	if !w.mayGetStarts(v.Workers()[r.worker]) {
+		// The stop order is due at once.
+		r.enter(runStopping, time.Time{})
+		return
+	}
+	if w.overCapacity {
+		l.withdrawStart(r, w)
+		return
+	}
+	order, ok := l.startOrder(v, id, r.number)
+	if !ok {
+		return
+	}
+	if !l.inContact() {
+		l.Log.Warn("start order held back, no contact to a majority", "task", id.String(), "run", r.number, "worker", r.worker)
+		r.enter(runRetrying, now)
+		return
+	}
+	order.LeaseUntilMS = w.grantLease(now)
+	order.Ticket = l.ticketFor(id, r.worker)
+	r.enter(runOrdering, now)
+	r.calling, r.sent = true, true
+	address := w.address()
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+		defer cancel()
+		answer, err := l.Workers.Start(ctx, address, order)
+		l.post(func(l *loop) { l.handleStartAnswer(id, r, w, answer, err) })
+	}()
+}
+
+// withdrawStart stops a run whose start order must not be sent because its worker's
+// capacity has shrunk. An earlier order may have been executed without an answer, so
+// that a report newer than it has to be there first.
+func (l *loop) withdrawStart(r *run, w *worker) {
+	if w.report != nil && w.report.sentAt.After(r.since) {
+		// The stop order is due at once.
+		r.enter(runStopping, time.Time{})
+	}
+}
+
+// startOrder builds the start order from the state. It returns false unless the
+// run is the task's newest, no later leader has recorded it, and the job is open.
+func (l *loop) startOrder(v *workstate.View, id workload.TaskID, number int) (order execution.StartOrder, ok bool) {
+	job := v.Job(id.Job)
+	if job == nil || job.Outcome != workstate.Open {
+		return order, false
+	}
+	task := job.Task(id)
+	if task == nil || task.Phase != workstate.Running || task.Run != number || task.Term > l.term {
+		return order, false
+	}
+	return execution.StartOrder{Task: id, Run: number, Payload: job.Spec.Payload, FencingToken: l.term, Checkpoint: checkpointOf(job, id)}, true
+}
+
+// checkpointOf returns the checkpoint from which a task resumes. All tasks of a
+// gang resume from the same checkpoint; that of any of them is valid.
+func checkpointOf(job *workstate.Job, id workload.TaskID) string {
+	if !job.Spec.Steps[id.Step].Gang {
+		return job.Task(id).Checkpoint
+	}
+	for _, member := range job.Occurrences[id.Occurrence].Steps[id.Step].Tasks {
+		if member.Checkpoint != "" {
+			return member.Checkpoint
+		}
+	}
+	return ""
+}
+
+// handleStartAnswer handles the answer to a start order.
+func (l *loop) handleStartAnswer(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
+	now := time.Now()
+	r.calling = false
+	if l.runs[id] != r {
+		return
+	}
+	if err == nil && answer.Refusal == execution.Accepted {
+		r.recordAcceptance(w, answer.ClockMS)
+		w.recordClock(answer.ClockMS, now)
+		r.enter(runOrdered, now)
+		return
+	}
+	l.dirty = true
+	if err != nil {
+		lostOrders.Inc()
+		l.Log.Warn("start order unanswered", "task", id.String(), "run", r.number, "worker", r.worker, "error", err.Error())
+		r.unconfirmed = true
+		r.enter(runRetrying, now)
+		return
+	}
+	w.recordClock(answer.ClockMS, now)
+	r.unconfirmed = r.unconfirmed || answer.Repeated || answer.Refusal == execution.RefusedOther
+	l.handleStartRefusal(id, r, w, answer.Refusal, now)
+}
+
+// handleStartRefusal handles the refusal of a start order. The refused order
+// had no effect, but an earlier one without an answer may still arrive.
+func (l *loop) handleStartRefusal(id workload.TaskID, r *run, w *worker, refusal execution.Refusal, now time.Time) {
+	refusedOrders.Inc()
+	l.Log.Info("start order refused", "task", id.String(), "run", r.number, "worker", r.worker, "reason", refusal, "repeated", r.unconfirmed)
+	switch refusal {
+	case execution.RefusedStaleRun:
+		// The run has ended. The reported ends tell how.
+		r.enter(runOrdered, now)
+		return
+	case execution.RefusedLeaseExpired:
+		r.enter(runRetrying, now)
+		return
+	case execution.RefusedFencingToken:
+		r.enter(runRetrying, now)
+		return
+	case execution.RefusedTicket:
+		l.removeTicket(id, r.worker)
+	case execution.RefusedCapacity:
+		w.pausedUntil = now.Add(orderRetry)
+	default:
+		w.pausedUntil = now.Add(refusalPause)
+	}
+	if r.unconfirmed && refusal != execution.RefusedOtherWorker {
+		r.enter(runStopping, now)
+		return
+	}
+	l.queueEnd(id, r.number, workstate.EndInterrupted, "")
+}
