--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -122,6 +122,7 @@
 // it while an order for it is open, whether or not the order was answered.
 func (l *loop) settleListed(v *workstate.View, wave *workstate.Wave, e *vmEntry) {
 	if e.vm.State == execution.VMMaintenance && !wave.Settled[e.vm.ID] && !inAnotherWave(v, wave, e.vm.ID) {
+		l.Log.Info("maintenance of VM settled by the list", "vm", e.vm.ID, "wave", wave.Number, "unanswered", e.unanswered)
 		l.recordMaintenance(wave.Number, e.vm.ID)
 	}
 }
--- a/internal/process/scheduler/vmorders.go
+++ b/internal/process/scheduler/vmorders.go
@@ -129,7 +129,9 @@
 		if !e.unanswered || e.calling || e.order.pool == "" {
 			continue
 		}
-		if now.Sub(e.openSince) > maxMoveRepeats || v.Catalog().Service(e.order.pool) == nil {
+		configured := v.Catalog().Service(e.order.pool) != nil
+		if now.Sub(e.openSince) > maxMoveRepeats || !configured {
+			l.Log.Warn("unanswered move of VM given up", "vm", e.vm.ID, "from", e.vm.Pool, "to", e.order.pool, "open_ms", now.Sub(e.openSince).Milliseconds(), "pool_configured", configured)
 			e.closeOrder()
 			e.pausedUntil = now.Add(abandonedMovePause)
 			continue
@@ -146,6 +148,7 @@
 			continue
 		}
 		if wave := v.Waves()[e.order.wave]; wave == nil || wave.Finished() {
+			l.Log.Info("unanswered maintenance of VM closed with its wave", "vm", e.vm.ID, "wave", e.order.wave)
 			e.closeOrder()
 		}
 	}
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -162,6 +162,7 @@
 	for id, e := range f.entries {
 		e.recordListing(known[id], requestedAt)
 		if e.gone(requestedAt) {
+			l.Log.Info("VM forgotten, lists leave it out", "vm", id, "state", e.vm.State, "missing_ms", requestedAt.Sub(e.missingSince).Milliseconds(), "open_order", e.order != nil)
 			delete(f.entries, id)
 		}
 	}
