--- /dev/null
+++ b/internal/process/scheduler/evacuation.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// evacuate stops long-running tasks of a worker so that they start on other
+// workers. It keeps to their disruption budgets.
+func (l *loop) evacuate(u *usage, w *worker, now time.Time) {
+	for _, t := range u.longRunningTasks {
+		if t.worker != w.reg.ID {
+			continue
+		}
+		r := l.runs[t.id]
+		if r == nil || r.phase == runStopping || r.phase == runStopped || r.calling {
+			continue
+		}
+		key := stepKeyOf(t.id)
+		// The report may be older than the moment at which the task started
+		// work. Therefore the task itself does not count as unavailable,
+		// whatever the report shows.
+		others := u.unavailable[key]
+		if !t.atWork {
+			others--
+		}
+		if t.budget >= 0 && others >= t.budget {
+			continue
+		}
+		u.unavailable[key] = others + 1
+		l.Log.Info("stopping long-running task, its VM is drained", "task", t.id.String(), "run", r.number, "worker", w.reg.ID, "unavailable", u.unavailable[key], "budget", t.budget)
+		l.sendStop(t.id, r, now)
+	}
+}
+
+// stepKey identifies a step of an occurrence.
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+// longRunningTask is an executing long-running task.
+type longRunningTask struct {
+	id     workload.TaskID
+	worker string
+	charge workload.Resources
+	// budget and maxPerWorker are the disruption budget and the limit per
+	// worker of the step.
+	budget, maxPerWorker int
+	// atWork is set if the newest report of the worker shows the task at work.
+	atWork bool
+}
+
+// countLongRunning records an executing long-running task. It counts the task
+// as unavailable unless it is at work.
+func (u *usage) countLongRunning(id workload.TaskID, task *workstate.Task, step *workload.Step, atWork bool) {
+	u.longRunningTasks = append(u.longRunningTasks, longRunningTask{
+		id: id, worker: task.Worker, charge: step.Charge(), budget: step.DisruptionBudget, maxPerWorker: step.MaxPerWorker, atWork: atWork,
+	})
+	u.longRunningRuns[task.Worker]++
+	u.stepOnWorker[stepOnWorker{stepKeyOf(id), task.Worker}]++
+	if !atWork {
+		u.unavailable[stepKeyOf(id)]++
+	}
+}
+
+// countEnding counts a long-running task as unavailable if the end of its run
+// waits for a commit.
+func (u *usage) countEnding(id workload.TaskID, step *workload.Step) {
+	if step.LongRunning {
+		u.unavailable[stepKeyOf(id)]++
+	}
+}
+
+// atWork reports whether a long-running task was at work, and not merely started,
+// in the last report of its worker, no order for it has been sent since, and its
+// VM is listed as up.
+func (l *loop) atWork(r *run, w *worker, key runKey) bool {
+	if w == nil || w.report == nil || w.unresponsive || r.phase != runOrdered {
+		return false
+	}
+	if e := l.fleet.entries[w.reg.VM]; e != nil && e.vm.State != execution.VMUp {
+		return false
+	}
+	return w.report.running[key].Percent == atWorkPercent
+}
+
+// atWorkPercent is the progress that reports show for a long-running task at
+// work.
+const atWorkPercent = 100
