scheduler: long-running tasks leave the VMs of a wave in time though their pool is busy

A step with 18 tasks on those VMs and a disruption budget of 1 then needs 1.1 to 1.6 s for each: the last left at 33.4 s, and its VM was ordered at 42.3 s.

Cause: the time that a wave needs was estimated from its cap alone, not from the budgets by which the tasks may leave.

Now VMs whose tasks need the rest of the time are cordoned although their pool is busy, only as many at a time as the budgets let leave, so that the pool loses few VMs at once.

--- a/internal/process/scheduler/evacuation.go
+++ b/internal/process/scheduler/evacuation.go
@@ -8,6 +8,76 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
+// evacuationTime is the estimated time from the stop of a long-running task until it
+// is at work on another worker, when the next one of its step may be stopped.
+const evacuationTime = 1500 * time.Millisecond
+
+// evacuation chooses the VMs of a wave whose long-running tasks leave already while
+// their pools are busy, because a step's disruption budget lets them leave only a
+// few at a time.
+type evacuation struct {
+	// due is set if some step's tasks need the rest of the time until the deadline.
+	due bool
+	// tasks holds the long-running tasks by worker, admitted counts those of each
+	// step on the VMs that were admitted.
+	tasks    map[string][]*longRunningTask
+	admitted map[stepKey]int
+}
+
+// newEvacuation returns the evacuation of the VMs of a wave that wait for their
+// maintenance.
+func newEvacuation(u *usage, waiting []maintenanceVM, remaining time.Duration) *evacuation {
+	e := &evacuation{tasks: map[string][]*longRunningTask{}, admitted: map[stepKey]int{}}
+	for i := range u.longRunningTasks {
+		t := &u.longRunningTasks[i]
+		e.tasks[t.worker] = append(e.tasks[t.worker], t)
+	}
+	e.due = remaining < e.duration(waiting)+drainTime+deadlineReserve
+	return e
+}
+
+// duration returns the estimated time until the long-running tasks of the VMs have
+// left.
+func (e *evacuation) duration(waiting []maintenanceVM) time.Duration {
+	longest := time.Duration(0)
+	counts := map[stepKey]int{}
+	for i := range waiting {
+		for _, t := range e.tasksOn(&waiting[i]) {
+			key := stepKeyOf(t.id)
+			counts[key]++
+			rounds := (counts[key] + t.atOnce() - 1) / t.atOnce()
+			longest = max(longest, time.Duration(rounds)*evacuationTime)
+		}
+	}
+	return longest
+}
+
+// admits reports whether a VM is cordoned now although its pool is busy: its
+// long-running tasks can leave next, or have left since it was cordoned.
+func (e *evacuation) admits(vm *maintenanceVM) bool {
+	tasks := e.tasksOn(vm)
+	if !e.due || len(tasks) == 0 {
+		return e.due && vm.rank == rankCordoned
+	}
+	for _, t := range tasks {
+		if e.admitted[stepKeyOf(t.id)] >= t.atOnce() {
+			return false
+		}
+	}
+	for _, t := range tasks {
+		e.admitted[stepKeyOf(t.id)]++
+	}
+	return true
+}
+
+// tasksOn returns the long-running tasks on a VM.
+func (e *evacuation) tasksOn(vm *maintenanceVM) []*longRunningTask {
+	if vm.worker == nil {
+		return nil
+	}
+	return e.tasks[vm.worker.reg.ID]
+}
+
 // evacuate stops long-running tasks of a worker so that they start on other
 // workers. It keeps to their disruption budgets.
 func (l *loop) evacuate(u *usage, w *worker, now time.Time) {
@@ -54,6 +124,9 @@
 	atWork bool
 }
 
+// atOnce returns how many tasks of the step may leave their workers at a time.
+func (t *longRunningTask) atOnce() int { return max(t.budget, 1) }
+
 // countLongRunning records an executing long-running task. It counts the task
 // as unavailable unless it is at work.
 func (u *usage) countLongRunning(id workload.TaskID, task *workstate.Task, step *workload.Step, atWork bool) {
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -183,6 +183,7 @@
 	remaining := time.Duration(wave.DeadlineMS-l.Now().UnixMilli()) * time.Millisecond
 	batches := (len(waiting) + wave.Cap - 1) / wave.Cap
 	urgent := remaining < time.Duration(batches)*maintenanceRound+deadlineReserve
+	leaving := newEvacuation(u, waiting, remaining)
 	for _, vm := range waiting {
 		if available <= 0 {
 			return
@@ -193,7 +194,7 @@
 			}
 			continue
 		}
-		if !urgent && vm.class == busy && vm.utilization > busyUtilization && !wave.Ordered[vm.entry.vm.ID] {
+		if !urgent && vm.class == busy && vm.utilization > busyUtilization && !wave.Ordered[vm.entry.vm.ID] && !leaving.admits(&vm) {
 			continue
 		}
 		available--
@@ -205,14 +206,21 @@
 // leader's order may still be executed, and then those that are already cordoned.
 func cordonRank(wave *workstate.Wave, previouslyCordoned map[string]time.Time, vm string) int {
 	if wave.Ordered[vm] {
-		return 0
+		return rankOrdered
 	}
 	if _, ok := previouslyCordoned[vm]; ok {
-		return 1
+		return rankCordoned
 	}
-	return 2
+	return rankOther
 }
 
+// Ranks of the VMs of a wave, see cordonRank.
+const (
+	rankOrdered = iota
+	rankCordoned
+	rankOther
+)
+
 // compareCordonOrder orders VMs by rank, then those first whose maintenance
 // disrupts least.
 func compareCordonOrder(a, b maintenanceVM) int {
