--- a/internal/process/scheduler/lateorders_test.go
+++ b/internal/process/scheduler/lateorders_test.go
@@ -45,27 +45,27 @@
 	f.loop.post(func(l *loop) { l.Platform = p })
 }
 
+// leadVMs starts the leader of VMs of "svc" that come back 2 s after an order, and
+// waits until it may order them.
+func (f *fixture) leadVMs(p execution.Platform, workers ...string) {
+	f.replaceWorkers(2 * time.Second)
+	for _, id := range workers {
+		f.addVM(id, "svc")
+	}
+	f.lead()
+	f.platform(p)
+	time.Sleep(6 * time.Second)
+}
+
 // TestMaintenanceExecutedLateDoesNotExceedTheCap guards against another VM being ordered down in place of one whose order got no answer.
 func TestMaintenanceExecutedLateDoesNotExceedTheCap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		f.replaceWorkers(2 * time.Second)
-		f.addVM("w1", "svc")
-		f.addVM("w2", "svc")
-		f.lead()
+		f.leadVMs(&latePlatform{fakePlatform: f.vms, delay: 2 * time.Second}, "w1", "w2")
 		defer f.depose()
-		f.platform(&latePlatform{fakePlatform: f.vms, delay: 2 * time.Second})
-		time.Sleep(6 * time.Second)
-		f.commit(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w1", "vm-w2"}, Cap: 1, DeadlineMS: time.Now().Add(30 * time.Second).UnixMilli()}})
+		f.commitWave("vm-w1", "vm-w2")
 		time.Sleep(10 * time.Second)
-		f.machine.Read(func(v *workstate.View) {
-			if !v.Waves()[1].Finished() {
-				t.Errorf("the wave has not finished: %v", v.Waves()[1].Settled)
-			}
-		})
-		if f.vms.maxDown > 1 {
-			t.Errorf("%d VMs were down at once, the cap is 1", f.vms.maxDown)
-		}
+		f.checkOneDown()
 	})
 }
 
@@ -73,12 +73,8 @@
 func TestMoveExecutedLateInterruptsNoTask(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 3*time.Second)
-		f.replaceWorkers(2 * time.Second)
-		f.addVM("w1", "svc")
-		f.lead()
+		f.leadVMs(&latePlatform{fakePlatform: f.vms, delay: 3 * time.Second}, "w1")
 		defer f.depose()
-		f.platform(&latePlatform{fakePlatform: f.vms, delay: 3 * time.Second})
-		time.Sleep(6 * time.Second)
 		f.loop.post(func(l *loop) { l.orderVM(l.fleet.entries["vm-w1"], vmOrder{pool: "spare"}, time.Now()) })
 		time.Sleep(2 * time.Second)
 		f.submit(jobA, step(1))
@@ -218,15 +214,10 @@
 func TestWaveGoesOnWhileThePlatformAnswersTooLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		f.replaceWorkers(2 * time.Second)
-		f.addVM("w1", "svc")
-		f.addVM("w2", "svc")
-		f.lead()
-		defer f.depose()
 		p := &slowPlatform{fakePlatform: f.vms}
 		p.slow.Store(true)
-		f.platform(p)
-		time.Sleep(6 * time.Second)
+		f.leadVMs(p, "w1", "w2")
+		defer f.depose()
 		f.commitWave("vm-w1", "vm-w2")
 		time.Sleep(20 * time.Second)
 		if !f.vms.isMaintained("vm-w2", 1) {
--- a/internal/process/scheduler/missingvms_test.go
+++ b/internal/process/scheduler/missingvms_test.go
@@ -84,14 +84,9 @@
 func TestOrderOfAVMMissingFromAListDoesNotExceedTheCap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		f.replaceWorkers(2 * time.Second)
-		f.addVM("w1", "svc")
-		f.addVM("w2", "svc")
-		f.lead()
-		defer f.depose()
 		p := &omittingPlatform{Platform: &latePlatform{fakePlatform: f.vms, delay: 2 * time.Second}}
-		f.platform(p)
-		time.Sleep(6 * time.Second)
+		f.leadVMs(p, "w1", "w2")
+		defer f.depose()
 		f.commitWave("vm-w1", "vm-w2")
 		time.Sleep(300 * time.Millisecond)
 		p.omit("vm-w1", time.Second)
@@ -104,14 +99,9 @@
 func TestVMInMaintenanceMissingFromAListDoesNotExceedTheCap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		f.replaceWorkers(2 * time.Second)
-		f.addVM("w1", "svc")
-		f.addVM("w2", "svc")
-		f.lead()
-		defer f.depose()
 		p := &omittingPlatform{Platform: f.vms}
-		f.platform(p)
-		time.Sleep(6 * time.Second)
+		f.leadVMs(p, "w1", "w2")
+		defer f.depose()
 		f.commitWave("vm-w1", "vm-w2")
 		time.Sleep(300 * time.Millisecond)
 		p.omit("vm-w1", time.Second)
