--- /dev/null
+++ b/internal/process/scheduler/deregistered_test.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"arbutusward.example/arbutusward/internal/process/workstate"
+)
+
+// TestWorkerThatRegistersAgainBeforeTheNextRoundGetsTasks guards against a worker that gets no tasks for the rest of a term because it was deregistered and registered again during one commit.
+func TestWorkerThatRegistersAgainBeforeTheNextRoundGetsTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		w1 := f.addWorker("w1", 1000)
+		f.lead()
+		defer f.depose()
+		slow := &slowReplica{fakeReplica: f.replica}
+		f.loop.post(func(l *loop) { l.Replica = slow })
+		time.Sleep(time.Second)
+		f.setUnreachable(w1, true)
+		time.Sleep(5 * time.Second)
+		w2 := f.addWorker("w2", 1000)
+		time.Sleep(time.Second)
+		slow.progressDelay = 4 * time.Second
+		f.submit(jobA, step(1))
+		registered := func() (known bool) {
+			f.machine.Read(func(v *workstate.View) { known = v.Workers()["w1"] != nil })
+			return known
+		}
+		for registered() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.setUnreachable(w1, false)
+		f.register(w1, "vm-w1", "svc")
+		slow.progressDelay = 0
+		f.await(jobA, workstate.Succeeded, 10*time.Second)
+		f.setUnreachable(w2, true)
+		time.Sleep(2 * time.Second)
+		f.submit("bbbbbbbbbbbbbbbb", step(1))
+		f.await("bbbbbbbbbbbbbbbb", workstate.Succeeded, 20*time.Second)
+	})
+}
+
+// noDeregistrations is a replica that does not commit the first deregistrations.
+type noDeregistrations struct {
+	*fakeReplica
+	refuse int
+}
+
+func (r *noDeregistrations) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	var c workstate.Command
+	if err := cbor.Unmarshal(command, &c); err != nil {
+		return nil, err
+	}
+	if c.Deregister != nil && r.refuse > 0 {
+		r.refuse--
+		return nil, errors.New("no majority")
+	}
+	return r.fakeReplica.Propose(ctx, command)
+}
+
+// TestWorkerWhoseDeregistrationFailedIsDeregisteredLater guards against a lost worker that stays registered for the rest of a term.
+func TestWorkerWhoseDeregistrationFailedIsDeregisteredLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		w1 := f.addWorker("w1", 1000)
+		f.lead()
+		defer f.depose()
+		f.loop.post(func(l *loop) { l.Replica = &noDeregistrations{fakeReplica: f.replica, refuse: 1} })
+		time.Sleep(time.Second)
+		f.setUnreachable(w1, true)
+		time.Sleep(30 * time.Second)
+		f.machine.Read(func(v *workstate.View) {
+			if v.Workers()["w1"] != nil {
+				t.Error("still registered")
+			}
+		})
+	})
+}
