--- a/integration/hosted_soak_test.go
+++ b/integration/hosted_soak_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -222,10 +224,17 @@
 // or failed if one of its tasks crashes its workers. It checks that no cancelled job has failed or is unknown.
 func (s *soak) checkJobs() {
 	end := time.Now().Add(recoveryLimit)
+	awaited := ""
+	defer func() {
+		if s.t.Failed() {
+			s.logLinesOf(awaited)
+		}
+	}()
 	for id := range s.accepted {
 		if s.cancelled[id] {
 			continue
 		}
+		awaited = id
 		wanted := "succeeded"
 		if s.deadly[id] {
 			wanted = "failed"
@@ -240,6 +249,13 @@
 	s.t.Logf("%d jobs accepted, %d cancelled, %d starts; workers crashed by tasks: %v", len(s.accepted), len(s.cancelled), s.ledger.starts, s.ledger.crashes)
 }
 
+// logLinesOf logs what the control processes told about a job.
+func (s *soak) logLinesOf(job string) {
+	for _, p := range s.controls {
+		s.t.Logf("%s, lines of job %s:\n%s", filepath.Base(p.logPath), job, strings.Join(linesWith(s.t, p, job), "\n"))
+	}
+}
+
 // checkConfiguration checks that the configuration read is not older than the
 // last acknowledged one.
 func (s *soak) checkConfiguration() {
