scheduler: a VM that a former leader ordered down gets no tasks before that has settled

Timeline: leader 3 orders the maintenance of vm-w5 (no answer) and is succeeded at 9.238 s; leader 4 starts a long-running task there at 9.283; the order is executed at 9.394 and stops it while another one is away.

Cause: that the VM was ordered is in the state (Wave.Ordered), but a new leader placed tasks before it looked at its waves. Such VMs are now cordoned from the first round on, until their maintenance settles.

--- a/internal/process/scheduler/lateorders_test.go
+++ b/internal/process/scheduler/lateorders_test.go
@@ -228,3 +228,23 @@
 		f.checkOneDown()
 	})
 }
+
+// TestNewLeaderStartsNoTaskOnAVMThatAFormerLeaderOrderedDown guards against a long-running task that a former leader's late order stops while others are away.
+func TestNewLeaderStartsNoTaskOnAVMThatAFormerLeaderOrderedDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.addVM("w1", "svc")
+		f.addVM("w2", "svc")
+		f.commitWave("vm-w1", "vm-w2")
+		f.commit(&workstate.Command{Maintenance: &workstate.Maintenance{Wave: 1, VM: "vm-w1"}})
+		f.submit(jobA, step(1))
+		f.lead()
+		defer f.depose()
+		time.Sleep(500 * time.Millisecond)
+		f.workers.mu.Lock()
+		defer f.workers.mu.Unlock()
+		if len(f.workers.workers["w1"].running) > 0 {
+			t.Error("the task executes on the VM that was ordered down")
+		}
+	})
+}
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -76,6 +76,7 @@
 	previouslyCordoned := l.maintenance.cordoned
 	l.maintenance.cordoned = map[string]time.Time{}
 	l.maintenance.due = map[string]bool{}
+	l.cordonOrdered(v, previouslyCordoned, now)
 	if !l.fleet.listed {
 		return
 	}
@@ -87,6 +88,26 @@
 	l.closeOrdersOfFinishedWaves(v)
 }
 
+// cordonOrdered cordons the VMs whose maintenance was ordered and has not settled: an
+// order of a former leader may still be executed.
+func (l *loop) cordonOrdered(v *workstate.View, previouslyCordoned map[string]time.Time, now time.Time) {
+	for _, wave := range v.Waves() {
+		if wave.Finished() {
+			continue
+		}
+		for id := range wave.Ordered {
+			if wave.Settled[id] {
+				continue
+			}
+			since, known := previouslyCordoned[id]
+			if !known {
+				since = now
+			}
+			l.maintenance.cordoned[id] = since
+		}
+	}
+}
+
 // planWave cordons as many VMs of a wave as its cap allows, drains them and
 // orders their maintenance.
 func (l *loop) planWave(v *workstate.View, u *usage, wave *workstate.Wave, previouslyCordoned map[string]time.Time, now time.Time) {
