scheduler: one place that cordons a VM and keeps since when

Cause: cordonOrdered and cordonVM each looked up since when a VM is cordoned and stored it. Change: maintenanceState.cordon.

--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -42,6 +42,16 @@
 	return vm != "" && cordoned
 }
 
+// cordon cordons a VM, and returns since when it is and whether it was before.
+func (m *maintenanceState) cordon(vm string, previously map[string]time.Time, now time.Time) (since time.Time, known bool) {
+	since, known = previously[vm]
+	if !known {
+		since = now
+	}
+	m.cordoned[vm] = since
+	return since, known
+}
+
 // maintenanceClass orders the VMs of a wave by the disruption that their
 // maintenance causes.
 type maintenanceClass uint8
@@ -99,11 +109,7 @@
 			if wave.Settled[id] {
 				continue
 			}
-			since, known := previouslyCordoned[id]
-			if !known {
-				since = now
-			}
-			l.maintenance.cordoned[id] = since
+			l.maintenance.cordon(id, previouslyCordoned, now)
 		}
 	}
 }
@@ -263,12 +269,10 @@
 // are left.
 func (l *loop) cordonVM(u *usage, wave *workstate.Wave, vm maintenanceVM, previouslyCordoned map[string]time.Time, urgent bool, now time.Time) {
 	id := vm.entry.vm.ID
-	since, known := previouslyCordoned[id]
+	since, known := l.maintenance.cordon(id, previouslyCordoned, now)
 	if !known {
-		since = now
 		l.Log.Info("VM cordoned for maintenance", "wave", wave.Number, "vm", id, "pool", vm.entry.vm.Pool, "class", vm.class, "pressure", vm.utilization)
 	}
-	l.maintenance.cordoned[id] = since
 	if !l.mayOrderVM(now) || (vm.worker != nil && !l.readyForMaintenance(u, vm.worker, since, urgent, now)) {
 		return
 	}
