--- a/internal/process/scheduler/stops.go
+++ b/internal/process/scheduler/stops.go
@@ -61,7 +61,7 @@
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
 		if _, err := l.Workers.Stop(ctx, address, key.task, key.run, l.term); err != nil {
-			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", w.reg.ID, "error", err.Error())
+			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", address.ID, "error", err.Error())
 		}
 	}()
 }
