scheduler: an end is acknowledged when the state shows what follows from it

Cause: ends were acknowledged by number. queueReportedEnds passed over an end whose run was not the recorded one any more, or for which the leader had queued another end on its own account, and ackEnds acknowledged it after the next commit, of whatever. So a success that arrived while the interruption of its run by a lost lease was being committed, or after it, was dropped, and the task started again or ran to its end a second time. A failure was dropped likewise and did not count against the attempts. Class: an acknowledgement for an event of which the state has recorded no consequence.

Change: a round acknowledges the ends before the first that the state does not show yet; nothing is acknowledged because a commit has passed. A task remembers, in the replicated state, the runs that were ended without their worker's report (lost leases, workers that have left or were deregistered). The success of such a run completes the task, and a run that replaces it is stopped first, so that its capacity stays accounted for; a failure counts once.

Conclusion: no end is lost between a worker's list and the state. Replicas of the version before ignore late ends, so versions must not be mixed for long.

--- a/internal/process/scheduler/fakereplica_test.go
+++ b/internal/process/scheduler/fakereplica_test.go
@@ -34,8 +34,20 @@
 	return taken
 }
 
+func (f *fakeReplica) currentDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.delay
+}
+
+func (f *fakeReplica) setDelay(delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = delay
+}
+
 func (f *fakeReplica) Propose(_ context.Context, command []byte) ([]byte, error) {
-	time.Sleep(f.delay)
+	time.Sleep(f.currentDelay())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.index++
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -197,7 +197,6 @@
 	planSeconds.UpdateDuration(start)
 	l.purgeJobs(now)
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
-		l.ackEnds()
 		return
 	}
 	l.commit(&progress)
--- a/internal/process/scheduler/progress.go
+++ b/internal/process/scheduler/progress.go
@@ -32,7 +32,6 @@
 	for _, end := range progress.Ends {
 		l.dropEnd(runKey{end.Task, end.Run})
 	}
-	l.ackEnds()
 	endedRuns.Add(len(progress.Ends))
 	l.logProgress(progress, result.Started)
 	l.Machine.Read(func(v *workstate.View) {
@@ -45,14 +44,6 @@
 	})
 }
 
-// ackEnds acknowledges the committed ends to the workers, which then drop them
-// from their reports.
-func (l *loop) ackEnds() {
-	for _, w := range l.workerList {
-		w.ackedEnd = max(w.ackedEnd, w.queuedEnd)
-	}
-}
-
 // purgeJobs periodically removes jobs that ended long ago.
 func (l *loop) purgeJobs(now time.Time) {
 	if now.Before(l.nextPurge) {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -9,42 +9,63 @@
 )
 
 // queueReportedEnds queues the ends that workers report and that are not
-// committed.
+// committed. It acknowledges those before the first that still has to be recorded.
 func (l *loop) queueReportedEnds(v *workstate.View, now time.Time) {
 	for _, w := range l.workerList {
 		if w.report == nil || w.reportedEnd <= w.ackedEnd {
 			continue
 		}
+		acknowledged := w.reportedEnd
 		for key, ended := range w.report.ended {
-			if ended.Number > w.ackedEnd {
-				l.queueReportedEnd(v, w, key, ended, now)
+			if ended.Number > w.ackedEnd && !l.recordedEnd(v, w, key, ended, now) {
+				acknowledged = min(acknowledged, ended.Number-1)
 			}
-			w.queuedEnd = max(w.queuedEnd, ended.Number)
 		}
+		w.ackedEnd = max(w.ackedEnd, acknowledged)
 	}
 }
 
-func (l *loop) queueReportedEnd(v *workstate.View, w *worker, key runKey, ended execution.EndedRun, now time.Time) {
+// recordedEnd reports whether the state shows all that follows from an end that a
+// worker reports. If it does not, the end is queued.
+func (l *loop) recordedEnd(v *workstate.View, w *worker, key runKey, ended execution.EndedRun, now time.Time) bool {
+	if l.endQueued(key) {
+		return false
+	}
 	job := v.Job(key.task.Job)
 	if job == nil {
-		return
+		return true
 	}
 	task := job.Task(key.task)
-	if task == nil || task.Phase != workstate.Running || task.Run != key.run || task.Worker != w.reg.ID {
-		return
+	if task == nil {
+		return true
 	}
-	if l.endQueued(key) {
-		return
+	kind := endKind(ended.Reason)
+	if task.Phase == workstate.Running && task.Run == key.run && task.Worker == w.reg.ID {
+		l.queueReportedEnd(job, w, key, kind, ended.Checkpoint, now)
+		return false
+	}
+	if job.Outcome == workstate.Open && kind != workstate.EndInterrupted && task.AwaitsReport(key.run) {
+		l.Log.Info("end of a replaced run reported", "task", key.task.String(), "run", key.run, "worker", w.reg.ID, "reason", ended.Reason, "newest_run", task.Run)
+		l.queueReportedEnd(job, w, key, kind, ended.Checkpoint, now)
+		return false
 	}
-	kind := workstate.EndInterrupted
-	switch ended.Reason {
+	return true
+}
+
+// endKind returns the way of ending that a worker's reason stands for.
+func endKind(reason execution.EndReason) workstate.EndKind {
+	switch reason {
 	case execution.ReasonDone:
-		kind = workstate.EndDone
+		return workstate.EndDone
 	case execution.ReasonFailed:
-		kind = workstate.EndFailed
+		return workstate.EndFailed
 	}
+	return workstate.EndInterrupted
+}
+
+func (l *loop) queueReportedEnd(job *workstate.Job, w *worker, key runKey, kind workstate.EndKind, checkpoint string, now time.Time) {
 	l.updateHistory(w, key.task.Job, kind, now)
-	l.queueEnd(key.task, key.run, kind, ended.Checkpoint)
+	l.queueEnd(key.task, key.run, kind, checkpoint)
 	step := &job.Spec.Steps[key.task.Step]
 	if step.Gang && kind == workstate.EndDone {
 		l.endGang(job, key)
@@ -145,16 +166,16 @@
 	r.settleByHeartbeat(w, task)
 	if w.left() {
 		l.Log.Info("run ended with its worker, which has left", "task", id.String(), "run", task.Run, "worker", task.Worker)
-		l.queueEnd(id, task.Run, workstate.EndInterrupted, w.lastCheckpoint(runKey{id, task.Run}))
+		l.queueUnreportedEnd(id, task.Run, w)
 		return
 	}
 	if w.unresponsive && w.leasesExpired(now, l.Limits.LongestLease) {
 		l.Log.Info("run ended with the lease of its worker", "task", id.String(), "run", task.Run, "worker", task.Worker, "settled", r.settled)
 		r.suspectUnheard()
-		l.queueEnd(id, task.Run, workstate.EndInterrupted, w.lastCheckpoint(runKey{id, task.Run}))
+		l.queueUnreportedEnd(id, task.Run, w)
 		return
 	}
-	unwanted := job.Outcome != workstate.Open || task.Incarnation != w.reg.Incarnation || w.reg.Leaving
+	unwanted := job.Outcome != workstate.Open || task.Succeeded || task.Incarnation != w.reg.Incarnation || w.reg.Leaving
 	if unwanted && r.phase != runStopping && r.phase != runStopped {
 		// The stop order is due at once.
 		r.enter(runStopping, time.Time{})
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -101,15 +101,25 @@
 	}
 }
 
-// queueEnd queues the end of a run for the next commit. Only the first end of a
-// run counts.
+// queueEnd queues the end of a run for the next commit.
 func (l *loop) queueEnd(id workload.TaskID, number int, kind workstate.EndKind, checkpoint string) {
-	key := runKey{id, number}
-	if _, known := l.ends[key]; known {
+	l.queue(workstate.End{Task: id, Run: number, Kind: kind, Checkpoint: checkpoint})
+}
+
+// queueUnreportedEnd queues the end of a run whose worker has not reported it, with
+// the last known checkpoint.
+func (l *loop) queueUnreportedEnd(id workload.TaskID, number int, w *worker) {
+	checkpoint := w.lastCheckpoint(runKey{id, number})
+	l.queue(workstate.End{Task: id, Run: number, Kind: workstate.EndInterrupted, Checkpoint: checkpoint, Unreported: true})
+}
+
+// queue queues an end for the next commit. Only the first end of a run counts.
+func (l *loop) queue(end workstate.End) {
+	key := runKey{end.Task, end.Run}
+	if l.endQueued(key) {
 		return
 	}
-	end := workstate.End{Task: id, Run: number, Kind: kind, Checkpoint: checkpoint}
-	if r := l.runs[id]; r != nil && r.number == number {
+	if r := l.runs[end.Task]; r != nil && r.number == end.Run {
 		r.judge(&end)
 	}
 	l.setEnd(key, end)
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -67,14 +67,15 @@
 }
 
 // startOrder builds the start order from the state. It returns false unless the
-// run is the task's newest, no later leader has recorded it, and the job is open.
+// run is the task's newest and needed, no later leader has recorded it, and the job
+// is open.
 func (l *loop) startOrder(v *workstate.View, id workload.TaskID, number int) (order execution.StartOrder, ok bool) {
 	job := v.Job(id.Job)
 	if job == nil || job.Outcome != workstate.Open {
 		return order, false
 	}
 	task := job.Task(id)
-	if task == nil || task.Phase != workstate.Running || task.Run != number || task.Term > l.term {
+	if task == nil || task.Phase != workstate.Running || task.Succeeded || task.Run != number || task.Term > l.term {
 		return order, false
 	}
 	return execution.StartOrder{Task: id, Run: number, Payload: job.Spec.Payload, FencingToken: l.term, Checkpoint: checkpointOf(job, id)}, true
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -84,10 +84,9 @@
 	// leaseMS is the latest end of any lease that may have been granted, on the
 	// worker's clock.
 	leaseMS int64
-	// reportedEnd is the number of the newest end that the worker has reported,
-	// queuedEnd that of the newest one queued for a commit, and ackedEnd that
-	// of the newest committed one.
-	reportedEnd, queuedEnd, ackedEnd int64
+	// reportedEnd is the number of the newest end that the worker has reported.
+	// All that follows from the ends up to ackedEnd is committed.
+	reportedEnd, ackedEnd int64
 	// requestedAck is the ackedEnd that the last watch carried.
 	requestedAck int64
 	// unresponsive is set if the last watch failed or was refused.
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -70,6 +70,8 @@
 	// Inherited is set for EndCrashed if a leader before the one that records the
 	// end had ordered the run.
 	Inherited bool `cbor:"7,keyasint,omitempty"`
+	// Unreported is set if the worker has not reported the end but may still do so.
+	Unreported bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Start records a run. It is committed before the start order is sent.
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -84,46 +84,66 @@
 	return Result{Code: OK, Started: started}
 }
 
-// applyEnd ends the newest run of a task. It ignores ends of earlier runs and
-// repeated ends, except that a task of a gang is done although its run was
-// interrupted before: the end of another member shows it.
+// applyEnd ends the newest run of a task. It ignores repeated ends, but a success
+// or failure that is reported late still counts.
 func (m *Machine) applyEnd(e *End) {
 	job, task := m.task(e.Task)
-	if task == nil || task.Run != e.Run {
+	if task == nil {
 		return
 	}
-	step := &job.Spec.Steps[e.Task.Step]
-	done := e.Kind == EndDone && !step.LongRunning
-	if task.Phase != Running && !(task.Phase == Waiting && step.Gang && done) {
+	if task.Run != e.Run || task.Phase != Running {
+		m.applyLateEnd(job, task, e)
 		return
 	}
+	step := &job.Spec.Steps[e.Task.Step]
 	if e.Checkpoint != "" {
 		task.Checkpoint = e.Checkpoint
 	}
-	if task.Phase == Running {
-		m.executing.remove(task.Worker, task.Incarnation)
-		task.Worker = ""
-		job.Executing--
-		job.Occurrences[e.Task.Occurrence].Steps[e.Task.Step].Running--
-	}
-	task.Phase = Waiting
+	m.leaveWorker(job, e.Task, task)
 	if e.Survived {
 		task.forgetCrashes()
 	}
 	switch {
+	case task.Succeeded, e.Kind == EndDone && !step.LongRunning:
+		m.completeTask(job, e.Task, task)
 	case e.Kind == EndFailed:
-		task.Failures++
+		m.countFailure(job, step, task)
 	case e.Kind == EndCrashed:
-		task.countCrash(e)
-	case done:
-		task.Phase = Done
-		m.countDone(job, e.Task)
+		m.countCrash(job, step, task, e)
 	}
-	givenUp := e.Kind == EndCrashed && task.GivenUp(step, e.Alone)
-	if job.Outcome == Open && (givenUp || m.exhausted(job, step, task)) {
+	task.rememberUnreported(step, e)
+	m.deactivateEnded(job)
+}
+
+// leaveWorker records that the newest run of a task is not executing any more.
+func (m *Machine) leaveWorker(job *Job, id workload.TaskID, task *Task) {
+	m.executing.remove(task.Worker, task.Incarnation)
+	task.Phase, task.Worker = Waiting, ""
+	job.Executing--
+	job.Occurrences[id.Occurrence].Steps[id.Step].Running--
+}
+
+// completeTask records that a task is done.
+func (m *Machine) completeTask(job *Job, id workload.TaskID, task *Task) {
+	task.Phase, task.Succeeded, task.UnreportedRuns = Done, false, nil
+	m.countDone(job, id)
+}
+
+// countFailure counts a failed run, after the last of which the job has failed.
+func (m *Machine) countFailure(job *Job, step *workload.Step, task *Task) {
+	task.Failures++
+	if job.Outcome == Open && m.exhausted(job, step, task) {
+		m.endJob(job, Failed)
+	}
+}
+
+// countCrash counts a run that may have crashed its worker, after the last of which
+// the job has failed.
+func (m *Machine) countCrash(job *Job, step *workload.Step, task *Task, e *End) {
+	task.countCrash(e)
+	if job.Outcome == Open && task.GivenUp(step, e.Alone) {
 		m.endJob(job, Failed)
 	}
-	m.deactivateEnded(job)
 }
 
 // exhausted reports whether a task has no attempts left.
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -43,6 +43,12 @@
 	CrashesInherited int `cbor:"11,keyasint,omitempty"`
 	// Term is the term of the leader that recorded the newest run.
 	Term uint64 `cbor:"10,keyasint,omitempty"`
+	// UnreportedRuns lists the runs that were ended before their worker reported
+	// how they ended, the oldest first.
+	UnreportedRuns []int `cbor:"12,keyasint,omitempty"`
+	// Succeeded is set if a run before the newest one has succeeded. The newest
+	// one is stopped, and the task is done once it has ended.
+	Succeeded bool `cbor:"13,keyasint,omitempty"`
 }
 
 // StepProgress is the progress of one step.
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -93,7 +93,7 @@
 			if job.Task(run.Task).Incarnation != worker.Incarnation {
 				continue
 			}
-			m.applyEnd(&End{Task: run.Task, Run: run.Run, Kind: EndInterrupted})
+			m.applyEnd(&End{Task: run.Task, Run: run.Run, Kind: EndInterrupted, Unreported: true})
 		}
 	}
 }
