workstate, scheduler: a late end counts once, and that of a gang as well

Cause: what the leader asks before it acknowledges an end, and what the state does with it, were two conditions, and both looked at less than the kind of the end.

Change: one condition, Task.CountsLate, for both: never for a done or long-running task, only for a success or failure, for a gang only for the success of its newest run.

Open: the success of a gang whose next run has started is not accepted; its lease had lapsed then.

--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -44,8 +44,8 @@
 		l.queueReportedEnd(job, w, key, kind, ended.Checkpoint, now)
 		return false
 	}
-	if job.Outcome == workstate.Open && kind != workstate.EndInterrupted && task.AwaitsReport(key.run) {
-		l.Log.Info("end of a replaced run reported", "task", key.task.String(), "run", key.run, "worker", w.reg.ID, "reason", ended.Reason, "newest_run", task.Run)
+	if job.Outcome == workstate.Open && task.CountsLate(&job.Spec.Steps[key.task.Step], key.run, kind) {
+		l.Log.Info("end of an interrupted run reported", "task", key.task.String(), "run", key.run, "worker", w.reg.ID, "reason", ended.Reason, "newest_run", task.Run)
 		l.queueReportedEnd(job, w, key, kind, ended.Checkpoint, now)
 		return false
 	}
