scheduler: an incarnation of a worker refuses late calls for former ones

A call that got no answer may be executed seconds later, and calls name a worker's id, not its incarnation. If the worker has restarted under its id, a late watch made the next incarnation forget ends that nobody had read, so that a task that was done started again, and a late start ran what was done, or went over a smaller capacity.

Cause: the fencing token of calls to workers was the leader's term, the same for all incarnations of an id.

Change: the token is built from the term and a generation, which rises with each incarnation of an id that the leader learns of in its term, also one that was removed and registers again (term << 25 | generation, below 2^53 for terms below 2^28; beyond 2^25 generations of one id in one term they share the last token, as before this change). All calls to a worker carry its token: watch, start, stop, stop of an unrecorded run, throttle. Orders for VMs keep the term, and so does the term that a start records. A refused call for an incarnation that the loop's table holds no longer is logged and counted as such, not as a newer leader's call. TestUnrecordedRunIsLeftToTheNewerLeader sets the token of a newer leader, which is built in another way; the check is the same.

Conclusion: after the leader's first call for an incarnation the class is closed; before it nothing in the protocol refuses a call.

--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -36,7 +36,8 @@
 const (
 	// Accepted means that the worker did not refuse the order.
 	Accepted Refusal = ""
-	// RefusedFencingToken means that a newer leader has called the worker.
+	// RefusedFencingToken means that a call with a higher token has reached the
+	// worker: of a newer leader, or of the same one for a later incarnation.
 	RefusedFencingToken Refusal = "fence"
 	// RefusedStaleRun means that the run, or a later run of the same task,
 	// has already ended or was stopped on the worker.
--- /dev/null
+++ b/internal/process/scheduler/fencing_test.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+func TestFencingTokensRiseWithTermAndGeneration(t *testing.T) {
+	ascending := []fencingToken{
+		newFencingToken(1, 0), newFencingToken(1, 1), newFencingToken(1, maxGeneration), newFencingToken(2, 0),
+		newFencingToken(1<<28-1, 0), newFencingToken(1<<28-1, maxGeneration),
+	}
+	for i := 1; i < len(ascending); i++ {
+		if ascending[i] <= ascending[i-1] {
+			t.Errorf("token %d is %d, after %d", i, ascending[i], ascending[i-1])
+		}
+	}
+	if largest := uint64(ascending[len(ascending)-1]); float64(largest) != float64(1<<53-1) || largest >= 1<<53 {
+		t.Errorf("the largest token %d does not fit a JSON number", largest)
+	}
+	if newFencingToken(1, maxGeneration+1) != newFencingToken(1, maxGeneration) {
+		t.Error("a generation reaches into the term")
+	}
+}
+
+// recordedCalls keeps the calls that were made to the workers.
+type recordedCalls struct {
+	*fakeWorkers
+	recording sync.Mutex
+	starts    []execution.StartOrder
+	watches   []execution.Watch
+	stops     []uint64
+}
+
+func (c *recordedCalls) Start(ctx context.Context, to execution.WorkerAddress, o execution.StartOrder) (execution.Answer, error) {
+	c.recording.Lock()
+	c.starts = append(c.starts, o)
+	c.recording.Unlock()
+	return c.fakeWorkers.Start(ctx, to, o)
+}
+
+func (c *recordedCalls) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
+	c.recording.Lock()
+	c.watches = append(c.watches, q)
+	c.recording.Unlock()
+	return c.fakeWorkers.Watch(ctx, to, q)
+}
+
+func (c *recordedCalls) Stop(ctx context.Context, to execution.WorkerAddress, task workload.TaskID, run int, token uint64) (execution.Answer, error) {
+	c.recording.Lock()
+	c.stops = append(c.stops, token)
+	c.recording.Unlock()
+	return c.fakeWorkers.Stop(ctx, to, task, run, token)
+}
+
+// take returns the calls since the last one, and forgets them.
+func (c *recordedCalls) take() (starts []execution.StartOrder, watches []execution.Watch, stops []uint64) {
+	c.recording.Lock()
+	defer c.recording.Unlock()
+	starts, watches, stops = c.starts, c.watches, c.stops
+	c.starts, c.watches, c.stops = nil, nil, nil
+	return starts, watches, stops
+}
+
+// stoppedJob is the job that leadRecorded cancels.
+const stoppedJob = "bbbbbbbbbbbbbbbb"
+
+// leadRecorded starts a leader of one worker that has executed two jobs, one of
+// which it was ordered to stop.
+func (f *fixture) leadRecorded() (*fakeWorker, *recordedCalls) {
+	w := f.addWorker("w1", 4000)
+	calls := &recordedCalls{fakeWorkers: f.workers}
+	f.lead()
+	f.loop.post(func(l *loop) { l.Workers = calls })
+	time.Sleep(time.Second)
+	f.submit(jobA, step(1))
+	f.await(jobA, workstate.Succeeded, 2*time.Second)
+	f.submit(stoppedJob, step(1))
+	time.Sleep(100 * time.Millisecond)
+	f.commit(&workstate.Command{Cancel: &workstate.Cancel{ID: stoppedJob}})
+	time.Sleep(time.Second)
+	return w, calls
+}
+
+// TestNextIncarnationRefusesLateCallsForTheFormerOne guards against a late call for a worker's former incarnation that starts a run that is done, or acknowledges ends that nobody has read.
+func TestNextIncarnationRefusesLateCallsForTheFormerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 200*time.Millisecond)
+		_, calls := f.leadRecorded()
+		defer f.depose()
+		starts, watches, stops := calls.take()
+		if len(starts) == 0 || len(watches) == 0 || len(stops) == 0 {
+			t.Fatalf("%d starts, %d watches and %d stops", len(starts), len(watches), len(stops))
+		}
+		f.addWorker("w1", 4000)
+		time.Sleep(time.Second)
+		to, ctx := execution.WorkerAddress{ID: "w1", Address: "w1"}, context.Background()
+		for _, o := range starts {
+			if answer, err := f.workers.Start(ctx, to, o); err != nil || answer.Refusal != execution.RefusedFencingToken {
+				t.Errorf("late start of %s: %+v, %v", o.Task, answer, err)
+			}
+		}
+		for _, q := range watches {
+			if report, err := f.workers.Watch(ctx, to, q); err != nil || report.Refusal != execution.RefusedFencingToken {
+				t.Errorf("late watch with acknowledged end %d: %+v, %v", q.AckedEnd, report, err)
+			}
+		}
+		for _, token := range stops {
+			if answer, err := f.workers.Stop(ctx, to, workload.TaskID{Job: stoppedJob}, 9, token); err != nil || answer.Refusal != execution.RefusedFencingToken {
+				t.Errorf("late stop: %+v, %v", answer, err)
+			}
+		}
+	})
+}
+
+// TestWorkerThatRegistersAgainIsCalledWithAHigherToken guards against a worker that refuses all calls for the rest of a term because it was deregistered meanwhile.
+func TestWorkerThatRegistersAgainIsCalledWithAHigherToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 200*time.Millisecond)
+		first, calls := f.leadRecorded()
+		defer f.depose()
+		second := f.addWorker("w1", 4000)
+		time.Sleep(time.Second)
+		_, watches, _ := calls.take()
+		before := watches[len(watches)-1].FencingToken
+		f.commit(&workstate.Command{Deregister: &workstate.Deregister{ID: "w1", Incarnation: second.incarnation}})
+		time.Sleep(time.Second)
+		calls.take()
+		f.register(second, "vm-w1", "svc")
+		time.Sleep(time.Second)
+		_, watches, _ = calls.take()
+		if len(watches) == 0 || watches[0].FencingToken <= before {
+			t.Errorf("watches %+v after token %d", watches, before)
+		}
+		if first.token >= before {
+			t.Errorf("the first incarnation was called with %d, the second one with %d", first.token, before)
+		}
+		f.submit("cccccccccccccccc", step(1))
+		f.await("cccccccccccccccc", workstate.Succeeded, 2*time.Second)
+	})
+}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -44,12 +44,14 @@
 type loop struct {
 	Options
 	ctx context.Context
-	// term is the leader's term, which is the fencing token of all orders.
+	// term is the leader's term. It is the fencing token of orders for VMs, and a
+	// part of that of calls to workers.
 	term   uint64
 	since  time.Time
 	events chan event
 
-	workers map[string]*worker
+	workers     map[string]*worker
+	generations generations
 	// workerList lists the workers by id.
 	workerList []*worker
 	// byVM holds the workers by VM, as of the synced version byVMVersion.
@@ -93,7 +95,7 @@
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
 	return &loop{
 		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue),
-		workers: map[string]*worker{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
+		workers: map[string]*worker{}, generations: generations{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
 		fleet:       fleet{entries: map[string]*vmEntry{}},
 		advice:      adviceState{steps: map[stepKey]*stepAdvice{}},
--- a/internal/process/scheduler/orphans_test.go
+++ b/internal/process/scheduler/orphans_test.go
@@ -85,7 +85,7 @@
 		w, workers := f.leadWithUnrecordedRun()
 		defer f.depose()
 		f.workers.mu.Lock()
-		w.token = f.replica.term + 1
+		w.token = uint64(newFencingToken(f.replica.term+1, 0))
 		f.workers.mu.Unlock()
 		time.Sleep(foundSilent)
 		before := workers.stops.Load()
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -38,6 +38,7 @@
 	if !ok {
 		return
 	}
+	order.FencingToken = uint64(w.token)
 	if !l.inContact() {
 		l.Log.Warn("start order held back, no contact to a majority", "task", id.String(), "run", r.number, "worker", r.worker)
 		r.enter(runRetrying, now)
@@ -78,7 +79,7 @@
 	if task == nil || task.Phase != workstate.Running || task.Succeeded || task.Run != number || task.Term > l.term {
 		return order, false
 	}
-	return execution.StartOrder{Task: id, Run: number, Payload: job.Spec.Payload, FencingToken: l.term, Checkpoint: checkpointOf(job, id)}, true
+	return execution.StartOrder{Task: id, Run: number, Payload: job.Spec.Payload, Checkpoint: checkpointOf(job, id)}, true
 }
 
 // checkpointOf returns the checkpoint from which a task resumes. All tasks of a
@@ -99,6 +100,7 @@
 func (l *loop) handleStartAnswer(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
 	now := time.Now()
 	r.calling = false
+	l.recordRefusal(w, "start", answer.Refusal)
 	if l.runs[id] != r {
 		return
 	}
--- a/internal/process/scheduler/stops.go
+++ b/internal/process/scheduler/stops.go
@@ -17,19 +17,20 @@
 	}
 	r.enter(runStopping, now)
 	r.calling = true
-	address := w.address()
+	address, token := w.address(), uint64(w.token)
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
-		answer, err := l.Workers.Stop(ctx, address, id, r.number, l.term)
-		l.post(func(l *loop) { l.handleStopAnswer(id, r, answer, err) })
+		answer, err := l.Workers.Stop(ctx, address, id, r.number, token)
+		l.post(func(l *loop) { l.handleStopAnswer(id, r, w, answer, err) })
 	}()
 }
 
-func (l *loop) handleStopAnswer(id workload.TaskID, r *run, answer execution.Answer, err error) {
+func (l *loop) handleStopAnswer(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
 	now := time.Now()
 	r.calling = false
 	l.dirty = true
+	l.recordRefusal(w, "stop", answer.Refusal)
 	if l.runs[id] != r {
 		return
 	}
@@ -56,12 +57,14 @@
 	}
 	l.orphans[key] = now
 	l.Log.Info("stopping unrecorded run", "task", key.task.String(), "run", key.run, "worker", w.reg.ID)
-	address := w.address()
+	address, token := w.address(), uint64(w.token)
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
-		if _, err := l.Workers.Stop(ctx, address, key.task, key.run, l.term); err != nil {
+		answer, err := l.Workers.Stop(ctx, address, key.task, key.run, token)
+		if err != nil {
 			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", address.ID, "error", err.Error())
 		}
+		l.post(func(l *loop) { l.recordRefusal(w, "stop", answer.Refusal) })
 	}()
 }
--- a/internal/process/scheduler/throttle.go
+++ b/internal/process/scheduler/throttle.go
@@ -87,17 +87,18 @@
 	}
 	speed, number := w.speed, r.number
 	r.settingSpeed, r.speedSetAt = true, now
-	address := w.address()
+	address, token := w.address(), uint64(w.token)
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
-		answer, err := l.Workers.Throttle(ctx, address, id, number, speed, l.term)
-		l.post(func(l *loop) { l.handleSpeedAnswer(id, r, speed, answer, err) })
+		answer, err := l.Workers.Throttle(ctx, address, id, number, speed, token)
+		l.post(func(l *loop) { l.handleSpeedAnswer(id, r, w, speed, answer, err) })
 	}()
 }
 
-func (l *loop) handleSpeedAnswer(id workload.TaskID, r *run, speed int, answer execution.Answer, err error) {
+func (l *loop) handleSpeedAnswer(id workload.TaskID, r *run, w *worker, speed int, answer execution.Answer, err error) {
 	r.settingSpeed = false
+	l.recordRefusal(w, "throttle", answer.Refusal)
 	if err != nil || answer.Refusal != execution.Accepted {
 		l.Log.Warn("speed order failed or refused", "task", id.String(), "run", r.number, "worker", r.worker, "percent", speed, "refusal", answer.Refusal, "error", errorText(err))
 		return
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -52,6 +52,7 @@
 
 // addWorker adds a worker to the table and to the list.
 func (l *loop) addWorker(w *worker) {
+	w.token = newFencingToken(l.term, l.generations.next(w.reg.ID))
 	l.workers[w.reg.ID] = w
 	at, _ := slices.BinarySearchFunc(l.workerList, w.reg.ID, func(listed *worker, id string) int { return cmp.Compare(listed.reg.ID, id) })
 	l.workerList = slices.Insert(l.workerList, at, w)
@@ -74,7 +75,7 @@
 
 // watch requests a report from a worker. The answer returns as an event.
 func (l *loop) watch(w *worker, now time.Time) {
-	request := execution.Watch{FencingToken: l.term}
+	request := execution.Watch{FencingToken: uint64(w.token)}
 	// The first report is wanted at once. An unresponsive worker may still
 	// receive calls, and its lease must not be extended. It may also have
 	// restarted, in which case the ends of the new incarnation must not be
@@ -110,7 +111,8 @@
 func (l *loop) handleReport(w *worker, sentAt time.Time, report execution.Report, err error) {
 	now := time.Now()
 	w.watching = false
-	if l.workers[w.reg.ID] != w {
+	if w.removed {
+		l.recordRefusal(w, "watch", report.Refusal)
 		return
 	}
 	if err != nil || report.Refusal != execution.Accepted {
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -64,6 +64,8 @@
 // worker is what the leader knows about one incarnation of a worker.
 type worker struct {
 	reg workstate.Worker
+	// token is the fencing token of all calls for the incarnation.
+	token fencingToken
 	// removed is set once the loop's table holds the incarnation no longer.
 	removed bool
 	// used is the capacity that runs took in the round chargedRound.
@@ -76,7 +78,7 @@
 	// knownSince is when this leader learned of the incarnation.
 	knownSince time.Time
 	// contacted is set if the worker has answered this leader, after which it
-	// accepts no orders of former leaders.
+	// accepts no calls of former leaders, nor late ones for former incarnations.
 	contacted bool
 	// clockMS is the worker's clock at the local time clockAt.
 	clockMS int64
