scheduler: random schedules in which late calls cross restarts

The random schedules of runs drop a late call once its worker was replaced, and delay calls by 4 s at most, so that they never played a call for a worker's former incarnation that arrives at the next one with the same id.

--- a/internal/process/scheduler/fakeworker_test.go
+++ b/internal/process/scheduler/fakeworker_test.go
@@ -62,6 +62,10 @@
 	limit capacityLimit
 	// stopTime is how long a run takes to end after an order to stop.
 	stopTime time.Duration
+	// contacted is set once a leader that knew this incarnation has got a report of
+	// it, which was first found registered at registeredAt.
+	contacted    bool
+	registeredAt time.Time
 }
 
 // fakeWorkers is a pool of fake workers. It reports violations of the
@@ -91,10 +95,12 @@
 	deadly        func(workload.TaskID) bool
 	onCrash       func(*fakeWorker)
 	deadlyCrashes map[workload.TaskID]int
+	// slowestOrder is the longest delay of an order that is executed late.
+	slowestOrder time.Duration
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration) *fakeWorkers {
-	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, duration: duration, ledger: newLedger(t), submitted: map[string]workload.Spec{}, deadlyCrashes: map[workload.TaskID]int{}}
+	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, duration: duration, ledger: newLedger(t), submitted: map[string]workload.Spec{}, deadlyCrashes: map[workload.TaskID]int{}, slowestOrder: slowestOrder}
 }
 
 func (f *fakeWorkers) add(id string, milliCPU int64) *fakeWorker {
--- a/internal/process/scheduler/faulty_test.go
+++ b/internal/process/scheduler/faulty_test.go
@@ -15,6 +15,11 @@
 	*fakeWorkers
 	*dice
 	faulty atomic.Bool
+	// crosses, if set, tells whether a call arrives at the next incarnation of its
+	// worker.
+	crosses func(next *fakeWorker) bool
+	// onReport, if set, is called for each report that a leader gets.
+	onReport func(to execution.WorkerAddress, sentAt time.Time, report execution.Report)
 }
 
 // callFault is the fault of one call.
@@ -36,7 +41,7 @@
 	if !f.faulty.Load() || draw%3 > 0 {
 		return noFault, 0
 	}
-	delay := time.Duration(draw >> 20 % uint64(slowestOrder))
+	delay := time.Duration(draw >> 20 % uint64(f.slowestOrder))
 	return callFault(draw >> 8 % uint64(callFaultCount)), delay
 }
 
@@ -98,10 +103,14 @@
 // Watch implements execution.Workers.
 func (f *faultyCalls) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
 	fault, delay := f.fault("watch", to.ID)
-	arrives := f.arrival(to.ID)
+	arrives, sentAt := f.arrival(to.ID), time.Now()
 	return callWithFault(ctx, fault, delay, func(late bool) (execution.Report, error) {
 		if !late {
-			return f.fakeWorkers.Watch(ctx, to, q)
+			report, err := f.fakeWorkers.Watch(ctx, to, q)
+			if err == nil && f.onReport != nil {
+				f.onReport(to, sentAt, report)
+			}
+			return report, err
 		}
 		if !arrives() {
 			return execution.Report{}, execution.ErrNoAnswer
@@ -112,12 +121,15 @@
 	})
 }
 
-// arrival returns a function that reports whether a late call still arrives. A
-// call does not arrive after the worker that it was made to has been replaced,
-// since its connection has ended.
+// arrival returns a function that reports whether a late call still arrives. Unless
+// calls cross restarts, a call does not arrive after the worker that it was made to
+// has been replaced, since its connection has ended.
 func (f *faultyCalls) arrival(id string) func() bool {
 	before := f.worker(id)
-	return func() bool { return f.worker(id) == before }
+	return func() bool {
+		now := f.worker(id)
+		return now == before || now != nil && f.crosses != nil && f.crosses(now)
+	}
 }
 
 func (f *faultyCalls) worker(id string) *fakeWorker {
--- a/internal/process/scheduler/limit_test.go
+++ b/internal/process/scheduler/limit_test.go
@@ -60,13 +60,11 @@
 	return workcall.HeardHeartbeat{Worker: w.id, Incarnation: w.incarnation, Sequence: w.limit.sequence, ClockMS: w.clock()}
 }
 
-// limitAt returns the capacity up to which a start may be executed. A late order
-// may count on the capacity at the time at which it was sent.
-func (w *fakeWorker) limitAt(now time.Time, late bool) workload.Resources {
-	until := w.limit.formerUntil
-	if late {
-		until = until.Add(slowestOrder)
-	}
+// limitAt returns the capacity up to which a start may be executed. An order that is
+// late by up to the given time may count on the capacity at the time at which it was
+// sent.
+func (w *fakeWorker) limitAt(now time.Time, lateBy time.Duration) workload.Resources {
+	until := w.limit.formerUntil.Add(lateBy)
 	if w.limit.formerUntil.IsZero() || now.Before(until) {
 		return larger(w.capacity, w.limit.former)
 	}
@@ -84,7 +82,11 @@
 	for other := range w.running {
 		sum = sum.Add(f.charge(other))
 	}
-	if limit := w.limitAt(time.Now(), late); !limit.Fits(sum) {
+	lateBy := time.Duration(0)
+	if late {
+		lateBy = f.slowestOrder
+	}
+	if limit := w.limitAt(time.Now(), lateBy); !limit.Fits(sum) {
 		f.t.Errorf("LIMIT: the start of %s brings %s to %+v of %+v, late %v", task, w.id, sum, limit, late)
 	}
 }
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -208,7 +208,7 @@
 	}
 	s.checkJobs()
 	s.checkDeadlyTask()
-	time.Sleep(slowestOrder)
+	time.Sleep(s.workers.slowestOrder)
 	s.checkCancelled()
 	s.stopLeader()
 	s.group.Wait()
@@ -227,8 +227,12 @@
 	case 5, 6, 7:
 		s.cutOff(vm, time.Duration(s.random.IntN(8000))*time.Millisecond)
 	case 8:
+		id := ""
+		if s.calls.crosses != nil {
+			id = s.current[vm].id
+		}
 		s.crash(vm)
-		s.startWorker(vm, "")
+		s.startWorker(vm, id)
 	case 9:
 		id := s.current[vm].id
 		s.crash(vm)
