scheduler: a stray lease is granted before the first contact

A call for a worker's former incarnation may grant the next one a lease up to the longest of the platform (10 s by default).

Cause: (1) the bound counted such leases up to a time after the restart, also for a worker that the leader had contacted by then, so that the runs of a restarted worker that was cut off at once waited 13 s. (2) A worker that was deregistered and came back with another incarnation was not taken for a restarted one, since the state forgets it: its runs were counted as ended after 4 s, though a stray lease kept them executing.

A worker whose id this leader has called before counts like one that has restarted.

Evidence, on: TestWorkerRegisteredAgainMayHoldAStrayLease "run 2 starts on w2 while run 1 executes on w1"; TestStrayLeaseEndsTheLongestTimeAfterTheFirstContact "the lease ends at 13s, expected 10.1s" and "4.1s, expected 10.1s".

Open: an incarnation that a former leader has deregistered is forgotten by the next.

--- /dev/null
+++ b/internal/process/scheduler/straylease_test.go
@@ -0,0 +1,60 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// TestStrayLeaseEndsTheLongestTimeAfterTheFirstContact guards against a lost worker whose tasks wait for leases that its refusal of late calls rules out, or start elsewhere before a stray lease has ended.
+func TestStrayLeaseEndsTheLongestTimeAfterTheFirstContact(t *testing.T) {
+	const longest = 10 * time.Second
+	for name, c := range map[string]struct {
+		clock                       time.Duration
+		restarted, registeredBefore bool
+		wanted                      time.Duration
+	}{
+		"new":                      {100 * time.Millisecond, false, false, leaseTime + 100*time.Millisecond},
+		"restarted":                {100 * time.Millisecond, true, false, longest + 100*time.Millisecond},
+		"restarted, deregistered":  {100 * time.Millisecond, false, true, longest + 100*time.Millisecond},
+		"restarted, found late":    {staleCallTime + time.Second, true, false, staleCallTime + longest},
+		"restarted long ago":       {time.Hour, true, false, time.Hour + leaseTime},
+		"registered again at once": {time.Hour, false, true, time.Hour + leaseTime},
+	} {
+		w := &worker{reg: workstate.Worker{Restarted: c.restarted}, registeredBefore: c.registeredBefore, clockMS: c.clock.Milliseconds()}
+		if lease := time.Duration(w.maxInitialLease(longest)) * time.Millisecond; lease != c.wanted {
+			t.Errorf("%s: the lease ends at %s, expected %s", name, lease, c.wanted)
+		}
+	}
+}
+
+// TestWorkerRegisteredAgainMayHoldAStrayLease guards against a task that starts elsewhere beside a run whose lease a late call to a deregistered incarnation has extended.
+func TestWorkerRegisteredAgainMayHoldAStrayLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Minute)
+		first := f.addWorker("w1", 1000)
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.commit(&workstate.Command{Deregister: &workstate.Deregister{ID: "w1", Incarnation: first.incarnation}})
+		time.Sleep(time.Second)
+		second := f.workers.add("w1", 1000)
+		second.leaseMS = longestLease
+		f.register(second, "vm-w1", "svc")
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		time.Sleep(500 * time.Millisecond)
+		if !second.executes(f.workers, workload.TaskID{Job: jobA}) {
+			t.Fatal("the task was not started")
+		}
+		f.setUnreachable(second, true)
+		f.addWorker("w2", 1000)
+		time.Sleep(2 * longestLease * time.Millisecond)
+		if !f.workers.workers["w2"].executes(f.workers, workload.TaskID{Job: jobA}) {
+			t.Error("the task was not started again")
+		}
+	})
+}
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -52,7 +52,8 @@
 
 // addWorker adds a worker to the table and to the list.
 func (l *loop) addWorker(w *worker) {
-	w.token = newFencingToken(l.term, l.generations.next(w.reg.ID))
+	generation := l.generations.next(w.reg.ID)
+	w.token, w.registeredBefore = newFencingToken(l.term, generation), generation > 0
 	l.workers[w.reg.ID] = w
 	at, _ := slices.BinarySearchFunc(l.workerList, w.reg.ID, func(listed *worker, id string) int { return cmp.Compare(listed.reg.ID, id) })
 	l.workerList = slices.Insert(l.workerList, at, w)
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -66,6 +66,9 @@
 	reg workstate.Worker
 	// token is the fencing token of all calls for the incarnation.
 	token fencingToken
+	// registeredBefore is set if this leader has called a worker with the id
+	// before, maybe an earlier incarnation.
+	registeredBefore bool
 	// removed is set once the loop's table holds the incarnation no longer.
 	removed bool
 	// used is the capacity that runs took in the round chargedRound.
@@ -249,18 +252,27 @@
 
 // maxInitialLease returns the latest end, on the worker's clock, of a lease
 // that it may hold when it first answers this leader. It may be a lease of a
-// former leader, which can grant no later ones any more.
+// former leader, which can grant no later ones any more, or a stray one, which
+// was granted before this answer.
 func (w *worker) maxInitialLease(longest time.Duration) int64 {
-	return max(w.clockMS+leaseTime.Milliseconds(), w.maxStrayLease(longest).Milliseconds())
+	own := w.clockMS + leaseTime.Milliseconds()
+	if !w.mayHoldStrayLease() {
+		return own
+	}
+	granted := min(w.clockMS, staleCallTime.Milliseconds())
+	return max(own, granted+longest.Milliseconds())
 }
 
-// maxStrayLease returns the longest lease, from the start of the worker's
-// incarnation, that calls to an earlier incarnation with its id may have
-// granted; 0 if there was none. Such calls carry a time on the earlier
+// mayHoldStrayLease reports whether calls to an earlier incarnation with the
+// worker's id may have granted it a lease. Such calls carry a time on the earlier
 // incarnation's clock, which may be far ahead, so that only the worker's own
 // limit bounds the lease.
+func (w *worker) mayHoldStrayLease() bool { return w.reg.Restarted || w.registeredBefore }
+
+// maxStrayLease returns the longest stray lease, from the start of the worker's
+// incarnation; 0 if there is none.
 func (w *worker) maxStrayLease(longest time.Duration) time.Duration {
-	if !w.reg.Restarted {
+	if !w.mayHoldStrayLease() {
 		return 0
 	}
 	return staleCallTime + longest
