scheduler: late calls count for 15 s after a worker's restart

A task ran twice in a test: a start that got no answer reaches the next incarnation of its worker 11 s late, which the leader has not reached yet, and the task has started elsewhere.

Cause: staleCallTime took a late call to arrive within 3 s, twice the longest call.

Change: 15 s. It acts only on a restarted worker that has not answered this leader: its runs end 25.5 s after the leader has learned of it, instead of 13.3 s, and so does its registration if it stays silent. After the first contact the bound is the contact.

Evidence: TestTaskWaitsForAStartThatReachesARestartedWorkerLate failed with 3 s: "run 2 starts on w2 while run 1 executes on w1".

Open: a call that is later than that. A worker that has once restarted counts as such for each later leader that does not reach it, however long ago that was. A run whose start got no answer ends with the lease of its silent worker after 4 to 6 s; if the worker then restarts under its id, the start may still reach the next incarnation before the leader's first call.

--- a/internal/process/scheduler/straylease_test.go
+++ b/internal/process/scheduler/straylease_test.go
@@ -1,10 +1,13 @@
 package scheduler
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -58,3 +61,50 @@
 		}
 	})
 }
+
+// lateStart executes the first start late, and answers no watch while silent is set.
+type lateStart struct {
+	*fakeWorkers
+	delay  time.Duration
+	sent   atomic.Bool
+	silent atomic.Bool
+}
+
+func (c *lateStart) Start(ctx context.Context, to execution.WorkerAddress, o execution.StartOrder) (execution.Answer, error) {
+	if c.sent.Swap(true) {
+		return c.fakeWorkers.Start(ctx, to, o)
+	}
+	time.AfterFunc(c.delay, func() { _, _ = c.start(to, o, true) })
+	<-ctx.Done()
+	return execution.Answer{}, execution.ErrNoAnswer
+}
+
+func (c *lateStart) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
+	if to.ID == "w1" && c.silent.Load() {
+		<-ctx.Done()
+		return execution.Report{}, execution.ErrNoAnswer
+	}
+	return c.fakeWorkers.Watch(ctx, to, q)
+}
+
+// TestTaskWaitsForAStartThatReachesARestartedWorkerLate guards against a second run while the next incarnation, which the leader does not reach, executes a start that came 11 s late.
+func TestTaskWaitsForAStartThatReachesARestartedWorkerLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Minute)
+		f.addWorker("w1", 1000)
+		calls := &lateStart{fakeWorkers: f.workers, delay: 11 * time.Second}
+		f.lead()
+		defer f.depose()
+		f.loop.post(func(l *loop) { l.Workers = calls })
+		time.Sleep(time.Minute)
+		f.submit(jobA, step(1))
+		time.Sleep(100 * time.Millisecond)
+		calls.silent.Store(true)
+		f.addWorker("w1", 1000)
+		f.addWorker("w2", 1000)
+		time.Sleep(40 * time.Second)
+		if f.workers.starts != 2 {
+			t.Errorf("%d starts, expected one on each worker", f.workers.starts)
+		}
+	})
+}
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -27,9 +27,9 @@
 	// has taken note of the time.
 	maxUnconfirmed = 1200 * time.Millisecond
 	// staleCallTime is the time after a worker's restart by which all calls to
-	// its former incarnation have arrived or failed. The longest of them takes
-	// idleWatchWait plus callTimeout; the factor of two is slack.
-	staleCallTime = 2 * (idleWatchWait + callTimeout)
+	// its former incarnation have arrived or failed. A call that got no answer
+	// may be executed seconds later; the platform gives no limit.
+	staleCallTime = 15 * time.Second
 	// busyWatchWait is how long a worker that executes runs delays a report that
 	// has no new ends: the reports also tell the progress of its runs.
 	// idleWatchWait is the same for a worker without runs.
