scheduler: a start order is sent after all that its worker executes is counted

Callers saw: a worker that does not enforce its capacity got a start while a run that counts no more was still executing there, so it was over its capacity (LIMIT).

Cause: reconcile sends the start order of a recorded run as it meets the run, but finds out what the worker's runs take, those without a record included, at the end of the pass. A report that first lists an unrecorded run, and a registration with a smaller capacity, act one round late.

Change: reconcile notes the starts that are due and sends them at the end of the pass.

--- a/internal/process/scheduler/capacity_test.go
+++ b/internal/process/scheduler/capacity_test.go
@@ -184,3 +184,27 @@
 		}
 	})
 }
+
+// TestRecordedRunIsNotStartedBesideAnUnrecordedOne guards against a worker over its capacity: the report that first lists a run that counts no more also makes the start of a recorded one due.
+func TestRecordedRunIsNotStartedBesideAnUnrecordedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobB = "bbbbbbbbbbbbbbbb"
+		f := newFixture(t, 3*time.Second)
+		f.stopEnforcingCapacity()
+		w := f.addWorker("w1", 1000)
+		w.stopTime = 200 * time.Millisecond
+		f.lead()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		time.Sleep(500 * time.Millisecond)
+		f.depose()
+		f.commit(&workstate.Command{Deregister: &workstate.Deregister{ID: "w1", Incarnation: w.incarnation}})
+		f.commit(&workstate.Command{Cancel: &workstate.Cancel{ID: jobA}})
+		f.register(w, "vm-w1", "svc")
+		f.submit(jobB, step(1))
+		f.commit(&workstate.Command{Progress: &workstate.Progress{Starts: []workstate.Start{{Task: workload.TaskID{Job: jobB}, Run: 1, Worker: "w1", Incarnation: w.incarnation}}}})
+		f.lead()
+		defer f.depose()
+		f.await(jobB, workstate.Succeeded, 5*time.Second)
+	})
+}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -64,6 +64,8 @@
 	syncedVersion uint64
 	syncedCatalog int64
 	runs          map[workload.TaskID]*run
+	// dueStarts lists the runs of a round whose start orders are due.
+	dueStarts []dueStart
 	// ends holds the ends of runs that wait for the next commit.
 	ends map[runKey]workstate.End
 	// committing is set while a commit of progress is in flight. dirty is set
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -123,9 +123,25 @@
 		}
 		w.overCapacity = !w.reg.Capacity.Fits(u.usedOn(w))
 	}
+	l.sendDueStarts(v, now)
 	return u
 }
 
+// dueStart is a run whose start order is due.
+type dueStart struct {
+	id workload.TaskID
+	r  *run
+}
+
+// sendDueStarts sends the start orders that are due. What each worker's runs take is
+// known by then.
+func (l *loop) sendDueStarts(v *workstate.View, now time.Time) {
+	for _, due := range l.dueStarts {
+		l.sendStart(v, due.id, due.r, now)
+	}
+	l.dueStarts = l.dueStarts[:0]
+}
+
 // endQueued reports whether the end of a run waits for a commit.
 func (l *loop) endQueued(key runKey) bool {
 	if len(l.ends) == 0 {
@@ -187,7 +203,7 @@
 }
 
 // advanceRun sends the next order for a run if one is due, for example again
-// after a lost answer, and updates the phase of the run from the newest report.
+// after a lost answer, or notes that its start is due, and updates the phase of the run from the newest report.
 func (l *loop) advanceRun(v *workstate.View, id workload.TaskID, r *run, w *worker, now time.Time) {
 	r.observe(w, runKey{id, r.number})
 	reported, fresh := r.running || r.ended, r.reportedAfter(r.since)
@@ -196,13 +212,13 @@
 		if reported {
 			r.enter(runOrdered, now)
 		} else if w.report != nil {
-			l.sendStart(v, id, r, now)
+			l.dueStarts = append(l.dueStarts, dueStart{id, r})
 		}
 	case runRetrying:
 		if reported && fresh {
 			r.enter(runOrdered, now)
 		} else if now.Sub(r.since) >= orderRetry && w.inTouch() {
-			l.sendStart(v, id, r, now)
+			l.dueStarts = append(l.dueStarts, dueStart{id, r})
 		}
 	case runOrdered:
 		if fresh && !reported {
