scheduler: a worker that does not enforce its capacity gets starts only by a recent heartbeat

Cause: a new leader, and one that the worker's heartbeats do not reach, starts tasks by the recorded capacity, however long ago that was stated.

Change: the leader's loop looks up the newest heartbeat of such a worker that is known in its process. It has to be of the registered incarnation, state at least the recorded capacity, and have been sent at most contact_ms plus one heartbeat ago, less a second for calls under way, by the worker's own clock. Otherwise nothing is placed there; a recorded start that is not sent yet waits, or is withdrawn if the worker has been known for that long. Followers tell what capacity a heartbeat states, since their state may lag behind the leader's, and tell a new leader all that they know, so that it waits for the next message (up to 1 s), not for the next heartbeats. A new leader knows at once what it has acknowledged itself. contact_ms and heartbeat_ms are read from the settings (3 s and 0.5 s if missing). Workers that enforce their capacity do not wait.

Tests: the checker of the random schedules counts a former capacity for contact_ms and one heartbeat at most, instead of for ever while the change is unannounced. The fixtures send the heartbeats that change nothing.

--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -132,6 +132,9 @@
 	// ClockMS is the worker's monotonic clock when it sent the heartbeat, or 0 if
 	// that is not known.
 	ClockMS int64 `cbor:"4,keyasint,omitempty"`
+	// Capacity is the capacity that the heartbeat states, or nil if that is not
+	// known.
+	Capacity *workload.Resources `cbor:"5,keyasint,omitempty"`
 }
 
 // Newer reports whether a heartbeat of the same worker was sent after another.
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -154,6 +154,7 @@
 		Replica: r, Machine: machine, Workers: workers, Holder: s.VM, Log: log, Now: time.Now,
 		Limits: scheduler.Limits{
 			StopTimeout: s.Limits.StopTimeout, LongestLease: s.Limits.LongestLease, FencingEnforced: s.Limits.FencingEnforced, HolderLease: s.Limits.HolderLease,
+			HeartbeatInterval: s.Limits.HeartbeatInterval, CapacityGrace: s.Limits.CapacityGrace,
 			Retention: s.Limits.Retention, ActionRate: s.ActionRate,
 		},
 	}
--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -23,9 +24,11 @@
 	vms     *fakePlatform
 	limits  Limits
 	adviser execution.Adviser
-	end     context.CancelFunc
-	ended   chan struct{}
-	loop    *loop
+	// heard holds the heartbeats that the leader knows.
+	heard heardWorkers
+	end   context.CancelFunc
+	ended chan struct{}
+	loop  *loop
 }
 
 // testCatalog returns a configuration with one queue on the service "svc" and a
@@ -43,7 +46,7 @@
 func newFixture(t *testing.T, duration time.Duration) *fixture {
 	machine := workstate.NewMachine()
 	f := &fixture{t: t, machine: machine, workers: newFakeWorkers(t, duration), vms: newFakePlatform()}
-	f.limits = Limits{StopTimeout: 200 * time.Millisecond, LongestLease: longestLease * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, ActionRate: 64}
+	f.limits = Limits{StopTimeout: 200 * time.Millisecond, LongestLease: longestLease * time.Millisecond, HolderLease: 3 * time.Second, Retention: 120 * time.Second, ActionRate: 64, HeartbeatInterval: heartbeatInterval, CapacityGrace: capacityGrace}
 	f.replica = &fakeReplica{machine: machine, delay: 10 * time.Millisecond, term: 1}
 	f.commit(&workstate.Command{Catalog: testCatalog()})
 	return f
@@ -70,6 +73,7 @@
 
 func (f *fixture) register(w *fakeWorker, vm, service string) {
 	f.commit(&workstate.Command{Register: f.heartbeat(w, vm, service)})
+	f.heard.addAll([]workcall.HeardHeartbeat{w.heard()})
 }
 
 // heartbeat returns the next heartbeat of a worker.
@@ -107,6 +111,8 @@
 		Limits: f.limits,
 		Log:    slog.New(slog.NewTextHandler(testLog{f.t}, nil)), Now: time.Now,
 	}, f.replica.term)
+	f.loop.heard = &f.heard
+	go f.sendKnownHeartbeats(ctx)
 	loop, ended := f.loop, f.ended
 	go func() {
 		loop.run()
@@ -114,6 +120,27 @@
 	}()
 }
 
+// sendKnownHeartbeats sends the heartbeats of workers that say what is registered.
+func (f *fixture) sendKnownHeartbeats(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(heartbeatInterval):
+		}
+		f.workers.mu.Lock()
+		f.machine.Read(func(v *workstate.View) {
+			for id, w := range f.workers.workers {
+				if reg := v.Workers()[id]; !w.unreachable && reg != nil && reg.Incarnation == w.incarnation && reg.Capacity == w.capacity {
+					w.announce()
+					f.heard.addAll([]workcall.HeardHeartbeat{w.heard()})
+				}
+			}
+		})
+		f.workers.mu.Unlock()
+	}
+}
+
 // depose stops the leader. The next one has a higher term.
 func (f *fixture) depose() {
 	f.end()
--- a/internal/process/scheduler/heard.go
+++ b/internal/process/scheduler/heard.go
@@ -19,9 +19,16 @@
 // or that a follower has told of. It is safe for concurrent use.
 type heardWorkers struct {
 	mu     sync.Mutex
-	newest map[string]workcall.HeardHeartbeat
-	// untold holds the workers of which the leader was not told yet.
+	newest map[string]heardHeartbeat
+	// untold holds the workers of which the leader toldTo was not told yet.
 	untold map[string]bool
+	toldTo string
+}
+
+// heardHeartbeat is a heartbeat and when it became known here.
+type heardHeartbeat struct {
+	workcall.HeardHeartbeat
+	knownAt time.Time
 }
 
 // add records a heartbeat that the leader is to be told of.
@@ -47,13 +54,21 @@
 // record records a heartbeat unless a newer one is known. The caller holds h.mu.
 func (h *heardWorkers) record(heartbeat workcall.HeardHeartbeat) {
 	if h.newest == nil {
-		h.newest = map[string]workcall.HeardHeartbeat{}
+		h.newest = map[string]heardHeartbeat{}
 	}
-	if known, ok := h.newest[heartbeat.Worker]; !ok || heartbeat.Newer(known) {
-		h.newest[heartbeat.Worker] = heartbeat
+	if known, ok := h.newest[heartbeat.Worker]; !ok || heartbeat.Newer(known.HeardHeartbeat) {
+		h.newest[heartbeat.Worker] = heardHeartbeat{heartbeat, time.Now()}
 	}
 }
 
+// newestOf returns the newest known heartbeat of a worker.
+func (h *heardWorkers) newestOf(worker string) (heartbeat heardHeartbeat, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	heartbeat, known = h.newest[worker]
+	return heartbeat, known
+}
+
 // isLate reports whether a newer heartbeat of the worker is known.
 func (h *heardWorkers) isLate(heartbeat workcall.HeardHeartbeat) bool {
 	h.mu.Lock()
@@ -62,15 +77,18 @@
 	return ok && known.Newer(heartbeat)
 }
 
-// take returns the heartbeats of which the leader was not told yet.
-func (h *heardWorkers) take() []workcall.HeardHeartbeat {
+// take returns the heartbeats of which a leader was not told yet: all of them, if it
+// is another leader than before.
+func (h *heardWorkers) take(leader string) []workcall.HeardHeartbeat {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	heartbeats := make([]workcall.HeardHeartbeat, 0, len(h.untold))
-	for id := range h.untold {
-		heartbeats = append(heartbeats, h.newest[id])
+	for id, heartbeat := range h.newest {
+		if h.untold[id] || leader != h.toldTo {
+			heartbeats = append(heartbeats, heartbeat.HeardHeartbeat)
+		}
 	}
-	h.untold = nil
+	h.untold, h.toldTo = nil, leader
 	return heartbeats
 }
 
@@ -104,9 +122,12 @@
 	s.machine.Read(func(v *workstate.View) {
 		s.heard.forgetOthers(func(id string) bool { return v.Workers()[id] != nil })
 	})
-	heartbeats := s.heard.take()
-	leader := s.Hello().Leader
-	if len(heartbeats) == 0 || leader == "" {
+	leader, status := s.Hello().Leader, s.replica.Status()
+	if leader == "" || status.Leader == status.ID {
+		return
+	}
+	heartbeats := s.heard.take(leader)
+	if len(heartbeats) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, heardInterval)
--- a/internal/process/scheduler/limit_test.go
+++ b/internal/process/scheduler/limit_test.go
@@ -12,6 +12,14 @@
 // capacity within which starts may still count on the former one.
 const announcementSlack = time.Second
 
+// heartbeatInterval is the interval of heartbeats, and capacityGrace the time for
+// which a capacity that has shrunk counts after the next one, whether or not that has
+// arrived.
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	capacityGrace     = 3 * time.Second
+)
+
 // capacityLimit is the capacity up to which a worker that does not enforce it may
 // get starts.
 type capacityLimit struct {
@@ -19,6 +27,9 @@
 	// formerUntil; zero means that the change is not announced.
 	former      workload.Resources
 	formerUntil time.Time
+	// countsUntil is when the former capacity counts no more though the change is
+	// not announced.
+	countsUntil time.Time
 	// sequence is the number of the last heartbeat.
 	sequence int64
 }
@@ -38,10 +49,11 @@
 // resize changes the capacity of a worker.
 func (w *fakeWorker) resize(milliCPU int64) {
 	former := w.capacity
-	if w.limit.formerUntil.IsZero() || time.Now().Before(w.limit.formerUntil) {
+	if time.Now().Before(w.limit.countsUntil) && (w.limit.formerUntil.IsZero() || time.Now().Before(w.limit.formerUntil)) {
 		former = larger(former, w.limit.former)
 	}
 	w.limit.former, w.limit.formerUntil = former, time.Time{}
+	w.limit.countsUntil = time.Now().Add(heartbeatInterval + capacityGrace)
 	w.capacity.MilliCPU = milliCPU
 }
 
@@ -57,15 +69,19 @@
 
 // heard returns what the leader hears of a heartbeat that the worker sends now.
 func (w *fakeWorker) heard() workcall.HeardHeartbeat {
-	return workcall.HeardHeartbeat{Worker: w.id, Incarnation: w.incarnation, Sequence: w.limit.sequence, ClockMS: w.clock()}
+	capacity := w.capacity
+	return workcall.HeardHeartbeat{Worker: w.id, Incarnation: w.incarnation, Sequence: w.limit.sequence, ClockMS: w.clock(), Capacity: &capacity}
 }
 
 // limitAt returns the capacity up to which a start may be executed. An order that is
 // late by up to the given time may count on the capacity at the time at which it was
 // sent.
 func (w *fakeWorker) limitAt(now time.Time, lateBy time.Duration) workload.Resources {
-	until := w.limit.formerUntil.Add(lateBy)
-	if w.limit.formerUntil.IsZero() || now.Before(until) {
+	until := w.limit.countsUntil
+	if announced := w.limit.formerUntil; !announced.IsZero() && announced.Before(until) {
+		until = announced
+	}
+	if now.Before(until.Add(lateBy)) {
 		return larger(w.capacity, w.limit.former)
 	}
 	return w.capacity
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -49,6 +49,8 @@
 	term   uint64
 	since  time.Time
 	events chan event
+	// heard holds the newest heartbeats that are known in this process.
+	heard *heardWorkers
 
 	workers     map[string]*worker
 	generations generations
@@ -96,7 +98,7 @@
 
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
 	return &loop{
-		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue),
+		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue), heard: &heardWorkers{},
 		workers: map[string]*worker{}, generations: generations{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
 		fleet:       fleet{entries: map[string]*vmEntry{}},
--- a/internal/process/scheduler/options.go
+++ b/internal/process/scheduler/options.go
@@ -34,6 +34,11 @@
 	LongestLease time.Duration
 	// FencingEnforced is set if the platform refuses orders of former leaders.
 	FencingEnforced bool
+	// HeartbeatInterval is the interval of the heartbeats of a worker.
+	HeartbeatInterval time.Duration
+	// CapacityGrace is the time after the next heartbeat for which a capacity that
+	// has shrunk may still be relied on.
+	CapacityGrace time.Duration
 	// HolderLease is the time for which a VM must not be ordered after the last
 	// order of another holder.
 	HolderLease time.Duration
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -60,7 +60,7 @@
 func (l *loop) schedulableWorkers(u *usage, now time.Time) []*placement.Worker {
 	all := slices.Grow(l.schedulable[:0], len(l.workerList))
 	for _, w := range l.workerList {
-		if !w.schedulable(now) || l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM] {
+		if !w.schedulable(now) || !l.capacityKnown(w, now) || l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM] {
 			continue
 		}
 		all = append(all, placement.Worker{
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -87,6 +87,7 @@
 func (s *Scheduler) lead(ctx context.Context) (end func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	l := newLoop(ctx, s.options, s.options.Replica.Status().Term)
+	l.heard = &s.server.heard
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -142,7 +142,7 @@
 func (s *schedule) sendHeartbeats() {
 	for vm, w := range s.current {
 		s.workers.mu.Lock()
-		unreachable, crashedAt, heard := w.unreachable, w.crashedAt, w.heard()
+		unreachable, crashedAt, clockMS := w.unreachable, w.crashedAt, w.clock()
 		s.workers.mu.Unlock()
 		if !crashedAt.IsZero() {
 			s.restartCrashed(vm, crashedAt)
@@ -159,6 +159,14 @@
 		if !known {
 			s.sendHeartbeat(vm, w)
 		}
+		s.workers.mu.Lock()
+		if known {
+			w.announce()
+		}
+		heard := w.heard()
+		s.workers.mu.Unlock()
+		heard.ClockMS = clockMS
+		s.heard.addAll([]workcall.HeardHeartbeat{heard})
 		s.loop.post(func(l *loop) {
 			l.recordHeartbeats([]workcall.HeardHeartbeat{heard}, time.Now())
 			l.checkDerived(s.t)
@@ -337,6 +345,7 @@
 		Replica: &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice}, Machine: s.machine, Workers: s.calls, Platform: s.orders,
 		Holder: fmt.Sprint("c", term), Limits: s.limits, Log: log, Now: time.Now,
 	}, term)
+	l.heard = &s.heard
 	s.loop = l
 	s.group.Go(l.run)
 }
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -68,9 +68,11 @@
 	return workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.address}, true
 }
 
-// heardFrom returns what identifies a worker's heartbeat, and when it was sent.
+// heardFrom returns what identifies a worker's heartbeat, when it was sent, and the
+// capacity that it states.
 func heardFrom(r *workcall.HeartbeatRequest) workcall.HeardHeartbeat {
-	return workcall.HeardHeartbeat{Worker: r.Worker.ID, Incarnation: r.Worker.Incarnation, Sequence: r.Sequence, ClockMS: r.ClockMS}
+	capacity := r.Worker.Capacity
+	return workcall.HeardHeartbeat{Worker: r.Worker.ID, Incarnation: r.Worker.Incarnation, Sequence: r.Sequence, ClockMS: r.ClockMS, Capacity: &capacity}
 }
 
 // heartbeatChange is the effect of a heartbeat on the registration of a worker.
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -30,9 +30,13 @@
 		r.enter(runStopping, time.Time{})
 		return
 	}
-	if w.overCapacity {
+	switch known := l.capacityKnown(w, now); {
+	case w.overCapacity, !known && now.Sub(w.knownSince) > l.Limits.maxCapacityAge():
 		l.withdrawStart(r, w)
 		return
+	case !known:
+		// This leader is about to learn of the worker's heartbeats.
+		return
 	}
 	order, ok := l.startOrder(v, id, r.number)
 	if !ok {
@@ -58,7 +62,7 @@
 }
 
 // withdrawStart stops a run whose start order must not be sent because its worker's
-// capacity has shrunk. An earlier order may have been executed without an answer, so
+// capacity has shrunk, or may have. An earlier order may have been executed without an answer, so
 // that a report newer than it has to be there first.
 func (l *loop) withdrawStart(r *run, w *worker) {
 	if w.report != nil && w.report.sentAt.After(r.since) {
--- a/internal/process/scheduler/vmschedules_test.go
+++ b/internal/process/scheduler/vmschedules_test.go
@@ -70,6 +70,9 @@
 
 func (s *vmSchedule) run() {
 	s.startLeader(0)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.sendKnownHeartbeats(ctx)
 	time.Sleep(time.Second)
 	longRunning := workload.Step{Count: 4, Need: workload.Resources{MilliCPU: 1000}, LongRunning: true, DisruptionBudget: 1, MaxPerWorker: 1}
 	s.workers.longRunningJob = jobA
