scheduler: a worker that restarts with an earlier clock is another incarnation

What callers could see: a task that is done starts again, at each restart of a worker under its id whose wall clock was stepped back in between.

Cause: an incarnation is the time of its start. A report of a later one is taken for a restart, one of an earlier one was taken for the registered incarnation's: its ends were acknowledged by the numbers of the former process, and never read.

Change: such a report counts as no answer. The registered incarnation is deregistered after lostAfter, since heartbeats of another one don't keep it alive any more, and the heartbeats of the new one register it then.

Evidence: TestWorkerRestartedWithAnEarlierClockIsNotTakenForItsFormerIncarnation, "starts though it is done" before.

--- a/internal/process/scheduler/clockback_test.go
+++ b/internal/process/scheduler/clockback_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -23,8 +24,12 @@
 		w := f.workers.add("w1", 1000)
 		w.incarnation -= time.Hour.Milliseconds()
 		f.workers.mu.Unlock()
-		time.Sleep(2 * time.Second)
 		f.submit("bbbbbbbbbbbbbbbb", step(1))
-		f.await("bbbbbbbbbbbbbbbb", workstate.Succeeded, 5*time.Second)
+		for end := time.Now().Add(lostAfter + time.Second); time.Now().Before(end); time.Sleep(heartbeatInterval) {
+			f.register(w, "vm-w1", "svc")
+			heard := w.heard()
+			f.loop.post(func(l *loop) { l.recordHeartbeats([]workcall.HeardHeartbeat{heard}, time.Now()) })
+		}
+		f.await("bbbbbbbbbbbbbbbb", workstate.Succeeded, time.Second)
 	})
 }
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -121,6 +121,13 @@
 		l.handleWatchFailure(w, now, report.Refusal, err)
 		return
 	}
+	if report.Incarnation > 0 && report.Incarnation < w.reg.Incarnation {
+		if !w.unresponsive {
+			l.Log.Warn("worker restarted with an earlier clock, no use of its reports until it is registered", "worker", w.reg.ID, "registered", w.reg.Incarnation, "answers", report.Incarnation)
+		}
+		l.handleWatchFailure(w, now, execution.RefusedOtherWorker, nil)
+		return
+	}
 	if !w.answering() {
 		l.dirty = true
 		l.Log.Info("worker responsive", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "running", len(report.Running), "ended", len(report.Ended))
@@ -202,11 +209,11 @@
 func (l *loop) recordHeartbeats(heartbeats []workcall.HeardHeartbeat, now time.Time) {
 	for _, heartbeat := range heartbeats {
 		w := l.workers[heartbeat.Worker]
-		if w == nil {
+		if w == nil || (heartbeat.Incarnation != 0 && heartbeat.Incarnation != w.reg.Incarnation) {
 			continue
 		}
 		w.heartbeatAt = now
-		if heartbeat.Incarnation == w.reg.Incarnation && heartbeat.Incarnation != 0 {
+		if heartbeat.Incarnation != 0 {
 			w.heartbeatClockMS = max(w.heartbeatClockMS, heartbeat.ClockMS)
 		}
 	}
