scheduler: failing test of a refusal by a leader that catches up

Submit decides by the local state, then waits for the read barrier and returns the decision made before it: a new leader that has not applied its predecessor's commits answers not-ready (503, never runs) or unknown queue (404) for a job that is accepted.

--- /dev/null
+++ b/internal/process/scheduler/catchup_test.go
@@ -0,0 +1,43 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// laggingReplica is the replica of a leader that has not applied all committed
+// commands; ReadBarrier applies them.
+type laggingReplica struct {
+	*fakeReplica
+	committed []*workstate.Command
+}
+
+func (r *laggingReplica) ReadBarrier(ctx context.Context) error {
+	for _, c := range r.committed {
+		if _, err := propose(ctx, r.fakeReplica, c, time.Now()); err != nil {
+			return err
+		}
+	}
+	r.committed = nil
+	return nil
+}
+
+// TestAcceptedJobIsNotRefusedByALeaderThatCatchesUp guards against a refusal of a job that runs: a new leader refuses it by a state that lacks what its predecessor committed.
+func TestAcceptedJobIsNotRefusedByALeaderThatCatchesUp(t *testing.T) {
+	machine := workstate.NewMachine()
+	spec := workload.Spec{Payload: "p", Steps: []workload.Step{step(1)}}
+	r := &laggingReplica{fakeReplica: &fakeReplica{machine: machine, term: 1}, committed: []*workstate.Command{
+		{Catalog: testCatalog()}, {Submit: &workstate.Submit{ID: jobA, Host: "host", Path: "/q/" + jobA, Spec: spec}},
+	}}
+	s := &Server{replica: r, machine: machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+	answer, err := s.Submit(t.Context(), workcall.SubmitRequest{Location: workcall.Location{Host: "host", Path: "/q/" + jobA}, Spec: spec})
+	if err != nil || answer.Status != workcall.OK {
+		t.Errorf("an accepted job is answered with status %d, error %v", answer.Status, err)
+	}
+}
