scheduler: a submission is refused by a state that holds all that is committed

What callers could see: a job that was accepted, and runs, was answered 503 or 404 "never runs" when its submission was repeated at a new leader.

Cause: Submit waited for the confirmation of the leadership before it refused, but refused by what it had looked up before.

Change: what a submission meets is looked up again after the confirmation.

Evidence: TestAcceptedJobIsNotRefusedByALeaderThatCatchesUp failed before (status of a refusal) and passes.

--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -23,32 +23,57 @@
 // later would most likely wait in a log that no majority gets.
 const maxQuorumSilence = 400 * time.Millisecond
 
-// Submit accepts a job durably. A job that was accepted before is accepted
-// again without effect.
-func (s *Server) Submit(ctx context.Context, r workcall.SubmitRequest) (workcall.SubmitResponse, error) {
-	var response workcall.SubmitResponse
-	var id string
-	known := false
+// submission is what the local state says of a submission.
+type submission struct {
+	id string
+	// known is set if the job was accepted before.
+	known bool
+	// refusal is set if the job must be refused.
+	refusal workcall.SubmitResponse
+}
+
+func (d *submission) refused() bool { return !d.known && d.refusal.Status != 0 }
+
+// examine looks a submission up in the local state.
+func (s *Server) examine(r workcall.SubmitRequest) submission {
+	var d submission
 	s.machine.Read(func(v *workstate.View) {
 		queue, rest := v.Catalog().Match(r.Host, r.Path)
-		id = rest
+		d.id = rest
 		switch {
 		case v.Catalog().Version == 0:
-			response.Status = workcall.NotReady
+			d.refusal.Status = workcall.NotReady
 		case queue == nil:
-			response.Status = workcall.UnknownQueue
+			d.refusal.Status = workcall.UnknownQueue
 		case !validJobID(rest):
-			response = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
+			d.refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
 		}
-		known = v.Job(rest) != nil
+		d.known = v.Job(rest) != nil
 	})
-	if known {
+	return d
+}
+
+// Submit accepts a job durably. A job that was accepted before is accepted
+// again without effect.
+func (s *Server) Submit(ctx context.Context, r workcall.SubmitRequest) (workcall.SubmitResponse, error) {
+	var response workcall.SubmitResponse
+	found := s.examine(r)
+	if found.refused() {
+		// A process that lags behind would refuse by an older configuration, or a
+		// job that it does not know yet.
+		if err := s.replica.ReadBarrier(ctx); err != nil {
+			return response, s.fault(err)
+		}
+		found = s.examine(r)
+	}
+	id := found.id
+	if found.known {
 		// The state holds only committed jobs.
 		s.log.Info("job already accepted", "job", id, "path", r.Path)
 		return workcall.SubmitResponse{Status: workcall.OK}, nil
 	}
-	if response.Status != 0 {
-		return s.confirmRefusal(ctx, response)
+	if found.refused() {
+		return found.refusal, nil
 	}
 	if silence := s.replica.Status().LeaderSilence; silence > maxQuorumSilence {
 		s.log.Warn("job refused, no contact to a majority", "job", id, "path", r.Path, "silent_ms", silence.Milliseconds())
@@ -68,15 +93,6 @@
 	return workcall.SubmitResponse{Status: workcall.OK}, nil
 }
 
-// confirmRefusal returns a refusal after confirming that this process leads. A
-// process that lags behind could refuse because of an older configuration.
-func (s *Server) confirmRefusal(ctx context.Context, response workcall.SubmitResponse) (workcall.SubmitResponse, error) {
-	if err := s.replica.ReadBarrier(ctx); err != nil {
-		return response, s.fault(err)
-	}
-	return response, nil
-}
-
 // findJob returns the job that a path names, or nil.
 func findJob(v *workstate.View, location workcall.Location) *workstate.Job {
 	return v.Job(location.Path[strings.LastIndexByte(location.Path, '/')+1:])
