scheduler: failing test of an end acknowledged by a leader that catches up

Deregister answers with success, without a read barrier, for a worker that the local state does not know: a new leader that has not applied its predecessor's commits acknowledges the end of a worker that stays registered, with its runs. Fails on, without a fix.

--- a/internal/process/scheduler/catchup_test.go
+++ b/internal/process/scheduler/catchup_test.go
@@ -41,3 +41,23 @@
 		t.Errorf("an accepted job is answered with status %d, error %v", answer.Status, err)
 	}
 }
+
+// TestEndOfAWorkerIsNotAcknowledgedByALeaderThatCatchesUp guards against a worker that ends with its runs although it stays registered: a new leader does not know of its registration yet.
+func TestEndOfAWorkerIsNotAcknowledgedByALeaderThatCatchesUp(t *testing.T) {
+	machine := workstate.NewMachine()
+	r := &laggingReplica{fakeReplica: &fakeReplica{machine: machine, term: 1}, committed: []*workstate.Command{
+		{Catalog: testCatalog()}, {Register: &workstate.Worker{ID: "w1", Address: "w1", Service: "svc", VM: "vm-w1", Incarnation: 1}},
+	}}
+	s := &Server{replica: r, machine: machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+	if _, err := s.Deregister(t.Context(), workcall.DeregisterRequest{ID: "w1", Incarnation: 1}); err != nil {
+		return
+	}
+	if err := r.ReadBarrier(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	machine.Read(func(v *workstate.View) {
+		if v.Workers()["w1"] != nil {
+			t.Error("the worker is registered although its end was acknowledged")
+		}
+	})
+}
