scheduler: the end of an unknown worker is acknowledged by the newest state only

What callers could see: a worker that leaves is told so at once by a leader that does not know it yet, its runs are not stopped first, and it may register again by a late heartbeat. Found by the review; class of: an acknowledgement of which the state has recorded no consequence.

Change: the leader confirms its leadership, and with it that its state is the newest, before it takes a worker for unknown.

Evidence: TestEndOfAWorkerIsNotAcknowledgedByALeaderThatCatchesUp failed before and passes.

--- a/internal/process/scheduler/server_leaving.go
+++ b/internal/process/scheduler/server_leaving.go
@@ -21,6 +21,13 @@
 		return workcall.Done{}, s.fault(notLeader(status))
 	}
 	incarnation, known := s.registeredIncarnation(r)
+	if !known {
+		// A process that lags behind does not know the worker or its runs yet.
+		if err := s.replica.ReadBarrier(ctx); err != nil {
+			return workcall.Done{}, s.fault(err)
+		}
+		incarnation, known = s.registeredIncarnation(r)
+	}
 	if !known {
 		return workcall.Done{}, nil
 	}
