scheduler, platform: a run whose end a full report leaves out is not missing

What callers could see: a task that is done starts again, without a lapsed lease.

Cause: a worker lists at most 500 ended runs, the oldest first. A run whose end is beyond them is in neither list; the leader took it for missing, stopped it and, 300 ms later, recorded it as interrupted.

Evidence: TestRunWhoseEndIsNotListedYetIsNotStartedAgain failed before and passes.

--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -151,6 +151,8 @@
 	Ended       []EndedRun    `cbor:"5,keyasint,omitempty"`
 	// EndsOnly is set if Running was left out.
 	EndsOnly bool `cbor:"6,keyasint,omitempty"`
+	// MoreEnds is set if Ended may leave out the newest ends.
+	MoreEnds bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Workers sends orders to workers. Errors wrap ErrNoAnswer or
--- a/internal/process/scheduler/partiallist_test.go
+++ b/internal/process/scheduler/partiallist_test.go
@@ -19,6 +19,7 @@
 
 func (p *partialReports) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
 	report, err := p.fakeWorkers.Watch(ctx, to, q)
+	report.MoreEnds = len(report.Ended) >= maxListedEnds
 	report.Ended = report.Ended[:min(len(report.Ended), maxListedEnds)]
 	return report, err
 }
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -207,6 +207,7 @@
 func (l *loop) advanceRun(v *workstate.View, id workload.TaskID, r *run, w *worker, now time.Time) {
 	r.observe(w, runKey{id, r.number})
 	reported, fresh := r.running || r.ended, r.reportedAfter(r.since)
+	missing := !reported && r.report != nil && !r.report.moreEnds
 	switch r.phase {
 	case runUnknown:
 		if reported {
@@ -221,7 +222,7 @@
 			l.dueStarts = append(l.dueStarts, dueStart{id, r})
 		}
 	case runOrdered:
-		if fresh && !reported {
+		if fresh && missing {
 			l.Log.Info("run missing from the report of its worker", "task", id.String(), "run", r.number, "worker", r.worker)
 			l.sendStop(id, r, now)
 		}
@@ -231,7 +232,7 @@
 		}
 	case runStopped:
 		late := r.reportedAfter(r.since.Add(l.Limits.StopTimeout + reportSlack))
-		if late && !reported {
+		if late && missing {
 			l.queueEnd(id, r.number, workstate.EndInterrupted, "")
 		}
 	}
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -145,6 +145,8 @@
 	sentAt  time.Time
 	running map[runKey]execution.RunningTask
 	ended   map[runKey]execution.EndedRun
+	// moreEnds is set if a run that is in neither list may have ended.
+	moreEnds bool
 }
 
 // addEnds adds the ends of a later report that lists nothing else. It does not
@@ -158,7 +160,7 @@
 }
 
 func newReportView(sentAt time.Time, r *execution.Report) *reportView {
-	view := &reportView{sentAt: sentAt, running: map[runKey]execution.RunningTask{}, ended: map[runKey]execution.EndedRun{}}
+	view := &reportView{sentAt: sentAt, moreEnds: r.MoreEnds, running: map[runKey]execution.RunningTask{}, ended: map[runKey]execution.EndedRun{}}
 	for _, row := range r.Running {
 		view.running[runKey{row.Task, row.Run}] = row
 	}
