scheduler: a lease is counted from what a slow clock shows at least

What callers could see: two runs of one task for some tens of milliseconds, after a change of leader, at a worker whose clock is slow and that is cut off just after its first answer to the new leader. Found by the review, by reading.

Cause: a lease was granted leaseTime beyond the estimate of the worker's clock, which took it to be exact, while its expiry is counted by a clock that is 2% slow. A new leader takes the leases of the former one to end at most leaseTime after its own first contact: on a slow clock they ended up to 2% of the age of the last reading later, 30 ms in the usual case, 100 ms after 5 s.

Change: one estimate for both, what the clock shows at least.

Leases end by at most as much earlier.

--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -228,6 +228,12 @@
 	}
 }
 
+// slowestClockMS returns what the worker's clock shows at least.
+func (w *worker) slowestClockMS(now time.Time) int64 {
+	elapsed := time.Duration(float64(now.Sub(w.clockAt)) * (1 - clockDrift))
+	return w.clockMS + elapsed.Milliseconds()
+}
+
 // grantLease returns the end of a lease that starts now, on the worker's clock,
 // and records that it may have been granted. It returns 0 while the clock is
 // unknown.
@@ -235,7 +241,7 @@
 	if w.clockMS == 0 {
 		return 0
 	}
-	until := w.clockMS + (now.Sub(w.clockAt) + leaseTime).Milliseconds()
+	until := w.slowestClockMS(now) + leaseTime.Milliseconds()
 	w.leaseMS = max(w.leaseMS, until)
 	return until
 }
@@ -289,6 +295,5 @@
 		bound := max(inheritedLease, w.maxStrayLease(longest))
 		return now.Sub(w.knownSince) > time.Duration(float64(bound)*(1+clockDrift))
 	}
-	elapsed := time.Duration(float64(now.Sub(w.clockAt)) * (1 - clockDrift))
-	return w.clockMS+elapsed.Milliseconds() > w.leaseMS
+	return w.slowestClockMS(now) > w.leaseMS
 }
