scheduler: the deregistration of a worker is repeated until its result is known

Callers saw: a worker got no tasks for the rest of a term, because it was deregistered and registered again during one commit; a lost worker whose deregistration failed stayed registered for the rest of a term, and its VM counted as one with a worker.

Cause: the loop marks a worker as being deregistered when it proposes that, proposes it once, and looks at no result.

Change: the proposal is repeated each second until its result is known, and the mark is taken away then: an earlier proposal cannot be applied after a later one with a result. The command names the number of the heartbeat by which the worker is registered, and has no effect on one that has registered by a later heartbeat. So that numbers are not used twice, the state remembers a lost incarnation, as it does one that has left, and a heartbeat up to that number registers it no more; late heartbeats brought lost workers back before. A worker that is not in the leader's table is not deregistered any more: it is gone, or has registered since and is found lost if it has ended.

--- a/internal/process/scheduler/deregistered_test.go
+++ b/internal/process/scheduler/deregistered_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -82,3 +83,55 @@
 		})
 	})
 }
+
+// unknownDeregistration is a replica that applies a deregistration whose result is lost.
+type unknownDeregistration struct {
+	*fakeReplica
+	// lost is closed with the first deregistration, proposed counts them.
+	lost     chan struct{}
+	proposed int
+}
+
+func (r *unknownDeregistration) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	var c workstate.Command
+	if err := cbor.Unmarshal(command, &c); err != nil {
+		return nil, err
+	}
+	answer, err := r.fakeReplica.Propose(ctx, command)
+	if c.Deregister == nil {
+		return answer, err
+	}
+	if r.proposed++; r.proposed > 1 {
+		return answer, err
+	}
+	close(r.lost)
+	return nil, replica.ErrUnknownResult
+}
+
+// TestRepeatedDeregistrationSparesAWorkerThatHasRegisteredAgain guards against a live worker that is removed, and whose runs count as ended, by the repetition of a deregistration that had its effect.
+func TestRepeatedDeregistrationSparesAWorkerThatHasRegisteredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3*time.Second)
+		w1 := f.addWorker("w1", 1000)
+		f.lead()
+		defer f.depose()
+		unknown := &unknownDeregistration{fakeReplica: f.replica, lost: make(chan struct{})}
+		f.loop.post(func(l *loop) { l.Replica = unknown })
+		time.Sleep(time.Second)
+		f.setUnreachable(w1, true)
+		<-unknown.lost
+		f.setUnreachable(w1, false)
+		f.register(w1, "vm-w1", "svc")
+		f.submit(jobA, step(1))
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			f.machine.Read(func(v *workstate.View) {
+				if v.Workers()["w1"] == nil {
+					t.Fatal("the worker was removed")
+				}
+			})
+		}
+		if f.outcome(jobA) != workstate.Succeeded || f.workers.starts != 1 || unknown.proposed != 2 {
+			t.Errorf("outcome %d after %d starts, %d deregistrations", f.outcome(jobA), f.workers.starts, unknown.proposed)
+		}
+	})
+}
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -251,19 +251,55 @@
 	l.proposeAsync(&workstate.Command{Maintenance: &workstate.Maintenance{Wave: wave, VM: vm, Settled: true}}, "maintenance record not confirmed")
 }
 
+// deregisterRetry is the pause before a deregistration is proposed again.
+const deregisterRetry = time.Second
+
 // deregister records that a worker has ended.
 func (l *loop) deregister(w workerIncarnation) {
-	if known := l.workers[w.id]; known != nil && known.reg.Incarnation == w.incarnation {
-		known.deregistering = true
+	known := l.workers[w.id]
+	if known == nil || known.reg.Incarnation != w.incarnation {
+		// It is registered no more, or again since the last round, and then it is
+		// found lost later if it has ended.
+		return
+	}
+	known.deregistering = true
+	sequence := known.reg.Sequence
+	go l.proposeDeregistration(&workstate.Deregister{ID: w.id, Incarnation: w.incarnation, Sequence: &sequence})
+}
+
+// proposeDeregistration proposes the deregistration of a worker until its result is
+// known. An earlier proposal without a result may still be applied, but not after one
+// with a result.
+func (l *loop) proposeDeregistration(d *workstate.Deregister) {
+	for l.ctx.Err() == nil {
+		_, err := propose(l.ctx, l.Replica, &workstate.Command{Deregister: d}, l.Now())
+		if err == nil {
+			l.post(func(l *loop) { l.deregistered(d) })
+			return
+		}
+		if l.ctx.Err() == nil {
+			l.Log.Warn("deregistration of a worker not confirmed", "worker", d.ID, "error", err.Error())
+		}
+		select {
+		case <-l.ctx.Done():
+		case <-time.After(deregisterRetry):
+		}
+	}
+}
+
+// deregistered records that the deregistration of a worker has had its effect. A
+// worker that is registered nonetheless has sent a heartbeat since, and may get tasks.
+func (l *loop) deregistered(d *workstate.Deregister) {
+	l.dirty = true
+	if w := l.workers[d.ID]; w != nil && w.reg.Incarnation == d.Incarnation {
+		w.deregistering = false
+		w.heartbeatAt = time.Now()
 	}
-	l.proposeAsync(&workstate.Command{Deregister: &workstate.Deregister{ID: w.id, Incarnation: w.incarnation}}, "deregistration of a worker not confirmed")
 }
 
 // proposeAsync proposes a command in the background and does not retry it. A
 // lost record of a started maintenance is made good when the maintenance is
-// ordered again. A worker whose deregistration is lost stays registered until it
-// is deregistered for another reason, by the next leader, or by a new worker on
-// its VM.
+// ordered again.
 func (l *loop) proposeAsync(c *workstate.Command, failure string) {
 	go func() {
 		_, err := propose(l.ctx, l.Replica, c, l.Now())
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -111,9 +111,9 @@
 	// before nextWatch.
 	watching  bool
 	nextWatch time.Time
-	// deregistering is set once the deregistration of the worker was proposed.
-	// It gets no tasks from then on: they would count as ended with it, although
-	// it may be alive.
+	// deregistering is set while the result of a proposed deregistration of the
+	// worker is unknown. It gets no tasks until then: they would count as ended
+	// with it, although it may be alive.
 	deregistering bool
 	// superseded is set once a later incarnation has answered in this one's place.
 	// Until that is registered, it gets no orders for this one.
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -100,6 +100,10 @@
 	// until that is acknowledged, so it is removed only if no run is recorded on
 	// it; otherwise the result is Busy and the worker is marked as leaving.
 	Announced bool `cbor:"3,keyasint,omitempty"`
+	// Sequence, if it is set, is the number of the newest heartbeat by which the
+	// incarnation may be registered. One that has registered by a later heartbeat
+	// is alive and stays, so that the command may be repeated.
+	Sequence *int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Maintenance records that the maintenance of a VM is about to be ordered or, if
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -200,15 +200,27 @@
 	// ClockMS is the latest time of any command in milliseconds; it never
 	// decreases.
 	ClockMS int64 `cbor:"5,keyasint"`
-	// Left holds, by id, the workers that have left lately.
+	// Left holds, by id, the workers that have left or were lost lately.
 	Left map[string]LeftWorker `cbor:"6,keyasint,omitempty"`
 }
 
-// LeftWorker is an incarnation of a worker that has announced its end and was
-// removed, at a time on the state's clock in milliseconds.
+// LeftWorker is an incarnation of a worker that has announced its end or was lost,
+// and was removed, at a time on the state's clock in milliseconds.
 type LeftWorker struct {
 	Incarnation int64 `cbor:"1,keyasint"`
 	AtMS        int64 `cbor:"2,keyasint"`
+	// Lost is set if the incarnation was lost. It may be alive, and registers
+	// again by a heartbeat after the one numbered Sequence.
+	Lost     bool  `cbor:"3,keyasint,omitempty"`
+	Sequence int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// covers reports whether a registration is from before the removal.
+func (l *LeftWorker) covers(w *Worker) bool {
+	if l.Lost && w.Incarnation == l.Incarnation {
+		return w.Sequence <= l.Sequence
+	}
+	return w.Incarnation <= l.Incarnation
 }
 
 func emptyData() data {
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -6,10 +6,10 @@
 // the later incarnation replaces the earlier one, whose runs have ended with it.
 // If the earlier one has crashed, the leader records the ends of these runs, since
 // only the leader knows which of them may have crashed it. A registration by a
-// heartbeat older than the known one, or of an incarnation that has left, has no
-// effect.
+// heartbeat older than the known one, of an incarnation that has left, or sent before
+// its incarnation was found lost, has no effect.
 func (m *Machine) applyRegister(w *Worker) Result {
-	if left, known := m.data.Left[w.ID]; known && w.Incarnation <= left.Incarnation {
+	if left, known := m.data.Left[w.ID]; known && left.covers(w) {
 		return Result{Code: OK, Repeated: true}
 	}
 	known := m.data.Workers[w.ID]
@@ -51,7 +51,7 @@
 // while runs are recorded on it is marked as leaving instead.
 func (m *Machine) applyDeregister(d *Deregister) Result {
 	worker := m.data.Workers[d.ID]
-	if worker == nil || worker.Incarnation != d.Incarnation {
+	if worker == nil || worker.Incarnation != d.Incarnation || d.predates(worker) {
 		return Result{Code: OK, Repeated: true}
 	}
 	if d.Announced && m.executing.on(worker.ID) > 0 {
@@ -60,25 +60,35 @@
 		return Result{Code: Busy}
 	}
 	m.removeWorker(worker)
-	if d.Announced {
-		m.recordLeft(worker)
+	switch {
+	case d.Announced:
+		m.recordLeft(worker.ID, LeftWorker{Incarnation: worker.Incarnation})
+	case d.Sequence != nil:
+		m.recordLeft(worker.ID, LeftWorker{Incarnation: worker.Incarnation, Lost: true, Sequence: *d.Sequence})
 	}
 	return Result{Code: OK}
 }
 
+// predates reports whether a worker has registered since its deregistration was
+// proposed.
+func (d *Deregister) predates(worker *Worker) bool {
+	return d.Sequence != nil && worker.Sequence > *d.Sequence
+}
+
 // leftMemoryMS is how long a worker that has left is remembered, longer than any
 // of its heartbeats is on its way.
 const leftMemoryMS = 60_000
 
-// recordLeft keeps a heartbeat that arrives after its worker has left from
-// registering it again, and forgets those that left long ago.
-func (m *Machine) recordLeft(worker *Worker) {
-	for id, left := range m.data.Left {
+// recordLeft keeps a heartbeat that arrives after its worker was removed from
+// registering it again, and forgets those that were removed long ago.
+func (m *Machine) recordLeft(id string, left LeftWorker) {
+	for former, left := range m.data.Left {
 		if m.data.ClockMS-left.AtMS > leftMemoryMS {
-			delete(m.data.Left, id)
+			delete(m.data.Left, former)
 		}
 	}
-	m.data.Left[worker.ID] = LeftWorker{Incarnation: worker.Incarnation, AtMS: m.data.ClockMS}
+	left.AtMS = m.data.ClockMS
+	m.data.Left[id] = left
 }
 
 // removeWorker removes a worker and interrupts the runs on it. Those of an earlier
