workstate: a lost incarnation is remembered for itself only

A lost incarnation covers its own heartbeats up to the number that is known; one that has left covers earlier ones as before.

--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -215,10 +215,11 @@
 	Sequence int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// covers reports whether a registration is from before the removal.
+// covers reports whether a registration is from before the removal. That of a lower
+// incarnation may be of a worker that has restarted with an earlier clock.
 func (l *LeftWorker) covers(w *Worker) bool {
-	if l.Lost && w.Incarnation == l.Incarnation {
-		return w.Sequence <= l.Sequence
+	if l.Lost {
+		return w.Incarnation == l.Incarnation && w.Sequence <= l.Sequence
 	}
 	return w.Incarnation <= l.Incarnation
 }
