scheduler: the drain of a worker's next incarnation hides no crash of the former one

Callers saw: nothing reported; found in random schedules with deadly tasks, where a task crashed one worker more than was counted.

Cause: an incarnation counted as ended by order if it was not newer than EndsByOrder, the newest one that was about to end by order.

Change: only the incarnation that EndsByOrder names has ended by order. Weighed: a run that is still recorded on an incarnation that ended by order two restarts ago is now blamed; the leader has seen both restarts by then.

Evidence: TestDrainOfTheNextIncarnationHidesNoCrash failed before ("the run is not blamed for the crash").

--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -158,3 +158,21 @@
 		}
 	}
 }
+
+// TestDrainOfTheNextIncarnationHidesNoCrash guards against a deadly task that is started once too often because the worker, back under its id, drains before the crash is recorded.
+func TestDrainOfTheNextIncarnationHidesNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		former := f.addWorker("w1", 4000)
+		f.submit(jobA, step(1))
+		start := workstate.Start{Task: workload.TaskID{Job: jobA}, Run: 1, Worker: "w1", Incarnation: former.incarnation, Term: 1}
+		f.commit(&workstate.Command{Progress: &workstate.Progress{Starts: []workstate.Start{start}}})
+		l := newLoop(t.Context(), Options{Replica: f.replica, Machine: f.machine, Workers: f.workers, Limits: f.limits, Log: slog.New(slog.DiscardHandler), Now: time.Now}, 1)
+		time.Sleep(time.Second)
+		f.announceDrain(f.workers.add("w1", 4000), "vm-w1")
+		f.machine.Read(func(v *workstate.View) { l.findCrashes(v, time.Now()) })
+		if r := l.runs[start.Task]; r == nil || r.blame == nil {
+			t.Error("the run is not blamed for the crash")
+		}
+	})
+}
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -129,7 +129,7 @@
 // hasCrashed reports whether an incarnation of a worker has ended by a crash.
 func hasCrashed(v *workstate.View, id string, incarnation int64) bool {
 	reg := v.Workers()[id]
-	return reg == nil || (reg.Incarnation != incarnation && incarnation > reg.EndsByOrder)
+	return reg == nil || (incarnation != reg.Incarnation && incarnation != reg.EndsByOrder)
 }
 
 // isLost reports whether the worker of a recorded run has crashed.
