scheduler, workstate: crashes that are not certainly under a start count for less

Callers saw: a job shown as failed with attempts left, under whose task one worker had crashed or none.

Four crashes gave a job up although none was certain; in all four runs were inherited: one ended unseen by the new leader, one was never ordered with success, one survived 0.4 s, one was done 0.4 s before the crash.

Change: a run is uncertain unless the leader that sees its worker lost had its order accepted at most 1.3 s before the silence. That replaces "inherited", also in the state (same key). Uncertain crashes do not count towards the three; four give the job up if one of them is certain, else five. A run whose worker stays silent until its lease has ended is judged in the same way. Long-running tasks are treated as before.

Evidence: TestLostStartOrderIsNoThirdCrash and TestCrashesUnderChangesOfLeaderGiveNoJobUp failed before ("is 2 after 20s"), TestUncertainCrashesCountForLess is the table of the rule.

Conclusion: a deadly task whose crashes are all uncertain, as under a change of leader at each start, costs a fifth worker; one with two certain crashes and an unanswered start costs a fourth.

--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -1,11 +1,14 @@
 package scheduler
 
 import (
+	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -176,3 +179,61 @@
 		}
 	})
 }
+
+// lostStarts loses one start order while armed is set, and tells to which worker.
+type lostStarts struct {
+	*fakeWorkers
+	armed atomic.Bool
+	lost  chan string
+}
+
+func (s *lostStarts) Start(ctx context.Context, to execution.WorkerAddress, o execution.StartOrder) (execution.Answer, error) {
+	if s.armed.CompareAndSwap(true, false) {
+		s.lost <- to.ID
+		<-ctx.Done()
+		return execution.Answer{}, execution.ErrNoAnswer
+	}
+	return s.fakeWorkers.Start(ctx, to, o)
+}
+
+// TestLostStartOrderIsNoThirdCrash guards against a job that is given up for two crashes, after one of a worker that may never have had its task's start order.
+func TestLostStartOrderIsNoThirdCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFixture(t, 2*time.Second, 4)
+		f.lead()
+		defer func() { f.finish() }()
+		calls := &lostStarts{fakeWorkers: f.workers, lost: make(chan string, 1)}
+		calls.armed.Store(true)
+		f.loop.post(func(l *loop) { l.Workers = calls })
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		id := <-calls.lost
+		f.workers.mu.Lock()
+		silent := f.workers.workers[id]
+		f.workers.mu.Unlock()
+		f.crashWorker(silent)
+		for range 2 {
+			f.crashWorker(f.awaitRun(jobA))
+		}
+		f.await(jobA, workstate.Succeeded, 20*time.Second)
+	})
+}
+
+// TestCrashesUnderChangesOfLeaderGiveNoJobUp guards against a job that is given up for four crashes long after its starts, which no leader could tell from crashes by the start.
+func TestCrashesUnderChangesOfLeaderGiveNoJobUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFixture(t, 2*time.Second, 4)
+		f.lead()
+		defer func() { f.finish() }()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		for range 4 {
+			w := f.awaitRun(jobA)
+			f.depose()
+			time.Sleep(time.Second)
+			f.crashWorker(w)
+			f.lead()
+		}
+		f.await(jobA, workstate.Succeeded, 20*time.Second)
+	})
+}
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -171,15 +171,16 @@
 	if len(s.suspects) == 0 {
 		s.job = id.Job
 	}
-	s.mixed = s.mixed || s.job != id.Job || r.inherited || !r.wasStarting(silentAt)
+	r.uncertain = !r.wasStarting(silentAt)
+	s.mixed = s.mixed || s.job != id.Job || r.uncertain
 	s.suspects = append(s.suspects, r)
 	s.names = append(s.names, fmt.Sprintf("%s#%d(%d)", id, r.number, task.Crashes+1))
 }
 
-// wasStarting reports whether it is certain that the run had been ordered shortly
-// before its worker was found silent.
+// wasStarting reports whether it is certain that the run had been ordered by this
+// leader shortly before its worker was found silent.
 func (r *run) wasStarting(silentAt time.Time) bool {
-	return !r.orderedAt.IsZero() && silentAt.Sub(r.orderedAt) <= startCrashTime
+	return !r.inherited && !r.orderedAt.IsZero() && silentAt.Sub(r.orderedAt) <= startCrashTime
 }
 
 // mayCrashWorker reports whether the run may be starting. A run whose order this
@@ -189,8 +190,9 @@
 // suspectUnheard blames the run for the silence of its worker if it may have been
 // starting when the silence began. The worker may have crashed or be cut off, so
 // that this is a weaker suspicion than a crash with no other suspects.
-func (r *run) suspectUnheard() {
+func (r *run) suspectUnheard(silentAt time.Time) {
 	if r.mayCrashWorker() {
+		r.uncertain = !r.wasStarting(silentAt)
 		r.blame = &crash{workerIncarnation: workerIncarnation{id: r.worker}}
 	}
 }
@@ -200,7 +202,7 @@
 func (r *run) judge(end *workstate.End) {
 	end.Survived = r.settled || end.Kind == workstate.EndFailed
 	if end.Kind == workstate.EndInterrupted && r.blame != nil {
-		end.Kind, end.Alone, end.Inherited = workstate.EndCrashed, r.blame.alone, r.inherited
+		end.Kind, end.Alone, end.Uncertain = workstate.EndCrashed, r.blame.alone, r.uncertain
 	}
 }
 
@@ -245,7 +247,7 @@
 		logged[job.ID] = true
 		jobsGivenUp.Inc()
 		attrs := []any{"job", job.ID, "task", e.Task.String(), "run", e.Run, "crashes", task.Crashes, "crashes_alone", task.CrashesAlone,
-			"crashes_inherited", task.CrashesInherited, "alone", e.Alone}
+			"crashes_uncertain", task.CrashesUncertain, "alone", e.Alone}
 		if r := l.runs[e.Task]; r != nil && r.blame != nil {
 			attrs = append(attrs, "worker", r.blame.id, "incarnation", r.blame.incarnation)
 		}
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -187,7 +187,7 @@
 	}
 	if w.unresponsive && w.leasesExpired(now, l.Limits.LongestLease) {
 		l.Log.Info("run ended with the lease of its worker", "task", id.String(), "run", task.Run, "worker", task.Worker, "settled", r.settled)
-		r.suspectUnheard()
+		r.suspectUnheard(w.failedAt)
 		l.queueUnreportedEnd(id, task.Run, w)
 		return
 	}
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -70,9 +70,11 @@
 	// not know whether its worker has listed it long ago.
 	inherited bool
 	// lost is set once the loss of the run with its worker was looked at. blame is
-	// the crash that the run may have caused, or nil.
-	lost  bool
-	blame *crash
+	// the crash that the run may have caused, or nil. uncertain is set if it is not
+	// certain that the run was starting at that time.
+	lost      bool
+	blame     *crash
+	uncertain bool
 	// unconfirmed is set if a start order got no answer or may have been sent by
 	// a former leader, so that it may still arrive.
 	unconfirmed bool
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -67,9 +67,10 @@
 	// Survived is set if the run is known to have survived its start, so that it
 	// did not crash its worker by starting.
 	Survived bool `cbor:"6,keyasint,omitempty"`
-	// Inherited is set for EndCrashed if a leader before the one that records the
-	// end had ordered the run.
-	Inherited bool `cbor:"7,keyasint,omitempty"`
+	// Uncertain is set for EndCrashed if it is not certain that the run was starting
+	// when its worker crashed or fell silent: a former leader had ordered it, its
+	// order was not known to be accepted, or it was accepted long before.
+	Uncertain bool `cbor:"7,keyasint,omitempty"`
 	// Unreported is set if the worker has not reported the end but may still do so.
 	Unreported bool `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/process/workstate/crashes.go
+++ b/internal/process/workstate/crashes.go
@@ -6,26 +6,31 @@
 // given up. Workers crash without any task's guilt too, but hardly as often just
 // when the same task starts on them apart from the tasks of other jobs.
 const (
-	// maxCrashes bounds all crashes that the task may have caused.
-	maxCrashes = 4
-	// maxLikelyCrashes bounds those under runs that the leader of that time had
-	// ordered itself, if minCrashesAlone of them, the last one included, are such
-	// that no other job's task can have caused them.
+	// maxCrashes bounds all crashes that the task may have caused. It is the only
+	// bound for a long-running task, whose job is missed by its users for the rest
+	// of the day.
+	maxCrashes = 5
+	// maxProbableCrashes bounds them if one of them was under a run that was
+	// certainly starting.
+	maxProbableCrashes = 4
+	// maxLikelyCrashes bounds the crashes under runs that were certainly starting if
+	// minCrashesAlone of them, the last one included, are such that no other job's
+	// task can have caused them.
 	maxLikelyCrashes = 3
 	minCrashesAlone  = 2
-	// maxLongRunningCrashes bounds the crashes of a long-running task, whose job
-	// is missed by its users for the rest of the day.
-	maxLongRunningCrashes = 5
 )
 
 // GivenUp reports whether the job of a task of a step fails because of the
 // crashes under the task, of which alone describes the last one.
 func (t *Task) GivenUp(step *workload.Step, alone bool) bool {
-	if step.LongRunning {
-		return t.Crashes >= maxLongRunningCrashes
+	if step.LongRunning || t.Crashes >= maxCrashes {
+		return t.Crashes >= maxCrashes
 	}
-	likely := alone && t.CrashesAlone >= minCrashesAlone
-	return t.Crashes >= maxCrashes || likely && t.Crashes-t.CrashesInherited >= maxLikelyCrashes
+	certain := t.Crashes - t.CrashesUncertain
+	if t.Crashes >= maxProbableCrashes && certain > 0 {
+		return true
+	}
+	return certain >= maxLikelyCrashes && alone && t.CrashesAlone >= minCrashesAlone
 }
 
 // countCrash counts a crash that the task may have caused, from the end of its run.
@@ -34,14 +39,14 @@
 	if e.Alone {
 		t.CrashesAlone++
 	}
-	if e.Inherited {
-		t.CrashesInherited++
+	if e.Uncertain {
+		t.CrashesUncertain++
 	}
 }
 
 // forgetCrashes records that a run has survived its start.
 func (t *Task) forgetCrashes() {
-	t.Crashes, t.CrashesAlone, t.CrashesInherited = 0, 0, 0
+	t.Crashes, t.CrashesAlone, t.CrashesUncertain = 0, 0, 0
 }
 
 // crashed reports whether a worker that a later one replaces has crashed. It has
--- a/internal/process/workstate/crashes_test.go
+++ b/internal/process/workstate/crashes_test.go
@@ -85,7 +85,7 @@
 	m := newTestMachine(t)
 	for run, want := range []Outcome{Open, Open, Open, Failed} {
 		start(t, m, id(0, 0), run+1, "w0")
-		end := End{Task: id(0, 0), Run: run + 1, Kind: EndCrashed, Alone: run > 0, Inherited: run == 0}
+		end := End{Task: id(0, 0), Run: run + 1, Kind: EndCrashed, Alone: run > 0, Uncertain: run == 0}
 		apply(t, m, Command{Progress: &Progress{Ends: []End{end}}})
 		if outcome := m.data.Jobs[testJob].Outcome; outcome != want {
 			t.Errorf("outcome %d after crash %d, expected %d", outcome, run+1, want)
@@ -107,7 +107,35 @@
 	if err := cbor.Unmarshal(encoded, &task); err != nil {
 		t.Fatal(err)
 	}
-	if task.Crashes != 2 || task.CrashesAlone != 1 || task.CrashesInherited != 0 {
+	if task.Crashes != 2 || task.CrashesAlone != 1 || task.CrashesUncertain != 0 {
 		t.Errorf("%+v", task)
 	}
 }
+
+// TestUncertainCrashesCountForLess guards against a job that is given up for crashes of which none was certainly under a start of its task, and against a deadly task that starts more than five times.
+func TestUncertainCrashesCountForLess(t *testing.T) {
+	uncertain, certain, alone := End{Uncertain: true}, End{}, End{Alone: true}
+	cases := []struct {
+		name    string
+		crashes []End
+		want    Outcome
+	}{
+		{"one uncertain, two alone", []End{uncertain, alone, alone}, Open},
+		{"one uncertain, three alone", []End{uncertain, alone, alone, alone}, Failed},
+		{"one certain, two alone", []End{certain, alone, alone}, Failed},
+		{"three uncertain, one certain", []End{uncertain, uncertain, certain, uncertain}, Failed},
+		{"four uncertain", []End{uncertain, uncertain, uncertain, uncertain}, Open},
+		{"five uncertain", []End{uncertain, uncertain, uncertain, uncertain, uncertain}, Failed},
+	}
+	for _, c := range cases {
+		m := newTestMachine(t)
+		for i, end := range c.crashes {
+			start(t, m, id(0, 0), i+1, "w0")
+			end.Task, end.Run, end.Kind = id(0, 0), i+1, EndCrashed
+			apply(t, m, Command{Progress: &Progress{Ends: []End{end}}})
+		}
+		if outcome := m.data.Jobs[testJob].Outcome; outcome != c.want {
+			t.Errorf("%s: outcome %d, expected %d", c.name, outcome, c.want)
+		}
+	}
+}
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -36,11 +36,11 @@
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
 	// Crashes counts the runs that may have crashed their worker since a run last
 	// survived its start. CrashesAlone counts those among them that no run of
-	// another job can have caused, and CrashesInherited those of runs that a
-	// former leader had ordered, which may have been executing for long.
+	// another job can have caused, and CrashesUncertain those of runs that may have
+	// started long before, or not at all.
 	Crashes          int `cbor:"7,keyasint,omitempty"`
 	CrashesAlone     int `cbor:"8,keyasint,omitempty"`
-	CrashesInherited int `cbor:"11,keyasint,omitempty"`
+	CrashesUncertain int `cbor:"11,keyasint,omitempty"`
 	// Term is the term of the leader that recorded the newest run.
 	Term uint64 `cbor:"10,keyasint,omitempty"`
 	// UnreportedRuns lists the runs that were ended before their worker reported
