scheduler: no start for an incarnation that the state has replaced

In a test a run was started twice: a start for a worker's former incarnation goes to the next one, which is registered already, since the loop's table of workers is older than the state until its next round.

Cause: before a start is sent its worker's newest registration is looked at, but not its incarnation.

Change: a registration of another incarnation allows no start for this one; the run is stopped, as after the next round.

Evidence: TestStartIsNotSentOnceTheNextIncarnationIsRegistered failed before: "run 1 was started 2 times".

--- a/internal/process/scheduler/superseded_test.go
+++ b/internal/process/scheduler/superseded_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -49,3 +50,35 @@
 	defer f.mu.Unlock()
 	return w.running[task] != nil
 }
+
+// TestStartIsNotSentOnceTheNextIncarnationIsRegistered guards against a start for a former incarnation that goes to the registered one between two rounds.
+func TestStartIsNotSentOnceTheNextIncarnationIsRegistered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.addWorker("w1", 1000)
+		starts := map[int]int{}
+		f.workers.durationOf = func(_ workload.TaskID, run int) time.Duration {
+			starts[run]++
+			return time.Second
+		}
+		f.lead()
+		defer f.depose()
+		time.Sleep(time.Second)
+		f.submit(jobA, step(1))
+		time.Sleep(100 * time.Millisecond)
+		f.workers.mu.Lock()
+		next := f.workers.add("w1", 1000)
+		f.workers.mu.Unlock()
+		f.loop.post(func(l *loop) {
+			f.register(next, "vm-w1", "svc")
+			task := workload.TaskID{Job: jobA}
+			l.Machine.Read(func(v *workstate.View) { l.sendStart(v, task, l.runs[task], time.Now()) })
+		})
+		f.await(jobA, workstate.Succeeded, 5*time.Second)
+		f.workers.mu.Lock()
+		defer f.workers.mu.Unlock()
+		if starts[1] != 1 {
+			t.Errorf("run 1 was started %d times", starts[1])
+		}
+	})
+}
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -198,10 +198,11 @@
 
 // mayGetStarts reports whether this incarnation may start runs, according to its
 // newest registration, which is nil if it is registered no more. A start order could
-// arrive after the time at which a draining worker stops accepting orders, and a
-// deregistration ends the run in the state. The worker may be out of touch.
+// arrive after the time at which a draining worker stops accepting orders, or at the
+// next incarnation, and a deregistration ends the run in the state. The worker may be
+// out of touch.
 func (w *worker) mayGetStarts(reg *workstate.Worker) bool {
-	return reg != nil && !reg.Draining && !w.deregistering && !w.superseded
+	return reg != nil && reg.Incarnation == w.reg.Incarnation && !reg.Draining && !w.deregistering && !w.superseded
 }
 
 // schedulable reports whether the worker may be chosen for new tasks.
