--- a/internal/process/scheduler/fencing.go
+++ b/internal/process/scheduler/fencing.go
@@ -7,9 +7,9 @@
 )
 
 // Parts of a fencing token. It travels as a JSON number, of which a receiver may
-// keep 53 bits, so that 28 bits are left for the term.
+// keep 53 bits, so that 37 bits are left for the term.
 const (
-	generationBits = 25
+	generationBits = 16
 	maxGeneration  = 1<<generationBits - 1
 )
 
--- a/internal/process/scheduler/fencing_test.go
+++ b/internal/process/scheduler/fencing_test.go
@@ -15,7 +15,7 @@
 func TestFencingTokensRiseWithTermAndGeneration(t *testing.T) {
 	ascending := []fencingToken{
 		newFencingToken(1, 0), newFencingToken(1, 1), newFencingToken(1, maxGeneration), newFencingToken(2, 0),
-		newFencingToken(1<<28-1, 0), newFencingToken(1<<28-1, maxGeneration),
+		newFencingToken(1<<37-1, 0), newFencingToken(1<<37-1, maxGeneration),
 	}
 	for i := 1; i < len(ascending); i++ {
 		if ascending[i] <= ascending[i-1] {
