--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -203,7 +203,8 @@
 }
 
 // advanceRun sends the next order for a run if one is due, for example again
-// after a lost answer, or notes that its start is due, and updates the phase of the run from the newest report.
+// after a lost answer, or notes that its start is due. It updates the phase of the
+// run from the newest report.
 func (l *loop) advanceRun(v *workstate.View, id workload.TaskID, r *run, w *worker, now time.Time) {
 	r.observe(w, runKey{id, r.number})
 	reported, fresh := r.running || r.ended, r.reportedAfter(r.since)
