replica/core: one function for what a majority of the voters has reached

Unconfirmed and FollowersMatch, added lately, and confirmedRound and advanceCommit each collected a value of every voter, sorted them and took the one of the quorum. They share reachedByMajority now; FollowersMatch counts the leader as holding its whole log in place of a lower quorum without it, which is the same index.

--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -1,10 +1,6 @@
 package core
 
-import (
-	"slices"
-
-	"arbutusward.example/arbutusward/internal/process/replica"
-)
+import "arbutusward.example/arbutusward/internal/process/replica"
 
 // Role is the Raft role of a process in its current term.
 type Role uint8
@@ -107,16 +103,13 @@
 	if c.role != Leader {
 		return 0, false
 	}
-	var sent []uint64
-	for _, id := range c.voters() {
+	sent := c.reachedByMajority(func(id string) uint64 {
 		if id == c.config.ID {
-			sent = append(sent, c.ticks)
-			continue
+			return c.ticks
 		}
-		sent = append(sent, c.peers[id].confirmedAt)
-	}
-	slices.Sort(sent)
-	return int(c.ticks - sent[len(sent)-c.quorum()]), true
+		return c.peers[id].confirmedAt
+	})
+	return int(c.ticks - sent), true
 }
 
 // Commit returns the last index known to be committed.
--- a/internal/process/replica/core/reads.go
+++ b/internal/process/replica/core/reads.go
@@ -62,14 +62,10 @@
 
 // confirmedRound returns the newest round that a majority has answered.
 func (c *Core) confirmedRound() uint64 {
-	var rounds []uint64
-	for _, id := range c.voters() {
+	return c.reachedByMajority(func(id string) uint64 {
 		if id == c.config.ID {
-			rounds = append(rounds, c.round)
-			continue
+			return c.round
 		}
-		rounds = append(rounds, c.peers[id].round)
-	}
-	slices.Sort(rounds)
-	return rounds[len(rounds)-c.quorum()]
+		return c.peers[id].round
+	})
 }
--- a/internal/process/replica/core/replicate.go
+++ b/internal/process/replica/core/replicate.go
@@ -140,20 +140,23 @@
 	if c.role != Leader {
 		return 0
 	}
-	needed := c.quorum()
-	var matches []uint64
-	for _, id := range c.voters() {
+	return c.reachedByMajority(func(id string) uint64 {
 		if id == c.config.ID {
-			needed--
-			continue
+			return c.log.last().Index
 		}
-		matches = append(matches, c.peers[id].match)
-	}
-	if needed == 0 {
-		return c.log.last().Index
+		return c.peers[id].match
+	})
+}
+
+// reachedByMajority returns the highest value that a majority of the voters has
+// reached, given the value of each.
+func (c *Core) reachedByMajority(of func(id string) uint64) uint64 {
+	var values []uint64
+	for _, id := range c.voters() {
+		values = append(values, of(id))
 	}
-	slices.Sort(matches)
-	return matches[len(matches)-needed]
+	slices.Sort(values)
+	return values[len(values)-c.quorum()]
 }
 
 // advanceCommit commits the highest entry of the current term that a
@@ -162,12 +165,7 @@
 	if c.role != Leader {
 		return
 	}
-	var matches []uint64
-	for _, id := range c.voters() {
-		matches = append(matches, c.peers[id].match)
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-c.quorum()]
+	index := c.reachedByMajority(func(id string) uint64 { return c.peers[id].match })
 	if index <= c.log.commit || index < c.termStart {
 		return
 	}
