scheduler: submissions and departures use the server's confirmed read

Submit and Deregister called ReadBarrier, wrapped its error and looked the state up again, which Server.read does. What is looked up is a function of the state now, called first on the local one and then by read.

--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -23,7 +23,7 @@
 // later would most likely wait in a log that no majority gets.
 const maxQuorumSilence = 400 * time.Millisecond
 
-// submission is what the local state says of a submission.
+// submission is what a state says of a submission.
 type submission struct {
 	id string
 	// known is set if the job was accepted before.
@@ -34,37 +34,34 @@
 
 func (d *submission) refused() bool { return !d.known && d.refusal.Status != 0 }
 
-// examine looks a submission up in the local state.
-func (s *Server) examine(r workcall.SubmitRequest) submission {
-	var d submission
-	s.machine.Read(func(v *workstate.View) {
-		queue, rest := v.Catalog().Match(r.Host, r.Path)
-		d.id = rest
-		switch {
-		case v.Catalog().Version == 0:
-			d.refusal.Status = workcall.NotReady
-		case queue == nil:
-			d.refusal.Status = workcall.UnknownQueue
-		case !validJobID(rest):
-			d.refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
-		}
-		d.known = v.Job(rest) != nil
-	})
-	return d
+// examine looks a submission up in a state.
+func examine(v *workstate.View, r workcall.SubmitRequest) submission {
+	queue, rest := v.Catalog().Match(r.Host, r.Path)
+	found := submission{id: rest, known: v.Job(rest) != nil}
+	switch {
+	case v.Catalog().Version == 0:
+		found.refusal.Status = workcall.NotReady
+	case queue == nil:
+		found.refusal.Status = workcall.UnknownQueue
+	case !validJobID(rest):
+		found.refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
+	}
+	return found
 }
 
 // Submit accepts a job durably. A job that was accepted before is accepted
 // again without effect.
 func (s *Server) Submit(ctx context.Context, r workcall.SubmitRequest) (workcall.SubmitResponse, error) {
 	var response workcall.SubmitResponse
-	found := s.examine(r)
+	var found submission
+	look := func(v *workstate.View) { found = examine(v, r) }
+	s.machine.Read(look)
 	if found.refused() {
 		// A process that lags behind would refuse by an older configuration, or a
 		// job that it does not know yet.
-		if err := s.replica.ReadBarrier(ctx); err != nil {
-			return response, s.fault(err)
+		if err := s.read(ctx, look); err != nil {
+			return response, err
 		}
-		found = s.examine(r)
 	}
 	id := found.id
 	if found.known {
--- a/internal/process/scheduler/server_leaving.go
+++ b/internal/process/scheduler/server_leaving.go
@@ -20,16 +20,9 @@
 	if status.Leader != status.ID {
 		return workcall.Done{}, s.fault(notLeader(status))
 	}
-	incarnation, known := s.registeredIncarnation(r)
-	if !known {
-		// A process that lags behind does not know the worker or its runs yet.
-		if err := s.replica.ReadBarrier(ctx); err != nil {
-			return workcall.Done{}, s.fault(err)
-		}
-		incarnation, known = s.registeredIncarnation(r)
-	}
-	if !known {
-		return workcall.Done{}, nil
+	incarnation, known, err := s.registeredIncarnation(ctx, r)
+	if err != nil || !known {
+		return workcall.Done{}, err
 	}
 	command := &workstate.Command{Deregister: &workstate.Deregister{ID: r.ID, Incarnation: incarnation, Announced: true}}
 	result, err := s.propose(ctx, command)
@@ -45,16 +38,21 @@
 // registeredIncarnation returns the incarnation that is to be removed: the one
 // that the request names or, if it names none, the registered one. It reports
 // false if the worker is not registered.
-func (s *Server) registeredIncarnation(r workcall.DeregisterRequest) (incarnation int64, known bool) {
+func (s *Server) registeredIncarnation(ctx context.Context, r workcall.DeregisterRequest) (incarnation int64, known bool, err error) {
 	incarnation = r.Incarnation
-	s.machine.Read(func(v *workstate.View) {
+	look := func(v *workstate.View) {
 		worker := v.Workers()[r.ID]
 		known = worker != nil
 		if known && incarnation == 0 {
 			incarnation = worker.Incarnation
 		}
-	})
-	return incarnation, known
+	}
+	s.machine.Read(look)
+	if !known {
+		// A process that lags behind does not know the worker or its runs yet.
+		err = s.read(ctx, look)
+	}
+	return incarnation, known, err
 }
 
 // awaitNoRuns waits until no run is recorded on a leaving worker. The leader's
