--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -17,7 +17,7 @@
 		}
 		acknowledged := w.reportedEnd
 		for key, ended := range w.report.ended {
-			if ended.Number > w.ackedEnd && !l.recordedEnd(v, w, key, ended, now) {
+			if ended.Number > w.ackedEnd && !l.recordEnd(v, w, key, ended, now) {
 				acknowledged = min(acknowledged, ended.Number-1)
 			}
 		}
@@ -25,9 +25,9 @@
 	}
 }
 
-// recordedEnd reports whether the state shows all that follows from an end that a
-// worker reports. If it does not, the end is queued.
-func (l *loop) recordedEnd(v *workstate.View, w *worker, key runKey, ended execution.EndedRun, now time.Time) bool {
+// recordEnd queues an end that a worker reports, unless the state shows all that
+// follows from it. It reports whether the state does.
+func (l *loop) recordEnd(v *workstate.View, w *worker, key runKey, ended execution.EndedRun, now time.Time) bool {
 	if l.endQueued(key) {
 		return false
 	}
