--- a/internal/process/scheduler/lateends_test.go
+++ b/internal/process/scheduler/lateends_test.go
@@ -15,13 +15,8 @@
 // TestTaskWhoseReplacedRunSucceedsLateIsDoneOnce guards against a leader that panics: a task was counted as done twice when the worker of its last run came back too.
 func TestTaskWhoseReplacedRunSucceedsLateIsDoneOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, 2*time.Second)
-		first := f.addWorker("w1", 1000)
-		f.lead()
+		f, first := leadWithRun(t, step(1), step(1, 0))
 		defer f.depose()
-		time.Sleep(time.Second)
-		f.submit(jobA, step(1), step(1, 0))
-		time.Sleep(time.Second)
 		f.cutWhileRunsEnd(first, 1500*time.Millisecond, false)
 		second := f.addWorker("w2", 1000)
 		f.awaitRunOn("w2")
@@ -48,26 +43,11 @@
 // TestSuccessOfAGangReportedWhileItsInterruptionCommitsIsNotStartedAgain guards against a second run of a gang whose success was passed over and acknowledged.
 func TestSuccessOfAGangReportedWhileItsInterruptionCommitsIsNotStartedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, 2*time.Second)
-		w := f.addWorker("w1", 1000)
-		f.lead()
-		defer f.depose()
-		time.Sleep(time.Second)
 		gang := step(1)
 		gang.Gang = true
-		f.submit(jobA, gang)
-		time.Sleep(time.Second)
-		f.cutWhileRunsEnd(w, 1500*time.Millisecond, false)
-		// The commit is in flight for longer than a watch takes.
-		f.replica.setDelay(2 * time.Second)
-		f.awaitQueuedEnd()
-		f.setUnreachable(w, false)
-		time.Sleep(time.Second)
-		f.replica.setDelay(10 * time.Millisecond)
-		f.await(jobA, workstate.Succeeded, 3*time.Second)
-		if f.workers.starts != 1 {
-			t.Errorf("%d starts of a task whose first run succeeded", f.workers.starts)
-		}
+		f, w := leadWithRun(t, gang)
+		defer f.depose()
+		f.reportDuringCommit(w)
 	})
 }
 
--- a/internal/process/scheduler/reportedends_test.go
+++ b/internal/process/scheduler/reportedends_test.go
@@ -9,6 +9,36 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
+// leadWithRun starts a leader whose only worker, w1, has executed the first task of a
+// job for up to one second. Each run takes two.
+func leadWithRun(t *testing.T, steps ...workload.Step) (*fixture, *fakeWorker) {
+	f := newFixture(t, 2*time.Second)
+	w := f.addWorker("w1", 1000)
+	f.lead()
+	time.Sleep(time.Second)
+	f.submit(jobA, steps...)
+	time.Sleep(time.Second)
+	return f, w
+}
+
+// reportDuringCommit lets the run of a silent worker succeed, which reports it while
+// the end that the leader has queued for it commits, and checks that the job has
+// succeeded by one start.
+func (f *fixture) reportDuringCommit(w *fakeWorker) {
+	f.t.Helper()
+	f.cutWhileRunsEnd(w, 1500*time.Millisecond, false)
+	// The commit is in flight for longer than a watch takes.
+	f.replica.setDelay(2 * time.Second)
+	f.awaitQueuedEnd()
+	f.setUnreachable(w, false)
+	time.Sleep(time.Second)
+	f.replica.setDelay(10 * time.Millisecond)
+	f.await(jobA, workstate.Succeeded, 3*time.Second)
+	if f.workers.starts != 1 {
+		f.t.Errorf("%d starts of a task whose first run succeeded", f.workers.starts)
+	}
+}
+
 // cutWhileRunsEnd cuts off a worker and lets its runs end after the given time.
 func (f *fixture) cutWhileRunsEnd(w *fakeWorker, after time.Duration, failed bool) {
 	f.setUnreachable(w, true)
@@ -38,37 +68,17 @@
 // TestSuccessReportedWhileItsInterruptionCommitsIsNotStartedAgain guards against a second run of a task whose success was passed over and acknowledged.
 func TestSuccessReportedWhileItsInterruptionCommitsIsNotStartedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, 2*time.Second)
-		w := f.addWorker("w1", 1000)
-		f.lead()
+		f, w := leadWithRun(t, step(1))
 		defer f.depose()
-		time.Sleep(time.Second)
-		f.submit(jobA, step(1))
-		time.Sleep(time.Second)
-		f.cutWhileRunsEnd(w, 1500*time.Millisecond, false)
-		// The commit is in flight for longer than a watch takes.
-		f.replica.setDelay(2 * time.Second)
-		f.awaitQueuedEnd()
-		f.setUnreachable(w, false)
-		time.Sleep(time.Second)
-		f.replica.setDelay(10 * time.Millisecond)
-		f.await(jobA, workstate.Succeeded, 3*time.Second)
-		if f.workers.starts != 1 {
-			t.Errorf("%d starts of a task whose first run succeeded", f.workers.starts)
-		}
+		f.reportDuringCommit(w)
 	})
 }
 
 // TestSuccessOfAReplacedRunEndsTheTask guards against a task that runs to its end a second time though its first success is known.
 func TestSuccessOfAReplacedRunEndsTheTask(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, 2*time.Second)
-		first := f.addWorker("w1", 1000)
-		f.lead()
+		f, first := leadWithRun(t, step(1))
 		defer f.depose()
-		time.Sleep(time.Second)
-		f.submit(jobA, step(1))
-		time.Sleep(time.Second)
 		f.cutWhileRunsEnd(first, 1500*time.Millisecond, false)
 		f.workers.durationOf = func(workload.TaskID, int) time.Duration { return time.Hour }
 		f.addWorker("w2", 1000)
@@ -85,13 +95,8 @@
 // TestFailureOfAReplacedRunCountsAsAnAttempt guards against more runs than the queue's attempts: the end of a run whose lease had expired was acknowledged without being counted.
 func TestFailureOfAReplacedRunCountsAsAnAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, 2*time.Second)
-		first := f.addWorker("w1", 1000)
-		f.lead()
+		f, first := leadWithRun(t, step(1))
 		defer f.depose()
-		time.Sleep(time.Second)
-		f.submit(jobA, step(1))
-		time.Sleep(time.Second)
 		f.cutWhileRunsEnd(first, 500*time.Millisecond, true)
 		second := f.addWorker("w2", 1000)
 		f.awaitRunOn("w2")
