scheduler, link: the load line tells what arrived by kind, and the processor time of rounds

The line could not tell which messages cost the leader its processor, nor whether a round of 50 ms of wall time worked for 50 ms.

--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -87,7 +87,9 @@
 func Handle[Req, Resp any](n *Node, kind Kind, serve func(context.Context, Peer, Req) (Resp, error)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	count := handledCounter(kind)
 	n.handlers[kind] = func(ctx context.Context, peer Peer, body []byte) (any, error) {
+		count.Inc()
 		var req Req
 		if err := cbor.Unmarshal(body, &req); err != nil {
 			return nil, &Fault{Code: CodeMalformed, Message: err.Error()}
--- a/internal/process/scheduler/loadlog.go
+++ b/internal/process/scheduler/loadlog.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"arbutusward.example/arbutusward/internal/connection/link"
 )
 
 // loadLogInterval is the interval of the log lines about the load of the leader.
@@ -28,8 +30,11 @@
 	last     loadCounters
 	// rounds, commits and their times cover the present interval. The time of
 	// rounds includes that of passes without one.
-	rounds, commits           int
-	roundTime, longestRound   time.Duration
+	rounds, commits         int
+	roundTime, longestRound time.Duration
+	// roundProcessor is the processor time of the passes. It is less than their
+	// time while others use the processor.
+	roundProcessor            time.Duration
 	commitTime, longestCommit time.Duration
 }
 
@@ -40,6 +45,7 @@
 	linkCalls, linkServed, reads uint64
 	sent, received, batches      uint64
 	collections                  uint64
+	handled                      map[link.Kind]uint64
 }
 
 func sampleLoad() loadCounters {
@@ -51,7 +57,20 @@
 		linkCalls: linkCallsMade.Get(), linkServed: linkCallsServed.Get(), sent: messagesSent.Get(), received: messagesReceived.Get(),
 		reads: confirmations.Get(), batches: batches.Get(),
 		collections: collections[0].Value.Uint64(),
+		handled:     link.HandledByKind(),
+	}
+}
+
+// handledSince returns how many link calls and messages of each kind were handled
+// since an earlier sample, for kinds with any.
+func (c *loadCounters) handledSince(earlier *loadCounters) map[link.Kind]uint64 {
+	counts := map[link.Kind]uint64{}
+	for kind, total := range c.handled {
+		if count := total - earlier.handled[kind]; count > 0 {
+			counts[kind] = count
+		}
 	}
+	return counts
 }
 
 // processorTime returns the processor time that this process has used, or 0 if
@@ -64,12 +83,24 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// recordPass records a pass of the loop, and whether it was a round.
-func (s *loadLog) recordPass(took time.Duration, round bool) {
+// threadTime returns the processor time that the thread of the caller has used, or
+// 0 if the system does not tell.
+func threadTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_THREAD, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// recordPass records a pass of the loop, the processor time that it used, and
+// whether it was a round.
+func (s *loadLog) recordPass(took, processor time.Duration, round bool) {
 	if round {
 		s.rounds++
 	}
 	s.roundTime += took
+	s.roundProcessor += processor
 	s.longestRound = max(s.longestRound, took)
 }
 
@@ -91,6 +122,7 @@
 		l.Log.Info("leader load", "interval_ms", now.Sub(s.loggedAt).Milliseconds(),
 			"processor_ms", (sample.processorTime - s.last.processorTime).Milliseconds(),
 			"rounds", s.rounds, "round_ms", s.roundTime.Milliseconds(), "longest_round_ms", s.longestRound.Milliseconds(),
+			"round_processor_ms", s.roundProcessor.Milliseconds(), "steps_waiting", l.waitingSteps, "tasks_waiting", l.waitingTasks, "tasks_executing", len(l.runs),
 			"commits", s.commits, "commit_ms", s.commitTime.Milliseconds(), "longest_commit_ms", s.longestCommit.Milliseconds(),
 			"syncs", delays.Sync.Count, "sync_ms", delays.Sync.Total.Milliseconds(), "longest_sync_ms", delays.Sync.Longest.Milliseconds(),
 			"longest_snapshot_ms", delays.Snapshot.Longest.Milliseconds(), "longest_queue_ms", delays.Queue.Longest.Milliseconds(),
@@ -99,7 +131,7 @@
 			"starts", sample.starts-s.last.starts, "ends", sample.ends-s.last.ends, "watches", sample.watches-s.last.watches,
 			"link_calls", sample.linkCalls-s.last.linkCalls, "link_served", sample.linkServed-s.last.linkServed,
 			"messages_sent", sample.sent-s.last.sent, "messages_received", sample.received-s.last.received, "batches", sample.batches-s.last.batches,
-			"confirmations", sample.reads-s.last.reads, "collections", sample.collections-s.last.collections,
+			"confirmations", sample.reads-s.last.reads, "handled", sample.handledSince(&s.last), "collections", sample.collections-s.last.collections,
 			"events_queued", len(l.events), "oldest_report_ms", l.oldestReport(now).Milliseconds())
 	}
 	*s = loadLog{loggedAt: now, last: sample}
--- a/internal/process/scheduler/loadlog_test.go
+++ b/internal/process/scheduler/loadlog_test.go
@@ -20,7 +20,7 @@
 	for ms := range 3500 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
 		if ms%100 == 0 {
-			l.loadLog.recordPass(2*time.Millisecond, true)
+			l.loadLog.recordPass(2*time.Millisecond, time.Millisecond, true)
 			l.loadLog.recordCommit(time.Duration(ms%1000) * time.Millisecond)
 			replicated.addSync(time.Duration(ms%1000) * time.Millisecond)
 		}
@@ -33,6 +33,7 @@
 	var line struct {
 		Rounds        int `json:"rounds"`
 		RoundMS       int `json:"round_ms"`
+		RoundCPU      int `json:"round_processor_ms"`
 		LongestCommit int `json:"longest_commit_ms"`
 		Syncs         int `json:"syncs"`
 		SyncMS        int `json:"sync_ms"`
@@ -41,7 +42,7 @@
 	if err := json.Unmarshal(lines[1], &line); err != nil {
 		t.Fatal(err)
 	}
-	if line.Rounds != 10 || line.RoundMS != 20 || line.LongestCommit != 900 || line.Syncs != 10 || line.SyncMS != 4500 || line.LongestSync != 900 {
+	if line.Rounds != 10 || line.RoundMS != 20 || line.RoundCPU != 10 || line.LongestCommit != 900 || line.Syncs != 10 || line.SyncMS != 4500 || line.LongestSync != 900 {
 		t.Errorf("the second line is %s", lines[1])
 	}
 }
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -91,9 +92,11 @@
 	// vmCapacity is the mean capacity of a VM.
 	vmCapacity workload.Resources
 
-	fleetPlannedAt time.Time
-	nextPurge      time.Time
-	loadLog        loadLog
+	// waitingSteps and waitingTasks count what waited in the last round.
+	waitingSteps, waitingTasks int
+	fleetPlannedAt             time.Time
+	nextPurge                  time.Time
+	loadLog                    loadLog
 }
 
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
@@ -160,6 +163,9 @@
 	if due, wait := l.pacer.due(now); !due {
 		return wait
 	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	started := threadTime()
 	round := l.dirty && !l.committing
 	if round {
 		l.dirty = false
@@ -169,7 +175,7 @@
 	l.listVMs(now)
 	end := time.Now()
 	l.pacer.record(now, end)
-	l.loadLog.recordPass(end.Sub(now), round)
+	l.loadLog.recordPass(end.Sub(now), threadTime()-started, round)
 	l.logLoad(end)
 	return 0
 }
@@ -190,6 +196,7 @@
 		}
 		usage := l.reconcile(v, detail, now)
 		groups := l.waitingGroups(v, now)
+		l.countWaiting(groups)
 		l.applyAdvice(v, usage, groups, now)
 		if planFleet {
 			l.fleetPlannedAt = now
@@ -208,6 +215,14 @@
 	l.commit(&progress)
 }
 
+// countWaiting records how many steps and tasks wait.
+func (l *loop) countWaiting(groups []*placement.Group) {
+	l.waitingSteps, l.waitingTasks = len(groups), 0
+	for _, g := range groups {
+		l.waitingTasks += len(g.Indexes)
+	}
+}
+
 // planFleet makes the decisions that act on a scale of seconds: what to do with
 // slow runs and best-effort tasks, and which VMs to maintain and to move.
 func (l *loop) planFleet(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) {
