scheduler: the cost of a round no longer grows with the square of the fleet

Cause: each time that VMs are rebalanced, each VM with a long-running task compared all long-running tasks with its worker's id, and looked for room through a map of all workers; where no worker has room, all of them. 625 times 625, and up to 625 times 1,100, ten times a second. Besides, each row of each report was looked up for unrecorded runs, and 2.6 MB were allocated a round.

Change: long-running tasks are kept with their worker, the workers with room are collected once and sorted by free capacity, rows are looked up only on workers that report more than the state has, buffers are reused.

The benchmarks of rounds with VMs never planned moves, since their list of VMs was not marked as read; it is now, so that their figures are higher than before.

--- a/internal/process/scheduler/bench_test.go
+++ b/internal/process/scheduler/bench_test.go
@@ -83,6 +83,7 @@
 	l.Platform = newFakePlatform()
 	l.Limits.FencingEnforced = true
 	l.since = time.Now().Add(-time.Hour)
+	l.fleet.listed = true
 	for _, w := range l.workers {
 		vm := execution.VM{ID: w.reg.VM, Pool: w.reg.Service, State: execution.VMUp, Zone: "z", Worker: w.reg.ID, Capacity: w.reg.Capacity}
 		l.fleet.entries[vm.ID] = &vmEntry{vm: vm, refusedPools: map[string]bool{}}
@@ -96,7 +97,7 @@
 }
 
 // loadedLeader is busyLeader with a number of runs on each worker.
-func loadedLeader(b *testing.B, workers, runsPerWorker, waiting int) *loop {
+func loadedLeader(b testing.TB, workers, runsPerWorker, waiting int) *loop {
 	machine := workstate.NewMachine()
 	ctx, cancel := context.WithCancel(context.Background())
 	b.Cleanup(cancel)
--- /dev/null
+++ b/internal/process/scheduler/benchburst_test.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// BenchmarkRoundInABurst measures a round that plans the fleet and starts while a large
+// fleet executes four runs and half a long-running task on each worker, and more
+// waits than fits.
+func BenchmarkRoundInABurst(b *testing.B) {
+	l := burstLeader(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.roundInABurst()
+	}
+}
+
+// burstLeader returns a leader of a large fleet without free capacity.
+func burstLeader(b testing.TB) *loop {
+	l := loadedLeader(b, 1100, 4, 220)
+	l.listVMsOfWorkers()
+	l.Limits.ActionRate = 4
+	l.fillWithLongRunning(b, 550, 1000)
+	return l
+}
+
+// roundInABurst runs a round that plans the fleet.
+func (l *loop) roundInABurst() {
+	l.fleet.orders = orderBudget{tokens: 1, filledAt: time.Now()}
+	l.committing = false
+	l.fleet.listedAt, l.fleetPlannedAt = time.Now(), time.Time{}
+	l.round(time.Now())
+}
+
+// fillWithLongRunning starts a long-running task, of 24 a job, on each of a number of
+// workers.
+func (l *loop) fillWithLongRunning(b testing.TB, workers int, milliCPU int64) {
+	const tasksPerJob = 24
+	var progress workstate.Progress
+	commit := func(c *workstate.Command) {
+		if _, err := propose(context.Background(), &fakeReplica{machine: l.Machine}, c, time.Now()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := range workers {
+		task := workload.TaskID{Job: fmt.Sprintf("f%015x", i/tasksPerJob), Index: i % tasksPerJob}
+		if task.Index == 0 {
+			st := step(tasksPerJob)
+			st.Need, st.LongRunning = workload.Resources{MilliCPU: milliCPU}, true
+			commit(&workstate.Command{Submit: &workstate.Submit{ID: task.Job, Host: "host", Path: "/q/" + task.Job, Spec: workload.Spec{Payload: "p", Steps: []workload.Step{st}}}})
+		}
+		progress.Starts = append(progress.Starts, workstate.Start{Task: task, Run: 1, Worker: fmt.Sprint("w", i), Incarnation: 1})
+	}
+	commit(&workstate.Command{Progress: &progress})
+}
--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -39,11 +39,15 @@
 // evacuateDraining moves the long-running tasks of workers that are about to
 // shut down, which would end with them, if there is room elsewhere.
 func (l *loop) evacuateDraining(u *usage, now time.Time) {
-	if len(u.longRunningTasks) == 0 {
-		return
-	}
-	for _, w := range l.workers {
-		if w.reg.Draining && !w.unresponsive && u.longRunningRuns[w.reg.ID] > 0 && l.canRelocate(u, w, now) {
+	var room relocationRoom
+	for _, w := range l.workerList {
+		if !w.reg.Draining || w.unresponsive || len(u.load(w).longRunning) == 0 {
+			continue
+		}
+		if room == nil {
+			room = l.relocationRoom(u, now)
+		}
+		if room.canRelocate(u, w) {
 			l.evacuate(u, w, now)
 		}
 	}
@@ -55,33 +59,6 @@
 	worker string
 }
 
-// canRelocate reports whether each long-running task of a worker fits on
-// another worker of the pool.
-func (l *loop) canRelocate(u *usage, from *worker, now time.Time) bool {
-	for i := range u.longRunningTasks {
-		t := &u.longRunningTasks[i]
-		if t.worker == from.reg.ID && !l.fitsElsewhere(u, t, from, now) {
-			return false
-		}
-	}
-	return true
-}
-
-// fitsElsewhere reports whether a long-running task fits on another schedulable
-// worker of the pool.
-func (l *loop) fitsElsewhere(u *usage, t *longRunningTask, from *worker, now time.Time) bool {
-	for id, w := range l.workers {
-		if w == from || w.reg.Service != from.reg.Service || !w.schedulable(now) || l.maintenance.due[w.reg.VM] || l.hasOpenOrder(w.reg.VM) {
-			continue
-		}
-		onWorker := u.stepOnWorker[stepOnWorker{stepKeyOf(t.id), id}]
-		if w.reg.Capacity.Sub(u.usedOn(w)).Fits(t.charge) && (t.maxPerWorker == 0 || onWorker < t.maxPerWorker) {
-			return true
-		}
-	}
-	return false
-}
-
 // stepOnWorker identifies the tasks of a step on one worker.
 type stepOnWorker struct {
 	step   stepKey
--- a/internal/process/scheduler/evacuation.go
+++ b/internal/process/scheduler/evacuation.go
@@ -17,21 +17,16 @@
 // few at a time.
 type evacuation struct {
 	// due is set if some step's tasks need the rest of the time until the deadline.
-	due bool
-	// tasks holds the long-running tasks by worker, admitted counts those of each
-	// step on the VMs that were admitted.
-	tasks    map[string][]*longRunningTask
+	due   bool
+	usage *usage
+	// admitted counts the tasks of each step on the VMs that were admitted.
 	admitted map[stepKey]int
 }
 
 // newEvacuation returns the evacuation of the VMs of a wave that wait for their
 // maintenance.
 func newEvacuation(u *usage, waiting []maintenanceVM, remaining time.Duration) *evacuation {
-	e := &evacuation{tasks: map[string][]*longRunningTask{}, admitted: map[stepKey]int{}}
-	for i := range u.longRunningTasks {
-		t := &u.longRunningTasks[i]
-		e.tasks[t.worker] = append(e.tasks[t.worker], t)
-	}
+	e := &evacuation{usage: u, admitted: map[stepKey]int{}}
 	e.due = remaining < e.duration(waiting)+drainTime+deadlineReserve
 	return e
 }
@@ -59,32 +54,29 @@
 	if !e.due || len(tasks) == 0 {
 		return e.due && vm.rank == rankCordoned
 	}
-	for _, t := range tasks {
-		if e.admitted[stepKeyOf(t.id)] >= t.atOnce() {
+	for i := range tasks {
+		if e.admitted[stepKeyOf(tasks[i].id)] >= tasks[i].atOnce() {
 			return false
 		}
 	}
-	for _, t := range tasks {
-		e.admitted[stepKeyOf(t.id)]++
+	for i := range tasks {
+		e.admitted[stepKeyOf(tasks[i].id)]++
 	}
 	return true
 }
 
 // tasksOn returns the long-running tasks on a VM.
-func (e *evacuation) tasksOn(vm *maintenanceVM) []*longRunningTask {
+func (e *evacuation) tasksOn(vm *maintenanceVM) []longRunningTask {
 	if vm.worker == nil {
 		return nil
 	}
-	return e.tasks[vm.worker.reg.ID]
+	return e.usage.load(vm.worker).longRunning
 }
 
 // evacuate stops long-running tasks of a worker so that they start on other
 // workers. It keeps to their disruption budgets.
 func (l *loop) evacuate(u *usage, w *worker, now time.Time) {
-	for _, t := range u.longRunningTasks {
-		if t.worker != w.reg.ID {
-			continue
-		}
+	for _, t := range u.load(w).longRunning {
 		r := l.runs[t.id]
 		if r == nil || r.phase == runStopping || r.phase == runStopped || r.calling {
 			continue
@@ -115,7 +107,6 @@
 // longRunningTask is an executing long-running task.
 type longRunningTask struct {
 	id     workload.TaskID
-	worker string
 	charge workload.Resources
 	// budget and maxPerWorker are the disruption budget and the limit per
 	// worker of the step.
@@ -129,12 +120,17 @@
 
 // countLongRunning records an executing long-running task. It counts the task
 // as unavailable unless it is at work.
-func (u *usage) countLongRunning(id workload.TaskID, task *workstate.Task, step *workload.Step, atWork bool) {
-	u.longRunningTasks = append(u.longRunningTasks, longRunningTask{
-		id: id, worker: task.Worker, charge: step.Charge(), budget: step.DisruptionBudget, maxPerWorker: step.MaxPerWorker, atWork: atWork,
-	})
-	u.longRunningRuns[task.Worker]++
-	u.stepOnWorker[stepOnWorker{stepKeyOf(id), task.Worker}]++
+func (u *usage) countLongRunning(id workload.TaskID, task *workstate.Task, step *workload.Step, w *worker, atWork bool) {
+	if w != nil {
+		load := u.load(w)
+		load.longRunning = append(load.longRunning, longRunningTask{
+			id: id, charge: step.Charge(), budget: step.DisruptionBudget, maxPerWorker: step.MaxPerWorker, atWork: atWork,
+		})
+		u.longRunning++
+	}
+	if step.MaxPerWorker > 0 {
+		u.stepOnWorker[stepOnWorker{stepKeyOf(id), task.Worker}]++
+	}
 	if !atWork {
 		u.unavailable[stepKeyOf(id)]++
 	}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/health"
 	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -60,8 +61,11 @@
 	// byVM holds the workers by VM, as of the synced version byVMVersion.
 	byVM        map[string]*worker
 	byVMVersion uint64
-	// schedulable is the space for the workers of a plan.
+	// schedulable is the space for the workers of a plan, stragglers and samples
+	// that for those of a usage.
 	schedulable []placement.Worker
+	stragglers  []straggler
+	samples     []health.Sample
 	// syncedVersion is the workstate.View.WorkersVersion, and syncedCatalog the
 	// version of the catalog, that workers shows.
 	syncedVersion uint64
@@ -229,7 +233,7 @@
 	l.recordPools(u)
 	l.stopStragglers(u, now)
 	l.setBestEffortSpeeds(u, now)
-	l.stopOrphans(now)
+	l.stopOrphans(u, now)
 	l.evacuateDraining(u, now)
 	l.planMaintenance(v, u, now)
 	l.planMoves(v, u, groups, now)
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -191,7 +191,7 @@
 	switch {
 	case e.isStandby(v):
 		vm.class = poweredOff
-	case vm.worker == nil || u.runs[vm.worker.reg.ID] == 0:
+	case vm.worker == nil || u.load(vm.worker).runs == 0:
 		vm.class = idle
 	}
 	return vm
@@ -282,11 +282,11 @@
 // readyForMaintenance reports whether a VM may go down, see cordonVM. It stops
 // the VM's long-running tasks as far as their disruption budgets allow.
 func (l *loop) readyForMaintenance(u *usage, w *worker, since time.Time, urgent bool, now time.Time) bool {
-	if u.runs[w.reg.ID] == 0 {
+	if u.load(w).runs == 0 {
 		return true
 	}
 	l.evacuate(u, w, now)
-	if u.longRunningRuns[w.reg.ID] > 0 {
+	if len(u.load(w).longRunning) > 0 {
 		return false
 	}
 	return urgent || now.Sub(since) > drainTime
--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		for s := range job.Spec.Steps {
-			if step := &job.Spec.Steps[s]; step.LongRunning {
+			if step := &job.Spec.Steps[s]; step.LongRunning && step.MaxPerWorker > 0 {
 				need(v.ServiceOf(job), step.Count, step.MaxPerWorker)
 			}
 		}
@@ -140,6 +140,7 @@
 // rebalanceVMs returns all known VMs in the form that package rebalance uses.
 func (l *loop) rebalanceVMs(u *usage, now time.Time) []rebalance.VM {
 	cutOff := l.unresponsiveZones()
+	room := l.relocationRoom(u, now)
 	vms := make([]rebalance.VM, 0, len(l.fleet.entries))
 	for id, e := range l.fleet.entries {
 		w := u.workerOn[id]
@@ -157,10 +158,10 @@
 			// The VM would be unreachable in another pool as well.
 		default:
 			vm.Serving = w.schedulable(now) && !l.maintenance.isCordoned(id)
-			vm.Movable = !paused && !w.reg.Draining && u.runs[w.reg.ID] == 0
+			vm.Movable = !paused && !w.reg.Draining && u.load(w).runs == 0
 			vm.Load = float64(l.load(u.usedOn(w)))
-			vm.LongRunning = u.longRunningRuns[w.reg.ID] > 0
-			vm.Drainable = !paused && !w.reg.Draining && (!vm.LongRunning || l.canRelocate(u, w, now))
+			vm.LongRunning = len(u.load(w).longRunning) > 0
+			vm.Drainable = !paused && !w.reg.Draining && (!vm.LongRunning || room.canRelocate(u, w))
 		}
 		vms = append(vms, vm)
 	}
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -91,13 +91,14 @@
 // repeats, stops or ends runs whose recorded and reported states differ.
 func (l *loop) reconcile(v *workstate.View, detail usageDetail, now time.Time) *usage {
 	l.roundNumber++
-	u := newUsage(l.roundNumber, detail, len(l.workers))
+	u := l.newUsage(detail)
 	for _, job := range v.Active() {
 		if detail == fleetDetails {
 			u.countWaiting(job)
 		}
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
 			step := &job.Spec.Steps[id.Step]
+			u.executing++
 			r := l.runOf(id, task, now)
 			w := l.workerOf(r)
 			if !r.ending {
@@ -114,9 +115,14 @@
 			default:
 				l.recordDetails(u, id, task, step, r, w, now)
 			}
+			if w != nil && !r.ending && r.running && r.report == w.report {
+				u.load(w).listed++
+			}
 		})
 	}
-	l.dropEndedRuns()
+	if len(l.runs) > u.executing {
+		l.dropEndedRuns()
+	}
 	for _, w := range l.workerList {
 		if w.report != nil && !w.enforcesCapacity {
 			l.countUnrecorded(v, u, w)
@@ -293,9 +299,9 @@
 // worker that is not in touch gets no lease either, so that its runs end with the
 // one it has unless its next report comes first. The runs of a worker that obeys a
 // newer leader are left to that leader.
-func (l *loop) stopOrphans(now time.Time) {
+func (l *loop) stopOrphans(u *usage, now time.Time) {
 	for _, w := range l.workerList {
-		if w.report == nil || !w.inTouch() {
+		if w.report == nil || !w.inTouch() || u.load(w).listed == len(w.report.running) {
 			continue
 		}
 		for key := range w.report.running {
--- a/internal/process/scheduler/stragglers.go
+++ b/internal/process/scheduler/stragglers.go
@@ -25,9 +25,8 @@
 
 // straggler is an executing run that is checked for being a straggler.
 type straggler struct {
-	id     workload.TaskID
-	run    int
-	sample health.Sample
+	id  workload.TaskID
+	run int
 }
 
 // recordProgress records the reported progress of a run that ends by itself.
@@ -43,19 +42,17 @@
 	if row.Percent != r.percent || r.progressAt.IsZero() {
 		r.percent, r.progressAt = row.Percent, now
 	}
-	u.stragglers = append(u.stragglers, straggler{id: id, run: task.Run, sample: health.Sample{
+	u.stragglers = append(u.stragglers, straggler{id: id, run: task.Run})
+	u.samples = append(u.samples, health.Sample{
 		Worker: task.Worker, Elapsed: w.report.sentAt.Sub(r.since), Idle: now.Sub(r.progressAt), Estimate: step.Estimate, Percent: row.Percent,
-	}})
+	})
 }
 
 // stopStragglers stops stalled runs, and runs on slow workers that would take
 // longer than a restart on another worker.
 func (l *loop) stopStragglers(u *usage, now time.Time) {
-	samples := make([]health.Sample, len(u.stragglers))
-	for i := range u.stragglers {
-		samples[i] = u.stragglers[i].sample
-	}
-	slow := health.SlowWorkers(samples)
+	l.stragglers, l.samples = u.stragglers, u.samples
+	slow := health.SlowWorkers(u.samples)
 	for id, factor := range slow {
 		w := l.workers[id]
 		if now.After(w.pausedUntil) {
@@ -64,27 +61,27 @@
 		w.pausedUntil = now.Add(slowPause)
 	}
 	for i := range u.stragglers {
-		l.stopIfStraggling(&u.stragglers[i], slow, now)
+		l.stopIfStraggling(u.stragglers[i], &u.samples[i], slow, now)
 	}
 }
 
 // stopIfStraggling stops a run if it is a straggler.
-func (l *loop) stopIfStraggling(s *straggler, slow map[string]float64, now time.Time) {
-	_, onSlow := slow[s.sample.Worker]
-	stalled := s.sample.Stalled()
-	tooLong := onSlow && s.sample.Remaining() > s.sample.Estimate+restartCost
+func (l *loop) stopIfStraggling(s straggler, sample *health.Sample, slow map[string]float64, now time.Time) {
+	_, onSlow := slow[sample.Worker]
+	stalled := sample.Stalled()
+	tooLong := onSlow && sample.Remaining() > sample.Estimate+restartCost
 	if s.run > maxRestarts || (!stalled && !tooLong) {
 		return
 	}
-	r, w := l.runs[s.id], l.workers[s.sample.Worker]
+	r, w := l.runs[s.id], l.workers[sample.Worker]
 	if r == nil || r.calling || r.phase != runOrdered || w.unresponsive {
 		return
 	}
 	if stalled {
 		w.pausedUntil = now.Add(slowPause)
 	}
-	l.Log.Info("stopping straggler", "task", s.id.String(), "run", s.run, "worker", s.sample.Worker, "stalled", stalled, "percent", s.sample.Percent,
-		"elapsed_ms", s.sample.Elapsed.Milliseconds(), "idle_ms", s.sample.Idle.Milliseconds(), "estimate_ms", s.sample.Estimate.Milliseconds())
+	l.Log.Info("stopping straggler", "task", s.id.String(), "run", s.run, "worker", sample.Worker, "stalled", stalled, "percent", sample.Percent,
+		"elapsed_ms", sample.Elapsed.Milliseconds(), "idle_ms", sample.Idle.Milliseconds(), "estimate_ms", sample.Estimate.Milliseconds())
 	l.sendStop(s.id, r, now)
 }
 
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/health"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -26,56 +27,58 @@
 	// describes the runs of each worker; it is nil unless there are suspects.
 	suspectStarting bool
 	starting        map[string]*workerRuns
-	// runs counts the executing tasks of each worker, longRunningRuns the
-	// long-running ones among them.
-	runs, longRunningRuns map[string]int
+	// executing counts the runs that the state has as executing.
+	executing int
 	// workerOn holds the worker of each VM, utilization the share of each
 	// pool's capacity that is in use. A pool has the name of its service.
 	workerOn    map[string]*worker
 	utilization map[string]float64
-	// longRunningTasks lists the executing long-running tasks.
-	longRunningTasks []longRunningTask
+	// longRunning counts the executing long-running tasks on known workers.
+	longRunning int
 	// colocations describes the best-effort and serving tasks on each worker.
 	colocations map[string]*colocation
 	// stragglers lists the runs with reported progress, which are checked for
-	// stragglers.
+	// stragglers, and samples their progress.
 	stragglers []straggler
+	samples    []health.Sample
 	// resumable lists the tasks that can resume from a checkpoint on another
 	// worker.
 	resumable []resumableTask
 	// unavailable counts the long-running tasks of each step that are not at
 	// work.
 	unavailable map[stepKey]int
-	// stepOnWorker counts the executing long-running tasks of each step on each
-	// worker.
+	// stepOnWorker counts the executing long-running tasks on each worker of each
+	// step with a limit per worker.
 	stepOnWorker map[stepOnWorker]int
 }
 
-// newUsage returns an empty usage for a round. Only one with fleetDetails has space
-// for the runs of a number of workers.
-func newUsage(round uint64, detail usageDetail, workers int) *usage {
+// newUsage returns an empty usage for this round.
+func (l *loop) newUsage(detail usageDetail) *usage {
 	if detail == capacityInUse {
-		return &usage{round: round}
+		return &usage{round: l.roundNumber}
 	}
 	return &usage{
-		round: round, runs: make(map[string]int, workers), longRunningRuns: map[string]int{},
+		round: l.roundNumber, stragglers: l.stragglers[:0], samples: l.samples[:0],
 		unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{}, colocations: map[string]*colocation{},
 	}
 }
 
+// load returns the load of a worker in this round, which is zero at first.
+func (u *usage) load(w *worker) *workerLoad {
+	if w.load.round != u.round {
+		w.load = workerLoad{round: u.round, longRunning: w.load.longRunning[:0]}
+	}
+	return &w.load
+}
+
 // charge adds what a run takes to the capacity in use on its worker.
 func (u *usage) charge(w *worker, charge workload.Resources) {
-	w.used = u.usedOn(w).Add(charge)
-	w.chargedRound = u.round
+	load := u.load(w)
+	load.used = load.used.Add(charge)
 }
 
 // usedOn returns the capacity in use on a worker.
-func (u *usage) usedOn(w *worker) workload.Resources {
-	if w.chargedRound != u.round {
-		return workload.Resources{}
-	}
-	return w.used
-}
+func (u *usage) usedOn(w *worker) workload.Resources { return u.load(w).used }
 
 // countUnrecorded adds the runs that a worker reports and that no longer count as
 // recorded. They are about to be stopped, and take capacity until then.
@@ -112,14 +115,16 @@
 
 // recordDetails records what planFleet needs to know of an executing run.
 func (l *loop) recordDetails(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, w *worker, now time.Time) {
-	u.runs[task.Worker]++
+	if w != nil {
+		u.load(w).runs++
+	}
 	l.recordProgress(u, id, task, step, r, w, now)
 	u.recordColocation(id, task, step, w)
 	if step.Checkpointing && !step.LongRunning && !step.Gang {
 		u.resumable = append(u.resumable, resumableTask{id: id, worker: task.Worker})
 	}
 	if step.LongRunning {
-		u.countLongRunning(id, task, step, l.atWork(r, w, runKey{id, task.Run}))
+		u.countLongRunning(id, task, step, w, l.atWork(r, w, runKey{id, task.Run}))
 	}
 }
 
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -71,9 +71,8 @@
 	registeredBefore bool
 	// removed is set once the loop's table holds the incarnation no longer.
 	removed bool
-	// used is the capacity that runs took in the round chargedRound.
-	used         workload.Resources
-	chargedRound uint64
+	// load is the load in the last round that looked at it.
+	load workerLoad
 	// rack names the worker's rack.
 	rack string
 	// enforcesCapacity is set if the worker refuses what does not fit.
@@ -139,6 +138,20 @@
 	history health.RunHistory
 }
 
+// workerLoad is what executes on a worker, as of one round.
+type workerLoad struct {
+	// round is the number of the round.
+	round uint64
+	// used is the capacity in use.
+	used workload.Resources
+	// runs counts the recorded runs that are not ending, in a round that plans the
+	// fleet. listed counts those of them that the newest report lists as executing.
+	runs, listed int
+	// longRunning lists the executing long-running tasks, in a round that plans the
+	// fleet.
+	longRunning []longRunningTask
+}
+
 // reportView is a report indexed by run.
 type reportView struct {
 	// sentAt is when the report was requested.
