--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -159,7 +159,7 @@
 		},
 	}
 	if s.PlatformAddress != "" {
-		options.Platform = platform.NewHTTPPlatform(s.PlatformAddress)
+		options.Platform = platform.NewHTTPPlatform(s.PlatformAddress, log)
 	}
 	if s.AdviserAddress != "" {
 		options.Adviser = platform.NewHTTPAdviser(s.AdviserAddress)
