delegate, scheduler: calls to workers wait without a goroutine each

Change: the delegates' client has calls that pass their outcome to a function; one timer looks each 25 ms for calls whose time is over. Direct calls keep a goroutine each, since the HTTP client needs one. The loop's queue of events grew, since a batch of answers now posts them all at once.

--- a/internal/connection/delegate/peers.go
+++ b/internal/connection/delegate/peers.go
@@ -103,28 +103,42 @@
 	p := w.peerAt(address)
 	known := now.Before(p.suspectUntil)
 	p.suspectUntil = now.Add(pause)
-	ended := 0
-	for _, waiting := range w.pending {
-		if waiting.delegate == address {
-			ended++
-			waiting.end(answer{Failure: failedNoAnswer, Text: cause.Error()})
-		}
-	}
+	ended := w.pending.takeOf(address)
 	w.mu.Unlock()
 	if !known {
-		w.options.Log.Warn("delegate suspect", "delegate", address, "pause_ms", pause.Milliseconds(), "calls_ended", ended, "error", cause.Error())
+		w.options.Log.Warn("delegate suspect", "delegate", address, "pause_ms", pause.Milliseconds(), "calls_ended", len(ended), "error", cause.Error())
+	}
+	failed := answer{Failure: failedNoAnswer, Text: cause.Error()}
+	for _, waiting := range ended {
+		waiting.then(answer{}, failed.err())
 	}
 }
 
 // handleAnswers passes the answers of a delegate to the calls that wait.
 func (w *Workers) handleAnswers(_ context.Context, _ link.Peer, batch answerBatch) (struct{}, error) {
+	waiting := w.takeAnswered(&batch)
+	for i, p := range waiting {
+		if p == nil {
+			continue
+		}
+		a := batch.Answers[i]
+		p.then(a, a.err())
+	}
+	return struct{}{}, nil
+}
+
+// takeAnswered removes and returns the calls that the answers of a batch belong to. An
+// answer that none waits for has nil.
+func (w *Workers) takeAnswered(batch *answerBatch) []*pendingCall {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.peerAt(batch.From).heardAt = time.Now()
+	waiting := make([]*pendingCall, len(batch.Answers))
 	for i := range batch.Answers {
-		if p := w.pending[batch.Answers[i].Number]; p != nil && p.delegate == batch.From {
-			p.end(batch.Answers[i])
+		number := batch.Answers[i].Number
+		if p := w.pending.calls[number]; p != nil && p.delegate == batch.From {
+			waiting[i] = w.pending.take(number)
 		}
 	}
-	return struct{}{}, nil
+	return waiting
 }
--- /dev/null
+++ b/internal/connection/delegate/pending.go
@@ -0,0 +1,94 @@
+package delegate
+
+import "time"
+
+// expiryInterval is the interval at which calls are looked at whose time may be over.
+// An outcome comes late by at most as much.
+const expiryInterval = 25 * time.Millisecond
+
+// pendingCall is a call whose answer is awaited.
+type pendingCall struct {
+	delegate string
+	sentAt   time.Time
+	// deadline ends the call; the zero time leaves that to its caller.
+	deadline time.Time
+	// then gets the outcome. It is called once, without w.mu.
+	then func(answer, error)
+}
+
+// pendingCalls holds the calls whose answers are awaited, by number. It is not safe
+// for concurrent use.
+type pendingCalls struct {
+	calls map[uint64]*pendingCall
+	// expiring lists the calls with a deadline by the interval in which it ends.
+	expiring map[int64][]uint64
+	// expire is called after each interval while expiring is not empty.
+	expire func(now time.Time)
+	armed  bool
+}
+
+func newPendingCalls(expire func(now time.Time)) pendingCalls {
+	return pendingCalls{calls: map[uint64]*pendingCall{}, expiring: map[int64][]uint64{}, expire: expire}
+}
+
+func (p *pendingCalls) add(number uint64, c *pendingCall) {
+	p.calls[number] = c
+	if c.deadline.IsZero() {
+		return
+	}
+	interval := intervalOf(c.deadline) + 1
+	p.expiring[interval] = append(p.expiring[interval], number)
+	p.arm()
+}
+
+// intervalOf returns the number of the interval that holds a time.
+func intervalOf(t time.Time) int64 { return t.UnixNano() / int64(expiryInterval) }
+
+// arm makes sure that expire is called.
+func (p *pendingCalls) arm() {
+	if p.armed {
+		return
+	}
+	p.armed = true
+	time.AfterFunc(expiryInterval, func() { p.expire(time.Now()) })
+}
+
+// take removes a call and returns it, or nil if there is none.
+func (p *pendingCalls) take(number uint64) *pendingCall {
+	c := p.calls[number]
+	delete(p.calls, number)
+	return c
+}
+
+// takeOf removes and returns the calls that wait for a delegate.
+func (p *pendingCalls) takeOf(delegate string) []*pendingCall {
+	var taken []*pendingCall
+	for number, c := range p.calls {
+		if c.delegate == delegate {
+			taken = append(taken, c)
+			delete(p.calls, number)
+		}
+	}
+	return taken
+}
+
+// takeExpired removes and returns the calls whose deadline has passed.
+func (p *pendingCalls) takeExpired(now time.Time) []*pendingCall {
+	p.armed = false
+	var expired []*pendingCall
+	for interval, numbers := range p.expiring {
+		if interval > intervalOf(now) {
+			continue
+		}
+		delete(p.expiring, interval)
+		for _, number := range numbers {
+			if c := p.take(number); c != nil {
+				expired = append(expired, c)
+			}
+		}
+	}
+	if len(p.expiring) > 0 {
+		p.arm()
+	}
+	return expired
+}
--- a/internal/connection/delegate/workers.go
+++ b/internal/connection/delegate/workers.go
@@ -43,28 +43,22 @@
 	mu       sync.Mutex
 	routes   routes
 	lastCall uint64
-	pending  map[uint64]*pendingCall
+	pending  pendingCalls
 	peers    map[string]*peer
 }
 
-// pendingCall is a call whose answer is awaited.
-type pendingCall struct {
-	delegate string
-	sentAt   time.Time
-	answered chan answer
-}
-
-var _ execution.Workers = (*Workers)(nil)
+var _ execution.AsyncWorkers = (*Workers)(nil)
 
 // New returns a client that uses delegates until the context ends. It registers
 // the handler of their answers with the node.
 func New(ctx context.Context, o Options) *Workers {
 	w := &Workers{
-		options: o, ctx: ctx, session: rand.Uint64(), routes: newRoutes(o.DirectWorkers), pending: map[uint64]*pendingCall{}, peers: map[string]*peer{},
+		options: o, ctx: ctx, session: rand.Uint64(), routes: newRoutes(o.DirectWorkers), peers: map[string]*peer{},
 		// Answers to calls of an earlier process at this address match none of
 		// this one.
 		lastCall: rand.Uint64() >> 1,
 	}
+	w.pending = newPendingCalls(w.expire)
 	link.Handle(o.Node, answersKind, w.handleAnswers)
 	return w
 }
@@ -78,6 +72,26 @@
 	return w.order(ctx, delegate, call{Worker: to, Start: &order})
 }
 
+// StartAsync is Start without a goroutine that waits for the answer.
+func (w *Workers) StartAsync(ctx context.Context, to execution.WorkerAddress, order execution.StartOrder, timeout time.Duration, then func(execution.Answer, error)) {
+	delegate := w.delegateFor(to)
+	if delegate == "" {
+		execution.StartInBackground(ctx, w.options.Direct, to, order, timeout, then)
+		return
+	}
+	w.callAsync(delegate, call{Worker: to, Start: &order}, timeout, func(a answer, err error) { then(orderAnswer(a, err)) })
+}
+
+// WatchAsync is Watch without a goroutine that waits for the answer.
+func (w *Workers) WatchAsync(ctx context.Context, to execution.WorkerAddress, watch execution.Watch, timeout time.Duration, then func(execution.Report, error)) {
+	delegate := w.delegateFor(to)
+	if delegate == "" {
+		execution.WatchInBackground(ctx, w.options.Direct, to, watch, timeout, then)
+		return
+	}
+	w.callAsync(delegate, call{Worker: to, Watch: &watch}, timeout, func(a answer, err error) { then(watchAnswer(a, err)) })
+}
+
 // Stop orders a worker to end a run.
 func (w *Workers) Stop(ctx context.Context, to execution.WorkerAddress, task workload.TaskID, run int, fencingToken uint64) (execution.Answer, error) {
 	delegate := w.delegateFor(to)
@@ -102,14 +116,7 @@
 	if delegate == "" {
 		return w.options.Direct.Watch(ctx, to, watch)
 	}
-	a, err := w.call(ctx, delegate, call{Worker: to, Watch: &watch})
-	switch {
-	case err != nil:
-		return execution.Report{}, err
-	case a.Report == nil:
-		return execution.Report{}, execution.ErrMalformedAnswer
-	}
-	return *a.Report, nil
+	return watchAnswer(w.call(ctx, delegate, call{Worker: to, Watch: &watch}))
 }
 
 // Forget closes all connections to an address.
@@ -128,7 +135,11 @@
 }
 
 func (w *Workers) order(ctx context.Context, delegate string, c call) (execution.Answer, error) {
-	a, err := w.call(ctx, delegate, c)
+	return orderAnswer(w.call(ctx, delegate, c))
+}
+
+// orderAnswer returns the answer to an order.
+func orderAnswer(a answer, err error) (execution.Answer, error) {
 	switch {
 	case err != nil:
 		return execution.Answer{}, err
@@ -138,6 +149,23 @@
 	return *a.Order, nil
 }
 
+// watchAnswer returns the answer to a watch.
+func watchAnswer(a answer, err error) (execution.Report, error) {
+	switch {
+	case err != nil:
+		return execution.Report{}, err
+	case a.Report == nil:
+		return execution.Report{}, execution.ErrMalformedAnswer
+	}
+	return *a.Report, nil
+}
+
+// result is the outcome of a call.
+type result struct {
+	answer answer
+	err    error
+}
+
 // call sends a call to a delegate and waits for the answer until the context
 // ends.
 func (w *Workers) call(ctx context.Context, delegate string, c call) (answer, error) {
@@ -145,35 +173,66 @@
 	if !ok {
 		deadline = time.Now().Add(sendTimeout)
 	}
-	p := &pendingCall{delegate: delegate, sentAt: time.Now(), answered: make(chan answer, 1)}
-	w.mu.Lock()
-	w.lastCall++
-	c.Number = w.lastCall
-	w.pending[c.Number] = p
-	queue := w.peerAt(delegate).calls
-	w.mu.Unlock()
-	defer w.forgetCall(c.Number)
-	if !queue.add(queuedCall{call: c, deadline: deadline}, c.urgency()) {
-		return answer{}, fmt.Errorf("%w: %w", execution.ErrNoAnswer, errQueueFull)
+	ended := make(chan result, 1)
+	p := &pendingCall{delegate: delegate, sentAt: time.Now(), then: func(a answer, err error) { ended <- result{a, err} }}
+	number, err := w.send(p, c, deadline)
+	if err != nil {
+		return answer{}, err
 	}
 	select {
-	case a := <-p.answered:
-		if err := a.err(); err != nil {
-			return answer{}, err
-		}
-		return a, nil
+	case r := <-ended:
+		return r.answer, r.err
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if w.take(number) != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			w.recordTimeout(p)
 		}
 		return answer{}, fmt.Errorf("%w: %w", execution.ErrNoAnswer, ctx.Err())
 	}
 }
 
-func (w *Workers) forgetCall(number uint64) {
+// callAsync sends a call to a delegate and passes the answer, or the failure to get
+// one in time, to a function.
+func (w *Workers) callAsync(delegate string, c call, timeout time.Duration, then func(answer, error)) {
+	now := time.Now()
+	deadline := now.Add(timeout)
+	p := &pendingCall{delegate: delegate, sentAt: now, deadline: deadline, then: then}
+	if _, err := w.send(p, c, deadline); err != nil {
+		// The caller may not expect the outcome before this function returns.
+		go then(answer{}, err)
+	}
+}
+
+// send queues a call for its delegate and returns its number.
+func (w *Workers) send(p *pendingCall, c call, deadline time.Time) (number uint64, err error) {
+	w.mu.Lock()
+	w.lastCall++
+	c.Number = w.lastCall
+	w.pending.add(c.Number, p)
+	queue := w.peerAt(p.delegate).calls
+	w.mu.Unlock()
+	if !queue.add(queuedCall{call: c, deadline: deadline}, c.urgency()) {
+		w.take(c.Number)
+		return 0, fmt.Errorf("%w: %w", execution.ErrNoAnswer, errQueueFull)
+	}
+	return c.Number, nil
+}
+
+// take ends the wait for an answer. It returns nil if the call has ended already.
+func (w *Workers) take(number uint64) *pendingCall {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.pending, number)
+	return w.pending.take(number)
+}
+
+// expire ends the calls whose time is over.
+func (w *Workers) expire(now time.Time) {
+	w.mu.Lock()
+	expired := w.pending.takeExpired(now)
+	w.mu.Unlock()
+	for _, p := range expired {
+		w.recordTimeout(p)
+		p.then(answer{}, fmt.Errorf("%w: %w", execution.ErrNoAnswer, context.DeadlineExceeded))
+	}
 }
 
 // delegateFor returns the delegate that calls a worker, or "" if this process
@@ -185,11 +244,3 @@
 	defer w.mu.Unlock()
 	return w.routes.choose(to.Address, now, func() []string { return w.usable(responsive, now) })
 }
-
-// end delivers an answer unless there was one before.
-func (p *pendingCall) end(a answer) {
-	select {
-	case p.answered <- a:
-	default:
-	}
-}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -22,7 +22,7 @@
 const fleetInterval = 100 * time.Millisecond
 
 // eventQueue limits the number of events that wait for the loop.
-const eventQueue = 4096
+const eventQueue = 16384
 
 // Metrics of the scheduler.
 var (
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"context"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
@@ -52,13 +51,9 @@
 	order.Ticket = l.ticketFor(id, r.worker)
 	r.enter(runOrdering, now)
 	r.calling, r.sent = true, true
-	address := w.address()
-	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		defer cancel()
-		answer, err := l.Workers.Start(ctx, address, order)
+	execution.StartInBackground(l.ctx, l.Workers, w.address(), order, callTimeout, func(answer execution.Answer, err error) {
 		l.post(func(l *loop) { l.handleStartAnswer(id, r, w, answer, err) })
-	}()
+	})
 }
 
 // withdrawStart stops a run whose start order must not be sent because its worker's
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -91,13 +91,10 @@
 	w.requestedAck = w.ackedEnd
 	w.watching = true
 	watchCalls.Inc()
-	address := w.address()
-	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, time.Duration(request.WaitMS)*time.Millisecond+callTimeout)
-		defer cancel()
-		report, err := l.Workers.Watch(ctx, address, request)
+	timeout := time.Duration(request.WaitMS)*time.Millisecond + callTimeout
+	execution.WatchInBackground(l.ctx, l.Workers, w.address(), request, timeout, func(report execution.Report, err error) {
 		l.post(func(l *loop) { l.handleReport(w, now, report, err) })
-	}()
+	})
 }
 
 // inContact reports whether this process still leads in the loop's term and a
