--- a/internal/connection/delegate/batcher.go
+++ b/internal/connection/delegate/batcher.go
@@ -11,6 +11,10 @@
 	// patientDelay the same for a batch of patient ones.
 	promptDelay  = 3 * time.Millisecond
 	patientDelay = 25 * time.Millisecond
+	// batchInterval is the minimum time between two batches to one peer, so that
+	// many items do not become many messages. A round of a busy leader, which waits
+	// for them, takes longer.
+	batchInterval = 15 * time.Millisecond
 	// maxBatch bounds the items of one message.
 	maxBatch = 256
 	// maxQueued bounds the items that wait for one peer.
@@ -73,24 +77,27 @@
 }
 
 func (b *batcher[T]) run(ctx context.Context) {
+	// next is when the next batch may leave.
+	var next time.Time
 	for {
 		select {
 		case <-b.queuedAny:
 		case <-ctx.Done():
 			return
 		}
-		b.awaitOthers(ctx)
+		b.awaitOthers(ctx, next)
+		next = time.Now().Add(batchInterval)
 		for batch := b.take(); len(batch) > 0; batch = b.take() {
 			b.sendBatch(ctx, batch)
 		}
 	}
 }
 
-// awaitOthers waits while a batch is filled.
-func (b *batcher[T]) awaitOthers(ctx context.Context) {
+// awaitOthers waits while a batch is filled that leaves no earlier than the given time.
+func (b *batcher[T]) awaitOthers(ctx context.Context, next time.Time) {
 	select {
 	case <-b.queuedPrompt:
-		time.Sleep(promptDelay)
+		time.Sleep(max(promptDelay, time.Until(next)))
 	case <-time.After(patientDelay):
 	case <-ctx.Done():
 	}
