delegate: what is queued while a batch is sent waits for the next one

Cause: items that came while a batch was being sent left at once, in a batch of their own. Now only a full batch is followed at once.

--- a/internal/connection/delegate/batcher.go
+++ b/internal/connection/delegate/batcher.go
@@ -87,9 +87,7 @@
 		}
 		b.awaitOthers(ctx, next)
 		next = time.Now().Add(batchInterval)
-		for batch := b.take(); len(batch) > 0; batch = b.take() {
-			b.sendBatch(ctx, batch)
-		}
+		b.sendQueued(ctx)
 	}
 }
 
@@ -103,6 +101,19 @@
 	}
 }
 
+// sendQueued sends the queued items. What is queued meanwhile waits for the next call.
+func (b *batcher[T]) sendQueued(ctx context.Context) {
+	for {
+		batch := b.take()
+		if len(batch) > 0 {
+			b.sendBatch(ctx, batch)
+		}
+		if len(batch) < maxBatch {
+			return
+		}
+	}
+}
+
 func (b *batcher[T]) sendBatch(ctx context.Context, batch []T) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
