--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -170,41 +169,6 @@
 	Forget(address string)
 }
 
-// AsyncWorkers is implemented by Workers that make calls without a goroutine for
-// each. The outcome is passed to a function, once, on another goroutine; the function
-// must not wait for a later outcome.
-type AsyncWorkers interface {
-	Workers
-	StartAsync(ctx context.Context, to WorkerAddress, order StartOrder, timeout time.Duration, then func(Answer, error))
-	WatchAsync(ctx context.Context, to WorkerAddress, watch Watch, timeout time.Duration, then func(Report, error))
-}
-
-// StartInBackground makes a start order and passes its outcome to a function.
-func StartInBackground(ctx context.Context, w Workers, to WorkerAddress, order StartOrder, timeout time.Duration, then func(Answer, error)) {
-	if async, ok := w.(AsyncWorkers); ok {
-		async.StartAsync(ctx, to, order, timeout, then)
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		then(w.Start(ctx, to, order))
-	}()
-}
-
-// WatchInBackground makes a watch and passes its outcome to a function.
-func WatchInBackground(ctx context.Context, w Workers, to WorkerAddress, watch Watch, timeout time.Duration, then func(Report, error)) {
-	if async, ok := w.(AsyncWorkers); ok {
-		async.WatchAsync(ctx, to, watch, timeout, then)
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		then(w.Watch(ctx, to, watch))
-	}()
-}
-
 // VMState is the state of a VM as the platform reports it.
 type VMState string
 
--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -73,7 +73,10 @@
 
 func (f *fixture) register(w *fakeWorker, vm, service string) {
 	f.commit(&workstate.Command{Register: f.heartbeat(w, vm, service)})
-	f.heard.addAll([]workcall.HeardHeartbeat{w.heard()})
+	f.workers.mu.Lock()
+	heard := w.heard()
+	f.workers.mu.Unlock()
+	f.heard.addAll([]workcall.HeardHeartbeat{heard})
 }
 
 // heartbeat returns the next heartbeat of a worker.
