scheduler: a wall clock that jumps purges no job that has just ended

One that jumped ahead by more than twice the retention purged jobs that had just ended, and a submission that was repeated after that ran them again.

Cause: the age of an end was the difference of two wall clocks.

--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -99,7 +99,7 @@
 	// waitingSteps and waitingTasks count what waited in the last round.
 	waitingSteps, waitingTasks int
 	fleetPlannedAt             time.Time
-	nextPurge                  time.Time
+	purge                      purgeState
 	loadLog                    loadLog
 }
 
--- a/internal/process/scheduler/progress.go
+++ b/internal/process/scheduler/progress.go
@@ -43,18 +43,3 @@
 		}
 	})
 }
-
-// purgeJobs periodically removes jobs that ended long ago.
-func (l *loop) purgeJobs(now time.Time) {
-	if now.Before(l.nextPurge) {
-		return
-	}
-	l.nextPurge = now.Add(l.Limits.Retention / 4)
-	before := l.Now().Add(-2 * l.Limits.Retention).UnixMilli()
-	go func() {
-		_, err := propose(l.ctx, l.Replica, &workstate.Command{PurgeJobs: &workstate.PurgeJobs{EndedBeforeMS: before}}, l.Now())
-		if err != nil && l.ctx.Err() == nil {
-			l.Log.Warn("purge of old jobs failed", "error", err.Error())
-		}
-	}()
-}
