control: a thawed leader calls no workers for its jobs

Change: the runner calls workers only while the replica's newest message that a majority has answered is at most 1.2 s old, asked again after the stamps are fetched. The rule stands in replica.Status now, for both schedulers. Its calls still carry no fencing token, so that a suspension between this check and the call is not closed.

--- a/internal/process/control/jobrunner.go
+++ b/internal/process/control/jobrunner.go
@@ -53,6 +53,8 @@
 	// unresponsiveSince is the time of the first failed call to each worker
 	// that does not answer.
 	unresponsiveSince map[string]time.Time
+	// cutOff is set while this leader has no contact to a majority.
+	cutOff bool
 	// adopted is set once the attempts that were running at the start have
 	// been added to leaseStart.
 	adopted bool
--- a/internal/process/control/jobrunner_sync.go
+++ b/internal/process/control/jobrunner_sync.go
@@ -18,10 +18,20 @@
 }
 
 // syncWorkers calls the workers that have changes or are due, and returns
-// their answers.
+// their answers. A leader without contact to a majority calls none: the next one may
+// have counted their tasks as lost.
 func (r *jobRunner) syncWorkers(ctx context.Context) map[string]workerapi.SyncAnswer {
+	if !r.checkContact() {
+		return nil
+	}
 	syncs := r.dueSyncs(time.Now())
 	r.refreshClocks(ctx, syncs)
+	if !r.checkContact() {
+		for vm := range syncs {
+			r.dirty[vm] = true
+		}
+		return nil
+	}
 	for vm, body := range syncs {
 		if time.Since(r.clocks[vm].receivedAt) > maxStampAge {
 			// The worker did not answer, so no lease can be granted.
@@ -37,6 +47,18 @@
 	return answers
 }
 
+// checkContact reports whether this process has contact to a majority, and logs
+// changes.
+func (r *jobRunner) checkContact() bool {
+	status := r.server.replica.Status()
+	contact := status.InContact()
+	if contact == r.cutOff {
+		r.cutOff = !contact
+		r.server.log.Warn("contact of the job runner to a majority changed", "contact", contact, "unconfirmed_ms", status.Unconfirmed.Milliseconds(), "term", status.Term)
+	}
+	return contact
+}
+
 // refreshClocks requests a new stamp from the workers whose known stamp is
 // too old for a lease.
 func (r *jobRunner) refreshClocks(ctx context.Context, syncs map[string]workerapi.Sync) {
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -107,3 +107,15 @@
 	// a majority has answered.
 	Unconfirmed time.Duration `json:"unconfirmed_ns"`
 }
+
+// MaxUnconfirmed is the age of the newest message that a majority has answered
+// beyond which a leader sends workers no starts and extends no leases: another process
+// may lead. A leader that was suspended finds it exceeded before its replica has taken
+// note of the time.
+const MaxUnconfirmed = 1200 * time.Millisecond
+
+// InContact reports whether the process leads and has heard of a majority lately, so
+// that no other process can have led for long.
+func (s *Status) InContact() bool {
+	return s.Leader == s.ID && s.Unconfirmed <= MaxUnconfirmed
+}
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -102,7 +102,7 @@
 // for long. The loop ends a moment after its leadership.
 func (l *loop) inContact() bool {
 	status := l.Replica.Status()
-	return status.Leader == status.ID && status.Term == l.term && status.Unconfirmed <= maxUnconfirmed
+	return status.InContact() && status.Term == l.term
 }
 
 // handleReport handles the answer to a watch.
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -19,13 +19,8 @@
 	clockDrift = 0.02
 	// inheritedLease bounds the leases that former leaders may have granted,
 	// counted from when a leader learns of a worker. It covers their leaseTime,
-	// maxUnconfirmed, and some slack.
+	// replica.MaxUnconfirmed, and some slack.
 	inheritedLease = leaseTime + 2*time.Second
-	// maxUnconfirmed is the age of the newest message that a majority has answered
-	// beyond which a leader sends no starts and extends no leases: another process
-	// may lead. A leader that was suspended finds it exceeded before its replica
-	// has taken note of the time.
-	maxUnconfirmed = 1200 * time.Millisecond
 	// staleCallTime is the time after a worker's restart by which all calls to
 	// its former incarnation have arrived or failed. A call that got no answer
 	// may be executed seconds later; the platform gives no limit.
