--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -86,6 +86,16 @@
 	return &workstate.Worker{ID: w.id, Address: w.id, Service: service, VM: vm, Incarnation: w.incarnation, Capacity: w.capacity, Sequence: w.announce()}
 }
 
+// leadWithJob starts a leader and submits jobA. Its tasks execute half a second later,
+// when the function returns.
+func (f *fixture) leadWithJob(steps ...workload.Step) {
+	f.t.Helper()
+	f.lead()
+	time.Sleep(time.Second)
+	f.submit(jobA, steps...)
+	time.Sleep(500 * time.Millisecond)
+}
+
 // announceDrain commits the heartbeat by which a worker of "svc" announces that it drains.
 func (f *fixture) announceDrain(w *fakeWorker, vm string) {
 	heartbeat := f.heartbeat(w, vm, "svc")
--- a/internal/process/scheduler/runs_test.go
+++ b/internal/process/scheduler/runs_test.go
@@ -71,11 +71,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 8*time.Second)
 		w1 := f.addWorker("w1", 4000)
-		f.lead()
+		f.leadWithJob(step(4))
 		defer f.depose()
-		time.Sleep(time.Second)
-		f.submit(jobA, step(4))
-		time.Sleep(500 * time.Millisecond)
 		f.addWorker("w2", 4000)
 		w1.unreachable = true
 		f.await(jobA, workstate.Succeeded, leaseTime+10*time.Second)
@@ -120,11 +117,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
 		w := f.addWorker("w1", 4000)
-		f.lead()
+		f.leadWithJob(step(4))
 		defer f.depose()
-		time.Sleep(time.Second)
-		f.submit(jobA, step(4))
-		time.Sleep(500 * time.Millisecond)
 		f.workers.mu.Lock()
 		f.workers.add("w1", w.capacity.MilliCPU)
 		f.workers.mu.Unlock()
@@ -139,11 +133,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Minute)
 		w := f.addWorker("w1", 4000)
-		f.lead()
+		f.leadWithJob(step(4))
 		defer f.depose()
-		time.Sleep(time.Second)
-		f.submit(jobA, step(4))
-		time.Sleep(500 * time.Millisecond)
 		f.commit(&workstate.Command{Cancel: &workstate.Cancel{ID: jobA}})
 		time.Sleep(500 * time.Millisecond)
 		if len(w.running) > 0 {
--- a/internal/process/scheduler/silentplatform_test.go
+++ b/internal/process/scheduler/silentplatform_test.go
@@ -42,11 +42,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
 		f.limits.FencingEnforced = true
-		f.replaceWorkers(1500 * time.Millisecond)
-		for i := range 40 {
-			f.addVM(fmt.Sprint("w", i), "svc")
-		}
-		f.lead()
+		f.leadPool(40)
 		defer f.depose()
 		p := &silentPlatform{fakePlatform: f.vms}
 		p.silent.Store(true)
--- a/internal/process/scheduler/unexecuted_test.go
+++ b/internal/process/scheduler/unexecuted_test.go
@@ -24,11 +24,8 @@
 		f := newFixture(t, 5*time.Second)
 		f.vms.vms["vm-w1"] = &execution.VM{ID: "vm-w1", Pool: "svc", State: execution.VMUp}
 		f.addWorker("w1", 1000)
-		f.lead()
+		f.leadWithJob(step(1))
 		defer f.depose()
-		time.Sleep(time.Second)
-		f.submit(jobA, step(1))
-		time.Sleep(500 * time.Millisecond)
 		f.addWorker("w2", 1000)
 		f.loop.post(func(l *loop) {
 			l.Platform = &deafPlatform{f.vms}
@@ -44,11 +41,8 @@
 		f := newFixture(t, 5*time.Second)
 		f.vms.vms["vm-w1"] = &execution.VM{ID: "vm-w1", Pool: "svc", State: execution.VMUp, Worker: "w1"}
 		f.addWorker("w1", 1000)
-		f.lead()
+		f.leadWithJob(step(1))
 		defer f.depose()
-		time.Sleep(time.Second)
-		f.submit(jobA, step(1))
-		time.Sleep(500 * time.Millisecond)
 		f.addWorker("w2", 1000)
 		f.vms.mu.Lock()
 		f.vms.vms["vm-w1"].State = "unlisted"
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -49,6 +49,16 @@
 	f.register(w, vm, pool)
 }
 
+// leadPool adds a number of VMs of "svc", whose workers are replaced when they go down,
+// and starts a leader.
+func (f *fixture) leadPool(count int) {
+	f.replaceWorkers(1500 * time.Millisecond)
+	for i := range count {
+		f.addVM(fmt.Sprint("w", i), "svc")
+	}
+	f.lead()
+}
+
 // addVM adds a VM of "svc" with a worker, or a powered-off VM of the standby
 // pool.
 func (f *fixture) addVM(id, pool string) {
@@ -135,11 +145,7 @@
 func TestIdleVMsArePoweredOffUntilLoadReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		f.replaceWorkers(1500 * time.Millisecond)
-		for i := range 8 {
-			f.addVM(fmt.Sprint("w", i), "svc")
-		}
-		f.lead()
+		f.leadPool(8)
 		defer f.depose()
 		time.Sleep(6 * time.Second)
 		work := step(1)
@@ -233,11 +239,7 @@
 func TestPoolKeepsEnoughVMsForItsLimitOfTasksPerWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		f.replaceWorkers(1500 * time.Millisecond)
-		for i := range 8 {
-			f.addVM(fmt.Sprint("w", i), "svc")
-		}
-		f.lead()
+		f.leadPool(8)
 		defer f.depose()
 		time.Sleep(6 * time.Second)
 		work := step(1)
