--- a/internal/process/scheduler/silentplatform_test.go
+++ b/internal/process/scheduler/silentplatform_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
