delegate: a wall clock that is set does not move the timeouts of calls

Found by reading before the landing: the intervals in which open calls expire were numbered by the wall clock, so that a clock that is set back by some seconds held up their timeouts for as long, and with them the next watch of each silent worker. The timers that they replaced ran on the monotonic clock. Now the intervals do too.

No test shows it: a test can't set the clock of its process.

--- a/internal/connection/delegate/pending.go
+++ b/internal/connection/delegate/pending.go
@@ -20,6 +20,8 @@
 // for concurrent use.
 type pendingCalls struct {
 	calls map[uint64]*pendingCall
+	// since is the time from which intervals are counted, on the monotonic clock.
+	since time.Time
 	// expiring lists the calls with a deadline by the interval in which it ends.
 	expiring map[int64][]uint64
 	// expire is called after each interval while expiring is not empty.
@@ -28,7 +30,7 @@
 }
 
 func newPendingCalls(expire func(now time.Time)) pendingCalls {
-	return pendingCalls{calls: map[uint64]*pendingCall{}, expiring: map[int64][]uint64{}, expire: expire}
+	return pendingCalls{calls: map[uint64]*pendingCall{}, since: time.Now(), expiring: map[int64][]uint64{}, expire: expire}
 }
 
 func (p *pendingCalls) add(number uint64, c *pendingCall) {
@@ -36,13 +38,13 @@
 	if c.deadline.IsZero() {
 		return
 	}
-	interval := intervalOf(c.deadline) + 1
+	interval := p.intervalOf(c.deadline) + 1
 	p.expiring[interval] = append(p.expiring[interval], number)
 	p.arm()
 }
 
 // intervalOf returns the number of the interval that holds a time.
-func intervalOf(t time.Time) int64 { return t.UnixNano() / int64(expiryInterval) }
+func (p *pendingCalls) intervalOf(t time.Time) int64 { return int64(t.Sub(p.since) / expiryInterval) }
 
 // arm makes sure that expire is called.
 func (p *pendingCalls) arm() {
@@ -77,7 +79,7 @@
 	p.armed = false
 	var expired []*pendingCall
 	for interval, numbers := range p.expiring {
-		if interval > intervalOf(now) {
+		if interval > p.intervalOf(now) {
 			continue
 		}
 		delete(p.expiring, interval)
