--- /dev/null
+++ b/internal/process/scheduler/orphans.go
@@ -0,0 +1,48 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+)
+
+// stopOrphans stops runs that workers execute without a record in the state. A
+// worker that is not in touch gets no lease either, so that its runs end with the
+// one it has unless its next report comes first. The runs of a worker that obeys a
+// newer leader are left to that leader.
+func (l *loop) stopOrphans(u *usage, now time.Time) {
+	for _, w := range l.workerList {
+		if w.report == nil || !w.inTouch() || u.load(w).listed == len(w.report.running) {
+			continue
+		}
+		for key := range w.report.running {
+			if !l.isRecorded(key) && !l.endQueued(key) {
+				l.stopOrphan(w, key, now)
+			}
+		}
+	}
+	for key, at := range l.orphans {
+		if now.Sub(at) > leaseTime {
+			delete(l.orphans, key)
+		}
+	}
+}
+
+// stopOrphan stops a run that a worker reports but that is not recorded as the
+// task's newest run.
+func (l *loop) stopOrphan(w *worker, key runKey, now time.Time) {
+	if last, known := l.orphans[key]; known && now.Sub(last) < callTimeout {
+		return
+	}
+	l.orphans[key] = now
+	l.Log.Info("stopping unrecorded run", "task", key.task.String(), "run", key.run, "worker", w.reg.ID)
+	address, token := w.address(), uint64(w.token)
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+		defer cancel()
+		answer, err := l.Workers.Stop(ctx, address, key.task, key.run, token)
+		if err != nil {
+			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", address.ID, "error", err.Error())
+		}
+		l.post(func(l *loop) { l.recordRefusal(w, "stop", answer.Refusal) })
+	}()
+}
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -294,25 +294,3 @@
 	}
 	return r
 }
-
-// stopOrphans stops runs that workers execute without a record in the state. A
-// worker that is not in touch gets no lease either, so that its runs end with the
-// one it has unless its next report comes first. The runs of a worker that obeys a
-// newer leader are left to that leader.
-func (l *loop) stopOrphans(u *usage, now time.Time) {
-	for _, w := range l.workerList {
-		if w.report == nil || !w.inTouch() || u.load(w).listed == len(w.report.running) {
-			continue
-		}
-		for key := range w.report.running {
-			if !l.isRecorded(key) && !l.endQueued(key) {
-				l.stopOrphan(w, key, now)
-			}
-		}
-	}
-	for key, at := range l.orphans {
-		if now.Sub(at) > leaseTime {
-			delete(l.orphans, key)
-		}
-	}
-}
--- a/internal/process/scheduler/stops.go
+++ b/internal/process/scheduler/stops.go
@@ -48,23 +48,3 @@
 		r.enter(runStopping, now)
 	}
 }
-
-// stopOrphan stops a run that a worker reports but that is not recorded as the
-// task's newest run.
-func (l *loop) stopOrphan(w *worker, key runKey, now time.Time) {
-	if last, known := l.orphans[key]; known && now.Sub(last) < callTimeout {
-		return
-	}
-	l.orphans[key] = now
-	l.Log.Info("stopping unrecorded run", "task", key.task.String(), "run", key.run, "worker", w.reg.ID)
-	address, token := w.address(), uint64(w.token)
-	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		defer cancel()
-		answer, err := l.Workers.Stop(ctx, address, key.task, key.run, token)
-		if err != nil {
-			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", address.ID, "error", err.Error())
-		}
-		l.post(func(l *loop) { l.recordRefusal(w, "stop", answer.Refusal) })
-	}()
-}
