platform, delegate: names for what can't be read, and for a timer that is due

'odd' rows and entries are unreadable ones; 'armed' is scheduled. Names of Go and of tests only, nothing on the wire and in the log changes.

--- a/internal/connection/delegate/pending.go
+++ b/internal/connection/delegate/pending.go
@@ -24,9 +24,10 @@
 	since time.Time
 	// expiring lists the calls with a deadline by the interval in which it ends.
 	expiring map[int64][]uint64
-	// expire is called after each interval while expiring is not empty.
-	expire func(now time.Time)
-	armed  bool
+	// expire is called after each interval while expiring is not empty. scheduled is
+	// set while a call of it is due.
+	expire    func(now time.Time)
+	scheduled bool
 }
 
 func newPendingCalls(expire func(now time.Time)) pendingCalls {
@@ -40,18 +41,18 @@
 	}
 	interval := p.intervalOf(c.deadline) + 1
 	p.expiring[interval] = append(p.expiring[interval], number)
-	p.arm()
+	p.scheduleExpiry()
 }
 
 // intervalOf returns the number of the interval that holds a time.
 func (p *pendingCalls) intervalOf(t time.Time) int64 { return int64(t.Sub(p.since) / expiryInterval) }
 
-// arm makes sure that expire is called.
-func (p *pendingCalls) arm() {
-	if p.armed {
+// scheduleExpiry makes sure that expire is called.
+func (p *pendingCalls) scheduleExpiry() {
+	if p.scheduled {
 		return
 	}
-	p.armed = true
+	p.scheduled = true
 	time.AfterFunc(expiryInterval, func() { p.expire(time.Now()) })
 }
 
@@ -76,7 +77,7 @@
 
 // takeExpired removes and returns the calls whose deadline has passed.
 func (p *pendingCalls) takeExpired(now time.Time) []*pendingCall {
-	p.armed = false
+	p.scheduled = false
 	var expired []*pendingCall
 	for interval, numbers := range p.expiring {
 		if interval > p.intervalOf(now) {
@@ -90,7 +91,7 @@
 		}
 	}
 	if len(p.expiring) > 0 {
-		p.arm()
+		p.scheduleExpiry()
 	}
 	return expired
 }
--- a/internal/connection/execution/execution.go
+++ b/internal/connection/execution/execution.go
@@ -153,8 +153,8 @@
 	EndsOnly bool `cbor:"6,keyasint,omitempty"`
 	// MoreEnds is set if Ended may leave out the newest ends.
 	MoreEnds bool `cbor:"7,keyasint,omitempty"`
-	// OddRows counts the rows that could not be read and were left out.
-	OddRows int `cbor:"8,keyasint,omitempty"`
+	// UnreadableRows counts the rows that could not be read and were left out.
+	UnreadableRows int `cbor:"8,keyasint,omitempty"`
 }
 
 // Workers sends orders to workers. Errors wrap ErrNoAnswer or
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -141,9 +141,9 @@
 		w.contacted = true
 		w.leaseMS = max(w.leaseMS, w.maxInitialLease(l.Limits.LongestLease))
 	}
-	if report.OddRows != w.oddRows {
-		l.Log.Warn("rows of a report left out, they can't be read", "worker", w.reg.ID, "rows", report.OddRows, "before", w.oddRows)
-		w.oddRows = report.OddRows
+	if report.UnreadableRows != w.unreadableRows {
+		l.Log.Warn("rows of a report left out, they can't be read", "worker", w.reg.ID, "rows", report.UnreadableRows, "before", w.unreadableRows)
+		w.unreadableRows = report.UnreadableRows
 	}
 	w.endsOnly = report.EndsOnly
 	if report.EndsOnly && w.report != nil {
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -115,8 +115,8 @@
 	// report is the newest report that lists what the worker executes, with the
 	// ends of later reports; nil before the first one.
 	report *reportView
-	// oddRows is the number of rows of the last report that could not be read.
-	oddRows int
+	// unreadableRows is the number of rows of the last report that could not be read.
+	unreadableRows int
 	// endsOnly is set if the last report left out what the worker executes.
 	endsOnly bool
 	// overCapacity is set if the recorded runs took more than the capacity in the
