--- a/internal/connection/delegate/peers.go
+++ b/internal/connection/delegate/peers.go
@@ -135,10 +135,7 @@
 	w.peerAt(batch.From).heardAt = time.Now()
 	waiting := make([]*pendingCall, len(batch.Answers))
 	for i := range batch.Answers {
-		number := batch.Answers[i].Number
-		if p := w.pending.calls[number]; p != nil && p.delegate == batch.From {
-			waiting[i] = w.pending.take(number)
-		}
+		waiting[i] = w.pending.takeFrom(batch.From, batch.Answers[i].Number)
 	}
 	return waiting
 }
--- a/internal/connection/delegate/pending.go
+++ b/internal/connection/delegate/pending.go
@@ -63,6 +63,14 @@
 	return c
 }
 
+// takeFrom is take for an answer of a delegate. It leaves the calls of others.
+func (p *pendingCalls) takeFrom(delegate string, number uint64) *pendingCall {
+	if c := p.calls[number]; c == nil || c.delegate != delegate {
+		return nil
+	}
+	return p.take(number)
+}
+
 // takeOf removes and returns the calls that wait for a delegate.
 func (p *pendingCalls) takeOf(delegate string) []*pendingCall {
 	var taken []*pendingCall
@@ -79,8 +87,9 @@
 func (p *pendingCalls) takeExpired(now time.Time) []*pendingCall {
 	p.scheduled = false
 	var expired []*pendingCall
+	current := p.intervalOf(now)
 	for interval, numbers := range p.expiring {
-		if interval > p.intervalOf(now) {
+		if interval > current {
 			continue
 		}
 		delete(p.expiring, interval)
--- a/internal/connection/delegate/workers.go
+++ b/internal/connection/delegate/workers.go
@@ -139,25 +139,21 @@
 }
 
 // orderAnswer returns the answer to an order.
-func orderAnswer(a answer, err error) (execution.Answer, error) {
-	switch {
-	case err != nil:
-		return execution.Answer{}, err
-	case a.Order == nil:
-		return execution.Answer{}, execution.ErrMalformedAnswer
-	}
-	return *a.Order, nil
-}
+func orderAnswer(a answer, err error) (execution.Answer, error) { return required(a.Order, err) }
 
 // watchAnswer returns the answer to a watch.
-func watchAnswer(a answer, err error) (execution.Report, error) {
+func watchAnswer(a answer, err error) (execution.Report, error) { return required(a.Report, err) }
+
+// required returns what the answer to a call must hold, or why it does not.
+func required[T any](held *T, err error) (T, error) {
+	var none T
 	switch {
 	case err != nil:
-		return execution.Report{}, err
-	case a.Report == nil:
-		return execution.Report{}, execution.ErrMalformedAnswer
+		return none, err
+	case held == nil:
+		return none, execution.ErrMalformedAnswer
 	}
-	return *a.Report, nil
+	return *held, nil
 }
 
 // result is the outcome of a call.
--- a/internal/connection/execution/background.go
+++ b/internal/connection/execution/background.go
@@ -20,7 +20,7 @@
 		async.StartAsync(ctx, to, order, timeout, then)
 		return
 	}
-	inBackground(ctx, timeout, func(ctx context.Context) (Answer, error) { return w.Start(ctx, to, order) }, then)
+	InBackground(ctx, timeout, func(ctx context.Context) (Answer, error) { return w.Start(ctx, to, order) }, then)
 }
 
 // WatchInBackground makes a watch and passes its outcome to a function.
@@ -29,12 +29,12 @@
 		async.WatchAsync(ctx, to, watch, timeout, then)
 		return
 	}
-	inBackground(ctx, timeout, func(ctx context.Context) (Report, error) { return w.Watch(ctx, to, watch) }, then)
+	InBackground(ctx, timeout, func(ctx context.Context) (Report, error) { return w.Watch(ctx, to, watch) }, then)
 }
 
-// inBackground makes a call on a goroutine of its own and passes its outcome to a
-// function.
-func inBackground[T any](ctx context.Context, timeout time.Duration, call func(context.Context) (T, error), then func(T, error)) {
+// InBackground makes a call on a goroutine of its own, with a timeout, and passes its
+// outcome to a function.
+func InBackground[T any](ctx context.Context, timeout time.Duration, call func(context.Context) (T, error), then func(T, error)) {
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
--- a/internal/process/scheduler/loadlog.go
+++ b/internal/process/scheduler/loadlog.go
@@ -52,7 +52,7 @@
 	collections := []runtimemetrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}}
 	runtimemetrics.Read(collections)
 	return loadCounters{
-		processorTime: processorTime(),
+		processorTime: processorTime(syscall.RUSAGE_SELF),
 		starts:        startedRuns.Get(), ends: endedRuns.Get(), watches: watchCalls.Get(),
 		linkCalls: linkCallsMade.Get(), linkServed: linkCallsServed.Get(), sent: messagesSent.Get(), received: messagesReceived.Get(),
 		reads: confirmations.Get(), batches: batches.Get(),
@@ -73,21 +73,12 @@
 	return counts
 }
 
-// processorTime returns the processor time that this process has used, or 0 if
-// the system does not tell.
-func processorTime() time.Duration {
+// processorTime returns the processor time that this process (syscall.RUSAGE_SELF) or
+// the caller's thread (syscall.RUSAGE_THREAD) has used, or 0 if the system does not
+// tell.
+func processorTime(who int) time.Duration {
 	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
-// threadTime returns the processor time that the thread of the caller has used, or
-// 0 if the system does not tell.
-func threadTime() time.Duration {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_THREAD, &usage) != nil {
+	if syscall.Getrusage(who, &usage) != nil {
 		return 0
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -169,7 +170,7 @@
 	}
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	started := threadTime()
+	started := processorTime(syscall.RUSAGE_THREAD)
 	round := l.dirty && !l.committing
 	if round {
 		l.dirty = false
@@ -179,7 +180,7 @@
 	l.listVMs(now)
 	end := time.Now()
 	l.pacer.record(now, end)
-	l.loadLog.recordPass(end.Sub(now), threadTime()-started, round)
+	l.loadLog.recordPass(end.Sub(now), processorTime(syscall.RUSAGE_THREAD)-started, round)
 	l.logLoad(end)
 	return 0
 }
@@ -200,7 +201,7 @@
 		}
 		usage := l.reconcile(v, detail, now)
 		groups := l.waitingGroups(v, now)
-		l.countWaiting(groups)
+		l.recordWaiting(groups)
 		l.applyAdvice(v, usage, groups, now)
 		if planFleet {
 			l.fleetPlannedAt = now
@@ -219,8 +220,8 @@
 	l.commit(&progress)
 }
 
-// countWaiting records how many steps and tasks wait.
-func (l *loop) countWaiting(groups []*placement.Group) {
+// recordWaiting records how many steps and tasks wait.
+func (l *loop) recordWaiting(groups []*placement.Group) {
 	l.waitingSteps, l.waitingTasks = len(groups), 0
 	for _, g := range groups {
 		l.waitingTasks += len(g.Indexes)
--- a/internal/process/scheduler/orphans.go
+++ b/internal/process/scheduler/orphans.go
@@ -1,8 +1,9 @@
 package scheduler
 
 import (
-	"context"
 	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
 )
 
 // stopOrphans stops runs that workers execute without a record in the state. A
@@ -35,14 +36,11 @@
 	}
 	l.orphans[key] = now
 	l.Log.Info("stopping unrecorded run", "task", key.task.String(), "run", key.run, "worker", w.reg.ID)
-	address, token := w.address(), uint64(w.token)
-	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		defer cancel()
-		answer, err := l.Workers.Stop(ctx, address, key.task, key.run, token)
+	id := w.reg.ID
+	l.stopInBackground(w, key, func(answer execution.Answer, err error) {
 		if err != nil {
-			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", address.ID, "error", err.Error())
+			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", id, "error", err.Error())
 		}
 		l.post(func(l *loop) { l.recordRefusal(w, "stop", answer.Refusal) })
-	}()
+	})
 }
--- a/internal/process/scheduler/stops.go
+++ b/internal/process/scheduler/stops.go
@@ -17,13 +17,18 @@
 	}
 	r.enter(runStopping, now)
 	r.calling = true
-	address, token := w.address(), uint64(w.token)
-	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		defer cancel()
-		answer, err := l.Workers.Stop(ctx, address, id, r.number, token)
+	l.stopInBackground(w, runKey{id, r.number}, func(answer execution.Answer, err error) {
 		l.post(func(l *loop) { l.handleStopAnswer(id, r, w, answer, err) })
-	}()
+	})
+}
+
+// stopInBackground orders a worker to end a run and passes the outcome to a function, on
+// another goroutine.
+func (l *loop) stopInBackground(w *worker, key runKey, then func(execution.Answer, error)) {
+	address, token := w.address(), uint64(w.token)
+	execution.InBackground(l.ctx, callTimeout, func(ctx context.Context) (execution.Answer, error) {
+		return l.Workers.Stop(ctx, address, key.task, key.run, token)
+	}, then)
 }
 
 func (l *loop) handleStopAnswer(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
--- a/internal/process/scheduler/throttle.go
+++ b/internal/process/scheduler/throttle.go
@@ -88,12 +88,11 @@
 	speed, number := w.speed, r.number
 	r.settingSpeed, r.speedSetAt = true, now
 	address, token := w.address(), uint64(w.token)
-	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		defer cancel()
-		answer, err := l.Workers.Throttle(ctx, address, id, number, speed, token)
+	execution.InBackground(l.ctx, callTimeout, func(ctx context.Context) (execution.Answer, error) {
+		return l.Workers.Throttle(ctx, address, id, number, speed, token)
+	}, func(answer execution.Answer, err error) {
 		l.post(func(l *loop) { l.handleSpeedAnswer(id, r, w, speed, answer, err) })
-	}()
+	})
 }
 
 func (l *loop) handleSpeedAnswer(id workload.TaskID, r *run, w *worker, speed int, answer execution.Answer, err error) {
