scheduler tests: one way to apply a command and to plan the fleet in benchmarks

fillWithLongRunning, listBusyVMs and loadedLeader applied commands by three copies of the same lines, roundInABurst repeated the round of planIdleFleet.

--- a/internal/process/scheduler/bench_test.go
+++ b/internal/process/scheduler/bench_test.go
@@ -73,7 +73,12 @@
 		}
 	}
 	l.fleet.orders = orderBudget{tokens: 1, filledAt: time.Now()}
-	if _, err := propose(context.Background(), &fakeReplica{machine: l.Machine}, &workstate.Command{Wave: wave}, time.Now()); err != nil {
+	commitTo(b, l.Machine, &workstate.Command{Wave: wave})
+}
+
+// commitTo applies a command to a state.
+func commitTo(b testing.TB, machine *workstate.Machine, c *workstate.Command) {
+	if _, err := propose(context.Background(), &fakeReplica{machine: machine}, c, time.Now()); err != nil {
 		b.Fatal(err)
 	}
 }
@@ -105,11 +110,7 @@
 		Replica: &stuckReplica{}, Machine: machine, Workers: newFakeWorkers(nil, time.Second), Log: slog.New(slog.DiscardHandler), Now: time.Now,
 		Limits: Limits{Retention: time.Hour},
 	}, 1)
-	commit := func(c *workstate.Command) {
-		if _, err := propose(ctx, &fakeReplica{machine: machine}, c, time.Now()); err != nil {
-			b.Fatal(err)
-		}
-	}
+	commit := func(c *workstate.Command) { commitTo(b, machine, c) }
 	commit(&workstate.Command{Catalog: testCatalog()})
 	reports := map[string]*execution.Report{}
 	for i := range workers {
--- a/internal/process/scheduler/benchburst_test.go
+++ b/internal/process/scheduler/benchburst_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -30,9 +29,14 @@
 	return l
 }
 
-// roundInABurst runs a round that plans the fleet.
+// roundInABurst runs a round that plans the fleet and may order a VM.
 func (l *loop) roundInABurst() {
 	l.fleet.orders = orderBudget{tokens: 1, filledAt: time.Now()}
+	l.planFleetOnce()
+}
+
+// planFleetOnce runs a round that plans the fleet, whose list of VMs is new.
+func (l *loop) planFleetOnce() {
 	l.committing = false
 	l.fleet.listedAt, l.fleetPlannedAt = time.Now(), time.Time{}
 	l.round(time.Now())
@@ -43,19 +47,14 @@
 func (l *loop) fillWithLongRunning(b testing.TB, workers int, milliCPU int64) {
 	const tasksPerJob = 24
 	var progress workstate.Progress
-	commit := func(c *workstate.Command) {
-		if _, err := propose(context.Background(), &fakeReplica{machine: l.Machine}, c, time.Now()); err != nil {
-			b.Fatal(err)
-		}
-	}
 	for i := range workers {
 		task := workload.TaskID{Job: fmt.Sprintf("f%015x", i/tasksPerJob), Index: i % tasksPerJob}
 		if task.Index == 0 {
 			st := step(tasksPerJob)
 			st.Need, st.LongRunning = workload.Resources{MilliCPU: milliCPU}, true
-			commit(&workstate.Command{Submit: &workstate.Submit{ID: task.Job, Host: "host", Path: "/q/" + task.Job, Spec: workload.Spec{Payload: "p", Steps: []workload.Step{st}}}})
+			commitTo(b, l.Machine, &workstate.Command{Submit: &workstate.Submit{ID: task.Job, Host: "host", Path: "/q/" + task.Job, Spec: workload.Spec{Payload: "p", Steps: []workload.Step{st}}}})
 		}
 		progress.Starts = append(progress.Starts, workstate.Start{Task: task, Run: 1, Worker: fmt.Sprint("w", i), Incarnation: 1})
 	}
-	commit(&workstate.Command{Progress: &progress})
+	commitTo(b, l.Machine, &workstate.Command{Progress: &progress})
 }
--- a/internal/process/scheduler/benchrun_test.go
+++ b/internal/process/scheduler/benchrun_test.go
@@ -86,9 +86,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		prepare()
-		l.committing = false
-		l.fleet.listedAt, l.fleetPlannedAt = time.Now(), time.Time{}
-		l.round(time.Now())
+		l.planFleetOnce()
 	}
 }
 
