job runner: the late success of an attempt ends its job

Cause: reportFor took an end of any attempt but the running one as recorded and let the worker forget it, and the state ignored reports on older attempts, as TestReportOnAnOlderAttemptIsIgnored laid down.

Change: a success of an attempt that is no longer running is proposed with the mark TaskReport.Late. The state ends a waiting job as done; for a newer attempt it records Job.Succeeded and orders it to stop, and the job ends as done however that attempt ends. Its reservation is kept until then. The worker may forget the success only when the state shows it (CountsLate). Reports without the mark, late failures, stops and progress, and all reports on ended jobs change nothing, as before.

Tests: TestReportOnAnOlderAttemptIsIgnored also held a fault to be right (a success is dropped). Its case stands in TestReportOnAnOlderAttempt- DoesNotDisturbANewerOne, where the report lacks the mark, together with all other outcomes and the whole job compared; further tests hold that a success counts once, for ended jobs, for the bounds on attempts, and that the log replays to the same state. The random test draws late reports too.

Measured: go test ./internal/process/state ./internal/process/control: ok.

Conclusion: a success that the worker lists is passed over no more while the job is open. A success that no leader comes to hear of still runs again.

--- a/internal/process/control/jobrunner.go
+++ b/internal/process/control/jobrunner.go
@@ -156,9 +156,7 @@
 		r.server.recorder.Record(timeline.Event{Kind: timeline.JobPlaced, Job: p.Job, VM: p.Worker})
 	}
 	for _, o := range steps.Preemptions {
-		if job, known := r.server.machine.JobView(o.Job); known {
-			r.dirty[job.Worker] = true
-		}
+		r.markDirty(o.Job)
 		r.server.recorder.Record(timeline.Event{Kind: timeline.JobPreempted, Job: o.Job, Cause: string(o.Order) + ": " + o.Reason})
 	}
 	for _, b := range steps.Blocked {
@@ -166,6 +164,13 @@
 	}
 }
 
+// markDirty marks the worker of a job as dirty, if the job runs.
+func (r *jobRunner) markDirty(id string) {
+	if job, known := r.server.machine.JobView(id); known && job.Phase == jobplan.Running {
+		r.dirty[job.Worker] = true
+	}
+}
+
 func toSet(names []string) map[string]bool {
 	set := make(map[string]bool, len(names))
 	for _, name := range names {
--- a/internal/process/control/jobrunner_reports.go
+++ b/internal/process/control/jobrunner_reports.go
@@ -38,13 +38,18 @@
 }
 
 // reportFor converts a worker's task state to a report, and reports whether
-// it has to be recorded. A worker may drop an ended attempt once its end is
-// recorded.
+// it has to be recorded. A worker may drop an ended attempt once the state shows
+// what follows from its end.
 func (r *jobRunner) reportFor(vm string, task workerapi.TaskInfo) (state.TaskReport, bool) {
 	report := state.TaskReport{Job: task.Job, Epoch: task.Epoch, Outcome: outcomeOf(task.State), Used: task.PeakUsage, RunMS: task.RunMS, Reason: task.Reason}
 	job, known := r.server.machine.JobView(task.Job)
 	current := known && job.Phase == jobplan.Running && job.Epoch == task.Epoch && job.Worker == vm
 	if !current {
+		if known && report.Outcome == state.TaskDone && job.CountsLate(task.Epoch) {
+			r.server.log.Info("success of an earlier attempt reported", "job", task.Job, "epoch", task.Epoch, "worker", vm, "newest_epoch", job.Epoch)
+			report.Late = true
+			return report, true
+		}
 		if task.State.Ended() {
 			r.forgettable[vm] = append(r.forgettable[vm], workerapi.TaskRef{Job: task.Job, Epoch: task.Epoch})
 		}
@@ -101,7 +106,12 @@
 		if report.Outcome == state.TaskRunning || report.Outcome == state.TaskCheckpointed {
 			continue
 		}
-		r.server.recorder.Record(timeline.Event{Kind: timeline.JobEnded, Job: report.Job, Cause: string(report.Outcome) + " " + report.Reason})
+		cause := string(report.Outcome) + " " + report.Reason
+		if report.Late {
+			cause = string(report.Outcome) + " by an earlier attempt"
+			r.markDirty(report.Job)
+		}
+		r.server.recorder.Record(timeline.Event{Kind: timeline.JobEnded, Job: report.Job, Cause: cause})
 	}
 	for _, vm := range slices.Sorted(maps.Keys(toSet(answer.Quarantined))) {
 		r.server.recorder.Record(timeline.Event{Kind: timeline.WorkerQuarantined, VM: vm, Cause: "distinct jobs failed on it in a row"})
--- a/internal/process/state/claims_test.go
+++ b/internal/process/state/claims_test.go
@@ -17,6 +17,8 @@
 	nowMS   int64
 	// clockMS is the clock of the state: the latest time of a command.
 	clockMS int64
+	// entries holds the applied log entries.
+	entries [][]byte
 }
 
 func newDriver() *driver { return &driver{machine: NewMachine(), nowMS: 1_000_000_000_000} }
@@ -29,6 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.entries = append(d.entries, command)
 	return DecodeResult[T](d.machine.Apply(d.index, command))
 }
 
--- a/internal/process/state/jobreport.go
+++ b/internal/process/state/jobreport.go
@@ -27,12 +27,16 @@
 // TaskReport is a worker's report on one attempt of a job.
 type TaskReport struct {
 	Job string `cbor:"1,keyasint"`
-	// Epoch identifies the attempt. A report on an older attempt is ignored.
+	// Epoch identifies the attempt. A report on an older attempt is ignored
+	// unless it is marked as Late.
 	Epoch   uint64          `cbor:"2,keyasint"`
 	Outcome TaskOutcome     `cbor:"3,keyasint"`
 	Used    fleet.Resources `cbor:"4,keyasint"`
 	RunMS   int64           `cbor:"5,keyasint"`
 	Reason  string          `cbor:"6,keyasint,omitempty"`
+	// Late marks the success of an attempt that is no longer the running one.
+	// Log entries of earlier versions never have it.
+	Late bool `cbor:"7,keyasint,omitempty"`
 }
 
 // TaskReports is the body of a ReportTasks command.
@@ -45,7 +49,7 @@
 	// Quarantined lists the workers that were quarantined because of the
 	// reports.
 	Quarantined []string `cbor:"1,keyasint,omitempty"`
-	// Stale counts the ignored reports on attempts that have ended.
+	// Stale counts the ignored reports on attempts that are not running.
 	Stale int `cbor:"2,keyasint"`
 }
 
@@ -53,6 +57,12 @@
 	var answer TaskReportsAnswer
 	for _, report := range reports.Reports {
 		job := m.data.Jobs.active[report.Job]
+		if job != nil && report.Late {
+			if !m.data.Jobs.applyLateSuccess(pos, job, report) {
+				answer.Stale++
+			}
+			continue
+		}
 		if job == nil || job.Phase != jobplan.Running || job.Epoch != report.Epoch {
 			answer.Stale++
 			continue
@@ -100,7 +110,7 @@
 	job.Lost++
 	job.LostUnreported++
 	job.Checkpointed = false
-	if job.LostUnreported < maxLostUnreported || job.Cancelling {
+	if job.LostUnreported < maxLostUnreported || job.Cancelling || job.Succeeded {
 		s.requeue(pos, job)
 		return
 	}
@@ -118,9 +128,8 @@
 	job.Failures++
 	job.Avoid = append(slices.Clone(job.Avoid), worker)
 	job.Reason = report.Reason
-	if job.Failures < maxAttempts {
+	if job.Failures < maxAttempts || job.Succeeded {
 		s.requeue(pos, job)
-		job.Reason = report.Reason
 		return quarantined
 	}
 	s.detach(job)
@@ -132,14 +141,18 @@
 }
 
 // requeue queues a job again after an attempt that did not finish it, or ends
-// the job if it is being cancelled.
+// the job if an earlier attempt has succeeded or it is being cancelled.
 func (s *jobState) requeue(pos position, job *Job) {
 	s.detach(job)
-	if job.Cancelling {
+	switch {
+	case job.Succeeded:
+		job.Reason = ""
+		s.end(pos, job, jobplan.Done)
+	case job.Cancelling:
 		s.end(pos, job, jobplan.Cancelled)
-		return
+	default:
+		job.Phase = jobplan.Queued
 	}
-	job.Phase = jobplan.Queued
 }
 
 func (s *jobState) recordObservation(job *Job, report TaskReport) {
--- a/internal/process/state/jobs.go
+++ b/internal/process/state/jobs.go
@@ -68,6 +68,9 @@
 	// LostUnreported counts the lost attempts in a row of which the worker has
 	// reported nothing.
 	LostUnreported int `cbor:"19,keyasint,omitempty" json:"lost_unreported,omitempty"`
+	// Succeeded is true if an earlier attempt than the running one has succeeded.
+	// The job will end as done when the running one ends.
+	Succeeded bool `cbor:"20,keyasint,omitempty" json:"succeeded,omitempty"`
 	// Reason explains why the job is waiting, is being preempted, has failed
 	// or was cancelled.
 	Reason string `cbor:"18,keyasint,omitempty" json:"reason,omitempty"`
--- a/internal/process/state/jobsteps.go
+++ b/internal/process/state/jobsteps.go
@@ -63,7 +63,7 @@
 
 func (s *jobState) applyOrder(pos position, order JobOrder) bool {
 	job := s.active[order.Job]
-	if job == nil || job.Phase != jobplan.Running || job.Epoch != order.Epoch {
+	if job == nil || job.Phase != jobplan.Running || job.Epoch != order.Epoch || job.Succeeded {
 		return false
 	}
 	job.Order = order.Order
