job runner: a new leader catches up before its first round

What callers would see: a job that runs again after its success, or two attempts of it at the same time, after a change of leader.

Cause: the job runner acted on the local state as soon as the process led, though entries that the former leader had committed may not be applied yet. A listed success of an attempt that this state does not hold was taken for one long recorded, and the worker was told to forget it. An attempt whose placement was applied after the first round was not adopted: it counted no lease, and was lost at once if its worker did not answer, while the lease of the former leader went on.

Change: the first round waits for a read barrier, as the hosted scheduler's loop does (catchUp in scheduler.go).

Seen by tests only, not on a run of processes.

Conclusion: the information that a round acts on is that of all commands which were committed before the leadership.

--- a/internal/process/control/jobrunner.go
+++ b/internal/process/control/jobrunner.go
@@ -55,6 +55,9 @@
 	unresponsiveSince map[string]time.Time
 	// cutOff is set while this leader has no contact to a majority.
 	cutOff bool
+	// caughtUp is set once the local state holds everything that former leaders
+	// committed.
+	caughtUp bool
 	// adopted is set once the attempts that were running at the start have
 	// been added to leaseStart.
 	adopted bool
@@ -96,6 +99,9 @@
 // round calls the workers, records their answers and plans. It repeats this
 // while the plan has steps, up to maxPasses times.
 func (r *jobRunner) round(ctx context.Context) error {
+	if err := r.catchUp(ctx); err != nil {
+		return err
+	}
 	for range maxPasses {
 		if err := r.record(ctx, r.syncWorkers(ctx)); err != nil {
 			return err
@@ -108,6 +114,17 @@
 	return nil
 }
 
+// catchUp returns nil once the local state holds everything that former leaders
+// committed. Before that, attempts that this process does not know may be running.
+func (r *jobRunner) catchUp(ctx context.Context) error {
+	if r.caughtUp {
+		return nil
+	}
+	err := r.server.replica.ReadBarrier(ctx)
+	r.caughtUp = err == nil
+	return logging.Wrap(err, "catch up", r.server.settings.ID)
+}
+
 // step makes a plan and proposes it as one command. It returns false if the
 // plan is empty.
 func (r *jobRunner) step(ctx context.Context) (bool, error) {
