control: a waiting pull of an earlier incarnation leases nothing

What callers would see: a batch request that is not idempotent ends as unknown, "the entry that ran it is gone", although it never started.

Cause: a pull waits up to 1 s for work. If its entry is killed and restarts meanwhile, the call goes on (a killed process closes no connection), and LeaseBatch takes the incarnation in the pull for the current one: it records the earlier one again and leases the next request to it.

Change: a pull during whose wait another incarnation was recorded is refused, as a report of an earlier incarnation is.

That the lease then ends as unknown is by reading (endLostLeases); not seen on a run of processes.

Conclusion: holds once the state knows the restart, by a report (each second) or a pull of the new incarnation. A call that arrives after that still sets the incarnation back; claims do too.

--- a/internal/process/control/batch.go
+++ b/internal/process/control/batch.go
@@ -48,9 +48,13 @@
 		return batch.Leases{}, errForeignEntry(peer, pull.Entry)
 	}
 	pull.Max = min(pull.Max, maxPull)
+	known := s.machine.Incarnation(pull.Entry)
 	if err := s.awaitBatchWork(ctx, pull); err != nil {
 		return batch.Leases{}, err
 	}
+	if current := s.machine.Incarnation(pull.Entry); current != known && current != pull.Incarnation {
+		return batch.Leases{}, errEndedIncarnation(pull.Entry)
+	}
 	if len(pull.Held) == 0 && !s.machine.HasBatchWork(pull, time.Now().UnixMilli()) {
 		return batch.Leases{}, nil
 	}
--- a/internal/process/control/entrycalls.go
+++ b/internal/process/control/entrycalls.go
@@ -74,7 +74,7 @@
 	return err
 }
 
-// codeEndedIncarnation is the fault code for a report of an earlier
+// codeEndedIncarnation is the fault code for a report or a pull of an earlier
 // incarnation of an entry.
 const codeEndedIncarnation = "ended_run"
 
@@ -88,7 +88,7 @@
 		return message.ReportAnswer{}, err
 	}
 	if !s.incarnations.observe(report.EntryID, report.Incarnation, time.Now()) {
-		return message.ReportAnswer{}, &link.Fault{Code: codeEndedIncarnation, Message: "a later incarnation of entry " + report.EntryID + " has reported"}
+		return message.ReportAnswer{}, errEndedIncarnation(report.EntryID)
 	}
 	if s.machine.Incarnation(report.EntryID) != report.Incarnation {
 		record := state.Incarnation{Entry: report.EntryID, Incarnation: report.Incarnation}
@@ -120,6 +120,12 @@
 	return &link.Fault{Code: "foreign_entry", Message: "process " + peer.ID + " sent a message on behalf of entry " + entry}
 }
 
+// errEndedIncarnation returns the fault for a message of an earlier incarnation
+// of an entry.
+func errEndedIncarnation(entry string) error {
+	return &link.Fault{Code: codeEndedIncarnation, Message: "a later incarnation of entry " + entry + " has reported"}
+}
+
 // toFault converts the errors of a proposal to link faults.
 func toFault(err error) error {
 	var notLeader *replica.NotLeaderError
