--- a/integration/hosted_faults_test.go
+++ b/integration/hosted_faults_test.go
@@ -14,25 +14,17 @@
 	worker := s.random.IntN(*soakWorkers)
 	switch fault := s.random.IntN(10); fault {
 	case 0:
-		s.note("kill %s for %s", control.id, length)
-		control.kill()
-		s.schedule(length, func() { s.restart(control) })
+		s.killFor(control, length)
 	case 1:
-		s.note("freeze %s for %s", control.id, length)
-		control.signal(syscall.SIGSTOP)
-		s.schedule(length, func() { control.signal(syscall.SIGCONT) })
+		s.freezeFor(control, length)
 	case 2:
 		s.note("stop %s gracefully for %s", control.id, length)
 		control.signal(syscall.SIGTERM)
 		s.schedule(length, func() { s.restart(control) })
 	case 3:
-		s.note("kill %s for %s", entry.id, length)
-		entry.kill()
-		s.schedule(length, func() { s.restart(entry) })
+		s.killFor(entry, length)
 	case 4:
-		s.note("freeze %s for %s", entry.id, length)
-		entry.signal(syscall.SIGSTOP)
-		s.schedule(length, func() { entry.signal(syscall.SIGCONT) })
+		s.freezeFor(entry, length)
 	case 5:
 		s.note("drop all traffic to w%d for %s", worker, length)
 		s.relays[worker].toServer.silent.Store(true)
@@ -52,6 +44,20 @@
 	}
 }
 
+// killFor kills a process and starts it again after a time.
+func (s *soak) killFor(p *process, length time.Duration) {
+	s.note("kill %s for %s", p.id, length)
+	p.kill()
+	s.schedule(length, func() { s.restart(p) })
+}
+
+// freezeFor suspends a process for a time.
+func (s *soak) freezeFor(p *process, length time.Duration) {
+	s.note("freeze %s for %s", p.id, length)
+	p.signal(syscall.SIGSTOP)
+	s.schedule(length, func() { p.signal(syscall.SIGCONT) })
+}
+
 // killAllControls kills all control processes and starts them after a pause.
 func (s *soak) killAllControls(pause time.Duration) {
 	s.note("kill all control processes for %s", pause)
