--- a/integration/entry_view_test.go
+++ b/integration/entry_view_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"syscall"
 	"testing"
@@ -73,16 +74,21 @@
 	}
 }
 
+// keepViewOnDisk restarts an entry with a data directory.
+func (d *deployment) keepViewOnDisk(entry *entryProcess) {
+	entry.kill()
+	entry.settings.DataDir = filepath.Join(d.dir, entry.settings.ID, "data")
+	entry.saveSettings()
+	entry.start()
+}
+
 // TestRestartedEntryCutOffStartsFromItsDisk restarts the only entry of a zone,
 // which keeps its view on disk, while it cannot reach control.
 func TestRestartedEntryCutOffStartsFromItsDisk(t *testing.T) {
 	t.Parallel()
 	d, relay := newRelayedDeployment(t)
 	entry := d.addEntry("entry-a1", "za", relay.address)
-	entry.kill()
-	entry.settings.DataDir = d.dir + "/entry-a1/data"
-	entry.saveSettings()
-	entry.start()
+	d.keepViewOnDisk(entry)
 	d.addSmallTargets()
 	d.apply(smallFleet)
 	d.waitServed(entry.url() + "/booking/1")
@@ -122,10 +128,7 @@
 	d.addControls("za", "za", "zb")
 	lagging := newUDPRelay(t, d.controls["control-1"].settings.Link)
 	entry := d.addEntry("entry-a1", "za", lagging.address, d.controls["control-2"].settings.Link, d.controls["control-3"].settings.Link)
-	entry.kill()
-	entry.settings.DataDir = d.dir + "/entry-a1/data"
-	entry.saveSettings()
-	entry.start()
+	d.keepViewOnDisk(entry)
 	d.addSmallTargets()
 	d.apply(smallFleet)
 	d.waitInForce(5 * time.Second)
