--- a/integration/request_helpers_test.go
+++ b/integration/request_helpers_test.go
@@ -119,6 +119,14 @@
 	return count
 }
 
+// expectRuns checks how often all targets together have run an answered request.
+func (f *requestFleet) expectRuns(t *testing.T, answer callerReply, expected int) {
+	t.Helper()
+	if runs := f.runs(answer.id); runs != expected {
+		t.Errorf("request %s ran %d times, expected %d", answer.id, runs, expected)
+	}
+}
+
 // running waits until a target of the pool runs a request and returns its VM.
 func (f *requestFleet) running(pool string) string {
 	f.t.Helper()
--- a/integration/request_target_test.go
+++ b/integration/request_target_test.go
@@ -18,9 +18,7 @@
 	for range 10 {
 		answer := f.send(http.MethodPost, "/booking/1")
 		answer.expect(t, http.StatusOK, "ran")
-		if runs := f.runs(answer.id); runs != 1 {
-			t.Errorf("ran %d times", runs)
-		}
+		f.expectRuns(t, answer, 1)
 	}
 }
 
@@ -41,9 +39,7 @@
 				return
 			}
 			answer.expect(t, http.StatusBadGateway, "unknown")
-			if runs := f.runs(answer.id); runs != 1 {
-				t.Errorf("ran %d times", runs)
-			}
+			f.expectRuns(t, answer, 1)
 		})
 	}
 }
@@ -75,9 +71,7 @@
 		f.send(http.MethodGet, "/booking/warm").expect(t, http.StatusOK, "ran")
 		answer := f.send(http.MethodPost, "/booking/1?close=1")
 		answer.expect(t, http.StatusBadGateway, "unknown")
-		if runs := f.runs(answer.id); runs != 1 {
-			t.Errorf("ran %d times", runs)
-		}
+		f.expectRuns(t, answer, 1)
 	}
 }
 
@@ -182,8 +176,6 @@
 	f.entry.signal(continueSignal)
 	for _, answer := range <-answers {
 		answer.expect(t, http.StatusServiceUnavailable, "not-run")
-		if runs := f.runs(answer.id); runs != 0 {
-			t.Errorf("ran %d times", runs)
-		}
+		f.expectRuns(t, answer, 0)
 	}
 }
