batch runner: a stopping entry does not report a request that ran as not run

What callers would see: a batch request that is not idempotent runs twice.

Cause: a stopping entry stops retrying to store an end after 10 s and forgets the attempt. While other runs go on it still pulls; the state takes the lease that it does not name for one that never arrived and sends it again, and the entry answers "not run, the entry is stopping", so that the request is queued again though it has run.

Change: the runner remembers the attempts whose end it could not store and does not start them again. Their leases expire, and such a request ends as unknown, or is repeated if it is idempotent.

--- a/internal/request/batch/run.go
+++ b/internal/request/batch/run.go
@@ -21,7 +21,7 @@
 func (r *Runner) startRun(job Job, leaseEnd time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.runs[job.ID] != nil {
+	if r.runs[job.ID] != nil || r.unstored[LeaseRef{ID: job.ID, Epoch: job.Epoch}] {
 		return
 	}
 	// Runs outlive the pull. They end by their deadline or by cancellation.
@@ -83,11 +83,13 @@
 // after LeaseTime, and the lease then expires in the store.
 func (r *Runner) finish(end End) {
 	started := time.Now()
+	stored := false
 	for !r.isStopping() || time.Since(started) < LeaseTime {
 		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 		err := r.store.Finish(ctx, end)
 		cancel()
-		if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrRefused) {
+		stored = err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrRefused)
+		if stored {
 			break
 		}
 		r.log.Warn("batch request end not stored", "request", end.ID, logging.Err(err))
@@ -95,6 +97,9 @@
 	}
 	r.mu.Lock()
 	delete(r.runs, end.ID)
+	if !stored {
+		r.unstored[end.LeaseRef] = true
+	}
 	r.mu.Unlock()
 	select {
 	case r.runEnded <- struct{}{}:
--- a/internal/request/batch/runner.go
+++ b/internal/request/batch/runner.go
@@ -47,6 +47,9 @@
 
 	mu   sync.Mutex
 	runs map[string]*run
+	// unstored holds the attempts that have ended and whose end a stopping runner
+	// could not store. They are not started again.
+	unstored map[LeaseRef]bool
 	// backoffUntil holds, by service, the time until which no requests are
 	// pulled.
 	backoffUntil map[string]time.Time
@@ -58,7 +61,7 @@
 
 // NewRunner returns a runner. Call Run to start it.
 func NewRunner(store Store, dispatch Dispatcher, lookup Lookup, runnable func() []string, log *slog.Logger) *Runner {
-	return &Runner{store: store, dispatch: dispatch, lookup: lookup, runnable: runnable, log: log, runs: map[string]*run{},
+	return &Runner{store: store, dispatch: dispatch, lookup: lookup, runnable: runnable, log: log, runs: map[string]*run{}, unstored: map[LeaseRef]bool{},
 		backoffUntil: map[string]time.Time{}, runEnded: make(chan struct{}, 1), stopping: make(chan struct{}), stopped: make(chan struct{})}
 }
 
