--- a/internal/process/control/jobrunner.go
+++ b/internal/process/control/jobrunner.go
@@ -55,6 +55,9 @@
 	unresponsiveSince map[string]time.Time
 	// cutOff is set while this leader has no contact to a majority.
 	cutOff bool
+	// caughtUp is set once the local state holds everything that former leaders
+	// committed.
+	caughtUp bool
 	// adopted is set once the attempts that were running at the start have
 	// been added to leaseStart.
 	adopted bool
@@ -96,6 +99,9 @@
 // round calls the workers, records their answers and plans. It repeats this
 // while the plan has steps, up to maxPasses times.
 func (r *jobRunner) round(ctx context.Context) error {
+	if err := r.catchUp(ctx); err != nil {
+		return err
+	}
 	for range maxPasses {
 		if err := r.record(ctx, r.syncWorkers(ctx)); err != nil {
 			return err
@@ -108,6 +114,17 @@
 	return nil
 }
 
+// catchUp returns nil once the local state holds everything that former leaders
+// committed. Before that, attempts that this process does not know may be running.
+func (r *jobRunner) catchUp(ctx context.Context) error {
+	if r.caughtUp {
+		return nil
+	}
+	err := r.server.replica.ReadBarrier(ctx)
+	r.caughtUp = err == nil
+	return logging.Wrap(err, "catch up", r.server.settings.ID)
+}
+
 // step makes a plan and proposes it as one command. It returns false if the
 // plan is empty.
 func (r *jobRunner) step(ctx context.Context) (bool, error) {
@@ -156,9 +173,7 @@
 		r.server.recorder.Record(timeline.Event{Kind: timeline.JobPlaced, Job: p.Job, VM: p.Worker})
 	}
 	for _, o := range steps.Preemptions {
-		if job, known := r.server.machine.JobView(o.Job); known {
-			r.dirty[job.Worker] = true
-		}
+		r.markDirty(o.Job)
 		r.server.recorder.Record(timeline.Event{Kind: timeline.JobPreempted, Job: o.Job, Cause: string(o.Order) + ": " + o.Reason})
 	}
 	for _, b := range steps.Blocked {
@@ -166,6 +181,13 @@
 	}
 }
 
+// markDirty marks the worker of a job as dirty, if the job runs.
+func (r *jobRunner) markDirty(id string) {
+	if job, known := r.server.machine.JobView(id); known && job.Phase == jobplan.Running {
+		r.dirty[job.Worker] = true
+	}
+}
+
 func toSet(names []string) map[string]bool {
 	set := make(map[string]bool, len(names))
 	for _, name := range names {
