scheduler: a leaving worker that answers again has not ended

Cause: that a list of VMs showed the worker's end was kept for good, also if the worker answered a watch afterwards; the refused connections that it replaced were forgotten with each answer. Class: information of the past is taken as present. Evidence: TestLeavingWorkerThatAnswersAgainHasNotEnded failed on the code before, 'the worker counts as ended although it answers'. Change: an answer of the incarnation takes the listed end back. Result: the test and the others of leaving and deregistered workers pass. Conclusion: a safeguard: it needs a list that is wrong, or an answer that was in flight, and a run whose end was queued before the answer is not taken back.

--- a/internal/process/scheduler/leaving_test.go
+++ b/internal/process/scheduler/leaving_test.go
@@ -92,6 +92,21 @@
 	})
 }
 
+// TestLeavingWorkerThatAnswersAgainHasNotEnded guards against a second run of a task because of a list of VMs that the worker's later answer contradicts.
+func TestLeavingWorkerThatAnswersAgainHasNotEnded(t *testing.T) {
+	l := newLoop(t.Context(), Options{Log: slog.New(slog.DiscardHandler)}, 1)
+	w := &worker{reg: workstate.Worker{ID: "w1", VM: "vm-w1", Incarnation: 5, Leaving: true}, contacted: true, unresponsive: true}
+	l.workerList = []*worker{w}
+	l.recordLeft(execution.VM{ID: "vm-w1", State: execution.VMDown}, time.Now())
+	if !w.left() {
+		t.Fatal("the list has no effect")
+	}
+	l.handleReport(w, time.Now(), execution.Report{Incarnation: 5, ClockMS: 1}, nil)
+	if w.left() {
+		t.Error("the worker counts as ended although it answers")
+	}
+}
+
 // TestLongRunningTaskLeavesADrainingWorker guards against a long-running task that stays until its worker ends and is then missing.
 func TestLongRunningTaskLeavesADrainingWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -129,7 +129,7 @@
 		l.dirty = true
 		l.Log.Info("worker responsive", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "running", len(report.Running), "ended", len(report.Ended))
 	}
-	w.unresponsive = false
+	w.unresponsive, w.listedEnded = false, false
 	w.answeredAt = now
 	if report.Incarnation > w.reg.Incarnation {
 		w.superseded = true
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -92,7 +92,8 @@
 	unresponsive bool
 	// failedAt is when the first watch since the last answer failed.
 	failedAt time.Time
-	// listedEnded is set once a list of VMs shows that the incarnation has ended.
+	// listedEnded is set if a list of VMs has shown that the incarnation has ended,
+	// and it has not answered since.
 	listedEnded bool
 	// answeredAt is when the worker last answered a watch, heartbeatAt when its
 	// last heartbeat was received.
