scheduler: a report's clock shows that its worker has survived a start

Callers saw jobs failed for crashes long after their tasks' starts. Cause: a report counted by when it was requested, and a watch may wait for up to a second before it is answered, so a run stayed under suspicion for that long after it had survived; a run whose start order got no answer had no clock to count from at all. Change: the worker's clock in a report of its incarnation counts as that in a heartbeat does, from the answer to the start order or from the first report that lists the run. A task that crashes its workers at its start never reaches that clock.

--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -156,7 +156,7 @@
 		r := &run{}
 		r.recordAcceptance(w, c.acceptedMS)
 		l.recordHeartbeats([]workcall.HeardHeartbeat{{Worker: "w1", Incarnation: c.incarnation, ClockMS: c.heartbeatMS}}, time.Now())
-		if r.settleByHeartbeat(w, task); r.settled != c.want {
+		if r.settleByClock(w, task); r.settled != c.want {
 			t.Errorf("heartbeat %s: settled %v", c.name, r.settled)
 		}
 	}
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -45,14 +45,14 @@
 	}
 }
 
-// settleByHeartbeat marks the run as settled if its worker has sent a heartbeat after
-// it survived the start. The time at which that arrives shows nothing: it may have
-// been held up.
-func (r *run) settleByHeartbeat(w *worker, task *workstate.Task) {
+// settleByClock marks the run as settled if its worker has sent a heartbeat or a
+// report after it survived the start. The time at which that arrives shows nothing: it
+// may have been held up. A report may have been requested long before it was sent.
+func (r *run) settleByClock(w *worker, task *workstate.Task) {
 	if r.acceptedClockMS == 0 || w == nil || w.reg.Incarnation != task.Incarnation {
 		return
 	}
-	if w.heartbeatClockMS >= r.acceptedClockMS+settleTime.Milliseconds() {
+	if max(w.heartbeatClockMS, w.reportClockMS) >= r.acceptedClockMS+settleTime.Milliseconds() {
 		r.settled = true
 	}
 }
@@ -144,7 +144,7 @@
 		return
 	}
 	r.lost = true
-	r.settleByHeartbeat(l.workers[task.Worker], task)
+	r.settleByClock(l.workers[task.Worker], task)
 	ended := workerIncarnation{task.Worker, task.Incarnation}
 	lost := crashes[ended]
 	if lost == nil {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -185,7 +185,7 @@
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, "")
 		return
 	}
-	r.settleByHeartbeat(w, task)
+	r.settleByClock(w, task)
 	if w.left() {
 		l.Log.Info("run ended with its worker, which has left", "task", id.String(), "run", task.Run, "worker", task.Worker)
 		l.queueUnreportedEnd(id, task.Run, w)
@@ -258,6 +258,9 @@
 	r.row, r.running = w.report.running[key]
 	_, r.ended = w.report.ended[key]
 	r.settle()
+	if r.running && r.acceptedClockMS == 0 {
+		r.acceptedClockMS = w.report.clockMS
+	}
 }
 
 // reportedAfter reports whether the newest report was requested after the given
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -57,7 +57,8 @@
 	calling bool
 	// orderedAt is when the worker first accepted the start order, or was first
 	// reported to know the run; zero before. acceptedClockMS is the worker's clock
-	// when it accepted the order; 0 if that is not known.
+	// when it accepted the order, or when it was first reported to execute the run; 0 if
+	// neither is known.
 	orderedAt       time.Time
 	acceptedClockMS int64
 	// settled is set once the worker is known to have survived the start: a report
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -137,6 +137,9 @@
 		return
 	}
 	w.recordClock(report.ClockMS, now)
+	if report.Incarnation == w.reg.Incarnation {
+		w.reportClockMS = max(w.reportClockMS, report.ClockMS)
+	}
 	if !w.contacted {
 		w.contacted = true
 		w.leaseMS = max(w.leaseMS, w.maxInitialLease(l.Limits.LongestLease))
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -101,6 +101,9 @@
 	// heartbeatClockMS is the worker's clock in the newest heartbeat of this
 	// incarnation; 0 if there was none.
 	heartbeatClockMS int64
+	// reportClockMS is the worker's clock in the newest report that names this
+	// incarnation; 0 if there was none.
+	reportClockMS int64
 	// watching is set while a watch is in flight. The next one is not sent
 	// before nextWatch.
 	watching  bool
@@ -152,7 +155,9 @@
 // reportView is a report indexed by run.
 type reportView struct {
 	// sentAt is when the report was requested.
-	sentAt  time.Time
+	sentAt time.Time
+	// clockMS is the worker's clock in the report, if that names its incarnation.
+	clockMS int64
 	running map[runKey]execution.RunningTask
 	ended   map[runKey]execution.EndedRun
 	// moreEnds is set if a run that is in neither list may have ended.
@@ -171,6 +176,9 @@
 
 func newReportView(sentAt time.Time, r *execution.Report) *reportView {
 	view := &reportView{sentAt: sentAt, moreEnds: r.MoreEnds, running: map[runKey]execution.RunningTask{}, ended: map[runKey]execution.EndedRun{}}
+	if r.Incarnation > 0 {
+		view.clockMS = r.ClockMS
+	}
 	for _, row := range r.Running {
 		view.running[runKey{row.Task, row.Run}] = row
 	}
