scheduler: the survival of a suspect's start outlives the leader

Callers saw jobs failed with attempts left (random schedules: four crashes, one of them 1.5 s after a start that the leader before had seen survived). Cause: that a run has survived its start was known to its leader only until the run ended; the next leader took the run for one that may be starting. Change: the survival of a run of a task with crashes is committed while it executes, clears its crashes at once, and is in the state for later leaders.

--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -57,6 +57,14 @@
 	}
 }
 
+// recordSurvival notes for the next commit that the run of a suspect has survived its
+// start: a later leader can't know, and would suspect the run if its worker is lost.
+func (l *loop) recordSurvival(id workload.TaskID, task *workstate.Task, r *run) {
+	if r.settled && task.Crashes > 0 && !task.Survived {
+		l.survivals = append(l.survivals, workstate.Survival{Task: id, Run: r.number})
+	}
+}
+
 // successorOf returns the registered worker that has replaced a worker on its VM
 // in the same service, or nil.
 func successorOf(v *workstate.View, former *workstate.Worker) *workstate.Worker {
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"slices"
 	"syscall"
 	"time"
 
@@ -76,6 +77,8 @@
 	dueStarts []dueStart
 	// ends holds the ends of runs that wait for the next commit.
 	ends map[runKey]workstate.End
+	// survivals holds the survivals that the current round has found, to be committed.
+	survivals []workstate.Survival
 	// committing is set while a commit of progress is in flight. dirty is set
 	// if something has changed since the last round.
 	committing, dirty bool
@@ -191,6 +194,7 @@
 func (l *loop) round(now time.Time) {
 	start := time.Now()
 	var progress workstate.Progress
+	l.survivals = l.survivals[:0]
 	l.Machine.Read(func(v *workstate.View) {
 		l.syncWorkers(v)
 		l.queueReportedEnds(v, now)
@@ -212,9 +216,10 @@
 	for _, end := range l.ends {
 		progress.Ends = append(progress.Ends, end)
 	}
+	progress.Survivals = slices.Clone(l.survivals)
 	planSeconds.UpdateDuration(start)
 	l.purgeJobs(now)
-	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
+	if len(progress.Ends) == 0 && len(progress.Starts) == 0 && len(progress.Survivals) == 0 {
 		return
 	}
 	l.commit(&progress)
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -162,7 +162,7 @@
 func (l *loop) runOf(id workload.TaskID, task *workstate.Task, now time.Time) *run {
 	r := l.runs[id]
 	if r == nil || r.number != task.Run {
-		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, inherited: true, since: now, speed: speedUnknown, ending: l.endQueued(runKey{id, task.Run})}
+		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, inherited: true, settled: task.Survived, since: now, speed: speedUnknown, ending: l.endQueued(runKey{id, task.Run})}
 		l.runs[id] = r
 	}
 	r.seenInRound = l.roundNumber
@@ -186,6 +186,7 @@
 		return
 	}
 	r.settleByClock(w, task)
+	l.recordSurvival(id, task, r)
 	if w.left() {
 		l.Log.Info("run ended with its worker, which has left", "task", id.String(), "run", task.Run, "worker", task.Worker)
 		l.queueUnreportedEnd(id, task.Run, w)
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -86,10 +86,19 @@
 	Term uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// Progress records ends and starts of runs. The ends are applied first.
+// Survival records that an executing run has survived its start, so that it did not
+// crash its worker by starting, whatever a later leader sees of its end.
+type Survival struct {
+	Task workload.TaskID `cbor:"1,keyasint"`
+	Run  int             `cbor:"2,keyasint"`
+}
+
+// Progress records survivals, ends and starts of runs, which are applied in this
+// order.
 type Progress struct {
-	Ends   []End   `cbor:"1,keyasint,omitempty"`
-	Starts []Start `cbor:"2,keyasint,omitempty"`
+	Ends      []End      `cbor:"1,keyasint,omitempty"`
+	Starts    []Start    `cbor:"2,keyasint,omitempty"`
+	Survivals []Survival `cbor:"3,keyasint,omitempty"`
 }
 
 // Deregister removes a worker's incarnation, which no longer executes anything
--- a/internal/process/workstate/crashes_test.go
+++ b/internal/process/workstate/crashes_test.go
@@ -139,3 +139,29 @@
 		}
 	}
 }
+
+// TestSurvivalClearsItsRunOnly guards against a deadly task that is started on and on because the survival of an earlier run, or of one that has ended, clears it.
+func TestSurvivalClearsItsRunOnly(t *testing.T) {
+	m := newTestMachine(t)
+	survive := func(run int) {
+		apply(t, m, Command{Progress: &Progress{Survivals: []Survival{{Task: id(0, 0), Run: run}}}})
+	}
+	crashes := func() int { return m.data.Jobs[testJob].Task(id(0, 0)).Crashes }
+	crash(t, m, 2, true)
+	survive(2)
+	start(t, m, id(0, 0), 3, "w0")
+	survive(2)
+	if crashes() != 2 {
+		t.Errorf("%d crashes after the survival of other runs", crashes())
+	}
+	survive(3)
+	apply(t, m, Command{Progress: &Progress{Ends: []End{{Task: id(0, 0), Run: 3, Kind: EndCrashed, Uncertain: true}}}})
+	if crashes() != 0 {
+		t.Errorf("%d crashes after a run that has survived its start", crashes())
+	}
+	start(t, m, id(0, 0), 4, "w0")
+	apply(t, m, Command{Progress: &Progress{Ends: []End{{Task: id(0, 0), Run: 4, Kind: EndCrashed}}}})
+	if crashes() != 1 {
+		t.Errorf("%d crashes after the next run", crashes())
+	}
+}
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -74,6 +74,9 @@
 
 // applyProgress applies the ends and then the starts of a plan.
 func (m *Machine) applyProgress(p *Progress) Result {
+	for _, survival := range p.Survivals {
+		m.applySurvival(survival)
+	}
 	for i := range p.Ends {
 		m.applyEnd(&p.Ends[i])
 	}
@@ -84,6 +87,16 @@
 	return Result{Code: OK, Started: started}
 }
 
+// applySurvival clears a task whose newest run, which executes, has survived its start.
+func (m *Machine) applySurvival(s Survival) {
+	_, task := m.task(s.Task)
+	if task == nil || task.Run != s.Run || task.Phase != Running {
+		return
+	}
+	task.Survived = true
+	task.forgetCrashes()
+}
+
 // applyEnd ends the newest run of a task. It ignores repeated ends, but a success
 // or failure that is reported late still counts.
 func (m *Machine) applyEnd(e *End) {
@@ -108,7 +121,7 @@
 		m.completeTask(job, e.Task, task)
 	case e.Kind == EndFailed:
 		m.countFailure(job, step, task)
-	case e.Kind == EndCrashed:
+	case e.Kind == EndCrashed && !task.Survived:
 		m.countCrash(job, step, task, e)
 	}
 	task.rememberUnreported(step, e)
@@ -201,6 +214,7 @@
 	task.Worker = s.Worker
 	task.Incarnation = s.Incarnation
 	task.Term = s.Term
+	task.Survived = false
 	m.executing.add(task.Worker, task.Incarnation)
 	job.Executing++
 	occurrence.Steps[s.Task.Step].Running++
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -49,6 +49,9 @@
 	// Succeeded is set if a run before the newest one has succeeded. The newest
 	// one is stopped, and the task is done once it has ended.
 	Succeeded bool `cbor:"13,keyasint,omitempty"`
+	// Survived is set if the newest run is known to have survived its start. It is
+	// recorded while the run executes, for tasks with crashes only.
+	Survived bool `cbor:"14,keyasint,omitempty"`
 }
 
 // StepProgress is the progress of one step.
