scheduler: a worker heard of 0.1 s after a start has probably not crashed by it

Cause: each crash within 0.3 s of what was known of the run counted as certain, although the worker's clock in a heartbeat or report showed it up 0.1 s and more after the start; a task that crashes its worker by starting does so about 10 ms after it. Change: such a crash counts as uncertain. It still counts: a task that crashes its workers later than that is given up at five starts, as BUDGET allows.

--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -13,6 +13,11 @@
 // worker by starting does so.
 const settleTime = 300 * time.Millisecond
 
+// promptCrashTime is the time after its start within which a run that crashes its
+// worker by starting usually does so. A worker that was up for longer has probably
+// ended by another cause.
+const promptCrashTime = 100 * time.Millisecond
+
 // startCrashTime is the time after its start within which the silence of a worker
 // that a run has crashed by starting is noticed: settleTime and a failed watch.
 const startCrashTime = settleTime + busyWatchWait + callTimeout
@@ -52,9 +57,9 @@
 	if r.acceptedClockMS == 0 || w == nil || w.reg.Incarnation != task.Incarnation {
 		return
 	}
-	if max(w.heartbeatClockMS, w.reportClockMS) >= r.acceptedClockMS+settleTime.Milliseconds() {
-		r.settled = true
-	}
+	survived := time.Duration(max(w.heartbeatClockMS, w.reportClockMS)-r.acceptedClockMS) * time.Millisecond
+	r.outlived = survived >= promptCrashTime
+	r.settled = r.settled || survived >= settleTime
 }
 
 // recordSurvival notes for the next commit that the run of a suspect has survived its
@@ -186,9 +191,10 @@
 }
 
 // wasStarting reports whether it is certain that the run had been ordered by this
-// leader shortly before its worker was found silent.
+// leader shortly before its worker was found silent, which is not known to have been
+// up for longer than a run takes to crash it.
 func (r *run) wasStarting(silentAt time.Time) bool {
-	return !r.inherited && !r.orderedAt.IsZero() && silentAt.Sub(r.orderedAt) <= startCrashTime
+	return !r.inherited && !r.outlived && !r.orderedAt.IsZero() && silentAt.Sub(r.orderedAt) <= startCrashTime
 }
 
 // mayCrashWorker reports whether the run may be starting. A run whose order this
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -65,6 +65,9 @@
 	// that was requested at least settleTime later lists the run as executing, or
 	// a heartbeat was sent at least settleTime later.
 	settled bool
+	// outlived is set once the worker is known to have been up promptCrashTime after
+	// the start.
+	outlived bool
 	// sent is set once this leader has sent a start order.
 	sent bool
 	// inherited is set if a former leader ordered the run, so that this one does
