--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -13,6 +13,11 @@
 // worker by starting does so.
 const settleTime = 300 * time.Millisecond
 
+// promptCrashTime is the time after its start within which a run that crashes its
+// worker by starting usually does so. A worker that was up for longer has probably
+// ended by another cause.
+const promptCrashTime = 100 * time.Millisecond
+
 // startCrashTime is the time after its start within which the silence of a worker
 // that a run has crashed by starting is noticed: settleTime and a failed watch.
 const startCrashTime = settleTime + busyWatchWait + callTimeout
@@ -45,15 +50,23 @@
 	}
 }
 
-// settleByHeartbeat marks the run as settled if its worker has sent a heartbeat after
-// it survived the start. The time at which that arrives shows nothing: it may have
-// been held up.
-func (r *run) settleByHeartbeat(w *worker, task *workstate.Task) {
+// settleByClock marks the run as settled if its worker has sent a heartbeat or a
+// report after it survived the start. The time at which that arrives shows nothing: it
+// may have been held up. A report may have been requested long before it was sent.
+func (r *run) settleByClock(w *worker, task *workstate.Task) {
 	if r.acceptedClockMS == 0 || w == nil || w.reg.Incarnation != task.Incarnation {
 		return
 	}
-	if w.heartbeatClockMS >= r.acceptedClockMS+settleTime.Milliseconds() {
-		r.settled = true
+	survived := time.Duration(max(w.heartbeatClockMS, w.reportClockMS)-r.acceptedClockMS) * time.Millisecond
+	r.outlived = survived >= promptCrashTime
+	r.settled = r.settled || survived >= settleTime
+}
+
+// recordSurvival notes for the next commit that the run of a suspect has survived its
+// start: a later leader can't know, and would suspect the run if its worker is lost.
+func (l *loop) recordSurvival(id workload.TaskID, task *workstate.Task, r *run) {
+	if r.settled && task.Crashes > 0 && !task.Survived {
+		l.survivals = append(l.survivals, workstate.Survival{Task: id, Run: r.number})
 	}
 }
 
@@ -144,7 +157,7 @@
 		return
 	}
 	r.lost = true
-	r.settleByHeartbeat(l.workers[task.Worker], task)
+	r.settleByClock(l.workers[task.Worker], task)
 	ended := workerIncarnation{task.Worker, task.Incarnation}
 	lost := crashes[ended]
 	if lost == nil {
@@ -178,9 +191,10 @@
 }
 
 // wasStarting reports whether it is certain that the run had been ordered by this
-// leader shortly before its worker was found silent.
+// leader shortly before its worker was found silent, which is not known to have been
+// up for longer than a run takes to crash it.
 func (r *run) wasStarting(silentAt time.Time) bool {
-	return !r.inherited && !r.orderedAt.IsZero() && silentAt.Sub(r.orderedAt) <= startCrashTime
+	return !r.inherited && !r.outlived && !r.orderedAt.IsZero() && silentAt.Sub(r.orderedAt) <= startCrashTime
 }
 
 // mayCrashWorker reports whether the run may be starting. A run whose order this
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -162,7 +162,7 @@
 func (l *loop) runOf(id workload.TaskID, task *workstate.Task, now time.Time) *run {
 	r := l.runs[id]
 	if r == nil || r.number != task.Run {
-		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, inherited: true, since: now, speed: speedUnknown, ending: l.endQueued(runKey{id, task.Run})}
+		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, inherited: true, settled: task.Survived, since: now, speed: speedUnknown, ending: l.endQueued(runKey{id, task.Run})}
 		l.runs[id] = r
 	}
 	r.seenInRound = l.roundNumber
@@ -185,7 +185,8 @@
 		l.queueEnd(id, task.Run, workstate.EndInterrupted, "")
 		return
 	}
-	r.settleByHeartbeat(w, task)
+	r.settleByClock(w, task)
+	l.recordSurvival(id, task, r)
 	if w.left() {
 		l.Log.Info("run ended with its worker, which has left", "task", id.String(), "run", task.Run, "worker", task.Worker)
 		l.queueUnreportedEnd(id, task.Run, w)
@@ -258,6 +259,9 @@
 	r.row, r.running = w.report.running[key]
 	_, r.ended = w.report.ended[key]
 	r.settle()
+	if r.running && r.acceptedClockMS == 0 {
+		r.acceptedClockMS = w.report.clockMS
+	}
 }
 
 // reportedAfter reports whether the newest report was requested after the given
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -57,13 +57,17 @@
 	calling bool
 	// orderedAt is when the worker first accepted the start order, or was first
 	// reported to know the run; zero before. acceptedClockMS is the worker's clock
-	// when it accepted the order; 0 if that is not known.
+	// when it accepted the order, or when it was first reported to execute the run; 0 if
+	// neither is known.
 	orderedAt       time.Time
 	acceptedClockMS int64
 	// settled is set once the worker is known to have survived the start: a report
 	// that was requested at least settleTime later lists the run as executing, or
 	// a heartbeat was sent at least settleTime later.
 	settled bool
+	// outlived is set once the worker is known to have been up promptCrashTime after
+	// the start.
+	outlived bool
 	// sent is set once this leader has sent a start order.
 	sent bool
 	// inherited is set if a former leader ordered the run, so that this one does
