scheduler tests: schedules with delegates, late calls and runs that outlast leases

Cause: the random schedules draw runs of at most 1.25 s, so that almost no run outlives the lease of a worker that is cut off, no process between leader and workers, calls that are at most 4 s late, and no call twice. Two runs of one task need one of these.

Change: TestRandomSchedulesOfDelegates puts three delegates between leaders and workers, which are frozen for up to 9 s (what they hold is executed when they go on, also for former leaders), lose answers, or relay them late. TestRandomSchedulesOfLateCalls executes calls up to 12 s late, those of any earlier leader among them, and some twice. In both, runs last up to 10 s, workers are cut off for 4 to 10 s, and half of their clocks are 2% slow. In all schedules, a run that executes on a worker while a command records its end is an error.

--- a/internal/process/scheduler/fakeworker_test.go
+++ b/internal/process/scheduler/fakeworker_test.go
@@ -36,8 +36,11 @@
 	// is the ledger's order when the lease was last found expired.
 	reportedEnds  map[int64]*runEnd
 	leaseEndOrder int
-	lastEnd       int64
-	watchCalls    int
+	// lapsedMS holds, for each run that ended with the lease, the end of the lease
+	// on the worker's clock.
+	lapsedMS   map[runKey]int64
+	lastEnd    int64
+	watchCalls int
 	// clockRate is the speed of the worker's clock relative to real time.
 	clockRate float64
 	// changed is closed when a run starts or is stopped.
@@ -107,7 +110,7 @@
 	w := &fakeWorker{
 		id: id, incarnation: time.Now().UnixMilli(), started: time.Now(), capacity: workload.Resources{MilliCPU: milliCPU, MemoryMB: 1 << 20},
 		running: map[workload.TaskID]*fakeRun{}, highest: map[workload.TaskID]int{}, speeds: map[workload.TaskID]int{},
-		reportedEnds: map[int64]*runEnd{}, clockRate: 1, changed: make(chan struct{}),
+		reportedEnds: map[int64]*runEnd{}, lapsedMS: map[runKey]int64{}, clockRate: 1, changed: make(chan struct{}),
 	}
 	f.workers[id] = w
 	return w
@@ -135,6 +138,7 @@
 	for _, r := range w.running {
 		switch {
 		case w.clock() > w.leaseMS:
+			w.lapsedMS[runKey{r.task, r.run}] = w.leaseMS
 			f.end(w, r, execution.ReasonLeaseExpired)
 		case !r.stopsAt.IsZero() && !time.Now().Before(r.stopsAt):
 			f.end(w, r, execution.ReasonStopped)
--- a/internal/process/scheduler/faulty_test.go
+++ b/internal/process/scheduler/faulty_test.go
@@ -10,6 +10,13 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
+const (
+	// copyInterval is the interval of the calls that are executed a second time.
+	copyInterval = 4
+	// soonestCopy is the shortest time after which that happens.
+	soonestCopy = 2 * time.Second
+)
+
 // faultyCalls makes calls to fake workers fail at random.
 type faultyCalls struct {
 	*fakeWorkers
@@ -20,6 +27,8 @@
 	crosses func(next *fakeWorker) bool
 	// onReport, if set, is called for each report that a leader gets.
 	onReport func(to execution.WorkerAddress, sentAt time.Time, report execution.Report)
+	// copies is set if calls may be executed a second time, seconds later.
+	copies bool
 }
 
 // callFault is the fault of one call.
@@ -75,36 +84,46 @@
 
 // Start implements execution.Workers.
 func (f *faultyCalls) Start(ctx context.Context, to execution.WorkerAddress, o execution.StartOrder) (execution.Answer, error) {
+	return f.startHeld(ctx, to, o, false)
+}
+
+// startHeld makes a start order that was held up on its way, so that its sender may
+// wait no longer.
+func (f *faultyCalls) startHeld(ctx context.Context, to execution.WorkerAddress, o execution.StartOrder, held bool) (execution.Answer, error) {
 	fault, delay := f.fault("start", to.ID, o.Task, o.Run)
 	if fault == callRefused {
 		return execution.Answer{Refusal: execution.RefusedUnhealthy}, nil
 	}
 	arrives := f.arrival(to.ID)
-	return callWithFault(ctx, fault, delay, func(late bool) (execution.Answer, error) {
+	answer, err := callWithFault(ctx, fault, delay, func(late bool) (execution.Answer, error) {
 		if late && !arrives() {
 			return execution.Answer{}, execution.ErrNoAnswer
 		}
-		return f.start(to, o, late)
+		return f.start(to, o, late || held)
 	})
+	f.repeatLater(arrives, answer.Refusal, func() { _, _ = f.start(to, o, true) }, "start", to.ID, o.Task, o.Run)
+	return answer, err
 }
 
 // Stop implements execution.Workers.
 func (f *faultyCalls) Stop(ctx context.Context, to execution.WorkerAddress, task workload.TaskID, run int, token uint64) (execution.Answer, error) {
 	fault, delay := f.fault("stop", to.ID, task, run)
 	arrives := f.arrival(to.ID)
-	return callWithFault(ctx, fault, delay, func(late bool) (execution.Answer, error) {
+	answer, err := callWithFault(ctx, fault, delay, func(late bool) (execution.Answer, error) {
 		if late && !arrives() {
 			return execution.Answer{}, execution.ErrNoAnswer
 		}
 		return f.fakeWorkers.Stop(ctx, to, task, run, token)
 	})
+	f.repeatLater(arrives, answer.Refusal, func() { _, _ = f.fakeWorkers.Stop(ctx, to, task, run, token) }, "stop", to.ID, task, run)
+	return answer, err
 }
 
 // Watch implements execution.Workers.
 func (f *faultyCalls) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
 	fault, delay := f.fault("watch", to.ID)
 	arrives, sentAt := f.arrival(to.ID), time.Now()
-	return callWithFault(ctx, fault, delay, func(late bool) (execution.Report, error) {
+	report, err := callWithFault(ctx, fault, delay, func(late bool) (execution.Report, error) {
 		if !late {
 			report, err := f.fakeWorkers.Watch(ctx, to, q)
 			if err == nil && f.onReport != nil {
@@ -115,10 +134,34 @@
 		if !arrives() {
 			return execution.Report{}, execution.ErrNoAnswer
 		}
-		f.fakeWorkers.mu.Lock()
-		defer f.fakeWorkers.mu.Unlock()
-		return f.report(to, q)
+		return f.reportOnce(to, q)
 	})
+	f.repeatLater(arrives, report.Refusal, func() { _, _ = f.reportOnce(to, q) }, "watch", to.ID)
+	return report, err
+}
+
+// reportOnce executes a watch whose answer nobody waits for.
+func (f *faultyCalls) reportOnce(to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
+	f.fakeWorkers.mu.Lock()
+	defer f.fakeWorkers.mu.Unlock()
+	return f.report(to, q)
+}
+
+// repeatLater executes some calls that were not refused a second time, late.
+func (f *faultyCalls) repeatLater(arrives func() bool, refusal execution.Refusal, call func(), purpose ...any) {
+	if !f.copies || refusal != execution.Accepted {
+		return
+	}
+	draw := f.drawNext("copy", fmt.Sprint(purpose...))
+	if !f.faulty.Load() || draw%copyInterval > 0 {
+		return
+	}
+	go func() {
+		time.Sleep(soonestCopy + time.Duration(draw>>20%uint64(f.slowestOrder-soonestCopy)))
+		if arrives() {
+			call()
+		}
+	}()
 }
 
 // arrival returns a function that reports whether a late call still arrives. Unless
--- a/internal/process/scheduler/schedulefaults_test.go
+++ b/internal/process/scheduler/schedulefaults_test.go
@@ -44,6 +44,8 @@
 	*fakeReplica
 	term uint64
 	dice *dice
+	// onCommit, if set, is called with each command once it is applied.
+	onCommit func(command []byte)
 }
 
 var errDeposed = errors.New("another term leads")
@@ -53,17 +55,28 @@
 func (r *termReplica) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	draw := r.dice.drawNext("propose", r.term)
 	time.Sleep(time.Duration(5+draw%40) * time.Millisecond)
+	answer, err := r.apply(command)
+	if err != nil {
+		return nil, err
+	}
+	if r.onCommit != nil {
+		r.onCommit(command)
+	}
+	if draw>>32%24 == 0 {
+		return nil, replica.ErrUnknownResult
+	}
+	return answer, nil
+}
+
+// apply applies a command unless another term leads.
+func (r *termReplica) apply(command []byte) ([]byte, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.fakeReplica.term != r.term {
 		return nil, errDeposed
 	}
 	r.index++
-	answer := r.machine.Apply(r.index, command)
-	if draw>>32%24 == 0 {
-		return nil, replica.ErrUnknownResult
-	}
-	return answer, nil
+	return r.machine.Apply(r.index, command), nil
 }
 
 // Status implements replica.Replica. A former leader does not know of the next
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -68,8 +68,20 @@
 	group      sync.WaitGroup
 	// workersStarted counts the workers that were started.
 	workersStarted int
-	// orders receives the orders for VMs.
-	orders execution.Platform
+	// orders receives the orders for VMs, and leaderCalls the calls of leaders to
+	// workers.
+	orders      execution.Platform
+	leaderCalls execution.Workers
+	// furtherEvent, if set, may trigger another event beside each random one.
+	furtherEvent func()
+	// afterFaults, if set, is called when the time with faults is over.
+	afterFaults func()
+	// calm is the time without faults in which all jobs must end.
+	calm time.Duration
+	// slowestClocks is set if half of the workers' clocks are as slow as allowed.
+	slowestClocks bool
+	// margins collects how long before their ends were recorded leases had ended.
+	margins *leaseMargins
 	// deadlyTask is the task that crashes its workers, if the seed has one.
 	deadlyTask workload.TaskID
 	// current holds the current worker of each VM.
@@ -97,7 +109,8 @@
 		return 50*time.Millisecond + time.Duration(s.calls.draw("duration", task, run)%1200)*time.Millisecond
 	}
 	s.workers.fails = func(task workload.TaskID, run int) bool { return s.calls.draw("fails", task, run)%16 == 0 }
-	s.orders = s.vms
+	s.orders, s.leaderCalls, s.margins = s.vms, s.calls, &leaseMargins{}
+	s.calm = calmTime
 	s.stopEnforcingCapacity()
 	return s
 }
@@ -111,7 +124,10 @@
 	s.workers.mu.Lock()
 	w := s.workers.add(id, workerMilliCPU)
 	w.stopTime = time.Duration(s.random.IntN(200)) * time.Millisecond
-	w.clockRate = 1 - 0.02*s.random.Float64()
+	w.clockRate = 1 - clockDrift*s.random.Float64()
+	if s.slowestClocks && s.workersStarted%2 == 0 {
+		w.clockRate = 1 - clockDrift
+	}
 	s.workers.mu.Unlock()
 	s.current[vm] = w
 }
@@ -202,15 +218,21 @@
 	for end := time.Now().Add(faultyTime); time.Now().Before(end); {
 		s.calls.faulty.Store(s.random.IntN(3) > 0)
 		s.randomEvent()
+		if s.furtherEvent != nil {
+			s.furtherEvent()
+		}
 		s.sendHeartbeats()
 		time.Sleep(time.Duration(20+s.random.IntN(500)) * time.Millisecond)
 	}
 	s.calls.faulty.Store(false)
+	if s.afterFaults != nil {
+		s.afterFaults()
+	}
 	s.reconnectAll()
 	for vm := range s.current {
 		s.resize(vm, workerMilliCPU)
 	}
-	s.awaitEnds(calmTime, s.jobs)
+	s.awaitEnds(s.calm, s.jobs)
 	if slices.Contains(s.jobs, s.deadlyTask.Job) {
 		s.awaitEnds(deadlyTime, []string{s.deadlyTask.Job})
 	}
@@ -342,7 +364,7 @@
 	s.stopLeader = cancel
 	log := slog.New(slog.NewTextHandler(testLog{s.t}, nil)).With("leader", term)
 	l := newLoop(ctx, Options{
-		Replica: &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice}, Machine: s.machine, Workers: s.calls, Platform: s.orders,
+		Replica: &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice, onCommit: s.checkEndedRuns}, Machine: s.machine, Workers: s.leaderCalls, Platform: s.orders,
 		Holder: fmt.Sprint("c", term), Limits: s.limits, Log: log, Now: time.Now,
 	}, term)
 	l.heard = &s.heard
