--- a/internal/process/scheduler/fakereplica_test.go
+++ b/internal/process/scheduler/fakereplica_test.go
@@ -17,6 +17,32 @@
 	index   uint64
 	term    uint64
 	delays  replica.Delays
+	// entries holds the applied commands if keepsEntries is set, and termStarts the
+	// number of them at the start of each term.
+	keepsEntries bool
+	entries      [][]byte
+	termStarts   map[uint64]int
+}
+
+// apply applies a command. The caller holds f.mu.
+func (f *fakeReplica) apply(command []byte) []byte {
+	f.index++
+	if f.keepsEntries {
+		f.entries = append(f.entries, command)
+	}
+	return f.machine.Apply(f.index, command)
+}
+
+// startTerm starts the next term and returns it.
+func (f *fakeReplica) startTerm() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.term++
+	if f.termStarts == nil {
+		f.termStarts = map[uint64]int{}
+	}
+	f.termStarts[f.term] = len(f.entries)
+	return f.term
 }
 
 // addSync adds the time of a sync to the delays.
@@ -50,8 +76,7 @@
 	time.Sleep(f.currentDelay())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.index++
-	return f.machine.Apply(f.index, command), nil
+	return f.apply(command), nil
 }
 func (f *fakeReplica) ReadBarrier(context.Context) error { return nil }
 func (f *fakeReplica) Status() replica.Status {
--- a/internal/process/scheduler/schedulefaults_test.go
+++ b/internal/process/scheduler/schedulefaults_test.go
@@ -75,8 +75,7 @@
 	if r.fakeReplica.term != r.term {
 		return nil, errDeposed
 	}
-	r.index++
-	return r.machine.Apply(r.index, command), nil
+	return r.fakeReplica.apply(command), nil
 }
 
 // Status implements replica.Replica. A former leader does not know of the next
@@ -85,12 +84,21 @@
 	return replica.Status{ID: "c1", Leader: "c1", Term: r.term}
 }
 
+// barrierTime is the time after which a former leader's barrier fails.
+const barrierTime = 20 * time.Millisecond
+
 // ReadBarrier implements replica.Replica.
 func (r *termReplica) ReadBarrier(context.Context) error {
+	if r.leads() {
+		return nil
+	}
+	time.Sleep(barrierTime)
+	return errDeposed
+}
+
+// leads reports whether the term is the newest one.
+func (r *termReplica) leads() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.fakeReplica.term != r.term {
-		return errDeposed
-	}
-	return nil
+	return r.fakeReplica.term == r.term
 }
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -16,6 +16,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -76,6 +77,8 @@
 	furtherEvent func()
 	// afterFaults, if set, is called when the time with faults is over.
 	afterFaults func()
+	// replicaOf, if set, returns the replica of the leader of a term, and its state.
+	replicaOf func(ctx context.Context, term uint64) (replica.Replica, *workstate.Machine)
 	// calm is the time without faults in which all jobs must end.
 	calm time.Duration
 	// slowestClocks is set if half of the workers' clocks are as slow as allowed.
@@ -356,20 +359,26 @@
 			stop()
 		})
 	}
-	s.replica.mu.Lock()
-	s.replica.term++
-	term := s.replica.term
-	s.replica.mu.Unlock()
+	term := s.replica.startTerm()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopLeader = cancel
 	log := slog.New(slog.NewTextHandler(testLog{s.t}, nil)).With("leader", term)
+	var r replica.Replica = &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice, onCommit: s.checkEndedRuns}
+	machine := s.machine
+	if s.replicaOf != nil {
+		r, machine = s.replicaOf(ctx, term)
+	}
 	l := newLoop(ctx, Options{
-		Replica: &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice, onCommit: s.checkEndedRuns}, Machine: s.machine, Workers: s.leaderCalls, Platform: s.orders,
+		Replica: r, Machine: machine, Workers: s.leaderCalls, Platform: s.orders,
 		Holder: fmt.Sprint("c", term), Limits: s.limits, Log: log, Now: time.Now,
 	}, term)
 	l.heard = &s.heard
 	s.loop = l
-	s.group.Go(l.run)
+	s.group.Go(func() {
+		if l.catchUp() {
+			l.run()
+		}
+	})
 }
 
 // awaitEnds waits until jobs have ended, up to a limit.
