--- a/internal/process/scheduler/schedulefaults_test.go
+++ b/internal/process/scheduler/schedulefaults_test.go
@@ -44,6 +44,8 @@
 	*fakeReplica
 	term uint64
 	dice *dice
+	// onCommit, if set, is called with each command once it is applied.
+	onCommit func(command []byte)
 }
 
 var errDeposed = errors.New("another term leads")
@@ -53,31 +55,50 @@
 func (r *termReplica) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	draw := r.dice.drawNext("propose", r.term)
 	time.Sleep(time.Duration(5+draw%40) * time.Millisecond)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.fakeReplica.term != r.term {
-		return nil, errDeposed
+	answer, err := r.apply(command)
+	if err != nil {
+		return nil, err
+	}
+	if r.onCommit != nil {
+		r.onCommit(command)
 	}
-	r.index++
-	answer := r.machine.Apply(r.index, command)
 	if draw>>32%24 == 0 {
 		return nil, replica.ErrUnknownResult
 	}
 	return answer, nil
 }
 
+// apply applies a command unless another term leads.
+func (r *termReplica) apply(command []byte) ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fakeReplica.term != r.term {
+		return nil, errDeposed
+	}
+	return r.fakeReplica.apply(command), nil
+}
+
 // Status implements replica.Replica. A former leader does not know of the next
 // one until its loop ends.
 func (r *termReplica) Status() replica.Status {
 	return replica.Status{ID: "c1", Leader: "c1", Term: r.term}
 }
 
+// barrierTime is the time after which a former leader's barrier fails.
+const barrierTime = 20 * time.Millisecond
+
 // ReadBarrier implements replica.Replica.
 func (r *termReplica) ReadBarrier(context.Context) error {
+	if r.leads() {
+		return nil
+	}
+	time.Sleep(barrierTime)
+	return errDeposed
+}
+
+// leads reports whether the term is the newest one.
+func (r *termReplica) leads() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.fakeReplica.term != r.term {
-		return errDeposed
-	}
-	return nil
+	return r.fakeReplica.term == r.term
 }
