--- a/internal/process/state/batch_test.go
+++ b/internal/process/state/batch_test.go
@@ -193,3 +193,17 @@
 		t.Errorf("%d cancelled requests were leased", len(leases.Jobs))
 	}
 }
+
+// TestLatePullOfAFormerIncarnationEndsNoLeases guards against a request that is shown as lost, or runs again, while the entry that runs it is alive.
+func TestLatePullOfAFormerIncarnationEndsNoLeases(t *testing.T) {
+	d := newDriver()
+	first := d.accept(t, batch.Request{Service: "cleanup"})
+	d.pull(t, "e1", "former", 0)
+	if leases := d.pull(t, "e1", "present", 1); len(leases.Jobs) != 1 {
+		t.Fatalf("no lease: %+v", leases)
+	}
+	d.pull(t, "e1", "former", 0)
+	if state := d.state(t, first); state != batch.Running {
+		t.Errorf("the request is %s", state)
+	}
+}
