--- a/internal/process/scheduler/delegateschedules_test.go
+++ b/internal/process/scheduler/delegateschedules_test.go
@@ -1,9 +1,7 @@
 package scheduler
 
 import (
-	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 )
 
@@ -22,18 +20,12 @@
 func TestRandomSchedulesOfDelegates(t *testing.T) {
 	margins := &leaseMargins{}
 	margins.log(t)
-	for i := range uint64(*scheduleSeeds / delegateSeeds) {
-		seed := *scheduleFirst + i
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := newDelegateSchedule(t, seed)
-				s.margins = margins
-				s.run()
-				time.Sleep(longestFreeze)
-			})
-		})
-	}
+	eachSeed(t, delegateSeeds, func(t *testing.T, seed uint64) {
+		s := newDelegateSchedule(t, seed)
+		s.margins = margins
+		s.run()
+		time.Sleep(longestFreeze)
+	})
 }
 
 func newDelegateSchedule(t *testing.T, seed uint64) *schedule {
--- a/internal/process/scheduler/latecallschedules_test.go
+++ b/internal/process/scheduler/latecallschedules_test.go
@@ -1,9 +1,7 @@
 package scheduler
 
 import (
-	"fmt"
 	"testing"
-	"testing/synctest"
 )
 
 // lateCallSeeds is how many times fewer schedules have late calls.
@@ -15,17 +13,11 @@
 func TestRandomSchedulesOfLateCalls(t *testing.T) {
 	margins := &leaseMargins{}
 	margins.log(t)
-	for i := range uint64(*scheduleSeeds / lateCallSeeds) {
-		seed := *scheduleFirst + i
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := newSchedule(t, seed)
-				s.outlastLeases()
-				s.margins = margins
-				s.workers.slowestOrder, s.calls.copies = slowestCrossing, true
-				s.run()
-			})
-		})
-	}
+	eachSeed(t, lateCallSeeds, func(t *testing.T, seed uint64) {
+		s := newSchedule(t, seed)
+		s.outlastLeases()
+		s.margins = margins
+		s.workers.slowestOrder, s.calls.copies = slowestCrossing, true
+		s.run()
+	})
 }
--- a/internal/process/scheduler/replicaschedules_test.go
+++ b/internal/process/scheduler/replicaschedules_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/replica"
@@ -27,17 +25,11 @@
 func TestRandomSchedulesOfReplicas(t *testing.T) {
 	margins := &leaseMargins{}
 	margins.log(t)
-	for i := range uint64(*scheduleSeeds / replicaSeeds) {
-		seed := *scheduleFirst + i
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := newReplicaSchedule(t, seed)
-				s.margins = margins
-				s.run()
-			})
-		})
-	}
+	eachSeed(t, replicaSeeds, func(t *testing.T, seed uint64) {
+		s := newReplicaSchedule(t, seed)
+		s.margins = margins
+		s.run()
+	})
 }
 
 // stateSnapshot is a snapshot of the state after a number of entries.
--- a/internal/process/scheduler/restartschedules_test.go
+++ b/internal/process/scheduler/restartschedules_test.go
@@ -1,9 +1,7 @@
 package scheduler
 
 import (
-	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
@@ -22,29 +20,17 @@
 // restart under their ids, orders that are executed up to 12 s late, and calls that
 // arrive at the next incarnation once a leader has contacted it.
 func TestRandomSchedulesOfRestarts(t *testing.T) {
-	for i := range uint64(*scheduleSeeds / 4) {
-		seed := *scheduleFirst + i
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := newRestartSchedule(t, seed)
-				s.calls.crosses = s.contacted
-				s.run()
-			})
-		})
-	}
+	eachSeed(t, quarterOfSeeds, func(t *testing.T, seed uint64) {
+		s := newRestartSchedule(t, seed)
+		s.calls.crosses = s.contacted
+		s.run()
+	})
 }
 
 // TestRandomSchedulesOfRestartsBeforeContact is the same with calls that arrive at the
 // next incarnation from its start on.
 func TestRandomSchedulesOfRestartsBeforeContact(t *testing.T) {
-	for i := range uint64(*scheduleSeeds / 4) {
-		seed := *scheduleFirst + i
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { newRestartSchedule(t, seed).run() })
-		})
-	}
+	eachSeed(t, quarterOfSeeds, func(t *testing.T, seed uint64) { newRestartSchedule(t, seed).run() })
 }
 
 func newRestartSchedule(t *testing.T, seed uint64) *schedule {
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -34,6 +34,8 @@
 	// workerMilliCPU is the capacity with which a worker starts.
 	workerMilliCPU = 3000
 	slowestOrder   = 4 * time.Second
+	// quarterOfSeeds is the fraction of the seeds for schedules of a further form.
+	quarterOfSeeds = 4
 	// deadlySeeds is the interval of the seeds with a task that crashes its
 	// workers.
 	deadlySeeds = 4
@@ -48,11 +50,17 @@
 // dependencies or too often, no start may bring a worker over its capacity, which
 // shrinks and grows, and every job must end once the faults are over.
 func TestRandomSchedulesOfRuns(t *testing.T) {
-	for i := range uint64(*scheduleSeeds) {
+	eachSeed(t, 1, func(t *testing.T, seed uint64) { newSchedule(t, seed).run() })
+}
+
+// eachSeed plays a schedule, in a bubble of its own, for one in fraction of the seeds
+// that the flags ask for.
+func eachSeed(t *testing.T, fraction int, play func(t *testing.T, seed uint64)) {
+	for i := range uint64(*scheduleSeeds / fraction) {
 		seed := *scheduleFirst + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { newSchedule(t, seed).run() })
+			synctest.Test(t, func(t *testing.T) { play(t, seed) })
 		})
 	}
 }
--- a/internal/process/scheduler/vmschedules_test.go
+++ b/internal/process/scheduler/vmschedules_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
@@ -32,13 +31,7 @@
 // answers, executes orders late and refuses them. Caps, disruption budgets and
 // holders must be respected, and waves must end.
 func TestRandomSchedulesOfVMs(t *testing.T) {
-	for i := range uint64(*scheduleSeeds / 4) {
-		seed := *scheduleFirst + i
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { newVMSchedule(t, seed).run() })
-		})
-	}
+	eachSeed(t, quarterOfSeeds, func(t *testing.T, seed uint64) { newVMSchedule(t, seed).run() })
 }
 
 // vmSchedule is one random sequence of events that affect VMs.
