--- a/review/trial/deployment.go
+++ b/review/trial/deployment.go
@@ -304,10 +304,15 @@
 // startWorker starts a new life of the i-th machine. Each line that it prints goes
 // to the record and to the observer.
 func (d *deployment) startWorker(i int, service, machineName string, labels []string, observe func(worker, line string)) error {
-	id := fmt.Sprintf("i-%010x", rand.Uint64()&0xffffffffff)
+	return d.startWorkerAs(fmt.Sprintf("i-%010x", rand.Uint64()&0xffffffffff), false, i, service, machineName, labels, observe)
+}
+
+// startWorkerAs is startWorker for a worker with a given id, which may hold its first
+// start order back.
+func (d *deployment) startWorkerAs(id string, holdFirst bool, i int, service, machineName string, labels []string, observe func(worker, line string)) error {
 	settings := workerSettings{
 		ID: id, Machine: machineName, Address: fmt.Sprintf("%s:%d", d.workerIP(i), workerPort), Service: service, Zone: zones[i%len(zones)],
-		Labels: labels, HeartbeatMS: heartbeatMS, TravelUS: d.travelUS,
+		Labels: labels, HeartbeatMS: heartbeatMS, TravelUS: d.travelUS, HoldFirst: holdFirst,
 	}
 	for _, p := range []int{0, 1, 2} {
 		settings.Controls = append(settings.Controls, fmt.Sprintf("%s:%d", d.controlIP(p), controlPort))
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -30,6 +30,7 @@
 	"founding":   founding,
 	"wave":       wave,
 	"upkeep":     upkeep,
+	"stray":      stray,
 }
 
 func main() {
--- a/review/trial/worker.go
+++ b/review/trial/worker.go
@@ -29,6 +29,8 @@
 	HeartbeatMS                         int
 	// TravelUS is how long an answer is on its way, in microseconds.
 	TravelUS int
+	// HoldFirst is set if the first start order gets no answer and is not carried out.
+	HoldFirst bool
 }
 
 // run is a task that executes on a worker.
@@ -114,6 +116,10 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if r.URL.Path == "/run-start" && w.holdsBack(&o) {
+			<-r.Context().Done()
+			return
+		}
 		w.mu.Lock()
 		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
 		if o.Fence >= w.fence {
@@ -135,6 +141,22 @@
 	}
 }
 
+// holdsBack reports whether a start order is held back, and prints it if it is.
+func (w *taskWorker) holdsBack(o *order) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.settings.HoldFirst {
+		return false
+	}
+	w.settings.HoldFirst = false
+	text, err := json.Marshal(o)
+	if err != nil {
+		return false
+	}
+	say("late %s", text)
+	return true
+}
+
 func (w *taskWorker) clockMS() int64 { return time.Since(w.begun).Milliseconds() }
 
 // extendLease takes over the end of a lease, shortened to the longest one.
