--- a/internal/process/scheduler/advice.go
+++ b/internal/process/scheduler/advice.go
@@ -53,12 +53,12 @@
 
 // adviceState is the advice received for all steps.
 type adviceState struct {
-	steps map[stepKey]*stepAdvice
+	steps map[workload.StepID]*stepAdvice
 	calls int
 }
 
 // forStep returns the advice for a step, which is empty at first.
-func (a *adviceState) forStep(key stepKey) *stepAdvice {
+func (a *adviceState) forStep(key workload.StepID) *stepAdvice {
 	advice := a.steps[key]
 	if advice == nil {
 		advice = &stepAdvice{tickets: map[string]ticket{}, asked: map[string]int64{}}
@@ -74,14 +74,14 @@
 	if l.Adviser == nil {
 		return
 	}
-	seen := map[stepKey]bool{}
+	seen := map[workload.StepID]bool{}
 	slices.SortStableFunc(groups, func(a, b *placement.Group) int { return cmp.Compare(a.Rank, b.Rank) })
 	for _, g := range groups {
 		queue := v.Queue(v.Job(g.Job).Queue)
 		if queue == nil || queue.Advice == nil {
 			continue
 		}
-		key := stepKey{g.Job, g.Occurrence, g.Step}
+		key := workload.StepID{Job: g.Job, Occurrence: g.Occurrence, Step: g.Step}
 		seen[key] = true
 		advice := l.advice.forStep(key)
 		g.Restricted = true
@@ -154,12 +154,12 @@
 		return cmp.Or(cmp.Compare(u.usedOn(a).MilliCPU, u.usedOn(b).MilliCPU), cmp.Compare(a.reg.ID, b.reg.ID))
 	})
 	candidates = candidates[:min(len(candidates), adviceWorkers)]
-	l.callAdviser(stepKey{g.Job, g.Occurrence, g.Step}, advice, candidates, config)
+	l.callAdviser(workload.StepID{Job: g.Job, Occurrence: g.Occurrence, Step: g.Step}, advice, candidates, config)
 }
 
 // callAdviser calls the adviser about workers for a step. The answer returns as
 // an event.
-func (l *loop) callAdviser(key stepKey, advice *stepAdvice, workers []*worker, config *catalog.Advice) {
+func (l *loop) callAdviser(key workload.StepID, advice *stepAdvice, workers []*worker, config *catalog.Advice) {
 	advice.calling = true
 	l.advice.calls++
 	ids, incarnations := make([]string, len(workers)), map[string]int64{}
@@ -173,23 +173,23 @@
 		ctx, cancel := context.WithTimeout(l.ctx, limit)
 		defer cancel()
 		asked := time.Now()
-		tickets, err := l.Adviser.Advise(ctx, fmt.Sprintf("%s.%d.%d", key.job, key.occurrence, key.step), ids)
+		tickets, err := l.Adviser.Advise(ctx, fmt.Sprintf("%s.%d.%d", key.Job, key.Occurrence, key.Step), ids)
 		l.post(func(l *loop) { l.handleAdvice(key, advice, incarnations, tickets, config, asked, err) })
 	}()
 }
 
 // handleAdvice handles the adviser's answer.
-func (l *loop) handleAdvice(key stepKey, advice *stepAdvice, incarnations map[string]int64, tickets map[string]string, config *catalog.Advice, asked time.Time, err error) {
+func (l *loop) handleAdvice(key workload.StepID, advice *stepAdvice, incarnations map[string]int64, tickets map[string]string, config *catalog.Advice, asked time.Time, err error) {
 	now := time.Now()
 	advice.calling = false
 	l.advice.calls--
 	l.dirty = true
 	if err != nil {
 		advice.pausedUntil = now.Add(adviceRetry)
-		l.Log.Warn("advice request failed", "job", key.job, "step", key.step, "workers", len(incarnations), "error", err.Error())
+		l.Log.Warn("advice request failed", "job", key.Job, "step", key.Step, "workers", len(incarnations), "error", err.Error())
 		return
 	}
-	l.Log.Info("advice received", "job", key.job, "step", key.step, "workers", len(incarnations), "eligible", len(tickets), "took_ms", now.Sub(asked).Milliseconds())
+	l.Log.Info("advice received", "job", key.Job, "step", key.Step, "workers", len(incarnations), "eligible", len(tickets), "took_ms", now.Sub(asked).Milliseconds())
 	for id, incarnation := range incarnations {
 		advice.asked[id] = incarnation
 		if text, eligible := tickets[id]; eligible {
@@ -200,7 +200,7 @@
 
 // ticketFor returns the ticket for a task on a worker, or "" if there is none.
 func (l *loop) ticketFor(id workload.TaskID, worker string) string {
-	advice := l.advice.steps[stepKeyOf(id)]
+	advice := l.advice.steps[id.StepID()]
 	if advice == nil {
 		return ""
 	}
@@ -210,7 +210,7 @@
 // removeTicket removes a ticket that a worker refused, so that the adviser is
 // asked again.
 func (l *loop) removeTicket(id workload.TaskID, worker string) {
-	if advice := l.advice.steps[stepKeyOf(id)]; advice != nil {
+	if advice := l.advice.steps[id.StepID()]; advice != nil {
 		delete(advice.tickets, worker)
 		delete(advice.asked, worker)
 	}
--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -13,14 +14,16 @@
 // drainForPools drains VMs that other pools need. They get no new tasks, and
 // their long-running tasks and those with checkpoints continue on other
 // workers.
-func (l *loop) drainForPools(vms []string, u *usage, now time.Time) {
+func (l *loop) drainForPools(vms []string, v *workstate.View, u *usage, now time.Time) {
 	for _, vm := range vms {
-		l.draining[vm] = true
+		if w := u.workerOn[vm]; w == nil || l.relocationPlan(v, u, now).Close(w.reg.ID, false) == nil {
+			l.draining[vm] = true
+		}
 	}
-	if len(vms) == 0 {
+	if len(l.draining) == 0 {
 		return
 	}
-	for _, w := range l.workers {
+	for _, w := range l.workerList {
 		if l.draining[w.reg.VM] {
 			l.evacuate(u, w, now)
 		}
@@ -38,16 +41,12 @@
 
 // evacuateDraining moves the long-running tasks of workers that are about to
 // shut down, which would end with them, if there is room elsewhere.
-func (l *loop) evacuateDraining(u *usage, now time.Time) {
-	var room relocationRoom
+func (l *loop) evacuateDraining(v *workstate.View, u *usage, now time.Time) {
 	for _, w := range l.workerList {
 		if !w.reg.Draining || w.unresponsive || len(u.load(w).longRunning) == 0 {
 			continue
 		}
-		if room == nil {
-			room = l.relocationRoom(u, now)
-		}
-		if room.canRelocate(u, w) {
+		if l.relocationPlan(v, u, now).Reserve(relocationTasks(u.load(w).longRunning)) {
 			l.evacuate(u, w, now)
 		}
 	}
@@ -58,11 +57,3 @@
 	id     workload.TaskID
 	worker string
 }
-
-// stepOnWorker identifies the tasks of a step on one worker.
-type stepOnWorker struct {
-	step   stepKey
-	worker string
-}
-
-func stepKeyOf(id workload.TaskID) stepKey { return stepKey{id.Job, id.Occurrence, id.Step} }
--- a/internal/process/scheduler/evacuation.go
+++ b/internal/process/scheduler/evacuation.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
-	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -20,13 +20,13 @@
 	due   bool
 	usage *usage
 	// admitted counts the tasks of each step on the VMs that were admitted.
-	admitted map[stepKey]int
+	admitted map[workload.StepID]int
 }
 
 // newEvacuation returns the evacuation of the VMs of a wave that wait for their
 // maintenance.
 func newEvacuation(u *usage, waiting []maintenanceVM, remaining time.Duration) *evacuation {
-	e := &evacuation{usage: u, admitted: map[stepKey]int{}}
+	e := &evacuation{usage: u, admitted: map[workload.StepID]int{}}
 	e.due = remaining < e.duration(waiting)+drainTime+deadlineReserve
 	return e
 }
@@ -35,10 +35,10 @@
 // left.
 func (e *evacuation) duration(waiting []maintenanceVM) time.Duration {
 	longest := time.Duration(0)
-	counts := map[stepKey]int{}
+	counts := map[workload.StepID]int{}
 	for i := range waiting {
 		for _, t := range e.tasksOn(&waiting[i]) {
-			key := stepKeyOf(t.id)
+			key := t.id.StepID()
 			counts[key]++
 			rounds := (counts[key] + t.atOnce() - 1) / t.atOnce()
 			longest = max(longest, time.Duration(rounds)*evacuationTime)
@@ -55,12 +55,12 @@
 		return e.due && vm.rank == rankCordoned
 	}
 	for i := range tasks {
-		if e.admitted[stepKeyOf(tasks[i].id)] >= tasks[i].atOnce() {
+		if e.admitted[tasks[i].id.StepID()] >= tasks[i].atOnce() {
 			return false
 		}
 	}
 	for i := range tasks {
-		e.admitted[stepKeyOf(tasks[i].id)]++
+		e.admitted[tasks[i].id.StepID()]++
 	}
 	return true
 }
@@ -78,10 +78,10 @@
 func (l *loop) evacuate(u *usage, w *worker, now time.Time) {
 	for _, t := range u.load(w).longRunning {
 		r := l.runs[t.id]
-		if r == nil || r.phase == runStopping || r.phase == runStopped || r.calling {
+		if r == nil || r.phase == runStopping || r.phase == runStopped || r.calling || t.isArriving(r, now) {
 			continue
 		}
-		key := stepKeyOf(t.id)
+		key := t.id.StepID()
 		// The report may be older than the moment at which the task started
 		// work. Therefore the task itself does not count as unavailable,
 		// whatever the report shows.
@@ -89,58 +89,42 @@
 		if !t.atWork {
 			others--
 		}
-		if t.budget >= 0 && others >= t.budget {
+		if t.Budget >= 0 && others >= t.Budget {
 			continue
 		}
 		u.unavailable[key] = others + 1
-		l.Log.Info("stopping long-running task, its VM is drained", "task", t.id.String(), "run", r.number, "worker", w.reg.ID, "unavailable", u.unavailable[key], "budget", t.budget)
+		l.Log.Info("stopping long-running task, its VM is drained", "task", t.id.String(), "run", r.number, "worker", w.reg.ID, "unavailable", u.unavailable[key], "budget", t.Budget)
 		l.sendStop(t.id, r, now)
 	}
 }
 
-// stepKey identifies a step of an occurrence.
-type stepKey struct {
-	job              string
-	occurrence, step int
-}
-
 // longRunningTask is an executing long-running task.
 type longRunningTask struct {
-	id     workload.TaskID
-	charge workload.Resources
-	// budget and maxPerWorker are the disruption budget and the limit per
-	// worker of the step.
-	budget, maxPerWorker int
+	relocation.Task
+	id workload.TaskID
 	// atWork is set if the newest report of the worker shows the task at work.
 	atWork bool
 }
 
+// isArriving reports whether the task has been started a moment ago. It is not moved
+// again before it is at work.
+func (t *longRunningTask) isArriving(r *run, now time.Time) bool {
+	return !t.atWork && now.Sub(r.since) < evacuationTime
+}
+
 // atOnce returns how many tasks of the step may leave their workers at a time.
-func (t *longRunningTask) atOnce() int { return max(t.budget, 1) }
+func (t *longRunningTask) atOnce() int { return max(t.Budget, 1) }
 
 // countLongRunning records an executing long-running task. It counts the task
 // as unavailable unless it is at work.
-func (u *usage) countLongRunning(id workload.TaskID, task *workstate.Task, step *workload.Step, w *worker, atWork bool) {
+func (u *usage) countLongRunning(id workload.TaskID, step *workload.Step, w *worker, atWork bool) {
 	if w != nil {
 		load := u.load(w)
-		load.longRunning = append(load.longRunning, longRunningTask{
-			id: id, charge: step.Charge(), budget: step.DisruptionBudget, maxPerWorker: step.MaxPerWorker, atWork: atWork,
-		})
+		load.longRunning = append(load.longRunning, longRunningTask{Task: newRelocationTask(id, step, w.reg.Service), id: id, atWork: atWork})
 		u.longRunning++
 	}
-	if step.MaxPerWorker > 0 {
-		u.stepOnWorker[stepOnWorker{stepKeyOf(id), task.Worker}]++
-	}
 	if !atWork {
-		u.unavailable[stepKeyOf(id)]++
-	}
-}
-
-// countEnding counts a long-running task as unavailable if the end of its run
-// waits for a commit.
-func (u *usage) countEnding(id workload.TaskID, step *workload.Step) {
-	if step.LongRunning {
-		u.unavailable[stepKeyOf(id)]++
+		u.unavailable[id.StepID()]++
 	}
 }
 
--- a/internal/process/scheduler/fakeworker_test.go
+++ b/internal/process/scheduler/fakeworker_test.go
@@ -23,6 +23,7 @@
 type fakeWorker struct {
 	id          string
 	capacity    workload.Resources
+	labels      []string
 	incarnation int64
 	started     time.Time
 	token       uint64
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -113,8 +113,8 @@
 		workers: map[string]*worker{}, generations: generations{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
 		fleet:       fleet{entries: map[string]*vmEntry{}},
-		advice:      adviceState{steps: map[stepKey]*stepAdvice{}},
-		maintenance: maintenanceState{missing: map[string]time.Time{}},
+		advice:      adviceState{steps: map[workload.StepID]*stepAdvice{}},
+		maintenance: maintenanceState{missing: map[string]time.Time{}, interrupted: map[string]time.Time{}},
 		demand:      demandState{forecasts: map[string]*rebalance.Forecast{}, meanWork: map[string]float64{}},
 	}
 }
@@ -240,7 +240,8 @@
 	l.stopStragglers(u, now)
 	l.setBestEffortSpeeds(u, now)
 	l.stopOrphans(u, now)
-	l.evacuateDraining(u, now)
-	l.planMaintenance(v, u, now)
+	waves := l.surveyWaves(v, u, now)
+	l.evacuateDraining(v, u, now)
+	l.cordonVMs(v, u, waves, now)
 	l.planMoves(v, u, groups, now)
 }
--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -33,10 +33,10 @@
 	l.repeatMoves(v, now)
 	l.updateVMCapacity()
 	pools := l.desiredPools(v, u, groups, now)
-	vms := l.rebalanceVMs(u, now)
+	vms := l.rebalanceVMs(v, u, now)
 	l.logPools(pools, vms, now)
 	moves := rebalance.Plan(pools, vms)
-	l.drainForPools(rebalance.SelectDrains(pools, vms, moves), u, now)
+	l.drainForPools(rebalance.SelectDrains(pools, vms, moves), v, u, now)
 	for _, move := range moves {
 		e := l.fleet.entries[move.VM]
 		if !l.mayOrderVM(now) || e.refusedPools[move.To] {
@@ -138,9 +138,8 @@
 }
 
 // rebalanceVMs returns all known VMs in the form that package rebalance uses.
-func (l *loop) rebalanceVMs(u *usage, now time.Time) []rebalance.VM {
+func (l *loop) rebalanceVMs(v *workstate.View, u *usage, now time.Time) []rebalance.VM {
 	cutOff := l.unresponsiveZones()
-	room := l.relocationRoom(u, now)
 	vms := make([]rebalance.VM, 0, len(l.fleet.entries))
 	for id, e := range l.fleet.entries {
 		w := u.workerOn[id]
@@ -158,10 +157,10 @@
 			// The VM would be unreachable in another pool as well.
 		default:
 			vm.Serving = w.schedulable(now) && !l.maintenance.isCordoned(id)
-			vm.Movable = !paused && !w.reg.Draining && u.load(w).runs == 0
+			vm.Movable = !paused && !w.reg.Draining && u.load(w).runs == 0 && !u.relocation.IsReserved(w.reg.ID)
 			vm.Load = float64(l.load(u.usedOn(w)))
 			vm.LongRunning = len(u.load(w).longRunning) > 0
-			vm.Drainable = !paused && !w.reg.Draining && (!vm.LongRunning || room.canRelocate(u, w))
+			vm.Drainable = !paused && !w.reg.Draining && (!vm.LongRunning || l.relocationPlan(v, u, now).CanClose(w.reg.ID))
 		}
 		vms = append(vms, vm)
 	}
@@ -189,6 +188,11 @@
 // isStandby reports whether a VM is in the standby pool, where it is powered
 // off.
 func (e *vmEntry) isStandby(v *workstate.View) bool {
-	service := v.Catalog().Service(e.vm.Pool)
-	return service != nil && service.Standby && e.vm.State == execution.VMUp
+	return isStandby(v, e.vm.Pool) && e.vm.State == execution.VMUp
+}
+
+// isStandby reports whether the VMs of a pool are powered off.
+func isStandby(v *workstate.View, pool string) bool {
+	service := v.Catalog().Service(pool)
+	return service != nil && service.Standby
 }
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -94,7 +94,7 @@
 	u := l.newUsage(detail)
 	for _, job := range v.Active() {
 		if detail == fleetDetails {
-			u.countWaiting(job)
+			u.countWaiting(v, job)
 		}
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
 			step := &job.Spec.Steps[id.Step]
@@ -111,7 +111,7 @@
 			switch {
 			case detail == capacityInUse:
 			case r.ending:
-				u.countEnding(id, step)
+				u.countEnding(id, step, v.ServiceOf(job))
 			default:
 				l.recordDetails(u, id, task, step, r, w, now)
 			}
--- a/internal/process/scheduler/relocation.go
+++ b/internal/process/scheduler/relocation.go
@@ -1,66 +1,96 @@
 package scheduler
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// relocationRoom holds the workers that may take the long-running tasks of others, by
-// service, those with the most free CPU capacity first.
-type relocationRoom map[string][]freeWorker
-
-// freeWorker is a worker and its free capacity.
-type freeWorker struct {
-	reg  *workstate.Worker
-	free workload.Resources
+// relocationPlan returns this round's plan of the workers that close. All that drain
+// VMs share it, so that no two of them count on the same room.
+func (l *loop) relocationPlan(v *workstate.View, u *usage, now time.Time) *relocation.Plan {
+	if u.relocation == nil {
+		u.relocation = relocation.NewPlan(relocation.Snapshot{
+			Workers: l.relocationWorkers(u, now), Pools: l.relocationPools(v, u, now), Waiting: u.awaiting, Unavailable: u.unavailable,
+		})
+	}
+	return u.relocation
 }
 
-// relocationRoom returns the workers that accept tasks and are not about to be drained
-// or moved. It is empty if there are no long-running tasks.
-func (l *loop) relocationRoom(u *usage, now time.Time) relocationRoom {
-	if u.longRunning == 0 {
-		return nil
-	}
-	room := relocationRoom{}
-	for _, w := range l.workerList {
-		if w.schedulable(now) && !l.maintenance.due[w.reg.VM] && !l.hasOpenOrder(w.reg.VM) {
-			room[w.reg.Service] = append(room[w.reg.Service], freeWorker{&w.reg, w.reg.Capacity.Sub(u.usedOn(w))})
+// relocationWorkers returns all registered workers.
+func (l *loop) relocationWorkers(u *usage, now time.Time) []relocation.Worker {
+	workers := make([]relocation.Worker, len(l.workerList))
+	for i, w := range l.workerList {
+		tasks := relocationTasks(u.load(w).longRunning)
+		room := w.reg.Capacity
+		for t := range tasks {
+			room = room.Sub(tasks[t].Charge)
+		}
+		_, closing := l.maintenance.previously[w.reg.VM]
+		workers[i] = relocation.Worker{
+			ID: w.reg.ID, Service: w.reg.Service, Labels: w.reg.Labels, Room: room, Tasks: tasks,
+			Open:         w.schedulable(now) && l.capacityKnown(w, now) && !l.hasOpenOrder(w.reg.VM),
+			DrainPending: l.maintenance.due[w.reg.VM], Closing: closing,
 		}
 	}
-	for _, workers := range room {
-		slices.SortFunc(workers, func(a, b freeWorker) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
-	}
-	return room
+	return workers
 }
 
-// canRelocate reports whether each long-running task of a worker fits on another
-// worker of the pool.
-func (r relocationRoom) canRelocate(u *usage, from *worker) bool {
-	tasks := u.load(from).longRunning
+func relocationTasks(tasks []longRunningTask) []relocation.Task {
+	if len(tasks) == 0 {
+		return nil
+	}
+	list := make([]relocation.Task, len(tasks))
 	for i := range tasks {
-		if !r.fits(u, &tasks[i], from) {
-			return false
-		}
+		list[i] = tasks[i].Task
 	}
-	return true
+	return list
 }
 
-// fits reports whether a long-running task fits on another worker of the pool.
-func (r relocationRoom) fits(u *usage, t *longRunningTask, from *worker) bool {
-	for _, other := range r[from.reg.Service] {
-		if other.free.MilliCPU < t.charge.MilliCPU {
-			return false
-		}
-		if other.reg.ID == from.reg.ID || !other.free.Fits(t.charge) {
-			continue
+// relocationPools returns the load of each pool and the number of its VMs that are
+// down and come back.
+func (l *loop) relocationPools(v *workstate.View, u *usage, now time.Time) map[string]relocation.Pool {
+	pools := make(map[string]relocation.Pool, len(u.poolLoad))
+	for service, load := range u.poolLoad {
+		pools[service] = relocation.Pool{Load: load}
+	}
+	for _, e := range l.fleet.entries {
+		service := e.vm.Pool
+		if e.order != nil && e.order.pool != "" {
+			service = e.order.pool
 		}
-		if t.maxPerWorker == 0 || u.stepOnWorker[stepOnWorker{stepKeyOf(t.id), other.reg.ID}] < t.maxPerWorker {
-			return true
+		if l.isReturning(u, e, now) && !isStandby(v, service) {
+			pool := pools[service]
+			pool.Away++
+			pools[service] = pool
 		}
 	}
-	return false
+	return pools
+}
+
+// returnTime is how long a VM may be listed as up until its worker accepts tasks.
+const returnTime = 3 * time.Second
+
+// isReturning reports whether a VM is down, or about to go down, and its worker accepts
+// tasks again some seconds later.
+func (l *loop) isReturning(u *usage, e *vmEntry, now time.Time) bool {
+	if e.unavailable() {
+		return e.order != nil || e.vm.State != execution.VMDown
+	}
+	if now.Sub(e.returnedAt) > returnTime {
+		return false
+	}
+	w := u.workerOn[e.vm.ID]
+	return w == nil || !w.schedulable(now)
+}
+
+// newRelocationTask returns a long-running task as the relocation plan sees it.
+func newRelocationTask(id workload.TaskID, step *workload.Step, service string) relocation.Task {
+	return relocation.Task{
+		Step: id.StepID(), Service: service, Charge: step.Charge(), MaxPerWorker: step.MaxPerWorker,
+		Label: step.RequiredLabel, Budget: step.DisruptionBudget,
+	}
 }
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -5,6 +5,7 @@
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/health"
+	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -30,9 +31,11 @@
 	// executing counts the runs that the state has as executing.
 	executing int
 	// workerOn holds the worker of each VM, utilization the share of each
-	// pool's capacity that is in use. A pool has the name of its service.
+	// pool's capacity that is in use, and poolLoad the same in mean VMs. A pool has
+	// the name of its service.
 	workerOn    map[string]*worker
 	utilization map[string]float64
+	poolLoad    map[string]float64
 	// longRunning counts the executing long-running tasks on known workers.
 	longRunning int
 	// colocations describes the best-effort and serving tasks on each worker.
@@ -46,10 +49,12 @@
 	resumable []resumableTask
 	// unavailable counts the long-running tasks of each step that are not at
 	// work.
-	unavailable map[stepKey]int
-	// stepOnWorker counts the executing long-running tasks on each worker of each
-	// step with a limit per worker.
-	stepOnWorker map[stepOnWorker]int
+	unavailable map[workload.StepID]int
+	// awaiting lists the long-running tasks that wait for a worker.
+	awaiting []relocation.Task
+	// relocation is the plan of the workers that close in this round, nil until it
+	// is needed.
+	relocation *relocation.Plan
 }
 
 // newUsage returns an empty usage for this round.
@@ -59,7 +64,7 @@
 	}
 	return &usage{
 		round: l.roundNumber, stragglers: l.stragglers[:0], samples: l.samples[:0],
-		unavailable: map[stepKey]int{}, stepOnWorker: map[stepOnWorker]int{}, colocations: map[string]*colocation{},
+		unavailable: map[workload.StepID]int{}, colocations: map[string]*colocation{},
 	}
 }
 
@@ -124,32 +129,24 @@
 		u.resumable = append(u.resumable, resumableTask{id: id, worker: task.Worker})
 	}
 	if step.LongRunning {
-		u.countLongRunning(id, task, step, w, l.atWork(r, w, runKey{id, task.Run}))
+		u.countLongRunning(id, step, w, l.atWork(r, w, runKey{id, task.Run}))
 	}
 }
 
 // recordPools records the worker of each VM and the utilization of each pool.
 func (l *loop) recordPools(u *usage) {
 	u.workerOn = l.workersByVM()
-	u.utilization = map[string]float64{}
-	pools := map[string]*poolLoad{}
+	u.utilization, u.poolLoad = map[string]float64{}, map[string]float64{}
+	workers := map[string]int{}
 	for _, w := range l.workerList {
-		pool := pools[w.reg.Service]
-		if pool == nil {
-			pool = &poolLoad{}
-			pools[w.reg.Service] = pool
-		}
-		pool.load += float64(l.load(u.usedOn(w)))
-		pool.workers++
+		u.poolLoad[w.reg.Service] += float64(l.load(u.usedOn(w)))
+		workers[w.reg.Service]++
 	}
-	for name, pool := range pools {
-		u.utilization[name] = pool.load / pool.workers
+	for pool, load := range u.poolLoad {
+		u.utilization[pool] = load / float64(workers[pool])
 	}
 }
 
-// poolLoad is the load of the workers of a pool.
-type poolLoad struct{ load, workers float64 }
-
 // workersByVM returns the worker of each VM, from the table as it was synced last.
 func (l *loop) workersByVM() map[string]*worker {
 	if l.byVM != nil && l.byVMVersion == l.syncedVersion {
@@ -162,8 +159,8 @@
 	return l.byVM
 }
 
-// countWaiting counts the waiting long-running tasks as unavailable.
-func (u *usage) countWaiting(job *workstate.Job) {
+// countWaiting counts the waiting long-running tasks of a job as unavailable.
+func (u *usage) countWaiting(v *workstate.View, job *workstate.Job) {
 	for k := range job.Occurrences {
 		for s := range job.Occurrences[k].Steps {
 			if !job.Spec.Steps[s].LongRunning {
@@ -171,9 +168,22 @@
 			}
 			for i := range job.Occurrences[k].Steps[s].Tasks {
 				if job.Occurrences[k].Steps[s].Tasks[i].Phase == workstate.Waiting {
-					u.unavailable[stepKey{job.ID, k, s}]++
+					u.addAwaiting(workload.TaskID{Job: job.ID, Occurrence: k, Step: s, Index: i}, &job.Spec.Steps[s], v.ServiceOf(job))
 				}
 			}
 		}
 	}
 }
+
+// countEnding counts a long-running task whose run's end waits for a commit.
+func (u *usage) countEnding(id workload.TaskID, step *workload.Step, service string) {
+	if step.LongRunning {
+		u.addAwaiting(id, step, service)
+	}
+}
+
+// addAwaiting adds a long-running task that is unavailable and has no worker.
+func (u *usage) addAwaiting(id workload.TaskID, step *workload.Step, service string) {
+	u.unavailable[id.StepID()]++
+	u.awaiting = append(u.awaiting, newRelocationTask(id, step, service))
+}
--- a/internal/process/scheduler/vmorders.go
+++ b/internal/process/scheduler/vmorders.go
@@ -51,6 +51,7 @@
 	}
 	e.order = &order
 	e.calling = true
+	e.refused = false
 	l.fleet.orders.tokens--
 	id := e.vm.ID
 	go func() {
@@ -109,6 +110,7 @@
 		e.closeOrder()
 	case !e.unanswered:
 		e.closeOrder()
+		e.refused = order.pool == ""
 	}
 	e.pausedUntil = now.Add(orderPause)
 }
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -58,6 +58,12 @@
 	orderedAt time.Time
 	// pausedUntil is the time before which no further order is given.
 	pausedUntil time.Time
+	// refused is set while the platform's last answer to this leader was that it
+	// does not start the VM's maintenance now. Former leaders' orders have been
+	// executed by then, or never are.
+	refused bool
+	// returnedAt is when the VM was first listed as up after it was not.
+	returnedAt time.Time
 	// missingSince is when the first list was requested that left the VM out; zero
 	// if the last one showed it.
 	missingSince time.Time
@@ -184,6 +190,9 @@
 	if e.mayPredateOrder(requestedAt) {
 		return
 	}
+	if vm.State == execution.VMUp && e.vm.State != execution.VMUp {
+		e.returnedAt = requestedAt
+	}
 	e.vm = vm
 	if e.order != nil && e.order.executed(vm) {
 		e.unanswered = false
--- /dev/null
+++ b/internal/process/scheduler/wholepool_test.go
@@ -0,0 +1,205 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// longestAbsence is the time without a run after which a long-running task counts as
+// lost if there is room for it.
+const longestAbsence = 6 * time.Second
+
+// absences follows how long the long-running tasks of some jobs are without a run.
+type absences struct {
+	f       *fixture
+	jobs    []string
+	count   int
+	since   map[workload.TaskID]time.Time
+	longest time.Duration
+	// starts counts the runs of each task.
+	starts map[workload.TaskID]int
+	last   map[workload.TaskID]int
+}
+
+func newAbsences(f *fixture, count int, jobs ...string) *absences {
+	return &absences{f: f, jobs: jobs, count: count, since: map[workload.TaskID]time.Time{}, starts: map[workload.TaskID]int{}, last: map[workload.TaskID]int{}}
+}
+
+// watch looks at the workers ten times a second.
+func (a *absences) watch(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		a.look()
+	}
+}
+
+func (a *absences) look() {
+	a.f.workers.mu.Lock()
+	defer a.f.workers.mu.Unlock()
+	runs := map[workload.TaskID]int{}
+	for _, w := range a.f.workers.workers {
+		for id, r := range w.running {
+			runs[id] = r.run
+		}
+	}
+	for _, job := range a.jobs {
+		for i := range a.count {
+			a.lookAt(workload.TaskID{Job: job, Index: i}, runs)
+		}
+	}
+}
+
+func (a *absences) lookAt(id workload.TaskID, runs map[workload.TaskID]int) {
+	run, running := runs[id]
+	if !running {
+		if _, known := a.since[id]; !known {
+			a.since[id] = time.Now()
+		}
+		a.longest = max(a.longest, time.Since(a.since[id]))
+		return
+	}
+	delete(a.since, id)
+	if run != a.last[id] {
+		a.last[id] = run
+		a.starts[id]++
+	}
+}
+
+// leadLabelledPool adds VMs of "svc" on racks of their own, each with a job of two
+// long-running tasks, starts a leader and returns the VMs and the jobs.
+func (f *fixture) leadLabelledPool(count int) (vms, jobs []string) {
+	f.replaceWorkers(2 * time.Second)
+	for i := range count {
+		id := fmt.Sprint("w", i)
+		f.vms.vms["vm-"+id] = &execution.VM{ID: "vm-" + id, Pool: "svc", State: execution.VMUp, Worker: id}
+		w := f.workers.add(id, 8000)
+		w.labels = []string{fmt.Sprint("r", i)}
+		f.register(w, "vm-"+id, "svc")
+		vms = append(vms, "vm-"+id)
+		jobs = append(jobs, fmt.Sprintf("%016x", i+1))
+	}
+	f.lead()
+	time.Sleep(6 * time.Second)
+	for i, job := range jobs {
+		f.submit(job, workload.Step{Count: 2, Need: workload.Resources{MilliCPU: 1000}, LongRunning: true, DisruptionBudget: 1, DataRack: fmt.Sprint("r", i)})
+	}
+	time.Sleep(time.Second)
+	return vms, jobs
+}
+
+// settled returns how many VMs of a wave have had their maintenance.
+func (f *fixture) settled(wave int64) int {
+	count := 0
+	f.machine.Read(func(v *workstate.View) { count = len(v.Waves()[wave].Settled) })
+	return count
+}
+
+func (f *fixture) startWave(number int64, vms []string, limit int, length time.Duration) {
+	f.commit(&workstate.Command{Wave: &workstate.Wave{Number: number, VMs: vms, Cap: limit, DeadlineMS: time.Now().Add(length).UnixMilli()}})
+}
+
+// TestWaveOverAWholePoolKeepsARoomForItsLongRunningTasks guards against tasks that are stopped for good: all VMs of the pool were cordoned, so that the tasks and the wave waited for each other.
+func TestWaveOverAWholePoolKeepsARoomForItsLongRunningTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, deadline = 3, 27 * time.Second
+		f := newFixture(t, time.Hour)
+		names, jobs := f.leadLabelledPool(vms)
+		defer f.depose()
+		f.startWave(1, names, vms, deadline)
+		away := newAbsences(f, 2, jobs...)
+		away.watch(deadline)
+		if settled := f.settled(1); settled < vms {
+			t.Errorf("maintenance of %d of %d VMs has settled by the deadline", settled, vms)
+		}
+		if away.longest > longestAbsence {
+			t.Errorf("a long-running task was away for %s", away.longest)
+		}
+	})
+}
+
+// TestOverlappingWavesMoveLongRunningTasksOnce guards against tasks that move from one VM that waits for its maintenance to the next: each leaves its VM once, but for those of the first VM.
+func TestOverlappingWavesMoveLongRunningTasksOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, deadline = 6, 40 * time.Second
+		f := newFixture(t, time.Hour)
+		names, jobs := f.leadLabelledPool(vms)
+		defer f.depose()
+		away := newAbsences(f, 2, jobs...)
+		away.look()
+		f.startWave(1, names[:4], 4, deadline)
+		f.startWave(2, names[4:], 2, deadline)
+		away.watch(deadline)
+		if settled := f.settled(1) + f.settled(2); settled < vms {
+			t.Errorf("maintenance of %d of %d VMs has settled by the deadline", settled, vms)
+		}
+		if away.longest > longestAbsence {
+			t.Errorf("a long-running task was away for %s", away.longest)
+		}
+		moves, allowed := 0, 2*vms+2
+		for _, starts := range away.starts {
+			moves += starts - 1
+		}
+		if moves > allowed {
+			t.Errorf("%d moves of %d tasks, at most %d are needed", moves, 2*vms, allowed)
+		}
+	})
+}
+
+// TestLongRunningTasksWithoutOtherRoomReturnWithTheirVM guards against a wave that never ends, or tasks that never return, where no other VM has room for them.
+func TestLongRunningTasksWithoutOtherRoomReturnWithTheirVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, deadline = 2, 27 * time.Second
+		f := newFixture(t, time.Hour)
+		f.replaceWorkers(2 * time.Second)
+		var names []string
+		for i := range vms {
+			f.addVM(fmt.Sprint("w", i), "svc")
+			names = append(names, fmt.Sprint("vm-w", i))
+		}
+		f.lead()
+		defer f.depose()
+		time.Sleep(6 * time.Second)
+		f.submit(jobA, workload.Step{Count: vms, Need: workload.Resources{MilliCPU: 5000}, LongRunning: true, DisruptionBudget: 1})
+		time.Sleep(time.Second)
+		f.startWave(1, names, vms, deadline)
+		away := newAbsences(f, vms, jobA)
+		away.watch(deadline)
+		if settled := f.settled(1); settled < vms {
+			t.Errorf("maintenance of %d of %d VMs has settled by the deadline", settled, vms)
+		}
+		if away.longest > longestAbsence {
+			t.Errorf("a long-running task was away for %s", away.longest)
+		}
+	})
+}
+
+// TestCordonIsLiftedWhenItsRoomIsNeeded guards against tasks that wait for good: a worker crashed after the VMs were cordoned whose room its tasks need.
+func TestCordonIsLiftedWhenItsRoomIsNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 3
+		f := newFixture(t, time.Hour)
+		names, jobs := f.leadLabelledPool(vms)
+		defer f.depose()
+		f.vms.refusal = execution.VMOverloaded
+		f.startWave(1, names[:2], vms, 20*time.Second)
+		time.Sleep(3 * time.Second)
+		f.workers.mu.Lock()
+		lost := f.workers.workers["w2"]
+		lost.unreachable = true
+		f.workers.crash(lost)
+		lost.notifyChanged()
+		f.workers.mu.Unlock()
+		// The lease of the worker has to expire first.
+		time.Sleep(longestLease * time.Millisecond)
+		away := newAbsences(f, 2, jobs...)
+		away.watch(longestAbsence + time.Second)
+		if away.longest > longestAbsence {
+			t.Errorf("a long-running task was away for %s", away.longest)
+		}
+	})
+}
--- a/internal/version/workload/taskid.go
+++ b/internal/version/workload/taskid.go
@@ -21,6 +21,15 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// StepID identifies a step of one occurrence of a job.
+type StepID struct {
+	Job              string
+	Occurrence, Step int
+}
+
+// StepID returns the id of the task's step.
+func (t TaskID) StepID() StepID { return StepID{t.Job, t.Occurrence, t.Step} }
+
 // ParseTaskID parses an id in the form that String returns.
 func ParseTaskID(text string) (TaskID, error) {
 	parts := strings.Split(text, ".")
