--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -14,8 +14,9 @@
 	for _, job := range m.data.Jobs {
 		job.Service = m.serviceOf(job)
 	}
-	m.data.Catalog = *c
+	m.data.Catalog, m.data.Removed = *c, m.removedQueues(c)
 	m.indexQueues()
+	m.failExhausted()
 	return Result{Code: OK, Version: c.Version}
 }
 
@@ -159,15 +160,6 @@
 	}
 }
 
-// exhausted reports whether a task has no attempts left.
-func (m *Machine) exhausted(job *Job, step *workload.Step, task *Task) bool {
-	queue := m.queues[job.Queue]
-	if queue == nil || step.LongRunning || queue.MaxAttempts == 0 {
-		return false
-	}
-	return task.Failures >= queue.MaxAttempts
-}
-
 // countDone counts a task that is done, and with it its step, occurrence and job
 // if they are complete.
 func (m *Machine) countDone(job *Job, id workload.TaskID) {
@@ -208,6 +200,10 @@
 	if task.Phase != Waiting || s.Run <= task.Run || !occurrence.Ready(step) {
 		return false
 	}
+	if m.exhausted(job, step, task) {
+		m.endJob(job, Failed)
+		return false
+	}
 	worker.forgetExpectedEnd()
 	task.Phase = Running
 	task.Run = s.Run
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -25,7 +25,7 @@
 	active map[string]*Job
 	// executing counts the executing runs by worker.
 	executing executingRuns
-	// queues holds the catalog's queues by key.
+	// queues holds the catalog's queues and the removed ones by key.
 	queues map[string]*catalog.Queue
 	// workersVersion changes with each change of the registered workers.
 	workersVersion uint64
@@ -55,14 +55,6 @@
 	m.indexQueues()
 }
 
-func (m *Machine) indexQueues() {
-	m.queues = map[string]*catalog.Queue{}
-	for i := range m.data.Catalog.Queues {
-		q := &m.data.Catalog.Queues[i]
-		m.queues[q.Key()] = q
-	}
-}
-
 // Apply applies an encoded Command and returns the encoded Result. It implements
 // replica.StateMachine.
 func (m *Machine) Apply(_ uint64, entry []byte) []byte {
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -104,7 +104,7 @@
 type Job struct {
 	ID string `cbor:"1,keyasint"`
 	// Queue is the key of the queue that accepted the job. Service runs its
-	// tasks if that queue is removed.
+	// tasks if nothing is known of that queue.
 	Queue   string        `cbor:"2,keyasint"`
 	Service string        `cbor:"3,keyasint"`
 	Spec    workload.Spec `cbor:"4,keyasint"`
@@ -205,6 +205,9 @@
 	ClockMS int64 `cbor:"5,keyasint"`
 	// Left holds, by id, the workers that have left or were lost lately.
 	Left map[string]LeftWorker `cbor:"6,keyasint,omitempty"`
+	// Removed holds, by key, the queues that the catalog has no more and that jobs
+	// used when it was last replaced. They apply to these jobs as last known.
+	Removed map[string]catalog.Queue `cbor:"7,keyasint,omitempty"`
 }
 
 // LeftWorker is an incarnation of a worker that has announced its end or was lost,
--- a/internal/process/workstate/view.go
+++ b/internal/process/workstate/view.go
@@ -8,7 +8,8 @@
 // Catalog returns the configuration in force; version 0 means none.
 func (v *View) Catalog() *catalog.Catalog { return &v.m.data.Catalog }
 
-// Queue returns the queue with the given key, or nil.
+// Queue returns the queue with the given key as the catalog has it or, if it was
+// removed while jobs used it, as it was last known. It returns nil if neither is known.
 func (v *View) Queue(key string) *catalog.Queue { return v.m.queues[key] }
 
 // Job returns the job with the given id, or nil.
@@ -31,7 +32,7 @@
 func (v *View) ClockMS() int64 { return v.m.data.ClockMS }
 
 // ServiceOf returns the service that runs a job's tasks: the service of its queue
-// or, if the catalog no longer has the queue, the last known service.
+// or, if nothing is known of the queue, the last known service.
 func (v *View) ServiceOf(job *Job) string { return v.m.serviceOf(job) }
 
 func (m *Machine) serviceOf(job *Job) string {
