scheduler: a VM counts as up as soon as its new worker answers

What callers saw: after maintenance or a move, a VM took no tasks for up to 0.7 s although its worker was there (TestVMTakesTasksAsSoonAsItsWorkerAnswers: 2.91 s for a task of 0.1 s, the VM down for 2.1 s), and the next VMs of its pool waited for it.

Cause: only the list of VMs closed an accepted order, and it is read 0.7 s after the one before. Change: what ran on a VM has ended when its order is accepted, so a worker that answers a later call shows that the VM is up; rows of a list that was requested earlier are left out. Orders without an answer wait for the list as before.

--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -237,6 +237,7 @@
 // slow runs and best-effort tasks, and which VMs to maintain and to move.
 func (l *loop) planFleet(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) {
 	l.recordPools(u)
+	l.closeExecutedOrders(u, now)
 	l.stopStragglers(u, now)
 	l.setBestEffortSpeeds(u, now)
 	l.stopOrphans(u, now)
--- a/internal/process/scheduler/relocation.go
+++ b/internal/process/scheduler/relocation.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -71,22 +70,6 @@
 	return pools
 }
 
-// returnTime is how long a VM may be listed as up until its worker accepts tasks.
-const returnTime = 3 * time.Second
-
-// isReturning reports whether a VM is down, or about to go down, and its worker accepts
-// tasks again some seconds later.
-func (l *loop) isReturning(u *usage, e *vmEntry, now time.Time) bool {
-	if e.unavailable() {
-		return e.order != nil || e.vm.State != execution.VMDown
-	}
-	if now.Sub(e.returnedAt) > returnTime {
-		return false
-	}
-	w := u.workerOn[e.vm.ID]
-	return w == nil || !w.schedulable(now)
-}
-
 // newRelocationTask returns a long-running task as the relocation plan sees it.
 func newRelocationTask(id workload.TaskID, step *workload.Step, service string) relocation.Task {
 	return relocation.Task{
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -62,7 +62,7 @@
 	// does not start the VM's maintenance now. Former leaders' orders have been
 	// executed by then, or never are.
 	refused bool
-	// returnedAt is when the VM was first listed as up after it was not.
+	// returnedAt is when the VM was first known to be up after it was not.
 	returnedAt time.Time
 	// missingSince is when the first list was requested that left the VM out; zero
 	// if the last one showed it.
@@ -187,7 +187,7 @@
 		f.entries[vm.ID] = &vmEntry{vm: vm, refusedPools: map[string]bool{}}
 		return
 	}
-	if e.mayPredateOrder(requestedAt) {
+	if e.mayPredateOrder(requestedAt) || requestedAt.Before(e.returnedAt) {
 		return
 	}
 	if vm.State == execution.VMUp && e.vm.State != execution.VMUp {
