--- a/internal/process/scheduler/cordon.go
+++ b/internal/process/scheduler/cordon.go
@@ -18,6 +18,9 @@
 	maintenanceRound = 5 * time.Second
 	// deadlineReserve is the time reserved for failures at the end of a wave.
 	deadlineReserve = 5 * time.Second
+	// returnEstimate is the estimated time from the order for a VM's maintenance until
+	// its worker accepts tasks.
+	returnEstimate = 3 * time.Second
 	// drainTime is how long a cordoned VM waits for its short tasks to end if
 	// the wave's deadline is not close.
 	drainTime = 6 * time.Second
@@ -114,8 +117,23 @@
 type wavePressure struct {
 	*waveRound
 	// urgent is set if the VMs that wait need all the time until the deadline.
-	urgent  bool
-	leaving *evacuation
+	urgent bool
+	// pressing is set if a VM that goes down now does not come back in time for others
+	// to follow.
+	pressing bool
+	leaving  *evacuation
+}
+
+// relocationPressure returns how closely the VMs of the wave keep to the room of their
+// pools.
+func (p *wavePressure) relocationPressure() relocation.Pressure {
+	switch {
+	case p.pressing:
+		return relocation.Pressing
+	case p.urgent || p.leaving.due:
+		return relocation.Urgent
+	}
+	return relocation.Relaxed
 }
 
 // newWavePressure compares the time until a wave's deadline with what is left to do.
@@ -125,6 +143,7 @@
 	return &wavePressure{
 		waveRound: r,
 		urgent:    remaining < time.Duration(batches)*maintenanceRound+deadlineReserve,
+		pressing:  remaining < returnEstimate+evacuationTime,
 		leaving:   newEvacuation(u, r.waiting, remaining),
 	}
 }
@@ -202,7 +221,7 @@
 	if c.rank == rankOther && l.hasArrivingTask(u, c.worker, now) {
 		return errTaskArriving
 	}
-	err := plan.Close(id, c.pressure.urgent || c.pressure.leaving.due)
+	err := plan.Close(id, c.pressure.relocationPressure())
 	if !errors.Is(err, relocation.ErrNoRoom) || !c.pressure.urgent || !l.mayOrderVM(now) || (interrupted && now.Sub(interruptedAt) < interruptPause) {
 		return err
 	}
--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -16,7 +17,7 @@
 // workers.
 func (l *loop) drainForPools(vms []string, v *workstate.View, u *usage, now time.Time) {
 	for _, vm := range vms {
-		if w := u.workerOn[vm]; w == nil || l.relocationPlan(v, u, now).Close(w.reg.ID, false) == nil {
+		if w := u.workerOn[vm]; w == nil || l.relocationPlan(v, u, now).Close(w.reg.ID, relocation.Relaxed) == nil {
 			l.draining[vm] = true
 		}
 	}
--- a/internal/process/scheduler/maintenance.go
+++ b/internal/process/scheduler/maintenance.go
@@ -25,6 +25,9 @@
 	cordoned, previously map[string]time.Time
 	// due is the set of all VMs of waves whose maintenance has not started.
 	due map[string]bool
+	// dueAgain is the set of VMs that are down, or about to go down, and whose
+	// maintenance for another wave has not started.
+	dueAgain map[string]bool
 	// missing holds the time since when a VM of a wave has not been listed.
 	missing map[string]time.Time
 	// interrupted holds the VMs whose long-running tasks had no other place when
@@ -38,6 +41,7 @@
 	m.previously = m.cordoned
 	m.cordoned = map[string]time.Time{}
 	m.due = map[string]bool{}
+	m.dueAgain = map[string]bool{}
 }
 
 // isCordoned reports whether a VM is cordoned for its maintenance.
@@ -127,6 +131,9 @@
 			l.repeatOrder(e, now)
 		case e.vm.State == execution.VMMaintenance:
 			r.available--
+			if !wave.Settled[id] {
+				l.maintenance.dueAgain[id] = true
+			}
 		case !wave.Settled[id]:
 			l.maintenance.due[id] = true
 			r.waiting = append(r.waiting, l.newMaintenanceVM(v, u, wave, e))
--- a/internal/process/scheduler/relocation.go
+++ b/internal/process/scheduler/relocation.go
@@ -64,6 +64,9 @@
 		if l.isReturning(u, e, now) && !isStandby(v, service) {
 			pool := pools[service]
 			pool.Away++
+			if !l.maintenance.dueAgain[e.vm.ID] {
+				pool.Returning++
+			}
 			pools[service] = pool
 		}
 	}
--- a/internal/version/relocation/plan.go
+++ b/internal/version/relocation/plan.go
@@ -101,32 +101,32 @@
 	if w == nil || w.closed {
 		return true
 	}
-	if p.keepsFloor(w, false) != nil {
+	if p.keepsFloor(w, Relaxed) != nil {
 		return false
 	}
 	wasOpen := w.Open
 	w.Open = false
 	defer func() { w.Open = wasOpen }()
-	placed, ok := p.placeFrom(w)
+	placed, ok := p.placeFrom(w, Relaxed)
 	undo(placed)
 	return ok
 }
 
 // Close closes a worker, or returns why it has to stay open. Its long-running tasks
-// get a place on workers that don't wait to be drained themselves. Only if no VM of
-// the pool is about to come back, they may go to others. Urgent lowers the number
-// of workers that stay open to half of the pool.
-func (p *Plan) Close(id string, urgent bool) error {
+// get a place on workers that don't wait to be drained themselves. Only if no such VM
+// of the pool is about to come back, or if the deadline is pressing, they may go to
+// others.
+func (p *Plan) Close(id string, pressure Pressure) error {
 	w := p.workers[id]
 	if w == nil || w.closed {
 		return nil
 	}
-	if err := p.keepsFloor(w, urgent); err != nil {
+	if err := p.keepsFloor(w, pressure); err != nil {
 		return err
 	}
 	wasOpen := w.Open
 	w.Open = false
-	if _, ok := p.placeFrom(w); !ok {
+	if _, ok := p.placeFrom(w, pressure); !ok {
 		w.Open = wasOpen
 		return ErrNoRoom
 	}
@@ -143,7 +143,7 @@
 	if w == nil || w.closed {
 		return nil
 	}
-	if err := p.keepsFloor(w, true); err != nil {
+	if err := p.keepsFloor(w, Urgent); err != nil {
 		return err
 	}
 	if !p.mayInterrupt(w) {
@@ -164,7 +164,7 @@
 	}
 	wasOpen := w.Open
 	w.Open = false
-	p.placeFrom(w)
+	p.placeFrom(w, Pressing)
 	w.markClosed(wasOpen)
 }
 
@@ -178,8 +178,8 @@
 }
 
 // keepsFloor returns ErrTooFewOpen if the pool needs the worker to stay open.
-func (p *Plan) keepsFloor(w *worker, urgent bool) error {
-	if w.Open && w.pool.open <= w.pool.floor(urgent) {
+func (p *Plan) keepsFloor(w *worker, pressure Pressure) error {
+	if w.Open && w.pool.open <= w.pool.floor(pressure) {
 		return ErrTooFewOpen
 	}
 	return nil
@@ -187,31 +187,31 @@
 
 // floor returns the number of workers of the pool that stay open. A pool of one
 // worker can't keep one.
-func (p *pool) floor(urgent bool) int {
+func (p *pool) floor(pressure Pressure) int {
 	size := p.open + p.closed + p.Away
 	if size <= 1 {
 		return 0
 	}
 	needed := max(1, int(math.Ceil(p.Load/packingRatio)))
-	if urgent {
+	if pressure >= Urgent {
 		return min(needed, size/2)
 	}
 	return needed
 }
 
-// leaving reports whether a VM of the pool is down or about to go down, and offers
-// its room again once it has come back.
-func (p *pool) leaving() bool { return p.closed > 0 || p.Away > 0 }
+// returning reports whether a VM of the pool is down or about to go down, and offers
+// room that lasts once it has come back.
+func (p *pool) returning() bool { return p.closed > 0 || p.Returning > 0 }
 
 // placeFrom finds places for the tasks on a worker that closes, and for those that
 // have a place there.
-func (p *Plan) placeFrom(w *worker) ([]placement, bool) {
+func (p *Plan) placeFrom(w *worker, pressure Pressure) ([]placement, bool) {
 	moved, ok := w.pool.placeAll(w.reserved, true)
 	if !ok {
 		return nil, false
 	}
 	placed, ok := w.pool.placeAll(w.Tasks, false)
-	if !ok && !w.pool.leaving() {
+	if !ok && (pressure == Pressing || !w.pool.returning()) {
 		placed, ok = w.pool.placeAll(w.Tasks, true)
 	}
 	if !ok {
@@ -222,7 +222,7 @@
 }
 
 func (p *Plan) mayInterrupt(w *worker) bool {
-	if w.pool.leaving() || len(w.reserved) > 0 {
+	if w.pool.closed > 0 || w.pool.Away > 0 || len(w.reserved) > 0 {
 		return false
 	}
 	counts := map[workload.StepID]int{}
--- a/internal/version/relocation/plan_test.go
+++ b/internal/version/relocation/plan_test.go
@@ -16,7 +16,7 @@
 
 // randomSnapshot returns workers of one pool with tasks that fit on them.
 func randomSnapshot(r *rand.Rand) Snapshot {
-	s := Snapshot{Pools: map[string]Pool{service: {Load: r.Float64() * 4, Away: r.IntN(2)}}, Unavailable: map[workload.StepID]int{}}
+	s := Snapshot{Pools: map[string]Pool{service: {Load: r.Float64() * 4, Away: 1, Returning: r.IntN(2)}}, Unavailable: map[workload.StepID]int{}}
 	steps := make([]Task, 1+r.IntN(4))
 	for i := range steps {
 		steps[i] = Task{
@@ -60,7 +60,7 @@
 		p := NewPlan(s)
 		homeless, moving := p.Homeless(), 0
 		for _, i := range r.Perm(len(s.Workers)) {
-			if p.Close(s.Workers[i].ID, r.IntN(2) == 0) == nil {
+			if p.Close(s.Workers[i].ID, Pressure(r.IntN(3))) == nil {
 				moving += len(s.Workers[i].Tasks)
 			}
 		}
@@ -101,16 +101,16 @@
 		s := randomSnapshot(r)
 		p := NewPlan(s)
 		pool := p.pools[service]
-		size, urgent := pool.open+pool.Away, r.IntN(2) == 0
+		size, pressure := pool.open+pool.Away, Pressure(r.IntN(3))
 		for i := range s.Workers {
 			if s.Workers[i].Open {
-				_ = p.Close(s.Workers[i].ID, urgent)
+				_ = p.Close(s.Workers[i].ID, pressure)
 			}
 		}
 		if pool.open < min(size/2, 1) {
 			t.Errorf("%d of %d workers are open", pool.open, size)
 		}
-		if lowered := pool.floor(urgent); urgent && lowered > size/2 {
+		if lowered := pool.floor(pressure); pressure >= Urgent && lowered > size/2 {
 			t.Errorf("a wave that is urgent has to leave %d of %d workers open", lowered, size)
 		}
 	})
@@ -127,7 +127,7 @@
 			if after := describe(p); after != before {
 				t.Fatalf("asking changed the plan from\n%s to\n%s", before, after)
 			}
-			err := p.Close(s.Workers[i].ID, false)
+			err := p.Close(s.Workers[i].ID, Relaxed)
 			if can != (err == nil) {
 				t.Errorf("CanClose is %t, Close returns %v", can, err)
 			}
@@ -157,12 +157,15 @@
 			})
 		}
 		p := NewPlan(s)
-		if err := p.Close("w0", false); err != nil {
+		if err := p.Close("w0", Relaxed); err != nil {
 			t.Errorf("%d workers: the first stays open: %v", count, err)
 		}
-		if err := p.Close("w1", true); err == nil {
+		if err := p.Close("w1", Urgent); err == nil {
 			t.Errorf("%d workers: tasks leave for a worker that waits to be drained although the first VM comes back", count)
 		}
+		if err := p.Close("w1", Pressing); (err == nil) != (count > 3) {
+			t.Errorf("%d workers: with a deadline that is pressing, the second: %v", count, err)
+		}
 	}
 }
 
--- a/internal/version/relocation/types.go
+++ b/internal/version/relocation/types.go
@@ -39,10 +39,24 @@
 type Pool struct {
 	// Load is what runs in the pool, in mean VMs.
 	Load float64
-	// Away is the number of VMs that are down and come back into the pool.
-	Away int
+	// Away is the number of VMs that are down and come back into the pool. Returning
+	// counts those among them that do not wait to be drained once they are back.
+	Away, Returning int
 }
 
+// Pressure tells how close the deadline is for which a worker has to close.
+type Pressure uint8
+
+const (
+	// Relaxed keeps as many workers open as the load of the pool needs.
+	Relaxed Pressure = iota
+	// Urgent keeps at most half of the pool open for its load.
+	Urgent
+	// Pressing also lets tasks move to workers that wait to be drained too, although
+	// other VMs come back soon: it would be too late to wait for these.
+	Pressing
+)
+
 // Snapshot is what a plan is computed from.
 type Snapshot struct {
 	Workers []Worker
