scheduler: waves that are long overdue go before others

Cause: the order of VMs did not look at deadlines. Change: VMs of waves that are more than 5 s overdue come first, the longest overdue of them before others.

--- a/internal/process/scheduler/cordon.go
+++ b/internal/process/scheduler/cordon.go
@@ -21,6 +21,8 @@
 	// returnEstimate is the estimated time from the order for a VM's maintenance until
 	// its worker accepts tasks.
 	returnEstimate = 3 * time.Second
+	// overdueTime is the time past its deadline after which a wave goes before others.
+	overdueTime = 5 * time.Second
 	// drainTime is how long a cordoned VM waits for its short tasks to end if
 	// the wave's deadline is not close.
 	drainTime = 6 * time.Second
@@ -118,6 +120,8 @@
 	*waveRound
 	// urgent is set if the VMs that wait need all the time until the deadline.
 	urgent bool
+	// overdue is the time past the deadline, from overdueTime on; 0 before.
+	overdue time.Duration
 	// pressing is set if a VM that goes down now does not come back in time for others
 	// to follow.
 	pressing bool
@@ -140,8 +144,13 @@
 func (l *loop) newWavePressure(u *usage, r *waveRound) *wavePressure {
 	remaining := time.Duration(r.wave.DeadlineMS-l.Now().UnixMilli()) * time.Millisecond
 	batches := (len(r.waiting) + r.wave.Cap - 1) / r.wave.Cap
+	overdue := -remaining
+	if overdue < overdueTime {
+		overdue = 0
+	}
 	return &wavePressure{
 		waveRound: r,
+		overdue:   overdue,
 		urgent:    remaining < time.Duration(batches)*maintenanceRound+deadlineReserve,
 		pressing:  remaining < returnEstimate+evacuationTime,
 		leaving:   newEvacuation(u, r.waiting, remaining),
@@ -170,11 +179,12 @@
 	l.logLifted()
 }
 
-// compareCordonOrder orders VMs by rank, then those first whose maintenance
-// disrupts least.
+// compareCordonOrder orders VMs by rank, then those first whose waves are long overdue,
+// then those whose maintenance disrupts least.
 func compareCordonOrder(a, b cordonCandidate) int {
 	return cmp.Or(
 		cmp.Compare(a.rank, b.rank),
+		cmp.Compare(b.pressure.overdue, a.pressure.overdue),
 		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.utilization, b.utilization),
 		cmp.Compare(a.longRunning, b.longRunning),
--- a/internal/process/scheduler/fakecalls_test.go
+++ b/internal/process/scheduler/fakecalls_test.go
@@ -213,7 +213,7 @@
 		return report, nil
 	}
 	for _, r := range w.running {
-		report.Running = append(report.Running, execution.RunningTask{Task: r.task, Run: r.run, Percent: w.percent(r), Usage: w.usage(r.task)})
+		report.Running = append(report.Running, execution.RunningTask{Task: r.task, Run: r.run, Percent: w.percent(r, f.startup), Usage: w.usage(r.task)})
 	}
 	return report, nil
 }
@@ -230,10 +230,12 @@
 }
 
 // percent returns the progress of a run. A run of an hour or more represents a
-// long-running task, which is at work at once.
-func (w *fakeWorker) percent(r *fakeRun) int {
+// long-running task, which is at work after its startup.
+func (w *fakeWorker) percent(r *fakeRun, startup time.Duration) int {
 	length := r.endsAt.Sub(r.startedAt)
 	switch {
+	case length >= time.Hour && time.Since(r.startedAt) < startup:
+		return 0
 	case length >= time.Hour:
 		return 100
 	case w.hangAll:
--- a/internal/process/scheduler/fakeworker_test.go
+++ b/internal/process/scheduler/fakeworker_test.go
@@ -99,6 +99,10 @@
 	deadly        func(workload.TaskID) bool
 	onCrash       func(*fakeWorker)
 	deadlyCrashes map[workload.TaskID]int
+	// startup is how long a long-running task takes until it is at work.
+	// stoppedEarly counts those that were stopped before.
+	startup      time.Duration
+	stoppedEarly int
 	// slowestOrder is the longest delay of an order that is executed late.
 	slowestOrder time.Duration
 }
@@ -124,6 +128,9 @@
 // end moves a run to the list of ended runs.
 func (f *fakeWorkers) end(w *fakeWorker, r *fakeRun, reason execution.EndReason) {
 	delete(w.running, r.task)
+	if reason == execution.ReasonStopped && time.Since(r.startedAt) < f.startup {
+		f.stoppedEarly++
+	}
 	f.recordAway(r.task, reason == execution.ReasonStopped)
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.lastEnd++
--- a/internal/process/scheduler/wholepool_test.go
+++ b/internal/process/scheduler/wholepool_test.go
@@ -17,9 +17,9 @@
 
 // absences follows how long the long-running tasks of some jobs are without a run.
 type absences struct {
-	f       *fixture
-	jobs    []string
-	count   int
+	f *fixture
+	// tasks holds the number of tasks of each job.
+	tasks   map[string]int
 	since   map[workload.TaskID]time.Time
 	longest time.Duration
 	// starts counts the runs of each task.
@@ -27,8 +27,8 @@
 	last   map[workload.TaskID]int
 }
 
-func newAbsences(f *fixture, count int, jobs ...string) *absences {
-	return &absences{f: f, jobs: jobs, count: count, since: map[workload.TaskID]time.Time{}, starts: map[workload.TaskID]int{}, last: map[workload.TaskID]int{}}
+func newAbsences(f *fixture, tasks map[string]int) *absences {
+	return &absences{f: f, tasks: tasks, since: map[workload.TaskID]time.Time{}, starts: map[workload.TaskID]int{}, last: map[workload.TaskID]int{}}
 }
 
 // watch looks at the workers ten times a second.
@@ -47,8 +47,8 @@
 			runs[id] = r.run
 		}
 	}
-	for _, job := range a.jobs {
-		for i := range a.count {
+	for job, count := range a.tasks {
+		for i := range count {
 			a.lookAt(workload.TaskID{Job: job, Index: i}, runs)
 		}
 	}
@@ -70,6 +70,24 @@
 	}
 }
 
+// awayByJob counts the tasks of each job that had no run when they were last looked at.
+func (a *absences) awayByJob() map[string]int {
+	away := map[string]int{}
+	for id := range a.since {
+		away[id.Job]++
+	}
+	return away
+}
+
+// twoOfEach returns the tasks of jobs that have two each.
+func twoOfEach(jobs []string) map[string]int {
+	tasks := map[string]int{}
+	for _, job := range jobs {
+		tasks[job] = 2
+	}
+	return tasks
+}
+
 // leadLabelledPool adds VMs of "svc" on racks of their own, each with a job of two
 // long-running tasks, starts a leader and returns the VMs and the jobs.
 func (f *fixture) leadLabelledPool(count int) (vms, jobs []string) {
@@ -99,6 +117,13 @@
 	return count
 }
 
+// unsettled returns how many VMs of a wave have not had their maintenance.
+func (f *fixture) unsettled(wave int64) int {
+	count := 0
+	f.machine.Read(func(v *workstate.View) { count = len(v.Waves()[wave].VMs) })
+	return count - f.settled(wave)
+}
+
 func (f *fixture) startWave(number int64, vms []string, limit int, length time.Duration) {
 	f.commit(&workstate.Command{Wave: &workstate.Wave{Number: number, VMs: vms, Cap: limit, DeadlineMS: time.Now().Add(length).UnixMilli()}})
 }
@@ -111,7 +136,7 @@
 		names, jobs := f.leadLabelledPool(vms)
 		defer f.depose()
 		f.startWave(1, names, vms, deadline)
-		away := newAbsences(f, 2, jobs...)
+		away := newAbsences(f, twoOfEach(jobs))
 		away.watch(deadline)
 		if settled := f.settled(1); settled < vms {
 			t.Errorf("maintenance of %d of %d VMs has settled by the deadline", settled, vms)
@@ -129,7 +154,7 @@
 		f := newFixture(t, time.Hour)
 		names, jobs := f.leadLabelledPool(vms)
 		defer f.depose()
-		away := newAbsences(f, 2, jobs...)
+		away := newAbsences(f, twoOfEach(jobs))
 		away.look()
 		f.startWave(1, names[:4], 4, deadline)
 		f.startWave(2, names[4:], 2, deadline)
@@ -167,7 +192,7 @@
 		f.submit(jobA, workload.Step{Count: vms, Need: workload.Resources{MilliCPU: 5000}, LongRunning: true, DisruptionBudget: 1})
 		time.Sleep(time.Second)
 		f.startWave(1, names, vms, deadline)
-		away := newAbsences(f, vms, jobA)
+		away := newAbsences(f, map[string]int{jobA: vms})
 		away.watch(deadline)
 		if settled := f.settled(1); settled < vms {
 			t.Errorf("maintenance of %d of %d VMs has settled by the deadline", settled, vms)
@@ -196,10 +221,61 @@
 		f.workers.mu.Unlock()
 		// The lease of the worker has to expire first.
 		time.Sleep(longestLease * time.Millisecond)
-		away := newAbsences(f, 2, jobs...)
+		away := newAbsences(f, twoOfEach(jobs))
 		away.watch(longestAbsence + time.Second)
 		if away.longest > longestAbsence {
 			t.Errorf("a long-running task was away for %s", away.longest)
 		}
 	})
 }
+
+// TestTaskThatHasJustStartedIsNotMovedOn guards against a task that goes from VM to VM without being at work: each wave stopped it as it came.
+func TestTaskThatHasJustStartedIsNotMovedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, deadline = 4, 30 * time.Second
+		f := newFixture(t, time.Hour)
+		f.workers.startup = 800 * time.Millisecond
+		names, jobs := f.leadLabelledPool(vms)
+		defer f.depose()
+		time.Sleep(f.workers.startup)
+		away := newAbsences(f, twoOfEach(jobs))
+		for i, name := range names {
+			f.startWave(int64(i+1), []string{name}, 1, deadline)
+			away.watch(300 * time.Millisecond)
+		}
+		away.watch(deadline)
+		for i := range names {
+			if f.settled(int64(i+1)) == 0 {
+				t.Errorf("wave %d has not ended", i+1)
+			}
+		}
+		if f.workers.stoppedEarly > 0 {
+			t.Errorf("%d tasks were stopped before they were at work", f.workers.stoppedEarly)
+		}
+		if away.longest > longestAbsence {
+			t.Errorf("a long-running task was away for %s", away.longest)
+		}
+	})
+}
+
+// TestWavesInSeriesAllEnd guards against VMs that stay late for good: each that was down counted as one that brings room, though the next wave waited for it.
+func TestWavesInSeriesAllEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, waves, interval = 6, 8, 2 * time.Second
+		f := newFixture(t, time.Hour)
+		names, jobs := f.leadLabelledPool(vms)
+		defer f.depose()
+		away := newAbsences(f, twoOfEach(jobs))
+		for wave := range int64(waves) {
+			f.startWave(wave+1, names, vms, interval)
+			away.watch(interval)
+		}
+		late := f.unsettled(1)
+		if late > 0 {
+			t.Errorf("%d of %d VMs have had no maintenance for the first wave %s after its start", late, vms, waves*interval)
+		}
+		if away.longest > longestAbsence {
+			t.Errorf("a long-running task was away for %s", away.longest)
+		}
+	})
+}
