scheduler: only a 429 to this leader's own order ends the doubt about a maintenance

Found by reading again: it lifted the cordon, and freed the place under the wave's cap, after any refusal. A VM is also refused as busy while a former leader's order, executed late, has it down, and a 429 says nothing about such an order. Now a refusal counts only if it is a 429 and the order was first given by this leader.

--- a/internal/process/scheduler/cordon.go
+++ b/internal/process/scheduler/cordon.go
@@ -290,6 +290,9 @@
 	if !l.mayOrderVM(now) || now.Before(c.entry.pausedUntil) || (c.worker != nil && !l.readyForMaintenance(u, c.worker, since, c.pressure.urgent, now)) {
 		return
 	}
+	if c.rank != rankOrdered {
+		c.entry.ownWave = wave.Number
+	}
 	l.orderVM(c.entry, vmOrder{wave: wave.Number}, now)
 }
 
--- a/internal/process/scheduler/vmorders.go
+++ b/internal/process/scheduler/vmorders.go
@@ -110,7 +110,7 @@
 		e.closeOrder()
 	case !e.unanswered:
 		e.closeOrder()
-		e.refused = order.pool == ""
+		e.refused = refusal == execution.VMOverloaded && order.pool == "" && order.wave == e.ownWave
 	}
 	e.pausedUntil = now.Add(orderPause)
 }
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -58,9 +58,10 @@
 	orderedAt time.Time
 	// pausedUntil is the time before which no further order is given.
 	pausedUntil time.Time
-	// refused is set while the platform's last answer to this leader was that it
-	// does not start the VM's maintenance now. Former leaders' orders have been
-	// executed by then, or never are.
+	// ownWave is the last wave for which this leader ordered the maintenance while no
+	// former leader had done so. refused is set while the platform's last answer to
+	// that was that it executes no further order at present.
+	ownWave int64
 	refused bool
 	// returnedAt is when the VM was first known to be up after it was not.
 	returnedAt time.Time
--- a/internal/process/scheduler/wholepool_test.go
+++ b/internal/process/scheduler/wholepool_test.go
@@ -279,3 +279,27 @@
 		}
 	})
 }
+
+// TestBusyVMOfAFormerOrderCountsAgainstTheCap guards against one VM too many that is down: a former leader's order was executed after the list was read, and the VM is busy.
+func TestBusyVMOfAFormerOrderCountsAgainstTheCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, refusal := range []execution.VMRefusal{execution.VMBusy, execution.VMOverloaded} {
+			f := newFixture(t, time.Second)
+			f.leadPool(2)
+			time.Sleep(6 * time.Second)
+			f.startWave(1, []string{"vm-w0", "vm-w1"}, 1, 30*time.Second)
+			f.commit(&workstate.Command{Maintenance: &workstate.Maintenance{Wave: 1, VM: "vm-w0"}})
+			f.vms.refusal = refusal
+			time.Sleep(300 * time.Millisecond)
+			f.vms.refusal = execution.VMAccepted
+			f.vms.mu.Lock()
+			f.vms.vms["vm-w0"].State = execution.VMMaintenance
+			f.vms.mu.Unlock()
+			time.Sleep(600 * time.Millisecond)
+			if f.vms.maxDown > 0 {
+				t.Errorf("%s: vm-w1 went down while vm-w0 was, the cap is 1", refusal)
+			}
+			f.depose()
+		}
+	})
+}
