--- a/internal/process/scheduler/wholepool_test.go
+++ b/internal/process/scheduler/wholepool_test.go
@@ -80,6 +80,14 @@
 	return away
 }
 
+// check reports a task that was away for too long.
+func (a *absences) check() {
+	a.f.t.Helper()
+	if a.longest > longestAbsence {
+		a.f.t.Errorf("a long-running task was away for %s", a.longest)
+	}
+}
+
 // twoOfEach returns the tasks of jobs that have two each.
 func twoOfEach(jobs []string) map[string]int {
 	tasks := map[string]int{}
@@ -125,6 +133,16 @@
 	return count - f.settled(wave)
 }
 
+// checkWavesEnded reports the waves of which VMs have had no maintenance.
+func (f *fixture) checkWavesEnded(waves ...int64) {
+	f.t.Helper()
+	for _, wave := range waves {
+		if left := f.unsettled(wave); left > 0 {
+			f.t.Errorf("%d VMs of wave %d have had no maintenance", left, wave)
+		}
+	}
+}
+
 func (f *fixture) startWave(number int64, vms []string, limit int, length time.Duration) {
 	f.commit(&workstate.Command{Wave: &workstate.Wave{Number: number, VMs: vms, Cap: limit, DeadlineMS: time.Now().Add(length).UnixMilli()}})
 }
@@ -139,12 +157,8 @@
 		f.startWave(1, names, vms, deadline)
 		away := newAbsences(f, twoOfEach(jobs))
 		away.watch(deadline)
-		if settled := f.settled(1); settled < vms {
-			t.Errorf("maintenance of %d of %d VMs has settled by the deadline", settled, vms)
-		}
-		if away.longest > longestAbsence {
-			t.Errorf("a long-running task was away for %s", away.longest)
-		}
+		f.checkWavesEnded(1)
+		away.check()
 	})
 }
 
@@ -160,12 +174,8 @@
 		f.startWave(1, names[:4], 4, deadline)
 		f.startWave(2, names[4:], 2, deadline)
 		away.watch(deadline)
-		if settled := f.settled(1) + f.settled(2); settled < vms {
-			t.Errorf("maintenance of %d of %d VMs has settled by the deadline", settled, vms)
-		}
-		if away.longest > longestAbsence {
-			t.Errorf("a long-running task was away for %s", away.longest)
-		}
+		f.checkWavesEnded(1, 2)
+		away.check()
 		moves, allowed := 0, 2*vms+2
 		for _, starts := range away.starts {
 			moves += starts - 1
@@ -195,12 +205,8 @@
 		f.startWave(1, names, vms, deadline)
 		away := newAbsences(f, map[string]int{jobA: vms})
 		away.watch(deadline)
-		if settled := f.settled(1); settled < vms {
-			t.Errorf("maintenance of %d of %d VMs has settled by the deadline", settled, vms)
-		}
-		if away.longest > longestAbsence {
-			t.Errorf("a long-running task was away for %s", away.longest)
-		}
+		f.checkWavesEnded(1)
+		away.check()
 	})
 }
 
@@ -224,9 +230,7 @@
 		time.Sleep(longestLease * time.Millisecond)
 		away := newAbsences(f, twoOfEach(jobs))
 		away.watch(longestAbsence + time.Second)
-		if away.longest > longestAbsence {
-			t.Errorf("a long-running task was away for %s", away.longest)
-		}
+		away.check()
 	})
 }
 
@@ -245,17 +249,11 @@
 			away.watch(300 * time.Millisecond)
 		}
 		away.watch(deadline)
-		for i := range names {
-			if f.settled(int64(i+1)) == 0 {
-				t.Errorf("wave %d has not ended", i+1)
-			}
-		}
+		f.checkWavesEnded(1, 2, 3, 4)
 		if f.workers.stoppedEarly > 0 {
 			t.Errorf("%d tasks were stopped before they were at work", f.workers.stoppedEarly)
 		}
-		if away.longest > longestAbsence {
-			t.Errorf("a long-running task was away for %s", away.longest)
-		}
+		away.check()
 	})
 }
 
@@ -271,13 +269,8 @@
 			f.startWave(wave+1, names, vms, interval)
 			away.watch(interval)
 		}
-		late := f.unsettled(1)
-		if late > 0 {
-			t.Errorf("%d of %d VMs have had no maintenance for the first wave %s after its start", late, vms, waves*interval)
-		}
-		if away.longest > longestAbsence {
-			t.Errorf("a long-running task was away for %s", away.longest)
-		}
+		f.checkWavesEnded(1)
+		away.check()
 	})
 }
 
