scheduler: drains for pools consult the relocation plan only where it can matter

Cause: built the plan in each round with long-running tasks and asked of each VM with such tasks whether it can close, also when no pool is short and no VM is drained. Change: it is asked only once pools are short of VMs after the moves, and VMs without long-running tasks are drained as before unless such tasks wait or a plan exists. Which VMs drain is the same where no plan is needed.

--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -17,7 +17,7 @@
 // workers.
 func (l *loop) drainForPools(vms []string, v *workstate.View, u *usage, now time.Time) {
 	for _, vm := range vms {
-		if w := u.workerOn[vm]; w == nil || l.relocationPlan(v, u, now).Close(w.reg.ID, relocation.Relaxed) == nil {
+		if w := u.workerOn[vm]; !u.needsRelocation(w) || l.relocationPlan(v, u, now).Close(w.reg.ID, relocation.Relaxed) == nil {
 			l.draining[vm] = true
 		}
 	}
@@ -40,6 +40,12 @@
 	}
 }
 
+// needsRelocation reports whether long-running tasks have to leave the worker if it
+// closes, or may need its room.
+func (u *usage) needsRelocation(w *worker) bool {
+	return w != nil && (u.relocation != nil || len(u.awaiting) > 0 || len(u.load(w).longRunning) > 0)
+}
+
 // evacuateDraining moves the long-running tasks of workers that are about to
 // shut down, which would end with them, if there is room elsewhere.
 func (l *loop) evacuateDraining(v *workstate.View, u *usage, now time.Time) {
--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -33,10 +33,13 @@
 	l.repeatMoves(v, now)
 	l.updateVMCapacity()
 	pools := l.desiredPools(v, u, groups, now)
-	vms := l.rebalanceVMs(v, u, now)
+	vms := l.rebalanceVMs(u, now)
 	l.logPools(pools, vms, now)
 	moves := rebalance.Plan(pools, vms)
-	l.drainForPools(rebalance.SelectDrains(pools, vms, moves), v, u, now)
+	if rebalance.IsShort(pools, vms, moves) {
+		l.excludeUnrelocatable(vms, v, u, now)
+		l.drainForPools(rebalance.SelectDrains(pools, vms, moves), v, u, now)
+	}
 	for _, move := range moves {
 		e := l.fleet.entries[move.VM]
 		if !l.mayOrderVM(now) || e.refusedPools[move.To] {
@@ -138,7 +141,7 @@
 }
 
 // rebalanceVMs returns all known VMs in the form that package rebalance uses.
-func (l *loop) rebalanceVMs(v *workstate.View, u *usage, now time.Time) []rebalance.VM {
+func (l *loop) rebalanceVMs(u *usage, now time.Time) []rebalance.VM {
 	cutOff := l.unresponsiveZones()
 	vms := make([]rebalance.VM, 0, len(l.fleet.entries))
 	for id, e := range l.fleet.entries {
@@ -160,13 +163,24 @@
 			vm.Movable = !paused && !w.reg.Draining && u.load(w).runs == 0 && !u.relocation.IsReserved(w.reg.ID)
 			vm.Load = float64(l.load(u.usedOn(w)))
 			vm.LongRunning = len(u.load(w).longRunning) > 0
-			vm.Drainable = !paused && !w.reg.Draining && (!vm.LongRunning || l.relocationPlan(v, u, now).CanClose(w.reg.ID))
+			vm.Drainable = !paused && !w.reg.Draining
 		}
 		vms = append(vms, vm)
 	}
 	return vms
 }
 
+// excludeUnrelocatable marks the VMs as not drainable whose long-running tasks have no
+// other place.
+func (l *loop) excludeUnrelocatable(vms []rebalance.VM, v *workstate.View, u *usage, now time.Time) {
+	for i := range vms {
+		vm := &vms[i]
+		if vm.Drainable && vm.LongRunning {
+			vm.Drainable = l.relocationPlan(v, u, now).CanClose(u.workerOn[vm.ID].reg.ID)
+		}
+	}
+}
+
 // unresponsiveZones returns the availability zones in which most workers are
 // unresponsive.
 func (l *loop) unresponsiveZones() map[string]bool {
--- a/internal/version/rebalance/drain.go
+++ b/internal/version/rebalance/drain.go
@@ -27,6 +27,13 @@
 	return selected
 }
 
+// IsShort reports whether pools are still short of VMs after the moves. Otherwise
+// SelectDrains selects none.
+func IsShort(pools []Pool, vms []VM, moves []Move) bool {
+	shortfall, _ := shortfallAndSurplus(pools, vms, moves)
+	return shortfall > 0
+}
+
 // shortfallAndSurplus returns the total number of VMs that pools are short of
 // after the moves, and by pool the number of VMs beyond the desired ones, not
 // counting movable VMs.
