--- a/internal/version/relocation/plan.go
+++ b/internal/version/relocation/plan.go
@@ -17,7 +17,7 @@
 	pools       map[string]*pool
 	workers     map[string]*worker
 	unavailable map[workload.StepID]int
-	homeless    int
+	unplaced    int
 }
 
 // pool holds the workers of a service.
@@ -54,7 +54,7 @@
 	}
 	for i := range s.Waiting {
 		if !p.Reserve(s.Waiting[i : i+1]) {
-			p.homeless++
+			p.unplaced++
 		}
 	}
 	return p
@@ -69,8 +69,8 @@
 	return known
 }
 
-// Homeless returns the number of waiting tasks for which there was no room.
-func (p *Plan) Homeless() int { return p.homeless }
+// Unplaced returns the number of waiting tasks for which there was no room.
+func (p *Plan) Unplaced() int { return p.unplaced }
 
 // IsReserved reports whether a task that has to leave another worker, or that waits,
 // has its place on the worker.
--- a/internal/version/relocation/plan_test.go
+++ b/internal/version/relocation/plan_test.go
@@ -58,7 +58,7 @@
 	eachFleet(t, func(t *testing.T, r *rand.Rand) {
 		s := randomSnapshot(r)
 		p := NewPlan(s)
-		homeless, moving := p.Homeless(), 0
+		unplaced, moving := p.Unplaced(), 0
 		for _, i := range r.Perm(len(s.Workers)) {
 			if p.Close(s.Workers[i].ID, Pressure(r.IntN(3))) == nil {
 				moving += len(s.Workers[i].Tasks)
@@ -69,7 +69,7 @@
 			placed += len(w.reserved)
 			checkRoom(t, w)
 		}
-		if wanted := moving + len(s.Waiting) - homeless; placed != wanted {
+		if wanted := moving + len(s.Waiting) - unplaced; placed != wanted {
 			t.Errorf("%d tasks have a place, expected %d", placed, wanted)
 		}
 	})
