--- a/internal/process/scheduler/wholepool_test.go
+++ b/internal/process/scheduler/wholepool_test.go
@@ -301,3 +301,20 @@
 		f.t.Fatal(err)
 	}
 }
+
+// TestWaveEndsByItsDeadlineBesideLaterOnes guards against a wave that is late because idle VMs of waves with later deadlines go first.
+func TestWaveEndsByItsDeadlineBesideLaterOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, waves, interval = 6, 8, 2 * time.Second
+		f := newFixture(t, time.Hour)
+		names, jobs := f.leadLabelledPool(vms)
+		defer f.depose()
+		away := newAbsences(f, twoOfEach(jobs))
+		for wave := range int64(waves) {
+			f.startWave(wave+1, names, vms, waves*interval)
+			away.watch(interval)
+		}
+		f.checkWavesEnded(1)
+		away.check()
+	})
+}
