relocation: a closed worker is marked once, and no count without a reader

Read-through of the change, behaviour as before. The count of unplaced tasks had no reader but a test, which counts places itself now; its checks are the same.

--- a/internal/version/relocation/plan.go
+++ b/internal/version/relocation/plan.go
@@ -17,7 +17,6 @@
 	pools       map[string]*pool
 	workers     map[string]*worker
 	unavailable map[workload.StepID]int
-	unplaced    int
 }
 
 // pool holds the workers of a service.
@@ -31,7 +30,8 @@
 // worker is a worker with the tasks that have a place on it.
 type worker struct {
 	Worker
-	pool   *pool
+	pool *pool
+	// closed is set if this plan closes the worker.
 	closed bool
 	// reserved lists the tasks that have a place here beside Worker.Tasks.
 	reserved []Task
@@ -53,9 +53,7 @@
 		p.workers[w.ID] = w
 	}
 	for i := range s.Waiting {
-		if !p.Reserve(s.Waiting[i : i+1]) {
-			p.unplaced++
-		}
+		p.Reserve(s.Waiting[i : i+1])
 	}
 	return p
 }
@@ -69,9 +67,6 @@
 	return known
 }
 
-// Unplaced returns the number of waiting tasks for which there was no room.
-func (p *Plan) Unplaced() int { return p.unplaced }
-
 // IsReserved reports whether a task that has to leave another worker, or that waits,
 // has its place on the worker.
 func (p *Plan) IsReserved(id string) bool {
@@ -104,9 +99,8 @@
 	if p.keepsFloor(w, Relaxed) != nil {
 		return false
 	}
-	wasOpen := w.Open
-	w.Open = false
-	defer func() { w.Open = wasOpen }()
+	w.closed = true
+	defer func() { w.closed = false }()
 	placed, ok := p.placeFrom(w, Relaxed)
 	undo(placed)
 	return ok
@@ -124,13 +118,12 @@
 	if err := p.keepsFloor(w, pressure); err != nil {
 		return err
 	}
-	wasOpen := w.Open
-	w.Open = false
+	w.closed = true
 	if _, ok := p.placeFrom(w, pressure); !ok {
-		w.Open = wasOpen
+		w.closed = false
 		return ErrNoRoom
 	}
-	w.markClosed(wasOpen)
+	w.countClosed()
 	return nil
 }
 
@@ -149,9 +142,8 @@
 	if !p.mayInterrupt(w) {
 		return ErrNoRoom
 	}
-	wasOpen := w.Open
-	w.Open = false
-	w.markClosed(wasOpen)
+	w.closed = true
+	w.countClosed()
 	return nil
 }
 
@@ -162,17 +154,20 @@
 	if w == nil || w.closed {
 		return
 	}
-	wasOpen := w.Open
-	w.Open = false
+	w.closed = true
 	p.placeFrom(w, Pressing)
-	w.markClosed(wasOpen)
+	w.countClosed()
 }
 
-func (w *worker) markClosed(wasOpen bool) {
-	w.closed = true
+// acceptsTasks reports whether tasks may get a place on the worker.
+func (w *worker) acceptsTasks() bool { return w.Open && !w.closed }
+
+// countClosed counts a worker that has been closed. The tasks that had a place there
+// have another one.
+func (w *worker) countClosed() {
 	w.reserved = nil
 	w.pool.closed++
-	if wasOpen {
+	if w.Open {
 		w.pool.open--
 	}
 }
@@ -221,6 +216,8 @@
 	return append(moved, placed...), true
 }
 
+// mayInterrupt reports whether the tasks on a worker may wait for the return of its VM,
+// see Interrupt.
 func (p *Plan) mayInterrupt(w *worker) bool {
 	if w.pool.closed > 0 || w.pool.Away > 0 || len(w.reserved) > 0 {
 		return false
@@ -271,7 +268,7 @@
 func (p *pool) best(t *Task, onPending bool) *worker {
 	var found *worker
 	for _, w := range p.workers {
-		if !w.Open || (w.DrainPending && !onPending) || !w.suits(t) {
+		if !w.acceptsTasks() || (w.DrainPending && !onPending) || !w.suits(t) {
 			continue
 		}
 		if found == nil || w.preferredTo(found) {
--- a/internal/version/relocation/plan_test.go
+++ b/internal/version/relocation/plan_test.go
@@ -58,27 +58,34 @@
 	eachFleet(t, func(t *testing.T, r *rand.Rand) {
 		s := randomSnapshot(r)
 		p := NewPlan(s)
-		unplaced, moving := p.Unplaced(), 0
+		waiting, moving := countPlaces(p), 0
 		for _, i := range r.Perm(len(s.Workers)) {
 			if p.Close(s.Workers[i].ID, Pressure(r.IntN(3))) == nil {
 				moving += len(s.Workers[i].Tasks)
 			}
 		}
-		placed := 0
 		for _, w := range p.workers {
-			placed += len(w.reserved)
 			checkRoom(t, w)
 		}
-		if wanted := moving + len(s.Waiting) - unplaced; placed != wanted {
+		if placed, wanted := countPlaces(p), moving+waiting; placed != wanted {
 			t.Errorf("%d tasks have a place, expected %d", placed, wanted)
 		}
 	})
 }
 
+// countPlaces returns the number of tasks that have a place.
+func countPlaces(p *Plan) int {
+	count := 0
+	for _, w := range p.workers {
+		count += len(w.reserved)
+	}
+	return count
+}
+
 // checkRoom reports tasks that have their place on a worker that can't execute them.
 func checkRoom(t *testing.T, w *worker) {
 	t.Helper()
-	if len(w.reserved) > 0 && !w.Open {
+	if len(w.reserved) > 0 && !w.acceptsTasks() {
 		t.Errorf("%s is closed and has %d tasks", w.ID, len(w.reserved))
 	}
 	if len(w.reserved) > 0 && !w.Room.Fits(workload.Resources{}) {
