rebalance: SelectDrains asks itself which VMs can be relocated

IsShort computed what SelectDrains computes again, so that a second pass could mark VMs before it. Now SelectDrains takes the question as a function and asks it of the VMs of pools with a surplus only: no plan is built unless one of them has long-running tasks. The selection is the same.

--- a/internal/version/rebalance/drain.go
+++ b/internal/version/rebalance/drain.go
@@ -9,8 +9,9 @@
 // still short of VMs after the planned moves. It handles a pool whose load has
 // fallen but is spread over all its VMs, so that none of them is idle. Surplus
 // VMs are selected, least loaded first, as long as the rest of the pool has
-// capacity for their tasks.
-func SelectDrains(pools []Pool, vms []VM, moves []Move) []string {
+// capacity for their tasks. Of those with long-running tasks, it selects VMs that
+// relocatable reports true for.
+func SelectDrains(pools []Pool, vms []VM, moves []Move, relocatable func(vm string) bool) []string {
 	shortfall, surplus := shortfallAndSurplus(pools, vms, moves)
 	var selected []string
 	for _, pool := range pools {
@@ -20,20 +21,13 @@
 		if surplus[pool.Name] <= 0 {
 			continue
 		}
-		from := selectFromPool(pool.Name, vms, min(shortfall, surplus[pool.Name]))
+		from := selectFromPool(pool.Name, vms, min(shortfall, surplus[pool.Name]), relocatable)
 		shortfall -= len(from)
 		selected = append(selected, from...)
 	}
 	return selected
 }
 
-// IsShort reports whether pools are still short of VMs after the moves. Otherwise
-// SelectDrains selects none.
-func IsShort(pools []Pool, vms []VM, moves []Move) bool {
-	shortfall, _ := shortfallAndSurplus(pools, vms, moves)
-	return shortfall > 0
-}
-
 // shortfallAndSurplus returns the total number of VMs that pools are short of
 // after the moves, and by pool the number of VMs beyond the desired ones, not
 // counting movable VMs.
@@ -64,7 +58,7 @@
 }
 
 // selectFromPool selects up to count VMs of a pool.
-func selectFromPool(pool string, vms []VM, count int) []string {
+func selectFromPool(pool string, vms []VM, count int, relocatable func(vm string) bool) []string {
 	var candidates []VM
 	free := 0.0
 	for _, vm := range vms {
@@ -72,7 +66,7 @@
 			continue
 		}
 		free += 1 - vm.Load
-		if vm.Drainable && !vm.Movable {
+		if vm.Drainable && !vm.Movable && (!vm.LongRunning || relocatable(vm.ID)) {
 			candidates = append(candidates, vm)
 		}
 	}
