--- a/internal/process/scheduler/evacuation.go
+++ b/internal/process/scheduler/evacuation.go
@@ -38,9 +38,8 @@
 	counts := map[workload.StepID]int{}
 	for i := range waiting {
 		for _, t := range e.tasksOn(&waiting[i]) {
-			key := t.id.StepID()
-			counts[key]++
-			rounds := (counts[key] + t.atOnce() - 1) / t.atOnce()
+			counts[t.Step]++
+			rounds := (counts[t.Step] + t.atOnce() - 1) / t.atOnce()
 			longest = max(longest, time.Duration(rounds)*evacuationTime)
 		}
 	}
@@ -55,12 +54,12 @@
 		return e.due && vm.rank == rankCordoned
 	}
 	for i := range tasks {
-		if e.admitted[tasks[i].id.StepID()] >= tasks[i].atOnce() {
+		if e.admitted[tasks[i].Step] >= tasks[i].atOnce() {
 			return false
 		}
 	}
 	for i := range tasks {
-		e.admitted[tasks[i].id.StepID()]++
+		e.admitted[tasks[i].Step]++
 	}
 	return true
 }
@@ -81,19 +80,18 @@
 		if r == nil || r.phase == runStopping || r.phase == runStopped || r.calling || t.isArriving(r, now) {
 			continue
 		}
-		key := t.id.StepID()
 		// The report may be older than the moment at which the task started
 		// work. Therefore the task itself does not count as unavailable,
 		// whatever the report shows.
-		others := u.unavailable[key]
+		others := u.unavailable[t.Step]
 		if !t.atWork {
 			others--
 		}
 		if t.Budget >= 0 && others >= t.Budget {
 			continue
 		}
-		u.unavailable[key] = others + 1
-		l.Log.Info("stopping long-running task, its VM is drained", "task", t.id.String(), "run", r.number, "worker", w.reg.ID, "unavailable", u.unavailable[key], "budget", t.Budget)
+		u.unavailable[t.Step] = others + 1
+		l.Log.Info("stopping long-running task, its VM is drained", "task", t.id.String(), "run", r.number, "worker", w.reg.ID, "unavailable", u.unavailable[t.Step], "budget", t.Budget)
 		l.sendStop(t.id, r, now)
 	}
 }
@@ -121,7 +119,6 @@
 	if w != nil {
 		load := u.load(w)
 		load.longRunning = append(load.longRunning, longRunningTask{Task: newRelocationTask(id, step, w.reg.Service), id: id, atWork: atWork})
-		u.longRunning++
 	}
 	if !atWork {
 		u.unavailable[id.StepID()]++
--- a/internal/process/scheduler/relocation.go
+++ b/internal/process/scheduler/relocation.go
@@ -54,7 +54,7 @@
 func (l *loop) relocationPools(v *workstate.View, u *usage, now time.Time) map[string]relocation.Pool {
 	pools := make(map[string]relocation.Pool, len(u.poolLoad))
 	for service, load := range u.poolLoad {
-		pools[service] = relocation.Pool{Load: load}
+		pools[service] = relocation.Pool{Load: float64(load)}
 	}
 	for _, e := range l.fleet.entries {
 		service := e.vm.Pool
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -5,6 +5,7 @@
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/health"
+	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -35,9 +36,7 @@
 	// the name of its service.
 	workerOn    map[string]*worker
 	utilization map[string]float64
-	poolLoad    map[string]float64
-	// longRunning counts the executing long-running tasks on known workers.
-	longRunning int
+	poolLoad    map[string]rebalance.Load
 	// colocations describes the best-effort and serving tasks on each worker.
 	colocations map[string]*colocation
 	// stragglers lists the runs with reported progress, which are checked for
@@ -136,14 +135,13 @@
 // recordPools records the worker of each VM and the utilization of each pool.
 func (l *loop) recordPools(u *usage) {
 	u.workerOn = l.workersByVM()
-	u.utilization, u.poolLoad = map[string]float64{}, map[string]float64{}
-	workers := map[string]int{}
+	u.utilization, u.poolLoad = map[string]float64{}, l.poolLoads(u)
+	workers := map[string]float64{}
 	for _, w := range l.workerList {
-		u.poolLoad[w.reg.Service] += float64(l.load(u.usedOn(w)))
 		workers[w.reg.Service]++
 	}
 	for pool, load := range u.poolLoad {
-		u.utilization[pool] = load / float64(workers[pool])
+		u.utilization[pool] = float64(load) / workers[pool]
 	}
 }
 
