--- a/internal/process/scheduler/cordon.go
+++ b/internal/process/scheduler/cordon.go
@@ -180,15 +180,26 @@
 		return errTaskArriving
 	}
 	err := plan.Close(id, c.pressure.relocationPressure())
-	if !errors.Is(err, relocation.ErrNoRoom) || !c.pressure.urgent || !l.mayOrderVM(now) || (interrupted && now.Sub(interruptedAt) < interruptPause) {
-		return err
+	if errors.Is(err, relocation.ErrNoRoom) && l.interrupt(plan, c, now) {
+		return nil
 	}
-	if plan.Interrupt(id) != nil {
-		return err
+	return err
+}
+
+// interrupt closes the worker of a VM whose long-running tasks have no other place, if
+// the wave is urgent and the maintenance can be ordered now. It reports whether it did.
+func (l *loop) interrupt(plan *relocation.Plan, c *cordonCandidate, now time.Time) bool {
+	vm := c.entry.vm.ID
+	last, interrupted := l.maintenance.interrupted[vm]
+	if !c.pressure.urgent || !l.mayOrderVM(now) || (interrupted && now.Sub(last) < interruptPause) {
+		return false
 	}
-	l.maintenance.interrupted[c.entry.vm.ID] = now
-	l.Log.Info("long-running tasks wait for the maintenance of their VM, there is no other room", "vm", c.entry.vm.ID, "worker", id, "tasks", c.longRunning)
-	return nil
+	if plan.Interrupt(c.worker.reg.ID) != nil {
+		return false
+	}
+	l.maintenance.interrupted[vm] = now
+	l.Log.Info("long-running tasks wait for the maintenance of their VM, there is no other room", "vm", vm, "worker", c.worker.reg.ID, "tasks", c.longRunning)
+	return true
 }
 
 // hasArrivingTask reports whether a long-running task on a worker has been started a
