scheduler: tests of whole pools share their set-up

Read-through: two tests of waves in series differed by one length, two files added the same labelled VMs, and a second copy of commit stood in a test file.

--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -52,12 +52,19 @@
 	return f
 }
 
-func (f *fixture) commit(c *workstate.Command) workstate.Result {
+// commitUnseen commits a command of which the loop is not told.
+func (f *fixture) commitUnseen(c *workstate.Command) workstate.Result {
 	f.t.Helper()
 	result, err := propose(context.Background(), f.replica, c, time.Now())
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	return result
+}
+
+func (f *fixture) commit(c *workstate.Command) workstate.Result {
+	f.t.Helper()
+	result := f.commitUnseen(c)
 	if f.loop != nil {
 		f.loop.post(func(l *loop) { l.dirty = true })
 	}
--- a/internal/process/scheduler/wholepool_test.go
+++ b/internal/process/scheduler/wholepool_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -102,12 +101,7 @@
 func (f *fixture) leadLabelledPool(count int) (vms, jobs []string) {
 	f.replaceWorkers(2 * time.Second)
 	for i := range count {
-		id := fmt.Sprint("w", i)
-		f.vms.vms["vm-"+id] = &execution.VM{ID: "vm-" + id, Pool: "svc", State: execution.VMUp, Worker: id}
-		w := f.workers.add(id, 8000)
-		w.labels = []string{fmt.Sprint("r", i)}
-		f.register(w, "vm-"+id, "svc")
-		vms = append(vms, "vm-"+id)
+		vms = append(vms, f.addLabelledVM(i))
 		jobs = append(jobs, fmt.Sprintf("%016x", i+1))
 	}
 	f.lead()
@@ -119,6 +113,17 @@
 	return vms, jobs
 }
 
+// addLabelledVM adds a VM of "svc" on a rack of its own and returns its id.
+func (f *fixture) addLabelledVM(number int) string {
+	id := fmt.Sprint("w", number)
+	vm := "vm-" + id
+	f.vms.vms[vm] = &execution.VM{ID: vm, Pool: "svc", State: execution.VMUp, Worker: id}
+	w := f.workers.add(id, 8000)
+	w.labels = []string{fmt.Sprint("r", number)}
+	f.register(w, vm, "svc")
+	return vm
+}
+
 // settled returns how many VMs of a wave have had their maintenance.
 func (f *fixture) settled(wave int64) int {
 	count := 0
@@ -257,21 +262,25 @@
 	})
 }
 
+// checkFirstOfWavesInSeries starts a wave of some length over a whole pool each 2 s, and
+// reports VMs without maintenance for the first of them after 16 s.
+func checkFirstOfWavesInSeries(t *testing.T, length time.Duration) {
+	const vms, waves, interval = 6, 8, 2 * time.Second
+	f := newFixture(t, time.Hour)
+	names, jobs := f.leadLabelledPool(vms)
+	defer f.depose()
+	away := newAbsences(f, twoOfEach(jobs))
+	for wave := range int64(waves) {
+		f.startWave(wave+1, names, vms, length)
+		away.watch(interval)
+	}
+	f.checkWavesEnded(1)
+	away.check()
+}
+
 // TestWavesInSeriesAllEnd guards against VMs that stay late for good: each that was down counted as one that brings room, though the next wave waited for it.
 func TestWavesInSeriesAllEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const vms, waves, interval = 6, 8, 2 * time.Second
-		f := newFixture(t, time.Hour)
-		names, jobs := f.leadLabelledPool(vms)
-		defer f.depose()
-		away := newAbsences(f, twoOfEach(jobs))
-		for wave := range int64(waves) {
-			f.startWave(wave+1, names, vms, interval)
-			away.watch(interval)
-		}
-		f.checkWavesEnded(1)
-		away.check()
-	})
+	synctest.Test(t, func(t *testing.T) { checkFirstOfWavesInSeries(t, 2*time.Second) })
 }
 
 // TestBusyVMOfAFormerOrderCountsAgainstTheCap guards against one VM too many that is down: a former leader's order was executed after the list was read, and the VM is busy.
@@ -285,7 +294,7 @@
 		f.vms.mu.Lock()
 		f.vms.vms["vm-w0"].State = execution.VMMaintenance
 		f.vms.mu.Unlock()
-		f.proposeUnseen(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w0", "vm-w1"}, Cap: 1, DeadlineMS: time.Now().Add(30 * time.Second).UnixMilli()}})
+		f.commitUnseen(&workstate.Command{Wave: &workstate.Wave{Number: 1, VMs: []string{"vm-w0", "vm-w1"}, Cap: 1, DeadlineMS: time.Now().Add(30 * time.Second).UnixMilli()}})
 		f.commit(&workstate.Command{Maintenance: &workstate.Maintenance{Wave: 1, VM: "vm-w0"}})
 		time.Sleep(500 * time.Millisecond)
 		if f.vms.maxDown > 0 {
@@ -294,27 +303,7 @@
 	})
 }
 
-// proposeUnseen commits a command of which the loop is not told.
-func (f *fixture) proposeUnseen(c *workstate.Command) {
-	f.t.Helper()
-	if _, err := propose(context.Background(), f.replica, c, time.Now()); err != nil {
-		f.t.Fatal(err)
-	}
-}
-
 // TestWaveEndsByItsDeadlineBesideLaterOnes guards against a wave that is late because idle VMs of waves with later deadlines go first.
 func TestWaveEndsByItsDeadlineBesideLaterOnes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const vms, waves, interval = 6, 8, 2 * time.Second
-		f := newFixture(t, time.Hour)
-		names, jobs := f.leadLabelledPool(vms)
-		defer f.depose()
-		away := newAbsences(f, twoOfEach(jobs))
-		for wave := range int64(waves) {
-			f.startWave(wave+1, names, vms, waves*interval)
-			away.watch(interval)
-		}
-		f.checkWavesEnded(1)
-		away.check()
-	})
+	synctest.Test(t, func(t *testing.T) { checkFirstOfWavesInSeries(t, 16*time.Second) })
 }
--- a/internal/process/scheduler/wholepoolschedules_test.go
+++ b/internal/process/scheduler/wholepoolschedules_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -46,12 +45,7 @@
 	s.workers.startup = time.Duration(s.random.IntN(2)) * 700 * time.Millisecond
 	s.replaceWorkers(2 * time.Second)
 	for i := range 2 + s.random.IntN(7) {
-		id := fmt.Sprint("w", i)
-		s.vms.vms["vm-"+id] = &execution.VM{ID: "vm-" + id, Pool: "svc", State: execution.VMUp, Worker: id}
-		w := s.workers.add(id, 8000)
-		w.labels = []string{fmt.Sprint("r", i)}
-		s.register(w, "vm-"+id, "svc")
-		s.names = append(s.names, "vm-"+id)
+		s.names = append(s.names, s.addLabelledVM(i))
 	}
 	s.workers.durationOf = func(id workload.TaskID, _ int) time.Duration {
 		if _, longRunning := s.budgets[id.Job]; longRunning {
