--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -36,8 +36,10 @@
 	vms := l.rebalanceVMs(u, now)
 	l.logPools(pools, vms, now)
 	moves := rebalance.Plan(pools, vms)
-	relocatable := func(vm string) bool { return l.relocationPlan(v, u, now).CanClose(u.workerOn[vm].reg.ID) }
-	l.drainForPools(rebalance.SelectDrains(pools, vms, moves, relocatable), v, u, now)
+	if rebalance.IsShort(pools, vms, moves) {
+		l.excludeUnrelocatable(vms, v, u, now)
+		l.drainForPools(rebalance.SelectDrains(pools, vms, moves), v, u, now)
+	}
 	for _, move := range moves {
 		e := l.fleet.entries[move.VM]
 		if !l.mayOrderVM(now) || e.refusedPools[move.To] {
@@ -168,6 +170,17 @@
 	return vms
 }
 
+// excludeUnrelocatable marks the VMs as not drainable whose long-running tasks have no
+// other place.
+func (l *loop) excludeUnrelocatable(vms []rebalance.VM, v *workstate.View, u *usage, now time.Time) {
+	for i := range vms {
+		vm := &vms[i]
+		if vm.Drainable && vm.LongRunning {
+			vm.Drainable = l.relocationPlan(v, u, now).CanClose(u.workerOn[vm.ID].reg.ID)
+		}
+	}
+}
+
 // unresponsiveZones returns the availability zones in which most workers are
 // unresponsive.
 func (l *loop) unresponsiveZones() map[string]bool {
--- a/internal/version/rebalance/drain.go
+++ b/internal/version/rebalance/drain.go
@@ -9,9 +9,8 @@
 // still short of VMs after the planned moves. It handles a pool whose load has
 // fallen but is spread over all its VMs, so that none of them is idle. Surplus
 // VMs are selected, least loaded first, as long as the rest of the pool has
-// capacity for their tasks. Of those with long-running tasks, it selects VMs that
-// relocatable reports true for.
-func SelectDrains(pools []Pool, vms []VM, moves []Move, relocatable func(vm string) bool) []string {
+// capacity for their tasks.
+func SelectDrains(pools []Pool, vms []VM, moves []Move) []string {
 	shortfall, surplus := shortfallAndSurplus(pools, vms, moves)
 	var selected []string
 	for _, pool := range pools {
@@ -21,13 +20,20 @@
 		if surplus[pool.Name] <= 0 {
 			continue
 		}
-		from := selectFromPool(pool.Name, vms, min(shortfall, surplus[pool.Name]), relocatable)
+		from := selectFromPool(pool.Name, vms, min(shortfall, surplus[pool.Name]))
 		shortfall -= len(from)
 		selected = append(selected, from...)
 	}
 	return selected
 }
 
+// IsShort reports whether pools are still short of VMs after the moves. Otherwise
+// SelectDrains selects none.
+func IsShort(pools []Pool, vms []VM, moves []Move) bool {
+	shortfall, _ := shortfallAndSurplus(pools, vms, moves)
+	return shortfall > 0
+}
+
 // shortfallAndSurplus returns the total number of VMs that pools are short of
 // after the moves, and by pool the number of VMs beyond the desired ones, not
 // counting movable VMs.
@@ -58,7 +64,7 @@
 }
 
 // selectFromPool selects up to count VMs of a pool.
-func selectFromPool(pool string, vms []VM, count int, relocatable func(vm string) bool) []string {
+func selectFromPool(pool string, vms []VM, count int) []string {
 	var candidates []VM
 	free := 0.0
 	for _, vm := range vms {
@@ -66,7 +72,7 @@
 			continue
 		}
 		free += 1 - vm.Load
-		if vm.Drainable && !vm.Movable && (!vm.LongRunning || relocatable(vm.ID)) {
+		if vm.Drainable && !vm.Movable {
 			candidates = append(candidates, vm)
 		}
 	}
--- a/internal/version/rebalance/rebalance.go
+++ b/internal/version/rebalance/rebalance.go
@@ -38,7 +38,7 @@
 	// Load is the share of the VM's capacity that is in use.
 	Load float64
 	// Drainable is set if the tasks on the VM end soon or can continue on
-	// another VM, long-running ones aside.
+	// another VM.
 	Drainable bool
 	// LongRunning is set if the VM executes long-running tasks, which have to
 	// be moved off it one after the other.
