--- a/cmd/arbutus-control/hosted.go
+++ b/cmd/arbutus-control/hosted.go
@@ -10,8 +10,11 @@
 	"arbutusward.example/arbutusward/platform"
 )
 
-// directWorkersFlag is the name of the flag for hosted.Tuning.DirectWorkers.
-const directWorkersFlag = "direct-workers"
+// Names of the flags for hosted.Tuning.
+const (
+	directWorkersFlag = "direct-workers"
+	profilesFlag      = "profiles"
+)
 
 // hostedFlags are the flags on the hosting platform.
 var hostedFlags = []cli.Flag{
@@ -19,6 +22,7 @@
 		Name: directWorkersFlag, Value: hosted.DefaultDirectWorkers,
 		Usage: "size of the largest fleet whose workers the leader calls itself; those of a larger one are called by the other control processes",
 	},
+	&cli.BoolFlag{Name: profilesFlag, Usage: "serve profiles of the processor time at /debug/pprof/profile on the metrics address, which has no access control"},
 }
 
 // hostedControl returns the control process for the hosting platform, with the
@@ -32,7 +36,7 @@
 		Identity: lifecycle.Identity{Program: "arbutus-control", ID: settings.VM, Zone: settings.Zone},
 		MemoryMB: settings.MemoryMB,
 		Options: fx.Options(
-			fx.Supply(settings, hosted.Tuning{DirectWorkers: c.Int(directWorkersFlag)}),
+			fx.Supply(settings, hosted.Tuning{DirectWorkers: c.Int(directWorkersFlag), Profiles: c.Bool(profilesFlag)}),
 			fx.Provide(hosted.NewMembership, hosted.NewControlNode, workstate.NewMachine, hosted.NewReplica, hosted.NewControl),
 			fx.Invoke(func(lc fx.Lifecycle, control *hosted.Control) { lifecycle.Attach(lc, control) }),
 		),
--- a/internal/process/hosted/common.go
+++ b/internal/process/hosted/common.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"slices"
@@ -69,9 +70,13 @@
 	return link.Listen(s.LinkAddress, ring, recorder, log)
 }
 
-// metricsHandler serves the process's metrics in the Prometheus text format.
-func metricsHandler() http.Handler {
+// metricsHandler serves the process's metrics in the Prometheus text format and, if
+// profiles is set, profiles of its processor time.
+func metricsHandler(profiles bool) http.Handler {
 	mux := http.NewServeMux()
+	if profiles {
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	return mux
 }
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -123,12 +123,16 @@
 	// DirectWorkers is the size of the largest fleet whose workers the leader
 	// calls itself. Those of a larger one are called by delegates.
 	DirectWorkers int
+	// Profiles makes the metrics address serve profiles of the processor time, for
+	// as many seconds as a request asks for.
+	Profiles bool
 }
 
 // Control is a control process: it keeps the replicated state and, while it
 // leads, schedules jobs.
 type Control struct {
 	settings  *platform.Settings
+	tuning    Tuning
 	member    Membership
 	node      *link.Node
 	replica   replica.Replica
@@ -167,7 +171,7 @@
 	sched := scheduler.New(options, s.ControlAddress, node)
 	client := workcall.NewClient(node, s.SeedLinks, log)
 	client.ServeLocally(s.LinkAddress, sched.Server())
-	return &Control{settings: s, member: m, node: node, replica: r, scheduler: sched, client: client, log: log, ctx: ctx, cancel: cancel}
+	return &Control{settings: s, tuning: tuning, member: m, node: node, replica: r, scheduler: sched, client: client, log: log, ctx: ctx, cancel: cancel}
 }
 
 // Start starts the control process.
@@ -180,7 +184,7 @@
 	go c.keepMembership(ctx)
 	return errors.Join(
 		c.servers.listen(c.settings.ControlAddress, platform.NewControlAPI(c.client, c.log)),
-		c.servers.listen(c.settings.MetricsAddress, metricsHandler()),
+		c.servers.listen(c.settings.MetricsAddress, metricsHandler(c.tuning.Profiles)),
 	)
 }
 
--- a/internal/process/hosted/entry.go
+++ b/internal/process/hosted/entry.go
@@ -72,7 +72,7 @@
 	return errors.Join(
 		e.servers.listen(e.settings.ClientAddress, e.api),
 		e.servers.listen(e.settings.ReadyAddress, ready),
-		e.servers.listen(e.settings.MetricsAddress, metricsHandler()),
+		e.servers.listen(e.settings.MetricsAddress, metricsHandler(false)),
 	)
 }
 
