batcher: the batches of items to one peer have a package of their own

Change: moved out of package delegate, exported; no logic changed. Result: go test ./internal/connection/delegate ./internal/connection/batcher passes. Conclusion: one piece for both.

--- a/internal/connection/delegate/batcher.go
+++ b/internal/connection/batcher/batcher.go
@@ -1,4 +1,6 @@
-package delegate
+// Package batcher groups the items that one process sends to another into messages, so
+// that the number of messages is bounded by time and not by the number of items.
+package batcher
 
 import (
 	"context"
@@ -6,6 +8,7 @@
 	"time"
 )
 
+// Timing and limits of the messages to one peer.
 const (
 	// promptDelay is how long the first prompt item of a batch waits for others,
 	// patientDelay the same for a batch of patient ones.
@@ -23,19 +26,19 @@
 	sendTimeout = 500 * time.Millisecond
 )
 
-// urgency tells how long an item may wait for others.
-type urgency bool
+// Urgency tells how long an item may wait for others.
+type Urgency bool
 
 const (
-	// patient items are of no use a few milliseconds earlier.
-	patient urgency = false
-	// prompt items hold up a run or a decision.
-	prompt urgency = true
+	// Patient items are of no use a few milliseconds earlier.
+	Patient Urgency = false
+	// Prompt items hold up a run, a caller or a decision.
+	Prompt Urgency = true
 )
 
-// batcher sends items to one peer in batches, one message at a time. Patient
+// Batcher sends items to one peer in batches, one message at a time. Patient
 // items leave with the next prompt one.
-type batcher[T any] struct {
+type Batcher[T any] struct {
 	send func(context.Context, []T)
 	// queuedAny and queuedPrompt are signalled when an item and a prompt item
 	// was queued.
@@ -45,16 +48,16 @@
 	queued []T
 }
 
-// newBatcher starts a batcher that runs until the context ends. The function
+// New starts a Batcher that runs until the context ends. The function
 // send owns the slice that it gets.
-func newBatcher[T any](ctx context.Context, send func(context.Context, []T)) *batcher[T] {
-	b := &batcher[T]{send: send, queuedAny: make(chan struct{}, 1), queuedPrompt: make(chan struct{}, 1)}
+func New[T any](ctx context.Context, send func(context.Context, []T)) *Batcher[T] {
+	b := &Batcher[T]{send: send, queuedAny: make(chan struct{}, 1), queuedPrompt: make(chan struct{}, 1)}
 	go b.run(ctx)
 	return b
 }
 
-// add queues an item. It returns false if too many wait.
-func (b *batcher[T]) add(item T, u urgency) bool {
+// Add queues an item. It returns false if too many wait.
+func (b *Batcher[T]) Add(item T, u Urgency) bool {
 	b.mu.Lock()
 	full := len(b.queued) >= maxQueued
 	if !full {
@@ -62,7 +65,7 @@
 	}
 	b.mu.Unlock()
 	signal(b.queuedAny)
-	if u == prompt {
+	if u == Prompt {
 		signal(b.queuedPrompt)
 	}
 	return !full
@@ -76,7 +79,7 @@
 	}
 }
 
-func (b *batcher[T]) run(ctx context.Context) {
+func (b *Batcher[T]) run(ctx context.Context) {
 	// next is when the next batch may leave.
 	var next time.Time
 	for {
@@ -92,7 +95,7 @@
 }
 
 // awaitOthers waits while a batch is filled that leaves no earlier than the given time.
-func (b *batcher[T]) awaitOthers(ctx context.Context, next time.Time) {
+func (b *Batcher[T]) awaitOthers(ctx context.Context, next time.Time) {
 	select {
 	case <-b.queuedPrompt:
 		time.Sleep(max(promptDelay, time.Until(next)))
@@ -102,7 +105,7 @@
 }
 
 // sendQueued sends the queued items. What is queued meanwhile waits for the next call.
-func (b *batcher[T]) sendQueued(ctx context.Context) {
+func (b *Batcher[T]) sendQueued(ctx context.Context) {
 	for {
 		batch := b.take()
 		if len(batch) > 0 {
@@ -114,14 +117,14 @@
 	}
 }
 
-func (b *batcher[T]) sendBatch(ctx context.Context, batch []T) {
+func (b *Batcher[T]) sendBatch(ctx context.Context, batch []T) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	b.send(ctx, batch)
 }
 
 // take removes and returns the items of the next message.
-func (b *batcher[T]) take() []T {
+func (b *Batcher[T]) take() []T {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.queued) <= maxBatch {
--- a/internal/connection/delegate/peers.go
+++ b/internal/connection/delegate/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/batcher"
 	"arbutusward.example/arbutusward/internal/connection/link"
 )
 
@@ -13,6 +14,8 @@
 	// unsupportedTime the same for a process of a version without delegates.
 	suspectTime     = 2 * time.Second
 	unsupportedTime = time.Minute
+	// sendTimeout is the time that a call without a deadline of its own has.
+	sendTimeout = 500 * time.Millisecond
 	// answerMargin is the time left for the answer of a call that fails at the
 	// delegate, so that its cause reaches the leader.
 	answerMargin = 30 * time.Millisecond
@@ -23,7 +26,7 @@
 
 // peer is what is known about one delegate.
 type peer struct {
-	calls *batcher[queuedCall]
+	calls *batcher.Batcher[queuedCall]
 	// heardAt is when its last answers or acknowledgements arrived. It gets no
 	// calls before suspectUntil.
 	heardAt, suspectUntil time.Time
@@ -52,7 +55,7 @@
 	p := w.peers[address]
 	if p == nil {
 		p = &peer{}
-		p.calls = newBatcher(w.ctx, func(ctx context.Context, calls []queuedCall) { w.sendCalls(ctx, address, calls) })
+		p.calls = batcher.New(w.ctx, func(ctx context.Context, calls []queuedCall) { w.sendCalls(ctx, address, calls) })
 		w.peers[address] = p
 	}
 	return p
--- a/internal/connection/delegate/server.go
+++ b/internal/connection/delegate/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"arbutusward.example/arbutusward/internal/connection/batcher"
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/link"
 )
@@ -38,13 +39,13 @@
 
 	mu      sync.Mutex
 	senders map[uint64]*freshness
-	replies map[string]*batcher[answer]
+	replies map[string]*batcher.Batcher[answer]
 }
 
 // Serve makes this process a delegate until the context ends. Its link address
 // is self, and it calls workers through workers.
 func Serve(ctx context.Context, node *link.Node, self string, workers execution.Workers, log *slog.Logger) *Server {
-	s := &Server{ctx: ctx, node: node, self: self, workers: workers, log: log, senders: map[uint64]*freshness{}, replies: map[string]*batcher[answer]{}}
+	s := &Server{ctx: ctx, node: node, self: self, workers: workers, log: log, senders: map[uint64]*freshness{}, replies: map[string]*batcher.Batcher[answer]{}}
 	link.Handle(node, callsKind, s.handleCalls)
 	return s
 }
@@ -53,7 +54,7 @@
 func (s *Server) handleCalls(_ context.Context, peer link.Peer, batch callBatch) (struct{}, error) {
 	fresh := s.isFresh(batch.Session, batch.SentMS, clockMS())
 	reply := s.replyTo(batch.ReplyTo)
-	reply.add(acknowledgement(), patient)
+	reply.Add(acknowledgement(), batcher.Patient)
 	if !fresh {
 		staleBatches.Inc()
 		s.log.Warn("delegated calls arrived late and were not made", "leader", batch.ReplyTo, "peer", peer.ID, "calls", len(batch.Calls))
@@ -67,7 +68,7 @@
 			if fresh {
 				s.open.Add(-1)
 			}
-			reply.add(failedAnswer(c.Number, execution.ErrNoAnswer), prompt)
+			reply.Add(failedAnswer(c.Number, execution.ErrNoAnswer), batcher.Prompt)
 		default:
 			go s.serve(c, reply)
 		}
@@ -96,12 +97,12 @@
 }
 
 // replyTo returns the batcher of the answers to a leader.
-func (s *Server) replyTo(leader string) *batcher[answer] {
+func (s *Server) replyTo(leader string) *batcher.Batcher[answer] {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.replies[leader]
 	if b == nil {
-		b = newBatcher(s.ctx, func(ctx context.Context, answers []answer) {
+		b = batcher.New(s.ctx, func(ctx context.Context, answers []answer) {
 			err := link.Send(ctx, s.node, leader, answersKind, answerBatch{From: s.self, Answers: answers})
 			if err != nil && s.ctx.Err() == nil {
 				s.log.Warn("answers of delegated calls not sent", "leader", leader, "answers", len(answers), "error", err.Error())
@@ -113,7 +114,7 @@
 }
 
 // serve makes one call and queues its answer.
-func (s *Server) serve(c *call, reply *batcher[answer]) {
+func (s *Server) serve(c *call, reply *batcher.Batcher[answer]) {
 	defer s.open.Add(-1)
 	delegatedCalls.Inc()
 	ctx, cancel := context.WithTimeout(s.ctx, time.Duration(c.TimeoutMS)*time.Millisecond)
@@ -123,7 +124,7 @@
 		a = failedAnswer(c.Number, err)
 	}
 	a.Number = c.Number
-	reply.add(a, a.urgency(c.Watch != nil && c.Watch.WaitMS == 0))
+	reply.Add(a, a.urgency(c.Watch != nil && c.Watch.WaitMS == 0))
 }
 
 // make calls the worker.
--- a/internal/connection/delegate/wire.go
+++ b/internal/connection/delegate/wire.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"arbutusward.example/arbutusward/internal/connection/batcher"
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -44,8 +45,8 @@
 
 // urgency returns how long the call may wait for others. A watch that only
 // extends a lease and waits for the next end is patient.
-func (c *call) urgency() urgency {
-	return urgency(c.Watch == nil || c.Watch.Prompt)
+func (c *call) urgency() batcher.Urgency {
+	return batcher.Urgency(c.Watch == nil || c.Watch.Prompt)
 }
 
 type stopOrder struct {
@@ -87,14 +88,14 @@
 // capacity, refusals and failures call for a decision, and a first report is
 // awaited by a new leader. An accepted order and a report without news call for
 // nothing.
-func (a *answer) urgency(firstReport bool) urgency {
+func (a *answer) urgency(firstReport bool) batcher.Urgency {
 	switch {
 	case a.Failure != 0 || firstReport:
-		return prompt
+		return batcher.Prompt
 	case a.Order != nil:
-		return urgency(a.Order.Refusal != execution.Accepted)
+		return batcher.Urgency(a.Order.Refusal != execution.Accepted)
 	default:
-		return urgency(len(a.Report.Ended) > 0 || a.Report.Refusal != execution.Accepted)
+		return batcher.Urgency(len(a.Report.Ended) > 0 || a.Report.Refusal != execution.Accepted)
 	}
 }
 
--- a/internal/connection/delegate/workers.go
+++ b/internal/connection/delegate/workers.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/batcher"
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -130,7 +131,7 @@
 	w.mu.Unlock()
 	w.options.Direct.Forget(address)
 	if p != nil {
-		p.calls.add(queuedCall{call: call{Worker: execution.WorkerAddress{Address: address}, Forget: true}, deadline: time.Now().Add(sendTimeout)}, patient)
+		p.calls.Add(queuedCall{call: call{Worker: execution.WorkerAddress{Address: address}, Forget: true}, deadline: time.Now().Add(sendTimeout)}, batcher.Patient)
 	}
 }
 
@@ -206,7 +207,7 @@
 	w.pending.add(c.Number, p)
 	queue := w.peerAt(p.delegate).calls
 	w.mu.Unlock()
-	if !queue.add(queuedCall{call: c, deadline: deadline}, c.urgency()) {
+	if !queue.Add(queuedCall{call: c, deadline: deadline}, c.urgency()) {
 		w.take(c.Number)
 		return 0, fmt.Errorf("%w: %w", execution.ErrNoAnswer, errQueueFull)
 	}
