link: calls to a busy peer share messages (CallBatched)

Change: CallBatched queues the calls of some milliseconds into one message without an answer, and so the peer their answers; a new application protocol tells whether the peer knows it, else the call is made as before. Nobody uses it yet. Conclusion: relays of the entries' calls come next.

--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -102,8 +102,14 @@
 // peer returned an error, Call returns a *Fault. After an error that wraps
 // ErrNoAnswer the peer may have executed the call.
 func Call[Req, Resp any](ctx context.Context, n *Node, address string, kind Kind, req Req) (Resp, error) {
-	var resp Resp
 	body, err := n.call(ctx, address, kind, req)
+	return decodeAnswer[Resp](body, err, kind, address)
+}
+
+// decodeAnswer returns the answer to a call, or the error of the call with its kind
+// and peer.
+func decodeAnswer[Resp any](body []byte, err error, kind Kind, address string) (Resp, error) {
+	var resp Resp
 	if err != nil {
 		return resp, logging.Wrap(err, string(kind), address)
 	}
--- a/internal/connection/link/node.go
+++ b/internal/connection/link/node.go
@@ -34,10 +34,11 @@
 const (
 	// The application protocols (ALPN) in the TLS handshake, the earliest version
 	// first: with calls only, with messages without an answer on a stream each,
-	// and with such messages on a shared stream.
+	// with such messages on a shared stream, and with batched calls.
 	callProtocol    = "arbutusward/1"
 	messageProtocol = "arbutusward/2"
 	sharedProtocol  = "arbutusward/3"
+	batchedProtocol = "arbutusward/4"
 	// maxStreams bounds the concurrent calls on one connection, and likewise
 	// the messages without an answer.
 	maxStreams = 4096
@@ -69,11 +70,13 @@
 	// connections holds one outgoing connection per address.
 	connections map[string]*outgoingConn
 	closed      bool
+
+	batched *batchedCalls
 }
 
 // protocols lists the application protocols of this version, the preferred one
 // first.
-var protocols = []string{sharedProtocol, messageProtocol, callProtocol}
+var protocols = []string{batchedProtocol, sharedProtocol, messageProtocol, callProtocol}
 
 // outgoingConn is a cached connection, or a dial in progress. The other fields
 // are valid once ready is closed.
@@ -84,7 +87,7 @@
 	protocol string
 	err      error
 	// messages carries the messages without an answer to a peer of
-	// sharedProtocol.
+	// sharedProtocol or later.
 	messages messageStream
 }
 
@@ -105,7 +108,7 @@
 	if err != nil {
 		return nil, logging.Wrap(errors.Join(err, socket.Close()), "listen for links", address)
 	}
-	return &Node{
+	n := &Node{
 		transport:   transport,
 		listener:    listener,
 		ring:        ring,
@@ -113,7 +116,15 @@
 		log:         log,
 		handlers:    map[Kind]Handler{},
 		connections: map[string]*outgoingConn{},
-	}, nil
+	}
+	n.batched = newBatchedCalls(n)
+	return n, nil
+}
+
+// sharesStream reports whether the messages without an answer share a stream in an
+// application protocol.
+func sharesStream(protocol string) bool {
+	return protocol == sharedProtocol || protocol == batchedProtocol
 }
 
 func quicConfig() *quic.Config {
@@ -138,6 +149,7 @@
 	n.mu.Lock()
 	n.closed = true
 	n.mu.Unlock()
+	n.batched.close()
 	listenerErr := n.listener.Close()
 	transportErr := n.transport.Close()
 	return errors.Join(listenerErr, transportErr, n.transport.Conn.Close())
--- a/internal/connection/link/send.go
+++ b/internal/connection/link/send.go
@@ -76,7 +76,7 @@
 // answer, until the connection ends.
 func (n *Node) acceptMessages(connection *quic.Conn, peer Peer) {
 	receive := n.receiveFrames
-	if connection.ConnectionState().TLS.NegotiatedProtocol != sharedProtocol {
+	if !sharesStream(connection.ConnectionState().TLS.NegotiatedProtocol) {
 		receive = n.receiveMessage
 	}
 	for {
--- a/internal/connection/link/send_test.go
+++ b/internal/connection/link/send_test.go
@@ -200,7 +200,7 @@
 
 // TestMessagesReachAPeerOfTheEarlierProtocol guards against members that stop hearing each other while a new version is rolled out.
 func TestMessagesReachAPeerOfTheEarlierProtocol(t *testing.T) {
-	for _, protocol := range []string{callProtocol, messageProtocol} {
+	for _, protocol := range []string{callProtocol, messageProtocol, sharedProtocol} {
 		t.Run(protocol, func(t *testing.T) { testEarlierProtocol(t, protocol) })
 	}
 }
@@ -212,15 +212,7 @@
 		received <- n
 		return struct{}{}, nil
 	})
-	if err := to.listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	listener, err := to.transport.Listen(to.ring.MutualTLS(protocol), quicConfig())
-	if err != nil {
-		t.Fatal(err)
-	}
-	to.listener = listener
-	to.Serve()
+	serveProtocol(t, to, protocol)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	before := messagesSent.Get()
@@ -239,3 +231,17 @@
 		t.Error("the message did not arrive")
 	}
 }
+
+// serveProtocol makes a node serve like one of an earlier version.
+func serveProtocol(t *testing.T, n *Node, protocol string) {
+	t.Helper()
+	if err := n.listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := n.transport.Listen(n.ring.MutualTLS(protocol), quicConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.listener = listener
+	n.Serve()
+}
