workcall: entries of a large fleet call the leader through other control processes

Cause: 147 entries call the leader on a connection each, 1,000 to 2,100 calls a second in a turn, while five control processes that could take them idle. A third of the leader's core goes to QUIC and calls served. An entry chooses one that hears the leader, of its own zone if there is one, and calls the leader itself while none answers. A relay passes calls on with CallBatched and tells whether a call without an answer may have taken effect. Heartbeats and deregistrations that followers pass on share the same messages. Why it works: what a call costs the leader is a place in a message; what entries ask to find the leader is answered by those that hear it.

--- a/internal/connection/workcall/call.go
+++ b/internal/connection/workcall/call.go
@@ -40,20 +40,21 @@
 	failure := ErrUnavailable
 	refuseAt := c.refusalTime(kind)
 	for {
-		address := c.Leader()
-		if address != "" {
-			answer, err := attempt(ctx, c, address, kind, serve, request, refuseAt)
+		leader := c.Leader()
+		if leader != "" {
+			to := c.contactFor(kind, leader)
+			answer, err := attempt(ctx, c, to, kind, serve, request, refuseAt)
 			if err == nil {
-				c.recordAnswer(address)
+				c.recordAnswer(to.address)
 				return answer, nil
 			}
 			if mayHaveTakenEffect(err) {
 				failure = ErrUnknown
 			}
-			c.handleFailure(address, err)
+			c.handleFailure(to, err)
 		}
 		if !pause(ctx, retryInterval) || failure == ErrUnavailable && !refuseAt.IsZero() && !time.Now().Before(refuseAt) {
-			return none, logging.Wrap(failure, string(kind), address)
+			return none, logging.Wrap(failure, string(kind), leader)
 		}
 	}
 }
@@ -68,52 +69,75 @@
 	}
 }
 
-func attempt[Req, Resp any](ctx context.Context, c *Client, address string, kind link.Kind, serve method[Req, Resp], request Req, refuseAt time.Time) (Resp, error) {
+func attempt[Req, Resp any](ctx context.Context, c *Client, to contact, kind link.Kind, serve method[Req, Resp], request Req, refuseAt time.Time) (Resp, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	if c.local != nil && address == c.self {
+	if c.local != nil && to.address == c.self {
 		return serve(c.local, ctx, request)
 	}
 	if kind == submitKind {
-		if err := c.confirmLeader(ctx, address, refuseAt); err != nil {
+		if err := c.confirmContact(ctx, to, refuseAt); err != nil {
 			var none Resp
 			return none, err
 		}
 	}
-	return link.Call[Req, Resp](ctx, c.node, address, kind, request)
+	switch {
+	case to.relay:
+		return link.Call[Req, Resp](ctx, c.node, to.address, relayKinds[kind], request)
+	case c.local != nil && batchedKinds[kind]:
+		return link.CallBatched[Req, Resp](ctx, c.node, to.address, kind, request)
+	}
+	return link.Call[Req, Resp](ctx, c.node, to.address, kind, request)
 }
 
-// confirmLeader makes sure, by the given time, that the leader at an address
-// answers before it is sent a call whose loss leaves the caller without a
-// definite answer. A leader that answered a moment ago is not asked.
-func (c *Client) confirmLeader(ctx context.Context, address string, by time.Time) error {
-	if c.sinceAnswer(address) < confirmedAge {
+// confirmContact makes sure, by the given time, that the leader or relay answers
+// before it is sent a call whose loss leaves the caller without a definite answer. One
+// that answered a moment ago is not asked, nor is a leader that this member of the log
+// has just heard.
+func (c *Client) confirmContact(ctx context.Context, to contact, by time.Time) error {
+	if c.sinceAnswer(to.address) < confirmedAge || c.hearsLeader(to.address) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(helloTimeout, max(time.Until(by), confirmedAge)))
 	defer cancel()
-	answer, err := c.hello(ctx, address)
+	answer, err := c.hello(ctx, to.address)
 	if err != nil {
 		// The cause is quoted only: the call itself was not sent.
 		return fmt.Errorf("%w: %v", errNotSent, err)
 	}
-	c.applyHello(address, &answer)
-	if c.Leader() != address {
-		return &link.Fault{Code: link.CodeNotLeader, Message: "the peer does not lead", Leader: c.Leader()}
+	c.applyHello(to.address, &answer)
+	if leader := c.Leader(); leader == "" || c.contact(leader) != to {
+		return &link.Fault{Code: link.CodeNotLeader, Message: "the peer does not lead", Leader: leader}
 	}
 	return nil
 }
 
-// handleFailure updates the known leader after a failed call.
-func (c *Client) handleFailure(address string, err error) {
+// hearsLeader reports whether this process is a member of the log that has just heard
+// the leader at an address.
+func (c *Client) hearsLeader(address string) bool {
+	if c.local == nil {
+		return false
+	}
+	known := c.local.Hello()
+	return known.Leader == address && known.LeaderSilenceMS <= recentContact.Milliseconds()
+}
+
+// handleFailure updates the known leader and the relay after a failed call.
+func (c *Client) handleFailure(to contact, err error) {
 	var fault *link.Fault
+	isFault := errors.As(err, &fault)
 	switch {
-	case errors.As(err, &fault) && fault.Code == link.CodeNotLeader && fault.Leader != address:
+	case isFault && fault.Code == link.CodeNotLeader && fault.Leader != to.address:
 		c.setLeader(fault.Leader)
-	case errors.As(err, &fault) && fault.Code == CodeUnknown:
+	case isFault && fault.Code == CodeUnknown:
 		// The leader is alive; only the result of this call is unknown.
+	case to.relay && isFault && fault.Code == CodeUnavailable:
+		c.dropRelay(to.address, err)
+		c.dropLeader(c.Leader(), err)
+	case to.relay:
+		c.dropRelay(to.address, err)
 	default:
-		c.dropLeader(address, err)
+		c.dropLeader(to.address, err)
 	}
 }
 
@@ -121,7 +145,7 @@
 func mayHaveTakenEffect(err error) bool {
 	var fault *link.Fault
 	if errors.As(err, &fault) {
-		return fault.Code != link.CodeNotLeader && fault.Code != CodeUnavailable
+		return fault.Code != link.CodeNotLeader && fault.Code != CodeUnavailable && fault.Code != link.CodeUnknownKind
 	}
 	return errors.Is(err, link.ErrNoAnswer)
 }
--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -41,6 +41,9 @@
 	// entry sooner than this one finds a leader.
 	maxLeaderWaitCutOff = 150 * time.Millisecond
 	cutOffAge           = 1500 * time.Millisecond
+	// recentContact is the age of a control process's last contact to the leader
+	// within which it passes submissions on without a hello call first.
+	recentContact = 150 * time.Millisecond
 	// MaxLeaderSilence is the time without contact to the leader after which a
 	// member's answer to a hello call names no leader. It is several heartbeats
 	// of the replicated log.
@@ -58,9 +61,12 @@
 	// responses.
 	seeds, members []string
 	leader         string
-	// answeredBy is the address of the leader that answered last, at answeredAt.
+	// answeredBy is the address of the leader or relay that answered last, at
+	// answeredAt.
 	answeredBy string
 	answeredAt time.Time
+	// relays is nil unless the client may use them.
+	relays *relayChoice
 
 	catalogVersion atomic.Int64
 
@@ -104,12 +110,12 @@
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := checkInterval
-		switch leader := c.Leader(); {
-		case leader == "":
+		if leader := c.Leader(); leader == "" {
 			c.findLeader(ctx)
 			pause = retryInterval
-		case c.sinceAnswer(leader) > quietAge:
-			c.checkLeader(ctx, leader)
+		} else {
+			c.chooseRelayIfDue(ctx)
+			c.checkContact(ctx, c.contact(leader))
 		}
 		select {
 		case <-time.After(pause):
@@ -125,8 +131,8 @@
 	return c.leader
 }
 
-// SinceLeaderContact returns the time since a leader last answered a call, or
-// an hour if none has answered yet.
+// SinceLeaderContact returns the time since a leader, or a relay in contact with it,
+// last answered a call, or an hour if none has answered yet.
 func (c *Client) SinceLeaderContact() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -136,22 +142,22 @@
 	return time.Since(c.answeredAt)
 }
 
-// sinceAnswer returns the time since the leader at an address last answered a
-// call, or an hour if another leader has answered since.
-func (c *Client) sinceAnswer(leader string) time.Duration {
+// sinceAnswer returns the time since the leader or relay at an address last answered
+// a call, or an hour if another one has answered since.
+func (c *Client) sinceAnswer(address string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.answeredBy != leader {
+	if c.answeredBy != address {
 		return time.Hour
 	}
 	return time.Since(c.answeredAt)
 }
 
-// recordAnswer records that the leader at an address has answered a call.
-func (c *Client) recordAnswer(leader string) {
+// recordAnswer records that the leader or relay at an address has answered a call.
+func (c *Client) recordAnswer(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answeredBy, c.answeredAt = leader, time.Now()
+	c.answeredBy, c.answeredAt = address, time.Now()
 }
 
 // CatalogVersion returns the newest version of the catalog that a leader has
--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -15,6 +15,11 @@
 // member is a control process that answers hello calls and takes submissions.
 type member struct {
 	node *link.Node
+	// isRelay is set if it passes calls on to the leader, zone is its zone.
+	isRelay bool
+	zone    string
+	// candidates are the relays that it names.
+	candidates atomic.Pointer[[]string]
 	// leader is the address that it names, silence the age of its contact.
 	leader  atomic.Pointer[string]
 	silence atomic.Int64
@@ -31,13 +36,7 @@
 	m := &member{node: linktest.Start(t, "test")}
 	address := m.node.Address()
 	m.leader.Store(&address)
-	link.Handle(m.node, HelloKind, func(ctx context.Context, _ link.Peer, _ HelloRequest) (HelloResponse, error) {
-		if m.frozen.Load() {
-			<-ctx.Done()
-		}
-		m.hellos.Add(1)
-		return HelloResponse{Leader: *m.leader.Load(), LeaderSilenceMS: m.silence.Load(), CatalogVersion: 1}, nil
-	})
+	m.serveHello()
 	link.Handle(m.node, submitKind, func(ctx context.Context, _ link.Peer, _ SubmitRequest) (SubmitResponse, error) {
 		m.taken.Add(1)
 		if m.frozen.Load() || m.losing.Load() {
@@ -50,6 +49,26 @@
 	return m
 }
 
+// serveHello makes the member answer hello calls.
+func (m *member) serveHello() {
+	link.Handle(m.node, HelloKind, func(ctx context.Context, _ link.Peer, _ HelloRequest) (HelloResponse, error) {
+		if m.frozen.Load() {
+			<-ctx.Done()
+		}
+		m.hellos.Add(1)
+		return m.answerHello(), nil
+	})
+}
+
+func (m *member) answerHello() HelloResponse {
+	answer := HelloResponse{Leader: *m.leader.Load(), LeaderSilenceMS: m.silence.Load(), CatalogVersion: 1, IsRelay: m.isRelay, Zone: m.zone}
+	if candidates := m.candidates.Load(); candidates != nil {
+		answer.Relays = *candidates
+		answer.Members = append([]string{answer.Leader}, answer.Relays...)
+	}
+	return answer
+}
+
 func startClient(t *testing.T, members ...*member) *Client {
 	t.Helper()
 	var seeds []string
--- a/internal/connection/workcall/kinds.go
+++ b/internal/connection/workcall/kinds.go
@@ -25,6 +25,10 @@
 	waveStateKind  link.Kind = "work.wave_state"
 )
 
+// batchedKinds are the kinds of which a control process passes on so many to a busy
+// leader that they share messages. None of them is large.
+var batchedKinds = map[link.Kind]bool{submitKind: true, jobKind: true, cancelKind: true, pendingKind: true, heartbeatKind: true, deregisterKind: true}
+
 // Fault codes of the calls.
 const (
 	// CodeUnavailable means that the call had no effect and can be retried.
--- a/internal/connection/workcall/leader.go
+++ b/internal/connection/workcall/leader.go
@@ -9,16 +9,23 @@
 	"arbutusward.example/arbutusward/internal/process/logging"
 )
 
-// checkLeader asks the known leader whether it still leads.
-func (c *Client) checkLeader(ctx context.Context, leader string) {
+// checkContact asks the leader, or the relay in its place, whether it still serves,
+// unless it has answered a call lately.
+func (c *Client) checkContact(ctx context.Context, to contact) {
+	if c.sinceAnswer(to.address) <= quietAge {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	answer, err := c.hello(ctx, leader)
-	if err != nil {
-		c.dropLeader(leader, err)
-		return
+	answer, err := c.hello(ctx, to.address)
+	switch {
+	case err == nil:
+		c.applyHello(to.address, &answer)
+	case to.relay:
+		c.dropRelay(to.address, err)
+	default:
+		c.dropLeader(to.address, err)
 	}
-	c.applyHello(leader, &answer)
 }
 
 // memberAnswer is the answer of one member to a hello call.
@@ -31,16 +38,10 @@
 // findLeader asks some members or seeds at once for the leader and takes the
 // first answer that names one.
 func (c *Client) findLeader(ctx context.Context) {
-	addresses := c.chooseMembers(askedMembers)
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	answers := make(chan memberAnswer, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			hello, err := c.hello(ctx, address)
-			answers <- memberAnswer{address, hello, err}
-		}()
-	}
+	addresses := c.chooseMembers(askedMembers)
+	answers := c.helloAll(ctx, addresses)
 	for range addresses {
 		a := <-answers
 		if a.err != nil {
@@ -53,6 +54,30 @@
 	}
 }
 
+// askMembers asks members at once and returns all their answers.
+func (c *Client) askMembers(ctx context.Context, addresses []string) []memberAnswer {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	answers := c.helloAll(ctx, addresses)
+	all := make([]memberAnswer, len(addresses))
+	for i := range all {
+		all[i] = <-answers
+	}
+	return all
+}
+
+// helloAll makes a hello call to each address at once. Each sends one answer.
+func (c *Client) helloAll(ctx context.Context, addresses []string) <-chan memberAnswer {
+	answers := make(chan memberAnswer, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			hello, err := c.hello(ctx, address)
+			answers <- memberAnswer{address, hello, err}
+		}()
+	}
+	return answers
+}
+
 func (c *Client) hello(ctx context.Context, address string) (HelloResponse, error) {
 	if c.local != nil && address == c.self {
 		return c.local.Hello(), nil
@@ -85,24 +110,26 @@
 	return all[:min(count, len(all))]
 }
 
-// applyHello takes over the members, the leader and, if the leader itself
-// answered, the version of the catalog. A member that has not heard of its
+// applyHello takes over the members, the relays, the leader and, if the leader itself
+// or a relay answered, the version of the catalog. A member that has not heard of its
 // leader lately names none.
 func (c *Client) applyHello(from string, answer *HelloResponse) {
 	if len(answer.Members) > 0 {
 		c.mu.Lock()
 		c.members = answer.Members
+		c.relays.setCandidates(answer.Relays)
 		c.mu.Unlock()
 	}
 	leader := answer.Leader
-	if answer.LeaderSilenceMS > MaxLeaderSilence.Milliseconds() {
+	if answer.silent() {
 		leader = ""
+		c.dropRelay(from, errLeaderSilent)
 	}
 	c.setLeader(leader)
-	if leader != from {
+	if leader == "" || c.contact(leader).address != from {
 		return
 	}
-	c.recordAnswer(leader)
+	c.recordAnswer(from)
 	if answer.CatalogVersion > c.catalogVersion.Load() {
 		c.catalogVersion.Store(answer.CatalogVersion)
 	}
@@ -112,6 +139,7 @@
 	c.mu.Lock()
 	former := c.leader
 	c.leader = address
+	c.relays.exclude(address)
 	c.mu.Unlock()
 	if former != address {
 		c.log.Info("control leader changed", "from", former, "to", address)
--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -204,8 +204,18 @@
 	// LeaderSilenceMS is the time since the process that answers knew of a
 	// leader in contact with a majority.
 	LeaderSilenceMS int64 `cbor:"4,keyasint,omitempty"`
+	// Relays lists the members that are to be called in place of the leader. It is
+	// empty in a small fleet.
+	Relays []string `cbor:"5,keyasint,omitempty"`
+	// IsRelay is set if the process that answers passes calls on to the leader.
+	IsRelay bool `cbor:"6,keyasint,omitempty"`
+	// Zone is the availability zone of the process that answers.
+	Zone string `cbor:"7,keyasint,omitempty"`
 }
 
+// silent reports whether the process that answers has not heard of its leader lately.
+func (r *HelloResponse) silent() bool { return r.LeaderSilenceMS > MaxLeaderSilence.Milliseconds() }
+
 // JoinRequest asks the leader to admit a process with an empty disk as a
 // member.
 type JoinRequest struct {
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -121,7 +121,8 @@
 // supply.
 type Tuning struct {
 	// DirectWorkers is the size of the largest fleet whose workers the leader
-	// calls itself. Those of a larger one are called by delegates.
+	// calls itself, and whose entries call the leader. Those of a larger one are
+	// called by delegates, and call it through relays.
 	DirectWorkers int
 	// Profiles makes the metrics address serve profiles of the processor time, for
 	// as many seconds as a request asks for.
@@ -155,7 +156,7 @@
 		Responsive: func() []string { return r.Status().Responsive },
 	})
 	options := scheduler.Options{
-		Replica: r, Machine: machine, Workers: workers, Holder: s.VM, Log: log, Now: time.Now,
+		Replica: r, Machine: machine, Workers: workers, Holder: s.VM, Zone: s.Zone, DirectWorkers: tuning.DirectWorkers, Log: log, Now: time.Now,
 		Limits: scheduler.Limits{
 			StopTimeout: s.Limits.StopTimeout, LongestLease: s.Limits.LongestLease, FencingEnforced: s.Limits.FencingEnforced, HolderLease: s.Limits.HolderLease,
 			HeartbeatInterval: s.Limits.HeartbeatInterval, CapacityGrace: s.Limits.CapacityGrace,
@@ -171,6 +172,7 @@
 	sched := scheduler.New(options, s.ControlAddress, node)
 	client := workcall.NewClient(node, s.SeedLinks, log)
 	client.ServeLocally(s.LinkAddress, sched.Server())
+	workcall.RegisterRelay(node, client)
 	return &Control{settings: s, tuning: tuning, member: m, node: node, replica: r, scheduler: sched, client: client, log: log, ctx: ctx, cancel: cancel}
 }
 
--- a/internal/process/hosted/entry.go
+++ b/internal/process/hosted/entry.go
@@ -57,6 +57,7 @@
 // NewEntry returns an entry; Start makes it serve.
 func NewEntry(s *platform.Settings, node *link.Node, log *slog.Logger) *Entry {
 	client := workcall.NewClient(node, s.SeedLinks, log)
+	client.UseRelays(s.Zone)
 	return &Entry{settings: s, node: node, client: client, api: platform.NewClientAPI(client, client.SinceLeaderContact, log), log: log}
 }
 
--- a/internal/process/scheduler/options.go
+++ b/internal/process/scheduler/options.go
@@ -19,9 +19,14 @@
 	Adviser execution.Adviser
 	// Holder names this process to the platform.
 	Holder string
-	Limits Limits
-	Log    *slog.Logger
-	Now    func() time.Time
+	// Zone is the availability zone of this process.
+	Zone string
+	// DirectWorkers is the size of the largest fleet whose entries call the leader
+	// themselves. Those of a larger one call it through the other members.
+	DirectWorkers int
+	Limits        Limits
+	Log           *slog.Logger
+	Now           func() time.Time
 }
 
 // Limits holds the timeouts and limits of a deployment.
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -23,7 +23,7 @@
 func New(options Options, address string, node *link.Node) *Scheduler {
 	s := &Scheduler{options: options, node: node}
 	s.server = &Server{
-		replica: options.Replica, machine: options.Machine, log: options.Log, address: address,
+		replica: options.Replica, machine: options.Machine, log: options.Log, address: address, zone: options.Zone, directWorkers: options.DirectWorkers,
 		wake: s.wake, onHeartbeats: s.heartbeatsReceived, onJobAccepted: s.jobAccepted, now: options.Now,
 	}
 	workcall.Register(node, s.server)
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -21,8 +21,11 @@
 	replica replica.Replica
 	machine *workstate.Machine
 	log     *slog.Logger
-	// address is where workers and operators reach this process.
-	address string
+	// address is where workers and operators reach this process, zone its
+	// availability zone.
+	address, zone string
+	// directWorkers is Options.DirectWorkers.
+	directWorkers int
 	// wake requests a round of the leader's loop after a change of the state.
 	wake func()
 	// onHeartbeats passes received heartbeats to the leader's loop.
--- a/internal/process/scheduler/server_members.go
+++ b/internal/process/scheduler/server_members.go
@@ -20,17 +20,22 @@
 	return &replica.NotLeaderError{}
 }
 
-// Hello returns the link addresses of the leader and the members.
+// Hello returns the link addresses of the leader, the members, and those of them that
+// entries call in place of the leader.
 func (s *Server) Hello() workcall.HelloResponse {
 	status := s.replica.Status()
-	response := workcall.HelloResponse{LeaderSilenceMS: status.LeaderSilence.Milliseconds()}
+	response := workcall.HelloResponse{LeaderSilenceMS: status.LeaderSilence.Milliseconds(), IsRelay: true, Zone: s.zone}
+	workers := 0
+	s.machine.Read(func(v *workstate.View) { response.CatalogVersion, workers = v.Catalog().Version, len(v.Workers()) })
 	for _, m := range status.Members {
 		response.Members = append(response.Members, m.Link)
-		if m.ID == status.Leader {
+		switch {
+		case m.ID == status.Leader:
 			response.Leader = m.Link
+		case workers > s.directWorkers:
+			response.Relays = append(response.Relays, m.Link)
 		}
 	}
-	s.machine.Read(func(v *workstate.View) { response.CatalogVersion = v.Catalog().Version })
 	return response
 }
 
