link: messages to one peer leave together, with the urgent ones of the log

Change: frames wait in an outbox of their connection, up to 12 ms after the last flush; messages of the log leave at once and take along what waits. TestManyMessagesShareFlushes, TestUrgentMessageTakesWaitingOnesAlong, TestFullOutboxRefusesMessages. Why it works: a message costs a packet, its acknowledgement and two wake-ups each side, whatever it holds.

--- a/internal/connection/link/frames.go
+++ b/internal/connection/link/frames.go
@@ -26,49 +26,36 @@
 	frameBufferBytes = 16 << 10
 )
 
-// messageStream is the stream for the messages without an answer to one peer.
-// Opening a stream for each would cost more than the message itself.
-type messageStream struct {
-	// idle holds a token while no message is being written. Unlike a mutex, it
-	// can be awaited until a context ends.
-	idle chan struct{}
-	// stream is nil before the first message, and after a failed write, which
-	// may have left a part of a frame.
+// frameWriter writes frames to a stream that they share.
+type frameWriter struct {
+	connection *quic.Conn
+	// stream is nil before the first frame, and after a failed write, which may have
+	// left a part of a frame.
 	stream *quic.SendStream
 }
 
-func newMessageStream() messageStream {
-	s := messageStream{idle: make(chan struct{}, 1)}
-	s.idle <- struct{}{}
-	return s
-}
-
-// send writes one frame after the earlier ones.
-func (s *messageStream) send(ctx context.Context, connection *quic.Conn, framed []byte) error {
-	select {
-	case <-s.idle:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { s.idle <- struct{}{} }()
-	if s.stream == nil {
-		stream, err := connection.OpenUniStreamSync(ctx)
+// write writes frames after the earlier ones, within a time.
+func (w *frameWriter) write(frames []byte, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	if w.stream == nil {
+		ctx, cancel := context.WithDeadline(w.connection.Context(), deadline)
+		defer cancel()
+		stream, err := w.connection.OpenUniStreamSync(ctx)
 		if err != nil {
 			return fmt.Errorf("open stream: %w", err)
 		}
-		s.stream = stream
+		w.stream = stream
 	}
-	deadline, _ := ctx.Deadline()
 	// SetWriteDeadline cannot fail on an open stream.
-	_ = s.stream.SetWriteDeadline(deadline)
-	_, err := s.stream.Write(framed)
+	_ = w.stream.SetWriteDeadline(deadline)
+	_, err := w.stream.Write(frames)
 	if err == nil {
 		return nil
 	}
-	// The peer drops the part of this frame at the end of the stream. Cancelling
-	// the stream would lose earlier frames too.
-	closeErr := s.stream.Close()
-	s.stream = nil
+	// The peer drops the part of a frame at the end of the stream. Cancelling the
+	// stream would lose earlier frames too.
+	closeErr := w.stream.Close()
+	w.stream = nil
 	return fmt.Errorf("%w: write: %w", ErrNoAnswer, errors.Join(err, closeErr))
 }
 
--- a/internal/connection/link/node.go
+++ b/internal/connection/link/node.go
@@ -88,7 +88,7 @@
 	err      error
 	// messages carries the messages without an answer to a peer of
 	// sharedProtocol or later.
-	messages messageStream
+	messages *outbox
 }
 
 // Listen opens the UDP socket and returns a node. The node makes calls
@@ -164,7 +164,7 @@
 	}
 	entry := n.connections[address]
 	if entry == nil {
-		entry = &outgoingConn{ready: make(chan struct{}), messages: newMessageStream()}
+		entry = &outgoingConn{ready: make(chan struct{}), messages: newOutbox()}
 		n.connections[address] = entry
 		go n.dial(address, entry)
 	}
@@ -189,6 +189,9 @@
 		return
 	}
 	entry.protocol = entry.connection.ConnectionState().TLS.NegotiatedProtocol
+	if sharesStream(entry.protocol) {
+		go entry.messages.run(entry.connection)
+	}
 	close(entry.ready)
 	<-entry.connection.Context().Done()
 	n.removeConnection(address, entry)
--- a/internal/connection/link/send.go
+++ b/internal/connection/link/send.go
@@ -17,15 +17,60 @@
 	return logging.Wrap(n.send(ctx, address, kind, req), string(kind), address)
 }
 
+// PostUrgent is Send for messages that hold up many callers. They take those along that
+// wait for the same peer. The caller does not wait until the connection has the message;
+// the function gets the outcome.
+func PostUrgent[Req any](ctx context.Context, n *Node, address string, kind Kind, req Req, done func(error)) {
+	n.post(ctx, address, kind, req, urgent, func(err error) { done(logging.Wrap(err, string(kind), address)) })
+}
+
 func (n *Node) send(ctx context.Context, address string, kind Kind, req any) error {
+	outcome := make(chan error, 1)
+	n.post(ctx, address, kind, req, ordinary, func(err error) { outcome <- err })
+	select {
+	case err := <-outcome:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrNoAnswer, ctx.Err())
+	}
+}
+
+// post sends a message, or queues it for the next flush, and passes the outcome to a
+// function.
+func (n *Node) post(ctx context.Context, address string, kind Kind, req any, u urgency, done func(error)) {
 	message, err := n.encodeRequest(kind, req)
 	if err != nil {
-		return err
+		done(err)
+		return
 	}
 	peer, err := n.connect(ctx, address)
+	if err == nil {
+		err = ctx.Err()
+	}
 	if err != nil {
-		return err
+		done(err)
+		return
 	}
+	if framed, shared := peer.sharedFrame(message); shared {
+		messagesSent.Inc()
+		sentBytes.Add(len(message))
+		peer.messages.add(framed, u, done)
+		return
+	}
+	done(n.sendAlone(ctx, peer, message))
+}
+
+// sharedFrame returns the frame of a message, and whether it goes to the shared stream.
+func (c *outgoingConn) sharedFrame(message []byte) ([]byte, bool) {
+	if !sharesStream(c.protocol) {
+		return nil, false
+	}
+	framed := frame(message)
+	return framed, len(framed) <= maxSharedBytes
+}
+
+// sendAlone sends a message on a stream of its own.
+func (n *Node) sendAlone(ctx context.Context, peer *outgoingConn, message []byte) error {
 	if peer.protocol == callProtocol {
 		_, err := n.callOn(ctx, peer.connection, message)
 		return err
@@ -33,17 +78,13 @@
 	messagesSent.Inc()
 	sentBytes.Add(len(message))
 	if peer.protocol == messageProtocol {
-		return sendAlone(ctx, peer.connection, message)
+		return writeAlone(ctx, peer.connection, message)
 	}
-	framed := frame(message)
-	if len(framed) > maxSharedBytes {
-		return sendAlone(ctx, peer.connection, framed)
-	}
-	return peer.messages.send(ctx, peer.connection, framed)
+	return writeAlone(ctx, peer.connection, frame(message))
 }
 
-// sendAlone sends a message on a stream of its own.
-func sendAlone(ctx context.Context, connection *quic.Conn, message []byte) error {
+// writeAlone writes a message to a new stream.
+func writeAlone(ctx context.Context, connection *quic.Conn, message []byte) error {
 	stream, err := connection.OpenUniStreamSync(ctx)
 	if err != nil {
 		return fmt.Errorf("open stream: %w", err)
--- a/internal/connection/link/send_test.go
+++ b/internal/connection/link/send_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/keys"
@@ -118,12 +120,11 @@
 	for i := 1; i <= 200; i++ {
 		if i == 100 {
 			// A message that cannot be written in time ends its stream.
-			late, cancel := context.WithDeadline(ctx, time.Now().Add(-time.Second))
-			if err := Send(late, from, to.Address(), "test.message", make([]int, 10)); err == nil {
+			limitFlushes(from, to.Address(), -time.Second)
+			if err := Send(ctx, from, to.Address(), "test.message", make([]int, 10)); err == nil {
 				t.Error("no error")
 			}
-			cancel()
-			time.Sleep(50 * time.Millisecond)
+			limitFlushes(from, to.Address(), flushTimeout)
 		}
 		if err := Send(ctx, from, to.Address(), "test.message", append([]int{i}, make([]int, i%7*100)...)); err != nil {
 			t.Fatal(err)
@@ -174,6 +175,98 @@
 	}
 }
 
+// limitFlushes sets the time in which a connection must take the frames of a flush.
+func limitFlushes(n *Node, address string, timeout time.Duration) {
+	n.mu.Lock()
+	o := n.connections[address].messages
+	n.mu.Unlock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.timeout = timeout
+}
+
+// takeFlushes takes the frames of each flush of an outbox at once, until the test stops
+// it, and then returns how many flushes there were.
+func takeFlushes(o *outbox) (stop func() int) {
+	flushes := 0
+	go func() {
+		for range o.due {
+			taken := o.take()
+			taken.report(nil)
+			flushes++
+		}
+	}()
+	return func() int {
+		time.Sleep(time.Second)
+		synctest.Wait()
+		close(o.due)
+		return flushes
+	}
+}
+
+// TestManyMessagesShareFlushes guards against a process that spends its processor on a packet for each message.
+func TestManyMessagesShareFlushes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ms = 1000
+		o := newOutbox()
+		stop := takeFlushes(o)
+		sent := 0
+		var longest time.Duration
+		for range ms {
+			at := time.Now()
+			o.add([]byte("frame"), ordinary, func(error) {
+				sent++
+				longest = max(longest, time.Since(at))
+			})
+			time.Sleep(time.Millisecond)
+		}
+		if flushes := stop(); flushes > ms/int(flushInterval.Milliseconds())+2 {
+			t.Errorf("%d flushes in %d ms", flushes, ms)
+		}
+		if sent != ms || longest > flushInterval {
+			t.Errorf("%d messages, one of them waited for %s", sent, longest)
+		}
+	})
+}
+
+// TestUrgentMessageTakesWaitingOnesAlong guards against commits that are late because their messages wait for those of others, and against a packet for each of both.
+func TestUrgentMessageTakesWaitingOnesAlong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pairs = 10
+		o := newOutbox()
+		stop := takeFlushes(o)
+		for range pairs {
+			o.add([]byte("frame"), ordinary, func(error) {})
+			at := time.Now()
+			o.add([]byte("frame"), urgent, func(error) {
+				if waited := time.Since(at); waited > 0 {
+					t.Errorf("an urgent message waited for %s", waited)
+				}
+			})
+			time.Sleep(flushInterval)
+		}
+		if flushes := stop(); flushes != pairs {
+			t.Errorf("%d flushes for %d pairs of messages", flushes, pairs)
+		}
+	})
+}
+
+// TestFullOutboxRefusesMessages guards against a process that fills its memory with messages to a peer that takes none.
+func TestFullOutboxRefusesMessages(t *testing.T) {
+	o := newOutbox()
+	refused := 0
+	for range 2 * maxOutboxBytes / maxSharedBytes {
+		o.add(make([]byte, maxSharedBytes), ordinary, func(err error) {
+			if errors.Is(err, errOutboxFull) {
+				refused++
+			}
+		})
+	}
+	if wanted := maxOutboxBytes / maxSharedBytes; refused != wanted {
+		t.Errorf("%d messages refused, expected %d", refused, wanted)
+	}
+}
+
 // BenchmarkSend measures a message without an answer, sender and receiver
 // together.
 func BenchmarkSend(b *testing.B) {
--- a/internal/process/replica/driver/transport.go
+++ b/internal/process/replica/driver/transport.go
@@ -117,9 +117,11 @@
 func (t *transport) sendNow(address string, o outboundMessage) {
 	ctx, cancel := context.WithDeadline(t.ctx, o.deadline)
 	defer cancel()
-	if err := link.Send(ctx, t.node, address, MessageKind, o.message); err != nil {
-		t.log.Debug("replica message not sent", logging.Err(err))
-	}
+	link.PostUrgent(ctx, t.node, address, MessageKind, o.message, func(err error) {
+		if err != nil {
+			t.log.Debug("replica message not sent", logging.Err(err))
+		}
+	})
 }
 
 // timeoutFor returns the timeout of a message, which grows with its size.
