--- a/internal/process/scheduler/benchrun_test.go
+++ b/internal/process/scheduler/benchrun_test.go
@@ -97,8 +97,8 @@
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			l := loadedLeader(b, workers, 4, 0)
 			l.Machine.Read(func(v *workstate.View) { l.reconcile(v, capacityInUse, time.Now()) })
-			for id, r := range l.runs {
-				if len(l.ends) < len(l.runs)/10 {
+			for id, r := range l.runs.all() {
+				if len(l.ends) < l.runs.len()/10 {
 					l.queueEnd(id, r.number, workstate.EndDone, "")
 				}
 			}
--- a/internal/process/scheduler/loadlog.go
+++ b/internal/process/scheduler/loadlog.go
@@ -113,7 +113,7 @@
 		l.Log.Info("leader load", "interval_ms", now.Sub(s.loggedAt).Milliseconds(),
 			"processor_ms", (sample.processorTime - s.last.processorTime).Milliseconds(),
 			"rounds", s.rounds, "round_ms", s.roundTime.Milliseconds(), "longest_round_ms", s.longestRound.Milliseconds(),
-			"round_processor_ms", s.roundProcessor.Milliseconds(), "steps_waiting", l.waitingSteps, "tasks_waiting", l.waitingTasks, "tasks_executing", len(l.runs),
+			"round_processor_ms", s.roundProcessor.Milliseconds(), "steps_waiting", l.waitingSteps, "tasks_waiting", l.waitingTasks, "tasks_executing", l.runs.len(),
 			"commits", s.commits, "commit_ms", s.commitTime.Milliseconds(), "longest_commit_ms", s.longestCommit.Milliseconds(),
 			"syncs", delays.Sync.Count, "sync_ms", delays.Sync.Total.Milliseconds(), "longest_sync_ms", delays.Sync.Longest.Milliseconds(),
 			"longest_snapshot_ms", delays.Snapshot.Longest.Milliseconds(), "longest_queue_ms", delays.Queue.Longest.Milliseconds(),
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -72,7 +72,7 @@
 	// version of the catalog, that workers shows.
 	syncedVersion uint64
 	syncedCatalog int64
-	runs          map[workload.TaskID]*run
+	runs          *runTable
 	// dueStarts lists the runs of a round whose start orders are due.
 	dueStarts []dueStart
 	// ends holds the ends of runs that wait for the next commit.
@@ -110,7 +110,7 @@
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
 	return &loop{
 		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue), heard: &heardWorkers{},
-		workers: map[string]*worker{}, generations: generations{}, runs: map[workload.TaskID]*run{}, ends: map[runKey]workstate.End{},
+		workers: map[string]*worker{}, generations: generations{}, runs: newRunTable(), ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
 		fleet:       fleet{entries: map[string]*vmEntry{}},
 		advice:      adviceState{steps: map[workload.StepID]*stepAdvice{}},
--- a/internal/process/scheduler/progress.go
+++ b/internal/process/scheduler/progress.go
@@ -36,6 +36,7 @@
 	l.logProgress(progress, result.Started)
 	l.Machine.Read(func(v *workstate.View) {
 		l.logGivenUp(v, progress.Ends)
+		l.dropCommittedEnds(progress.Ends)
 		for i, ok := range result.Started {
 			if ok {
 				l.startRun(v, &progress.Starts[i])
@@ -43,3 +44,10 @@
 		}
 	})
 }
+
+// dropCommittedEnds removes the runs whose ends were committed, which no longer execute.
+func (l *loop) dropCommittedEnds(ends []workstate.End) {
+	for i := range ends {
+		l.runs.remove(ends[i].Task, ends[i].Run)
+	}
+}
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -96,10 +96,14 @@
 		if detail == fleetDetails {
 			u.countWaiting(v, job)
 		}
+		if job.Executing == 0 {
+			continue
+		}
+		runs := l.runs.job(job.ID)
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
 			step := &job.Spec.Steps[id.Step]
 			u.executing++
-			r := l.runOf(id, task, now)
+			r := l.runOf(runs, id, task, now)
 			w := l.workerOf(r)
 			if !r.ending {
 				l.reconcileRun(v, job, id, task, r, w, now)
@@ -120,7 +124,7 @@
 			}
 		})
 	}
-	if len(l.runs) > u.executing {
+	if l.runs.len() > u.executing {
 		l.dropEndedRuns()
 	}
 	for _, w := range l.workerList {
@@ -159,11 +163,11 @@
 
 // runOf returns the leader's view of a recorded run and marks it as seen in
 // this round.
-func (l *loop) runOf(id workload.TaskID, task *workstate.Task, now time.Time) *run {
-	r := l.runs[id]
+func (l *loop) runOf(runs *jobRuns, id workload.TaskID, task *workstate.Task, now time.Time) *run {
+	r := runs.get(id)
 	if r == nil || r.number != task.Run {
 		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, inherited: true, settled: task.Survived, since: now, speed: speedUnknown, ending: l.endQueued(runKey{id, task.Run})}
-		l.runs[id] = r
+		runs.set(id, r)
 	}
 	r.seenInRound = l.roundNumber
 	return r
@@ -280,11 +284,7 @@
 
 // dropEndedRuns removes the runs that the state no longer has as executing.
 func (l *loop) dropEndedRuns() {
-	for id, r := range l.runs {
-		if r.seenInRound != l.roundNumber {
-			delete(l.runs, id)
-		}
-	}
+	l.runs.removeIf(func(r *run) bool { return r.seenInRound != l.roundNumber })
 }
 
 // isRecorded reports whether the state of this round has the run as executing.
@@ -292,7 +292,7 @@
 
 // recordedRun returns the run if the state of this round has it as executing, or nil.
 func (l *loop) recordedRun(key runKey) *run {
-	r := l.runs[key.task]
+	r := l.runs.get(key.task)
 	if r == nil || r.number != key.run || r.seenInRound != l.roundNumber {
 		return nil
 	}
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -13,7 +13,7 @@
 func (l *loop) startRun(v *workstate.View, s *workstate.Start) {
 	startedRuns.Inc()
 	r := &run{number: s.Run, worker: s.Worker, speed: pacing.Full}
-	l.runs[s.Task] = r
+	l.runs.set(s.Task, r)
 	l.sendStart(v, s.Task, r, time.Now())
 }
 
@@ -100,7 +100,7 @@
 	now := time.Now()
 	r.calling = false
 	l.recordRefusal(w, "start", answer.Refusal)
-	if l.runs[id] != r {
+	if l.runs.get(id) != r {
 		return
 	}
 	if err == nil && answer.Refusal == execution.Accepted {
