scheduler: jobs that can't be in time any more don't make the others late

Cause: jobs that can still be in time go first, the most urgent of them first; what a job still needs was taken as the work of its steps alone. From the plan of a start to the commit of its end a task of 0.64 s takes 0.85 to 1.05 s in a turn. So jobs count as timely that are late already, they are the most urgent ones, and with a backlog all of the capacity goes to them. Change: the leader learns by queue how much longer a task takes than its estimate (moving average over runs that are done, with the last commit) and adds it to each step that a job still needs.

--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -28,7 +28,7 @@
 		successor := f.workers.add("w2", 4000)
 		f.register(successor, "vm-w1", "svc")
 		f.machine.Read(func(v *workstate.View) {
-			l.startRun(v, &start)
+			l.startRun(v, &start, time.Now())
 			l.findCrashes(v, time.Now())
 		})
 		if blame := l.runs.get(start.Task).blame; blame != nil {
--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -13,7 +13,8 @@
 	// forecasts holds the load forecast of each pool.
 	forecasts map[string]*rebalance.Forecast
 	// meanWork holds the mean work of each queue's jobs in core seconds.
-	meanWork map[string]float64
+	meanWork  map[string]float64
+	overheads stepOverheads
 	// firstArrival is the arrival time of the first job without long-running
 	// tasks.
 	firstArrival time.Time
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -82,6 +82,8 @@
 	// committing is set while a commit of progress is in flight. dirty is set
 	// if something has changed since the last round.
 	committing, dirty bool
+	// lastCommit is how long the last commit of progress took.
+	lastCommit time.Duration
 	// format is the newest format of commands that may be proposed.
 	format int
 	// pacer limits the share of time that rounds take.
@@ -117,7 +119,7 @@
 		fleet:       fleet{entries: map[string]*vmEntry{}},
 		advice:      adviceState{steps: map[workload.StepID]*stepAdvice{}},
 		maintenance: maintenanceState{missing: map[string]time.Time{}, interrupted: map[string]time.Time{}},
-		demand:      demandState{forecasts: map[string]*rebalance.Forecast{}, meanWork: map[string]float64{}},
+		demand:      demandState{forecasts: map[string]*rebalance.Forecast{}, meanWork: map[string]float64{}, overheads: stepOverheads{}},
 	}
 }
 
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -186,7 +186,7 @@
 		}
 		durations[s], dependsOn[s] = step.Estimate, step.DependsOn
 		if open > 0 {
-			remaining[s] = step.Estimate
+			remaining[s] = l.startToEnd(job.Queue, step)
 		}
 		objective.Work += stepWork(step, open)
 	}
--- a/internal/process/scheduler/progress.go
+++ b/internal/process/scheduler/progress.go
@@ -21,15 +21,16 @@
 		result, err := propose(l.ctx, l.Replica, command, l.Now())
 		commitSeconds.UpdateDuration(start)
 		l.post(func(l *loop) {
-			l.loadLog.recordCommit(time.Since(start))
-			l.committed(progress, result, err)
+			l.lastCommit = time.Since(start)
+			l.loadLog.recordCommit(l.lastCommit)
+			l.committed(progress, start, result, err)
 		})
 	}()
 }
 
-// committed handles the result of a commit and sends the start orders of the
-// runs that were recorded.
-func (l *loop) committed(progress *workstate.Progress, result workstate.Result, err error) {
+// committed handles the result of a commit that was proposed at plannedAt, and sends the
+// start orders of the runs that were recorded.
+func (l *loop) committed(progress *workstate.Progress, plannedAt time.Time, result workstate.Result, err error) {
 	l.committing = false
 	l.dirty = true
 	if err != nil {
@@ -46,7 +47,7 @@
 		l.dropCommittedEnds(progress.Ends)
 		for i, ok := range result.Started {
 			if ok {
-				l.startRun(v, &progress.Starts[i])
+				l.startRun(v, &progress.Starts[i], plannedAt)
 			}
 		}
 	})
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -65,6 +65,9 @@
 
 func (l *loop) queueReportedEnd(job *workstate.Job, w *worker, key runKey, kind workstate.EndKind, checkpoint string, now time.Time) {
 	l.updateHistory(w, key.task.Job, kind, now)
+	if kind == workstate.EndDone {
+		l.recordOverhead(job, key, now)
+	}
 	l.queueEnd(key.task, key.run, kind, checkpoint)
 	step := &job.Spec.Steps[key.task.Step]
 	if step.Gang && kind == workstate.EndDone {
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -51,6 +51,8 @@
 	// seenInRound is the number of the last round in which the state had the
 	// run.
 	seenInRound uint64
+	// plannedAt is when this leader proposed the start; zero for one of a former leader.
+	plannedAt time.Time
 	// since is when the phase began.
 	since time.Time
 	// calling is set while a call about the run is in flight.
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -9,10 +9,11 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// startRun sends the start order of a run that was just recorded.
-func (l *loop) startRun(v *workstate.View, s *workstate.Start) {
+// startRun sends the start order of a run that was just recorded and was proposed at
+// plannedAt.
+func (l *loop) startRun(v *workstate.View, s *workstate.Start, plannedAt time.Time) {
 	startedRuns.Inc()
-	r := &run{number: s.Run, worker: s.Worker, speed: pacing.Full}
+	r := &run{number: s.Run, worker: s.Worker, speed: pacing.Full, plannedAt: plannedAt}
 	l.runs.set(s.Task, r)
 	l.sendStart(v, s.Task, r, time.Now())
 }
--- a/internal/version/placement/rank.go
+++ b/internal/version/placement/rank.go
@@ -10,7 +10,8 @@
 	// Accepted is when the job was accepted.
 	Accepted time.Time
 	// Chain is the estimated duration of the job's longest chain of dependent
-	// steps; Remaining is the same for the steps that are not done.
+	// steps. Remaining is how long that of the steps that are not done takes, with
+	// what each step takes beside its work.
 	Chain, Remaining time.Duration
 	// Stretch and TargetLatency define the job's latency objective:
 	// Stretch*Chain + TargetLatency.
--- a/internal/version/placement/simulation_test.go
+++ b/internal/version/placement/simulation_test.go
@@ -36,6 +36,8 @@
 	random  *rand.Rand
 	jobs    []*simulatedJob
 	workers []*Worker
+	// overhead is the time that a task holds its worker beside its work.
+	overhead time.Duration
 }
 
 const (
@@ -192,7 +194,7 @@
 		job := jobs[placed.Group.Job]
 		job.unplaced = slices.DeleteFunc(slices.Clone(job.unplaced), func(i int) bool { return i == placed.Index })
 		started = append(started, simulatedRun{
-			at: now.Add(job.steps[job.step].durations[placed.Index]), job: job, index: placed.Index, worker: byID[placed.Worker], charge: placed.Group.Charge,
+			at: now.Add(sim.overhead + job.steps[job.step].durations[placed.Index]), job: job, index: placed.Index, worker: byID[placed.Worker], charge: placed.Group.Charge,
 		})
 	}
 	return started
@@ -201,10 +203,17 @@
 // meanInTime returns the mean share of callers served in time over several
 // seeds of a burst.
 func meanInTime(workers int, peak float64, rank func(*simulatedJob, time.Time) float64) float64 {
+	return meanInTimeWith(0, workers, peak, rank)
+}
+
+// meanInTimeWith is meanInTime with an overhead of each task.
+func meanInTimeWith(overhead time.Duration, workers int, peak float64, rank func(*simulatedJob, time.Time) float64) float64 {
 	sum := 0.0
 	const seeds = 5
 	for seed := range uint64(seeds) {
-		sum += newBurst(seed, workers, peak).run(rank)
+		sim := newBurst(seed, workers, peak)
+		sim.overhead = overhead
+		sum += sim.run(rank)
 	}
 	return sum / seeds
 }
@@ -230,3 +239,25 @@
 		}
 	}
 }
+
+// TestJobsThatCannotBeInTimeAnyMoreDoNotMakeOthersLate guards against a burst in which all jobs are just late, because those that are late already go first.
+func TestJobsThatCannotBeInTimeAnyMoreDoNotMakeOthersLate(t *testing.T) {
+	for _, load := range []struct {
+		workers  int
+		peak     float64
+		overhead time.Duration
+		// gain is the minimum increase of the share of callers served in time.
+		gain float64
+	}{{8, 25, 300 * time.Millisecond, 0.05}, {14, 45, 300 * time.Millisecond, 0.05}, {22, 45, 300 * time.Millisecond, 0}, {30, 45, 300 * time.Millisecond, 0}, {22, 45, 80 * time.Millisecond, 0}} {
+		byKnownOverhead := func(j *simulatedJob, now time.Time) float64 {
+			o := j.objective()
+			o.Remaining += time.Duration(len(j.steps)-j.step) * load.overhead
+			return o.Rank(now)
+		}
+		without, with := meanInTimeWith(load.overhead, load.workers, load.peak, byRank), meanInTimeWith(load.overhead, load.workers, load.peak, byKnownOverhead)
+		t.Logf("%d workers, %.0f jobs a second, %s for each step: in time %.2f, %.2f if that is known", load.workers, load.peak, load.overhead, without, with)
+		if with < without+load.gain {
+			t.Errorf("%d workers, %.0f jobs a second, %s for each step: in time %.2f, %.2f if that is known", load.workers, load.peak, load.overhead, without, with)
+		}
+	}
+}
