scheduler: maintenance with time leaves VMs to the load

Cause: a wave takes what is idle or in a pool that is half in use, before moves are planned; whether another pool needs these VMs is not looked at, however far the deadline. Change: before VMs are cordoned the moves of the round are planned. VMs that are to move, and all VMs while pools are short of VMs for their load, wait as long as their wave is not urgent. Cordoned VMs stay so. Why it works: a wave has to end by its deadline, not soon; a turn lasts seconds.

--- a/internal/process/scheduler/cordon.go
+++ b/internal/process/scheduler/cordon.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/relocation"
 )
 
@@ -35,6 +36,7 @@
 var (
 	errPoolBusy     = errors.New("the pool is busy")
 	errTaskArriving = errors.New("a long-running task has just started")
+	errNeeded       = errors.New("the load needs the VM")
 )
 
 // maintenanceClass orders the VMs of a wave by the disruption that their
@@ -103,23 +105,32 @@
 type cordonCandidate struct {
 	maintenanceVM
 	pressure *wavePressure
+	// needed is set if the load needs the VM.
+	needed bool
 }
 
 // cordonVMs cordons VMs that wait for their maintenance, as many as their waves and
 // pools allow, and orders the maintenance of the drained ones. The waves are planned
-// together, since they share the room of the pools.
-func (l *loop) cordonVMs(v *workstate.View, u *usage, rounds []*waveRound, now time.Time) {
+// together, since they share the room of the pools. VMs that the load needs wait as long
+// as their wave has time.
+func (l *loop) cordonVMs(v *workstate.View, u *usage, rounds []*waveRound, pools []rebalance.Pool, now time.Time) {
 	var candidates []cordonCandidate
 	for _, r := range rounds {
 		pressure := l.newWavePressure(u, r)
 		for i := range r.waiting {
-			candidates = append(candidates, cordonCandidate{r.waiting[i], pressure})
+			candidates = append(candidates, cordonCandidate{maintenanceVM: r.waiting[i], pressure: pressure})
 		}
 	}
 	slices.SortStableFunc(candidates, compareCordonOrder)
 	held := map[error]int{}
+	var needs loadNeeds
+	if len(candidates) > 0 {
+		needs = l.needsOfLoad(u, pools, now)
+	}
 	for i := range candidates {
-		if err := l.cordonCandidate(v, u, &candidates[i], now); err != nil {
+		c := &candidates[i]
+		c.needed = needs.short || needs.moving[c.entry.vm.ID]
+		if err := l.cordonCandidate(v, u, c, now); err != nil {
 			held[err]++
 		}
 	}
@@ -153,6 +164,9 @@
 		}
 		return nil
 	}
+	if c.needed && c.waits() {
+		return errNeeded
+	}
 	if err := l.closeForMaintenance(v, u, c, now); err != nil {
 		return err
 	}
@@ -161,6 +175,12 @@
 	return nil
 }
 
+// waits reports whether the maintenance of a VM can wait for the load to fall: the wave
+// has time, and the VM is not on its way to it.
+func (c *cordonCandidate) waits() bool {
+	return c.rank == rankOther && c.pressure.relocationPressure() == relocation.Relaxed
+}
+
 // closeForMaintenance closes the worker of a VM in the relocation plan, or returns why
 // it stays open.
 func (l *loop) closeForMaintenance(v *workstate.View, u *usage, c *cordonCandidate, now time.Time) error {
@@ -221,7 +241,7 @@
 	}
 	l.maintenance.nextHeldLog = now.Add(heldLogInterval)
 	l.Log.Info("VMs wait to be cordoned for maintenance", "no_room", held[relocation.ErrNoRoom], "too_few_open", held[relocation.ErrTooFewOpen],
-		"pool_busy", held[errPoolBusy], "task_arriving", held[errTaskArriving])
+		"pool_busy", held[errPoolBusy], "task_arriving", held[errTaskArriving], "needed", held[errNeeded])
 }
 
 // logLifted logs the VMs that were cordoned before this round, wait for their
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -251,6 +251,8 @@
 	l.stopOrphans(u, now)
 	waves := l.surveyWaves(v, u, now)
 	l.evacuateDraining(v, u, now)
-	l.cordonVMs(v, u, waves, now)
-	l.planMoves(v, u, groups, now)
+	l.updateVMCapacity()
+	pools := l.desiredPools(v, u, groups, now)
+	l.cordonVMs(v, u, waves, pools, now)
+	l.planMoves(v, u, pools, now)
 }
--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
@@ -24,15 +25,43 @@
 	warmUpTime = 4 * time.Second
 )
 
+// loadNeeds tells which VMs the load needs, so that maintenance with time leaves them.
+type loadNeeds struct {
+	// short is set if pools are short of VMs even after all moves.
+	short bool
+	// moving holds the VMs that are to move to pools that are short.
+	moving map[string]bool
+}
+
+// needsOfLoad returns the needs of the load before VMs are cordoned in this round.
+func (l *loop) needsOfLoad(u *usage, pools []rebalance.Pool, now time.Time) loadNeeds {
+	vms := l.rebalanceVMs(u, now)
+	for i := range vms {
+		if _, cordoned := l.maintenance.previously[vms[i].ID]; cordoned {
+			vms[i].Serving, vms[i].Movable, vms[i].Drainable = false, false, false
+		}
+	}
+	pools = slices.Clone(pools)
+	standby := map[string]bool{}
+	for i := range pools {
+		pools[i].Desired = pools[i].ForLoad
+		standby[pools[i].Name] = pools[i].Standby
+	}
+	moves := rebalance.Plan(pools, vms)
+	needs := loadNeeds{short: rebalance.IsShort(pools, vms, moves), moving: make(map[string]bool, len(moves))}
+	for _, move := range moves {
+		needs.moving[move.VM] = !standby[move.To]
+	}
+	return needs
+}
+
 // planMoves moves VMs between pools to follow the load.
-func (l *loop) planMoves(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) {
+func (l *loop) planMoves(v *workstate.View, u *usage, pools []rebalance.Pool, now time.Time) {
 	l.draining = map[string]bool{}
 	if !l.mayOrderVM(now) || !l.fleet.listed {
 		return
 	}
 	l.repeatMoves(v, now)
-	l.updateVMCapacity()
-	pools := l.desiredPools(v, u, groups, now)
 	vms := l.rebalanceVMs(u, now)
 	l.logPools(pools, vms, now)
 	moves := rebalance.Plan(pools, vms)
@@ -95,7 +124,8 @@
 		if !service.Standby {
 			f := l.demand.forecast(service.Name)
 			load := f.Predict(now, loads[service.Name])
-			pool.Desired = max(minPoolVMs, int(math.Ceil(float64(load)/packingRatio)), spread[service.Name])
+			pool.ForLoad = int(math.Ceil(float64(load) / packingRatio))
+			pool.Desired = max(minPoolVMs, pool.ForLoad, spread[service.Name])
 			pool.Retain = f.RecentPeak(now, pool.Desired)
 			pool.WarmingUp = warmingUp
 		}
--- a/internal/version/rebalance/rebalance.go
+++ b/internal/version/rebalance/rebalance.go
@@ -21,6 +21,8 @@
 	// beyond it may move to a pool that is short of VMs. Retain is at least
 	// Desired; no VM is powered off while the pool has Retain VMs or fewer.
 	Desired, Retain int
+	// ForLoad is the part of Desired that the load itself needs.
+	ForLoad int
 	// WarmingUp marks a pool that lends VMs to other pools but powers none
 	// off, because its earlier peaks are not known.
 	WarmingUp bool
