--- a/review/trial2/deployment.go
+++ b/review/trial2/deployment.go
@@ -13,7 +13,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -78,14 +77,10 @@
 // deployment is a small deployment on loopback addresses: three control processes and
 // two entries.
 type deployment struct {
-	root, dir, subnet  string
-	controls, entries  []*process
-	rec                *recorder
-	client             *http.Client
-	mu                 sync.Mutex
-	configurationSent  string
-	versionOfConfig    int
-	controlProcessSeen int
+	root, dir, subnet string
+	controls, entries []*process
+	rec               *recorder
+	client            *http.Client
 }
 
 // reserveSubnet returns three numbers of a loopback range whose ports are free.
