--- a/review/trial2/labels.go
+++ b/review/trial2/labels.go
@@ -19,7 +19,7 @@
 	if err := d.startAll(); err != nil {
 		return err
 	}
-	if err := (&cloud{x}).serve(d.cloudAddress()); err != nil {
+	if err := newCloud(x).serve(d.cloudAddress()); err != nil {
 		return err
 	}
 	for i := range 8 {
--- a/review/trial2/main.go
+++ b/review/trial2/main.go
@@ -21,7 +21,8 @@
 type scenario func(d *deployment, x *world, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"labels": labels,
+	"labels":  labels,
+	"foreign": foreign,
 }
 
 func main() {
--- a/review/trial2/worker.go
+++ b/review/trial2/worker.go
@@ -179,6 +179,18 @@
 	return w
 }
 
+// successor returns a worker that is to be the next one on a worker's machine.
+func (x *world) successor(w *worker) *worker {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	next := &worker{
+		x: x, id: fmt.Sprintf("%s-next%d", w.id, len(x.workers)), service: w.service, machine: w.machine, zone: w.zone, address: w.address,
+		labels: w.labels, room: w.room, enforces: w.enforces, slowClock: w.slowClock,
+	}
+	x.workers = append(x.workers, next)
+	return next
+}
+
 // start begins an incarnation.
 func (w *worker) start() error {
 	var l net.Listener
