--- a/review/trial2/main.go
+++ b/review/trial2/main.go
@@ -23,6 +23,7 @@
 var scenarios = map[string]scenario{
 	"labels":  labels,
 	"foreign": foreign,
+	"list":    waveList,
 }
 
 func main() {
