review: an accepted job is answered 404 after its route is removed (case 8)

Claim: a submission that the former leader has accepted and that its entry repeats after a change has removed the route is answered 404, and the job runs (REFUSED).

--- a/review/trial2/main.go
+++ b/review/trial2/main.go
@@ -24,6 +24,7 @@
 	"labels":  labels,
 	"foreign": foreign,
 	"list":    waveList,
+	"dropped": dropped,
 }
 
 func main() {
