--- a/review/trial2/deployment.go
+++ b/review/trial2/deployment.go
@@ -88,7 +88,7 @@
 	for range 200 {
 		subnet := fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250))
 		free := true
-		for _, host := range []string{"1", "2", "3", "101", "102", "200"} {
+		for _, host := range []string{"1", "2", "3", "4", "5", "101", "102", "200"} {
 			for _, port := range []int{firstPort, firstPort + 1, controlPort, frontPort, readyPort, cloudPort} {
 				l, err := net.Listen("tcp", fmt.Sprintf("%s%s:%d", subnet, host, port))
 				if err != nil {
--- a/review/trial2/main.go
+++ b/review/trial2/main.go
@@ -21,10 +21,11 @@
 type scenario func(d *deployment, x *world, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"labels":  labels,
-	"foreign": foreign,
-	"list":    waveList,
-	"dropped": dropped,
+	"labels":   labels,
+	"foreign":  foreign,
+	"list":     waveList,
+	"dropped":  dropped,
+	"founding": founding,
 }
 
 func main() {
