--- a/review/trial2/main.go
+++ b/review/trial2/main.go
@@ -7,7 +7,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes.
@@ -59,6 +61,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		rec.add("bench", "interrupted")
+		d.stopAll()
+		os.Exit(notRun)
+	}()
 	x := newWorld(rec, d.controlAddresses())
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("bench", "case %s, trouble %t", name, trouble)
