--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -220,7 +220,7 @@
 		return nil
 	}
 	g := &placement.Group{
-		Job: job.ID, Occurrence: k, Step: s, Total: step.Count, Service: v.ServiceOf(job), Charge: step.Charge(),
+		Job: job.ID, Account: job.Account, Occurrence: k, Step: s, Total: step.Count, Service: v.ServiceOf(job), Charge: step.Charge(),
 		Label: step.RequiredLabel, DataRack: step.DataRack, MaxPerWorker: step.MaxPerWorker, Gang: step.Gang, SameRack: step.SameRack, LongRunning: step.LongRunning,
 	}
 	if queue := v.Queue(job.Queue); queue != nil {
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -132,6 +132,7 @@
 // leaveWorker records that the newest run of a task is not executing any more.
 func (m *Machine) leaveWorker(job *Job, id workload.TaskID, task *Task) {
 	m.executing.remove(task.Worker, task.Incarnation)
+	m.accountUse.remove(job.Account, job.Spec.Steps[id.Step].Need)
 	task.Phase, task.Worker = Waiting, ""
 	job.Executing--
 	job.Occurrences[id.Occurrence].Steps[id.Step].Running--
@@ -212,6 +213,7 @@
 	task.Term = s.Term
 	task.Survived = false
 	m.executing.add(task.Worker, task.Incarnation)
+	m.accountUse.add(job.Account, step.Need)
 	job.Executing++
 	occurrence.Steps[s.Task.Step].Running++
 	job.Started = true
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -25,6 +25,8 @@
 	active map[string]*Job
 	// executing counts the executing runs by worker.
 	executing executingRuns
+	// accountUse holds what each client account has executing.
+	accountUse accountUse
 	// queues holds the catalog's queues and the removed ones by key.
 	queues map[string]*catalog.Queue
 	// workersVersion changes with each change of the registered workers.
@@ -44,12 +46,15 @@
 func (m *Machine) derive() {
 	m.workersVersion++
 	m.active = map[string]*Job{}
-	m.executing = executingRuns{}
+	m.executing, m.accountUse = executingRuns{}, accountUse{}
 	for id, job := range m.data.Jobs {
 		if job.Outcome == Open || job.Executing > 0 {
 			m.active[id] = job
 			job.countRunning()
-			job.EachExecuting(func(_ workload.TaskID, task *Task) { m.executing.add(task.Worker, task.Incarnation) })
+			job.EachExecuting(func(id workload.TaskID, task *Task) {
+				m.executing.add(task.Worker, task.Incarnation)
+				m.accountUse.add(job.Account, job.Spec.Steps[id.Step].Need)
+			})
 		}
 	}
 	m.indexQueues()
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -121,6 +121,9 @@
 	OccurrencesDone int `cbor:"10,keyasint,omitempty"`
 	// Executing counts the tasks whose phase is Running.
 	Executing int `cbor:"11,keyasint,omitempty"`
+	// Account is the name of the client account that submitted the job, or "" if it was
+	// submitted without a key.
+	Account string `cbor:"12,keyasint,omitempty"`
 }
 
 // Worker is a registered incarnation of a worker, which represents a VM in a
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -21,6 +21,11 @@
 	// Source is the document as the operator sent it, which is returned when the
 	// configuration is read.
 	Source []byte `cbor:"4,keyasint"`
+	// Accounts lists the client accounts.
+	Accounts []Account `cbor:"5,keyasint,omitempty"`
+	// AccessControl is set if a call needs the key of an account, unless its queue is
+	// open to anonymous callers. Without it keys are ignored.
+	AccessControl bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Queue accepts the jobs whose host and path match.
@@ -44,6 +49,9 @@
 	// Advice is set if an external adviser decides which workers may run the
 	// queue's steps.
 	Advice *Advice `cbor:"10,keyasint,omitempty"`
+	// Anonymous is set if calls without a key are allowed although the catalog has
+	// access control.
+	Anonymous bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Advice holds the properties of an adviser.
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -38,7 +38,9 @@
 
 // Group holds the waiting tasks of one step.
 type Group struct {
-	Job        string
+	Job string
+	// Account is the client account of the job, or "".
+	Account    string
 	Occurrence int
 	Step       int
 	// Indexes lists the waiting tasks. Total is the number of all tasks of the
