scheduler: TestRandomWavesOverWholePools tells long-running jobs by their ids

Change: the duration of a task follows from the number of its job, which needs no map. The checks are the same.

--- a/internal/process/scheduler/wholepoolschedules_test.go
+++ b/internal/process/scheduler/wholepoolschedules_test.go
@@ -17,8 +17,14 @@
 	// lostAbsence is the time without a run after which a long-running task is lost,
 	// though there is room for it.
 	lostAbsence = 9 * time.Second
+	// firstShortJob is the number of the first job of short tasks. Jobs of long-running
+	// tasks have lower ones.
+	firstShortJob = 1001
 )
 
+// numberedJob returns the id of a job of the schedule.
+func numberedJob(number int) string { return fmt.Sprintf("%016x", number) }
+
 // TestRandomWavesOverWholePools overlaps waves, most of them over all VMs of a pool, with
 // short tasks and changes of the leader. Long-running tasks must not be away for long nor
 // beyond their disruption budgets, caps must hold, and the waves must end.
@@ -48,7 +54,7 @@
 		s.names = append(s.names, s.addLabelledVM(i))
 	}
 	s.workers.durationOf = func(id workload.TaskID, _ int) time.Duration {
-		if _, longRunning := s.budgets[id.Job]; longRunning {
+		if id.Job < numberedJob(firstShortJob) {
 			return time.Hour
 		}
 		return 800 * time.Millisecond
@@ -67,8 +73,8 @@
 		case 0, 1:
 			s.startRandomWave()
 		case 2, 3:
+			s.submit(numberedJob(firstShortJob+s.short), step(1+s.random.IntN(2*len(s.names))))
 			s.short++
-			s.submit(fmt.Sprintf("%016x", 1000+s.short), step(1+s.random.IntN(2*len(s.names))))
 		case 4:
 			if !changed {
 				changed = true
@@ -101,7 +107,7 @@
 		if room -= need * int64(count); room < 0 {
 			break
 		}
-		id := fmt.Sprintf("%016x", i+1)
+		id := numberedJob(i + 1)
 		s.budgets[id], tasks[id] = budget, count
 		s.submit(id, workload.Step{
 			Count: count, Need: workload.Resources{MilliCPU: need}, LongRunning: true, DisruptionBudget: budget, DataRack: fmt.Sprint("r", i),
