Client accounts and limits are decoded from the configuration and validated

Cause: a configuration with tenants, allow_anonymous and limits was accepted, and these fields were ignored. A document in which two accounts share a key, or that has a negative figure, an unnamed account, the same name twice, or an empty or over-long key, is refused. Errors contain no key.

--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -26,6 +26,26 @@
 	// AccessControl is set if a call needs the key of an account, unless its queue is
 	// open to anonymous callers. Without it keys are ignored.
 	AccessControl bool `cbor:"6,keyasint,omitempty"`
+	// Limits bounds the requests of clients.
+	Limits Limits `cbor:"7,keyasint"`
+}
+
+// Limits bounds the requests of clients. A zero value means that the configuration
+// states no limit.
+type Limits struct {
+	MaxHeaderBytes int64 `cbor:"1,keyasint,omitempty"`
+	MaxBodyBytes   int64 `cbor:"2,keyasint,omitempty"`
+	// HeaderTimeout bounds the time in which the headers of a request arrive,
+	// IdleTimeout the time that a connection is open without a request.
+	HeaderTimeout time.Duration `cbor:"3,keyasint,omitempty"`
+	IdleTimeout   time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+func (l *Limits) validate() error {
+	if l.MaxHeaderBytes < 0 || l.MaxBodyBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		return fmt.Errorf("%w: a limit is negative: %+v", ErrInvalid, *l)
+	}
+	return nil
 }
 
 // Queue accepts the jobs whose host and path match.
@@ -102,7 +122,7 @@
 		}
 		queueNames[q.Key()] = q.Name
 	}
-	return nil
+	return errors.Join(c.validateAccounts(), c.Limits.validate())
 }
 
 func (q *Queue) validate(services map[string]bool) error {
