The leader and the replicated state check the keys of calls

Cause: keys were ignored; any caller could read and cancel any job. Change: requests of clients carry the digest of their key. The leader decides by an index of the catalog after a read barrier, and the submission and the cancellation are checked again when they are applied, against the catalog in force then. Jobs record their account; a token bucket of integers in the state marks those beyond the account's rate. Nothing changes for catalogs without access control.

--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -44,6 +44,11 @@
 type SubmitRequest struct {
 	Location
 	Spec workload.Spec `cbor:"3,keyasint"`
+	// Key is the digest of the client's API key, or nil if it sent none.
+	Key *catalog.KeyDigest `cbor:"4,keyasint,omitempty"`
+	// Attempt is a random id of the client's request. All copies of the submission
+	// that are sent for this request carry it.
+	Attempt string `cbor:"5,keyasint,omitempty"`
 }
 
 // Status is the result of a request.
@@ -64,6 +69,10 @@
 	// Overloaded means that the job was rejected, and never runs, because it
 	// cannot be finished in time under the present load.
 	Overloaded
+	// Unauthorized means that the key is missing or unknown.
+	Unauthorized
+	// Forbidden means that the job belongs to another account.
+	Forbidden
 )
 
 // SubmitResponse answers a SubmitRequest.
@@ -75,7 +84,11 @@
 }
 
 // JobRequest identifies a job.
-type JobRequest struct{ Location }
+type JobRequest struct {
+	Location
+	// Key is the digest of the client's API key, or nil if it sent none.
+	Key *catalog.KeyDigest `cbor:"3,keyasint,omitempty"`
+}
 
 // JobResponse is the state of a job.
 type JobResponse struct {
@@ -91,7 +104,11 @@
 }
 
 // PendingRequest identifies a queue.
-type PendingRequest struct{ Location }
+type PendingRequest struct {
+	Location
+	// Key is the digest of the client's API key, or nil if it sent none.
+	Key *catalog.KeyDigest `cbor:"3,keyasint,omitempty"`
+}
 
 // PendingResponse is the number of jobs of a queue that have no started task.
 type PendingResponse struct {
--- /dev/null
+++ b/internal/process/scheduler/server_access_test.go
@@ -0,0 +1,77 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+func keyOf(name string) *catalog.KeyDigest {
+	digest := catalog.DigestKey(name)
+	return &digest
+}
+
+// catalogWithAccounts returns the test catalog with access control, with one key, its
+// name, for each account.
+func catalogWithAccounts(version int64, names ...string) *catalog.Catalog {
+	c := testCatalog()
+	c.Version, c.AccessControl = version, true
+	for _, name := range names {
+		c.Accounts = append(c.Accounts, catalog.Account{Name: name, Keys: []catalog.KeyDigest{catalog.DigestKey(name)}, Weight: 100})
+	}
+	return c
+}
+
+// TestCallsAreCheckedByTheLeader guards against calls that a key of another account, or none, gets through.
+func TestCallsAreCheckedByTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		f.commit(&workstate.Command{Catalog: catalogWithAccounts(2, "a", "b")})
+		at := workcall.Location{Host: "host", Path: "/q/" + jobA}
+		spec := workload.Spec{Steps: []workload.Step{step(1)}}
+		ctx := context.Background()
+		entries := f.replica.index
+		for _, c := range []struct {
+			key  *catalog.KeyDigest
+			want workcall.Status
+			// log is the number of commands that the calls add.
+			log uint64
+		}{
+			{keyOf("other"), workcall.Unauthorized, 0},
+			{nil, workcall.Unauthorized, 0},
+			{keyOf("a"), workcall.OK, 1},
+			{keyOf("a"), workcall.OK, 0},
+			{keyOf("b"), workcall.Forbidden, 0},
+			{keyOf("other"), workcall.Unauthorized, 0},
+			{nil, workcall.Unauthorized, 0},
+		} {
+			submitted, err := s.Submit(ctx, workcall.SubmitRequest{Location: at, Spec: spec, Key: c.key})
+			if err != nil || submitted.Status != c.want || f.replica.index-entries != c.log {
+				t.Errorf("submission: %+v, %v, %d commands, expected status %d", submitted, err, f.replica.index-entries, c.want)
+			}
+			read, err := s.Job(ctx, workcall.JobRequest{Location: at, Key: c.key})
+			if err != nil || read.Status != c.want {
+				t.Errorf("read: %+v, %v, expected status %d", read, err, c.want)
+			}
+			if c.want != workcall.OK {
+				cancelled, err := s.Cancel(ctx, workcall.JobRequest{Location: at, Key: c.key})
+				if err != nil || cancelled.Status != c.want {
+					t.Errorf("cancellation: %+v, %v, expected status %d", cancelled, err, c.want)
+				}
+			}
+			entries = f.replica.index
+		}
+		count, err := s.Pending(ctx, workcall.PendingRequest{Location: workcall.Location{Host: "host", Path: "/q/"}})
+		if err != nil || count.Status != workcall.Unauthorized || count.CatalogVersion != 2 {
+			t.Errorf("count: %+v, %v", count, err)
+		}
+	})
+}
--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -8,6 +8,7 @@
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/access"
 )
 
 // jobIDLength is the length of a job id in hexadecimal digits.
@@ -30,9 +31,15 @@
 	known bool
 	// refusal is set if the job must be refused.
 	refusal workcall.SubmitResponse
+	// denied is why the caller's key does not allow the submission. accessControl is
+	// set if keys are checked at all.
+	denied        access.Reason
+	accessControl bool
 }
 
-func (d *submission) refused() bool { return !d.known && d.refusal.Status != 0 }
+func (d *submission) refused() bool {
+	return d.denied != access.Allowed || !d.known && d.refusal.Status != 0
+}
 
 // examine looks a submission up in a state.
 func examine(v *workstate.View, r workcall.SubmitRequest) submission {
@@ -46,6 +53,7 @@
 	case !validJobID(rest):
 		found.refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
 	}
+	found.checkAccess(v, &r)
 	return found
 }
 
@@ -56,27 +64,26 @@
 	var found submission
 	look := func(v *workstate.View) { found = examine(v, r) }
 	s.machine.Read(look)
-	if found.refused() {
-		// A process that lags behind would refuse by an older configuration, or a
-		// job that it does not know yet.
+	if found.needsBarrier() {
 		if err := s.read(ctx, look); err != nil {
-			return response, err
+			return response, found.barrierFault(err)
 		}
 	}
 	id := found.id
+	if found.refused() {
+		s.logDenied(r.Location, found.denied)
+		return found.refusal, nil
+	}
 	if found.known {
 		// The state holds only committed jobs.
 		s.log.Info("job already accepted", "job", id, "path", r.Path)
 		return workcall.SubmitResponse{Status: workcall.OK}, nil
 	}
-	if found.refused() {
-		return found.refusal, nil
-	}
 	if silence := s.replica.Status().LeaderSilence; silence > maxQuorumSilence {
 		s.log.Warn("job refused, no contact to a majority", "job", id, "path", r.Path, "silent_ms", silence.Milliseconds())
 		return response, &link.Fault{Code: workcall.CodeUnavailable, Message: "the leader has no contact to a majority"}
 	}
-	result, err := s.propose(ctx, &workstate.Command{Submit: &workstate.Submit{ID: id, Host: r.Host, Path: r.Path, Spec: r.Spec}})
+	result, err := s.propose(ctx, &workstate.Command{Submit: &workstate.Submit{ID: id, Host: r.Host, Path: r.Path, Spec: r.Spec, Key: r.Key}})
 	if err != nil {
 		return response, err
 	}
@@ -84,59 +91,79 @@
 	if result.Code == workstate.OK && !result.Repeated {
 		s.onJobAccepted(id)
 	}
-	if result.Code == workstate.UnknownQueue {
-		return workcall.SubmitResponse{Status: workcall.UnknownQueue}, nil
-	}
-	return workcall.SubmitResponse{Status: workcall.OK}, nil
+	return workcall.SubmitResponse{Status: statusOf(result.Code)}, nil
 }
 
 // findJob returns the job that a path names, or nil.
 func findJob(v *workstate.View, location workcall.Location) *workstate.Job {
-	return v.Job(location.Path[strings.LastIndexByte(location.Path, '/')+1:])
+	return v.Job(jobIDOf(location))
+}
+
+// jobIDOf returns the id of the job that a path names.
+func jobIDOf(location workcall.Location) string {
+	return location.Path[strings.LastIndexByte(location.Path, '/')+1:]
 }
 
 // Job returns the state of a job.
 func (s *Server) Job(ctx context.Context, r workcall.JobRequest) (workcall.JobResponse, error) {
 	response := workcall.JobResponse{Status: workcall.UnknownJob}
+	var denied access.Reason
 	err := s.read(ctx, func(v *workstate.View) {
 		if v.Catalog().Version == 0 {
 			response.Status = workcall.NotReady
 			return
 		}
+		denied = v.JobAccess(r.Host, r.Path, jobIDOf(r.Location), r.Key)
+		if denied != access.Allowed {
+			response.Status = statusOfReason(denied)
+			return
+		}
 		if job := findJob(v, r.Location); job != nil {
 			response = workcall.JobResponse{Status: workcall.OK, Outcome: job.Outcome, Started: job.Started}
 		}
 	})
+	s.logDenied(r.Location, denied)
 	return response, err
 }
 
 // Cancel cancels a job. Its executing tasks are stopped afterwards.
 func (s *Server) Cancel(ctx context.Context, r workcall.JobRequest) (workcall.CancelResponse, error) {
-	id := r.Path[strings.LastIndexByte(r.Path, '/')+1:]
-	result, err := s.propose(ctx, &workstate.Command{Cancel: &workstate.Cancel{ID: id}})
+	id := jobIDOf(r.Location)
+	denied, err := s.denied(ctx, r)
 	if err != nil {
 		return workcall.CancelResponse{}, err
 	}
-	s.log.Info("job cancelled", "job", id, "result", result.Code, "repeated", result.Repeated)
-	if result.Code != workstate.OK {
-		return workcall.CancelResponse{Status: workcall.UnknownJob}, nil
+	if denied != access.Allowed {
+		s.logDenied(r.Location, denied)
+		return workcall.CancelResponse{Status: statusOfReason(denied)}, nil
 	}
-	return workcall.CancelResponse{Status: workcall.OK}, nil
+	result, err := s.propose(ctx, &workstate.Command{Cancel: &workstate.Cancel{ID: id, Host: r.Host, Path: r.Path, Key: r.Key}})
+	if err != nil {
+		return workcall.CancelResponse{}, err
+	}
+	s.log.Info("job cancelled", "job", id, "result", result.Code, "repeated", result.Repeated)
+	return workcall.CancelResponse{Status: statusOf(result.Code)}, nil
 }
 
 // Pending returns the number of a queue's jobs of which no task has started.
 func (s *Server) Pending(ctx context.Context, r workcall.PendingRequest) (workcall.PendingResponse, error) {
 	response := workcall.PendingResponse{Status: workcall.UnknownQueue}
+	var denied access.Reason
 	err := s.read(ctx, func(v *workstate.View) {
 		if v.Catalog().Version == 0 {
 			response.Status = workcall.NotReady
 			return
 		}
-		queue, rest := v.Catalog().Match(r.Host, r.Path)
-		if queue != nil && rest == "" {
-			response = workcall.PendingResponse{Status: workcall.OK, Pending: v.Pending(queue.Key())}
+		decision := v.Access().Queue(r.Host, r.Path, r.Key)
+		denied = decision.Reason
+		switch {
+		case denied != access.Allowed:
+			response.Status = statusOfReason(denied)
+		case decision.Rest == "":
+			response = workcall.PendingResponse{Status: workcall.OK, Pending: v.Pending(decision.Queue.Key())}
 		}
 		response.CatalogVersion = v.Catalog().Version
 	})
+	s.logDenied(r.Location, denied)
 	return response, err
 }
--- /dev/null
+++ b/internal/process/workstate/access.go
@@ -0,0 +1,98 @@
+package workstate
+
+import (
+	"time"
+
+	"arbutusward.example/arbutusward/internal/version/access"
+	"arbutusward.example/arbutusward/internal/version/catalog"
+)
+
+// Access returns the index by which calls are checked against the catalog in force.
+func (v *View) Access() *access.Index { return v.m.access }
+
+// JobAccess decides about a call for the job with an id at a location. The job need not
+// be known. The key is nil if the call has none.
+func (v *View) JobAccess(host, path, id string, key *catalog.KeyDigest) access.Reason {
+	return v.m.jobAccess(host, path, id, key)
+}
+
+func (m *Machine) jobAccess(host, path, id string, key *catalog.KeyDigest) access.Reason {
+	job := m.data.Jobs[id]
+	if job == nil {
+		return m.access.UnknownJob(host, path, key)
+	}
+	return m.access.Job(job.Account, m.queues[job.Queue], key)
+}
+
+// codeOf returns the result of a command with a decision about access.
+func codeOf(reason access.Reason) Code {
+	switch reason {
+	case access.Allowed:
+		return OK
+	case access.UnknownQueue:
+		return UnknownQueue
+	case access.OtherAccount:
+		return Forbidden
+	}
+	return Unauthorized
+}
+
+// Units of a rateBucket. All figures are integers, since processes on machines of
+// different kinds must compute the same state.
+const (
+	// jobTokens are the tokens that one job takes.
+	jobTokens = 1_000_000_000
+	// tokensPerWeight are the tokens in a millisecond at one job a second.
+	tokensPerWeight = jobTokens / 1000
+	// maxRate bounds the rate of an account, in jobs a second, so that no product
+	// overflows.
+	maxRate = 1_000_000
+	// burstMS is the time whose jobs a full bucket holds, in milliseconds.
+	burstMS = int64(time.Second / time.Millisecond)
+)
+
+// rateBucket is the token bucket of one account.
+type rateBucket struct {
+	// Tokens were left at AtMS, a time on the state's clock in milliseconds.
+	Tokens int64 `cbor:"1,keyasint"`
+	AtMS   int64 `cbor:"2,keyasint"`
+}
+
+// overRate takes the tokens of one job of an account and reports whether there were
+// too few. An account without a bucket has a full one.
+func (m *Machine) overRate(account *catalog.Account) bool {
+	perMS := max(1, int64(min(account.Weight, maxRate)*tokensPerWeight))
+	full := max(jobTokens, perMS*burstMS)
+	tokens := full
+	if bucket, known := m.data.Buckets[account.Name]; known {
+		tokens = bucket.fill(m.data.ClockMS, perMS, full)
+	}
+	over := tokens < jobTokens
+	if !over {
+		tokens -= jobTokens
+	}
+	if m.data.Buckets == nil {
+		m.data.Buckets = map[string]rateBucket{}
+	}
+	m.data.Buckets[account.Name] = rateBucket{Tokens: tokens, AtMS: m.data.ClockMS}
+	return over
+}
+
+// fill returns the tokens at a time, of which perMS are added each millisecond, up to
+// full.
+func (b *rateBucket) fill(nowMS, perMS, full int64) int64 {
+	elapsed := nowMS - b.AtMS
+	if elapsed > full/perMS {
+		return full
+	}
+	return min(full, b.Tokens+elapsed*perMS)
+}
+
+// removeBuckets removes the buckets of the accounts that the catalog does not have.
+func (m *Machine) removeBuckets() {
+	for name := range m.data.Buckets {
+		if m.data.Catalog.Account(name) == nil {
+			delete(m.data.Buckets, name)
+		}
+	}
+}
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -30,11 +30,17 @@
 	Host string        `cbor:"2,keyasint"`
 	Path string        `cbor:"3,keyasint"`
 	Spec workload.Spec `cbor:"4,keyasint"`
+	// Key is the digest of the caller's key, or nil if it has none.
+	Key *catalog.KeyDigest `cbor:"5,keyasint,omitempty"`
 }
 
 // Cancel cancels a job.
 type Cancel struct {
 	ID string `cbor:"1,keyasint"`
+	// Host, Path and Key are those of the caller's request; Key is nil if it has none.
+	Host string             `cbor:"2,keyasint,omitempty"`
+	Path string             `cbor:"3,keyasint,omitempty"`
+	Key  *catalog.KeyDigest `cbor:"4,keyasint,omitempty"`
 }
 
 // EndKind is the way in which a run ended.
@@ -148,6 +154,10 @@
 	Malformed
 	// Busy means that runs are recorded on a worker that announced its end.
 	Busy
+	// Unauthorized means that the key is missing or unknown.
+	Unauthorized
+	// Forbidden means that the job belongs to another account.
+	Forbidden
 )
 
 // Result is the result of applying a command.
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -1,6 +1,7 @@
 package workstate
 
 import (
+	"arbutusward.example/arbutusward/internal/version/access"
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -16,20 +17,28 @@
 	}
 	m.data.Catalog, m.data.Removed = *c, m.removedQueues(c)
 	m.indexQueues()
+	m.access = access.NewIndex(&m.data.Catalog)
+	m.removeBuckets()
 	m.failExhausted()
 	return Result{Code: OK, Version: c.Version}
 }
 
-// applySubmit accepts a job. A job with a known id is a repetition.
+// applySubmit accepts a job. A job with a known id is a repetition. The key is checked
+// against the catalog in force now, which may be newer than that of the proposer.
 func (m *Machine) applySubmit(s *Submit) Result {
 	if m.data.Jobs[s.ID] != nil {
-		return Result{Code: OK, Repeated: true}
+		code := codeOf(m.jobAccess(s.Host, s.Path, s.ID, s.Key))
+		return Result{Code: code, Repeated: code == OK}
 	}
-	queue, _ := m.data.Catalog.Match(s.Host, s.Path)
-	if queue == nil {
-		return Result{Code: UnknownQueue}
+	decision := m.access.Queue(s.Host, s.Path, s.Key)
+	if code := codeOf(decision.Reason); code != OK {
+		return Result{Code: code}
 	}
+	queue := decision.Queue
 	job := &Job{ID: s.ID, Queue: queue.Key(), Service: queue.Service, Spec: s.Spec, AcceptedMS: m.data.ClockMS}
+	if account := decision.Account; account != nil {
+		job.Account, job.OverRate = account.Name, m.overRate(account)
+	}
 	m.data.Jobs[s.ID] = job
 	m.active[s.ID] = job
 	return Result{Code: OK}
@@ -37,6 +46,9 @@
 
 // applyCancel cancels a job. The scheduler stops its executing tasks afterwards.
 func (m *Machine) applyCancel(c *Cancel) Result {
+	if code := codeOf(m.jobAccess(c.Host, c.Path, c.ID, c.Key)); code != OK {
+		return Result{Code: code}
+	}
 	job := m.data.Jobs[c.ID]
 	if job == nil {
 		return Result{Code: UnknownJob}
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/version/access"
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -29,6 +30,8 @@
 	accountUse accountUse
 	// queues holds the catalog's queues and the removed ones by key.
 	queues map[string]*catalog.Queue
+	// access finds the accounts of keys.
+	access *access.Index
 	// workersVersion changes with each change of the registered workers.
 	workersVersion uint64
 }
@@ -58,6 +61,7 @@
 		}
 	}
 	m.indexQueues()
+	m.access = access.NewIndex(&m.data.Catalog)
 }
 
 // Apply applies an encoded Command and returns the encoded Result. It implements
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -124,6 +124,9 @@
 	// Account is the name of the client account that submitted the job, or "" if it was
 	// submitted without a key.
 	Account string `cbor:"12,keyasint,omitempty"`
+	// OverRate is set if the account had submitted more jobs than its weight allows
+	// when this one was accepted.
+	OverRate bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Worker is a registered incarnation of a worker, which represents a VM in a
@@ -213,6 +216,9 @@
 	Removed map[string]catalog.Queue `cbor:"7,keyasint,omitempty"`
 	// Format is the newest format of commands that may be proposed.
 	Format int `cbor:"8,keyasint,omitempty"`
+	// Buckets holds, by account, the token buckets of the accounts that have submitted
+	// jobs.
+	Buckets map[string]rateBucket `cbor:"9,keyasint,omitempty"`
 }
 
 // LeftWorker is an incarnation of a worker that has announced its end or was lost,
