--- a/internal/connection/workcall/call.go
+++ b/internal/connection/workcall/call.go
@@ -48,6 +48,9 @@
 				c.recordAnswer(to.address)
 				return answer, nil
 			}
+			if kind == accountsKind && isUnknownKind(err) {
+				return none, logging.Wrap(err, string(kind), to.address)
+			}
 			if mayHaveTakenEffect(err) {
 				failure = ErrUnknown
 			}
@@ -141,6 +144,12 @@
 	}
 }
 
+// isUnknownKind reports whether the peer has no handler for the call.
+func isUnknownKind(err error) bool {
+	var fault *link.Fault
+	return errors.As(err, &fault) && fault.Code == link.CodeUnknownKind
+}
+
 // mayHaveTakenEffect reports whether a failed call may have taken effect.
 func mayHaveTakenEffect(err error) bool {
 	var fault *link.Fault
--- a/internal/connection/workcall/kinds.go
+++ b/internal/connection/workcall/kinds.go
@@ -16,6 +16,7 @@
 	jobKind        link.Kind = "work.job"
 	cancelKind     link.Kind = "work.cancel"
 	pendingKind    link.Kind = "work.pending"
+	accountsKind   link.Kind = "work.accounts"
 	heartbeatKind  link.Kind = "work.heartbeat"
 	HeardKind      link.Kind = "work.heard"
 	deregisterKind link.Kind = "work.deregister"
@@ -43,6 +44,7 @@
 	handle(node, jobKind, control.Job)
 	handle(node, cancelKind, control.Cancel)
 	handle(node, pendingKind, control.Pending)
+	handle(node, accountsKind, control.Accounts)
 	handle(node, heartbeatKind, control.Heartbeat)
 	handle(node, deregisterKind, control.Deregister)
 	handle(node, catalogKind, control.ReplaceCatalog)
@@ -79,6 +81,12 @@
 	return call(ctx, c, pendingKind, Control.Pending, r)
 }
 
+// Accounts returns the keys that are known. It fails at once if the leader or the relay
+// is of a version without the call.
+func (c *Client) Accounts(ctx context.Context, r AccountsRequest) (AccountsResponse, error) {
+	return call(ctx, c, accountsKind, Control.Accounts, r)
+}
+
 // Heartbeat acknowledges a worker's heartbeat if this process can, and otherwise
 // forwards it to the leader.
 func (c *Client) Heartbeat(ctx context.Context, r HeartbeatRequest) (HeartbeatResponse, error) {
--- a/internal/connection/workcall/relay.go
+++ b/internal/connection/workcall/relay.go
@@ -23,10 +23,11 @@
 
 // relayKinds holds the kinds by which a relay takes the calls that it passes on.
 var relayKinds = map[link.Kind]link.Kind{
-	submitKind:  "relay.submit",
-	jobKind:     "relay.job",
-	cancelKind:  "relay.cancel",
-	pendingKind: "relay.pending",
+	submitKind:   "relay.submit",
+	jobKind:      "relay.job",
+	cancelKind:   "relay.cancel",
+	pendingKind:  "relay.pending",
+	accountsKind: "relay.accounts",
 }
 
 // errLeaderSilent is why a relay is given up that has not heard the leader lately.
@@ -39,13 +40,16 @@
 	relay(node, jobKind, client.log, client.Job)
 	relay(node, cancelKind, client.log, client.Cancel)
 	relay(node, pendingKind, client.log, client.Pending)
+	relay(node, accountsKind, client.log, client.Accounts)
 }
 
-// located is a request that names a queue or a job.
+// located is a request that may name a queue or a job.
 type located interface{ path() string }
 
 func (l Location) path() string { return l.Path }
 
+func (AccountsRequest) path() string { return "" }
+
 func relay[Req located, Resp any](node *link.Node, kind link.Kind, log *slog.Logger, pass func(context.Context, Req) (Resp, error)) {
 	link.Handle(node, relayKinds[kind], func(ctx context.Context, peer link.Peer, r Req) (Resp, error) {
 		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
@@ -62,7 +66,10 @@
 // relayFault returns the fault that tells an entry whether its call may have taken
 // effect.
 func relayFault(err error) error {
-	if errors.Is(err, ErrUnknown) {
+	switch {
+	case isUnknownKind(err):
+		return &link.Fault{Code: link.CodeUnknownKind, Message: err.Error()}
+	case errors.Is(err, ErrUnknown):
 		return &link.Fault{Code: CodeUnknown, Message: err.Error()}
 	}
 	return &link.Fault{Code: CodeUnavailable, Message: err.Error()}
--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -24,6 +24,7 @@
 	Job(ctx context.Context, r JobRequest) (JobResponse, error)
 	Cancel(ctx context.Context, r JobRequest) (CancelResponse, error)
 	Pending(ctx context.Context, r PendingRequest) (PendingResponse, error)
+	Accounts(ctx context.Context, r AccountsRequest) (AccountsResponse, error)
 	Heartbeat(ctx context.Context, r HeartbeatRequest) (HeartbeatResponse, error)
 	Deregister(ctx context.Context, r DeregisterRequest) (Done, error)
 	ReplaceCatalog(ctx context.Context, r CatalogRequest) (CatalogResponse, error)
@@ -119,6 +120,21 @@
 	CatalogVersion int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// AccountsRequest asks for the keys that are known.
+type AccountsRequest struct {
+	// Known is the version of the catalog whose keys the caller has, or 0.
+	Known int64 `cbor:"1,keyasint,omitempty"`
+}
+
+// AccountsResponse lists the digests of the keys that are known. They are left out if
+// the caller has those of the version.
+type AccountsResponse struct {
+	// Version is that of the catalog in force, 0 if there is none yet.
+	Version       int64               `cbor:"1,keyasint,omitempty"`
+	AccessControl bool                `cbor:"2,keyasint,omitempty"`
+	Keys          []catalog.KeyDigest `cbor:"3,keyasint,omitempty"`
+}
+
 // HeartbeatRequest is a heartbeat of a worker.
 type HeartbeatRequest struct {
 	Worker workstate.Worker `cbor:"1,keyasint"`
--- a/internal/process/scheduler/server_access.go
+++ b/internal/process/scheduler/server_access.go
@@ -103,3 +103,19 @@
 	}
 	return workcall.UnknownJob
 }
+
+// Accounts returns the keys that are known.
+func (s *Server) Accounts(ctx context.Context, r workcall.AccountsRequest) (workcall.AccountsResponse, error) {
+	var response workcall.AccountsResponse
+	err := s.read(ctx, func(v *workstate.View) {
+		c := v.Catalog()
+		response = workcall.AccountsResponse{Version: c.Version, AccessControl: c.AccessControl}
+		if c.Version == r.Known {
+			return
+		}
+		for i := range c.Accounts {
+			response.Keys = append(response.Keys, c.Accounts[i].Keys...)
+		}
+	})
+	return response, err
+}
