integration: accounts with real processes, and soak seeds with keys that come and go

Cause: no run showed that a key that was taken away stops, and that one that stays works, through deaths, freezes and cuts. The confirmation of a key counts against its client's deadline.

--- a/integration/hosted_harness_test.go
+++ b/integration/hosted_harness_test.go
@@ -27,6 +27,10 @@
 	// env holds additional environment variables of all processes, controlArgs
 	// additional arguments of the control processes.
 	env, controlArgs []string
+	// document returns the configuration with a version, key is the API key of the
+	// requests, or "".
+	document func(version int) string
+	key      string
 }
 
 // reserveSubnet returns a range of loopback addresses that no deployment of this
@@ -73,7 +77,7 @@
 
 func newHosted(t *testing.T, controls, entries int, options ...hostedOption) *hosted {
 	t.Helper()
-	h := &hosted{t: t, dir: t.TempDir(), subnet: reserveSubnet(t), ledger: newHostedLedger(t), client: &http.Client{Timeout: 3 * time.Second}}
+	h := &hosted{t: t, dir: t.TempDir(), subnet: reserveSubnet(t), ledger: newHostedLedger(t), client: &http.Client{Timeout: 3 * time.Second}, document: configurationOf}
 	for _, option := range options {
 		option(h)
 	}
@@ -173,7 +177,7 @@
 func (h *hosted) sendConfiguration(version int) error {
 	var last error
 	for _, address := range h.controlAddresses() {
-		response, err := h.client.Post("http://"+address+"/config/replace", "application/json", strings.NewReader(configurationOf(version)))
+		response, err := h.client.Post("http://"+address+"/config/replace", "application/json", strings.NewReader(h.document(version)))
 		if err != nil {
 			last = err
 			continue
@@ -198,7 +202,12 @@
 // request sends a client's request to an entry and returns the status and the
 // body. Status 0 means that there was no answer.
 func (h *hosted) request(entry int, method, path, body string) (int, []byte) {
-	response, err := h.send(entry, method, path, body)
+	return h.requestWith(h.key, entry, method, path, body)
+}
+
+// requestWith is request with an API key, or none if it is "".
+func (h *hosted) requestWith(key string, entry int, method, path, body string) (int, []byte) {
+	response, err := h.sendWith(key, entry, method, path, body)
 	if err != nil {
 		return 0, nil
 	}
@@ -212,6 +221,11 @@
 
 // send sends a client's request to an entry.
 func (h *hosted) send(entry int, method, path, body string) (*http.Response, error) {
+	return h.sendWith(h.key, entry, method, path, body)
+}
+
+// sendWith is send with an API key, or none if it is "".
+func (h *hosted) sendWith(key string, entry int, method, path, body string) (*http.Response, error) {
 	address := fmt.Sprintf("http://%s:%d%s", h.entryIP(entry), hostedFront, path)
 	request, err := http.NewRequest(method, address, strings.NewReader(body))
 	if err != nil {
@@ -219,6 +233,9 @@
 	}
 	request.Host = "h.example"
 	request.Header.Set("X-Deadline-Ms", "3000")
+	if key != "" {
+		request.Header.Set("X-Api-Key", key)
+	}
 	return h.client.Do(request)
 }
 
--- a/integration/hosted_soak_test.go
+++ b/integration/hosted_soak_test.go
@@ -67,6 +67,9 @@
 	// time of its acknowledgement.
 	acked   int
 	ackedAt time.Time
+	// attempted is the highest configuration version that was sent. A version from
+	// acked to it is in force.
+	attempted int
 
 	// workersMu guards the workers, the count of their incarnations, and over,
 	// which is set at the end of the test.
@@ -100,8 +103,9 @@
 		hosted: newHosted(t, *soakControls, *soakEntries, directWorkers(*soakWorkers/4), keepLogs(seed)), seed: seed, random: rand.New(rand.NewPCG(seed, 7)),
 		accepted: map[string]bool{}, cancelled: map[string]bool{}, deadly: map[string]bool{},
 	}
+	s.useAccounts()
 	s.configure()
-	s.acked, s.ackedAt = s.version, time.Now()
+	s.acked, s.ackedAt, s.attempted = s.version, time.Now(), s.version
 	s.addWorkers()
 	t.Cleanup(s.endWorkers)
 	return s
@@ -114,7 +118,7 @@
 	s.startedAt = time.Now()
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for _, call := range []func(int){s.submitOne, s.readOne, s.changeConfiguration} {
+	for _, call := range []func(int){s.submitOne, s.readOne, s.changeConfiguration, s.callWithKeys} {
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
@@ -138,6 +142,7 @@
 	callers.Wait()
 	s.checkJobs()
 	s.checkConfiguration()
+	s.checkKeys()
 }
 
 // submitOne submits a job, and cancels it if i is a multiple of seven. One job in
@@ -195,6 +200,9 @@
 func (s *soak) changeConfiguration(int) {
 	time.Sleep(700 * time.Millisecond)
 	s.version++
+	s.mu.Lock()
+	s.attempted = s.version
+	s.mu.Unlock()
 	if s.sendConfiguration(s.version) == nil {
 		s.mu.Lock()
 		s.acked, s.ackedAt = s.version, time.Now()
