--- a/internal/process/scheduler/server_access_test.go
+++ b/internal/process/scheduler/server_access_test.go
@@ -75,3 +75,27 @@
 		}
 	})
 }
+
+// TestLaggingLeaderDoesNotDecideByItsOldCatalog guards against a repeated submission that a removed key gets answered, and against the refusal of a new key.
+func TestLaggingLeaderDoesNotDecideByItsOldCatalog(t *testing.T) {
+	machine := workstate.NewMachine()
+	r := &laggingReplica{fakeReplica: &fakeReplica{machine: machine, term: 1}}
+	s := &Server{replica: r, machine: machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+	for _, c := range []struct {
+		version         int64
+		owner, job, key string
+		want            workcall.Status
+	}{
+		{2, "a", jobA, "a", workcall.OK},
+		{3, "b", jobA, "a", workcall.Unauthorized},
+		{4, "c", "bbbbbbbbbbbbbbbb", "c", workcall.OK},
+	} {
+		r.committed = []*workstate.Command{{Catalog: catalogWithAccounts(c.version, c.owner)}}
+		answer, err := s.Submit(t.Context(), workcall.SubmitRequest{
+			Location: workcall.Location{Host: "host", Path: "/q/" + c.job}, Spec: workload.Spec{Steps: []workload.Step{step(1)}}, Key: keyOf(c.key),
+		})
+		if err != nil || answer.Status != c.want {
+			t.Errorf("%+v: %+v, %v", c, answer, err)
+		}
+	}
+}
