--- a/internal/connection/workcall/call.go
+++ b/internal/connection/workcall/call.go
@@ -22,7 +22,7 @@
 // long as their context.
 func (c *Client) refusalTime(kind link.Kind) time.Time {
 	switch {
-	case kind != submitKind:
+	case kind != submitKind && kind != accountsKind:
 		return time.Time{}
 	case c.SinceLeaderContact() > cutOffAge:
 		return time.Now().Add(maxLeaderWaitCutOff)
