--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -27,6 +27,8 @@
 	// an answer.
 	frozen, losing atomic.Bool
 	hellos, taken  atomic.Int64
+	// submitted is the newest submission.
+	submitted atomic.Pointer[SubmitRequest]
 	// slow is the time that it takes to accept a submission.
 	slow atomic.Int64
 }
@@ -37,8 +39,9 @@
 	address := m.node.Address()
 	m.leader.Store(&address)
 	m.serveHello()
-	link.Handle(m.node, submitKind, func(ctx context.Context, _ link.Peer, _ SubmitRequest) (SubmitResponse, error) {
+	link.Handle(m.node, submitKind, func(ctx context.Context, _ link.Peer, r SubmitRequest) (SubmitResponse, error) {
 		m.taken.Add(1)
+		m.submitted.Store(&r)
 		if m.frozen.Load() || m.losing.Load() {
 			<-ctx.Done()
 		}
--- a/internal/connection/workcall/relay_test.go
+++ b/internal/connection/workcall/relay_test.go
@@ -9,6 +9,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/link/linktest"
+	"arbutusward.example/arbutusward/internal/version/catalog"
 )
 
 // relayed is a leader with members that pass calls on to it.
@@ -156,3 +157,30 @@
 		t.Errorf("%+v %v", hello, err)
 	}
 }
+
+// TestRelayPassesTheKeyOn guards against calls through a relay that are refused since their key got lost, or that are taken for new attempts.
+func TestRelayPassesTheKeyOn(t *testing.T) {
+	d := startRelayed(t, "a")
+	d.awaitContact(t, d.relays[0].node.Address())
+	key := catalog.DigestKey("k")
+	if _, err := d.client.Submit(t.Context(), SubmitRequest{Key: &key, Attempt: "1"}); err != nil {
+		t.Fatal(err)
+	}
+	if got := d.leader.submitted.Load(); got.Key == nil || *got.Key != key || got.Attempt != "1" {
+		t.Errorf("the leader got %+v", got)
+	}
+}
+
+// TestLeaderOfAVersionWithoutAccountsIsKept guards against entries that lose their leader or relay with each key that they ask about during an upgrade.
+func TestLeaderOfAVersionWithoutAccountsIsKept(t *testing.T) {
+	d := startRelayed(t, "a")
+	relay := d.relays[0].node.Address()
+	d.awaitContact(t, relay)
+	start := time.Now()
+	if _, err := d.client.Accounts(t.Context(), AccountsRequest{}); err == nil || time.Since(start) > time.Second {
+		t.Errorf("error %v after %s", err, time.Since(start))
+	}
+	if got := d.client.contact(d.leader.node.Address()); got.address != relay {
+		t.Errorf("calls are sent to %s, not to the relay", got.address)
+	}
+}
