--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -24,6 +24,7 @@
 	Job(ctx context.Context, r JobRequest) (JobResponse, error)
 	Cancel(ctx context.Context, r JobRequest) (CancelResponse, error)
 	Pending(ctx context.Context, r PendingRequest) (PendingResponse, error)
+	Accounts(ctx context.Context, r AccountsRequest) (AccountsResponse, error)
 	Heartbeat(ctx context.Context, r HeartbeatRequest) (HeartbeatResponse, error)
 	Deregister(ctx context.Context, r DeregisterRequest) (Done, error)
 	ReplaceCatalog(ctx context.Context, r CatalogRequest) (CatalogResponse, error)
@@ -44,6 +45,11 @@
 type SubmitRequest struct {
 	Location
 	Spec workload.Spec `cbor:"3,keyasint"`
+	// Key is the digest of the client's API key, or nil if it sent none.
+	Key *catalog.KeyDigest `cbor:"4,keyasint,omitempty"`
+	// Attempt is a random id of the client's request. All copies of the submission
+	// that are sent for this request carry it.
+	Attempt string `cbor:"5,keyasint,omitempty"`
 }
 
 // Status is the result of a request.
@@ -64,6 +70,10 @@
 	// Overloaded means that the job was rejected, and never runs, because it
 	// cannot be finished in time under the present load.
 	Overloaded
+	// Unauthorized means that the key is missing or unknown.
+	Unauthorized
+	// Forbidden means that the job belongs to another account.
+	Forbidden
 )
 
 // SubmitResponse answers a SubmitRequest.
@@ -75,7 +85,11 @@
 }
 
 // JobRequest identifies a job.
-type JobRequest struct{ Location }
+type JobRequest struct {
+	Location
+	// Key is the digest of the client's API key, or nil if it sent none.
+	Key *catalog.KeyDigest `cbor:"3,keyasint,omitempty"`
+}
 
 // JobResponse is the state of a job.
 type JobResponse struct {
@@ -91,7 +105,11 @@
 }
 
 // PendingRequest identifies a queue.
-type PendingRequest struct{ Location }
+type PendingRequest struct {
+	Location
+	// Key is the digest of the client's API key, or nil if it sent none.
+	Key *catalog.KeyDigest `cbor:"3,keyasint,omitempty"`
+}
 
 // PendingResponse is the number of jobs of a queue that have no started task.
 type PendingResponse struct {
@@ -102,6 +120,21 @@
 	CatalogVersion int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// AccountsRequest asks for the keys that are known.
+type AccountsRequest struct {
+	// Known is the version of the catalog whose keys the caller has, or 0.
+	Known int64 `cbor:"1,keyasint,omitempty"`
+}
+
+// AccountsResponse lists the digests of the keys that are known. They are left out if
+// the caller has those of the version.
+type AccountsResponse struct {
+	// Version is that of the catalog in force, 0 if there is none yet.
+	Version       int64               `cbor:"1,keyasint,omitempty"`
+	AccessControl bool                `cbor:"2,keyasint,omitempty"`
+	Keys          []catalog.KeyDigest `cbor:"3,keyasint,omitempty"`
+}
+
 // HeartbeatRequest is a heartbeat of a worker.
 type HeartbeatRequest struct {
 	Worker workstate.Worker `cbor:"1,keyasint"`
