fairshare: quotas and weighted shares of client accounts

Cause: nothing limits what one client account executes, and nothing says whose turn it is when accounts need more than there is.

Change: a pure package that keeps, for one plan, what each account executes. The dominant share of jobplan is now computed by the same function.

--- /dev/null
+++ b/internal/version/fairshare/quota.go
@@ -0,0 +1,170 @@
+package fairshare
+
+import (
+	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// largeFraction is the reciprocal of the fraction of a quota above which a need is large.
+// A task that is not large fits whenever its account uses less than that fraction.
+const largeFraction = 2
+
+// Accounts holds the use of all accounts in one plan.
+type Accounts struct {
+	accounts map[string]*account
+	pools    map[string]*pool
+	// ByShare is set if groups of accounts above their share come after the others.
+	ByShare bool
+}
+
+// account is what the plan knows of one client account.
+type account struct {
+	limit, use workload.Resources
+	weight     float64
+	// held counts the tasks that did not start because of the quota, passed the groups
+	// that came after others because of the share.
+	held, passed int
+	// draining is set if a large need waits for the account's other tasks to end.
+	draining bool
+}
+
+// Use is the use of an account of which something was delayed in a plan.
+type Use struct {
+	Account    string
+	Use, Limit workload.Resources
+	// Held counts the tasks that the quota held back, Passed the groups that came after
+	// those of other accounts.
+	Held, Passed int
+}
+
+// New returns the accounts of a catalog, which execute nothing.
+func New(list []catalog.Account) *Accounts {
+	a := &Accounts{accounts: make(map[string]*account, len(list)+1), pools: map[string]*pool{}}
+	for i := range list {
+		a.accounts[list[i].Name] = &account{limit: list[i].Limit, weight: list[i].Weight}
+	}
+	return a
+}
+
+// of returns the account with a name. Calls without a key share an account without a
+// limit, and so do the jobs of each account that is no longer in the catalog.
+func (a *Accounts) of(name string) *account {
+	acc := a.accounts[name]
+	if acc == nil {
+		acc = &account{}
+		a.accounts[name] = acc
+	}
+	return acc
+}
+
+// Limited reports whether an account has a quota.
+func (a *Accounts) Limited() bool {
+	for _, acc := range a.accounts {
+		if acc.limited() {
+			return true
+		}
+	}
+	return false
+}
+
+func (acc *account) limited() bool { return acc.limit != (workload.Resources{}) }
+
+// Executes counts what an account has executing against its quota.
+func (a *Accounts) Executes(name string, need workload.Resources) {
+	acc := a.of(name)
+	acc.use = acc.use.Add(need)
+}
+
+// Startable returns how many of a number of equal tasks of an account may start, or, of a
+// gang, all or none. An account that executes nothing may start one task, or one gang,
+// that is larger than its quota.
+func (a *Accounts) Startable(name string, need workload.Resources, tasks int, gang bool) int {
+	acc := a.of(name)
+	if !acc.limited() {
+		return tasks
+	}
+	startable := 0
+	if !acc.draining {
+		startable = acc.startable(need, tasks, gang)
+	}
+	acc.held += tasks - startable
+	return startable
+}
+
+// Drain keeps the account from starting anything else in this plan if a task, or a whole
+// gang, that its quota holds back needs more than is certain to be free while the account
+// uses less than 1/largeFraction of its quota. Otherwise smaller tasks would take the room
+// that becomes free for as long as there are any.
+func (a *Accounts) Drain(name string, need workload.Resources, tasks int, gang bool) {
+	acc := a.of(name)
+	acc.draining = acc.draining || acc.isLarge(need, tasks, gang)
+}
+
+// Draining reports whether Drain keeps an account from starting anything.
+func (a *Accounts) Draining(name string) bool { return a.of(name).draining }
+
+func (acc *account) startable(need workload.Resources, tasks int, gang bool) int {
+	idle := acc.use == (workload.Resources{})
+	if gang {
+		if idle || acc.fitting(need, tasks) == tasks {
+			return tasks
+		}
+		return 0
+	}
+	if idle {
+		return max(min(1, tasks), acc.fitting(need, tasks))
+	}
+	return acc.fitting(need, tasks)
+}
+
+// fitting returns how many of a number of equal tasks fit into the rest of the quota.
+func (acc *account) fitting(need workload.Resources, tasks int) int {
+	count := int64(tasks)
+	for _, r := range [...]struct{ limit, use, need int64 }{
+		{acc.limit.MilliCPU, acc.use.MilliCPU, need.MilliCPU},
+		{acc.limit.MemoryMB, acc.use.MemoryMB, need.MemoryMB},
+		{acc.limit.GPU, acc.use.GPU, need.GPU},
+	} {
+		switch rest := r.limit - r.use; {
+		case r.limit == 0:
+		case rest < 0:
+			return 0
+		case r.need > 0:
+			count = min(count, rest/r.need)
+		}
+	}
+	return int(count)
+}
+
+// isLarge reports whether a task, or a whole gang, needs more than 1/largeFraction of the
+// quota of a resource.
+func (acc *account) isLarge(need workload.Resources, tasks int, gang bool) bool {
+	count := int64(1)
+	if gang {
+		count = int64(tasks)
+	}
+	over := func(limit, need int64) bool { return limit > 0 && largeFraction*count*need > limit }
+	return over(acc.limit.MilliCPU, need.MilliCPU) || over(acc.limit.MemoryMB, need.MemoryMB) || over(acc.limit.GPU, need.GPU)
+}
+
+// Starts counts tasks that the plan starts on a pool. The need counts against the quota,
+// the charge as a part of the pool.
+func (a *Accounts) Starts(name, pool string, need, charge workload.Resources, tasks int) {
+	a.Executes(name, times(need, tasks))
+	a.Occupies(name, pool, times(charge, tasks))
+}
+
+func times(r workload.Resources, n int) workload.Resources {
+	return workload.Resources{MilliCPU: r.MilliCPU * int64(n), MemoryMB: r.MemoryMB * int64(n), GPU: r.GPU * int64(n)}
+}
+
+// Delayed returns the accounts of which something was held back or passed.
+func (a *Accounts) Delayed() []Use {
+	var list []Use
+	for name, acc := range a.accounts {
+		if acc.held > 0 || acc.passed > 0 {
+			list = append(list, Use{Account: name, Use: acc.use, Limit: acc.limit, Held: acc.held, Passed: acc.passed})
+		}
+	}
+	return list
+}
--- a/internal/version/jobplan/resources.go
+++ b/internal/version/jobplan/resources.go
@@ -1,6 +1,9 @@
 package jobplan
 
-import "arbutusward.example/arbutusward/internal/version/fleet"
+import (
+	"arbutusward.example/arbutusward/internal/version/fairshare"
+	"arbutusward.example/arbutusward/internal/version/fleet"
+)
 
 // tolerance absorbs rounding errors in sums of fractions.
 const tolerance = 1e-9
@@ -23,17 +26,11 @@
 }
 
 // dominantShare returns the largest share of any resource of the total that
-// the amount takes (Ghodsi et al., "Dominant Resource Fairness", 2011).
+// the amount takes.
 func dominantShare(amount, total fleet.Resources) float64 {
-	share := 0.0
-	if total.CPUCores > 0 {
-		share = max(share, amount.CPUCores/total.CPUCores)
-	}
-	if total.MemoryGiB > 0 {
-		share = max(share, amount.MemoryGiB/total.MemoryGiB)
-	}
-	if total.Accelerators > 0 {
-		share = max(share, float64(amount.Accelerators)/float64(total.Accelerators))
-	}
-	return share
+	return fairshare.DominantShare(
+		fairshare.Part{Amount: amount.CPUCores, Total: total.CPUCores},
+		fairshare.Part{Amount: amount.MemoryGiB, Total: total.MemoryGiB},
+		fairshare.Part{Amount: float64(amount.Accelerators), Total: float64(total.Accelerators)},
+	)
 }
