placement: tiers of jobs, and plans within the quotas and shares of accounts

Cause: jobs that are late but still of some use went behind smaller ones that are of none, and one account could take all the room of a burst.

Change: within a queue priority jobs are placed by tier: in time, late (up to lateFactor times the objective), over the rate of their account, useless; TierAt is the only rule. PlanForAccounts takes what a quota leaves of a group, and places the groups of accounts that are above their share last in their tier. What a quota holds back is no misfit. While a task of more than half of a quota waits, smaller ones of the account behind it don't start.

--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"slices"
 
+	"arbutusward.example/arbutusward/internal/version/fairshare"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -50,8 +51,11 @@
 	Service string
 	// Charge is the part of a worker's free capacity that one task takes.
 	Charge workload.Resources
-	// Groups are placed in ascending order of Priority and, within a priority,
-	// of Rank.
+	// UnchargedMilliCPU is what one task needs beyond Charge, as a best-effort task does.
+	// It counts against the quota of its account.
+	UnchargedMilliCPU int64
+	// Groups are placed in ascending order of Priority, within a priority of Tier
+	// and within a tier of Rank.
 	Priority int
 	Rank     float64
 	// Label, if not empty, must be among the worker's labels.
@@ -62,11 +66,13 @@
 	Zone string
 	// MaxPerWorker limits the step's tasks on a worker; 0 means no limit.
 	MaxPerWorker int
+	// Allowed lists the workers of a restricted group.
+	Allowed map[string]bool
 	// OnWorker counts the step's executing tasks by worker.
 	OnWorker map[string]int
+	Tier     Tier
 	// Restricted is set if the tasks may run only on the workers in Allowed.
 	Restricted bool
-	Allowed    map[string]bool
 	// Gang is set if the tasks of the step start all together or not at all.
 	// They do not start while a task of the step is executing or done.
 	Gang bool
@@ -88,42 +94,34 @@
 }
 
 // Plan places as many tasks as fit, suspects first and then in the order of the
-// groups' priority and rank. It sorts groups and reduces the workers' free capacity.
+// groups' priority, tier and rank. It sorts groups and reduces the workers' free
+// capacity.
 func Plan(groups []*Group, workers []*Worker) []Placement {
+	return PlanForAccounts(groups, workers, nil)
+}
+
+// PlanForAccounts is Plan within the quotas of client accounts, and with regard to their
+// shares. It counts what it starts. Without accounts there are no quotas.
+func PlanForAccounts(groups []*Group, workers []*Worker, accounts *fairshare.Accounts) []Placement {
 	slices.SortFunc(groups, compareGroups)
-	pools := map[string]*pool{}
+	p := &planner{pools: map[string]*pool{}, accounts: accounts}
 	for _, w := range workers {
-		p := pools[w.Service]
-		if p == nil {
-			p = &pool{}
-			pools[w.Service] = p
-		}
-		p.add(w)
+		p.poolOf(w.Service).add(w)
 	}
-	var plan []Placement
-	for _, g := range groups {
-		p := pools[g.Service]
-		if p == nil {
-			continue
-		}
-		if g.Suspect {
-			plan = append(plan, p.placeSuspects(g)...)
-			continue
-		}
-		if p.knownNotToFit(g.Charge) {
-			continue
-		}
-		placed := p.place(g)
-		if g.unconstrained() && len(placed) < len(g.Indexes) {
-			p.misfits = append(p.misfits, g.Charge)
-		}
-		plan = append(plan, placed...)
+	if accounts == nil || !accounts.ByShare {
+		p.placeAll(groups)
+		return p.plan
 	}
-	return plan
+	for len(groups) > 0 {
+		size := tierSize(groups)
+		p.placeTier(groups[:size])
+		groups = groups[size:]
+	}
+	return p.plan
 }
 
-// compareGroups orders groups: suspects first, then by priority and rank. Groups
-// that are equal in both have a fixed order too.
+// compareGroups orders groups: suspects first, then by priority, tier and rank.
+// Groups that are equal in all of them have a fixed order too.
 func compareGroups(a, b *Group) int {
 	if a.Suspect != b.Suspect {
 		return compareTrueFirst(a.Suspect, b.Suspect)
@@ -131,6 +129,9 @@
 	if a.Priority != b.Priority {
 		return cmp.Compare(a.Priority, b.Priority)
 	}
+	if a.Tier != b.Tier {
+		return cmp.Compare(a.Tier, b.Tier)
+	}
 	if a.Rank != b.Rank {
 		return cmp.Compare(a.Rank, b.Rank)
 	}
@@ -140,6 +141,13 @@
 	return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
 }
 
+// need returns what one task counts against the quota of its account.
+func (g *Group) need() workload.Resources {
+	need := g.Charge
+	need.MilliCPU += g.UnchargedMilliCPU
+	return need
+}
+
 // unconstrained reports whether any worker with enough free capacity may take
 // the group's tasks.
 func (g *Group) unconstrained() bool {
--- /dev/null
+++ b/internal/version/placement/planner.go
@@ -0,0 +1,102 @@
+package placement
+
+import "arbutusward.example/arbutusward/internal/version/fairshare"
+
+// planner places groups in the order in which it is given them.
+type planner struct {
+	pools map[string]*pool
+	// accounts is nil if there are no client accounts.
+	accounts *fairshare.Accounts
+	plan     []Placement
+}
+
+func (p *planner) poolOf(service string) *pool {
+	found := p.pools[service]
+	if found == nil {
+		found = &pool{}
+		p.pools[service] = found
+	}
+	return found
+}
+
+// tierSize returns the number of first groups that have the same priority and tier.
+func tierSize(groups []*Group) int {
+	first := groups[0]
+	for i, g := range groups {
+		if g.Suspect != first.Suspect || g.Priority != first.Priority || g.Tier != first.Tier {
+			return i
+		}
+	}
+	return len(groups)
+}
+
+func (p *planner) placeAll(groups []*Group) {
+	for _, g := range groups {
+		p.place(g)
+	}
+}
+
+// placeTier places the groups of one tier. Those of accounts that are above their share
+// when it is their turn come last, so that idle shares are lent.
+func (p *planner) placeTier(groups []*Group) {
+	var last []*Group
+	for _, g := range groups {
+		if !g.LongRunning && p.accounts.AboveShare(g.Account, g.Service) {
+			last = append(last, g)
+			continue
+		}
+		p.place(g)
+	}
+	for _, g := range last {
+		if p.place(g) < len(g.Indexes) {
+			p.accounts.Passed(g.Account)
+		}
+	}
+}
+
+// place places the tasks of a group that fit into the free capacity and the quota of its
+// account, and returns their number.
+func (p *planner) place(g *Group) int {
+	pool := p.pools[g.Service]
+	if pool == nil || !g.Suspect && pool.knownNotToFit(g.Charge) {
+		return 0
+	}
+	if g.Gang && len(g.Indexes) < g.Total {
+		return 0
+	}
+	waiting := g.Indexes
+	if p.accounts != nil {
+		g.Indexes = waiting[:p.startable(pool, g)]
+	}
+	placed := p.placeStartable(pool, g)
+	g.Indexes = waiting
+	if p.accounts != nil {
+		p.accounts.Starts(g.Account, g.Service, g.need(), g.Charge, len(placed))
+	}
+	p.plan = append(p.plan, placed...)
+	return len(placed)
+}
+
+// startable returns how many tasks of a group the quota of its account lets start.
+func (p *planner) startable(pool *pool, g *Group) int {
+	startable := p.accounts.Startable(g.Account, g.need(), len(g.Indexes), g.Gang)
+	if startable == 0 && !p.accounts.Draining(g.Account) && pool.hasRoom(g) {
+		p.accounts.Drain(g.Account, g.need(), len(g.Indexes), g.Gang)
+	}
+	return startable
+}
+
+// placeStartable places the tasks of a group, of which a quota has left some, or none.
+func (p *planner) placeStartable(pool *pool, g *Group) []Placement {
+	if len(g.Indexes) == 0 {
+		return nil
+	}
+	if g.Suspect {
+		return pool.placeSuspects(g)
+	}
+	placed := pool.place(g)
+	if g.unconstrained() && len(placed) < len(g.Indexes) {
+		pool.misfits = append(pool.misfits, g.Charge)
+	}
+	return placed
+}
--- a/internal/version/placement/pool.go
+++ b/internal/version/placement/pool.go
@@ -46,6 +46,11 @@
 	return false
 }
 
+// hasRoom reports whether a worker has the free capacity for one task of a group.
+func (p *pool) hasRoom(g *Group) bool {
+	return slices.ContainsFunc(p.workers, func(w *Worker) bool { return eligible(g, w, nil) })
+}
+
 // place places the tasks of one group.
 func (p *pool) place(g *Group) []Placement {
 	if g.unconstrained() && !g.LongRunning && g.DataRack == "" && !p.penalized {
--- a/internal/version/placement/rank.go
+++ b/internal/version/placement/rank.go
@@ -40,15 +40,57 @@
 // objective. It ranks them behind all jobs that can.
 const missedObjectiveRank = 1e9
 
-// Rank returns the rank of a job among those of its priority; the job with the
+// lateFactor is the multiple of its objective up to which the result of a job is still of
+// some use to its caller. Callers of the deployments give it no worth after that.
+const lateFactor = 3
+
+// Tier is the class of a job by what it is still worth to serve it soon. Lower tiers of a
+// priority are served first.
+type Tier uint8
+
+const (
+	// InTime jobs can still meet their objective.
+	InTime Tier = iota
+	// Late jobs can't, but can end while they are of some use.
+	Late
+	// OverRate jobs are of use, and beyond what their account is entitled to.
+	OverRate
+	// Useless jobs can't end any more while they are of use.
+	Useless
+)
+
+// TierAt returns the tier of a job. It is the only rule by which tiers are told.
+func (o *Objective) TierAt(now time.Time, overRate bool) Tier {
+	end, allowed := o.expectedLatency(now), o.allowed()
+	switch {
+	case allowed > 0 && end > lateFactor*allowed:
+		return Useless
+	case overRate:
+		return OverRate
+	case end > allowed:
+		return Late
+	}
+	return InTime
+}
+
+// allowed returns the latency that meets the objective.
+func (o *Objective) allowed() time.Duration {
+	return time.Duration(o.Stretch*float64(o.Chain)) + o.TargetLatency
+}
+
+// expectedLatency returns the latency of the job if all its open steps start as soon as
+// they can.
+func (o *Objective) expectedLatency(now time.Time) time.Duration {
+	return now.Sub(o.Accepted) + time.Duration(estimateMargin*float64(o.Remaining))
+}
+
+// Rank returns the rank of a job among those of its priority and tier; the job with the
 // lowest rank is served first. The order matters when a queue needs more than
 // its pool has for some seconds. Jobs that can still meet their objective come
 // first, ordered by urgency and size. The other jobs share the capacity that
 // is left, the smallest one first.
 func (o *Objective) Rank(now time.Time) float64 {
-	allowed := time.Duration(o.Stretch*float64(o.Chain)) + o.TargetLatency
-	needed := time.Duration(estimateMargin * float64(o.Remaining))
-	slack := allowed - now.Sub(o.Accepted) - needed
+	slack := o.allowed() - o.expectedLatency(now)
 	if slack < 0 {
 		return missedObjectiveRank + o.Work
 	}
