scheduler: starts keep to the quotas of client accounts

Cause: Account.Limit had no effect, and jobs over the rate of their account were placed like others.

Change: each plan counts per account the needs of all recorded runs, and of runs that workers report and that are not recorded any more. Jobs marked OverRate get their tier. Counters of what was held back, a gauge of marked jobs, and at most one log line per account and second. After a commit of progress without a known result nothing starts until a barrier shows that the state has it: two plans could else use the same quota.

--- a/internal/process/scheduler/benchburst_test.go
+++ b/internal/process/scheduler/benchburst_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -58,3 +59,39 @@
 	}
 	commitTo(b, l.Machine, &workstate.Command{Progress: &progress})
 }
+
+// BenchmarkRoundWithAccounts measures a round of a large fleet with a long backlog, with
+// and without accounts that have limits.
+func BenchmarkRoundWithAccounts(b *testing.B) {
+	for _, count := range []int{0, 20, 190} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			l := loadedLeader(b, 1100, 4, 4000)
+			l.giveAccounts(b, count)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.committing = false
+				l.round(time.Now())
+			}
+		})
+	}
+}
+
+// giveAccounts gives each job one of a number of accounts in turn.
+func (l *loop) giveAccounts(b testing.TB, count int) {
+	if count == 0 {
+		return
+	}
+	c := testCatalog()
+	c.Version++
+	for i := range count {
+		c.Accounts = append(c.Accounts, catalog.Account{Name: fmt.Sprint("account", i), Weight: float64(1 + i%9), Limit: workload.Resources{MilliCPU: 9_000_000 / int64(count)}})
+	}
+	commitTo(b, l.Machine, &workstate.Command{Catalog: c})
+	l.Machine.Read(func(v *workstate.View) {
+		next := 0
+		for _, job := range v.Active() {
+			job.Account = c.Accounts[next%count].Name
+			next++
+		}
+	})
+}
--- a/internal/process/scheduler/fakecalls_test.go
+++ b/internal/process/scheduler/fakecalls_test.go
@@ -36,6 +36,9 @@
 	}
 	f.checkStart(w, o, late)
 	f.checkLimit(w, o.Task, late)
+	if f.quotas != nil {
+		f.quotas.check(f, o.Task)
+	}
 	f.starts++
 	w.extend(o.LeaseUntilMS)
 	duration := f.duration
--- a/internal/process/scheduler/fakeworker_test.go
+++ b/internal/process/scheduler/fakeworker_test.go
@@ -94,6 +94,8 @@
 	ticket func(*fakeWorker, execution.StartOrder) bool
 	// submitted holds the jobs whose tasks count against the capacity of workers.
 	submitted map[string]workload.Spec
+	// quotas, if set, checks the limits of accounts.
+	quotas *quotaCheck
 	// deadly, if set, tells which tasks crash each worker that starts them, and
 	// onCrash is called for each such worker. deadlyCrashes counts them by task.
 	deadly        func(workload.TaskID) bool
--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -10,6 +10,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -122,12 +123,15 @@
 }
 
 // lead starts a leader with the replica's term.
-func (f *fixture) lead() {
+func (f *fixture) lead() { f.leadWith(f.replica) }
+
+// leadWith is lead with another replica of the same state.
+func (f *fixture) leadWith(r replica.Replica) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.end = cancel
 	f.ended = make(chan struct{})
 	f.loop = newLoop(ctx, Options{
-		Replica: f.replica, Machine: f.machine, Workers: f.workers, Platform: f.vms, Adviser: f.adviser, Holder: "c1",
+		Replica: r, Machine: f.machine, Workers: f.workers, Platform: f.vms, Adviser: f.adviser, Holder: "c1",
 		Limits: f.limits,
 		Log:    slog.New(slog.NewTextHandler(testLog{f.t}, nil)), Now: time.Now,
 	}, f.replica.term)
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -82,6 +82,9 @@
 	// committing is set while a commit of progress is in flight. dirty is set
 	// if something has changed since the last round.
 	committing, dirty bool
+	// unconfirmed is set while it is unknown whether the last commit of progress is still
+	// to be applied. A plan made before that would not know its starts.
+	unconfirmed bool
 	// lastCommit is how long the last commit of progress took.
 	lastCommit time.Duration
 	// format is the newest format of commands that may be proposed.
@@ -107,6 +110,7 @@
 	// waitingSteps and waitingTasks count what waited in the last round.
 	waitingSteps, waitingTasks int
 	fleetPlannedAt             time.Time
+	accountLog                 accountLog
 	purge                      purgeState
 	loadLog                    loadLog
 }
@@ -214,6 +218,7 @@
 		usage := l.reconcile(v, detail, now)
 		groups := l.waitingGroups(v, now)
 		l.recordWaiting(groups)
+		recordOverRate(v, groups)
 		l.applyAdvice(v, usage, groups, now)
 		if planFleet {
 			l.fleetPlannedAt = now
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -16,14 +16,16 @@
 // placeTasks returns starts that place waiting tasks on workers with free
 // capacity.
 func (l *loop) placeTasks(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) []workstate.Start {
-	if len(groups) == 0 {
+	if len(groups) == 0 || l.unconfirmed {
 		return nil
 	}
 	if u.suspectStarting || hasSuspects(groups) {
 		l.countStarting(v, u)
 	}
-	placed := placement.Plan(groups, l.schedulableWorkers(u, now))
+	accounts := l.accounts(v, u, groups, now)
+	placed := placement.PlanForAccounts(groups, l.schedulableWorkers(u, now), accounts)
 	l.logSuspects(v, placed)
+	l.reportDelayed(accounts, now)
 	starts := make([]workstate.Start, 0, len(placed))
 	for _, p := range placed {
 		starts = append(starts, l.newStart(v, p))
@@ -149,16 +151,18 @@
 	return groups
 }
 
-// rankGroups sets the rank of the groups of one occurrence.
+// rankGroups sets the tier and the rank of the groups of one occurrence.
 func (l *loop) rankGroups(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k int, groups []*placement.Group, at planTime) {
 	if len(groups) == 0 {
 		return
 	}
-	rank := l.rank(v, job, progress, k, at)
+	objective := l.objective(v, job, progress, k, at)
+	overRate := job.OverRate && len(v.Catalog().Accounts) > 0
+	tier, rank := objective.TierAt(at.now, overRate), objective.Rank(at.now)
 	for _, g := range groups {
-		g.Rank = rank
+		g.Tier, g.Rank = tier, rank
 		if g.LongRunning {
-			g.Rank = longRunningRank
+			g.Tier, g.Rank = longRunningTier(overRate), longRunningRank
 		}
 	}
 }
@@ -167,13 +171,21 @@
 // are missed for as long as they wait.
 const longRunningRank = -1e6
 
-// rank returns the rank of one occurrence of a job.
-func (l *loop) rank(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k int, at planTime) float64 {
+// longRunningTier returns the tier of long-running tasks, which have no objective.
+func longRunningTier(overRate bool) placement.Tier {
+	if overRate {
+		return placement.OverRate
+	}
+	return placement.InTime
+}
+
+// objective returns the figures that determine the order of one occurrence of a job.
+func (l *loop) objective(v *workstate.View, job *workstate.Job, progress *workstate.Occurrence, k int, at planTime) (objective placement.Objective) {
 	queue := v.Queue(job.Queue)
 	if queue == nil {
-		return 0
+		return placement.Objective{Accepted: at.now}
 	}
-	objective := placement.Objective{Accepted: at.arrivalTime(job, k), Stretch: queue.Stretch, TargetLatency: queue.TargetLatency, MeanWork: l.demand.meanWork[job.Queue]}
+	objective = placement.Objective{Accepted: at.arrivalTime(job, k), Stretch: queue.Stretch, TargetLatency: queue.TargetLatency, MeanWork: l.demand.meanWork[job.Queue]}
 	count := len(job.Spec.Steps)
 	times := make([]time.Duration, 2*count)
 	durations, remaining := times[:count], times[count:]
@@ -192,7 +204,7 @@
 	}
 	objective.Chain = placement.LongestChain(durations, dependsOn)
 	objective.Remaining = placement.LongestChain(remaining, dependsOn)
-	return objective.Rank(at.now)
+	return objective
 }
 
 // planTime is the time of a plan on the local clock and on the wall clock, which the
@@ -223,6 +235,7 @@
 		Job: job.ID, Account: job.Account, Occurrence: k, Step: s, Total: step.Count, Service: v.ServiceOf(job), Charge: step.Charge(),
 		Label: step.RequiredLabel, DataRack: step.DataRack, MaxPerWorker: step.MaxPerWorker, Gang: step.Gang, SameRack: step.SameRack, LongRunning: step.LongRunning,
 	}
+	g.UnchargedMilliCPU = step.Need.MilliCPU - g.Charge.MilliCPU
 	if queue := v.Queue(job.Queue); queue != nil {
 		g.Priority = queue.Priority
 	}
--- a/internal/process/scheduler/progress.go
+++ b/internal/process/scheduler/progress.go
@@ -35,6 +35,7 @@
 	l.dirty = true
 	if err != nil {
 		l.Log.Warn("commit of progress not confirmed", "starts", len(progress.Starts), "ends", len(progress.Ends), "error", err.Error())
+		l.awaitOutcome()
 		return
 	}
 	for _, end := range progress.Ends {
@@ -53,6 +54,26 @@
 	})
 }
 
+// awaitOutcome keeps the loop from starting runs until its state has all that was
+// proposed before, or the leadership ends.
+func (l *loop) awaitOutcome() {
+	if l.unconfirmed {
+		return
+	}
+	l.unconfirmed = true
+	go func() {
+		for l.Replica.ReadBarrier(l.ctx) != nil {
+			// A former leader gets an error until its leadership ends.
+			select {
+			case <-l.ctx.Done():
+				return
+			case <-time.After(tickInterval):
+			}
+		}
+		l.post(func(l *loop) { l.unconfirmed, l.dirty = false, true })
+	}()
+}
+
 // dropCommittedEnds removes the runs whose ends were committed, which no longer execute.
 func (l *loop) dropCommittedEnds(ends []workstate.End) {
 	for i := range ends {
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -39,6 +39,8 @@
 	// deadlySeeds is the interval of the seeds with a task that crashes its
 	// workers.
 	deadlySeeds = 4
+	// accountSeeds is the interval of the seeds whose jobs have accounts.
+	accountSeeds = 3
 	// deadlyTime is the further time in which the job of such a task must end. Its
 	// workers are silent for longer than a lease, so that each of its runs may
 	// take that long.
@@ -48,9 +50,16 @@
 // TestRandomSchedulesOfRuns injects random faults of calls, workers and
 // leaders. No task may run twice at the same time, after its end, before its
 // dependencies or too often, no start may bring a worker over its capacity, which
-// shrinks and grows, and every job must end once the faults are over.
+// shrinks and grows, no start may bring an account above its limit, and every job must end
+// once the faults are over.
 func TestRandomSchedulesOfRuns(t *testing.T) {
-	eachSeed(t, 1, func(t *testing.T, seed uint64) { newSchedule(t, seed).run() })
+	eachSeed(t, 1, func(t *testing.T, seed uint64) {
+		s := newSchedule(t, seed)
+		if seed%accountSeeds == accountSeeds-1 {
+			s.drawAccounts()
+		}
+		s.run()
+	})
 }
 
 // eachSeed plays a schedule, in a bubble of its own, for one in fraction of the seeds
@@ -88,6 +97,8 @@
 	furtherEvent func()
 	// afterFaults, if set, is called when the time with faults is over.
 	afterFaults func()
+	// accountOf, if set, returns the account of a job.
+	accountOf func(job string) string
 	// replicaOf, if set, returns the replica of the leader of a term, and its state.
 	replicaOf func(ctx context.Context, term uint64) (replica.Replica, *workstate.Machine)
 	// calm is the time without faults in which all jobs must end.
@@ -311,6 +322,10 @@
 	s.workers.mu.Lock()
 	s.workers.ledger.specs[id] = spec
 	s.workers.mu.Unlock()
+	if s.accountOf != nil {
+		s.submitAs(s.accountOf(id), id, spec.Steps...)
+		return
+	}
 	s.submit(id, spec.Steps...)
 }
 
