placement: an account is drained for a large task for 2 s of each 4 s

Cause: tasks that would fit waited behind a large one of their account for as long as what it executed took.

--- a/internal/process/scheduler/accounts.go
+++ b/internal/process/scheduler/accounts.go
@@ -16,6 +16,14 @@
 // after those of others in the same tier.
 const orderByShare = true
 
+// An account may be drained for a large task that its quota holds back for quotaDrainTime of
+// each quotaDrainInterval. Its smaller tasks, which would fit, wait no longer than that for it,
+// also if the tasks that it executes take long.
+const (
+	quotaDrainInterval = 4 * time.Second
+	quotaDrainTime     = 2 * time.Second
+)
+
 // accountLogInterval is the interval of the log lines about one account.
 const accountLogInterval = time.Second
 
@@ -35,6 +43,7 @@
 	}
 	accounts := fairshare.New(list)
 	accounts.ByShare = orderByShare
+	accounts.MayDrain = now.Sub(l.since)%quotaDrainInterval < quotaDrainTime
 	for name, use := range v.AccountUse() {
 		accounts.Executes(name, use)
 	}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -148,6 +148,7 @@
 	for {
 		select {
 		case <-l.ctx.Done():
+			overRateWaiting.Store(0)
 			l.Log.Info("scheduling loop stopped", "term", l.term, "led_ms", time.Since(l.since).Milliseconds())
 			return
 		case e := <-l.events:
--- a/internal/version/fairshare/quota.go
+++ b/internal/version/fairshare/quota.go
@@ -15,6 +15,8 @@
 	pools    map[string]*pool
 	// ByShare is set if groups of accounts above their share come after the others.
 	ByShare bool
+	// MayDrain is set if Drain has an effect in this plan.
+	MayDrain bool
 }
 
 // account is what the plan knows of one client account.
@@ -94,10 +96,10 @@
 // Drain keeps the account from starting anything else in this plan if a task, or a whole
 // gang, that its quota holds back needs more than is certain to be free while the account
 // uses less than 1/largeFraction of its quota. Otherwise smaller tasks would take the room
-// that becomes free for as long as there are any.
+// that becomes free for as long as there are any. It does nothing unless MayDrain is set.
 func (a *Accounts) Drain(name string, need workload.Resources, tasks int, gang bool) {
 	acc := a.of(name)
-	acc.draining = acc.draining || acc.isLarge(need, tasks, gang)
+	acc.draining = acc.draining || a.MayDrain && acc.isLarge(need, tasks, gang)
 }
 
 // Draining reports whether Drain keeps an account from starting anything.
--- a/internal/version/placement/planner.go
+++ b/internal/version/placement/planner.go
@@ -80,7 +80,7 @@
 // startable returns how many tasks of a group the quota of its account lets start.
 func (p *planner) startable(pool *pool, g *Group) int {
 	startable := p.accounts.Startable(g.Account, g.need(), len(g.Indexes), g.Gang)
-	if startable == 0 && !p.accounts.Draining(g.Account) && pool.hasRoom(g) {
+	if startable == 0 && p.accounts.MayDrain && !p.accounts.Draining(g.Account) && pool.hasRoom(g) {
 		p.accounts.Drain(g.Account, g.need(), len(g.Indexes), g.Gang)
 	}
 	return startable
