scheduler: no VMs are moved for tasks that a quota holds back

Cause: the demand of a pool counted all waiting tasks, so that an account at its quota drew VMs to a pool that it could not use.

Change: desiredPools counts of each group what the rest of the quota takes.

--- a/internal/process/scheduler/accounts.go
+++ b/internal/process/scheduler/accounts.go
@@ -37,16 +37,12 @@
 
 // accounts returns what the client accounts execute, or nil if there are none.
 func (l *loop) accounts(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) *fairshare.Accounts {
-	list := v.Catalog().Accounts
-	if len(list) == 0 {
+	if len(v.Catalog().Accounts) == 0 {
 		return nil
 	}
-	accounts := fairshare.New(list)
+	accounts := quotaUse(v)
 	accounts.ByShare = orderByShare
 	accounts.MayDrain = now.Sub(l.since)%quotaDrainInterval < quotaDrainTime
-	for name, use := range v.AccountUse() {
-		accounts.Executes(name, use)
-	}
 	if accounts.Limited() {
 		l.countUnrecordedUse(v, u, accounts, now)
 	}
@@ -56,6 +52,30 @@
 	return accounts
 }
 
+// quotaUse returns the recorded use of the accounts, or nil if there are none.
+func quotaUse(v *workstate.View) *fairshare.Accounts {
+	list := v.Catalog().Accounts
+	if len(list) == 0 {
+		return nil
+	}
+	accounts := fairshare.New(list)
+	for name, use := range v.AccountUse() {
+		accounts.Executes(name, use)
+	}
+	return accounts
+}
+
+// tasksWithinQuota returns how many waiting tasks of a group a pool needs room for, and
+// counts them. No VMs are moved for tasks that a quota holds back.
+func tasksWithinQuota(quotas *fairshare.Accounts, g *placement.Group) int {
+	if quotas == nil {
+		return len(g.Indexes)
+	}
+	tasks := quotas.Startable(g.Account, g.Need(), len(g.Indexes), g.Gang)
+	quotas.Starts(g.Account, g.Service, g.Need(), g.Charge, tasks)
+	return tasks
+}
+
 // countUnrecordedUse counts the runs that workers report and that are no longer recorded
 // against the accounts of their jobs. Those of a worker that has left, or whose leases have
 // expired, have ended.
--- a/internal/process/scheduler/advice.go
+++ b/internal/process/scheduler/advice.go
@@ -75,7 +75,9 @@
 		return
 	}
 	seen := map[workload.StepID]bool{}
-	slices.SortStableFunc(groups, func(a, b *placement.Group) int { return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Rank, b.Rank)) })
+	slices.SortStableFunc(groups, func(a, b *placement.Group) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Rank, b.Rank))
+	})
 	for _, g := range groups {
 		queue := v.Queue(v.Job(g.Job).Queue)
 		if queue == nil || queue.Advice == nil {
--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -112,8 +112,9 @@
 // desiredPools returns the pools with their desired numbers of VMs.
 func (l *loop) desiredPools(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) []rebalance.Pool {
 	loads := l.poolLoads(u)
+	quotas := quotaUse(v)
 	for _, g := range groups {
-		loads[g.Service] += l.load(g.Charge) * rebalance.Load(len(g.Indexes))
+		loads[g.Service] += l.load(g.Charge) * rebalance.Load(tasksWithinQuota(quotas, g))
 	}
 	spread := l.vmsForSpread(v, groups)
 	warmingUp := l.demand.firstArrival.IsZero() || now.Sub(l.demand.firstArrival) < warmUpTime || now.Sub(l.since) < warmUpTime
--- a/internal/process/scheduler/quota_test.go
+++ b/internal/process/scheduler/quota_test.go
@@ -295,6 +295,27 @@
 	})
 }
 
+// TestTasksBeyondAQuotaNeedNoVMs guards against VMs that are moved to a pool for tasks that may not start.
+func TestTasksBeyondAQuotaNeedNoVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := quotaFixture(t, 10*time.Second)
+		defer func() { f.depose() }()
+		f.submitAs("a", jobA, step(100))
+		time.Sleep(time.Second)
+		f.loop.post(func(l *loop) {
+			f.machine.Read(func(v *workstate.View) {
+				u := l.reconcile(v, fleetDetails, time.Now())
+				groups := l.waitingGroups(v, time.Now())
+				if pool := l.desiredPools(v, u, groups, time.Now())[0]; pool.ForLoad > 5 {
+					// The forecast adds some to the one that the quota fills.
+					t.Errorf("%d VMs of four cores for a quota of three", pool.ForLoad)
+				}
+			})
+		})
+		time.Sleep(time.Second)
+	})
+}
+
 // drawAccounts gives a third of a schedule's jobs to each of two accounts with limits. The
 // jobs have twice the time to end, since they get as little as a sixth of the workers.
 func (s *schedule) drawAccounts() {
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -141,8 +141,8 @@
 	return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
 }
 
-// need returns what one task counts against the quota of its account.
-func (g *Group) need() workload.Resources {
+// Need returns what one task counts against the quota of its account.
+func (g *Group) Need() workload.Resources {
 	need := g.Charge
 	need.MilliCPU += g.UnchargedMilliCPU
 	return need
--- a/internal/version/placement/planner.go
+++ b/internal/version/placement/planner.go
@@ -71,7 +71,7 @@
 	placed := p.placeStartable(pool, g)
 	g.Indexes = waiting
 	if p.accounts != nil {
-		p.accounts.Starts(g.Account, g.Service, g.need(), g.Charge, len(placed))
+		p.accounts.Starts(g.Account, g.Service, g.Need(), g.Charge, len(placed))
 	}
 	p.plan = append(p.plan, placed...)
 	return len(placed)
@@ -79,9 +79,9 @@
 
 // startable returns how many tasks of a group the quota of its account lets start.
 func (p *planner) startable(pool *pool, g *Group) int {
-	startable := p.accounts.Startable(g.Account, g.need(), len(g.Indexes), g.Gang)
+	startable := p.accounts.Startable(g.Account, g.Need(), len(g.Indexes), g.Gang)
 	if startable == 0 && p.accounts.MayDrain && !p.accounts.Draining(g.Account) && pool.hasRoom(g) {
-		p.accounts.Drain(g.Account, g.need(), len(g.Indexes), g.Gang)
+		p.accounts.Drain(g.Account, g.Need(), len(g.Indexes), g.Gang)
 	}
 	return startable
 }
