--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -83,6 +83,9 @@
 	// committing is set while a commit of progress is in flight. dirty is set
 	// if something has changed since the last round.
 	committing, dirty bool
+	// unconfirmed is set while it is unknown whether the last commit of progress is still
+	// to be applied. A plan made before that would not know its starts.
+	unconfirmed bool
 	// lastCommit is how long the last commit of progress took.
 	lastCommit time.Duration
 	// format is the newest format of commands that may be proposed.
@@ -108,6 +111,7 @@
 	// waitingSteps and waitingTasks count what waited in the last round.
 	waitingSteps, waitingTasks int
 	fleetPlannedAt             time.Time
+	accountLog                 accountLog
 	purge                      purgeState
 	loadLog                    loadLog
 }
@@ -145,6 +149,7 @@
 	for {
 		select {
 		case <-l.ctx.Done():
+			overRateWaiting.Store(0)
 			l.Log.Info("scheduling loop stopped", "term", l.term, "led_ms", time.Since(l.since).Milliseconds())
 			return
 		case e := <-l.events:
@@ -215,6 +220,7 @@
 		usage := l.reconcile(v, detail, now)
 		groups := l.waitingGroups(v, now)
 		l.recordWaiting(groups)
+		recordOverRate(v, groups)
 		l.applyAdvice(v, usage, groups, now)
 		if planFleet {
 			l.fleetPlannedAt = now
