Leader refuses jobs that would be of no use, with a time to return

Cause: under a burst all jobs were accepted, also those that could only end after three times their objective, and those of an account over its rate.

--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -44,6 +44,9 @@
 type SubmitRequest struct {
 	Location
 	Spec workload.Spec `cbor:"3,keyasint"`
+	// Attempt is the same in all copies of a call that one request of a client caused,
+	// and differs from those of others. It may be empty.
+	Attempt string `cbor:"5,keyasint,omitempty"`
 }
 
 // Status is the result of a request.
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -108,6 +108,7 @@
 	waitingSteps, waitingTasks int
 	fleetPlannedAt             time.Time
 	purge                      purgeState
+	admission                  admissionState
 	loadLog                    loadLog
 }
 
@@ -220,6 +221,7 @@
 			l.planFleet(v, usage, groups, now)
 		}
 		progress.Starts = l.placeTasks(v, usage, groups, now)
+		l.publishLoad(v, usage, groups, progress.Starts, now)
 	})
 	for _, end := range l.ends {
 		progress.Ends = append(progress.Ends, end)
@@ -253,6 +255,7 @@
 	l.evacuateDraining(v, u, now)
 	l.updateVMCapacity()
 	pools := l.desiredPools(v, u, groups, now)
+	l.admission.pools = pools
 	l.cordonVMs(v, u, waves, pools, now)
 	l.planMoves(v, u, pools, now)
 }
--- a/internal/process/scheduler/overhead.go
+++ b/internal/process/scheduler/overhead.go
@@ -34,6 +34,9 @@
 		return
 	}
 	executed := time.Duration(w.reportClockMS-r.acceptedClockMS) * time.Millisecond
+	if key.run == 1 {
+		l.admission.learnDuration(job.Queue, step, executed)
+	}
 	l.demand.overheads.add(job.Queue, now.Sub(r.plannedAt)+l.lastCommit-executed)
 }
 
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -12,6 +12,7 @@
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/scheduler/admit"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -35,6 +36,9 @@
 	// onJobAccepted passes a new job to the leader's loop.
 	onJobAccepted func(id string)
 	now           func() time.Time
+	// load is the newest load of the pools, and gate makes refusals final.
+	load admit.Board
+	gate admit.Gate
 	// proposals tracks the configurations that are being proposed.
 	proposals proposalGate
 }
--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -28,6 +28,10 @@
 	id string
 	// known is set if the job was accepted before.
 	known bool
+	// account is the account of the caller, "" without one. overRate is set if the job
+	// exceeds the account's rate.
+	account  string
+	overRate bool
 	// refusal is set if the job must be refused.
 	refusal workcall.SubmitResponse
 }
@@ -51,8 +55,7 @@
 
 // Submit accepts a job durably. A job that was accepted before is accepted
 // again without effect.
-func (s *Server) Submit(ctx context.Context, r workcall.SubmitRequest) (workcall.SubmitResponse, error) {
-	var response workcall.SubmitResponse
+func (s *Server) Submit(ctx context.Context, r workcall.SubmitRequest) (response workcall.SubmitResponse, err error) {
 	var found submission
 	look := func(v *workstate.View) { found = examine(v, r) }
 	s.machine.Read(look)
@@ -76,6 +79,11 @@
 		s.log.Warn("job refused, no contact to a majority", "job", id, "path", r.Path, "silent_ms", silence.Milliseconds())
 		return response, &link.Fault{Code: workcall.CodeUnavailable, Message: "the leader has no contact to a majority"}
 	}
+	proposal, response, err := s.admit(ctx, &r, look, &found)
+	if proposal == nil {
+		return response, err
+	}
+	defer func() { s.endProposal(proposal, response, err) }()
 	result, err := s.propose(ctx, &workstate.Command{Submit: &workstate.Submit{ID: id, Host: r.Host, Path: r.Path, Spec: r.Spec}})
 	if err != nil {
 		return response, err
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -124,6 +124,8 @@
 	// Account is the name of the client account that submitted the job, or "" if it was
 	// submitted without a key.
 	Account string `cbor:"12,keyasint,omitempty"`
+	// OverRate is set if the job exceeded the rate of its account when it was accepted.
+	OverRate bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Worker is a registered incarnation of a worker, which represents a VM in a
--- /dev/null
+++ b/internal/version/overload/assess.go
@@ -0,0 +1,35 @@
+package overload
+
+import (
+	"time"
+
+	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/placement"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// Assess sets what follows from a job's steps: whether it is exempt, its work in a pool
+// with the given room, its longest chain and its objective.
+func (j *Job) Assess(spec *workload.Spec, queue *catalog.Queue, durations Durations, room workload.Resources) {
+	j.Exempt = spec.LongRunning() || spec.Repeat > 0
+	estimates := make([]time.Duration, len(spec.Steps))
+	expected := make([]time.Duration, len(spec.Steps))
+	dependsOn := make([][]int, len(spec.Steps))
+	j.Work = 0
+	for i := range spec.Steps {
+		step := &spec.Steps[i]
+		estimates[i], expected[i], dependsOn[i] = step.Estimate, durations.Expected(step.Estimate), step.DependsOn
+		j.Work += StepWork(step, step.Count, durations, room)
+	}
+	j.Chain = placement.LongestChain(expected, dependsOn)
+	// The caller's objective follows from the true durations, of which the longer
+	// chain is the one in favor of accepting.
+	chain := max(j.Chain, placement.LongestChain(estimates, dependsOn))
+	j.Objective = time.Duration(queue.Stretch*float64(chain)) + queue.TargetLatency
+}
+
+// StepWork returns the expected work of a number of tasks of a step in dominant core
+// seconds.
+func StepWork(step *workload.Step, tasks int, durations Durations, room workload.Resources) float64 {
+	return float64(tasks) * DominantCores(step.Charge(), room) * durations.Expected(step.Estimate).Seconds()
+}
