--- a/internal/process/scheduler/poolload.go
+++ b/internal/process/scheduler/poolload.go
@@ -156,6 +156,9 @@
 		if assessed.Objective > 0 && age > overload.Useful(assessed.Objective) {
 			continue
 		}
+		if !job.OverRate {
+			pool.AddArrival(assessed.Work, age)
+		}
 		if work := waitingWork(job, k, durations, pool.Room); work > 0 {
 			pool.Add(job.Account, weight, queue.Priority, job.OverRate, work)
 		}
--- a/internal/version/overload/assess.go
+++ b/internal/version/overload/assess.go
@@ -9,18 +9,27 @@
 )
 
 // Assess sets what follows from a job's steps: whether it is exempt, its work in a pool
-// with the given room, its longest chain and its objective.
+// with the given room, its chain and its objective.
 func (j *Job) Assess(spec *workload.Spec, queue *catalog.Queue, durations Durations, room workload.Resources) {
 	j.Exempt = spec.LongRunning() || spec.Repeat > 0
 	estimates := make([]time.Duration, len(spec.Steps))
 	expected := make([]time.Duration, len(spec.Steps))
 	dependsOn := make([][]int, len(spec.Steps))
-	j.Work = 0
+	j.Work, j.Last = 0, 0
+	awaited := make([]bool, len(spec.Steps))
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
 		estimates[i], expected[i], dependsOn[i] = step.Estimate, durations.Expected(step.Estimate), step.DependsOn
+		for _, earlier := range step.DependsOn {
+			awaited[earlier] = true
+		}
 		j.Work += StepWork(step, step.Count, durations, room)
 	}
+	for i, duration := range expected {
+		if !awaited[i] {
+			j.Last = max(j.Last, duration)
+		}
+	}
 	j.Chain = placement.LongestChain(expected, dependsOn)
 	// The caller's objective follows from the true durations, of which the longer
 	// chain is the one in favor of accepting.
--- a/internal/version/overload/decide.go
+++ b/internal/version/overload/decide.go
@@ -17,9 +17,9 @@
 	// lateMargin is the ratio by which the estimated end of a job must exceed its last
 	// useful moment before the job is refused, because estimates are poor.
 	lateMargin = 1.25
-	// drainShare is the share of the room that works off the backlog before a job that is
-	// over the rate, because owed jobs keep coming.
-	drainShare = 0.5
+	// minDrainShare is the smallest share of the room that is taken to work off a backlog
+	// while owed jobs keep coming.
+	minDrainShare = 0.2
 	// minRetryAfter is the shortest time for which a caller is sent away. Retry-After
 	// counts whole seconds.
 	minRetryAfter = time.Second
@@ -36,10 +36,10 @@
 	OverRate bool
 	// Exempt is set for jobs that are never refused: long-running and scheduled ones.
 	Exempt bool
-	// Work is the expected work in dominant core seconds, Chain the expected duration
-	// of the longest chain of steps.
-	Work  float64
-	Chain time.Duration
+	// Work is the expected work in dominant core seconds. Chain is the expected duration
+	// of the longest chain of steps, Last that of the longest step that no other awaits.
+	Work        float64
+	Chain, Last time.Duration
 	// Objective is the time within which the job should end; 0 if it has none.
 	Objective time.Duration
 }
@@ -76,13 +76,12 @@
 	if p == nil || j.Exempt || j.Objective <= 0 || p.cores() <= 0 || !p.full() {
 		return Verdict{}
 	}
-	span := max(j.Chain, p.timeFor(j.Work))
 	if j.OverRate {
-		return p.decideOverRate(j, span)
+		return p.decideOverRate(j)
 	}
 	verdict := p.verdict(p.ownBacklog(j))
-	late := verdict.Wait + span - Useful(j.Objective)
-	if verdict.Wait+span > time.Duration(lateMargin*float64(Useful(j.Objective))) {
+	late := p.end(j, verdict.Wait) - Useful(j.Objective)
+	if p.end(j, verdict.Wait) > time.Duration(lateMargin*float64(Useful(j.Objective))) {
 		verdict.Refused = TooLate
 		verdict.RetryAfter = retryAfter(j, late, Useful(j.Objective)-j.Objective)
 	}
@@ -91,17 +90,27 @@
 
 // decideOverRate decides about a job that goes behind all owed work. It must be in time
 // for its objective behind that, and of use behind the work that is over the rate too.
-func (p *Pool) decideOverRate(j *Job, span time.Duration) Verdict {
+func (p *Pool) decideOverRate(j *Job) Verdict {
 	owed, overRate := p.backlogBefore(j.Priority)
-	verdict := p.verdict(owed + overRate)
-	late := max(p.verdict(owed).Wait+span-j.Objective, verdict.Wait+span-Useful(j.Objective))
+	verdict := p.verdict(owed)
+	late := p.end(j, verdict.Wait) - j.Objective
+	// Owed jobs that are yet to come leave a share of the room to the others.
+	verdict.Backlog += overRate
+	verdict.Wait += time.Duration(float64(p.timeFor(overRate)) / p.drainShare())
+	late = max(late, p.end(j, verdict.Wait)-Useful(j.Objective))
 	if late > 0 {
 		verdict.Refused = OverRate
-		verdict.RetryAfter = retryAfter(j, time.Duration(float64(late)/drainShare), j.Objective)
+		verdict.RetryAfter = retryAfter(j, late, j.Objective)
 	}
 	return verdict
 }
 
+// end returns how long after its submission a job is expected to end. The backlog holds
+// later steps of jobs that execute, so that the job's first steps run beside it.
+func (p *Pool) end(j *Job, wait time.Duration) time.Duration {
+	return max(j.Chain, wait+max(j.Last, p.timeFor(j.Work)))
+}
+
 // verdict returns the verdict for a job behind a backlog, with what executes.
 func (p *Pool) verdict(backlog float64) Verdict {
 	return Verdict{Backlog: p.Running + backlog, Wait: p.timeFor(p.Running + backlog)}
--- a/internal/version/overload/model_test.go
+++ b/internal/version/overload/model_test.go
@@ -131,6 +131,9 @@
 			continue
 		}
 		p.WaitingTasks += j.waiting()
+		if !j.OverRate {
+			p.AddArrival(j.Work, m.now-j.accepted)
+		}
 		for s := range j.truth {
 			p.Add(j.Account, 1, 0, j.OverRate, StepWork(&j.spec.Steps[s], len(j.truth[s])-j.next[s], m.durations, room))
 		}
--- a/internal/version/overload/pool.go
+++ b/internal/version/overload/pool.go
@@ -17,6 +17,8 @@
 	// WaitingTasks counts the tasks that could start if there was room.
 	WaitingTasks int
 	Backlogs     []Backlog
+	// Arrivals is the owed work that arrives per second.
+	Arrivals float64
 }
 
 // Backlog is the work of one account and queue priority that has not started. Work of
@@ -50,6 +52,20 @@
 	return p.WaitingTasks > 0 && p.InUse >= fullRatio*float64(p.Room.MilliCPU)/1000
 }
 
+// drainShare returns the share of the room that works off the backlog, if owed jobs keep
+// coming as in the last seconds.
+func (p *Pool) drainShare() float64 { return max(minDrainShare, 1-p.Arrivals/p.cores()) }
+
+// arrivalWindow is the time over which arrivals are averaged. Few jobs end before it.
+const arrivalWindow = 2 * time.Second
+
+// AddArrival adds an owed job that arrived some time ago.
+func (p *Pool) AddArrival(work float64, age time.Duration) {
+	if age < arrivalWindow {
+		p.Arrivals += work / arrivalWindow.Seconds()
+	}
+}
+
 // Add adds work to the backlog of an account and priority.
 func (p *Pool) Add(account string, weight float64, priority int, overRate bool, work float64) {
 	b := p.backlog(account, weight, priority)
