--- a/internal/version/overload/load_test.go
+++ b/internal/version/overload/load_test.go
@@ -111,30 +111,72 @@
 	return jobs
 }
 
-func TestBurstAndGreedyAccountWithAndWithoutTheRule(t *testing.T) {
-	for name, jobs := range map[string]func(uint64) []*modelJob{"burst of 5 times the mean for 4 s": burst, "account at 6 times its rate": greedy} {
+// firstWaits returns how long the refused callers waited before they returned first, and
+// how many of them were accepted then.
+func (p played) firstWaits() (waits []time.Duration, accepted int) {
+	for _, j := range p.jobs {
+		if j.refusals == 0 {
+			continue
+		}
+		waits = append(waits, j.firstWait)
+		if j.returned {
+			accepted++
+		}
+	}
+	return waits, accepted
+}
+
+// TestRuleUnderABurstAndAGreedyAccount plays a burst of 5 times the mean for 4 s, and an
+// account at 6 times its rate for 6 s. It guards against refusals that cost owed jobs
+// their worth, and against times to return that are untrue or the same for all.
+func TestRuleUnderABurstAndAGreedyAccount(t *testing.T) {
+	for name, jobs := range map[string]func(uint64) []*modelJob{"burst": burst, "greedy": greedy} {
 		for seed := range uint64(2) {
-			without, with := play(jobs(seed), false), play(jobs(seed), true)
-			for _, over := range []bool{false, true} {
-				for _, size := range []int{8, 16, 32} {
-					of := func(j *modelJob) bool { return j.OverRate == over && len(j.truth[0]) == size }
-					t.Logf("%s, seed %d, over rate %t, %d tasks: without %+v, with %+v", name, seed, over, size, without.count(of), with.count(of))
-				}
-			}
-			refusals, returned := 0, 0
-			waits := map[time.Duration]int{}
-			for i, j := range with.jobs {
-				if j.refusals > 0 {
-					refusals++
-					waits[j.at-with.sent[i]]++
-				}
-				if j.refusals == 1 && j.returned {
-					returned++
-				}
-			}
-			t.Logf("%s: refused at first %d, accepted at first return %d, waits %v", name, refusals, returned, waits)
-			owed := func(j *modelJob) bool { return !j.OverRate }
-			t.Logf("owed worth %.1f -> %.1f", without.count(owed).worth(), with.count(owed).worth())
+			t.Run(fmt.Sprint(name, seed), func(t *testing.T) { checkRule(t, func() []*modelJob { return jobs(seed) }) })
 		}
 	}
 }
+
+func checkRule(t *testing.T, jobs func() []*modelJob) {
+	without, with := play(jobs(), false), play(jobs(), true)
+	for _, over := range []bool{false, true} {
+		for _, size := range []int{8, 16, 32} {
+			of := func(j *modelJob) bool { return j.OverRate == over && len(j.truth[0]) == size }
+			t.Logf("over rate %t, %d tasks: without %+v, with %+v", over, size, without.count(of), with.count(of))
+		}
+	}
+	owed := func(j *modelJob) bool { return !j.OverRate }
+	if a, b := without.count(owed).worth(), with.count(owed).worth(); b < 0.98*a {
+		t.Errorf("worth of the owed jobs %.1f with the rule, %.1f without", b, a)
+	}
+	waits, accepted := with.firstWaits()
+	values := map[time.Duration]int{}
+	for _, wait := range waits {
+		values[wait]++
+	}
+	t.Logf("%d refused at first, %d of them accepted at their first return, waits %v", len(waits), accepted, values)
+	if 2*accepted < len(waits) {
+		t.Errorf("%d of %d refused jobs accepted at their first return", accepted, len(waits))
+	}
+	for wait, callers := range values {
+		if 3*callers > len(waits) {
+			t.Errorf("%d of %d callers return after %s", callers, len(waits), wait)
+		}
+	}
+	for i, j := range with.jobs {
+		if j.refusals > 0 {
+			checkRefusal(t, jobs(), i)
+		}
+	}
+}
+
+// checkRefusal plays the same load with one job accepted that the rule refuses. The job
+// must not be in time by a quarter of its objective.
+func checkRefusal(t *testing.T, jobs []*modelJob, index int) {
+	jobs[index].force = true
+	p := play(jobs, true)
+	j := jobs[index]
+	if took := j.ended - p.sent[index]; j.ended >= 0 && took < j.objective*3/4 {
+		t.Errorf("job %s (over rate %t) was refused and would have taken %s of %s", j.ID, j.OverRate, took, j.objective)
+	}
+}
--- a/internal/version/overload/model_test.go
+++ b/internal/version/overload/model_test.go
@@ -33,6 +33,7 @@
 	done                 [2]int
 	refusals             int
 	returned, turnedAway bool
+	firstWait            time.Duration
 	force                bool
 }
 
@@ -117,7 +118,11 @@
 		return
 	}
 	// The caller waits for whole seconds.
-	j.at = m.now + (verdict.RetryAfter + time.Second - 1).Truncate(time.Second)
+	wait := (verdict.RetryAfter + time.Second - 1).Truncate(time.Second)
+	if j.refusals == 1 {
+		j.firstWait = wait
+	}
+	j.at = m.now + wait
 }
 
 func (m *model) snapshot() *Pool {
--- /dev/null
+++ b/internal/version/overload/overload_test.go
@@ -0,0 +1,87 @@
+package overload
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// fullPool is a pool of 100 cores in which an account has an hour of work waiting.
+func fullPool() *Pool {
+	room := workload.Resources{MilliCPU: 100_000, MemoryMB: 100_000}
+	p := &Pool{Room: room, Planned: room, InUse: 100, Running: 100, WaitingTasks: 1000}
+	p.Add("large", 1, 1, false, 360_000)
+	return p
+}
+
+func shortJob() Job {
+	return Job{ID: "0123456789abcdef", Account: "large", Weight: 1, Priority: 1, Work: 10, Chain: 2 * time.Second, Last: time.Second, Objective: 4 * time.Second}
+}
+
+// TestJobsThatAreAccepted guards against refusals that a backlog does not justify.
+func TestJobsThatAreAccepted(t *testing.T) {
+	for name, change := range map[string]func(*Pool, *Job){
+		"nothing waits":                  func(p *Pool, _ *Job) { p.WaitingTasks = 0 },
+		"tasks wait for quota, not room": func(p *Pool, _ *Job) { p.InUse = 30 },
+		"nothing is known of the room":   func(p *Pool, _ *Job) { p.Planned = workload.Resources{} },
+		"exempt":                         func(_ *Pool, j *Job) { j.Exempt = true },
+		"no objective":                   func(_ *Pool, j *Job) { j.Objective = 0 },
+		"higher priority":                func(_ *Pool, j *Job) { j.Priority = 0 },
+		"an account without backlog":     func(_ *Pool, j *Job) { j.Account = "small" },
+		"backlog over the rate":          func(p *Pool, _ *Job) { p.Backlogs[0].Owed, p.Backlogs[0].OverRate = 0, 360_000 },
+		"VMs about to come":              func(p *Pool, _ *Job) { p.Planned.MilliCPU *= 1000 },
+	} {
+		p, j := fullPool(), shortJob()
+		if Decide(p, &j).Refused != TooLate {
+			t.Fatal("the job of the full pool is accepted")
+		}
+		if change(p, &j); Decide(p, &j).Refused != "" {
+			t.Errorf("%s: refused", name)
+		}
+	}
+}
+
+// TestRetryAfterStaysWithinUse guards against callers that are sent away for longer than
+// their job is of use, as by an hour's backlog.
+func TestRetryAfterStaysWithinUse(t *testing.T) {
+	p, j := fullPool(), shortJob()
+	for _, overRate := range []bool{false, true} {
+		j.OverRate = overRate
+		if after := Decide(p, &j).RetryAfter; after < time.Second || after > Useful(j.Objective) {
+			t.Errorf("over rate %t: return after %s", overRate, after)
+		}
+	}
+}
+
+// TestDurationsAreLearnedDespiteEstimates plays runs of which 3% take 7 times as long,
+// with estimates that are off by up to 0.9 of the value.
+func TestDurationsAreLearnedDespiteEstimates(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	var d Durations
+	for range 2000 {
+		actual := time.Second
+		estimate := time.Duration((0.1 + 1.8*r.Float64()) * float64(actual))
+		if r.Float64() < 0.03 {
+			actual *= 7
+		}
+		d.Add(estimate, actual)
+	}
+	for _, estimate := range []time.Duration{100 * time.Millisecond, time.Second, 1900 * time.Millisecond} {
+		if got := d.Expected(estimate).Seconds(); got < 0.85 || got > 1.6 {
+			t.Errorf("estimate %s: expected %.2f s, the mean is 1.18 s", estimate, got)
+		}
+	}
+}
+
+// TestPlannedVMs guards against a pool that is judged by the VMs it has while others
+// have VMs to give away.
+func TestPlannedVMs(t *testing.T) {
+	planned := PlannedVMs(map[string]PoolSize{
+		"short": {Serving: 4, Desired: 12}, "calm": {Serving: 6, Desired: 4}, "standby": {Idle: 3},
+	})
+	if planned["short"] != 9 || planned["calm"] != 6 {
+		t.Errorf("planned %v", planned)
+	}
+}
