--- a/internal/process/scheduler/admission_test.go
+++ b/internal/process/scheduler/admission_test.go
@@ -16,10 +16,19 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// readReplica calls onBarrier before it answers a barrier.
+// readReplica calls onBarrier before it answers a barrier. If unknown is set, proposals
+// have no result.
 type readReplica struct {
 	*fakeReplica
 	onBarrier func()
+	unknown   bool
+}
+
+func (r *readReplica) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if r.unknown {
+		return nil, replica.ErrUnknownResult
+	}
+	return r.fakeReplica.Propose(ctx, command)
 }
 
 func (r *readReplica) ReadBarrier(context.Context) error {
@@ -37,7 +46,7 @@
 func newAdmissionFixture(t *testing.T) *admissionFixture {
 	f := &admissionFixture{fixture: newFixture(t, time.Second)}
 	f.useAccessControl()
-	f.replica = &readReplica{f.fixture.replica, func() {}}
+	f.replica = &readReplica{fakeReplica: f.fixture.replica, onBarrier: func() {}}
 	f.server = &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
 	return f
 }
@@ -53,13 +62,16 @@
 	room := workload.Resources{MilliCPU: 1000, MemoryMB: 1000}
 	pool := &overload.Pool{Room: room, Planned: room, InUse: 1, WaitingTasks: 1}
 	pool.Add("", 1, 0, false, 3600)
-	f.server.load.Publish(&admit.Snapshot{At: time.Now(), Pools: map[string]*overload.Pool{"svc": pool}})
+	f.server.admission.Load.Publish(&admit.Snapshot{At: time.Now(), Pools: map[string]*overload.Pool{"svc": pool}})
+}
+
+func newRequest(id, attempt string) workcall.SubmitRequest {
+	return workcall.SubmitRequest{Location: workcall.Location{Host: "host", Path: "/q/" + id}, Spec: workload.Spec{Steps: []workload.Step{step(1)}}, Attempt: attempt}
 }
 
 func (f *admissionFixture) submit(id, attempt string) workcall.SubmitResponse {
 	f.t.Helper()
-	request := workcall.SubmitRequest{Location: workcall.Location{Host: "host", Path: "/q/" + id}, Spec: workload.Spec{Steps: []workload.Step{step(1)}}, Attempt: attempt}
-	answer, err := f.server.Submit(context.Background(), request)
+	answer, err := f.server.Submit(context.Background(), newRequest(id, attempt))
 	if err != nil {
 		f.t.Error(err)
 	}
@@ -85,7 +97,7 @@
 		f := newAdmissionFixture(t)
 		f.overload()
 		f.expect(jobA, "one", workcall.Overloaded)
-		f.server.load.Drop()
+		f.server.admission.Load.Drop()
 		time.Sleep(9 * time.Second)
 		f.expect(jobA, "one", workcall.Overloaded)
 		if f.has(jobA) {
@@ -126,8 +138,13 @@
 		if took := time.Since(start); took != 200*time.Millisecond {
 			t.Errorf("answered after %s, expected the end of the proposal", took)
 		}
-		uncertain := f.server.gate.Begin("bbbbbbbbbbbbbbbb", "one", time.Now())
-		f.server.endProposal(uncertain, workcall.SubmitResponse{}, f.server.fault(replica.ErrUnknownResult))
+		f.server.admission.Load.Drop()
+		f.replica.unknown = true
+		if _, err := f.server.Submit(context.Background(), newRequest("bbbbbbbbbbbbbbbb", "one")); err == nil {
+			t.Fatal("the proposal has a result")
+		}
+		f.replica.unknown = false
+		f.overload()
 		f.expect("bbbbbbbbbbbbbbbb", "one", workcall.OK)
 	})
 }
--- a/internal/process/scheduler/server_admission.go
+++ b/internal/process/scheduler/admit/control.go
@@ -1,16 +1,15 @@
-package scheduler
+package admit
 
 import (
 	"context"
-	"errors"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
-	"arbutusward.example/arbutusward/internal/process/scheduler/admit"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/overload"
 )
@@ -27,6 +26,30 @@
 // been answered.
 const lateCopyRetryAfter = time.Second
 
+// Control decides about the submissions that reach a process. The zero value knows no
+// load and accepts all jobs.
+type Control struct {
+	Load Board
+	gate gate
+}
+
+// Leader is what a decision needs of the leader's process.
+type Leader struct {
+	Machine *workstate.Machine
+	// Read calls a function with a state that has all that was committed before the call.
+	Read func(context.Context, func(*workstate.View)) error
+	Log  *slog.Logger
+}
+
+// Submission is a submitted job.
+type Submission struct {
+	*workcall.SubmitRequest
+	ID string
+	// Account is the caller's account, or "". OverRate is set if the job exceeds its rate.
+	Account  string
+	OverRate bool
+}
+
 // estimate is a verdict about a job and what it was made from.
 type estimate struct {
 	overload.Verdict
@@ -36,39 +59,41 @@
 	age time.Duration
 }
 
-// admit decides whether a job that the state does not have is proposed, under the
+// Admit decides whether a job that the state does not have is proposed, under the
 // returned proposal, or answered at once. A job that is refused never runs from this
-// submission.
-func (s *Server) admit(ctx context.Context, r *workcall.SubmitRequest, look func(*workstate.View), found *submission) (*admit.Proposal, workcall.SubmitResponse, error) {
-	verdict := s.estimate(r, found)
-	lateCopy := s.gate.WasRefused(r.Attempt, time.Now())
+// submission. The error is that of Leader.Read, or a *link.Fault.
+func (c *Control) Admit(ctx context.Context, l Leader, s Submission) (*Proposal, workcall.SubmitResponse, error) {
+	verdict := c.estimate(l, s)
+	lateCopy := c.gate.wasRefused(s.Attempt, time.Now())
 	if verdict.Refused == "" && !lateCopy {
-		if proposal := s.gate.Begin(found.id, r.Attempt, time.Now()); proposal != nil {
+		if proposal := c.gate.begin(s.ID, s.Attempt, time.Now()); proposal != nil {
 			return proposal, workcall.SubmitResponse{}, nil
 		}
 		lateCopy = true
 	}
+	has := false
+	look := func(v *workstate.View) { has = v.Job(s.ID) != nil }
 	// The job may have been accepted by a former leader.
-	if err := s.read(ctx, look); err != nil {
+	if err := l.Read(ctx, look); err != nil {
 		return nil, workcall.SubmitResponse{}, err
 	}
-	if lateCopy && !found.known {
+	if lateCopy && !has {
 		refusedAgain.Inc()
-		s.log.Info("job refused", "job", found.id, "path", r.Path, "reason", "the attempt was refused before")
+		l.Log.Info("job refused", "job", s.ID, "path", s.Path, "reason", "the attempt was refused before")
 		return nil, refusal("the call was refused before", lateCopyRetryAfter), nil
 	}
 	known := func() bool {
-		s.machine.Read(look)
-		return found.known
+		l.Machine.Read(look)
+		return has
 	}
-	switch outcome := s.gate.Refuse(found.id, r.Attempt, known, time.Now()); {
-	case outcome.InFlight != nil:
-		return s.await(ctx, r, found, outcome.InFlight)
-	case outcome.Accepted:
+	switch outcome := c.gate.refuse(s.ID, s.Attempt, known, time.Now()); {
+	case outcome.inFlight != nil:
+		return await(ctx, l, s, outcome.inFlight)
+	case outcome.accepted:
 		// A proposal of a job that the state has is answered without effect.
-		return s.gate.Begin(found.id, "", time.Now()), workcall.SubmitResponse{}, nil
+		return c.gate.begin(s.ID, "", time.Now()), workcall.SubmitResponse{}, nil
 	}
-	s.recordRefusal(r, found, &verdict)
+	verdict.record(l, s)
 	return nil, refusal(fmt.Sprintf("%s, the estimated wait is %d ms", verdict.Refused, verdict.Wait.Milliseconds()), verdict.RetryAfter), nil
 }
 
@@ -77,61 +102,53 @@
 }
 
 // await answers a submission with the answer to a proposal of the same job.
-func (s *Server) await(ctx context.Context, r *workcall.SubmitRequest, found *submission, inFlight *admit.Proposal) (*admit.Proposal, workcall.SubmitResponse, error) {
+func await(ctx context.Context, l Leader, s Submission, inFlight *Proposal) (*Proposal, workcall.SubmitResponse, error) {
 	select {
 	case <-ctx.Done():
 		return nil, workcall.SubmitResponse{}, &link.Fault{Code: workcall.CodeUnknown, Message: "the job is being proposed: " + ctx.Err().Error()}
-	case <-inFlight.Done():
+	case <-inFlight.done:
 	}
-	answer, err := inFlight.Answer()
-	s.log.Info("job answered like a submission in flight", "job", found.id, "path", r.Path, "status", answer.Status)
-	return nil, answer, err
+	l.Log.Info("job answered like a submission in flight", "job", s.ID, "path", s.Path, "status", inFlight.response.Status)
+	return nil, inFlight.response, inFlight.err
 }
 
 // estimate judges a submission by the newest load that is known.
-func (s *Server) estimate(r *workcall.SubmitRequest, found *submission) estimate {
+func (c *Control) estimate(l Leader, s Submission) estimate {
 	now := time.Now()
-	snapshot := s.load.Newest(now)
+	snapshot := c.Load.Newest(now)
 	if snapshot == nil {
 		return estimate{}
 	}
-	e := estimate{age: now.Sub(snapshot.At), job: overload.Job{ID: found.id, Account: found.account, OverRate: found.overRate}}
-	queued := false
-	s.machine.Read(func(v *workstate.View) {
-		queue, _ := v.Catalog().Match(r.Host, r.Path)
-		if queue == nil || !refusesForBacklog(v.Catalog()) || snapshot.Pools[queue.Service] == nil {
+	e := estimate{age: now.Sub(snapshot.At), job: overload.Job{ID: s.ID, Account: s.Account, OverRate: s.OverRate}}
+	known := false
+	l.Machine.Read(func(v *workstate.View) {
+		queue, _ := v.Catalog().Match(s.Host, s.Path)
+		if queue == nil || !RefusesForBacklog(v.Catalog()) || snapshot.Pools[queue.Service] == nil {
 			return
 		}
-		queued = true
+		known = true
 		e.pool = *snapshot.Pools[queue.Service]
-		e.job.Priority, e.job.Weight = queue.Priority, accountWeight(v, found.account)
-		e.job.Assess(&r.Spec, queue, snapshot.Durations[queue.Key()], e.pool.Room)
+		e.job.Priority, e.job.Weight = queue.Priority, accountWeight(v, s.Account)
+		e.job.Assess(&s.Spec, queue, snapshot.Durations[queue.Key()], e.pool.Room)
 	})
-	if queued {
+	if known {
 		e.Verdict = overload.Decide(&e.pool, &e.job)
 		admissionWaitSeconds.Update(e.Wait.Seconds())
 	}
 	return e
 }
 
-// recordRefusal logs and counts a refusal.
-func (s *Server) recordRefusal(r *workcall.SubmitRequest, found *submission, e *estimate) {
+// record logs and counts a refusal.
+func (e *estimate) record(l Leader, s Submission) {
 	switch e.Refused {
 	case overload.OverRate:
 		refusedOverRate.Inc()
 	default:
 		refusedTooLate.Inc()
 	}
-	s.log.Info("job refused", "job", found.id, "path", r.Path, "account", found.account, "reason", e.Refused,
+	l.Log.Info("job refused", "job", s.ID, "path", s.Path, "account", s.Account, "reason", e.Refused,
 		"priority", e.job.Priority, "over_rate", e.job.OverRate, "backlog_core_s", e.Backlog, "work_core_s", e.job.Work,
 		"capacity_mcpu", e.pool.Room.MilliCPU, "planned_mcpu", e.pool.Planned.MilliCPU, "wait_ms", e.Wait.Milliseconds(),
 		"chain_ms", e.job.Chain.Milliseconds(), "objective_ms", e.job.Objective.Milliseconds(),
 		"snapshot_age_ms", e.age.Milliseconds(), "retry_after_ms", e.RetryAfter.Milliseconds())
 }
-
-// endProposal records the answer to a proposal.
-func (s *Server) endProposal(p *admit.Proposal, response workcall.SubmitResponse, err error) {
-	var fault *link.Fault
-	uncertain := err != nil && !(errors.As(err, &fault) && (fault.Code == workcall.CodeUnavailable || fault.Code == link.CodeNotLeader))
-	p.End(response, err, uncertain, time.Now())
-}
--- a/internal/process/scheduler/admit/gate.go
+++ b/internal/process/scheduler/admit/gate.go
@@ -1,10 +1,12 @@
 package admit
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 )
 
@@ -16,10 +18,10 @@
 	maxRemembered = 65_536
 )
 
-// Gate makes sure that a submission that is refused never takes effect. Its decisions
+// gate makes sure that a submission that is refused never takes effect. Its decisions
 // exclude each other: a job is either being proposed or refused. The zero value is ready
 // for use.
-type Gate struct {
+type gate struct {
 	mu sync.Mutex
 	// proposals holds the proposals in flight by the job's id.
 	proposals map[string][]*Proposal
@@ -30,7 +32,7 @@
 
 // Proposal is a submission that is being proposed.
 type Proposal struct {
-	gate *Gate
+	gate *gate
 	id   string
 	done chan struct{}
 	// response and err are set when done is closed.
@@ -38,9 +40,9 @@
 	err      error
 }
 
-// Begin returns a new proposal for a job, or nil if the attempt was refused before. An
+// begin returns a new proposal for a job, or nil if the attempt was refused before. An
 // empty attempt is never remembered.
-func (g *Gate) Begin(id, attempt string, now time.Time) *Proposal {
+func (g *gate) begin(id, attempt string, now time.Time) *Proposal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if attempt != "" && g.refused.has(attempt, now) {
@@ -54,12 +56,14 @@
 	return p
 }
 
-// End records the answer to a proposal. Uncertain is set if the proposal may take effect
-// later.
-func (p *Proposal) End(response workcall.SubmitResponse, err error, uncertain bool, now time.Time) {
+// End records the answer to a proposal, which may take effect later if the error does
+// not say otherwise.
+func (p *Proposal) End(response workcall.SubmitResponse, err error, now time.Time) {
+	var fault *link.Fault
+	refused := errors.As(err, &fault) && (fault.Code == workcall.CodeUnavailable || fault.Code == link.CodeNotLeader)
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
-	if uncertain {
+	if err != nil && !refused {
 		p.gate.uncertain.add(p.id, now)
 	}
 	p.gate.remove(p)
@@ -68,7 +72,7 @@
 }
 
 // remove removes a proposal that has ended. The caller holds g.mu.
-func (g *Gate) remove(p *Proposal) {
+func (g *gate) remove(p *Proposal) {
 	left := slices.DeleteFunc(g.proposals[p.id], func(other *Proposal) bool { return other == p })
 	if len(left) == 0 {
 		delete(g.proposals, p.id)
@@ -77,40 +81,34 @@
 	g.proposals[p.id] = left
 }
 
-// Done is closed when the proposal has ended.
-func (p *Proposal) Done() <-chan struct{} { return p.done }
-
-// Answer returns the answer to a proposal that has ended.
-func (p *Proposal) Answer() (workcall.SubmitResponse, error) { return p.response, p.err }
-
-// Refusal is the result of Refuse.
-type Refusal struct {
-	// InFlight is the job's proposal whose answer counts, or nil.
-	InFlight *Proposal
-	// Accepted is set if the job is accepted, or may be by a proposal without a result.
-	Accepted bool
+// refuseResult is the result of refuse.
+type refuseResult struct {
+	// inFlight is the job's proposal whose answer counts, or nil.
+	inFlight *Proposal
+	// accepted is set if the job is accepted, or may be by a proposal without a result.
+	accepted bool
 }
 
-// Refuse refuses an attempt, unless the job is being proposed or may have been
+// refuse refuses an attempt, unless the job is being proposed or may have been
 // accepted. The state must be current; known reports whether it has the job, and is
 // called while no proposal begins or ends.
-func (g *Gate) Refuse(id, attempt string, known func() bool, now time.Time) Refusal {
+func (g *gate) refuse(id, attempt string, known func() bool, now time.Time) refuseResult {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if inFlight := g.proposals[id]; len(inFlight) > 0 {
-		return Refusal{InFlight: inFlight[0]}
+		return refuseResult{inFlight: inFlight[0]}
 	}
 	if g.uncertain.has(id, now) || known() {
-		return Refusal{Accepted: true}
+		return refuseResult{accepted: true}
 	}
 	if attempt != "" {
 		g.refused.add(attempt, now)
 	}
-	return Refusal{}
+	return refuseResult{}
 }
 
-// WasRefused reports whether an attempt was refused a moment ago.
-func (g *Gate) WasRefused(attempt string, now time.Time) bool {
+// wasRefused reports whether an attempt was refused a moment ago.
+func (g *gate) wasRefused(attempt string, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return attempt != "" && g.refused.has(attempt, now)
--- a/internal/process/scheduler/admit/gate_test.go
+++ b/internal/process/scheduler/admit/gate_test.go
@@ -11,16 +11,16 @@
 // TestRefusedAttemptsAreBounded guards against memory that grows with the refusals of a
 // burst.
 func TestRefusedAttemptsAreBounded(t *testing.T) {
-	var g Gate
+	var g gate
 	now := time.Now()
 	unknown := func() bool { return false }
 	for i := range maxRemembered + 1000 {
-		g.Refuse("job", fmt.Sprint(i), unknown, now)
+		g.refuse("job", fmt.Sprint(i), unknown, now)
 	}
-	if len(g.refused.at) != maxRemembered || len(g.refused.order) != maxRemembered || g.WasRefused("0", now) || !g.WasRefused("1000", now) {
+	if len(g.refused.at) != maxRemembered || len(g.refused.order) != maxRemembered || g.wasRefused("0", now) || !g.wasRefused("1000", now) {
 		t.Errorf("%d attempts remembered", len(g.refused.at))
 	}
-	g.Refuse("job", "last", unknown, now.Add(memory))
+	g.refuse("job", "last", unknown, now.Add(memory))
 	if len(g.refused.at) != 1 {
 		t.Errorf("%d attempts remembered after %s", len(g.refused.at), memory)
 	}
@@ -29,14 +29,14 @@
 // TestEachProposalInFlightCounts guards against a refusal while the second of two
 // proposals of a job is in flight.
 func TestEachProposalInFlightCounts(t *testing.T) {
-	var g Gate
+	var g gate
 	now := time.Now()
-	first, second := g.Begin("job", "one", now), g.Begin("job", "two", now)
-	first.End(workcall.SubmitResponse{}, nil, false, now)
-	if g.Refuse("job", "three", func() bool { return false }, now).InFlight != second {
+	first, second := g.begin("job", "one", now), g.begin("job", "two", now)
+	first.End(workcall.SubmitResponse{}, nil, now)
+	if g.refuse("job", "three", func() bool { return false }, now).inFlight != second {
 		t.Error("the second proposal is not known")
 	}
-	second.End(workcall.SubmitResponse{}, nil, false, now)
+	second.End(workcall.SubmitResponse{}, nil, now)
 	if len(g.proposals) != 0 {
 		t.Errorf("proposals left: %v", g.proposals)
 	}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := newLoop(ctx, s.options, s.options.Replica.Status().Term)
 	l.heard = &s.server.heard
-	l.admission.board = &s.server.load
+	l.admission.board = &s.server.admission.Load
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -102,7 +102,7 @@
 		s.current.Store(nil)
 		cancel()
 		<-done
-		s.server.load.Drop()
+		s.server.admission.Load.Drop()
 	}
 }
 
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -36,9 +36,8 @@
 	// onJobAccepted passes a new job to the leader's loop.
 	onJobAccepted func(id string)
 	now           func() time.Time
-	// load is the newest load of the pools, and gate makes refusals final.
-	load admit.Board
-	gate admit.Gate
+	// admission decides whether jobs are accepted.
+	admission admit.Control
 	// proposals tracks the configurations that are being proposed.
 	proposals proposalGate
 }
--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -7,6 +7,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/scheduler/admit"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -79,11 +80,11 @@
 		s.log.Warn("job refused, no contact to a majority", "job", id, "path", r.Path, "silent_ms", silence.Milliseconds())
 		return response, &link.Fault{Code: workcall.CodeUnavailable, Message: "the leader has no contact to a majority"}
 	}
-	proposal, response, err := s.admit(ctx, &r, look, &found)
+	proposal, response, err := s.admission.Admit(ctx, admit.Leader{Machine: s.machine, Read: s.read, Log: s.log}, admit.Submission{SubmitRequest: &r, ID: id, Account: found.account, OverRate: found.overRate})
 	if proposal == nil {
 		return response, err
 	}
-	defer func() { s.endProposal(proposal, response, err) }()
+	defer func() { proposal.End(response, err, time.Now()) }()
 	result, err := s.propose(ctx, &workstate.Command{Submit: &workstate.Submit{ID: id, Host: r.Host, Path: r.Path, Spec: r.Spec}})
 	if err != nil {
 		return response, err
