--- a/integration/hosted_harness_test.go
+++ b/integration/hosted_harness_test.go
@@ -24,6 +24,10 @@
 	ledger            *hostedLedger
 	client            *http.Client
 	version           int
+	// entryGrant and controlGrant are what the settings file grants a process.
+	entryGrant, controlGrant grant
+	// limits replaces the limits of the configuration if it is not empty.
+	limits string
 	// env holds additional environment variables of all processes, controlArgs
 	// additional arguments of the control processes.
 	env, controlArgs []string
@@ -47,6 +51,18 @@
 	return ""
 }
 
+// grant is the memory and the number of descriptors of a process. Without
+// descriptors the settings file does not name them.
+type grant struct{ memoryMB, descriptors int }
+
+// settings returns the grant as part of a settings file.
+func (g grant) settings() string {
+	if g.descriptors == 0 {
+		return fmt.Sprintf("memory_mb = %d\n", g.memoryMB)
+	}
+	return fmt.Sprintf("memory_mb = %d\nmax_fds = %d\n", g.memoryMB, g.descriptors)
+}
+
 // hostedOption changes how the processes of a deployment are started.
 type hostedOption func(*hosted)
 
@@ -74,6 +90,7 @@
 func newHosted(t *testing.T, controls, entries int, options ...hostedOption) *hosted {
 	t.Helper()
 	h := &hosted{t: t, dir: t.TempDir(), subnet: reserveSubnet(t), ledger: newHostedLedger(t), client: &http.Client{Timeout: 3 * time.Second}}
+	h.entryGrant, h.controlGrant = grant{memoryMB: 256}, grant{memoryMB: 256}
 	for _, option := range options {
 		option(h)
 	}
@@ -133,12 +150,14 @@
 		addresses = append(addresses, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", h.controlIP(i), hostedControl)))
 	}
 	text := fmt.Sprintf("node = %q\nip = %q\nzone = \"z\"\nport_range = [%d,%d]\nseeds = [%s]\nbootstrap = %t\nheartbeat_ms = 500\n", node, ip, hostedFirstPort, hostedFirstPort+15, strings.Join(addresses, ","), bootstrap)
+	granted := h.entryGrant
 	if control {
+		granted = h.controlGrant
 		text += fmt.Sprintf("data_dir = %q\n[listen]\ncontrol = \"%s:%d\"\n", filepath.Join(h.dir, node), ip, hostedControl)
 	} else {
 		text += fmt.Sprintf("[listen]\nfront = \"%s:%d\"\nready = \"%s:%d\"\n", ip, hostedFront, ip, hostedReady)
 	}
-	text += "[limits]\nmemory_mb = 256\n[bounds]\nlease_ms = 3000\nstop_timeout_ms = 200\nfencing_enforced = true\ncontact_ms = 3000\n"
+	text += "[limits]\n" + granted.settings() + "[bounds]\nlease_ms = 3000\nstop_timeout_ms = 200\nfencing_enforced = true\ncontact_ms = 3000\n"
 	must(h.t, os.WriteFile(path, []byte(text), 0o600))
 }
 
@@ -172,8 +191,12 @@
 
 func (h *hosted) sendConfiguration(version int) error {
 	var last error
+	text := configurationOf(version)
+	if h.limits != "" {
+		text = strings.Replace(text, `"limits":{}`, h.limits, 1)
+	}
 	for _, address := range h.controlAddresses() {
-		response, err := h.client.Post("http://"+address+"/config/replace", "application/json", strings.NewReader(configurationOf(version)))
+		response, err := h.client.Post("http://"+address+"/config/replace", "application/json", strings.NewReader(text))
 		if err != nil {
 			last = err
 			continue
