Connections and requests of a process share a budget of memory and descriptors

Cause: heads of up to 1 MiB, bodies of up to 1 MiB and their decoded form were held for any number of connections; a client that stopped just before the end of a body was waited for without limit. Change: internal/connection/ingress bounds open connections, heads and bodies of a process from its grant; the connection with the least progress gives way. Few submissions are decoded at once, and lists stop at their limit while they are decoded.

--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -174,13 +174,14 @@
 	sched := scheduler.New(options, s.ControlAddress, node)
 	client.ServeLocally(s.LinkAddress, sched.Server())
 	workcall.RegisterRelay(node, client)
-	return &Control{settings: s, tuning: tuning, member: m, node: node, replica: r, scheduler: sched, client: client, log: log, ctx: ctx, cancel: cancel}
+	return &Control{settings: s, tuning: tuning, member: m, node: node, replica: r, scheduler: sched, client: client, log: log, servers: newServers(s, log), ctx: ctx, cancel: cancel}
 }
 
 // Start starts the control process.
 func (c *Control) Start() error {
 	ctx := c.ctx
 	c.node.Serve()
+	go c.servers.gate.Run(ctx)
 	go c.client.Run(ctx)
 	go c.scheduler.Run(ctx)
 	go watchSettings(ctx, c.settings.SeedLinks, c.client, c.log)
--- a/internal/process/hosted/entry.go
+++ b/internal/process/hosted/entry.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/ingress"
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/logging"
@@ -58,7 +59,7 @@
 func NewEntry(s *platform.Settings, node *link.Node, log *slog.Logger) *Entry {
 	client := workcall.NewClient(node, s.SeedLinks, log)
 	client.UseRelays(s.Zone)
-	return &Entry{settings: s, node: node, client: client, api: platform.NewClientAPI(client, client.SinceLeaderContact, log), log: log}
+	return &Entry{settings: s, node: node, client: client, api: platform.NewClientAPI(client, client.SinceLeaderContact, log), log: log, servers: newServers(s, log)}
 }
 
 // Start starts the entry.
@@ -66,6 +67,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.node.Serve()
+	go e.servers.gate.Run(ctx)
 	go e.client.Run(ctx)
 	go watchSettings(ctx, e.settings.SeedLinks, e.client, e.log)
 	ready := http.NewServeMux()
@@ -115,7 +117,15 @@
 }
 
 // servers are the HTTP servers of a process.
-type servers struct{ list []*http.Server }
+type servers struct {
+	gate *ingress.Gate
+	list []*http.Server
+}
+
+// newServers returns servers that share what the platform grants the process.
+func newServers(s *platform.Settings, log *slog.Logger) servers {
+	return servers{gate: ingress.NewGate(ingress.Grant{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors}, log)}
+}
 
 // listen starts a server on an address.
 func (s *servers) listen(address string, handler http.Handler) error {
@@ -123,11 +133,11 @@
 	if err != nil {
 		return logging.Wrap(err, "listen", address)
 	}
-	server := platform.NewHTTPServer(handler)
+	server := s.gate.Server(handler)
 	s.list = append(s.list, server)
 	go func() {
 		// Serve returns when the server is shut down.
-		_ = server.Serve(listener)
+		_ = server.Serve(s.gate.Listener(listener))
 	}()
 	return nil
 }
--- a/internal/version/workload/spec.go
+++ b/internal/version/workload/spec.go
@@ -11,9 +11,10 @@
 const (
 	// MaxPayloadBytes limits the payload that is passed to each task.
 	MaxPayloadBytes = 4000
-	maxSteps        = 1000
-	maxTasks        = 100_000
-	maxOccurrences  = 1_000_000
+	// MaxSteps limits the steps of a job.
+	MaxSteps       = 1000
+	maxTasks       = 100_000
+	maxOccurrences = 1_000_000
 )
 
 // ErrInvalidSpec is returned when a submitted job is malformed.
@@ -135,8 +136,8 @@
 	if len(s.Payload) > MaxPayloadBytes {
 		return invalid("the payload is longer than %d bytes", MaxPayloadBytes)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return invalid("%d steps, expected 1 to %d", len(s.Steps), maxSteps)
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return invalid("%d steps, expected 1 to %d", len(s.Steps), MaxSteps)
 	}
 	if s.Repeat < 0 || s.Repeat > maxOccurrences || s.Interval < 0 {
 		return invalid("%d occurrences each %s", s.Repeat, s.Interval)
