Large requests over links are bounded; entries learn the limits with hello calls

Cause: a leader read any number of submissions of 262,144 bytes at once, and a control process that passes them on queued up to 8,192 of them for one message, which may have 16 MiB. Entries did not know the configuration's limits. Batches hold requests up to 32 KiB. HelloResponse carries the limits.

--- a/internal/connection/link/batched.go
+++ b/internal/connection/link/batched.go
@@ -19,6 +19,9 @@
 	batchedAnswersKind Kind = "link.answers"
 )
 
+// maxBatchedBytes is the size of the largest request of a batched call.
+const maxBatchedBytes = 32 << 10
+
 // errCallsQueued ends a call that was not sent, since too many wait for its peer.
 var errCallsQueued = errors.New("too many calls wait for the peer")
 
@@ -110,6 +113,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode request: %w", err)
 	}
+	if len(body) > maxBatchedBytes {
+		// Many large calls would exceed the size of a message, and the memory of
+		// the queue.
+		return n.call(ctx, address, kind, req)
+	}
 	return n.batched.exchange(ctx, address, batchedCall{Kind: kind, Body: body})
 }
 
--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -45,6 +45,9 @@
 	CodeMalformed = "malformed"
 	// CodeNotLeader means that the peer is not the leader.
 	CodeNotLeader = "not_leader"
+	// CodeBusy means that the peer handles too many large requests. It has not
+	// read this one.
+	CodeBusy = "busy"
 )
 
 // Fault is an error that the peer returned.
@@ -149,15 +152,18 @@
 		stream.CancelWrite(abortedCode)
 	})
 	defer stop()
-	if _, err := stream.Write(message); err != nil {
-		return nil, fmt.Errorf("%w: write: %w", ErrNoAnswer, err)
+	// A peer that refuses a large request stops reading it and answers, so the
+	// answer counts also after a failed write.
+	_, writeErr := stream.Write(message)
+	if writeErr == nil {
+		writeErr = stream.Close()
 	}
-	if err := stream.Close(); err != nil {
-		return nil, fmt.Errorf("%w: close: %w", ErrNoAnswer, err)
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("%w: write: %w", ErrNoAnswer, ctx.Err())
 	}
 	var answer response
 	if err := readMessage(stream, &answer); err != nil {
-		return nil, fmt.Errorf("%w: read: %w", ErrNoAnswer, err)
+		return nil, fmt.Errorf("%w: read: %w", ErrNoAnswer, errors.Join(writeErr, err))
 	}
 	n.recorder.Observe(answer.Stamp)
 	if answer.Fault != nil {
@@ -209,24 +215,42 @@
 
 func (n *Node) serveStream(stream *quic.Stream, peer Peer) {
 	defer stream.Close()
-	req, err := readRequest(stream)
+	// SetReadDeadline cannot fail on an open stream.
+	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
+	whole, release, err := n.large.admit(stream)
+	var busy *Fault
+	if errors.As(err, &busy) {
+		n.answer(stream, peer, "", response{Fault: busy})
+		stream.CancelRead(abortedCode)
+		return
+	}
 	if err != nil {
 		stream.CancelWrite(abortedCode)
 		return
 	}
+	defer release()
+	var req request
+	if err := readMessage(whole, &req); err != nil {
+		stream.CancelWrite(abortedCode)
+		return
+	}
 	callsServed.Inc()
 	n.recorder.Observe(req.Stamp)
-	answer := n.handleRequest(stream.Context(), peer, req)
-	answer.Stamp = n.recorder.Now()
-	message, err := cbor.Marshal(answer)
+	n.answer(stream, peer, req.Kind, n.handleRequest(stream.Context(), peer, req))
+}
+
+// answer sends the response to a call.
+func (n *Node) answer(stream *quic.Stream, peer Peer, kind Kind, r response) {
+	r.Stamp = n.recorder.Now()
+	message, err := cbor.Marshal(r)
 	if err != nil {
-		n.log.Error("link answer not encoded", "kind", req.Kind, logging.Err(err))
+		n.log.Error("link answer not encoded", "kind", kind, logging.Err(err))
 		stream.CancelWrite(abortedCode)
 		return
 	}
 	sentBytes.Add(len(message))
 	if _, err := stream.Write(message); err != nil {
-		n.log.Debug("link answer not sent", "kind", req.Kind, "peer", peer.ID, logging.Err(err))
+		n.log.Debug("link answer not sent", "kind", kind, "peer", peer.ID, logging.Err(err))
 	}
 }
 
--- a/internal/connection/link/node.go
+++ b/internal/connection/link/node.go
@@ -72,6 +72,7 @@
 	closed      bool
 
 	batched *batchedCalls
+	large   largeRequests
 }
 
 // protocols lists the application protocols of this version, the preferred one
@@ -116,6 +117,7 @@
 		log:         log,
 		handlers:    map[Kind]Handler{},
 		connections: map[string]*outgoingConn{},
+		large:       newLargeRequests(),
 	}
 	n.batched = newBatchedCalls(n)
 	return n, nil
--- a/internal/connection/workcall/call.go
+++ b/internal/connection/workcall/call.go
@@ -129,6 +129,8 @@
 	switch {
 	case isFault && fault.Code == link.CodeNotLeader && fault.Leader != to.address:
 		c.setLeader(fault.Leader)
+	case isFault && fault.Code == link.CodeBusy:
+		// The peer is alive and will read the request later.
 	case isFault && fault.Code == CodeUnknown:
 		// The leader is alive; only the result of this call is unknown.
 	case to.relay && isFault && fault.Code == CodeUnavailable:
@@ -145,7 +147,7 @@
 func mayHaveTakenEffect(err error) bool {
 	var fault *link.Fault
 	if errors.As(err, &fault) {
-		return fault.Code != link.CodeNotLeader && fault.Code != CodeUnavailable && fault.Code != link.CodeUnknownKind
+		return fault.Code != link.CodeNotLeader && fault.Code != link.CodeBusy && fault.Code != CodeUnavailable && fault.Code != link.CodeUnknownKind
 	}
 	return errors.Is(err, link.ErrNoAnswer)
 }
--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/ingress"
 	"arbutusward.example/arbutusward/internal/connection/link"
 )
 
@@ -69,6 +70,8 @@
 	relays *relayChoice
 
 	catalogVersion atomic.Int64
+	// onLimits is nil unless something enforces the catalog's limits.
+	onLimits func(ingress.Limits)
 
 	// local serves calls to self, the link address of this process, without
 	// a network call. It is nil in a process that never leads.
@@ -99,6 +102,11 @@
 	c.self, c.local = self, local
 }
 
+// OnLimits makes the client pass on the limits of the newest catalog that a
+// leader has reported, with each report. It must be called before the client is
+// used.
+func (c *Client) OnLimits(set func(ingress.Limits)) { c.onLimits = set }
+
 // SetSeeds replaces the seeds.
 func (c *Client) SetSeeds(seeds []string) {
 	c.mu.Lock()
--- a/internal/connection/workcall/leader.go
+++ b/internal/connection/workcall/leader.go
@@ -147,8 +147,12 @@
 		return
 	}
 	c.recordAnswer(from)
-	if answer.CatalogVersion > c.catalogVersion.Load() {
-		c.catalogVersion.Store(answer.CatalogVersion)
+	if answer.CatalogVersion < c.catalogVersion.Load() {
+		return
+	}
+	c.catalogVersion.Store(answer.CatalogVersion)
+	if c.onLimits != nil {
+		c.onLimits(answer.Limits)
 	}
 }
 
--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"arbutusward.example/arbutusward/internal/connection/ingress"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -213,6 +214,8 @@
 	Zone string `cbor:"7,keyasint,omitempty"`
 	// Format is the newest format of commands that the process that answers can read.
 	Format int `cbor:"8,keyasint,omitempty"`
+	// Limits are those of the catalog. Zeros stand for the defaults.
+	Limits ingress.Limits `cbor:"9,keyasint,omitempty"`
 }
 
 // silent reports whether the process that answers has not heard of its leader lately.
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -181,6 +181,7 @@
 func (c *Control) Start() error {
 	ctx := c.ctx
 	c.node.Serve()
+	c.client.OnLimits(c.servers.gate.SetLimits)
 	go c.servers.gate.Run(ctx)
 	go c.client.Run(ctx)
 	go c.scheduler.Run(ctx)
--- a/internal/process/hosted/entry.go
+++ b/internal/process/hosted/entry.go
@@ -67,6 +67,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.node.Serve()
+	e.client.OnLimits(e.servers.gate.SetLimits)
 	go e.servers.gate.Run(ctx)
 	go e.client.Run(ctx)
 	go watchSettings(ctx, e.settings.SeedLinks, e.client, e.log)
