ingress: a request counts as being served until its answer has been sent

Cause: between the return of the handler and the sending of the answer a connection could be evicted, and the rest of a refused body was awaited for 10 s. Change: a connection stays in service until it is idle; the rest of an unread body is discarded for 2 s, after the answer has been sent. After a refusal of a head the server's second answer is dropped.

--- a/internal/connection/ingress/body.go
+++ b/internal/connection/ingress/body.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return nil, c.refuseBody(w, err)
 	}
+	c.bodyRead = true
 	return content, nil
 }
 
--- a/internal/connection/ingress/conn.go
+++ b/internal/connection/ingress/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,10 +15,13 @@
 	idle phase = iota
 	// head: a part of a head has arrived.
 	head
-	// body: the body is incomplete, or what the handler left of it is discarded.
+	// body: the body is incomplete.
 	body
-	// serving: the request is complete.
+	// serving: the request is complete, and its answer has not been sent.
 	serving
+	// discarding: the answer has been sent, and the server discards what the
+	// handler left of the body.
+	discarding
 )
 
 // Weights of a request in the budget of memory.
@@ -54,6 +58,11 @@
 	// headBytes is the length of the current head, held the memory of the request.
 	headBytes int
 	held      int64
+	// bodyRead is set once ReadBody has read the whole body.
+	bodyRead bool
+	// refused is set after an answer to a head. The server's own answer to the
+	// failed read is then dropped.
+	refused atomic.Bool
 }
 
 type connKey struct{}
@@ -74,6 +83,7 @@
 	case ErrBusy:
 		refuse(c.Conn, unavailableAnswer)
 	}
+	c.refused.Store(true)
 	return 0, refusal
 }
 
@@ -118,6 +128,9 @@
 
 // Write writes to the client within the timeout.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.refused.Load() {
+		return len(p), nil
+	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	return c.Conn.Write(p)
 }
@@ -160,7 +173,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.release(c, c.held)
-	c.headBytes = 0
+	c.headBytes, c.bodyRead = 0, false
 	c.enter(idle)
 }
 
@@ -180,18 +193,21 @@
 		if !c.change(next) {
 			panic(http.ErrAbortHandler)
 		}
-		defer c.answered()
+		defer c.release()
 		handler.ServeHTTP(w, r)
+		if r.ContentLength != 0 && !c.bodyRead {
+			// An error means that the client is gone.
+			_ = http.NewResponseController(w).Flush()
+			c.change(discarding)
+		}
 	})
 }
 
-// answered gives the memory of a request back. What is left of its body is
-// discarded.
-func (c *conn) answered() {
+// release gives the memory of an answered request back.
+func (c *conn) release() {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.gate.release(c, c.held)
-	c.enter(body)
 }
 
 // change enters a phase. It reports false if the connection was evicted.
--- a/internal/connection/ingress/gate_test.go
+++ b/internal/connection/ingress/gate_test.go
@@ -165,6 +165,7 @@
 		{body, 29 * time.Second, 200 * time.Millisecond, ""},
 		{body, 11 * time.Second, 11 * time.Second, reasonBodyTime},
 		{body, 31 * time.Second, 0, reasonBodyTime},
+		{discarding, 3 * time.Second, 0, reasonBodyTime},
 		{serving, time.Hour, time.Hour, ""},
 	} {
 		now := start.Add(c.age)
--- a/internal/connection/ingress/sweep.go
+++ b/internal/connection/ingress/sweep.go
@@ -14,6 +14,8 @@
 	// time of the whole body.
 	bodyStallTimeout = 10 * time.Second
 	bodyTimeout      = 30 * time.Second
+	// discardTimeout bounds how long the rest of a body is discarded.
+	discardTimeout = 2 * time.Second
 )
 
 // Run closes connections that exceed a timeout and reports what was refused,
@@ -55,6 +57,8 @@
 		return reasonIdle
 	case c.phase == head && inPhase > l.HeaderTimeout:
 		return reasonHeadTime
+	case c.phase == discarding && inPhase > discardTimeout:
+		return reasonBodyTime
 	case c.phase == body && (inPhase > bodyTimeout || now.Sub(c.last) > bodyStallTimeout):
 		return reasonBodyTime
 	}
