--- a/internal/connection/ingress/conn.go
+++ b/internal/connection/ingress/conn.go
@@ -60,6 +60,8 @@
 	held      int64
 	// bodyRead is set once ReadBody has read the whole body.
 	bodyRead bool
+	// wake is closed to end the wait for memory; nil while there is none.
+	wake chan struct{}
 	// refused is set after an answer to a head. The server's own answer to the
 	// failed read is then dropped.
 	refused atomic.Bool
--- a/internal/connection/ingress/gate.go
+++ b/internal/connection/ingress/gate.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,10 +33,11 @@
 	log      *slog.Logger
 
 	mu sync.Mutex
-	// freed is signalled when a connection has ended, was evicted or has
-	// released memory.
-	freed *sync.Cond
+	// ended is signalled when a connection has ended.
+	ended *sync.Cond
 	conns map[*conn]struct{}
+	// waiting holds the connections that wait for memory, and some that no longer do.
+	waiting []*conn
 	// held is the memory of all heads and bodies. evicted counts the evicted
 	// connections that are still open, and evictedHeld what they hold.
 	held, evictedHeld int64
@@ -48,7 +50,7 @@
 func NewGate(g Grant, log *slog.Logger) *Gate {
 	b := newBudget(g)
 	gate := &Gate{budget: b, decoders: make(chan struct{}, b.decoders), now: time.Now, log: log, conns: map[*conn]struct{}{}, tally: tally{}}
-	gate.freed = sync.NewCond(&gate.mu)
+	gate.ended = sync.NewCond(&gate.mu)
 	gate.SetLimits(Limits{})
 	log.Info("limits of connections set", "connections", b.connections, "request_bytes", b.requestBytes)
 	return gate
@@ -113,7 +115,7 @@
 		g.evict(victim, reasonConnections)
 	}
 	for g.evicted > g.budget.connections/endingShare {
-		g.freed.Wait()
+		g.ended.Wait()
 	}
 	now := g.now()
 	c := &conn{Conn: accepted, gate: g, since: now, mark: now, last: now}
@@ -144,7 +146,7 @@
 	g.evictedHeld += c.held
 	g.tally.evicted(why)
 	_ = c.Conn.Close()
-	g.freed.Broadcast()
+	c.wakeUp()
 }
 
 // smallRequestBytes is the memory up to which a request is small: a head of 2
@@ -152,25 +154,32 @@
 const smallRequestBytes = 2<<10*headWeight + 16<<10*bodyWeight
 
 // acquire gives a connection memory for its request, for which others may be
-// evicted. It returns ErrBusy if this request has itself made the least progress
-// or if all others are being served, unless the request is small.
+// evicted. A small request does not wait until they have ended, as long as there
+// is a reserve. It returns ErrBusy if this request has itself made the least
+// progress or if all others are being served.
 func (g *Gate) acquire(c *conn, n int64) error {
 	for !c.evicted && g.held+n > g.budget.requestBytes {
 		small := c.held+n <= smallRequestBytes
+		withinReserve := small && g.held+n <= g.budget.requestBytes+g.budget.reserveBytes
 		if g.held-g.evictedHeld+n > g.budget.requestBytes {
 			victim := g.slowest(func(o *conn) bool { return o.held > 0 && !(small && o == c) })
-			if victim == c || victim == nil && g.evictedHeld == 0 {
-				if small && g.held+n <= g.budget.requestBytes+g.budget.reserveBytes {
-					break
-				}
+			switch {
+			case victim != nil && victim != c:
+				g.evict(victim, reasonMemory)
+				continue
+			case victim == nil && withinReserve:
+			case victim == nil && g.evictedHeld > 0:
+				g.wait(c)
+				continue
+			default:
 				g.tally.refused(reasonMemory)
 				return ErrBusy
 			}
-			if victim != nil {
-				g.evict(victim, reasonMemory)
-			}
 		}
-		g.freed.Wait()
+		if withinReserve {
+			break
+		}
+		g.wait(c)
 	}
 	if c.evicted {
 		return errEvicted
@@ -178,9 +187,46 @@
 	c.held += n
 	g.held += n
 	heldBytes.Set(float64(g.held))
+	g.wakeNext()
 	return nil
 }
 
+// wait waits until memory was released or the connection was evicted.
+func (g *Gate) wait(c *conn) {
+	wake := make(chan struct{})
+	c.wake = wake
+	if len(g.waiting) >= 2*g.budget.connections {
+		g.waiting = slices.DeleteFunc(g.waiting, func(o *conn) bool { return o.wake == nil })
+	}
+	g.waiting = append(g.waiting, c)
+	g.mu.Unlock()
+	<-wake
+	g.mu.Lock()
+}
+
+// wakeNext wakes the connection that has waited longest for memory, if there is
+// some. Each that gets its memory wakes the next, so that a release does not wake
+// hundreds in vain.
+func (g *Gate) wakeNext() {
+	for len(g.waiting) > 0 && g.held < g.budget.requestBytes {
+		next := g.waiting[0]
+		g.waiting = g.waiting[1:]
+		if next.wakeUp() {
+			return
+		}
+	}
+}
+
+// wakeUp ends the connection's wait for memory. It reports whether it waited.
+func (c *conn) wakeUp() bool {
+	if c.wake == nil {
+		return false
+	}
+	close(c.wake)
+	c.wake = nil
+	return true
+}
+
 // release takes memory back from a connection.
 func (g *Gate) release(c *conn, n int64) {
 	c.held -= n
@@ -189,7 +235,7 @@
 		g.evictedHeld -= n
 	}
 	heldBytes.Set(float64(g.held))
-	g.freed.Broadcast()
+	g.wakeNext()
 }
 
 // remove forgets a connection that has ended.
@@ -206,4 +252,5 @@
 	}
 	c.evicted = true
 	openConnections.Set(float64(len(g.conns)))
+	g.ended.Broadcast()
 }
