--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/ingress"
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/link/linktest"
 )
@@ -29,6 +30,8 @@
 	hellos, taken  atomic.Int64
 	// slow is the time that it takes to accept a submission.
 	slow atomic.Int64
+	// maxBodyBytes is the limit of bodies that it names.
+	maxBodyBytes atomic.Int64
 }
 
 func startMember(t *testing.T) *member {
@@ -62,6 +65,7 @@
 
 func (m *member) answerHello() HelloResponse {
 	answer := HelloResponse{Leader: *m.leader.Load(), LeaderSilenceMS: m.silence.Load(), CatalogVersion: 1, IsRelay: m.isRelay, Zone: m.zone}
+	answer.Limits.MaxBodyBytes = m.maxBodyBytes.Load()
 	if candidates := m.candidates.Load(); candidates != nil {
 		answer.Relays = *candidates
 		answer.Members = append([]string{answer.Leader}, answer.Relays...)
@@ -99,6 +103,25 @@
 	}
 }
 
+// TestBusyClientLearnsLimits guards against limits that a client never learns, since
+// its calls keep it from asking the leader.
+func TestBusyClientLearnsLimits(t *testing.T) {
+	leader := startMember(t)
+	c := startClient(t, leader)
+	var learnt atomic.Int64
+	c.OnLimits(func(l ingress.Limits) { learnt.Store(l.MaxBodyBytes) })
+	go c.Run(t.Context())
+	waitForLeader(t, c, leader.node.Address())
+	leader.maxBodyBytes.Store(1000)
+	for deadline := time.Now().Add(10 * time.Second); learnt.Load() != 1000; {
+		if time.Now().After(deadline) {
+			t.Fatal("the limits were not learnt")
+		}
+		c.recordAnswer(leader.node.Address())
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // TestSubmissionThatWasNotSentIsNotUnknown guards against a caller who cannot
 // submit again, since its job may run, although it reached no control process.
 func TestSubmissionThatWasNotSentIsNotUnknown(t *testing.T) {
--- a/internal/connection/workcall/leader.go
+++ b/internal/connection/workcall/leader.go
@@ -4,15 +4,17 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/process/logging"
 )
 
 // checkContact asks the leader, or the relay in its place, whether it still serves,
-// unless it has answered a call lately.
+// unless it has answered a call lately. A busy leader is asked now and then, since
+// its limits come with its answer.
 func (c *Client) checkContact(ctx context.Context, to contact) {
-	if c.sinceAnswer(to.address) <= quietAge {
+	if c.sinceAnswer(to.address) <= quietAge && time.Since(c.helloAt()) <= helloAge {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
@@ -21,6 +23,8 @@
 	switch {
 	case err == nil:
 		c.applyHello(to.address, &answer)
+	case c.sinceAnswer(to.address) <= quietAge:
+		c.log.Warn("hello call failed, other calls are answered", "address", to.address, logging.Err(err))
 	case to.relay:
 		c.dropRelay(to.address, err)
 	default:
@@ -151,11 +155,15 @@
 		return
 	}
 	c.catalogVersion.Store(answer.CatalogVersion)
+	c.lastHello.Store(time.Now().UnixNano())
 	if c.onLimits != nil {
 		c.onLimits(answer.Limits)
 	}
 }
 
+// helloAt returns when the newest answer to a hello call was applied.
+func (c *Client) helloAt() time.Time { return time.Unix(0, c.lastHello.Load()) }
+
 func (c *Client) setLeader(address string) {
 	c.mu.Lock()
 	former := c.leader
