--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/connection/ingress"
 	"arbutusward.example/arbutusward/internal/connection/link"
 )
 
@@ -25,6 +26,9 @@
 	// quietAge is the time without an answer of the leader to any call after
 	// which it is sent a hello call.
 	quietAge = 600 * time.Millisecond
+	// helloAge is the time after an applied answer to a hello call after which a
+	// leader that answers other calls is sent another one.
+	helloAge = time.Second
 	// helloTimeout bounds one hello call.
 	helloTimeout = 400 * time.Millisecond
 	// confirmedAge is the time after an answer of the leader within which
@@ -69,6 +73,10 @@
 	relays *relayChoice
 
 	catalogVersion atomic.Int64
+	// lastHello is when the newest answer to a hello call was applied, in Unix ns.
+	lastHello atomic.Int64
+	// onLimits is nil unless something enforces the catalog's limits.
+	onLimits func(ingress.Limits)
 
 	// local serves calls to self, the link address of this process, without
 	// a network call. It is nil in a process that never leads.
@@ -99,6 +107,11 @@
 	c.self, c.local = self, local
 }
 
+// OnLimits makes the client pass on the limits of the newest catalog that a
+// leader has reported, with each report. It must be called before the client is
+// used.
+func (c *Client) OnLimits(set func(ingress.Limits)) { c.onLimits = set }
+
 // SetSeeds replaces the seeds.
 func (c *Client) SetSeeds(seeds []string) {
 	c.mu.Lock()
--- a/internal/process/scheduler/server_members.go
+++ b/internal/process/scheduler/server_members.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math"
 
+	"arbutusward.example/arbutusward/internal/connection/ingress"
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/catalog"
 )
 
 // notLeader returns a NotLeaderError that names the leader, if it is known.
@@ -26,7 +29,10 @@
 	status := s.replica.Status()
 	response := workcall.HelloResponse{LeaderSilenceMS: status.LeaderSilence.Milliseconds(), IsRelay: true, Zone: s.zone, Format: workstate.NewestFormat}
 	workers := 0
-	s.machine.Read(func(v *workstate.View) { response.CatalogVersion, workers = v.Catalog().Version, len(v.Workers()) })
+	s.machine.Read(func(v *workstate.View) {
+		response.CatalogVersion, workers = v.Catalog().Version, len(v.Workers())
+		response.Limits = requestLimits(&v.Catalog().Limits)
+	})
 	for _, m := range status.Members {
 		response.Members = append(response.Members, m.Link)
 		switch {
@@ -39,6 +45,14 @@
 	return response
 }
 
+// requestLimits returns the limits of a catalog as the servers of requests enforce them.
+func requestLimits(l *catalog.Limits) ingress.Limits {
+	return ingress.Limits{
+		MaxHeaderBytes: int(min(l.MaxHeaderBytes, math.MaxInt32)), MaxBodyBytes: l.MaxBodyBytes,
+		HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+	}
+}
+
 // join adds a process with an empty disk as a member. A former member with the
 // same link address has lost its disk and is removed first.
 func (s *Server) join(ctx context.Context, peer link.Peer, r workcall.JoinRequest) (workcall.Done, error) {
