A repeated submission is answered by the accepted job

Cause: without a matching route the leader did not look for the job, and answered 404 (or 400, under another route) to the repeated submission of a job that runs. With access control, a job without an account whose queue is not known any more got 404 from the leader and from the applied command.

Change: a job that was accepted at the location of the call is known, whatever the newest routes are. Its repetition without a key is refused only if the job has an account or its known queue needs a key.

--- a/internal/process/scheduler/server_access.go
+++ b/internal/process/scheduler/server_access.go
@@ -30,7 +30,7 @@
 	decision := v.Access().Queue(r.Host, r.Path, r.Key)
 	switch {
 	case d.known:
-		d.denied = v.JobAccess(r.Host, r.Path, d.id, r.Key)
+		d.denied = v.RepetitionAccess(d.id, r.Key)
 	case decision.Reason != access.UnknownQueue:
 		d.denied = decision.Reason
 	}
--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -46,10 +46,14 @@
 	return d.denied != access.Allowed || !d.known && d.refusal.Status != 0
 }
 
-// examine looks a submission up in a state.
+// examine looks a submission up in a state. A job that was accepted at this location is
+// known also if its route has been changed or removed since.
 func examine(v *workstate.View, r workcall.SubmitRequest) submission {
 	queue, rest := v.Catalog().Match(r.Host, r.Path)
 	found := submission{id: rest, known: v.Job(rest) != nil}
+	if job := findJob(v, r.Location); job != nil && job.Queue+job.ID == r.Host+r.Path {
+		found.id, found.known = job.ID, true
+	}
 	switch {
 	case v.Catalog().Version == 0:
 		found.refusal.Status = workcall.NotReady
--- a/internal/process/scheduler/server_test.go
+++ b/internal/process/scheduler/server_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -29,3 +31,61 @@
 		}
 	})
 }
+
+// TestRepeatedSubmissionFollowsTheAcceptedJob guards against a 404 or 400 for a job that runs or has run: its route was removed after it was accepted.
+func TestRepeatedSubmissionFollowsTheAcceptedJob(t *testing.T) {
+	request := workcall.SubmitRequest{Location: workcall.Location{Host: "host", Path: "/q/" + jobA}, Spec: workload.Spec{Steps: []workload.Step{step(1)}}}
+	for name, c := range map[string]struct {
+		accessControl, ended bool
+		queues               []catalog.Queue
+	}{
+		"no queue":                     {},
+		"ended":                        {ended: true},
+		"another queue":                {queues: []catalog.Queue{{Name: "all", Host: "host", PathPrefix: "/", Service: "svc"}}},
+		"access control":               {accessControl: true},
+		"access control, ended":        {accessControl: true, ended: true},
+		"access control, another open": {accessControl: true, queues: []catalog.Queue{{Name: "all", Host: "host", PathPrefix: "/", Service: "svc", Anonymous: true}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, time.Second)
+				s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+				next := testCatalog()
+				next.Version, next.AccessControl, next.Queues[0].Anonymous = 2, c.accessControl, true
+				f.commit(&workstate.Command{Catalog: next})
+				submit := func(path string) workcall.Status {
+					at := request
+					at.Path = path
+					answer, err := s.Submit(t.Context(), at)
+					if err != nil {
+						t.Error(err)
+					}
+					return answer.Status
+				}
+				if status := submit("/q/" + jobA); status != workcall.OK {
+					t.Fatalf("status %d", status)
+				}
+				if c.ended {
+					f.commit(&workstate.Command{Cancel: &workstate.Cancel{ID: jobA, Host: "host", Path: "/q/" + jobA}})
+				}
+				removed := testCatalog()
+				removed.Version, removed.AccessControl, removed.Queues = 3, c.accessControl, c.queues
+				f.commit(&workstate.Command{Catalog: removed})
+				if status := submit("/q/" + jobA); status != workcall.OK {
+					t.Errorf("repeated submission of an accepted job: status %d", status)
+				}
+				if status := submit("/q/" + jobB); status == workcall.OK {
+					t.Error("a new job is accepted though its route was removed")
+				}
+				if status := submit("/other/" + jobA); status == workcall.OK {
+					t.Error("a submission at another location is taken for a repetition")
+				}
+				// The leader has proposed the repetition before it knew of the job.
+				late := &workstate.Command{Submit: &workstate.Submit{ID: jobA, Host: "host", Path: "/q/" + jobA, Spec: request.Spec}}
+				if result := f.commit(late); result.Code != workstate.OK || !result.Repeated {
+					t.Errorf("repeated command of an accepted job: %+v", result)
+				}
+			})
+		})
+	}
+}
--- a/internal/process/workstate/access.go
+++ b/internal/process/workstate/access.go
@@ -24,6 +24,21 @@
 	return m.access.Job(job.Account, m.queues[job.Queue], key)
 }
 
+// RepetitionAccess decides about the repeated submission of a job that the state has.
+func (v *View) RepetitionAccess(id string, key *catalog.KeyDigest) access.Reason {
+	return v.m.repetitionAccess(v.m.data.Jobs[id], key)
+}
+
+// repetitionAccess allows the repetition of a job of which no queue is known any more. It
+// has no effect, and the job was accepted.
+func (m *Machine) repetitionAccess(job *Job, key *catalog.KeyDigest) access.Reason {
+	reason := m.access.Job(job.Account, m.queues[job.Queue], key)
+	if reason == access.UnknownQueue {
+		return access.Allowed
+	}
+	return reason
+}
+
 // codeOf returns the result of a command with a decision about access.
 func codeOf(reason access.Reason) Code {
 	switch reason {
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -26,8 +26,8 @@
 // applySubmit accepts a job. A job with a known id is a repetition. The key is checked
 // against the catalog in force now, which may be newer than that of the proposer.
 func (m *Machine) applySubmit(s *Submit) Result {
-	if m.data.Jobs[s.ID] != nil {
-		code := codeOf(m.jobAccess(s.Host, s.Path, s.ID, s.Key))
+	if job := m.data.Jobs[s.ID]; job != nil {
+		code := codeOf(m.repetitionAccess(job, s.Key))
 		return Result{Code: code, Repeated: code == OK}
 	}
 	decision := m.access.Queue(s.Host, s.Path, s.Key)
