The token bucket of an account holds two seconds and five jobs

Cause: a bucket of one job marks jobs of small accounts that arrive at random times below their rate.

Change: a full bucket holds the jobs of two seconds, and five at least. TestJobsBeyondTheRateAreMarked expects 15 of 20 jobs of one moment at a weight of 2.5 to be marked in place of 18: five are free now, not two.

The test fails without the change.

--- a/internal/process/workstate/access.go
+++ b/internal/process/workstate/access.go
@@ -63,7 +63,10 @@
 	// overflows.
 	maxRate = 1_000_000
 	// burstMS is the time whose jobs a full bucket holds, in milliseconds.
-	burstMS = int64(time.Second / time.Millisecond)
+	burstMS = int64(2 * time.Second / time.Millisecond)
+	// minBurst is the fewest jobs that a full bucket holds. Jobs that arrive at random times
+	// below a small rate would often find a bucket of one or two jobs empty.
+	minBurst = 5
 )
 
 // rateBucket is the token bucket of one account.
@@ -95,7 +98,7 @@
 // tokens returns the tokens that an account has now.
 func (m *Machine) tokens(account *catalog.Account) int64 {
 	perMS := max(1, int64(min(account.Weight, maxRate)*tokensPerWeight))
-	full := max(jobTokens, perMS*burstMS)
+	full := max(minBurst*jobTokens, perMS*burstMS)
 	if bucket, known := m.data.Buckets[account.Name]; known {
 		return bucket.fill(m.data.ClockMS, perMS, full)
 	}
