Random schedules with accounts change limits and have larger tasks

Cause: limits of accounts stayed the same in the random schedules, and all tasks had the same need, so that neither a lowered limit nor a task above a limit met the faults of calls, workers and leaders.

A start is checked by the highest limit since its run was planned.

--- a/internal/process/scheduler/endedruns_test.go
+++ b/internal/process/scheduler/endedruns_test.go
@@ -71,6 +71,12 @@
 	})
 }
 
+// checkCommit checks the workers after a command.
+func (s *schedule) checkCommit(command []byte) {
+	s.recordStarts(command)
+	s.checkEndedRuns(command)
+}
+
 // checkEndedRuns reports the runs that execute on a worker although a command records
 // their end, so that their tasks may start elsewhere.
 func (s *schedule) checkEndedRuns(command []byte) {
--- a/internal/process/scheduler/fakecalls_test.go
+++ b/internal/process/scheduler/fakecalls_test.go
@@ -37,7 +37,7 @@
 	f.checkStart(w, o, late)
 	f.checkLimit(w, o.Task, late)
 	if f.quotas != nil {
-		f.quotas.check(f, o.Task)
+		f.quotas.check(f, runKey{o.Task, o.Run})
 	}
 	f.starts++
 	w.extend(o.LeaseUntilMS)
--- a/internal/process/scheduler/quota_test.go
+++ b/internal/process/scheduler/quota_test.go
@@ -22,12 +22,50 @@
 // execute.
 type quotaCheck struct {
 	limits map[string]workload.Resources
+	// former holds the limits that were changed.
+	former []formerLimits
+	// recorded holds when the starts of runs were recorded, if limits change during a test.
+	recorded map[runKey]time.Time
 	// accounts holds the account of each job.
 	accounts map[string]string
 	// most is the most that each account had executing, in thousandths of a core.
 	most map[string]int64
 }
 
+// formerLimits are the limits in force until a time.
+type formerLimits struct {
+	limits map[string]workload.Resources
+	until  time.Time
+}
+
+// planningTime bounds the time from a plan until its starts are recorded.
+const planningTime = 200 * time.Millisecond
+
+// limitOf returns the highest limit of an account since the start of a run was planned.
+func (q *quotaCheck) limitOf(account string, run runKey) int64 {
+	highest := q.limits[account].MilliCPU
+	for _, l := range q.former {
+		if recordedAt, known := q.recorded[run]; known && l.until.After(recordedAt.Add(-planningTime)) {
+			highest = max(highest, l.limits[account].MilliCPU)
+		}
+	}
+	return highest
+}
+
+// changeLimits replaces the limits of the accounts, in thousandths of a core.
+func (f *fixture) changeLimits(limits map[string]int64) {
+	next := map[string]workload.Resources{}
+	for name, milliCPU := range limits {
+		next[name] = workload.Resources{MilliCPU: milliCPU}
+	}
+	f.commitLimits(next)
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	q := f.workers.quotas
+	q.former = append(q.former, formerLimits{q.limits, time.Now()})
+	q.limits = next
+}
+
 // limitAccounts gives accounts a limit in thousandths of a core each.
 func (f *fixture) limitAccounts(limits map[string]int64) {
 	q := &quotaCheck{limits: map[string]workload.Resources{}, accounts: map[string]string{}, most: map[string]int64{}}
@@ -41,12 +79,14 @@
 }
 
 // commitAccounts commits a catalog that has the accounts.
-func (f *fixture) commitAccounts() {
+func (f *fixture) commitAccounts() { f.commitLimits(f.workers.quotas.limits) }
+
+func (f *fixture) commitLimits(limits map[string]workload.Resources) {
 	var c catalog.Catalog
 	f.machine.Read(func(v *workstate.View) { c = *v.Catalog() })
 	c.Version++
 	c.Accounts = nil
-	for name, limit := range f.workers.quotas.limits {
+	for name, limit := range limits {
 		c.Accounts = append(c.Accounts, catalog.Account{Name: name, Limit: limit})
 	}
 	f.commit(&workstate.Command{Catalog: &c})
@@ -72,12 +112,13 @@
 
 // check reports a start that brings the task's account above its limit. An account that
 // executes nothing may start one larger task or gang.
-func (q *quotaCheck) check(f *fakeWorkers, task workload.TaskID) {
+func (q *quotaCheck) check(f *fakeWorkers, run runKey) {
+	task := run.task
 	account := q.accounts[task.Job]
-	limit, limited := q.limits[account]
-	if account == "" || !limited {
+	if _, limited := q.limits[account]; account == "" || !limited {
 		return
 	}
+	limit := q.limitOf(account, run)
 	sum, alone := f.submitted[task.Job].Steps[task.Step].Need, true
 	for _, w := range f.workers {
 		for other := range w.running {
@@ -89,8 +130,8 @@
 		}
 	}
 	q.most[account] = max(q.most[account], sum.MilliCPU)
-	if sum.MilliCPU > limit.MilliCPU && !alone {
-		f.t.Errorf("QUOTA: the start of %s brings %s to %+v of %+v", task, account, sum, limit)
+	if sum.MilliCPU > limit && !alone {
+		f.t.Errorf("QUOTA: the start of %s brings %s to %d of %d", task, account, sum.MilliCPU, limit)
 	}
 }
 
@@ -316,12 +357,53 @@
 	})
 }
 
-// drawAccounts gives a third of a schedule's jobs to each of two accounts with limits. The
-// jobs have twice the time to end, since they get as little as a sixth of the workers.
+// limitInterval is the interval of the events that change the limits of accounts.
+const limitInterval = 8
+
+// drawAccounts gives a third of a schedule's jobs to each of two accounts with limits, which
+// change. Some tasks are larger, also than the limit. The jobs have twice the time to end,
+// since they get as little as a sixth of the workers.
 func (s *schedule) drawAccounts() {
 	s.calm = 2 * calmTime
-	s.limitAccounts(map[string]int64{"a1": 2000 + int64(s.calls.draw("limit", 1)%3)*500, "a2": 2000 + int64(s.calls.draw("limit", 2)%3)*500})
+	limits := map[string]int64{"a1": 2000 + int64(s.calls.draw("limit", 1)%3)*500, "a2": 2000 + int64(s.calls.draw("limit", 2)%3)*500}
+	s.limitAccounts(limits)
+	s.workers.quotas.recorded = map[runKey]time.Time{}
 	s.accountOf = func(job string) string {
 		return [...]string{"", "a1", "a2"}[s.calls.draw("account", job)%3]
 	}
+	s.needOf = func(job string, step int) int64 {
+		return [...]int64{1000, 1000, 1000, 1000, 2000, 3000}[s.calls.draw("need", job, step)%6]
+	}
+	events := 0
+	s.furtherEvent = func() {
+		events++
+		if s.calls.draw("change limits", events)%limitInterval == 0 {
+			s.changeLimits(map[string]int64{"a1": int64(1+s.calls.draw("limit", 1, events)%4) * 1000, "a2": int64(1+s.calls.draw("limit", 2, events)%4) * 1000})
+		}
+	}
+	s.afterFaults = func() { s.changeLimits(limits) }
+}
+
+// recordStarts records when a command has recorded the starts of runs.
+func (s *schedule) recordStarts(command []byte) {
+	if s.workers.quotas == nil {
+		return
+	}
+	var c workstate.Command
+	if err := cbor.Unmarshal(command, &c); err != nil {
+		s.t.Error(err)
+		return
+	}
+	progress := c.Progress
+	if c.Packed != nil {
+		progress = c.Packed.Unpack()
+	}
+	if progress == nil {
+		return
+	}
+	s.workers.mu.Lock()
+	defer s.workers.mu.Unlock()
+	for _, start := range progress.Starts {
+		s.workers.quotas.recorded[runKey{start.Task, start.Run}] = time.Now()
+	}
 }
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -99,6 +99,8 @@
 	afterFaults func()
 	// accountOf, if set, returns the account of a job.
 	accountOf func(job string) string
+	// needOf, if set, returns what a task of a step needs, in thousandths of a core.
+	needOf func(job string, step int) int64
 	// replicaOf, if set, returns the replica of the leader of a term, and its state.
 	replicaOf func(ctx context.Context, term uint64) (replica.Replica, *workstate.Machine)
 	// calm is the time without faults in which all jobs must end.
@@ -313,6 +315,9 @@
 		st := step(1 + s.random.IntN(4))
 		st.Estimate = 600 * time.Millisecond
 		st.Checkpointing = s.random.IntN(2) == 0
+		if s.needOf != nil {
+			st.Need.MilliCPU = s.needOf(id, i)
+		}
 		if i > 0 {
 			st.DependsOn = []int{s.random.IntN(i)}
 		}
@@ -392,7 +397,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopLeader = cancel
 	log := slog.New(slog.NewTextHandler(testLog{s.t}, nil)).With("leader", term)
-	var r replica.Replica = &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice, onCommit: s.checkEndedRuns}
+	var r replica.Replica = &termReplica{fakeReplica: s.replica, term: term, dice: s.calls.dice, onCommit: s.checkCommit}
 	machine := s.machine
 	if s.replicaOf != nil {
 		r, machine = s.replicaOf(ctx, term)
