A submission in flight answers only callers that may repeat it

Cause: a submission that is refused for load while the same job is being proposed was answered like that proposal. A key of another account got 200 in place of 403, and a caller got the 401 or 503 of another one whose proposal was refused.

Change: the answer is passed on if the proposal was accepted or has no result, and if the key allows the repetition. Otherwise the decision is made again after another barrier. The load of the tests is of a higher priority, so that it also stands before jobs of accounts.

Result: TestSubmissionInFlightAnswersOnlyItsAccount fails without the change (status 200 for another account; 401 of the removed key for a valid one), passes with it.

--- a/internal/process/scheduler/admission_test.go
+++ b/internal/process/scheduler/admission_test.go
@@ -61,7 +61,8 @@
 func (f *admissionFixture) overload() {
 	room := workload.Resources{MilliCPU: 1000, MemoryMB: 1000}
 	pool := &overload.Pool{Room: room, Planned: room, InUse: 1, WaitingTasks: 1}
-	pool.Add("", 1, 0, false, 3600)
+	// Work of a higher priority goes before jobs of every account.
+	pool.Add("", 1, -1, false, 3600)
 	f.server.admission.Load.Publish(&admit.Snapshot{At: time.Now(), Pools: map[string]*overload.Pool{"svc": pool}})
 }
 
@@ -149,6 +150,41 @@
 	})
 }
 
+// TestSubmissionInFlightAnswersOnlyItsAccount guards against a 200 for a key of another account, and against the 401 of one caller for another one, while the same job is being proposed.
+func TestSubmissionInFlightAnswersOnlyItsAccount(t *testing.T) {
+	for _, c := range []struct {
+		first, second string
+		want          workcall.Status
+	}{
+		{"a", "b", workcall.Forbidden},
+		{"removed", "a", workcall.Overloaded},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newAdmissionFixture(t)
+			f.commit(&workstate.Command{Catalog: catalogWithAccounts(3, "a", "b", "removed")})
+			submit := func(key string) workcall.SubmitResponse {
+				r := newRequest(jobA, key)
+				r.Key = keyOf(key)
+				answer, err := f.server.Submit(context.Background(), r)
+				if err != nil {
+					t.Error(err)
+				}
+				return answer
+			}
+			f.replica.setDelay(200 * time.Millisecond)
+			go f.commit(&workstate.Command{Catalog: catalogWithAccounts(4, "a", "b")})
+			time.Sleep(100 * time.Millisecond)
+			f.replica.setDelay(300 * time.Millisecond)
+			go submit(c.first)
+			time.Sleep(50 * time.Millisecond)
+			f.overload()
+			if answer := submit(c.second); answer.Status != c.want {
+				t.Errorf("%s after %s: %+v, expected status %d", c.second, c.first, answer, c.want)
+			}
+		})
+	}
+}
+
 // TestUnknownLoadAccepts guards against refusals by an old load, and where the catalog
 // does not ask for them.
 func TestUnknownLoadAccepts(t *testing.T) {
--- a/internal/process/scheduler/admit/control.go
+++ b/internal/process/scheduler/admit/control.go
@@ -11,6 +11,7 @@
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/access"
 	"arbutusward.example/arbutusward/internal/version/overload"
 )
 
@@ -73,25 +74,31 @@
 	}
 	has := false
 	look := func(v *workstate.View) { has = v.Job(s.ID) != nil }
-	// The job may have been accepted by a former leader.
-	if err := l.Read(ctx, look); err != nil {
-		return nil, workcall.SubmitResponse{}, err
-	}
-	if lateCopy && !has {
-		refusedAgain.Inc()
-		l.Log.Info("job refused", "job", s.ID, "path", s.Path, "reason", "the attempt was refused before")
-		return nil, refusal("the call was refused before", lateCopyRetryAfter), nil
-	}
 	known := func() bool {
 		l.Machine.Read(look)
 		return has
 	}
-	switch outcome := c.gate.refuse(s.ID, s.Attempt, known, time.Now()); {
-	case outcome.inFlight != nil:
-		return await(ctx, l, s, outcome.inFlight)
-	case outcome.accepted:
-		// A proposal of a job that the state has is answered without effect.
-		return c.gate.begin(s.ID, "", time.Now()), workcall.SubmitResponse{}, nil
+	for {
+		// The job may have been accepted by a former leader, or by the next one during the wait.
+		if err := l.Read(ctx, look); err != nil {
+			return nil, workcall.SubmitResponse{}, err
+		}
+		if lateCopy && !has {
+			refusedAgain.Inc()
+			l.Log.Info("job refused", "job", s.ID, "path", s.Path, "reason", "the attempt was refused before")
+			return nil, refusal("the call was refused before", lateCopyRetryAfter), nil
+		}
+		outcome := c.gate.refuse(s.ID, s.Attempt, known, time.Now())
+		if outcome.accepted {
+			// A proposal of a job that the state has is answered without effect.
+			return c.gate.begin(s.ID, "", time.Now()), workcall.SubmitResponse{}, nil
+		}
+		if outcome.inFlight == nil {
+			break
+		}
+		if answered, response, err := await(ctx, l, s, outcome.inFlight); answered {
+			return nil, response, err
+		}
 	}
 	verdict.record(l, s)
 	return nil, refusal(fmt.Sprintf("%s, the estimated wait is %d ms", verdict.Refused, verdict.Wait.Milliseconds()), verdict.RetryAfter), nil
@@ -101,15 +108,29 @@
 	return workcall.SubmitResponse{Status: workcall.Overloaded, RetryAfterMS: after.Milliseconds(), Reason: reason}
 }
 
-// await answers a submission with the answer to a proposal of the same job.
-func await(ctx context.Context, l Leader, s Submission, inFlight *Proposal) (*Proposal, workcall.SubmitResponse, error) {
+// await waits for the answer to a proposal of the same job, and reports whether it answers
+// the submission too. A refusal does not, nor does an acceptance if the submission's key does
+// not allow the repetition.
+func await(ctx context.Context, l Leader, s Submission, inFlight *Proposal) (answered bool, response workcall.SubmitResponse, err error) {
 	select {
 	case <-ctx.Done():
-		return nil, workcall.SubmitResponse{}, &link.Fault{Code: workcall.CodeUnknown, Message: "the job is being proposed: " + ctx.Err().Error()}
+		return true, response, &link.Fault{Code: workcall.CodeUnknown, Message: "the job is being proposed: " + ctx.Err().Error()}
 	case <-inFlight.done:
 	}
+	if inFlight.refused() || inFlight.err == nil && !mayRepeat(l, s) {
+		return false, response, nil
+	}
 	l.Log.Info("job answered like a submission in flight", "job", s.ID, "path", s.Path, "status", inFlight.response.Status)
-	return nil, inFlight.response, inFlight.err
+	return true, inFlight.response, inFlight.err
+}
+
+// mayRepeat reports whether the submission's key allows it to repeat that of a job that the
+// state has.
+func mayRepeat(l Leader, s Submission) (allowed bool) {
+	l.Machine.Read(func(v *workstate.View) {
+		allowed = v.Job(s.ID) != nil && v.RepetitionAccess(s.ID, s.Key) == access.Allowed
+	})
+	return allowed
 }
 
 // estimate judges a submission by the newest load that is known.
--- a/internal/process/scheduler/admit/gate.go
+++ b/internal/process/scheduler/admit/gate.go
@@ -59,11 +59,9 @@
 // End records the answer to a proposal, which may take effect later if the error does
 // not say otherwise.
 func (p *Proposal) End(response workcall.SubmitResponse, err error, now time.Time) {
-	var fault *link.Fault
-	refused := errors.As(err, &fault) && (fault.Code == workcall.CodeUnavailable || fault.Code == link.CodeNotLeader)
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
-	if err != nil && !refused {
+	if err != nil && !certainlyRefused(err) {
 		p.gate.uncertain.add(p.id, now)
 	}
 	p.gate.remove(p)
@@ -71,6 +69,20 @@
 	close(p.done)
 }
 
+// certainlyRefused reports whether a proposal with an error never takes effect.
+func certainlyRefused(err error) bool {
+	var fault *link.Fault
+	return errors.As(err, &fault) && (fault.Code == workcall.CodeUnavailable || fault.Code == link.CodeNotLeader)
+}
+
+// refused reports whether the proposal, which has ended, has not been accepted.
+func (p *Proposal) refused() bool {
+	if p.err != nil {
+		return certainlyRefused(p.err)
+	}
+	return p.response.Status != workcall.OK
+}
+
 // remove removes a proposal that has ended. The caller holds g.mu.
 func (g *gate) remove(p *Proposal) {
 	left := slices.DeleteFunc(g.proposals[p.id], func(other *Proposal) bool { return other == p })
