Groups beyond a quota do not scan the fleet

Cause: for each group that a quota holds back the planner looked for a worker with room, also for groups that are never drained for: the cost of a plan was the product of these groups and the workers of a full pool.

Change: the pool is searched only for large groups of accounts that are not drained yet, and a charge that fits nowhere is remembered.

--- a/internal/version/fairshare/quota.go
+++ b/internal/version/fairshare/quota.go
@@ -15,7 +15,7 @@
 	pools    map[string]*pool
 	// ByShare is set if groups of accounts above their share come after the others.
 	ByShare bool
-	// MayDrain is set if Drain has an effect in this plan.
+	// MayDrain is set if accounts may be drained in this plan.
 	MayDrain bool
 }
 
@@ -93,17 +93,17 @@
 	return startable
 }
 
-// Drain keeps the account from starting anything else in this plan if a task, or a whole
-// gang, that its quota holds back needs more than is certain to be free while the account
-// uses less than 1/largeFraction of its quota. Otherwise smaller tasks would take the room
-// that becomes free for as long as there are any. It does nothing unless MayDrain is set.
-func (a *Accounts) Drain(name string, need workload.Resources, tasks int, gang bool) {
+// MayDrainFor reports whether an account is to be drained for a task, or a whole gang, that
+// its quota holds back: if it needs more than is certain to be free while the account uses
+// less than 1/largeFraction of its quota. Otherwise smaller tasks would take the room that
+// becomes free for as long as there are any. It is never so unless MayDrain is set.
+func (a *Accounts) MayDrainFor(name string, need workload.Resources, tasks int, gang bool) bool {
 	acc := a.of(name)
-	acc.draining = acc.draining || a.MayDrain && acc.isLarge(need, tasks, gang)
+	return a.MayDrain && !acc.draining && acc.isLarge(need, tasks, gang)
 }
 
-// Draining reports whether Drain keeps an account from starting anything.
-func (a *Accounts) Draining(name string) bool { return a.of(name).draining }
+// Drain keeps the account from starting anything else in this plan.
+func (a *Accounts) Drain(name string) { a.of(name).draining = true }
 
 func (acc *account) startable(need workload.Resources, tasks int, gang bool) int {
 	idle := acc.use == (workload.Resources{})
--- a/internal/version/placement/planner.go
+++ b/internal/version/placement/planner.go
@@ -80,8 +80,14 @@
 // startable returns how many tasks of a group the quota of its account lets start.
 func (p *planner) startable(pool *pool, g *Group) int {
 	startable := p.accounts.Startable(g.Account, g.Need(), len(g.Indexes), g.Gang)
-	if startable == 0 && p.accounts.MayDrain && !p.accounts.Draining(g.Account) && pool.hasRoom(g) {
-		p.accounts.Drain(g.Account, g.Need(), len(g.Indexes), g.Gang)
+	if startable > 0 || !p.accounts.MayDrainFor(g.Account, g.Need(), len(g.Indexes), g.Gang) {
+		return startable
+	}
+	switch {
+	case pool.hasRoom(g):
+		p.accounts.Drain(g.Account)
+	case g.unconstrained():
+		pool.misfits = append(pool.misfits, g.Charge)
 	}
 	return startable
 }
