A large task starts while urgent small ones use little of the quota

Cause: a task of more than half of a quota waited for as long as tasks before it in the order (jobs in time, when it is late itself) kept taking a little of the quota, though half of the quota and of the pool was free.

Change: while an account uses less than half of its quota, that is reserved for its first large task or gang that the pool has room for, in the time in which accounts may be drained: 2 s of each 3 s in place of each 4 s, so that the rest of the interval and the tasks that execute end within 3 s. The room for a gang is that of all its tasks.

Result: TestLargeTaskStartsWhileUrgentSmallOnesUseLittle (8 cores, quota of 4, a task of 3.5, jobs of 0.6 cores each 0.7 s) fails without the change: not ended after 4.2 s. With it the large task and each small one end within 4.2 s.

--- a/internal/process/scheduler/accounts.go
+++ b/internal/process/scheduler/accounts.go
@@ -18,9 +18,10 @@
 
 // An account may be drained for a large task that its quota holds back for quotaDrainTime of
 // each quotaDrainInterval. Its smaller tasks, which would fit, wait no longer than that for it,
-// also if the tasks that it executes take long.
+// also if the tasks that it executes take long. The large task waits for the rest of the
+// interval and for tasks of up to 1.4 s, which is less than 3 s.
 const (
-	quotaDrainInterval = 4 * time.Second
+	quotaDrainInterval = 3 * time.Second
 	quotaDrainTime     = 2 * time.Second
 )
 
--- a/internal/process/scheduler/quota_test.go
+++ b/internal/process/scheduler/quota_test.go
@@ -246,6 +246,48 @@
 	})
 }
 
+// TestLargeTaskStartsWhileUrgentSmallOnesUseLittle plays an account of four cores of eight that sends jobs of 0.6 cores for 1 s, 1.4 a second, while it has a task of 3.5 cores. It guards against a large task that waits for as long as small ones in time go before it, though half of the quota and of the pool is free, and against small ones that wait for 3 s.
+func TestLargeTaskStartsWhileUrgentSmallOnesUseLittle(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, time.Second)
+			f.addWorker("w1", 4000)
+			f.addWorker("w2", 4000)
+			f.limitAccounts(map[string]int64{"a": 4000})
+			f.lead()
+			defer func() { f.depose() }()
+			time.Sleep(time.Second)
+			submitSmall := func(i int) string {
+				small := step(1)
+				small.Need.MilliCPU, small.Estimate = 600, time.Second
+				id := fmt.Sprintf("%016x", i)
+				f.submitAs("a", id, small)
+				time.Sleep(700 * time.Millisecond)
+				return id
+			}
+			var smalls []string
+			for i := range 3 {
+				smalls = append(smalls, submitSmall(i))
+			}
+			large := step(1)
+			large.Need.MilliCPU, large.Estimate = 3500, time.Second
+			if gang {
+				large.Count, large.Gang, large.Need.MilliCPU = 2, true, 1750
+			}
+			f.submitAs("a", jobA, large)
+			for i := range 20 {
+				smalls = append(smalls, submitSmall(100+i))
+				if i == 5 && f.outcome(jobA) != workstate.Succeeded {
+					t.Error("the large task has not ended after 4.2 s")
+				}
+				if i >= 5 && f.outcome(smalls[len(smalls)-6]) != workstate.Succeeded {
+					t.Errorf("small task %d has not ended after 4.2 s", i-5)
+				}
+			}
+		})
+	}
+}
+
 // TestGangStartsWithinTheQuotaOrAlone guards against part of a gang, which makes no progress, and against a gang that never starts.
 func TestGangStartsWithinTheQuotaOrAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/version/fairshare/quota.go
+++ b/internal/version/fairshare/quota.go
@@ -102,9 +102,20 @@
 	return a.MayDrain && !acc.draining && acc.isLarge(need, tasks, gang)
 }
 
-// Drain keeps the account from starting anything else in this plan.
+// Underused reports whether an account uses less than 1/largeFraction of its quota. What
+// waits for the quota then is to start before anything else of the account.
+func (a *Accounts) Underused(name string) bool {
+	acc := a.of(name)
+	under := func(limit, use int64) bool { return limit == 0 || largeFraction*use < limit }
+	return under(acc.limit.MilliCPU, acc.use.MilliCPU) && under(acc.limit.MemoryMB, acc.use.MemoryMB) && under(acc.limit.GPU, acc.use.GPU)
+}
+
+// Drain keeps the account from starting anything until Resume.
 func (a *Accounts) Drain(name string) { a.of(name).draining = true }
 
+// Resume ends the effect of Drain.
+func (a *Accounts) Resume(name string) { a.of(name).draining = false }
+
 func (acc *account) startable(need workload.Resources, tasks int, gang bool) int {
 	idle := acc.use == (workload.Resources{})
 	if gang {
--- a/internal/version/placement/accounts_test.go
+++ b/internal/version/placement/accounts_test.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// TestQuotaIsReservedOnlyForWhatHasRoom guards against an account whose tasks wait for a large gang that the pool has no room for, and against small ones that take the quota from one that it has room for.
+func TestQuotaIsReservedOnlyForWhatHasRoom(t *testing.T) {
+	for _, c := range []struct{ room, small, large int64 }{{8, 1, 4}, {3, 3, 0}} {
+		accounts := fairshare.New([]catalog.Account{{Name: "a", Limit: workload.Resources{MilliCPU: 6000}}})
+		accounts.MayDrain = true
+		accounts.Executes("a", workload.Resources{MilliCPU: 1000})
+		large := accountGroup("a", "large", 4, 2)
+		large.Gang = true
+		got := started(PlanForAccounts([]*Group{accountGroup("a", "small", 3, 1), large}, workersOf(c.room), accounts))
+		if got["large"] != int(c.large) || got["small"] > int(c.small) || c.large == 0 && got["small"] != int(c.small) {
+			t.Errorf("%+v: started %v", c, got)
+		}
+	}
+}
+
 // TestIdleSharesAreLentAtOnce guards against an account that waits for its share while there is room, and against one that takes the room of others when there is none.
 func TestIdleSharesAreLentAtOnce(t *testing.T) {
 	plan := func(free int64, byShare bool) map[string]int {
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -108,6 +108,7 @@
 	for _, w := range workers {
 		p.poolOf(w.Service).add(w)
 	}
+	p.reserve(groups)
 	if accounts == nil || !accounts.ByShare {
 		p.placeAll(groups)
 		return p.plan
--- a/internal/version/placement/planner.go
+++ b/internal/version/placement/planner.go
@@ -7,6 +7,8 @@
 	pools map[string]*pool
 	// accounts is nil if there are no client accounts.
 	accounts *fairshare.Accounts
+	// reserved holds the groups before which nothing else of their accounts starts.
+	reserved map[string]*Group
 	plan     []Placement
 }
 
@@ -66,7 +68,7 @@
 	}
 	waiting := g.Indexes
 	if p.accounts != nil {
-		g.Indexes = waiting[:p.startable(pool, g)]
+		g.Indexes = waiting[:p.startable(g)]
 	}
 	placed := p.placeStartable(pool, g)
 	g.Indexes = waiting
@@ -77,17 +79,49 @@
 	return len(placed)
 }
 
+// reserve reserves the quota of each account that uses little of it for the first large group
+// that has room in its pool. Else groups that go before it would take the quota for as long as
+// there are any, though most of it is free.
+func (p *planner) reserve(groups []*Group) {
+	if p.accounts == nil || !p.accounts.MayDrain {
+		return
+	}
+	p.reserved = map[string]*Group{}
+	for _, g := range groups {
+		if g.Suspect || g.Gang && len(g.Indexes) < g.Total || !p.accounts.MayDrainFor(g.Account, g.Need(), len(g.Indexes), g.Gang) {
+			continue
+		}
+		if p.accounts.Underused(g.Account) && p.hasRoom(g) {
+			p.reserved[g.Account] = g
+			p.accounts.Drain(g.Account)
+		}
+	}
+}
+
+// hasRoom reports whether a pool has the free capacity for one task of a group, or for a whole
+// gang.
+func (p *planner) hasRoom(g *Group) bool {
+	pool := p.pools[g.Service]
+	if pool == nil || pool.knownNotToFit(g.Charge) {
+		return false
+	}
+	if pool.hasRoom(g) {
+		return true
+	}
+	if g.unconstrained() {
+		pool.misfits = append(pool.misfits, g.Charge)
+	}
+	return false
+}
+
 // startable returns how many tasks of a group the quota of its account lets start.
-func (p *planner) startable(pool *pool, g *Group) int {
-	startable := p.accounts.Startable(g.Account, g.Need(), len(g.Indexes), g.Gang)
-	if startable > 0 || !p.accounts.MayDrainFor(g.Account, g.Need(), len(g.Indexes), g.Gang) {
-		return startable
+func (p *planner) startable(g *Group) int {
+	if p.reserved[g.Account] == g {
+		p.accounts.Resume(g.Account)
 	}
-	switch {
-	case pool.hasRoom(g):
+	startable := p.accounts.Startable(g.Account, g.Need(), len(g.Indexes), g.Gang)
+	if startable == 0 && p.accounts.MayDrainFor(g.Account, g.Need(), len(g.Indexes), g.Gang) && p.hasRoom(g) {
 		p.accounts.Drain(g.Account)
-	case g.unconstrained():
-		pool.misfits = append(pool.misfits, g.Charge)
 	}
 	return startable
 }
--- a/internal/version/placement/pool.go
+++ b/internal/version/placement/pool.go
@@ -46,9 +46,36 @@
 	return false
 }
 
-// hasRoom reports whether a worker has the free capacity for one task of a group.
+// hasRoom reports whether the workers have the free capacity for one task of a group, or for
+// a whole gang.
 func (p *pool) hasRoom(g *Group) bool {
-	return slices.ContainsFunc(p.workers, func(w *Worker) bool { return eligible(g, w, nil) })
+	tasks := int64(1)
+	if g.Gang {
+		tasks = int64(len(g.Indexes))
+	}
+	for _, w := range p.workers {
+		if !eligible(g, w, nil) {
+			continue
+		}
+		if tasks -= tasksOn(w, g); tasks <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// tasksOn returns how many tasks of a group an eligible worker takes.
+func tasksOn(w *Worker, g *Group) int64 {
+	count := int64(g.Total)
+	if g.MaxPerWorker > 0 {
+		count = int64(g.MaxPerWorker - g.OnWorker[w.ID])
+	}
+	for _, r := range [...]struct{ free, need int64 }{{w.Free.MilliCPU, g.Charge.MilliCPU}, {w.Free.MemoryMB, g.Charge.MemoryMB}, {w.Free.GPU, g.Charge.GPU}} {
+		if r.need > 0 {
+			count = min(count, r.free/r.need)
+		}
+	}
+	return max(1, count)
 }
 
 // place places the tasks of one group.
