Work that waits for a quota delays no job of another account

Cause: the backlog of an account counted as a whole before the jobs of others, also the part that its quota keeps from executing. A pool of which six tenths are in use refused jobs that its free room would have served, if an account of a higher priority had much work beyond its quota.

Change: the work of another account counts up to its quota times the time for which the job is of use.

Result: TestWorkBeyondAQuotaDelaysNoOtherAccount: an owed job and one over the rate behind an hour of work are refused without the quota, and accepted with a quota of a tenth of the pool. TestRule is unchanged.

--- a/internal/process/scheduler/admit/survey.go
+++ b/internal/process/scheduler/admit/survey.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// AddLimits adds the quotas of the accounts to all pools that have workers.
+func (s *Survey) AddLimits() {
+	accounts := s.view.Catalog().Accounts
+	for _, p := range s.snapshot.Pools {
+		for i := range accounts {
+			p.LimitAccount(accounts[i].Name, accounts[i].Limit)
+		}
+	}
+}
+
 // CountWaiting counts the tasks that wait and did not start.
 func (s *Survey) CountWaiting(groups []*placement.Group, starts []workstate.Start) {
 	for _, g := range groups {
--- a/internal/process/scheduler/poolload.go
+++ b/internal/process/scheduler/poolload.go
@@ -39,6 +39,7 @@
 		}
 	}
 	survey.AddPlan(l.admission.pools, l.rebalanceVMs(u, now), l.vmCapacity)
+	survey.AddLimits()
 	survey.CountWaiting(groups, starts)
 	for _, job := range v.Active() {
 		survey.AddJob(job, func(id workload.TaskID) time.Duration { return l.executed(id, now) })
--- a/internal/version/overload/decide.go
+++ b/internal/version/overload/decide.go
@@ -91,7 +91,7 @@
 // decideOverRate decides about a job that goes behind all owed work. It must be in time
 // for its objective behind that, and of use behind the work that is over the rate too.
 func (p *Pool) decideOverRate(j *Job) Verdict {
-	owed, overRate := p.backlogBefore(j.Priority)
+	owed, overRate := p.backlogBefore(j)
 	verdict := p.verdict(owed)
 	late := p.end(j, verdict.Wait) - j.Objective
 	// Owed jobs that are yet to come leave a share of the room to the others.
@@ -116,16 +116,17 @@
 	return Verdict{Backlog: p.Running + backlog, Wait: p.timeFor(p.Running + backlog)}
 }
 
-// backlogBefore returns the work that goes before an owed job of a priority, and what
-// goes before one that is over the rate besides.
-func (p *Pool) backlogBefore(priority int) (owed, overRate float64) {
+// backlogBefore returns the work that goes before a job if that is owed, and what goes
+// before it besides if it is over the rate.
+func (p *Pool) backlogBefore(j *Job) (owed, overRate float64) {
 	for _, b := range p.Backlogs {
 		switch {
-		case b.Priority < priority:
-			owed += b.Owed + b.OverRate
-		case b.Priority == priority:
-			owed += b.Owed
-			overRate += b.OverRate
+		case b.Priority < j.Priority:
+			owed += p.reachable(b.Account, b.Owed+b.OverRate, j)
+		case b.Priority == j.Priority:
+			reachable := p.reachable(b.Account, b.Owed, j)
+			owed += reachable
+			overRate += p.reachable(b.Account, b.Owed+b.OverRate, j) - reachable
 		}
 	}
 	return owed, overRate
@@ -134,13 +135,13 @@
 // ownBacklog returns the work that the pool does before it gets to an owed job. It is
 // that of all accounts at most; an account with a small backlog has its fair share.
 func (p *Pool) ownBacklog(j *Job) float64 {
-	all, _ := p.backlogBefore(j.Priority)
+	all, _ := p.backlogBefore(j)
 	own, weights := 0.0, j.Weight
 	higher := 0.0
 	for _, b := range p.Backlogs {
 		switch {
 		case b.Priority < j.Priority:
-			higher += b.Owed + b.OverRate
+			higher += p.reachable(b.Account, b.Owed+b.OverRate, j)
 		case b.Priority > j.Priority || b.Owed == 0:
 		case b.Account == j.Account:
 			own += b.Owed
--- a/internal/version/overload/overload_test.go
+++ b/internal/version/overload/overload_test.go
@@ -42,6 +42,30 @@
 	}
 }
 
+// TestWorkBeyondAQuotaDelaysNoOtherAccount plays a pool of which an account with a quota of a tenth has an hour of work waiting, before the jobs of another one by its priority. It guards against refusals of jobs that run in the rest of the room.
+func TestWorkBeyondAQuotaDelaysNoOtherAccount(t *testing.T) {
+	for _, overRate := range []bool{false, true} {
+		p, j := fullPool(), shortJob()
+		j.Account, j.Priority, j.OverRate = "small", 2, overRate
+		if Decide(p, &j).Refused == "" {
+			t.Fatalf("over rate %t: accepted behind an hour of work", overRate)
+		}
+		p.LimitAccount("large", workload.Resources{MilliCPU: 10_000, MemoryMB: 10_000})
+		if v := Decide(p, &j); v.Refused != "" {
+			t.Errorf("over rate %t: %+v", overRate, v)
+		}
+		p.LimitAccount("large", workload.Resources{MilliCPU: 10_000, MemoryMB: 500_000})
+		if v := Decide(p, &j); v.Refused == "" {
+			t.Errorf("over rate %t: accepted though the quota is five times the pool's memory", overRate)
+		}
+		j.Account = "large"
+		p.LimitAccount("large", workload.Resources{MilliCPU: 10_000})
+		if v := Decide(p, &j); v.Refused == "" {
+			t.Errorf("over rate %t: accepted behind the account's own work", overRate)
+		}
+	}
+}
+
 // TestRetryAfterStaysWithinUse guards against callers that are sent away for longer than
 // their job is of use, as by an hour's backlog.
 func TestRetryAfterStaysWithinUse(t *testing.T) {
--- a/internal/version/overload/pool.go
+++ b/internal/version/overload/pool.go
@@ -17,6 +17,8 @@
 	// WaitingTasks counts the tasks that could start if there was room.
 	WaitingTasks int
 	Backlogs     []Backlog
+	// Limits holds the quotas of accounts in dominant cores.
+	Limits map[string]float64
 	// Arrivals is the owed work that arrives per second.
 	Arrivals float64
 }
@@ -43,6 +45,29 @@
 	return max(cores, float64(need.MemoryMB)/float64(room.MemoryMB)*float64(room.MilliCPU)/1000)
 }
 
+// LimitAccount records the quota of an account, of which a figure of 0 means no limit. Its
+// tasks are taken to need the resources in about that proportion.
+func (p *Pool) LimitAccount(account string, limit workload.Resources) {
+	cores := DominantCores(limit, p.Room)
+	if cores <= 0 {
+		return
+	}
+	if p.Limits == nil {
+		p.Limits = map[string]float64{}
+	}
+	p.Limits[account] = cores
+}
+
+// reachable returns the part of an account's work that its quota lets execute while a job
+// of another account is of use.
+func (p *Pool) reachable(account string, work float64, j *Job) float64 {
+	limit, limited := p.Limits[account]
+	if !limited || account == j.Account {
+		return work
+	}
+	return min(work, limit*Useful(j.Objective).Seconds())
+}
+
 // cores returns the dominant cores that work off the backlog.
 func (p *Pool) cores() float64 { return packingRatio * float64(p.Planned.MilliCPU) / 1000 }
 
