No account is drained for a task that cannot start anyway

Cause: an account was drained for a large task also if its long-running tasks, which do not end, leave too little of the quota for it. Its other tasks waited for 2 s of each interval in vain.

Change: an account is drained only for what fits beside its long-running tasks.

Result: TestNoAccountIsDrainedInVain, three cases fail without the change.

--- a/internal/process/scheduler/accounts.go
+++ b/internal/process/scheduler/accounts.go
@@ -110,7 +110,7 @@
 	}
 	for _, job := range v.Active() {
 		if job.Executing > 0 {
-			accounts.Occupies(job.Account, v.ServiceOf(job), executingCharge(job))
+			countExecuting(v, accounts, job)
 		}
 	}
 	for _, g := range groups {
@@ -118,16 +118,21 @@
 	}
 }
 
-// executingCharge returns what the executing tasks of a job take.
-func executingCharge(job *workstate.Job) (sum workload.Resources) {
+// countExecuting counts what the executing tasks of a job take.
+func countExecuting(v *workstate.View, accounts *fairshare.Accounts, job *workstate.Job) {
+	var charge workload.Resources
 	for k := range job.Occurrences {
 		for s := range job.Occurrences[k].Steps {
+			step := &job.Spec.Steps[s]
 			for range job.Occurrences[k].Steps[s].Running {
-				sum = sum.Add(job.Spec.Steps[s].Charge())
+				charge = charge.Add(step.Charge())
+				if step.LongRunning {
+					accounts.Lasts(job.Account, step.Need)
+				}
 			}
 		}
 	}
-	return sum
+	accounts.Occupies(job.Account, v.ServiceOf(job), charge)
 }
 
 // accountLog bounds the log lines about accounts.
--- a/internal/version/fairshare/fairshare_test.go
+++ b/internal/version/fairshare/fairshare_test.go
@@ -52,3 +52,19 @@
 		t.Error("an account with 26 of 100 MB and a quarter of the weights is not above its share")
 	}
 }
+
+// TestNoAccountIsDrainedInVain guards against tasks that wait for one that long-running tasks of the account keep from starting anyway.
+func TestNoAccountIsDrainedInVain(t *testing.T) {
+	for _, c := range []struct {
+		lasting, need int64
+		gang, wanted  bool
+	}{{0, 6, false, true}, {0, 10, false, true}, {2, 6, false, true}, {3, 6, false, false}, {1, 10, false, false}, {2, 3, true, true}, {3, 3, true, false}, {0, 4, false, false}} {
+		a := New([]catalog.Account{{Name: "a", Limit: cores(8)}})
+		a.MayDrain = true
+		a.Executes("a", cores(c.lasting))
+		a.Lasts("a", cores(c.lasting))
+		if got := a.MayDrainFor("a", cores(c.need), 2, c.gang); got != c.wanted {
+			t.Errorf("%+v: drained %t", c, got)
+		}
+	}
+}
--- a/internal/version/fairshare/quota.go
+++ b/internal/version/fairshare/quota.go
@@ -22,7 +22,9 @@
 // account is what the plan knows of one client account.
 type account struct {
 	limit, use workload.Resources
-	weight     float64
+	// lasting is the part of the use that does not end.
+	lasting workload.Resources
+	weight  float64
 	// held counts the tasks that did not start because of the quota, passed the groups
 	// that came after others because of the share.
 	held, passed int
@@ -77,6 +79,12 @@
 	acc.use = acc.use.Add(need)
 }
 
+// Lasts counts long-running tasks, which Executes counts too.
+func (a *Accounts) Lasts(name string, need workload.Resources) {
+	acc := a.of(name)
+	acc.lasting = acc.lasting.Add(need)
+}
+
 // Startable returns how many of a number of equal tasks of an account may start, or, of a
 // gang, all or none. An account that executes nothing may start one task, or one gang,
 // that is larger than its quota.
@@ -96,10 +104,15 @@
 // MayDrainFor reports whether an account is to be drained for a task, or a whole gang, that
 // its quota holds back: if it needs more than is certain to be free while the account uses
 // less than 1/largeFraction of its quota. Otherwise smaller tasks would take the room that
-// becomes free for as long as there are any. It is never so unless MayDrain is set.
+// becomes free for as long as there are any. It is never so unless MayDrain is set, nor if the
+// account's long-running tasks leave too little of the quota.
 func (a *Accounts) MayDrainFor(name string, need workload.Resources, tasks int, gang bool) bool {
 	acc := a.of(name)
-	return a.MayDrain && !acc.draining && acc.isLarge(need, tasks, gang)
+	if !a.MayDrain || acc.draining || !acc.isLarge(need, tasks, gang) {
+		return false
+	}
+	drained := account{limit: acc.limit, use: acc.lasting}
+	return drained.startable(need, tasks, gang) > 0
 }
 
 // Underused reports whether an account uses less than 1/largeFraction of its quota. What
