Tests read shared state under its lock

Cause: the race detector reported reads of a worker's crash time in the random schedules and of the VMs in TestIdleVMsArePoweredOffUntilLoadReturns.

Change: both take the lock.

--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -298,7 +298,10 @@
 		s.crash(vm)
 		s.startWorker(vm, id)
 	case 10:
-		if s.current[vm].crashedAt.IsZero() {
+		s.workers.mu.Lock()
+		crashed := !s.current[vm].crashedAt.IsZero()
+		s.workers.mu.Unlock()
+		if !crashed {
 			s.drain(vm)
 		}
 	case 13, 14:
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -154,11 +154,13 @@
 		f.submitAndNotify(jobA, work)
 		time.Sleep(12 * time.Second)
 		off := 0
+		f.vms.mu.Lock()
 		for _, vm := range f.vms.vms {
 			if vm.Pool == "spare" {
 				off++
 			}
 		}
+		f.vms.mu.Unlock()
 		if off != 8-minPoolVMs {
 			t.Errorf("%d of 8 idle VMs are powered off, expected all but %d", off, minPoolVMs)
 		}
