A key that is removed between copies of a submission gives no 401

Cause: an entry or relay that got no answer to a submission sends it again. If the first copy was accepted and the key, or its account's, was removed meanwhile, the client got 401 or 403 for a job that runs.

Change: a refusal says whether the job is known. After an attempt that may have taken effect the refusal of a known job is passed on as unknown, which is answered 504. A first attempt is answered 401 as before.

Result: TestRefusalOfAKnownJobIsNoAnswerForItsEarlierCopy fails without the change (status 401), passes with it.

--- a/internal/connection/workcall/call.go
+++ b/internal/connection/workcall/call.go
@@ -33,8 +33,8 @@
 // call calls the leader and retries until it gets an answer, the context ends or
 // the time of refusal comes. Retries are safe because each call of Control is
 // idempotent. The error is ErrUnavailable if no attempt can have taken effect,
-// else ErrUnknown; a call that may have taken effect is not refused, since a
-// later answer tells its caller whether it has.
+// else ErrUnknown; a call that may have taken effect is not given up early, since a
+// later answer tells its caller whether it has, unless that refuses what is known.
 func call[Req, Resp any](ctx context.Context, c *Client, kind link.Kind, serve method[Req, Resp], request Req) (Resp, error) {
 	var none Resp
 	failure := ErrUnavailable
@@ -46,6 +46,9 @@
 			answer, err := attempt(ctx, c, to, kind, serve, request, refuseAt)
 			if err == nil {
 				c.recordAnswer(to.address)
+				if failure == ErrUnknown && refusesEffect(answer) {
+					return none, logging.Wrap(failure, string(kind), leader)
+				}
 				return answer, nil
 			}
 			if kind == accountsKind && isUnknownKind(err) {
@@ -62,6 +65,13 @@
 	}
 }
 
+// refusesEffect reports whether an answer refuses a call of which an earlier copy may have
+// taken effect, as after its key was removed.
+func refusesEffect(answer any) bool {
+	refusal, ok := answer.(interface{ mayHaveTakenEffect() bool })
+	return ok && refusal.mayHaveTakenEffect()
+}
+
 // pause waits for a duration. It returns false if the context ends before.
 func pause(ctx context.Context, duration time.Duration) bool {
 	select {
--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -32,6 +32,8 @@
 	submitted atomic.Pointer[SubmitRequest]
 	// slow is the time that it takes to accept a submission.
 	slow atomic.Int64
+	// refusal, if set, is its answer to submissions.
+	refusal atomic.Pointer[SubmitResponse]
 	// maxBodyBytes is the limit of bodies that it names.
 	maxBodyBytes atomic.Int64
 }
@@ -49,6 +51,9 @@
 			<-ctx.Done()
 		}
 		time.Sleep(time.Duration(m.slow.Load()))
+		if refusal := m.refusal.Load(); refusal != nil {
+			return *refusal, nil
+		}
 		return SubmitResponse{Status: OK}, nil
 	})
 	m.node.Serve()
@@ -227,3 +232,24 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// TestRefusalOfAKnownJobIsNoAnswerForItsEarlierCopy guards against a 401 for a job that runs: a copy of its submission was accepted without an answer, and its key was removed before the next copy.
+func TestRefusalOfAKnownJobIsNoAnswerForItsEarlierCopy(t *testing.T) {
+	for _, c := range []struct{ lost, known bool }{{true, true}, {true, false}, {false, true}} {
+		leader := startMember(t)
+		client := startClient(t, leader)
+		go client.Run(t.Context())
+		waitForLeader(t, client, leader.node.Address())
+		leader.refusal.Store(&SubmitResponse{Status: Unauthorized, Known: c.known})
+		if c.lost {
+			leader.losing.Store(true)
+			time.AfterFunc(50*time.Millisecond, func() { leader.losing.Store(false) })
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		answer, err := client.Submit(ctx, SubmitRequest{})
+		if unknown := errors.Is(err, ErrUnknown); unknown != (c.lost && c.known) || !unknown && answer.Status != Unauthorized {
+			t.Errorf("%+v: answer %+v, error %v", c, answer, err)
+		}
+	}
+}
--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -83,8 +83,15 @@
 	// RetryAfterMS is the time after which a rejected request may be retried.
 	RetryAfterMS int64  `cbor:"2,keyasint,omitempty"`
 	Reason       string `cbor:"3,keyasint,omitempty"`
+	// Known is set in a refusal if the job was accepted before, maybe from another copy of
+	// the call.
+	Known bool `cbor:"4,keyasint,omitempty"`
 }
 
+// mayHaveTakenEffect reports whether an earlier copy of the refused call may have been
+// accepted.
+func (r SubmitResponse) mayHaveTakenEffect() bool { return r.Status != OK && r.Known }
+
 // JobRequest identifies a job.
 type JobRequest struct {
 	Location
--- a/internal/process/scheduler/server_access_test.go
+++ b/internal/process/scheduler/server_access_test.go
@@ -38,7 +38,7 @@
 		at := workcall.Location{Host: "host", Path: "/q/" + jobA}
 		spec := workload.Spec{Steps: []workload.Step{step(1)}}
 		ctx := context.Background()
-		entries := f.replica.index
+		entries, accepted := f.replica.index, false
 		for _, c := range []struct {
 			key  *catalog.KeyDigest
 			want workcall.Status
@@ -57,6 +57,10 @@
 			if err != nil || submitted.Status != c.want || f.replica.index-entries != c.log {
 				t.Errorf("submission: %+v, %v, %d commands, expected status %d", submitted, err, f.replica.index-entries, c.want)
 			}
+			if c.want != workcall.OK && submitted.Known != accepted {
+				t.Errorf("refused submission: %+v, the job is known: %t", submitted, accepted)
+			}
+			accepted = accepted || c.want == workcall.OK
 			read, err := s.Job(ctx, workcall.JobRequest{Location: at, Key: c.key})
 			if err != nil || read.Status != c.want {
 				t.Errorf("read: %+v, %v, expected status %d", read, err, c.want)
--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -80,6 +80,7 @@
 	id := found.id
 	if found.refused() {
 		s.logDenied(r.Location, found.denied)
+		found.refusal.Known = found.known
 		return found.refusal, nil
 	}
 	if found.known {
@@ -104,7 +105,7 @@
 	if result.Code == workstate.OK && !result.Repeated {
 		s.onJobAccepted(id)
 	}
-	return workcall.SubmitResponse{Status: statusOf(result.Code)}, nil
+	return workcall.SubmitResponse{Status: statusOf(result.Code), Known: result.Repeated}, nil
 }
 
 // findJob returns the job that a path names, or nil.
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -27,8 +27,7 @@
 // against the catalog in force now, which may be newer than that of the proposer.
 func (m *Machine) applySubmit(s *Submit) Result {
 	if job := m.data.Jobs[s.ID]; job != nil {
-		code := codeOf(m.repetitionAccess(job, s.Key))
-		return Result{Code: code, Repeated: code == OK}
+		return Result{Code: codeOf(m.repetitionAccess(job, s.Key)), Repeated: true}
 	}
 	decision := m.access.Queue(s.Host, s.Path, s.Key)
 	if code := codeOf(decision.Reason); code != OK {
