--- a/internal/version/fairshare/quota.go
+++ b/internal/version/fairshare/quota.go
@@ -15,14 +15,16 @@
 	pools    map[string]*pool
 	// ByShare is set if groups of accounts above their share come after the others.
 	ByShare bool
-	// MayDrain is set if Drain has an effect in this plan.
+	// MayDrain is set if accounts may be drained in this plan.
 	MayDrain bool
 }
 
 // account is what the plan knows of one client account.
 type account struct {
 	limit, use workload.Resources
-	weight     float64
+	// lasting is the part of the use that does not end.
+	lasting workload.Resources
+	weight  float64
 	// held counts the tasks that did not start because of the quota, passed the groups
 	// that came after others because of the share.
 	held, passed int
@@ -77,6 +79,12 @@
 	acc.use = acc.use.Add(need)
 }
 
+// Lasts counts long-running tasks, which Executes counts too.
+func (a *Accounts) Lasts(name string, need workload.Resources) {
+	acc := a.of(name)
+	acc.lasting = acc.lasting.Add(need)
+}
+
 // Startable returns how many of a number of equal tasks of an account may start, or, of a
 // gang, all or none. An account that executes nothing may start one task, or one gang,
 // that is larger than its quota.
@@ -93,17 +101,33 @@
 	return startable
 }
 
-// Drain keeps the account from starting anything else in this plan if a task, or a whole
-// gang, that its quota holds back needs more than is certain to be free while the account
-// uses less than 1/largeFraction of its quota. Otherwise smaller tasks would take the room
-// that becomes free for as long as there are any. It does nothing unless MayDrain is set.
-func (a *Accounts) Drain(name string, need workload.Resources, tasks int, gang bool) {
+// MayDrainFor reports whether an account is to be drained for a task, or a whole gang, that
+// its quota holds back: if it needs more than is certain to be free while the account uses
+// less than 1/largeFraction of its quota. Otherwise smaller tasks would take the room that
+// becomes free for as long as there are any. It is never so unless MayDrain is set, nor if the
+// account's long-running tasks leave too little of the quota.
+func (a *Accounts) MayDrainFor(name string, need workload.Resources, tasks int, gang bool) bool {
+	acc := a.of(name)
+	if !a.MayDrain || acc.draining || !acc.isLarge(need, tasks, gang) {
+		return false
+	}
+	drained := account{limit: acc.limit, use: acc.lasting}
+	return drained.startable(need, tasks, gang) > 0
+}
+
+// Underused reports whether an account uses less than 1/largeFraction of its quota. What
+// waits for the quota then is to start before anything else of the account.
+func (a *Accounts) Underused(name string) bool {
 	acc := a.of(name)
-	acc.draining = acc.draining || a.MayDrain && acc.isLarge(need, tasks, gang)
+	under := func(limit, use int64) bool { return limit == 0 || largeFraction*use < limit }
+	return under(acc.limit.MilliCPU, acc.use.MilliCPU) && under(acc.limit.MemoryMB, acc.use.MemoryMB) && under(acc.limit.GPU, acc.use.GPU)
 }
 
-// Draining reports whether Drain keeps an account from starting anything.
-func (a *Accounts) Draining(name string) bool { return a.of(name).draining }
+// Drain keeps the account from starting anything until Resume.
+func (a *Accounts) Drain(name string) { a.of(name).draining = true }
+
+// Resume ends the effect of Drain.
+func (a *Accounts) Resume(name string) { a.of(name).draining = false }
 
 func (acc *account) startable(need workload.Resources, tasks int, gang bool) int {
 	idle := acc.use == (workload.Resources{})
