arbutusctl explain: where a call or job would go now

Cause: an operator who asks why a job waits has to put the answer together from log lines of the leader. Change: the leader collects what it knows between two rounds and asks the functions that decide about calls, jobs and tasks. Control processes serve the answer at the metrics address, and arbutusctl prints it.

--- a/cmd/arbutusctl/main.go
+++ b/cmd/arbutusctl/main.go
@@ -67,7 +67,7 @@
 		Commands: []*cli.Command{
 			validateCommand(), planCommand(), applyCommand(), currentCommand(), statusCommand(), capacityCommand(),
 			waveCommand(), moveCommand(), jobCommand(), entryCommand(), memberCommand(),
-			timelineCommand(), reportCommand(), keysCommand(),
+			explainCommand(), timelineCommand(), reportCommand(), keysCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/internal/process/hosted/common.go
+++ b/internal/process/hosted/common.go
@@ -72,7 +72,7 @@
 
 // metricsHandler serves the process's metrics in the Prometheus text format and, if
 // profiles is set, profiles of its processor time.
-func metricsHandler(profiles bool) http.Handler {
+func metricsHandler(profiles bool) *http.ServeMux {
 	mux := http.NewServeMux()
 	if profiles {
 		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -187,9 +187,13 @@
 	go c.scheduler.Run(ctx)
 	go watchSettings(ctx, c.settings.SeedLinks, c.client, c.log)
 	go c.keepMembership(ctx)
+	operators := metricsHandler(c.tuning.Profiles)
+	explain := platform.NewExplainAPI(c.scheduler.Explain, c.settings.MetricsAddress, c.log)
+	operators.Handle("GET "+platform.ExplainPath, explain)
+	operators.Handle("POST "+platform.ExplainPath, explain)
 	return errors.Join(
 		c.servers.listen(c.settings.ControlAddress, platform.NewControlAPI(c.client, c.log)),
-		c.servers.listen(c.settings.MetricsAddress, metricsHandler(c.tuning.Profiles)),
+		c.servers.listen(c.settings.MetricsAddress, operators),
 	)
 }
 
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/scheduler/explain"
 )
 
 // Scheduler runs the scheduling loop while this process is the leader.
@@ -16,6 +17,8 @@
 	server  *Server
 	// current is the loop of the current term of leadership; nil in a follower.
 	current atomic.Pointer[loop]
+	// explanations limits the rate of calls of Explain.
+	explanations explain.Pacer
 }
 
 // New returns a scheduler and registers its server with the node. Workers and
