--- a/internal/process/scheduler/explain/explain.go
+++ b/internal/process/scheduler/explain/explain.go
@@ -175,7 +175,7 @@
 		step.Starts = append(step.Starts, s.onWorkers(starts[g])...)
 		step.Waiting += waiting
 		if waiting > 0 {
-			step.Reason = s.reason(g, waiting)
+			step.Reason = s.reason(g, waiting, starts[g])
 		}
 	}
 	return steps
@@ -285,9 +285,9 @@
 }
 
 // reason tells why some tasks of a group don't start, after all that goes before has
-// been planned.
-func (s *Snapshot) reason(g *placement.Group, waiting int) string {
-	var open, labelled, room int
+// been planned with the given starts of the group by worker.
+func (s *Snapshot) reason(g *placement.Group, waiting int, starts map[string]int) string {
+	open, labelled, below := 0, 0, 0
 	for _, w := range s.Open {
 		if w.Service != g.Service {
 			continue
@@ -297,8 +297,8 @@
 			continue
 		}
 		labelled++
-		if w.Free.Fits(g.Charge) {
-			room++
+		if g.MaxPerWorker == 0 || g.OnWorker[w.ID]+starts[w.ID] < g.MaxPerWorker {
+			below++
 		}
 	}
 	switch {
@@ -310,10 +310,10 @@
 		return ReasonQuota
 	case g.Suspect:
 		return ReasonApart
+	case below == 0:
+		return ReasonMaxPerWorker
 	case g.Gang:
 		return ReasonGang
-	case room > 0 && g.MaxPerWorker > 0:
-		return ReasonMaxPerWorker
 	}
 	return ReasonRoom
 }
