--- a/internal/process/scheduler/explain/subject.go
+++ b/internal/process/scheduler/explain/subject.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"strings"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
@@ -21,12 +22,12 @@
 // Subject is what a state says of a query. It shares no memory that a command changes.
 type Subject struct {
 	CatalogVersion int64
-	// Queue is nil if none matches, Account if the caller has none.
+	// Queue is nil if none matches and the job is not known, Account if the caller has none.
 	Queue   *catalog.Queue
 	Account *catalog.Account
 	Denied  access.Reason
-	// ID is the part of the path after the queue's prefix. Malformed is set if no job may
-	// have it.
+	// ID is that of a known job, or the part of the path after the queue's prefix. Malformed
+	// is set if no job may have it.
 	ID        string
 	Malformed bool
 	// OverRate is set if a job submitted now would exceed the account's rate, and Use is
@@ -63,13 +64,19 @@
 func Examine(v *workstate.View, q Query, nowMS int64) Subject {
 	decision := v.Access().Queue(q.Host, q.Path, q.Key)
 	s := Subject{CatalogVersion: v.Catalog().Version, Denied: decision.Reason, ID: decision.Rest}
-	job := v.Job(s.ID)
+	queue := decision.Queue
+	id := q.Path[strings.LastIndexByte(q.Path, '/')+1:]
+	job := v.Job(id)
 	if job != nil {
-		s.Denied = v.JobAccess(q.Host, q.Path, s.ID, q.Key)
+		s.Denied = v.JobAccess(q.Host, q.Path, id, q.Key)
 	}
-	if decision.Queue != nil {
-		queue := *decision.Queue
-		s.Queue = &queue
+	if job != nil && s.Denied == access.Allowed {
+		// The queue of a known job counts, not the path by which it is called.
+		s.ID, queue = id, v.Queue(job.Queue)
+	}
+	if queue != nil {
+		copied := *queue
+		s.Queue = &copied
 	}
 	if s.Denied != access.Allowed {
 		return s
