Explain: a test of known jobs under another path

Cause: a known job is found by any path, without a test. Change: the test asks by the path of a queue that does not exist; the pacer's comment states the cost of an explanation.

--- a/internal/process/scheduler/explain/explain_test.go
+++ b/internal/process/scheduler/explain/explain_test.go
@@ -165,6 +165,11 @@
 			t.Errorf("key %q is refused and told %+v", c.key, s)
 		}
 	}
+	m.Read(func(v *workstate.View) {
+		if s := Examine(v, Query{Host: "h", Path: "/former/" + known, Key: &digest}, 5000); s.Known == nil || s.Queue == nil || s.ID != known {
+			t.Errorf("a known job by the path of a removed queue: %+v", s)
+		}
+	})
 	after, err := m.Snapshot()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/process/scheduler/explain/pacer.go
+++ b/internal/process/scheduler/explain/pacer.go
@@ -9,7 +9,7 @@
 
 const (
 	// interval is the least time between two explanations, each of which costs the leader
-	// about as much as planning a round.
+	// as much as up to three rounds.
 	interval = 250 * time.Millisecond
 	// maxWait bounds how long a query waits for its turn.
 	maxWait = 2 * time.Second
