rounds: the pacing of rounds leaves the scheduler's folder

internal/process/scheduler is the widest folder of the repository. The pacer depends on nothing else of it, so it moves to scheduler/rounds with its tests. No change in behaviour.

--- a/internal/process/scheduler/benchrun_test.go
+++ b/internal/process/scheduler/benchrun_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/scheduler/rounds"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -73,7 +74,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				now := time.Now()
-				l.dirty, l.pacer, l.fleet.listedAt = false, roundPacer{}, now
+				l.dirty, l.pacer, l.fleet.listedAt = false, rounds.Pacer{}, now
 				l.advance(now)
 			}
 		})
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"arbutusward.example/arbutusward/internal/process/scheduler/rounds"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/durations"
 	"arbutusward.example/arbutusward/internal/version/health"
@@ -91,7 +92,7 @@
 	// format is the newest format of commands that may be proposed.
 	format int
 	// pacer limits the share of time that rounds take.
-	pacer roundPacer
+	pacer rounds.Pacer
 	// roundNumber counts the rounds.
 	roundNumber uint64
 	// orphans holds the time at which each executing but unrecorded run was last
@@ -182,7 +183,7 @@
 // advance runs a round, watches workers and lists VMs if they are due. If it was
 // called too early it returns how long to wait before the next call.
 func (l *loop) advance(now time.Time) time.Duration {
-	if due, wait := l.pacer.due(now); !due {
+	if due, wait := l.pacer.Due(now); !due {
 		return wait
 	}
 	runtime.LockOSThread()
@@ -196,7 +197,7 @@
 	l.watchWorkers(now)
 	l.listVMs(now)
 	end := time.Now()
-	l.pacer.record(now, end)
+	l.pacer.Record(now, end)
 	l.loadLog.recordPass(end.Sub(now), processorTime(syscall.RUSAGE_THREAD)-started, round)
 	l.logLoad(end)
 	return 0
--- /dev/null
+++ b/internal/process/scheduler/rounds/doc.go
@@ -0,0 +1,2 @@
+// Package rounds decides when a leader's next round of decisions may start.
+package rounds
--- a/internal/process/scheduler/roundpacer.go
+++ b/internal/process/scheduler/rounds/pacer.go
@@ -1,4 +1,4 @@
-package scheduler
+package rounds
 
 import "time"
 
@@ -17,14 +17,15 @@
 	maxPause = 40 * time.Millisecond
 )
 
-// roundPacer delays each round in proportion to the duration of the previous
-// one. The events that arrive in between are served by a single round.
-type roundPacer struct {
+// Pacer delays each round in proportion to the duration of the previous
+// one. The events that arrive in between are served by a single round. The zero
+// value lets the first round start at once.
+type Pacer struct {
 	next time.Time
 }
 
-// record records the start and end of a round.
-func (p *roundPacer) record(start, end time.Time) {
+// Record records the start and end of a round.
+func (p *Pacer) Record(start, end time.Time) {
 	duration := end.Sub(start)
 	pause := time.Duration(float64(duration) * (1/roundShare - 1))
 	p.next = end.Add(min(pause, maxPause))
@@ -33,8 +34,8 @@
 	}
 }
 
-// due reports whether a round may start, and otherwise how long to wait for it.
-func (p *roundPacer) due(now time.Time) (bool, time.Duration) {
+// Due reports whether a round may start, and otherwise how long to wait for it.
+func (p *Pacer) Due(now time.Time) (bool, time.Duration) {
 	wait := p.next.Sub(now)
 	return wait <= 0, wait
 }
--- a/internal/process/scheduler/roundpacer_test.go
+++ b/internal/process/scheduler/rounds/pacer_test.go
@@ -1,4 +1,4 @@
-package scheduler
+package rounds
 
 import (
 	"testing"
@@ -14,16 +14,16 @@
 // time, and no event may wait longer than one round and its pause.
 func TestRoundsTakeALimitedShareOfTime(t *testing.T) {
 	for _, duration := range []time.Duration{100 * time.Microsecond, 3 * time.Millisecond, 12 * time.Millisecond} {
-		var pacer roundPacer
+		var pacer Pacer
 		var busy, longest time.Duration
 		start := time.Unix(0, 0)
 		now, waitingSince := start, start
 		for now.Before(start.Add(10 * time.Second)) {
-			if due, wait := pacer.due(now); !due {
+			if due, wait := pacer.Due(now); !due {
 				now = now.Add(wait)
 			}
 			longest = max(longest, now.Sub(waitingSince))
-			pacer.record(now, now.Add(duration))
+			pacer.Record(now, now.Add(duration))
 			busy += duration
 			now = now.Add(duration)
 			waitingSince = now
@@ -40,10 +40,10 @@
 }
 
 func TestSlowRoundDelaysTheNextForALimitedTime(t *testing.T) {
-	var pacer roundPacer
+	var pacer Pacer
 	start := time.Unix(0, 0)
-	pacer.record(start, start.Add(time.Second))
-	if due, wait := pacer.due(start.Add(time.Second + maxPause)); !due {
+	pacer.Record(start, start.Add(time.Second))
+	if due, wait := pacer.Due(start.Add(time.Second + maxPause)); !due {
 		t.Errorf("the next round waits %s more", wait)
 	}
 }
@@ -58,17 +58,17 @@
 		// commit takes 25.
 		halfWithin = 35 * time.Millisecond
 	)
-	var pacer roundPacer
+	var pacer Pacer
 	now := time.Unix(0, 0)
 	last, longest := now, time.Duration(0)
 	for range 100 {
-		if due, wait := pacer.due(now); !due {
+		if due, wait := pacer.Due(now); !due {
 			now = now.Add(wait)
 		}
 		interval := now.Sub(last)
 		longest = max(longest, interval)
 		end := now.Add(base + perEvent*time.Duration(eventsPerMS*interval.Milliseconds()))
-		pacer.record(now, end)
+		pacer.Record(now, end)
 		last, now = now, end
 	}
 	if longest/2 > halfWithin {
