fencing: generations and fencing tokens leave the scheduler's folder

They depend on nothing else of internal/process/scheduler, so they move to scheduler/fencing with their test. The refusals of calls for former incarnations need the leader's loop and stay, in formercalls.go. No change in behaviour.

--- a/internal/process/scheduler/fencing_test.go
+++ b/internal/process/scheduler/formercalls_test.go
@@ -12,24 +12,6 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-func TestFencingTokensRiseWithTermAndGeneration(t *testing.T) {
-	ascending := []fencingToken{
-		newFencingToken(1, 0), newFencingToken(1, 1), newFencingToken(1, maxGeneration), newFencingToken(2, 0),
-		newFencingToken(1<<37-1, 0), newFencingToken(1<<37-1, maxGeneration),
-	}
-	for i := 1; i < len(ascending); i++ {
-		if ascending[i] <= ascending[i-1] {
-			t.Errorf("token %d is %d, after %d", i, ascending[i], ascending[i-1])
-		}
-	}
-	if largest := uint64(ascending[len(ascending)-1]); float64(largest) != float64(1<<53-1) || largest >= 1<<53 {
-		t.Errorf("the largest token %d does not fit a JSON number", largest)
-	}
-	if newFencingToken(1, maxGeneration+1) != newFencingToken(1, maxGeneration) {
-		t.Error("a generation reaches into the term")
-	}
-}
-
 // recordedCalls keeps the calls that were made to the workers.
 type recordedCalls struct {
 	*fakeWorkers
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
 	"arbutusward.example/arbutusward/internal/process/scheduler/rounds"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/durations"
@@ -59,7 +60,7 @@
 	heard *heardWorkers
 
 	workers     map[string]*worker
-	generations generations
+	generations fencing.Generations
 	// workerList lists the workers by id.
 	workerList []*worker
 	// byVM holds the workers by VM, as of the synced version byVMVersion.
@@ -121,7 +122,7 @@
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
 	return &loop{
 		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue), heard: &heardWorkers{},
-		workers: map[string]*worker{}, generations: generations{}, runs: newRunTable(), ends: map[runKey]workstate.End{},
+		workers: map[string]*worker{}, generations: fencing.Generations{}, runs: newRunTable(), ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
 		fleet:       fleet{entries: map[string]*vmEntry{}},
 		advice:      adviceState{steps: map[workload.StepID]*stepAdvice{}},
--- a/internal/process/scheduler/orphans_test.go
+++ b/internal/process/scheduler/orphans_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -85,7 +86,7 @@
 		w, workers := f.leadWithUnrecordedRun()
 		defer f.depose()
 		f.workers.mu.Lock()
-		w.token = uint64(newFencingToken(f.replica.term+1, 0))
+		w.token = uint64(fencing.NewToken(f.replica.term+1, 0))
 		f.workers.mu.Unlock()
 		time.Sleep(foundSilent)
 		before := workers.stops.Load()
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -9,6 +9,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/pacing"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -52,8 +53,8 @@
 
 // addWorker adds a worker to the table and to the list.
 func (l *loop) addWorker(w *worker) {
-	generation := l.generations.next(w.reg.ID)
-	w.token, w.registeredBefore = newFencingToken(l.term, generation), generation > 0
+	generation := l.generations.Next(w.reg.ID)
+	w.token, w.registeredBefore = fencing.NewToken(l.term, generation), generation > 0
 	l.workers[w.reg.ID] = w
 	at, _ := slices.BinarySearchFunc(l.workerList, w.reg.ID, func(listed *worker, id string) int { return cmp.Compare(listed.reg.ID, id) })
 	l.workerList = slices.Insert(l.workerList, at, w)
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/health"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -60,7 +61,7 @@
 type worker struct {
 	reg workstate.Worker
 	// token is the fencing token of all calls for the incarnation.
-	token fencingToken
+	token fencing.Token
 	// registeredBefore is set if this leader has called a worker with the id
 	// before, maybe an earlier incarnation.
 	registeredBefore bool
