heartbeats: the table of known heartbeats leaves the scheduler's folder

The table depends on nothing else of internal/process/scheduler, so it moves to scheduler/heartbeats with its test. What relays heartbeats to the leader needs the server and stays. No change in behaviour.

--- a/internal/process/scheduler/capacity.go
+++ b/internal/process/scheduler/capacity.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
+)
 
 // maxCapacityAge returns the age of the newest heartbeat of a worker up to which the
 // capacity that it states may be relied on. An order may take callTimeout, and the
@@ -18,25 +22,25 @@
 	if w.enforcesCapacity {
 		return true
 	}
-	heartbeat, known := l.heard.newestOf(w.reg.ID)
+	heartbeat, known := l.heard.NewestOf(w.reg.ID)
 	if !known || heartbeat.Incarnation != w.reg.Incarnation {
 		return false
 	}
 	if heartbeat.Capacity != nil && !heartbeat.Capacity.Fits(w.reg.Capacity) {
 		return false
 	}
-	return now.Sub(heartbeat.sentAt(w)) <= l.Limits.maxCapacityAge()
+	return now.Sub(sentAt(&heartbeat, w)) <= l.Limits.maxCapacityAge()
 }
 
 // sentAt returns when a heartbeat of a worker was sent, by the worker's clock if that
 // is known. It was sent before it was known here.
-func (h *heardHeartbeat) sentAt(w *worker) time.Time {
+func sentAt(h *heartbeats.Known, w *worker) time.Time {
 	if h.ClockMS == 0 || w.clockMS == 0 {
-		return h.knownAt
+		return h.KnownAt
 	}
 	byClock := w.clockAt.Add(time.Duration(h.ClockMS-w.clockMS) * time.Millisecond)
-	if byClock.Before(h.knownAt) {
+	if byClock.Before(h.KnownAt) {
 		return byClock
 	}
-	return h.knownAt
+	return h.KnownAt
 }
--- a/internal/process/scheduler/capacityage_test.go
+++ b/internal/process/scheduler/capacityage_test.go
@@ -79,7 +79,7 @@
 			}
 			f.addWorker("w1", 1000)
 			if enforces {
-				f.heard.forgetOthers(func(string) bool { return false })
+				f.heard.ForgetOthers(func(string) bool { return false })
 			}
 			time.Sleep(time.Second)
 			f.submit(jobA, step(1))
@@ -116,7 +116,7 @@
 				t.Error("known without a heartbeat")
 			}
 			c.heartbeat.Worker = "w1"
-			l.heard.addAll([]workcall.HeardHeartbeat{c.heartbeat})
+			l.heard.AddAll([]workcall.HeardHeartbeat{c.heartbeat})
 			if known := l.capacityKnown(w, time.Now()); known != c.known {
 				t.Errorf("heartbeat %s: known %t", name, known)
 			}
@@ -126,17 +126,3 @@
 		}
 	})
 }
-
-// TestNewLeaderIsToldOfAllHeartbeats guards against a leader that waits for the next heartbeats of workers that a follower has told its predecessor of.
-func TestNewLeaderIsToldOfAllHeartbeats(t *testing.T) {
-	var h heardWorkers
-	h.add(workcall.HeardHeartbeat{Worker: "w1", Sequence: 1})
-	for i, want := range []struct {
-		leader string
-		count  int
-	}{{"c1", 1}, {"c1", 0}, {"c2", 1}, {"c2", 0}} {
-		if told := h.take(want.leader); len(told) != want.count {
-			t.Errorf("message %d, to %s, tells of %d workers", i, want.leader, len(told))
-		}
-	}
-}
--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -11,6 +11,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/replica"
+	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -26,7 +27,7 @@
 	limits  Limits
 	adviser execution.Adviser
 	// heard holds the heartbeats that the leader knows.
-	heard heardWorkers
+	heard heartbeats.Table
 	end   context.CancelFunc
 	ended chan struct{}
 	loop  *loop
@@ -84,7 +85,7 @@
 	f.workers.mu.Lock()
 	heard := w.heard()
 	f.workers.mu.Unlock()
-	f.heard.addAll([]workcall.HeardHeartbeat{heard})
+	f.heard.AddAll([]workcall.HeardHeartbeat{heard})
 }
 
 // heartbeat returns the next heartbeat of a worker.
@@ -157,7 +158,7 @@
 			for id, w := range f.workers.workers {
 				if reg := v.Workers()[id]; !w.unreachable && reg != nil && reg.Incarnation == w.incarnation && reg.Capacity == w.capacity {
 					w.announce()
-					f.heard.addAll([]workcall.HeardHeartbeat{w.heard()})
+					f.heard.AddAll([]workcall.HeardHeartbeat{w.heard()})
 				}
 			}
 		})
--- a/internal/process/scheduler/heard_test.go
+++ b/internal/process/scheduler/heard_test.go
@@ -41,7 +41,7 @@
 		if !known || answer.Status != workcall.OK || answer.NextAddress != "admin-1" {
 			t.Errorf("%+v, known %v", answer, known)
 		}
-		if heard := s.heard.take("c2"); !reflect.DeepEqual(heard, []workcall.HeardHeartbeat{{Worker: "w1", Incarnation: w.Incarnation, Capacity: &w.Capacity}}) {
+		if heard := s.heard.Take("c2"); !reflect.DeepEqual(heard, []workcall.HeardHeartbeat{{Worker: "w1", Incarnation: w.Incarnation, Capacity: &w.Capacity}}) {
 			t.Errorf("the leader will be told of %v", heard)
 		}
 		draining, restarted, unknown := w, w, w
@@ -70,7 +70,7 @@
 		s, m, w := startMember(t, replica.Status{ID: "c1", Leader: "c2"})
 		want := []workcall.HeardHeartbeat{{Worker: "w1", Incarnation: w.Incarnation, Sequence: 3, ClockMS: 700, Capacity: &w.Capacity}}
 		request := workcall.HeartbeatRequest{Worker: w, Sequence: 3, ClockMS: 700}
-		if _, known := s.KnownHeartbeat(request); !known || !reflect.DeepEqual(s.heard.take("c2"), want) {
+		if _, known := s.KnownHeartbeat(request); !known || !reflect.DeepEqual(s.heard.Take("c2"), want) {
 			t.Error("a follower does not tell the leader of the clock")
 		}
 		m.status.Leader = "c1"
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
+	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
 	"arbutusward.example/arbutusward/internal/process/scheduler/rounds"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/durations"
@@ -57,7 +58,7 @@
 	since  time.Time
 	events chan event
 	// heard holds the newest heartbeats that are known in this process.
-	heard *heardWorkers
+	heard *heartbeats.Table
 
 	workers     map[string]*worker
 	generations fencing.Generations
@@ -121,7 +122,7 @@
 
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
 	return &loop{
-		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue), heard: &heardWorkers{},
+		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue), heard: &heartbeats.Table{},
 		workers: map[string]*worker{}, generations: fencing.Generations{}, runs: newRunTable(), ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
 		fleet:       fleet{entries: map[string]*vmEntry{}},
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -32,7 +32,7 @@
 	})
 	link.Handle(node, workcall.JoinKind, s.server.join)
 	link.Handle(node, workcall.HeardKind, func(_ context.Context, _ link.Peer, m workcall.HeardMessage) (struct{}, error) {
-		s.server.heard.addAll(m.Heartbeats)
+		s.server.heard.AddAll(m.Heartbeats)
 		s.heartbeatsReceived(m.Heartbeats)
 		return struct{}{}, nil
 	})
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -210,7 +210,7 @@
 		heard := w.heard()
 		s.workers.mu.Unlock()
 		heard.ClockMS = clockMS
-		s.heard.addAll([]workcall.HeardHeartbeat{heard})
+		s.heard.AddAll([]workcall.HeardHeartbeat{heard})
 		s.loop.post(func(l *loop) {
 			l.recordHeartbeats([]workcall.HeardHeartbeat{heard}, time.Now())
 			l.checkDerived(s.t)
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -13,6 +13,7 @@
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/scheduler/admit"
+	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -32,7 +33,7 @@
 	// onHeartbeats passes received heartbeats to the leader's loop.
 	onHeartbeats func([]workcall.HeardHeartbeat)
 	// heard holds the newest heartbeats that are known here.
-	heard heardWorkers
+	heard heartbeats.Table
 	// onJobAccepted passes a new job to the leader's loop.
 	onJobAccepted func(id string)
 	now           func() time.Time
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -34,7 +34,7 @@
 			"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
 	}
 	heard := []workcall.HeardHeartbeat{heardFrom(&r)}
-	s.heard.addAll(heard)
+	s.heard.AddAll(heard)
 	s.onHeartbeats(heard)
 	return response, nil
 }
@@ -64,7 +64,7 @@
 	if s.compareHeartbeat(&r) != unchanged {
 		return workcall.HeartbeatResponse{}, false
 	}
-	s.heard.add(heardFrom(&r))
+	s.heard.Add(heardFrom(&r))
 	return workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.address}, true
 }
 
@@ -92,7 +92,7 @@
 
 // compareHeartbeat compares a heartbeat with the registered worker.
 func (s *Server) compareHeartbeat(r *workcall.HeartbeatRequest) (change heartbeatChange) {
-	w, late := &r.Worker, s.heard.isLate(heardFrom(r))
+	w, late := &r.Worker, s.heard.IsLate(heardFrom(r))
 	s.machine.Read(func(v *workstate.View) {
 		if c := v.Catalog(); c.Version > 0 && c.Service(w.Service) == nil {
 			change = unknownService
