durations: the overheads of queues move beside the predicted durations

They are learned from the same runs and are pure. What learns them needs the leader's loop and stays, in learning.go. No change in behaviour.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -15,7 +15,7 @@
 	forecasts map[string]*rebalance.Forecast
 	// meanWork holds the mean work of each queue's jobs in core seconds.
 	meanWork  map[string]float64
-	overheads stepOverheads
+	overheads durations.Overheads
 	// durations predicts how long tasks execute.
 	durations durations.Queues
 	// firstArrival is the arrival time of the first job without long-running
--- a/internal/process/scheduler/overhead.go
+++ b/internal/process/scheduler/learning.go
@@ -7,24 +7,6 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-const (
-	// overheadWeight is the weight of the newest run in the overhead of a queue's
-	// steps, which is an exponential moving average.
-	overheadWeight = 0.02
-	// maxOverhead bounds what one run counts for: a slow worker is not the rule.
-	maxOverhead = 2 * time.Second
-)
-
-// stepOverheads holds, by queue, how much longer a task takes from the plan of its
-// start to the commit of its end than it executes on its worker.
-type stepOverheads map[string]time.Duration
-
-// add takes one run into account.
-func (o stepOverheads) add(queue string, overhead time.Duration) {
-	overhead = min(max(overhead, 0), maxOverhead)
-	o[queue] += time.Duration(overheadWeight * float64(overhead-o[queue]))
-}
-
 // learnDuration learns from a run that a worker reports as done how long its step takes,
 // and how long beside its work. The worker's clock tells how long it has executed.
 func (l *loop) learnDuration(job *workstate.Job, w *worker, key runKey, now time.Time) {
@@ -34,7 +16,7 @@
 		return
 	}
 	executed := time.Duration(w.reportClockMS-r.acceptedClockMS) * time.Millisecond
-	l.demand.overheads.add(job.Queue, now.Sub(r.plannedAt)+l.lastCommit-executed)
+	l.demand.overheads.Add(job.Queue, now.Sub(r.plannedAt)+l.lastCommit-executed)
 	if resumed := step.Checkpointing && key.run > 1; !resumed {
 		l.demand.durations.Add(job.Queue, step.Estimate, executed)
 	}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -128,7 +128,7 @@
 		fleet:       fleet{entries: map[string]*vmEntry{}},
 		advice:      adviceState{steps: map[workload.StepID]*stepAdvice{}},
 		maintenance: maintenanceState{missing: map[string]time.Time{}, interrupted: map[string]time.Time{}},
-		demand:      demandState{forecasts: map[string]*rebalance.Forecast{}, meanWork: map[string]float64{}, overheads: stepOverheads{}, durations: durations.Queues{}},
+		demand:      demandState{forecasts: map[string]*rebalance.Forecast{}, meanWork: map[string]float64{}, overheads: durations.Overheads{}, durations: durations.Queues{}},
 	}
 }
 
