loadlog: the log line about the leader's load leaves the scheduler's folder

The loop hands over its counters, queues and delays in a State, so that the collection and the line move to scheduler/loadlog. The line and its interval are the same.

--- a/internal/process/scheduler/loadlog_test.go
+++ b/internal/process/scheduler/loadlog_test.go
@@ -20,8 +20,8 @@
 	for ms := range 3500 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
 		if ms%100 == 0 {
-			l.loadLog.recordPass(2*time.Millisecond, time.Millisecond, true)
-			l.loadLog.recordCommit(time.Duration(ms%1000) * time.Millisecond)
+			l.loadLog.RecordPass(2*time.Millisecond, time.Millisecond, true)
+			l.loadLog.RecordCommit(time.Duration(ms%1000) * time.Millisecond)
 			replicated.addSync(time.Duration(ms%1000) * time.Millisecond)
 		}
 		l.logLoad(now)
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -11,6 +11,7 @@
 
 	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
 	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
+	"arbutusward.example/arbutusward/internal/process/scheduler/loadlog"
 	"arbutusward.example/arbutusward/internal/process/scheduler/rounds"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/durations"
@@ -117,7 +118,7 @@
 	accountLog                 accountLog
 	purge                      purgeState
 	admission                  admissionState
-	loadLog                    loadLog
+	loadLog                    loadlog.Log
 }
 
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
@@ -190,7 +191,7 @@
 	}
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	started := processorTime(syscall.RUSAGE_THREAD)
+	started := loadlog.ProcessorTime(syscall.RUSAGE_THREAD)
 	round := l.dirty && !l.committing
 	if round {
 		l.dirty = false
@@ -200,7 +201,7 @@
 	l.listVMs(now)
 	end := time.Now()
 	l.pacer.Record(now, end)
-	l.loadLog.recordPass(end.Sub(now), processorTime(syscall.RUSAGE_THREAD)-started, round)
+	l.loadLog.RecordPass(end.Sub(now), loadlog.ProcessorTime(syscall.RUSAGE_THREAD)-started, round)
 	l.logLoad(end)
 	return 0
 }
--- a/internal/process/scheduler/progress.go
+++ b/internal/process/scheduler/progress.go
@@ -22,7 +22,7 @@
 		commitSeconds.UpdateDuration(start)
 		l.post(func(l *loop) {
 			l.lastCommit = time.Since(start)
-			l.loadLog.recordCommit(l.lastCommit)
+			l.loadLog.RecordCommit(l.lastCommit)
 			l.committed(progress, start, result, err)
 		})
 	}()
