quota: the accounting of quotas and shares leaves the scheduler's folder

What needs only the state, the groups and fairshare moves to scheduler/quota; what looks at the leader's workers stays in accounts.go. moves.go and plan.go change only where they call it. No change in behaviour.

--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -12,6 +12,7 @@
 	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
 	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
 	"arbutusward.example/arbutusward/internal/process/scheduler/loadlog"
+	"arbutusward.example/arbutusward/internal/process/scheduler/quota"
 	"arbutusward.example/arbutusward/internal/process/scheduler/rounds"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/durations"
@@ -115,7 +116,7 @@
 	// waitingSteps and waitingTasks count what waited in the last round.
 	waitingSteps, waitingTasks int
 	fleetPlannedAt             time.Time
-	accountLog                 accountLog
+	accountLog                 quota.Log
 	purge                      purgeState
 	admission                  admissionState
 	loadLog                    loadlog.Log
@@ -154,7 +155,7 @@
 	for {
 		select {
 		case <-l.ctx.Done():
-			overRateWaiting.Store(0)
+			quota.ResetOverRate()
 			l.Log.Info("scheduling loop stopped", "term", l.term, "led_ms", time.Since(l.since).Milliseconds())
 			return
 		case e := <-l.events:
@@ -225,7 +226,7 @@
 		usage := l.reconcile(v, detail, now)
 		groups := l.waitingGroups(v, now)
 		l.recordWaiting(groups)
-		recordOverRate(v, groups)
+		quota.RecordOverRate(v, groups)
 		l.applyAdvice(v, usage, groups, now)
 		if planFleet {
 			l.fleetPlannedAt = now
--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/scheduler/quota"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/rebalance"
@@ -112,9 +113,9 @@
 // desiredPools returns the pools with their desired numbers of VMs.
 func (l *loop) desiredPools(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) []rebalance.Pool {
 	loads := l.poolLoads(u)
-	quotas := quotaUse(v)
+	quotas := quota.RecordedUse(v)
 	for _, g := range groups {
-		loads[g.Service] += l.load(g.Charge) * rebalance.Load(tasksWithinQuota(quotas, g))
+		loads[g.Service] += l.load(g.Charge) * rebalance.Load(quota.TasksWithin(quotas, g))
 	}
 	spread := l.vmsForSpread(v, groups)
 	warmingUp := l.demand.firstArrival.IsZero() || now.Sub(l.demand.firstArrival) < warmUpTime || now.Sub(l.since) < warmUpTime
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -25,7 +25,7 @@
 	accounts := l.accounts(v, u, groups, now)
 	placed := placement.PlanForAccounts(groups, l.schedulableWorkers(u, now), accounts)
 	l.logSuspects(v, placed)
-	l.reportDelayed(accounts, now)
+	l.accountLog.Report(l.Log, accounts, now)
 	starts := make([]workstate.Start, 0, len(placed))
 	for _, p := range placed {
 		starts = append(starts, l.newStart(v, p))
