--- a/internal/process/scheduler/benchrun_test.go
+++ b/internal/process/scheduler/benchrun_test.go
@@ -98,8 +98,8 @@
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			l := loadedLeader(b, workers, 4, 0)
 			l.Machine.Read(func(v *workstate.View) { l.reconcile(v, capacityInUse, time.Now()) })
-			for id, r := range l.runs.all() {
-				if len(l.ends) < l.runs.len()/10 {
+			for id, r := range l.runs.All() {
+				if len(l.ends) < l.runs.Len()/10 {
 					l.queueEnd(id, r.number, workstate.EndDone, "")
 				}
 			}
--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -31,7 +31,7 @@
 			l.startRun(v, &start, time.Now())
 			l.findCrashes(v, time.Now())
 		})
-		if blame := l.runs.get(start.Task).blame; blame != nil {
+		if blame := l.runs.Get(start.Task).blame; blame != nil {
 			t.Errorf("blamed for %+v", blame)
 		}
 	})
@@ -174,7 +174,7 @@
 		time.Sleep(time.Second)
 		f.announceDrain(f.workers.add("w1", 4000), "vm-w1")
 		f.machine.Read(func(v *workstate.View) { l.findCrashes(v, time.Now()) })
-		if r := l.runs.get(start.Task); r == nil || r.blame == nil {
+		if r := l.runs.Get(start.Task); r == nil || r.blame == nil {
 			t.Error("the run is not blamed for the crash")
 		}
 	})
--- a/internal/process/scheduler/cordon.go
+++ b/internal/process/scheduler/cordon.go
@@ -227,7 +227,7 @@
 func (l *loop) hasArrivingTask(u *usage, w *worker, now time.Time) bool {
 	tasks := u.load(w).longRunning
 	for i := range tasks {
-		if r := l.runs.get(tasks[i].id); r != nil && tasks[i].isArriving(r, now) {
+		if r := l.runs.Get(tasks[i].id); r != nil && tasks[i].isArriving(r, now) {
 			return true
 		}
 	}
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -152,7 +152,7 @@
 
 // addLostRun adds a run to those that were lost with its worker.
 func (l *loop) addLostRun(crashes map[workerIncarnation]*lostRuns, id workload.TaskID, task *workstate.Task, now time.Time) {
-	r := l.runOf(l.runs.job(id.Job), id, task, now)
+	r := l.runOf(l.runs.Job(id.Job), id, task, now)
 	if r.lost {
 		return
 	}
@@ -262,7 +262,7 @@
 		jobsGivenUp.Inc()
 		attrs := []any{"job", job.ID, "task", e.Task.String(), "run", e.Run, "crashes", task.Crashes, "crashes_alone", task.CrashesAlone,
 			"crashes_uncertain", task.CrashesUncertain, "alone", e.Alone}
-		if r := l.runs.get(e.Task); r != nil && r.blame != nil {
+		if r := l.runs.Get(e.Task); r != nil && r.blame != nil {
 			attrs = append(attrs, "worker", r.blame.id, "incarnation", r.blame.incarnation)
 		}
 		l.Log.Warn("job given up, its task crashes workers", attrs...)
--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -31,7 +31,7 @@
 	}
 	for _, t := range u.resumable {
 		w := l.workers[t.worker]
-		r := l.runs.get(t.id)
+		r := l.runs.Get(t.id)
 		if w == nil || !l.draining[w.reg.VM] || r == nil || r.phase != runOrdered || r.calling || now.Sub(r.since) < minDrainAge {
 			continue
 		}
--- a/internal/process/scheduler/evacuation.go
+++ b/internal/process/scheduler/evacuation.go
@@ -76,7 +76,7 @@
 // workers. It keeps to their disruption budgets.
 func (l *loop) evacuate(u *usage, w *worker, now time.Time) {
 	for _, t := range u.load(w).longRunning {
-		r := l.runs.get(t.id)
+		r := l.runs.Get(t.id)
 		if r == nil || r.phase == runStopping || r.phase == runStopped || r.calling || t.isArriving(r, now) {
 			continue
 		}
--- a/internal/process/scheduler/learning.go
+++ b/internal/process/scheduler/learning.go
@@ -10,7 +10,7 @@
 // learnDuration learns from a run that a worker reports as done how long its step takes,
 // and how long beside its work. The worker's clock tells how long it has executed.
 func (l *loop) learnDuration(job *workstate.Job, w *worker, key runKey, now time.Time) {
-	r := l.runs.get(key.task)
+	r := l.runs.Get(key.task)
 	step := &job.Spec.Steps[key.task.Step]
 	if r == nil || r.number != key.run || r.plannedAt.IsZero() || r.acceptedClockMS == 0 || step.LongRunning || step.Gang {
 		return
--- a/internal/process/scheduler/loadlog.go
+++ b/internal/process/scheduler/loadlog.go
@@ -13,7 +13,7 @@
 	}
 	l.loadLog.Write(now, l.Log, &loadlog.State{
 		Counters:     loadlog.Counters{Starts: startedRuns.Get(), Ends: endedRuns.Get(), Watches: watchCalls.Get()},
-		StepsWaiting: l.waitingSteps, TasksWaiting: l.waitingTasks, TasksExecuting: l.runs.len(),
+		StepsWaiting: l.waitingSteps, TasksWaiting: l.waitingTasks, TasksExecuting: l.runs.Len(),
 		EventsQueued: len(l.events), OldestReport: l.oldestReport(now), Delays: l.Replica.TakeDelays(),
 	})
 }
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -14,6 +14,7 @@
 	"arbutusward.example/arbutusward/internal/process/scheduler/loadlog"
 	"arbutusward.example/arbutusward/internal/process/scheduler/quota"
 	"arbutusward.example/arbutusward/internal/process/scheduler/rounds"
+	"arbutusward.example/arbutusward/internal/process/scheduler/runtable"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/durations"
 	"arbutusward.example/arbutusward/internal/version/health"
@@ -78,7 +79,7 @@
 	// version of the catalog, that workers shows.
 	syncedVersion uint64
 	syncedCatalog int64
-	runs          *runTable
+	runs          *runtable.Table[run]
 	// dueStarts lists the runs of a round whose start orders are due.
 	dueStarts []dueStart
 	// ends holds the ends of runs that wait for the next commit.
@@ -125,7 +126,7 @@
 func newLoop(ctx context.Context, o Options, term uint64) *loop {
 	return &loop{
 		Options: o, ctx: ctx, term: term, since: time.Now(), events: make(chan event, eventQueue), heard: &heartbeats.Table{},
-		workers: map[string]*worker{}, generations: fencing.Generations{}, runs: newRunTable(), ends: map[runKey]workstate.End{},
+		workers: map[string]*worker{}, generations: fencing.Generations{}, runs: runtable.New[run](), ends: map[runKey]workstate.End{},
 		orphans: map[runKey]time.Time{}, dirty: true,
 		fleet:       fleet{entries: map[string]*vmEntry{}},
 		advice:      adviceState{steps: map[workload.StepID]*stepAdvice{}},
--- a/internal/process/scheduler/nested_test.go
+++ b/internal/process/scheduler/nested_test.go
@@ -48,7 +48,7 @@
 	case <-time.After(3 * time.Second):
 		t.Fatal("the round never ends")
 	}
-	if r := l.runs.get(workload.TaskID{Job: jobA}); r == nil || r.phase != runOrdering {
+	if r := l.runs.Get(workload.TaskID{Job: jobA}); r == nil || r.phase != runOrdering {
 		t.Errorf("run %+v was not ordered", r)
 	}
 }
--- a/internal/process/scheduler/poolload.go
+++ b/internal/process/scheduler/poolload.go
@@ -48,7 +48,7 @@
 
 // executed returns how long the run of a task has executed as far as this leader knows.
 func (l *loop) executed(id workload.TaskID, now time.Time) time.Duration {
-	if r := l.runs.get(id); r != nil && !r.orderedAt.IsZero() {
+	if r := l.runs.Get(id); r != nil && !r.orderedAt.IsZero() {
 		return now.Sub(r.orderedAt)
 	}
 	return 0
--- a/internal/process/scheduler/progress.go
+++ b/internal/process/scheduler/progress.go
@@ -77,6 +77,6 @@
 // dropCommittedEnds removes the runs whose ends were committed, which no longer execute.
 func (l *loop) dropCommittedEnds(ends []workstate.End) {
 	for i := range ends {
-		l.runs.remove(ends[i].Task, ends[i].Run)
+		l.runs.Remove(ends[i].Task, func(r *run) bool { return r.number == ends[i].Run })
 	}
 }
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/scheduler/runtable"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -102,7 +103,7 @@
 		if job.Executing == 0 {
 			continue
 		}
-		runs := l.runs.job(job.ID)
+		runs := l.runs.Job(job.ID)
 		job.EachExecuting(func(id workload.TaskID, task *workstate.Task) {
 			step := &job.Spec.Steps[id.Step]
 			u.executing++
@@ -127,7 +128,7 @@
 			}
 		})
 	}
-	if l.runs.len() > u.executing {
+	if l.runs.Len() > u.executing {
 		l.dropEndedRuns()
 	}
 	for _, w := range l.workerList {
@@ -166,11 +167,11 @@
 
 // runOf returns the leader's view of a recorded run and marks it as seen in
 // this round.
-func (l *loop) runOf(runs *jobRuns, id workload.TaskID, task *workstate.Task, now time.Time) *run {
-	r := runs.get(id)
+func (l *loop) runOf(runs *runtable.Job[run], id workload.TaskID, task *workstate.Task, now time.Time) *run {
+	r := runs.Get(id)
 	if r == nil || r.number != task.Run {
 		r = &run{number: task.Run, worker: task.Worker, unconfirmed: true, inherited: true, settled: task.Survived, since: now, speed: speedUnknown, ending: l.endQueued(runKey{id, task.Run})}
-		runs.set(id, r)
+		runs.Set(id, r)
 	}
 	r.seenInRound = l.roundNumber
 	return r
@@ -287,7 +288,7 @@
 
 // dropEndedRuns removes the runs that the state no longer has as executing.
 func (l *loop) dropEndedRuns() {
-	l.runs.removeIf(func(r *run) bool { return r.seenInRound != l.roundNumber })
+	l.runs.RemoveIf(func(r *run) bool { return r.seenInRound != l.roundNumber })
 }
 
 // isRecorded reports whether the state of this round has the run as executing.
@@ -295,7 +296,7 @@
 
 // recordedRun returns the run if the state of this round has it as executing, or nil.
 func (l *loop) recordedRun(key runKey) *run {
-	r := l.runs.get(key.task)
+	r := l.runs.Get(key.task)
 	if r == nil || r.number != key.run || r.seenInRound != l.roundNumber {
 		return nil
 	}
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -127,7 +127,7 @@
 	if l.endQueued(key) {
 		return
 	}
-	if r := l.runs.get(end.Task); r != nil && r.number == end.Run {
+	if r := l.runs.Get(end.Task); r != nil && r.number == end.Run {
 		r.judge(&end)
 	}
 	l.setEnd(key, end)
@@ -147,7 +147,7 @@
 
 // markEnding records in the leader's view of a run whether its end is queued.
 func (l *loop) markEnding(key runKey, ending bool) {
-	if r := l.runs.get(key.task); r != nil && r.number == key.run {
+	if r := l.runs.Get(key.task); r != nil && r.number == key.run {
 		r.ending = ending
 	}
 }
--- a/internal/process/scheduler/runtable.go
+++ b/internal/process/scheduler/runtable/table.go
@@ -1,4 +1,6 @@
-package scheduler
+// Package runtable holds one value for each task that executes, found by job,
+// occurrence, step and index.
+package runtable
 
 import (
 	"iter"
@@ -6,66 +8,67 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// runTable holds the leader's view of the recorded runs, the newest one of each task.
+// Table holds a leader's view of the recorded runs, the newest one of each task.
 // A round looks at each of them, so that the tasks of a job are found without hashing
 // their ids.
-type runTable struct {
-	jobs  map[string]*jobRuns
+type Table[R any] struct {
+	jobs  map[string]*Job[R]
 	count int
 }
 
-// jobRuns holds the runs of one job by occurrence, step and task.
-type jobRuns struct {
-	table       *runTable
-	occurrences [][][]*run
+// Job holds the runs of one job by occurrence, step and task.
+type Job[R any] struct {
+	table       *Table[R]
+	occurrences [][][]*R
 	count       int
 }
 
-func newRunTable() *runTable { return &runTable{jobs: map[string]*jobRuns{}} }
+// New returns an empty table.
+func New[R any]() *Table[R] { return &Table[R]{jobs: map[string]*Job[R]{}} }
 
-// len returns the number of runs.
-func (t *runTable) len() int { return t.count }
+// Len returns the number of runs.
+func (t *Table[R]) Len() int { return t.count }
 
-// get returns the run of a task, or nil.
-func (t *runTable) get(id workload.TaskID) *run {
+// Get returns the run of a task, or nil.
+func (t *Table[R]) Get(id workload.TaskID) *R {
 	if j := t.jobs[id.Job]; j != nil {
-		return j.get(id)
+		return j.Get(id)
 	}
 	return nil
 }
 
-// job returns the runs of a job, which may have none.
-func (t *runTable) job(id string) *jobRuns {
+// Job returns the runs of a job, which may have none.
+func (t *Table[R]) Job(id string) *Job[R] {
 	j := t.jobs[id]
 	if j == nil {
-		j = &jobRuns{table: t}
+		j = &Job[R]{table: t}
 		t.jobs[id] = j
 	}
 	return j
 }
 
-// set replaces the run of a task.
-func (t *runTable) set(id workload.TaskID, r *run) { t.job(id.Job).set(id, r) }
+// Set replaces the run of a task.
+func (t *Table[R]) Set(id workload.TaskID, r *R) { t.Job(id.Job).Set(id, r) }
 
-// remove removes the run of a task if it has the number.
-func (t *runTable) remove(id workload.TaskID, number int) {
-	if r := t.get(id); r != nil && r.number == number {
-		t.set(id, nil)
+// Remove removes the run of a task if f returns true for it.
+func (t *Table[R]) Remove(id workload.TaskID, f func(*R) bool) {
+	if r := t.Get(id); r != nil && f(r) {
+		t.Set(id, nil)
 		t.dropEmpty(id.Job)
 	}
 }
 
 // dropEmpty forgets a job without runs.
-func (t *runTable) dropEmpty(job string) {
+func (t *Table[R]) dropEmpty(job string) {
 	if j := t.jobs[job]; j != nil && j.count == 0 {
 		delete(t.jobs, job)
 	}
 }
 
-// removeIf removes the runs for which f returns true.
-func (t *runTable) removeIf(f func(*run) bool) {
+// RemoveIf removes the runs for which f returns true.
+func (t *Table[R]) RemoveIf(f func(*R) bool) {
 	for id, j := range t.jobs {
-		j.each(func(_ workload.TaskID, slot **run) bool {
+		j.each(func(_ workload.TaskID, slot **R) bool {
 			if f(*slot) {
 				*slot = nil
 				j.add(-1)
@@ -76,11 +79,11 @@
 	}
 }
 
-// all returns the runs by task.
-func (t *runTable) all() iter.Seq2[workload.TaskID, *run] {
-	return func(yield func(workload.TaskID, *run) bool) {
+// All returns the runs by task.
+func (t *Table[R]) All() iter.Seq2[workload.TaskID, *R] {
+	return func(yield func(workload.TaskID, *R) bool) {
 		for id, j := range t.jobs {
-			done := !j.each(func(task workload.TaskID, slot **run) bool {
+			done := !j.each(func(task workload.TaskID, slot **R) bool {
 				task.Job = id
 				return yield(task, *slot)
 			})
@@ -92,7 +95,7 @@
 }
 
 // each calls f with the place of each run, until it returns false. The ids have no job.
-func (j *jobRuns) each(f func(workload.TaskID, **run) bool) bool {
+func (j *Job[R]) each(f func(workload.TaskID, **R) bool) bool {
 	for k, steps := range j.occurrences {
 		for s, tasks := range steps {
 			for i := range tasks {
@@ -105,8 +108,8 @@
 	return true
 }
 
-// get returns the run of a task of the job, or nil.
-func (j *jobRuns) get(id workload.TaskID) *run {
+// Get returns the run of a task of the job, or nil.
+func (j *Job[R]) Get(id workload.TaskID) *R {
 	if id.Occurrence >= len(j.occurrences) || id.Step >= len(j.occurrences[id.Occurrence]) {
 		return nil
 	}
@@ -116,8 +119,8 @@
 	return nil
 }
 
-// set replaces the run of a task of the job.
-func (j *jobRuns) set(id workload.TaskID, r *run) {
+// Set replaces the run of a task of the job.
+func (j *Job[R]) Set(id workload.TaskID, r *R) {
 	j.occurrences = extended(j.occurrences, id.Occurrence)
 	steps := &j.occurrences[id.Occurrence]
 	*steps = extended(*steps, id.Step)
@@ -134,7 +137,7 @@
 }
 
 // add counts runs that were added or removed.
-func (j *jobRuns) add(count int) {
+func (j *Job[R]) add(count int) {
 	j.count += count
 	j.table.count += count
 }
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -496,7 +496,7 @@
 	if table := slices.SortedFunc(maps.Values(l.workers), listed); !slices.Equal(table, l.workerList) {
 		t.Errorf("the list has %d workers, the table %d, or they differ", len(l.workerList), len(table))
 	}
-	for id, r := range l.runs.all() {
+	for id, r := range l.runs.All() {
 		if queued := l.endQueued(runKey{id, r.number}); r.ending != queued {
 			t.Errorf("%s#%d: ending %t, an end is queued: %t", id, r.number, r.ending, queued)
 		}
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -14,7 +14,7 @@
 func (l *loop) startRun(v *workstate.View, s *workstate.Start, plannedAt time.Time) {
 	startedRuns.Inc()
 	r := &run{number: s.Run, worker: s.Worker, speed: pacing.Full, plannedAt: plannedAt}
-	l.runs.set(s.Task, r)
+	l.runs.Set(s.Task, r)
 	l.sendStart(v, s.Task, r, time.Now())
 }
 
@@ -101,7 +101,7 @@
 	now := time.Now()
 	r.calling = false
 	l.recordRefusal(w, "start", answer.Refusal)
-	if l.runs.get(id) != r {
+	if l.runs.Get(id) != r {
 		return
 	}
 	if err == nil && answer.Refusal == execution.Accepted {
--- a/internal/process/scheduler/stops.go
+++ b/internal/process/scheduler/stops.go
@@ -36,7 +36,7 @@
 	r.calling = false
 	l.dirty = true
 	l.recordRefusal(w, "stop", answer.Refusal)
-	if l.runs.get(id) != r {
+	if l.runs.Get(id) != r {
 		return
 	}
 	switch {
--- a/internal/process/scheduler/stragglers.go
+++ b/internal/process/scheduler/stragglers.go
@@ -73,7 +73,7 @@
 	if s.run > maxRestarts || (!stalled && !tooLong) {
 		return
 	}
-	r, w := l.runs.get(s.id), l.workers[sample.Worker]
+	r, w := l.runs.Get(s.id), l.workers[sample.Worker]
 	if r == nil || r.calling || r.phase != runOrdered || w.unresponsive {
 		return
 	}
--- a/internal/process/scheduler/superseded_test.go
+++ b/internal/process/scheduler/superseded_test.go
@@ -72,7 +72,7 @@
 		f.loop.post(func(l *loop) {
 			f.register(next, "vm-w1", "svc")
 			task := workload.TaskID{Job: jobA}
-			l.Machine.Read(func(v *workstate.View) { l.sendStart(v, task, l.runs.get(task), time.Now()) })
+			l.Machine.Read(func(v *workstate.View) { l.sendStart(v, task, l.runs.Get(task), time.Now()) })
 		})
 		f.await(jobA, workstate.Succeeded, 5*time.Second)
 		f.workers.mu.Lock()
--- a/internal/process/scheduler/suspects.go
+++ b/internal/process/scheduler/suspects.go
@@ -77,7 +77,7 @@
 			if step := &job.Spec.Steps[id.Step]; step.LongRunning {
 				runs.longRunning = runs.longRunning.Add(step.Charge())
 			}
-			if r := l.runs.get(id); r == nil || !r.settled {
+			if r := l.runs.Get(id); r == nil || !r.settled {
 				runs.Add(id.Job, isSuspect(job, id, task))
 			}
 		})
--- a/internal/process/scheduler/throttle.go
+++ b/internal/process/scheduler/throttle.go
@@ -81,7 +81,7 @@
 
 // setSpeed orders a new speed of a best-effort task unless it has that speed.
 func (l *loop) setSpeed(w *worker, id workload.TaskID, now time.Time) {
-	r := l.runs.get(id)
+	r := l.runs.Get(id)
 	if r == nil || r.phase != runOrdered || r.settingSpeed || r.speed == w.speed || now.Sub(r.speedSetAt) < orderRetry {
 		return
 	}
