ingress: bodies of GET and DELETE that never come no longer hold connections

net/http reads the body of a request before it sends the answer. For methods other than POST that happened while the request counted as being served, so that no timeout applied and the connection could not be evicted: as many such connections as the limit allows shut out all others for ever (16 of 16 in the test: the next client got 503 at once; one connection was open after 20 s, when the test gave up). The gate now reads such a body to its end before the handler is called, while the timeouts and the eviction of bodies apply. TestBodiesThatNeverComeDoNotShutOthersOut failed before and passes, also with -race.

--- a/internal/connection/ingress/body.go
+++ b/internal/connection/ingress/body.go
@@ -49,6 +49,25 @@
 	return content, err
 }
 
+// skipBody discards the body of a request whose handler does not read it. The server
+// would discard it before the answer, when the request counts as being served and no
+// timeout applies. It reports false if it has refused the request.
+func (c *conn) skipBody(w http.ResponseWriter, r *http.Request) bool {
+	_, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, MaxBodyBytes(r)))
+	if err != nil {
+		if errors.Is(c.refuseBody(w, err), ErrTooLarge) {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return false
+		}
+		panic(http.ErrAbortHandler)
+	}
+	c.bodyRead = true
+	if !c.change(serving) {
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
 // refuseBody makes the answer end the connection, so that the rest of the body
 // is not awaited.
 func (c *conn) refuseBody(w http.ResponseWriter, err error) error {
--- a/internal/connection/ingress/conn.go
+++ b/internal/connection/ingress/conn.go
@@ -180,7 +180,8 @@
 }
 
 // bound marks the connection of a request as being served, unless its body is
-// still to be read, and aborts a request whose connection is already closed.
+// still to be read by the handler, and aborts a request whose connection is
+// already closed.
 func (g *Gate) bound(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
@@ -188,14 +189,10 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
-		next := serving
-		if r.Method == http.MethodPost && r.ContentLength != 0 {
-			next = body
-		}
-		if !c.change(next) {
-			panic(http.ErrAbortHandler)
-		}
 		defer c.release()
+		if !c.begin(w, r) {
+			return
+		}
 		handler.ServeHTTP(w, r)
 		if r.ContentLength != 0 && !c.bodyRead {
 			// An error means that the client is gone.
@@ -205,6 +202,22 @@
 	})
 }
 
+// begin enters the first phase of a request with a handler. It reports false if it
+// has refused the request.
+func (c *conn) begin(w http.ResponseWriter, r *http.Request) bool {
+	next := serving
+	if r.ContentLength != 0 {
+		next = body
+	}
+	if !c.change(next) {
+		panic(http.ErrAbortHandler)
+	}
+	if next == serving || r.Method == http.MethodPost {
+		return true
+	}
+	return c.skipBody(w, r)
+}
+
 // release gives the memory of an answered request back.
 func (c *conn) release() {
 	c.gate.mu.Lock()
--- a/internal/connection/ingress/server_test.go
+++ b/internal/connection/ingress/server_test.go
@@ -15,17 +15,23 @@
 // startServer serves bodies by their length under the given limits.
 func startServer(t *testing.T, l Limits) string {
 	t.Helper()
-	gate := NewGate(Grant{MemoryMB: 64}, slog.New(slog.DiscardHandler))
-	gate.SetLimits(l)
-	go gate.Run(t.Context())
-	server := gate.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return startHandler(t, Grant{MemoryMB: 64}, l, func(w http.ResponseWriter, r *http.Request) {
 		content, err := ReadBody(w, r, MaxBodyBytes(r))
 		if errors.Is(err, ErrTooLarge) {
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return
 		}
 		_, _ = fmt.Fprint(w, len(content), err)
-	}))
+	})
+}
+
+// startHandler serves a handler under the given limits.
+func startHandler(t *testing.T, granted Grant, l Limits, handler http.HandlerFunc) string {
+	t.Helper()
+	gate := NewGate(granted, slog.New(slog.DiscardHandler))
+	gate.SetLimits(l)
+	go gate.Run(t.Context())
+	server := gate.Server(handler)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -94,3 +100,22 @@
 		t.Errorf("%q", answer)
 	}
 }
+
+// Guards against clients that are shut out for ever by connections whose GET or DELETE
+// has a body that never comes: the server reads it before it answers, and the requests
+// counted as being served meanwhile.
+func TestBodiesThatNeverComeDoNotShutOthersOut(t *testing.T) {
+	address := startHandler(t, Grant{MemoryMB: 1}, Limits{}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	for i := range minConnections {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "%s / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n", []string{"GET", "DELETE"}[i%2])
+	}
+	time.Sleep(300 * time.Millisecond)
+	if answer := exchange(t, address, 0, "DELETE /"+closing+"Content-Length: 10\r\n\r\n0123456789"); !strings.Contains(answer, "done") {
+		t.Errorf("%q", answer)
+	}
+}
