--- a/internal/connection/link/large.go
+++ b/internal/connection/link/large.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Limits of large requests: a submission may have 262,144 bytes, and its decoded
@@ -28,15 +29,26 @@
 type largeRequests struct {
 	slots chan struct{}
 	wait  time.Duration
+	// exempt holds the kinds that take no slot.
+	exempt map[Kind]bool
 }
 
 func newLargeRequests() largeRequests {
-	return largeRequests{slots: make(chan struct{}, maxLargeRequests), wait: largeRequestWait}
+	return largeRequests{slots: make(chan struct{}, maxLargeRequests), wait: largeRequestWait, exempt: map[Kind]bool{}}
+}
+
+// ExemptLarge takes kinds of calls out of the limit of large requests: they are never
+// refused as busy. It must be called before Serve. It is for calls of few peers, such
+// as those of the replicated log, that must arrive during a flood of others.
+func (n *Node) ExemptLarge(kinds ...Kind) {
+	for _, kind := range kinds {
+		n.large.exempt[kind] = true
+	}
 }
 
 // admit returns a reader of the whole message from a stream. A large one takes a
 // slot, which release gives back. Without a free slot it returns a Fault with
-// CodeBusy.
+// CodeBusy. Exempt kinds take none.
 func (l largeRequests) admit(stream io.Reader) (whole io.Reader, release func(), err error) {
 	var start bytes.Buffer
 	n, err := io.CopyN(&start, stream, largeRequestBytes)
@@ -46,6 +58,9 @@
 		}
 		return &start, func() {}, err
 	}
+	if l.exempt[kindAtStart(start.Bytes())] {
+		return io.MultiReader(&start, stream), func() {}, nil
+	}
 	timer := time.NewTimer(l.wait)
 	defer timer.Stop()
 	select {
@@ -56,3 +71,16 @@
 		return nil, nil, &Fault{Code: CodeBusy, Message: "too many large requests are being handled"}
 	}
 }
+
+// kindAtStart returns the kind of a request of which only the start is known. The kind
+// is the first field, after the head of the map and the key of one byte each.
+func kindAtStart(start []byte) (kind Kind) {
+	const key = 1
+	if len(start) < 2 || start[1] != key {
+		return ""
+	}
+	if _, err := cbor.UnmarshalFirst(start[2:], &kind); err != nil {
+		return ""
+	}
+	return kind
+}
--- a/internal/process/replica/driver/receive.go
+++ b/internal/process/replica/driver/receive.go
@@ -36,6 +36,7 @@
 func (r *receiver) register(node *link.Node) {
 	link.Handle(node, MessageKind, r.handleMessage)
 	link.Handle(node, SnapshotKind, r.handleSnapshot)
+	node.ExemptLarge(MessageKind, SnapshotKind)
 }
 
 func (r *receiver) handleMessage(ctx context.Context, peer link.Peer, m core.Message) (Ack, error) {
