workcall: a busy leader gets at most one hello call a second, answered or not

Only an answer that was applied set the time of the last hello call. The time is now that of the call itself.

--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -26,8 +26,8 @@
 	// quietAge is the time without an answer of the leader to any call after
 	// which it is sent a hello call.
 	quietAge = 600 * time.Millisecond
-	// helloAge is the time after an applied answer to a hello call after which a
-	// leader that answers other calls is sent another one.
+	// helloAge is the time after a hello call, answered or not, after which a leader
+	// that answers other calls is sent another one.
 	helloAge = time.Second
 	// helloTimeout bounds one hello call.
 	helloTimeout = 400 * time.Millisecond
@@ -73,7 +73,8 @@
 	relays *relayChoice
 
 	catalogVersion atomic.Int64
-	// lastHello is when the newest answer to a hello call was applied, in Unix ns.
+	// lastHello is when checkContact last made a hello call, or the newest answer to
+	// one was applied, in Unix ns.
 	lastHello atomic.Int64
 	// onLimits is nil unless something enforces the catalog's limits.
 	onLimits func(ingress.Limits)
--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -125,6 +125,25 @@
 	}
 }
 
+// TestBusyLeaderGetsOneHelloASecond guards against a busy leader whose hello answers
+// change nothing, here as they name an older catalog, and that gets four such calls a
+// second from each entry.
+func TestBusyLeaderGetsOneHelloASecond(t *testing.T) {
+	leader := startMember(t)
+	c := startClient(t, leader)
+	go c.Run(t.Context())
+	waitForLeader(t, c, leader.node.Address())
+	c.catalogVersion.Store(2)
+	const duration = 3 * time.Second
+	before := leader.hellos.Load()
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		c.recordAnswer(leader.node.Address())
+	}
+	if count := leader.hellos.Load() - before; count > int64(duration/helloAge)+1 {
+		t.Errorf("%d hello calls in %s", count, duration)
+	}
+}
+
 // TestSubmissionThatWasNotSentIsNotUnknown guards against a caller who cannot
 // submit again, since its job may run, although it reached no control process.
 func TestSubmissionThatWasNotSentIsNotUnknown(t *testing.T) {
--- a/internal/connection/workcall/leader.go
+++ b/internal/connection/workcall/leader.go
@@ -17,6 +17,7 @@
 	if c.sinceAnswer(to.address) <= quietAge && time.Since(c.helloAt()) <= helloAge {
 		return
 	}
+	c.lastHello.Store(time.Now().UnixNano())
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	answer, err := c.hello(ctx, to.address)
@@ -161,7 +162,7 @@
 	}
 }
 
-// helloAt returns when the newest answer to a hello call was applied.
+// helloAt returns when a hello call was last made by checkContact, or its answer applied.
 func (c *Client) helloAt() time.Time { return time.Unix(0, c.lastHello.Load()) }
 
 func (c *Client) setLeader(address string) {
