workcall: a leader that refuses a large call as busy is not taken for lost

A relay repeated a submission that the leader had refused as busy until its time was up. The last attempt was then cut off, so that the relay dropped the leader and the entry learnt only that the outcome was unknown; or the relay answered that no leader could be reached, and the entry dropped its relay and its leader, which makes it report that it is not ready. A relay now passes the refusal on at once, unless an earlier attempt may have taken effect, and the entry repeats the call.

--- a/internal/connection/workcall/call.go
+++ b/internal/connection/workcall/call.go
@@ -14,6 +14,10 @@
 // not answer.
 var errNotSent = errors.New("the leader does not answer, the call was not sent")
 
+// errBusy is the ErrUnavailable of a call that the leader has refused as one large call
+// too many. The leader is not lost.
+var errBusy = fmt.Errorf("%w: it handles too many large calls", ErrUnavailable)
+
 // method is one method of Control.
 type method[Req, Resp any] func(Control, context.Context, Req) (Resp, error)
 
@@ -37,7 +41,7 @@
 // later answer tells its caller whether it has.
 func call[Req, Resp any](ctx context.Context, c *Client, kind link.Kind, serve method[Req, Resp], request Req) (Resp, error) {
 	var none Resp
-	failure := ErrUnavailable
+	failure, busy := ErrUnavailable, false
 	refuseAt := c.refusalTime(kind)
 	for {
 		leader := c.Leader()
@@ -54,9 +58,16 @@
 			if mayHaveTakenEffect(err) {
 				failure = ErrUnknown
 			}
+			busy = isBusy(err)
 			c.handleFailure(to, err)
+			if busy && failure == ErrUnavailable && isRelayed(ctx) {
+				return none, logging.Wrap(errBusy, string(kind), to.address)
+			}
 		}
 		if !pause(ctx, retryInterval) || failure == ErrUnavailable && !refuseAt.IsZero() && !time.Now().Before(refuseAt) {
+			if busy && failure == ErrUnavailable {
+				failure = errBusy
+			}
 			return none, logging.Wrap(failure, string(kind), leader)
 		}
 	}
@@ -146,6 +157,12 @@
 	}
 }
 
+// isBusy reports whether the peer has refused a large call as one too many.
+func isBusy(err error) bool {
+	var fault *link.Fault
+	return errors.As(err, &fault) && fault.Code == link.CodeBusy
+}
+
 // isUnknownKind reports whether the peer has no handler for the call.
 func isUnknownKind(err error) bool {
 	var fault *link.Fault
--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -27,7 +27,9 @@
 	// frozen makes it answer nothing, losing makes it take submissions without
 	// an answer.
 	frozen, losing atomic.Bool
-	hellos, taken  atomic.Int64
+	// busy makes it refuse submissions like a leader with too many large ones.
+	busy          atomic.Bool
+	hellos, taken atomic.Int64
 	// submitted is the newest submission.
 	submitted atomic.Pointer[SubmitRequest]
 	// slow is the time that it takes to accept a submission.
@@ -43,6 +45,11 @@
 	m.leader.Store(&address)
 	m.serveHello()
 	link.Handle(m.node, submitKind, func(ctx context.Context, _ link.Peer, r SubmitRequest) (SubmitResponse, error) {
+		if m.busy.Load() {
+			const wait = 200 * time.Millisecond
+			time.Sleep(wait)
+			return SubmitResponse{}, &link.Fault{Code: link.CodeBusy}
+		}
 		m.taken.Add(1)
 		m.submitted.Store(&r)
 		if m.frozen.Load() || m.losing.Load() {
--- a/internal/connection/workcall/relay.go
+++ b/internal/connection/workcall/relay.go
@@ -52,7 +52,7 @@
 
 func relay[Req located, Resp any](node *link.Node, kind link.Kind, log *slog.Logger, pass func(context.Context, Req) (Resp, error)) {
 	link.Handle(node, relayKinds[kind], func(ctx context.Context, peer link.Peer, r Req) (Resp, error) {
-		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+		ctx, cancel := context.WithTimeout(context.WithValue(ctx, relayedKey{}, true), relayTimeout)
 		defer cancel()
 		answer, err := pass(ctx, r)
 		if err == nil {
@@ -63,6 +63,13 @@
 	})
 }
 
+// relayedKey marks the context of a call that a relay passes on.
+type relayedKey struct{}
+
+// isRelayed reports whether a call is passed on for an entry, which makes another
+// attempt itself if the leader is busy.
+func isRelayed(ctx context.Context) bool { return ctx.Value(relayedKey{}) != nil }
+
 // relayFault returns the fault that tells an entry whether its call may have taken
 // effect.
 func relayFault(err error) error {
@@ -71,6 +78,8 @@
 		return &link.Fault{Code: link.CodeUnknownKind, Message: err.Error()}
 	case errors.Is(err, ErrUnknown):
 		return &link.Fault{Code: CodeUnknown, Message: err.Error()}
+	case errors.Is(err, errBusy):
+		return &link.Fault{Code: link.CodeBusy, Message: err.Error()}
 	}
 	return &link.Fault{Code: CodeUnavailable, Message: err.Error()}
 }
--- a/internal/connection/workcall/relay_test.go
+++ b/internal/connection/workcall/relay_test.go
@@ -16,7 +16,9 @@
 type relayed struct {
 	leader *member
 	relays []*member
-	client *Client
+	// passing holds the client of each relay.
+	passing []*Client
+	client  *Client
 }
 
 // startRelayed starts a leader, one relay for each availability zone, and the client of
@@ -35,7 +37,7 @@
 		own.setLeader(address)
 		RegisterRelay(m.node, own)
 		m.node.Serve()
-		d.relays = append(d.relays, m)
+		d.relays, d.passing = append(d.relays, m), append(d.passing, own)
 		seeds = append(seeds, m.node.Address())
 	}
 	var addresses []string
@@ -104,6 +106,38 @@
 	}
 }
 
+// TestBusyLeaderIsNotLostByEntriesOfRelays guards against entries that give up their
+// relay and their leader, and report that they are not ready, since the leader refuses
+// large submissions of a flood.
+func TestBusyLeaderIsNotLostByEntriesOfRelays(t *testing.T) {
+	d := startRelayed(t, "a", "b")
+	relay := d.relays[0].node.Address()
+	d.awaitContact(t, relay)
+	d.leader.busy.Store(true)
+	d.passing[0].recordAnswer(d.leader.node.Address())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := d.client.Submit(t.Context(), SubmitRequest{Location: Location{Path: "/q/1"}})
+		ended <- err
+	}()
+	for {
+		select {
+		case err := <-ended:
+			if !errors.Is(err, ErrUnavailable) {
+				t.Errorf("error %v", err)
+			}
+			return
+		case <-time.After(time.Millisecond):
+		}
+		if leader := d.client.Leader(); leader == "" || d.client.contact(leader).address != relay {
+			t.Fatalf("leader %q, calls no longer go to the relay", leader)
+		}
+		if d.passing[0].Leader() == "" {
+			t.Fatal("the relay has lost the leader")
+		}
+	}
+}
+
 // TestEntryWithoutItsRelayIsServed guards against entries that serve nobody while their relay is frozen.
 func TestEntryWithoutItsRelayIsServed(t *testing.T) {
 	d := startRelayed(t, "a", "b")
