rebalance: VMs are shared among pools by the load that is still of use

Change: if the fleet is short, Apportion shares its VMs in proportion to useful load (late load weighs half), and only the rest goes to jobs over rate and of no use; a yielding pool closes VMs although it is full, those first that are idle soonest, and stops resumable tasks there whose jobs can't be in time any more.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"arbutusward.example/arbutusward/internal/process/scheduler/quota"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/durations"
+	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -112,3 +114,70 @@
 		l.vmCapacity = workload.Resources{MilliCPU: sum.MilliCPU / count, MemoryMB: sum.MemoryMB / count}
 	}
 }
+
+// poolLoads returns the load of the executing tasks of each pool.
+func (l *loop) poolLoads(u *usage) map[string]rebalance.Load {
+	loads := map[string]rebalance.Load{}
+	for _, w := range l.workerList {
+		if used := u.usedOn(w); used != (workload.Resources{}) {
+			loads[w.reg.Service] += l.load(used)
+		}
+	}
+	return loads
+}
+
+// poolDemands returns the load of the executing and the waiting tasks of each pool by what
+// it is worth to serve it soon.
+func (l *loop) poolDemands(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) map[string]rebalance.Demand {
+	demands := map[string]rebalance.Demand{}
+	add := func(service string, level rebalance.Level, load rebalance.Load) {
+		demand := demands[service]
+		demand[level] += load
+		demands[service] = demand
+	}
+	for service, load := range l.poolLoads(u) {
+		add(service, rebalance.InTime, load)
+	}
+	at := planTime{now: now, wallMS: l.Now().UnixMilli()}
+	for _, job := range v.Active() {
+		if job.Executing == 0 || job.Outcome != workstate.Open || job.Spec.LongRunning() {
+			continue
+		}
+		if level := levelOf(l.executingTier(v, job, at)); level != rebalance.InTime {
+			service := v.ServiceOf(job)
+			load := min(l.load(quota.ExecutingCharge(job)), demands[service][rebalance.InTime])
+			add(service, rebalance.InTime, -load)
+			add(service, level, load)
+		}
+	}
+	quotas := quota.RecordedUse(v)
+	for _, g := range groups {
+		add(g.Service, levelOf(g.Tier), l.load(g.Charge)*rebalance.Load(quota.TasksWithin(quotas, g)))
+	}
+	return demands
+}
+
+// executingTier returns the tier of the oldest occurrence of a job that is not done.
+func (l *loop) executingTier(v *workstate.View, job *workstate.Job, at planTime) placement.Tier {
+	for k := range job.Occurrences {
+		progress := &job.Occurrences[k]
+		if progress.StepsDone < len(progress.Steps) {
+			objective := l.objective(v, job, progress, k, at)
+			return objective.TierAt(at.now, job.OverRate)
+		}
+	}
+	return placement.InTime
+}
+
+// levelOf returns the level of the load of a tier.
+func levelOf(tier placement.Tier) rebalance.Level {
+	switch tier {
+	case placement.InTime:
+		return rebalance.InTime
+	case placement.Late:
+		return rebalance.Late
+	case placement.OverRate:
+		return rebalance.OverRate
+	}
+	return rebalance.Useless
+}
--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 // minDrainAge is the minimum age of a run before a drain stops it, so that a
-// task is not moved over and over.
+// task is not moved over and over. A pool that yields VMs to others does not wait for it, but
+// lets the tasks end whose jobs can still be in time.
 const minDrainAge = time.Second
 
 // drainForPools drains VMs that other pools need. They get no new tasks, and
@@ -32,7 +34,14 @@
 	for _, t := range u.resumable {
 		w := l.workers[t.worker]
 		r := l.runs.Get(t.id)
-		if w == nil || !l.draining[w.reg.VM] || r == nil || r.phase != runOrdered || r.calling || now.Sub(r.since) < minDrainAge {
+		if w == nil || !l.draining[w.reg.VM] || r == nil || r.phase != runOrdered || r.calling {
+			continue
+		}
+		if _, yields := u.yielding[w.reg.Service]; yields {
+			if l.canBeInTime(v, t.id, now) {
+				continue
+			}
+		} else if now.Sub(r.since) < minDrainAge {
 			continue
 		}
 		l.Log.Info("stopping task, another pool needs its VM", "task", t.id.String(), "run", r.number, "worker", t.worker, "vm", w.reg.VM)
@@ -40,6 +49,12 @@
 	}
 }
 
+// canBeInTime reports whether the job of a task can still be in time.
+func (l *loop) canBeInTime(v *workstate.View, id workload.TaskID, now time.Time) bool {
+	job := v.Job(id.Job)
+	return job != nil && l.executingTier(v, job, planTime{now: now, wallMS: l.Now().UnixMilli()}) == placement.InTime
+}
+
 // needsRelocation reports whether long-running tasks have to leave the worker if it
 // closes, or may need its room.
 func (u *usage) needsRelocation(w *worker) bool {
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -265,10 +265,11 @@
 	l.setBestEffortSpeeds(u, now)
 	l.stopOrphans(u, now)
 	waves := l.surveyWaves(v, u, now)
-	l.evacuateDraining(v, u, now)
 	l.updateVMCapacity()
 	pools := l.desiredPools(v, u, groups, now)
 	l.admission.pools = pools
+	u.yielding = yieldingPools(pools)
+	l.evacuateDraining(v, u, now)
 	l.cordonVMs(v, u, waves, pools, now)
 	l.planMoves(v, u, pools, now)
 }
--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -7,11 +7,9 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
-	"arbutusward.example/arbutusward/internal/process/scheduler/quota"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/rebalance"
-	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 const (
@@ -112,11 +110,7 @@
 
 // desiredPools returns the pools with their desired numbers of VMs.
 func (l *loop) desiredPools(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) []rebalance.Pool {
-	loads := l.poolLoads(u)
-	quotas := quota.RecordedUse(v)
-	for _, g := range groups {
-		loads[g.Service] += l.load(g.Charge) * rebalance.Load(quota.TasksWithin(quotas, g))
-	}
+	demands := l.poolDemands(v, u, groups, now)
 	spread := l.vmsForSpread(v, groups)
 	warmingUp := l.demand.firstArrival.IsZero() || now.Sub(l.demand.firstArrival) < warmUpTime || now.Sub(l.since) < warmUpTime
 	var pools []rebalance.Pool
@@ -125,17 +119,45 @@
 		pool := rebalance.Pool{Name: service.Name, Standby: service.Standby}
 		if !service.Standby {
 			f := l.demand.forecast(service.Name)
-			load := f.Predict(now, loads[service.Name])
-			pool.ForLoad = int(math.Ceil(float64(load) / packingRatio))
-			pool.Desired = max(minPoolVMs, pool.ForLoad, spread[service.Name])
+			demand := demands[service.Name]
+			load := demand.Total()
+			predicted := f.Predict(now, load)
+			demand[rebalance.InTime] += predicted - load
+			pool.Demand = demand.Scale(1 / packingRatio)
+			pool.ForLoad = int(math.Ceil(float64(predicted) / packingRatio))
+			pool.Least = max(minPoolVMs, spread[service.Name])
+			pool.Desired = max(pool.Least, pool.ForLoad)
 			pool.Retain = f.RecentPeak(now, pool.Desired)
 			pool.WarmingUp = warmingUp
 		}
 		pools = append(pools, pool)
 	}
+	rebalance.Apportion(pools, l.usableVMs(u, now))
 	return pools
 }
 
+// yieldingPools returns, by name, the number of VMs that a pool keeps which yields others.
+func yieldingPools(pools []rebalance.Pool) map[string]int {
+	yielding := map[string]int{}
+	for i := range pools {
+		if pools[i].Yields {
+			yielding[pools[i].Name] = pools[i].Desired
+		}
+	}
+	return yielding
+}
+
+// usableVMs returns the number of VMs that serve in a pool or may join one.
+func (l *loop) usableVMs(u *usage, now time.Time) int {
+	usable := 0
+	for _, vm := range l.rebalanceVMs(u, now) {
+		if vm.Serving || vm.Movable {
+			usable++
+		}
+	}
+	return usable
+}
+
 // vmsForSpread returns the number of VMs that each pool needs because some
 // steps have a limit of tasks per worker.
 func (l *loop) vmsForSpread(v *workstate.View, groups []*placement.Group) map[string]int {
@@ -161,17 +183,6 @@
 	return spread
 }
 
-// poolLoads returns the load of the executing tasks of each pool.
-func (l *loop) poolLoads(u *usage) map[string]rebalance.Load {
-	loads := map[string]rebalance.Load{}
-	for _, w := range l.workerList {
-		if used := u.usedOn(w); used != (workload.Resources{}) {
-			loads[w.reg.Service] += l.load(used)
-		}
-	}
-	return loads
-}
-
 // rebalanceVMs returns all known VMs in the form that package rebalance uses.
 func (l *loop) rebalanceVMs(u *usage, now time.Time) []rebalance.VM {
 	cutOff := l.unresponsiveZones()
@@ -194,6 +205,7 @@
 			vm.Serving = w.schedulable(now) && !l.maintenance.isCordoned(id)
 			vm.Movable = !paused && !w.reg.Draining && u.load(w).runs == 0 && !u.relocation.IsReserved(w.reg.ID)
 			vm.Load = float64(l.load(u.usedOn(w)))
+			vm.IdleIn = u.load(w).idleIn
 			vm.LongRunning = len(u.load(w).longRunning) > 0
 			vm.Drainable = !paused && !w.reg.Draining
 		}
--- a/internal/process/scheduler/relocation.go
+++ b/internal/process/scheduler/relocation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -54,6 +55,9 @@
 func (l *loop) relocationPools(v *workstate.View, u *usage, now time.Time) map[string]relocation.Pool {
 	pools := make(map[string]relocation.Pool, len(u.poolLoad))
 	for service, load := range u.poolLoad {
+		if kept, yields := u.yielding[service]; yields {
+			load = min(load, rebalance.Load(kept)*packingRatio)
+		}
 		pools[service] = relocation.Pool{Load: float64(load)}
 	}
 	for _, e := range l.fleet.entries {
--- a/internal/process/scheduler/run.go
+++ b/internal/process/scheduler/run.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// expectedRest returns how long the run is expected to execute from now on, by its
+// reported progress or else by the caller's estimate.
+func (r *run) expectedRest(estimate time.Duration, now time.Time) time.Duration {
+	if r.orderedAt.IsZero() {
+		return estimate
+	}
+	elapsed := now.Sub(r.orderedAt)
+	if r.percent > 0 {
+		return elapsed * time.Duration(100-r.percent) / time.Duration(r.percent)
+	}
+	return max(0, estimate-elapsed)
+}
+
 // queueEnd queues the end of a run for the next commit.
 func (l *loop) queueEnd(id workload.TaskID, number int, kind workstate.EndKind, checkpoint string) {
 	l.queue(workstate.End{Task: id, Run: number, Kind: kind, Checkpoint: checkpoint})
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -51,6 +51,8 @@
 	unavailable map[workload.StepID]int
 	// awaiting lists the long-running tasks that wait for a worker.
 	awaiting []relocation.Task
+	// yielding holds, by service, the number of VMs that a pool keeps which yields others.
+	yielding map[string]int
 	// relocation is the plan of the workers that close in this round, nil until it
 	// is needed.
 	relocation *relocation.Plan
@@ -124,8 +126,12 @@
 	}
 	l.recordProgress(u, id, task, step, r, w, now)
 	u.recordColocation(id, task, step, w)
-	if step.Checkpointing && !step.LongRunning && !step.Gang {
+	switch {
+	case step.LongRunning:
+	case step.Checkpointing && !step.Gang:
 		u.resumable = append(u.resumable, resumableTask{id: id, worker: task.Worker})
+	case w != nil:
+		u.load(w).idleIn = max(u.load(w).idleIn, r.expectedRest(step.Estimate, now))
 	}
 	if step.LongRunning {
 		u.countLongRunning(id, step, w, l.atWork(r, w, runKey{id, task.Run}))
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -151,6 +151,9 @@
 	// longRunning lists the executing long-running tasks, in a round that plans the
 	// fleet.
 	longRunning []longRunningTask
+	// idleIn is the expected time until the runs have ended that neither are long-running
+	// nor can resume elsewhere, in a round that plans the fleet.
+	idleIn time.Duration
 }
 
 // reportView is a report indexed by run.
--- a/internal/version/rebalance/drain.go
+++ b/internal/version/rebalance/drain.go
@@ -20,7 +20,7 @@
 		if surplus[pool.Name] <= 0 {
 			continue
 		}
-		from := selectFromPool(pool.Name, vms, min(shortfall, surplus[pool.Name]))
+		from := selectFromPool(pool, vms, min(shortfall, surplus[pool.Name]))
 		shortfall -= len(from)
 		selected = append(selected, from...)
 	}
@@ -58,17 +58,18 @@
 			continue
 		}
 		shortfall += max(0, pool.Desired-serving[pool.Name])
-		surplus[pool.Name] = serving[pool.Name] - pool.Desired - max(0, movable[pool.Name])
+		surplus[pool.Name] = pool.yieldable(serving[pool.Name]) - max(0, movable[pool.Name])
 	}
 	return shortfall, surplus
 }
 
-// selectFromPool selects up to count VMs of a pool.
-func selectFromPool(pool string, vms []VM, count int) []string {
+// selectFromPool selects up to count VMs of a pool. A pool that yields VMs has no room for
+// the tasks of others: those that execute end, and no new ones start.
+func selectFromPool(pool Pool, vms []VM, count int) []string {
 	var candidates []VM
 	free := 0.0
 	for _, vm := range vms {
-		if vm.Pool != pool || !vm.Serving {
+		if vm.Pool != pool.Name || !vm.Serving {
 			continue
 		}
 		free += 1 - vm.Load
@@ -76,12 +77,17 @@
 			candidates = append(candidates, vm)
 		}
 	}
-	slices.SortFunc(candidates, compareDrainOrder)
+	order := compareDrainOrder
+	if pool.Yields {
+		order = compareYieldOrder
+	}
+	slices.SortFunc(candidates, order)
 	var selected []string
 	for _, vm := range candidates {
 		// The load of the VM must fit into the free capacity of the others.
 		free -= 1 - vm.Load
-		if len(selected) == count || free*usableFreeShare < vm.Load {
+		fits := free*usableFreeShare >= vm.Load
+		if len(selected) == count || !fits && (!pool.Yields || vm.LongRunning) {
 			break
 		}
 		free -= vm.Load
@@ -107,6 +113,15 @@
 	return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
 }
 
+// compareYieldOrder orders VMs without long-running tasks first, then by the time until they
+// are idle.
+func compareYieldOrder(a, b VM) int {
+	if a.LongRunning != b.LongRunning {
+		return compareDrainOrder(a, b)
+	}
+	return cmp.Or(cmp.Compare(a.IdleIn, b.IdleIn), compareDrainOrder(a, b))
+}
+
 // usableFreeShare is the share of the free capacity that tasks of any size can
 // use despite fragmentation.
 const usableFreeShare = 0.7
--- a/internal/version/rebalance/rebalance.go
+++ b/internal/version/rebalance/rebalance.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Pool describes the VMs of one service.
@@ -23,6 +24,12 @@
 	Desired, Retain int
 	// ForLoad is the part of Desired that the load itself needs.
 	ForLoad int
+	// Demand is the load, in VMs, of which Desired follows, by level. Least is the number of
+	// VMs that the pool keeps whatever others need.
+	Demand Demand
+	Least  int
+	// Yields is set if the pool has to give VMs to others although its load needs them.
+	Yields bool
 	// WarmingUp marks a pool that lends VMs to other pools but powers none
 	// off, because its earlier peaks are not known.
 	WarmingUp bool
@@ -42,6 +49,9 @@
 	// Drainable is set if the tasks on the VM end soon or can continue on
 	// another VM.
 	Drainable bool
+	// IdleIn is the expected time until the tasks on the VM have ended that can't continue
+	// on another VM.
+	IdleIn time.Duration
 	// LongRunning is set if the VM executes long-running tasks, which have to
 	// be moved off it one after the other.
 	LongRunning bool
