health: slow workers are judged by several jobs and by predicted durations

Change: the median over the jobs of a worker counts, of two the lower one, against the predicted duration of the queue; one job alone does not suffice. The test gives each of its runs a job of its own, and a new one plays one poor estimate (it fails before).

--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -121,7 +121,7 @@
 			case r.ending:
 				u.countEnding(id, step, v.ServiceOf(job))
 			default:
-				l.recordDetails(u, id, task, step, r, w, now)
+				l.recordDetails(u, id, task, step, job.Queue, r, w, now)
 			}
 			if w != nil && !r.ending && r.running && r.report == w.report {
 				u.load(w).listed++
--- a/internal/process/scheduler/stragglers.go
+++ b/internal/process/scheduler/stragglers.go
@@ -30,7 +30,7 @@
 }
 
 // recordProgress records the reported progress of a run that ends by itself.
-func (l *loop) recordProgress(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, w *worker, now time.Time) {
+func (l *loop) recordProgress(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, queue string, r *run, w *worker, now time.Time) {
 	if step.LongRunning || step.Gang || w == nil || w.report == nil || r.phase != runOrdered {
 		return
 	}
@@ -44,7 +44,7 @@
 	}
 	u.stragglers = append(u.stragglers, straggler{id: id, run: task.Run})
 	u.samples = append(u.samples, health.Sample{
-		Worker: task.Worker, Elapsed: w.report.sentAt.Sub(r.since), Idle: now.Sub(r.progressAt), Estimate: step.Estimate, Percent: row.Percent,
+		Worker: task.Worker, Job: id.Job, Elapsed: w.report.sentAt.Sub(r.since), Idle: now.Sub(r.progressAt), Estimate: l.predict(queue, step), Percent: row.Percent,
 	})
 }
 
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -120,11 +120,11 @@
 }
 
 // recordDetails records what planFleet needs to know of an executing run.
-func (l *loop) recordDetails(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, r *run, w *worker, now time.Time) {
+func (l *loop) recordDetails(u *usage, id workload.TaskID, task *workstate.Task, step *workload.Step, queue string, r *run, w *worker, now time.Time) {
 	if w != nil {
 		u.load(w).runs++
 	}
-	l.recordProgress(u, id, task, step, r, w, now)
+	l.recordProgress(u, id, task, step, queue, r, w, now)
 	u.recordColocation(id, task, step, w)
 	switch {
 	case step.LongRunning:
--- a/internal/version/health/health.go
+++ b/internal/version/health/health.go
@@ -17,9 +17,10 @@
 	// minElapsed is the minimum age of a run for estimating its speed from its
 	// progress.
 	minElapsed = 400 * time.Millisecond
-	// minSamples is the minimum number of runs for judging the speed of a
-	// worker, since the estimates of single jobs are inaccurate.
+	// minSamples and minJobs are the minimum numbers of runs and of their jobs for
+	// judging the speed of a worker. All runs of a job share the error of its estimate.
 	minSamples = 3
+	minJobs    = 2
 	// slowRatio is the ratio of a worker's slowdown to the median of all
 	// workers above which the worker is slow.
 	slowRatio = 2.5
@@ -30,6 +31,8 @@
 // Sample describes one executing run.
 type Sample struct {
 	Worker string
+	// Job is the job of the run.
+	Job string
 	// Elapsed is the age of the run, Idle the time since its last progress.
 	Elapsed, Idle time.Duration
 	Estimate      time.Duration
@@ -61,18 +64,12 @@
 // SlowWorkers returns the workers that are far slower than the median worker,
 // each with the ratio of its slowdown to the median.
 func SlowWorkers(samples []Sample) map[string]float64 {
-	byWorker := map[string][]float64{}
-	for i := range samples {
-		if slowdown := samples[i].slowdown(); slowdown > 0 {
-			byWorker[samples[i].Worker] = append(byWorker[samples[i].Worker], slowdown)
-		}
-	}
 	slowdowns := map[string]float64{}
 	var all []float64
-	for worker, list := range byWorker {
-		if len(list) >= minSamples {
-			slowdowns[worker] = median(list)
-			all = append(all, slowdowns[worker])
+	for worker, byJob := range slowdownsByJob(samples) {
+		if slowdown, known := typicalSlowdown(byJob); known {
+			slowdowns[worker] = slowdown
+			all = append(all, slowdown)
 		}
 	}
 	if len(all) < minWorkers {
@@ -88,6 +85,39 @@
 	return slow
 }
 
+// slowdownsByJob returns the known slowdowns by worker and job.
+func slowdownsByJob(samples []Sample) map[string]map[string][]float64 {
+	byWorker := map[string]map[string][]float64{}
+	for i := range samples {
+		sample := &samples[i]
+		slowdown := sample.slowdown()
+		if slowdown <= 0 {
+			continue
+		}
+		if byWorker[sample.Worker] == nil {
+			byWorker[sample.Worker] = map[string][]float64{}
+		}
+		byWorker[sample.Worker][sample.Job] = append(byWorker[sample.Worker][sample.Job], slowdown)
+	}
+	return byWorker
+}
+
+// typicalSlowdown returns the median over the jobs of a worker, of two the lower one, so
+// that one job with a poor estimate does not decide. It is unknown with too few runs.
+func typicalSlowdown(byJob map[string][]float64) (slowdown float64, known bool) {
+	samples := 0
+	jobs := make([]float64, 0, len(byJob))
+	for _, list := range byJob {
+		samples += len(list)
+		jobs = append(jobs, median(list))
+	}
+	if samples < minSamples || len(jobs) < minJobs {
+		return 0, false
+	}
+	slices.Sort(jobs)
+	return jobs[(len(jobs)-1)/2], true
+}
+
 // median sorts the list and returns its median.
 func median(list []float64) float64 {
 	slices.Sort(list)
--- a/internal/version/health/health_test.go
+++ b/internal/version/health/health_test.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// runs returns samples of a worker whose runs take a multiple of their
-// estimates. The estimates are themselves off by up to a half.
+// runs returns samples of a worker whose runs, each of another job, take a multiple of
+// their estimates. The estimates are themselves off by up to a half.
 func runs(worker string, count int, factor float64) []Sample {
 	var list []Sample
 	for i := range count {
 		off := 0.5 + float64(i%5)*0.25
 		estimate := time.Second
 		length := time.Duration(float64(estimate) * off * factor)
-		list = append(list, Sample{Worker: worker, Elapsed: 600 * time.Millisecond, Estimate: estimate, Percent: max(1, min(99, int(600*time.Millisecond*100/length)))})
+		list = append(list, Sample{Worker: worker, Job: fmt.Sprint("j", i), Elapsed: 600 * time.Millisecond, Estimate: estimate, Percent: max(1, min(99, int(600*time.Millisecond*100/length)))})
 	}
 	return list
 }
@@ -41,6 +41,23 @@
 	}
 }
 
+// A step fills a worker with runs that share the error of one estimate. Stopping them would
+// waste their work, and the worker would get no new tasks for a while.
+func TestOnePoorEstimateDoesNotMakeAWorkerSlow(t *testing.T) {
+	var samples []Sample
+	for i := range 8 {
+		samples = append(samples, runs(fmt.Sprint("w", i), 5, 1)...)
+	}
+	poor := runs("w0", 6, 6.5)
+	for i := range poor {
+		poor[i].Job = "poor"
+	}
+	samples = append(samples[5:], append(poor, runs("w0", 1, 1)...)...)
+	if slow := SlowWorkers(samples); len(slow) > 0 {
+		t.Errorf("slow workers %v", slow)
+	}
+}
+
 func TestWorkersWithFewRunsAreNotJudged(t *testing.T) {
 	samples := append(runs("w0", 6, 1), runs("w1", 2, 8)...)
 	if slow := SlowWorkers(samples); len(slow) > 0 {
