rebalance: parts of a short fleet hold the least numbers and a margin for idle VMs

Cause: a review of Apportion. The least numbers of pools (spread, two VMs) came on top of the parts, so that the parts were together more than the fleet and a pool that held its part gave nothing to one without VMs; a pool that got all it wanted was rounded down and marked as yielding; idle VMs of two short pools moved with each change of the parts by one VM. Change: pools whose part is below their least number keep that, and the others share the rest; a pool that gets all its load yields nothing; parts of yielding pools are rounded down; the margin of 10% holds for idle VMs too.

--- a/internal/version/rebalance/apportion.go
+++ b/internal/version/rebalance/apportion.go
@@ -39,7 +39,7 @@
 }
 
 // yieldMargin is the share of its desired number of VMs that a pool may have beyond it
-// before it yields VMs with tasks. A VM that changes its pool serves nobody for seconds.
+// before it yields VMs. A VM that changes its pool serves nobody for seconds.
 const yieldMargin = 0.1
 
 // Apportion lowers the desired numbers of VMs of pools that need more than the given
@@ -48,34 +48,72 @@
 // another one could still be in time: the VMs are shared in proportion to the load that is
 // of use, in which late load weighs less, and only what is left goes to the other levels.
 func Apportion(pools []Pool, vms int) {
-	wanted := 0
-	for i := range pools {
-		wanted += pools[i].Desired
-	}
-	if wanted <= vms {
+	if TotalDesired(pools) <= vms {
 		return
 	}
-	granted := grant(pools, float64(vms))
+	granted := grantAtLeast(pools, float64(vms))
 	for i := range pools {
 		pool := &pools[i]
-		if share := max(pool.Least, int(math.Round(granted[i]))); !pool.Standby && share < pool.Desired {
+		if granted[i] >= float64(pool.Demand.Total())-roundingError {
+			continue
+		}
+		if share := max(pool.Least, int(granted[i]+roundingError)); !pool.Standby && share < pool.Desired {
 			pool.Desired, pool.Yields = share, true
 		}
 	}
 }
 
-// lateWeight is the weight of late load against load that can be in time where both compete
-// for VMs.
-const lateWeight = 0.5
+// TotalDesired returns the number of VMs that the pools desire together.
+func TotalDesired(pools []Pool) int {
+	sum := 0
+	for i := range pools {
+		sum += pools[i].Desired
+	}
+	return sum
+}
+
+const (
+	// lateWeight is the weight of late load against load that can be in time where both
+	// compete for VMs.
+	lateWeight = 0.5
+	// roundingError bounds the error of sums of shares, in VMs.
+	roundingError = 1e-6
+)
+
+// grantAtLeast shares VMs among pools. Pools whose part would be less than their least
+// number keep that number, and the others share what is left.
+func grantAtLeast(pools []Pool, vms float64) []float64 {
+	demands := make([]Demand, len(pools))
+	for i := range pools {
+		demands[i] = pools[i].Demand
+	}
+	kept := make([]float64, len(pools))
+	for {
+		granted := grant(demands, vms)
+		isFinal := true
+		for i := range pools {
+			if least := float64(pools[i].Least); granted[i]+kept[i] < least {
+				kept[i], demands[i], isFinal = least, Demand{}, false
+				vms -= least
+			}
+		}
+		if isFinal {
+			for i := range granted {
+				granted[i] += kept[i]
+			}
+			return granted
+		}
+	}
+}
 
 // grant shares VMs among pools: to the load that is of use, and then to the rest.
-func grant(pools []Pool, left float64) []float64 {
-	granted := make([]float64, len(pools))
+func grant(demands []Demand, left float64) []float64 {
+	granted := make([]float64, len(demands))
 	useful := func(d *Demand) (wanted, weight Load) { return d[InTime] + d[Late], d[InTime] + lateWeight*d[Late] }
 	overRate := func(d *Demand) (wanted, weight Load) { return d[OverRate], d[OverRate] }
 	useless := func(d *Demand) (wanted, weight Load) { return d[Useless], d[Useless] }
 	for _, of := range []func(*Demand) (wanted, weight Load){useful, overRate, useless} {
-		left -= share(pools, granted, left, of)
+		left -= share(demands, granted, left, of)
 	}
 	return granted
 }
@@ -83,16 +121,16 @@
 // share adds to what the pools are granted up to the given number of VMs in proportion to
 // the weights of what they want, but to none more than it wants, and returns how many VMs
 // it has shared.
-func share(pools []Pool, granted []float64, left float64, of func(*Demand) (wanted, weight Load)) float64 {
+func share(demands []Demand, granted []float64, left float64, of func(*Demand) (wanted, weight Load)) float64 {
 	shared := 0.0
-	wants, weights := make([]float64, len(pools)), make([]float64, len(pools))
-	for i := range pools {
-		wanted, weight := of(&pools[i].Demand)
+	wants, weights := make([]float64, len(demands)), make([]float64, len(demands))
+	for i := range demands {
+		wanted, weight := of(&demands[i])
 		wants[i], weights[i] = max(0, float64(wanted)), max(0, float64(weight))
 	}
 	for left-shared > 0 {
 		sum := 0.0
-		for i := range pools {
+		for i := range demands {
 			if wants[i] > 0 {
 				sum += weights[i]
 			}
@@ -102,7 +140,7 @@
 		}
 		// A pool that gets all that it wants leaves the rest of its part to the others.
 		perWeight, satisfied := (left-shared)/sum, false
-		for i := range pools {
+		for i := range demands {
 			if wants[i] > 0 && wants[i] <= perWeight*weights[i] {
 				granted[i] += wants[i]
 				shared += wants[i]
@@ -112,7 +150,7 @@
 		if satisfied {
 			continue
 		}
-		for i := range pools {
+		for i := range demands {
 			if wants[i] > 0 {
 				granted[i] += perWeight * weights[i]
 			}
@@ -122,8 +160,8 @@
 	return shared
 }
 
-// yieldable returns how many VMs beyond its desired number a pool may give away while
-// tasks execute on them.
+// yieldable returns how many VMs a pool may give away. A pool that yields keeps a margin, so
+// that small changes of the parts of two short pools move no VMs to and fro.
 func (p *Pool) yieldable(serving int) int {
 	if !p.Yields {
 		return serving - p.Desired
--- a/internal/version/rebalance/rebalance.go
+++ b/internal/version/rebalance/rebalance.go
@@ -135,7 +135,7 @@
 		if pool.Standby {
 			return pool
 		}
-		if surplus := p.serving[pool.Name] - pool.Desired; surplus > most {
+		if surplus := pool.yieldable(p.serving[pool.Name]); surplus > most {
 			found, most = pool, surplus
 		}
 	}
