scheduler: only drains for other pools go down to what a yielding pool keeps

The floor of a yielding pool was lowered in the relocation plan for maintenance too: VMs in a wave were closed down to it, which lowers the fleet, the parts and the floor again (20 VMs, 5 kept: relaxed maintenance closed 15 in place of 0, urgent 15 in place of 10). A leader without a list of VMs took the fleet for empty, so that all pools yielded down to their least numbers. All VMs were converted once more each time the fleet is planned. Change: relocation has the pressure Yielding, used only by drains for pools; pools are apportioned only with a list; the count of VMs stops at the desired number and builds no list. The counter arbutus_vms_yielded_total counts moves out of yielding pools. The random tests of relocation draw the new pressure too.

--- /dev/null
+++ b/internal/process/scheduler/apportion_test.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/relocation"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// vmsIn returns the number of VMs of a pool as the platform lists them.
+func (f *fixture) vmsIn(pool string) int {
+	f.vms.mu.Lock()
+	defer f.vms.mu.Unlock()
+	count := 0
+	for _, vm := range f.vms.vms {
+		if vm.Pool == pool {
+			count++
+		}
+	}
+	return count
+}
+
+// submitTo submits a job of eight tasks of a second to a queue.
+func (f *fixture) submitTo(queue, id string) {
+	f.t.Helper()
+	work := step(8)
+	work.Need.MemoryMB, work.Estimate = 1, time.Second
+	spec := workload.Spec{Payload: "p", Steps: []workload.Step{work}}
+	f.workers.mu.Lock()
+	f.workers.submitted[id] = spec
+	f.workers.mu.Unlock()
+	if r := f.commit(&workstate.Command{Submit: &workstate.Submit{ID: id, Host: "host", Path: "/" + queue + "/" + id, Spec: spec}}); r.Code != workstate.OK {
+		f.t.Fatalf("submit: %+v", r)
+	}
+	if f.loop != nil {
+		f.loop.post(func(l *loop) { l.handleJobArrival(id, time.Now()) })
+	}
+}
+
+// TestTurnOfAPoolTakesTheFleetFromABacklog plays a load: a pool with a backlog of 15 s, four
+// fifths of it beyond the accounts' rates and the rest late, holds 12 of 14 VMs; then the
+// turn of another pool begins with jobs that can be in time, 12 a second. It guards against a
+// backlog that keeps the fleet until it is worked off.
+func TestTurnOfAPoolTakesTheFleetFromABacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		f.limits.FencingEnforced = true
+		config := testCatalog()
+		config.Version++
+		other := config.Queues[0]
+		other.Name, other.PathPrefix, other.Service = "q2", "/q2/", "other"
+		config.Queues = append(config.Queues, other)
+		config.Services = append(config.Services, catalog.Service{Name: "other", EnforcesCapacity: true})
+		f.commit(&workstate.Command{Catalog: config})
+		f.replaceWorkers(1500 * time.Millisecond)
+		for i := range 14 {
+			id, pool := fmt.Sprint("w", i), "svc"
+			if i >= 12 {
+				pool = "other"
+			}
+			f.vms.vms["vm-"+id] = &execution.VM{ID: "vm-" + id, Pool: pool, State: execution.VMUp, Worker: id}
+			f.register(f.workers.add(id, 8000), "vm-"+id, pool)
+		}
+		const backlog = 180
+		for i := range backlog {
+			id := fmt.Sprintf("a%015x", i)
+			f.submitTo("q", id)
+			f.machine.Read(func(v *workstate.View) { v.Job(id).OverRate = i%5 != 0 })
+		}
+		f.lead()
+		defer f.depose()
+		time.Sleep(4 * time.Second)
+		if held := f.vmsIn("svc"); held != 12 {
+			t.Fatalf("the pool with the backlog holds %d VMs, expected 12", held)
+		}
+		for i := range 48 {
+			f.submitTo("q2", fmt.Sprintf("b%015x", i))
+			time.Sleep(time.Second / 12)
+		}
+		if got := f.vmsIn("other"); got <= 7 {
+			t.Errorf("%d of 14 VMs are in the pool whose turn it is after 4 s", got)
+		}
+	})
+}
+
+// TestUnlistedFleetYieldsNothing guards against a new leader that takes a fleet of which it
+// has no list for one without VMs, and lowers what pools keep open.
+func TestUnlistedFleetYieldsNothing(t *testing.T) {
+	l := loadedLeader(t, 20, 4, 20)
+	l.listVMsOfWorkers()
+	l.fleet.listed = false
+	clear(l.fleet.entries)
+	l.planFleetOnce()
+	for _, p := range l.admission.pools {
+		if p.Yields {
+			t.Errorf("%s yields down to %d VMs", p.Name, p.Desired)
+		}
+	}
+}
+
+// TestMaintenanceClosesNoMoreOfAYieldingPool guards against maintenance that closes VMs down
+// to what a pool keeps from other pools: the fewer VMs are left, the less that is.
+func TestMaintenanceClosesNoMoreOfAYieldingPool(t *testing.T) {
+	for _, pressure := range []relocation.Pressure{relocation.Relaxed, relocation.Urgent} {
+		closed := map[bool]int{}
+		for _, yields := range []bool{false, true} {
+			l := loadedLeader(t, 20, 4, 20)
+			l.listVMsOfWorkers()
+			l.planFleetOnce()
+			l.Machine.Read(func(v *workstate.View) {
+				u := l.reconcile(v, fleetDetails, time.Now())
+				l.recordPools(u)
+				if yields {
+					u.yielding = map[string]int{"svc": 5}
+				}
+				plan := l.relocationPlan(v, u, time.Now())
+				for id := range l.workers {
+					if plan.Close(id, pressure) == nil {
+						closed[yields]++
+					}
+				}
+			})
+		}
+		if closed[true] != closed[false] {
+			t.Errorf("pressure %d: %d VMs of a yielding pool are closed, %d of another", pressure, closed[true], closed[false])
+		}
+	}
+}
--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -19,7 +19,7 @@
 // workers.
 func (l *loop) drainForPools(vms []string, v *workstate.View, u *usage, now time.Time) {
 	for _, vm := range vms {
-		if w := u.workerOn[vm]; !u.needsRelocation(w) || l.relocationPlan(v, u, now).Close(w.reg.ID, relocation.Relaxed) == nil {
+		if w := u.workerOn[vm]; !u.needsRelocation(w) || l.relocationPlan(v, u, now).Close(w.reg.ID, relocation.Yielding) == nil {
 			l.draining[vm] = true
 		}
 	}
--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/placement"
@@ -73,10 +75,16 @@
 		if !l.mayOrderVM(now) || e.refusedPools[move.To] {
 			continue
 		}
+		if _, yields := u.yielding[move.From]; yields {
+			vmsYielded.Inc()
+		}
 		l.orderVM(e, vmOrder{pool: move.To}, now)
 	}
 }
 
+// vmsYielded counts the VMs that are ordered to leave pools that yield.
+var vmsYielded = metrics.NewCounter(`arbutus_vms_yielded_total`)
+
 // poolLogInterval is the minimum time between log lines about pools that are
 // short of VMs.
 const poolLogInterval = 500 * time.Millisecond
@@ -132,7 +140,9 @@
 		}
 		pools = append(pools, pool)
 	}
-	rebalance.Apportion(pools, l.usableVMs(u, now))
+	if desired := rebalance.TotalDesired(pools); l.fleet.listed {
+		rebalance.Apportion(pools, l.usableVMs(u, desired, now))
+	}
 	return pools
 }
 
@@ -147,11 +157,16 @@
 	return yielding
 }
 
-// usableVMs returns the number of VMs that serve in a pool or may join one.
-func (l *loop) usableVMs(u *usage, now time.Time) int {
+// usableVMs returns the number of VMs that serve in a pool or may join one. It stops at a
+// limit, so that a fleet that suffices is not counted as a whole.
+func (l *loop) usableVMs(u *usage, limit int, now time.Time) int {
+	cutOff := l.unresponsiveZones()
 	usable := 0
-	for _, vm := range l.rebalanceVMs(u, now) {
-		if vm.Serving || vm.Movable {
+	for id, e := range l.fleet.entries {
+		if usable >= limit {
+			break
+		}
+		if vm := l.rebalanceVM(u, id, e, cutOff, now); vm.Serving || vm.Movable {
 			usable++
 		}
 	}
@@ -188,32 +203,38 @@
 	cutOff := l.unresponsiveZones()
 	vms := make([]rebalance.VM, 0, len(l.fleet.entries))
 	for id, e := range l.fleet.entries {
-		w := u.workerOn[id]
-		vm := rebalance.VM{ID: id, Pool: e.vm.Pool}
-		paused := now.Before(e.pausedUntil) || l.maintenance.isCordoned(id) || e.calling
-		switch {
-		case e.order != nil && e.order.pool != "":
-			vm.Pool, vm.Serving = e.order.pool, true
-		case e.unavailable():
-		case w == nil:
-			// The VM is powered off, or its worker has not registered yet.
-			vm.Serving = false
-			vm.Movable = !paused && !cutOff[e.vm.Zone]
-		case !w.answering():
-			// The VM would be unreachable in another pool as well.
-		default:
-			vm.Serving = w.schedulable(now) && !l.maintenance.isCordoned(id)
-			vm.Movable = !paused && !w.reg.Draining && u.load(w).runs == 0 && !u.relocation.IsReserved(w.reg.ID)
-			vm.Load = float64(l.load(u.usedOn(w)))
-			vm.IdleIn = u.load(w).idleIn
-			vm.LongRunning = len(u.load(w).longRunning) > 0
-			vm.Drainable = !paused && !w.reg.Draining
-		}
-		vms = append(vms, vm)
+		vms = append(vms, l.rebalanceVM(u, id, e, cutOff, now))
 	}
 	return vms
 }
 
+// rebalanceVM returns a VM in the form that package rebalance uses. cutOff holds the
+// availability zones whose workers are unresponsive.
+func (l *loop) rebalanceVM(u *usage, id string, e *vmEntry, cutOff map[string]bool, now time.Time) rebalance.VM {
+	w := u.workerOn[id]
+	vm := rebalance.VM{ID: id, Pool: e.vm.Pool}
+	paused := now.Before(e.pausedUntil) || l.maintenance.isCordoned(id) || e.calling
+	switch {
+	case e.order != nil && e.order.pool != "":
+		vm.Pool, vm.Serving = e.order.pool, true
+	case e.unavailable():
+	case w == nil:
+		// The VM is powered off, or its worker has not registered yet.
+		vm.Serving = false
+		vm.Movable = !paused && !cutOff[e.vm.Zone]
+	case !w.answering():
+		// The VM would be unreachable in another pool as well.
+	default:
+		vm.Serving = w.schedulable(now) && !l.maintenance.isCordoned(id)
+		vm.Movable = !paused && !w.reg.Draining && u.load(w).runs == 0 && !u.relocation.IsReserved(w.reg.ID)
+		vm.Load = float64(l.load(u.usedOn(w)))
+		vm.IdleIn = u.load(w).idleIn
+		vm.LongRunning = len(u.load(w).longRunning) > 0
+		vm.Drainable = !paused && !w.reg.Draining
+	}
+	return vm
+}
+
 // excludeUnrelocatable marks the VMs as not drainable whose long-running tasks have no
 // other place.
 func (l *loop) excludeUnrelocatable(vms []rebalance.VM, v *workstate.View, u *usage, now time.Time) {
--- a/internal/process/scheduler/relocation.go
+++ b/internal/process/scheduler/relocation.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
-	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -55,10 +54,8 @@
 func (l *loop) relocationPools(v *workstate.View, u *usage, now time.Time) map[string]relocation.Pool {
 	pools := make(map[string]relocation.Pool, len(u.poolLoad))
 	for service, load := range u.poolLoad {
-		if kept, yields := u.yielding[service]; yields {
-			load = min(load, rebalance.Load(kept)*packingRatio)
-		}
-		pools[service] = relocation.Pool{Load: float64(load)}
+		kept, yields := u.yielding[service]
+		pools[service] = relocation.Pool{Load: float64(load), Yields: yields, Kept: kept}
 	}
 	for _, e := range l.fleet.entries {
 		service := e.vm.Pool
--- a/internal/version/relocation/plan.go
+++ b/internal/version/relocation/plan.go
@@ -90,18 +90,18 @@
 	return ok
 }
 
-// CanClose reports whether Close would close the worker.
+// CanClose reports whether Close would close the worker, whose VM is to move to another pool.
 func (p *Plan) CanClose(id string) bool {
 	w := p.workers[id]
 	if w == nil || w.closed {
 		return true
 	}
-	if p.keepsFloor(w, Relaxed) != nil {
+	if p.keepsFloor(w, Yielding) != nil {
 		return false
 	}
 	w.closed = true
 	defer func() { w.closed = false }()
-	placed, ok := p.placeFrom(w, Relaxed)
+	placed, ok := p.placeFrom(w, Yielding)
 	undo(placed)
 	return ok
 }
@@ -188,8 +188,11 @@
 		return 0
 	}
 	needed := max(1, int(math.Ceil(p.Load/packingRatio)))
-	if pressure >= Urgent {
+	switch {
+	case pressure >= Urgent:
 		return min(needed, size/2)
+	case pressure == Yielding && p.Yields:
+		return min(needed, max(1, p.Kept))
 	}
 	return needed
 }
--- a/internal/version/relocation/plan_test.go
+++ b/internal/version/relocation/plan_test.go
@@ -60,7 +60,7 @@
 		p := NewPlan(s)
 		waiting, moving := countPlaces(p), 0
 		for _, i := range r.Perm(len(s.Workers)) {
-			if p.Close(s.Workers[i].ID, Pressure(r.IntN(3))) == nil {
+			if p.Close(s.Workers[i].ID, Pressure(r.IntN(4))) == nil {
 				moving += len(s.Workers[i].Tasks)
 			}
 		}
@@ -108,7 +108,7 @@
 		s := randomSnapshot(r)
 		p := NewPlan(s)
 		pool := p.pools[service]
-		size, pressure := pool.open+pool.Away, Pressure(r.IntN(3))
+		size, pressure := pool.open+pool.Away, Pressure(r.IntN(4))
 		for i := range s.Workers {
 			if s.Workers[i].Open {
 				_ = p.Close(s.Workers[i].ID, pressure)
@@ -205,3 +205,22 @@
 		}
 	}
 }
+
+// TestYieldingPoolKeepsItsPartOpen guards against a pool that yields VMs although its long-running tasks make it look full, or yields more than it has to.
+func TestYieldingPoolKeepsItsPartOpen(t *testing.T) {
+	for yields, want := range map[bool]int{false: 0, true: 6} {
+		s := Snapshot{Pools: map[string]Pool{"svc": {Load: 10, Yields: yields, Kept: 4}}}
+		for i := range 10 {
+			s.Workers = append(s.Workers, Worker{ID: string(rune('a' + i)), Service: "svc", Open: true})
+		}
+		p, closed := NewPlan(s), 0
+		for i := range s.Workers {
+			if p.Close(s.Workers[i].ID, Yielding) == nil {
+				closed++
+			}
+		}
+		if closed != want {
+			t.Errorf("%d of 10 workers closed, expected %d; yields %v", closed, want, yields)
+		}
+	}
+}
--- a/internal/version/relocation/types.go
+++ b/internal/version/relocation/types.go
@@ -42,14 +42,21 @@
 	// Away is the number of VMs that are down and come back into the pool. Returning
 	// counts those among them that do not wait to be drained once they are back.
 	Away, Returning int
+	// Yields is set if the pool has to give VMs to other pools although it needs them.
+	// Kept is the number of its workers that stay open then.
+	Yields bool
+	Kept   int
 }
 
-// Pressure tells how close the deadline is for which a worker has to close.
+// Pressure tells for what a worker has to close, and how close the deadline is.
 type Pressure uint8
 
 const (
 	// Relaxed keeps as many workers open as the load of the pool needs.
 	Relaxed Pressure = iota
+	// Yielding is Relaxed for a VM that is to move to another pool: it keeps open what a
+	// pool keeps that yields VMs.
+	Yielding
 	// Urgent keeps at most half of the pool open for its load.
 	Urgent
 	// Pressing also lets tasks move to workers that wait to be drained too, although
