scheduler: a yielding pool stops no late task over and over, and knows when its VMs are idle

A late resumable task was stopped again as soon as it ran on its next VM of the yielding pool, which then counted as idle at once and was drained next. VMs whose resumable tasks can be in time counted as idle at once too, although a drain lets these end. Change: a run that resumes has minDrainAge before a yielding pool stops it; the rest of resumable tasks in time counts for the time until a VM is idle. Which jobs are not in time is told once a plan, with the demand. Result: TestDrainOfAYieldingPoolStopsNoTaskOverAndOver and TestVMWithResumableTasksInTimeIsNotIdleAtOnce fail without these.

--- a/internal/process/scheduler/apportion_test.go
+++ b/internal/process/scheduler/apportion_test.go
@@ -9,6 +9,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -132,3 +133,53 @@
 		}
 	}
 }
+
+// TestDrainOfAYieldingPoolStopsNoTaskOverAndOver guards against late tasks that are stopped
+// on one VM after the other, and against stopping those that can be in time.
+func TestDrainOfAYieldingPoolStopsNoTaskOverAndOver(t *testing.T) {
+	now := time.Now()
+	late, prompt := workload.TaskID{Job: "late"}, workload.TaskID{Job: "prompt"}
+	tests := map[string]struct {
+		id      workload.TaskID
+		service string
+		number  int
+		age     time.Duration
+		want    bool
+	}{
+		"late, first run":            {late, "yields", 1, 0, true},
+		"late, stopped before":       {late, "yields", 2, minDrainAge / 2, false},
+		"late, stopped long before":  {late, "yields", 2, minDrainAge, true},
+		"in time":                    {prompt, "yields", 1, minDrainAge, false},
+		"young in a pool with spare": {late, "spares", 1, minDrainAge / 2, false},
+		"old in a pool with spare":   {prompt, "spares", 1, minDrainAge, true},
+	}
+	u := &usage{yielding: map[string]int{"yields": 2}, notInTime: map[string]bool{"late": true}}
+	for name, test := range tests {
+		w := &worker{reg: workstate.Worker{Service: test.service}}
+		r := &run{number: test.number, since: now.Add(-test.age)}
+		if got := u.mayStopForDrain(test.id, r, w, now); got != test.want {
+			t.Errorf("%s: stopped %v", name, got)
+		}
+	}
+}
+
+// TestVMWithResumableTasksInTimeIsNotIdleAtOnce guards against a yielding pool that drains
+// VMs first whose tasks it lets end, as if they could leave at once.
+func TestVMWithResumableTasksInTimeIsNotIdleAtOnce(t *testing.T) {
+	l := loadedLeader(t, 2, 0, 0)
+	l.listVMsOfWorkers()
+	work := step(1)
+	work.Checkpointing, work.Estimate = true, 5*time.Second
+	commitTo(t, l.Machine, &workstate.Command{Submit: &workstate.Submit{ID: jobA, Host: "host", Path: "/q/" + jobA, Spec: workload.Spec{Payload: "p", Steps: []workload.Step{work}}}})
+	commitTo(t, l.Machine, &workstate.Command{Progress: &workstate.Progress{Starts: []workstate.Start{{Task: workload.TaskID{Job: jobA}, Run: 1, Worker: "w0", Incarnation: 1}}}})
+	for _, late := range []bool{false, true} {
+		l.Machine.Read(func(v *workstate.View) {
+			u := l.reconcile(v, fleetDetails, time.Now())
+			u.notInTime[jobA] = late
+			l.yield(u, []rebalance.Pool{{Name: "svc", Desired: 1, Yields: true}})
+			if atOnce := u.load(l.workers["w0"]).idleIn == 0; atOnce != late {
+				t.Errorf("late %v: idle at once %v", late, atOnce)
+			}
+		})
+	}
+}
--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -127,7 +127,7 @@
 }
 
 // poolDemands returns the load of the executing and the waiting tasks of each pool by what
-// it is worth to serve it soon.
+// it is worth to serve it soon, and records the jobs whose executing tasks are not in time.
 func (l *loop) poolDemands(v *workstate.View, u *usage, groups []*placement.Group, now time.Time) map[string]rebalance.Demand {
 	demands := map[string]rebalance.Demand{}
 	add := func(service string, level rebalance.Level, load rebalance.Load) {
@@ -144,6 +144,7 @@
 			continue
 		}
 		if level := levelOf(l.executingTier(v, job, at)); level != rebalance.InTime {
+			u.notInTime[job.ID] = true
 			service := v.ServiceOf(job)
 			load := min(l.load(quota.ExecutingCharge(job)), demands[service][rebalance.InTime])
 			add(service, rebalance.InTime, -load)
--- a/internal/process/scheduler/drain.go
+++ b/internal/process/scheduler/drain.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
-	"arbutusward.example/arbutusward/internal/version/placement"
+	"arbutusward.example/arbutusward/internal/version/rebalance"
 	"arbutusward.example/arbutusward/internal/version/relocation"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 // minDrainAge is the minimum age of a run before a drain stops it, so that a
-// task is not moved over and over. A pool that yields VMs to others does not wait for it, but
-// lets the tasks end whose jobs can still be in time.
+// task is not moved over and over. A pool that yields VMs to others waits for it only with
+// tasks that have been stopped before, but lets the tasks end whose jobs can still be in time.
 const minDrainAge = time.Second
 
 // drainForPools drains VMs that other pools need. They get no new tasks, and
@@ -37,11 +37,7 @@
 		if w == nil || !l.draining[w.reg.VM] || r == nil || r.phase != runOrdered || r.calling {
 			continue
 		}
-		if _, yields := u.yielding[w.reg.Service]; yields {
-			if l.canBeInTime(v, t.id, now) {
-				continue
-			}
-		} else if now.Sub(r.since) < minDrainAge {
+		if !u.mayStopForDrain(t.id, r, w, now) {
 			continue
 		}
 		l.Log.Info("stopping task, another pool needs its VM", "task", t.id.String(), "run", r.number, "worker", t.worker, "vm", w.reg.VM)
@@ -49,10 +45,29 @@
 	}
 }
 
-// canBeInTime reports whether the job of a task can still be in time.
-func (l *loop) canBeInTime(v *workstate.View, id workload.TaskID, now time.Time) bool {
-	job := v.Job(id.Job)
-	return job != nil && l.executingTier(v, job, planTime{now: now, wallMS: l.Now().UnixMilli()}) == placement.InTime
+// mayStopForDrain reports whether a drain stops the run of a resumable task, see minDrainAge.
+func (u *usage) mayStopForDrain(id workload.TaskID, r *run, w *worker, now time.Time) bool {
+	isOld := now.Sub(r.since) >= minDrainAge
+	if _, yields := u.yielding[w.reg.Service]; yields {
+		return u.notInTime[id.Job] && (isOld || r.number == 1)
+	}
+	return isOld
+}
+
+// yield records which pools yield VMs. The resumable tasks of these that a drain lets end
+// count for the time until their workers are idle.
+func (l *loop) yield(u *usage, pools []rebalance.Pool) {
+	u.yielding = yieldingPools(pools)
+	for i := range u.resumable {
+		t := &u.resumable[i]
+		w := l.workers[t.worker]
+		if w == nil || u.notInTime[t.id.Job] {
+			continue
+		}
+		if _, yields := u.yielding[w.reg.Service]; yields {
+			u.load(w).idleIn = max(u.load(w).idleIn, t.rest)
+		}
+	}
 }
 
 // needsRelocation reports whether long-running tasks have to leave the worker if it
@@ -78,4 +93,6 @@
 type resumableTask struct {
 	id     workload.TaskID
 	worker string
+	// rest is how long its run is expected to execute.
+	rest time.Duration
 }
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -268,7 +268,7 @@
 	l.updateVMCapacity()
 	pools := l.desiredPools(v, u, groups, now)
 	l.admission.pools = pools
-	u.yielding = yieldingPools(pools)
+	l.yield(u, pools)
 	l.evacuateDraining(v, u, now)
 	l.cordonVMs(v, u, waves, pools, now)
 	l.planMoves(v, u, pools, now)
--- a/internal/process/scheduler/usage.go
+++ b/internal/process/scheduler/usage.go
@@ -53,6 +53,9 @@
 	awaiting []relocation.Task
 	// yielding holds, by service, the number of VMs that a pool keeps which yields others.
 	yielding map[string]int
+	// notInTime holds the jobs with executing tasks that can't be in time any more or are
+	// beyond the rates of their accounts.
+	notInTime map[string]bool
 	// relocation is the plan of the workers that close in this round, nil until it
 	// is needed.
 	relocation *relocation.Plan
@@ -65,7 +68,7 @@
 	}
 	return &usage{
 		round: l.roundNumber, stragglers: l.stragglers[:0], samples: l.samples[:0],
-		unavailable: map[workload.StepID]int{}, colocations: map[string]*colocation{},
+		unavailable: map[workload.StepID]int{}, colocations: map[string]*colocation{}, notInTime: map[string]bool{},
 	}
 }
 
@@ -129,7 +132,7 @@
 	switch {
 	case step.LongRunning:
 	case step.Checkpointing && !step.Gang:
-		u.resumable = append(u.resumable, resumableTask{id: id, worker: task.Worker})
+		u.resumable = append(u.resumable, resumableTask{id: id, worker: task.Worker, rest: r.expectedRest(step.Estimate, now)})
 	case w != nil:
 		u.load(w).idleIn = max(u.load(w).idleIn, r.expectedRest(step.Estimate, now))
 	}
