scheduler: a play of disruption budgets beside a yield; a race of the fixture is mended

Cause: no test played long-running tasks in a pool that yields VMs. With -race it showed that bringUp of the fixture writes the worker of a VM under another lock than VMs reads it. Change: TestYieldKeepsDisruptionBudgets; bringUp takes the platform's lock.

--- a/internal/process/scheduler/apportion_test.go
+++ b/internal/process/scheduler/apportion_test.go
@@ -44,36 +44,49 @@
 	}
 }
 
+// newTurnFixture returns a fixture with 12 VMs in the pool of the queue "q", and two in that of
+// "q2".
+func newTurnFixture(t *testing.T) *fixture {
+	f := newFixture(t, time.Second)
+	f.limits.FencingEnforced = true
+	config := testCatalog()
+	config.Version++
+	other := config.Queues[0]
+	other.Name, other.PathPrefix, other.Service = "q2", "/q2/", "other"
+	config.Queues = append(config.Queues, other)
+	config.Services = append(config.Services, catalog.Service{Name: "other", EnforcesCapacity: true})
+	f.commit(&workstate.Command{Catalog: config})
+	f.replaceWorkers(1500 * time.Millisecond)
+	for i := range 14 {
+		id, pool := fmt.Sprint("w", i), "svc"
+		if i >= 12 {
+			pool = "other"
+		}
+		f.vms.vms["vm-"+id] = &execution.VM{ID: "vm-" + id, Pool: pool, State: execution.VMUp, Worker: id}
+		f.register(f.workers.add(id, 8000), "vm-"+id, pool)
+	}
+	return f
+}
+
+// submitBacklog submits jobs to the queue "q" that are over the rate of their account, but for
+// one in owedEvery.
+func (f *fixture) submitBacklog(jobs, owedEvery int) {
+	f.t.Helper()
+	for i := range jobs {
+		id := fmt.Sprintf("a%015x", i)
+		f.submitTo("q", id)
+		f.machine.Read(func(v *workstate.View) { v.Job(id).OverRate = owedEvery == 0 || i%owedEvery != 0 })
+	}
+}
+
 // TestTurnOfAPoolTakesTheFleetFromABacklog plays a load: a pool with a backlog of 15 s, four
 // fifths of it beyond the accounts' rates and the rest late, holds 12 of 14 VMs; then the
 // turn of another pool begins with jobs that can be in time, 12 a second. It guards against a
 // backlog that keeps the fleet until it is worked off.
 func TestTurnOfAPoolTakesTheFleetFromABacklog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, time.Second)
-		f.limits.FencingEnforced = true
-		config := testCatalog()
-		config.Version++
-		other := config.Queues[0]
-		other.Name, other.PathPrefix, other.Service = "q2", "/q2/", "other"
-		config.Queues = append(config.Queues, other)
-		config.Services = append(config.Services, catalog.Service{Name: "other", EnforcesCapacity: true})
-		f.commit(&workstate.Command{Catalog: config})
-		f.replaceWorkers(1500 * time.Millisecond)
-		for i := range 14 {
-			id, pool := fmt.Sprint("w", i), "svc"
-			if i >= 12 {
-				pool = "other"
-			}
-			f.vms.vms["vm-"+id] = &execution.VM{ID: "vm-" + id, Pool: pool, State: execution.VMUp, Worker: id}
-			f.register(f.workers.add(id, 8000), "vm-"+id, pool)
-		}
-		const backlog = 180
-		for i := range backlog {
-			id := fmt.Sprintf("a%015x", i)
-			f.submitTo("q", id)
-			f.machine.Read(func(v *workstate.View) { v.Job(id).OverRate = i%5 != 0 })
-		}
+		f := newTurnFixture(t)
+		f.submitBacklog(180, 5)
 		f.lead()
 		defer f.depose()
 		time.Sleep(4 * time.Second)
@@ -183,3 +196,53 @@
 		})
 	}
 }
+
+// TestYieldKeepsDisruptionBudgets plays a load: 6 of the 12 VMs of a pool execute two of 12
+// long-running tasks each, of which one may be away, beside a backlog beyond the accounts'
+// rates, when the turn of another pool begins. It guards against tasks that are stopped with the
+// VMs which the pool yields.
+func TestYieldKeepsDisruptionBudgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTurnFixture(t)
+		lasting := workload.Step{Count: 12, Need: workload.Resources{MilliCPU: 3000}, LongRunning: true, DisruptionBudget: 1}
+		f.workers.durationOf = func(id workload.TaskID, _ int) time.Duration {
+			if id.Job == jobA {
+				return time.Hour
+			}
+			return time.Second
+		}
+		f.leadWithJob(lasting)
+		f.depose()
+		f.submitBacklog(180, 0)
+		f.lead()
+		defer f.depose()
+		time.Sleep(2 * time.Second)
+		least, most := lasting.Count, 0
+		for i := range 96 {
+			f.submitTo("q2", fmt.Sprintf("b%015x", i))
+			time.Sleep(time.Second / 12)
+			least, most = min(least, f.executingOf(jobA)), max(most, f.vmsIn("other"))
+		}
+		if most <= 7 {
+			t.Errorf("%d of 14 VMs came to the pool whose turn it was", most)
+		}
+		if least < lasting.Count-1 {
+			t.Errorf("%d of %d long-running tasks are at work, the budget allows one to be away", least, lasting.Count)
+		}
+	})
+}
+
+// executingOf returns the number of tasks of a job that workers execute.
+func (f *fixture) executingOf(job string) int {
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	count := 0
+	for _, w := range f.workers.workers {
+		for id := range w.running {
+			if id.Job == job {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/internal/process/scheduler/vms_test.go
+++ b/internal/process/scheduler/vms_test.go
@@ -44,8 +44,10 @@
 	}
 	f.workers.mu.Lock()
 	w := f.workers.add(name, 8000)
-	e.Worker = name
 	f.workers.mu.Unlock()
+	f.vms.mu.Lock()
+	e.Worker = name
+	f.vms.mu.Unlock()
 	f.register(w, vm, pool)
 }
 
