scheduler: the needs of the load know no yields

Whether maintenance has to wait was told with the margin of yielding pools on top of their whole load, so that a fleet that suffices looked short. Change: needsOfLoad takes pools as such that do not yield, as it takes their whole load. Result: TestYieldDoesNotMakeTheFleetShortForMaintenance failed before.

--- a/internal/process/scheduler/apportion_test.go
+++ b/internal/process/scheduler/apportion_test.go
@@ -246,3 +246,18 @@
 	}
 	return count
 }
+
+// TestYieldDoesNotMakeTheFleetShortForMaintenance guards against maintenance that waits
+// since a yielding pool keeps a margin, though the load of all pools has its VMs.
+func TestYieldDoesNotMakeTheFleetShortForMaintenance(t *testing.T) {
+	l := loadedLeader(t, 20, 0, 0)
+	l.listVMsOfWorkers()
+	l.Machine.Read(func(v *workstate.View) {
+		u := l.reconcile(v, fleetDetails, time.Now())
+		l.recordPools(u)
+		pools := []rebalance.Pool{{Name: "svc", Desired: 10, ForLoad: 15, Yields: true}, {Name: "other", Desired: 5, ForLoad: 5}}
+		if needs := l.needsOfLoad(u, pools, time.Now()); needs.short {
+			t.Error("20 VMs are short for loads of 15 and 5")
+		}
+	})
+}
--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -45,7 +45,7 @@
 	pools = slices.Clone(pools)
 	standby := map[string]bool{}
 	for i := range pools {
-		pools[i].Desired = pools[i].ForLoad
+		pools[i].Desired, pools[i].Yields = pools[i].ForLoad, false
 		standby[pools[i].Name] = pools[i].Standby
 	}
 	moves := rebalance.Plan(pools, vms)
