ingress: metrics have their whole names in the source

Cause: the test of the metrics' reference reads names from the source and found a name put together from parts. Change: each counter has its own line. Result: TestEveryMetricIsInTheReference passes.

--- a/internal/connection/ingress/metrics.go
+++ b/internal/connection/ingress/metrics.go
@@ -32,10 +32,12 @@
 // tally counts evictions and refusals since the last report.
 type tally map[tallyKey]int
 
-func (t tally) evicted(why reason) { t.count("evicted", why) }
-func (t tally) refused(why reason) { t.count("refused", why) }
+func (t tally) evicted(why reason) {
+	t[tallyKey{"evicted", why}]++
+	metrics.GetOrCreateCounter(fmt.Sprintf("arbutus_ingress_evicted_total{reason=%q}", why)).Inc()
+}
 
-func (t tally) count(outcome string, why reason) {
-	t[tallyKey{outcome, why}]++
-	metrics.GetOrCreateCounter(fmt.Sprintf("arbutus_ingress_%s_total{reason=%q}", outcome, why)).Inc()
+func (t tally) refused(why reason) {
+	t[tallyKey{"refused", why}]++
+	metrics.GetOrCreateCounter(fmt.Sprintf("arbutus_ingress_refused_total{reason=%q}", why)).Inc()
 }
