scheduler: the time to evacuate a VM follows from the deployment's stop timeout

Change: an evacuation takes 1.3 s and the stop timeout per task, 1.5 s as before where it is 200 ms.

--- a/internal/process/scheduler/evacuation.go
+++ b/internal/process/scheduler/evacuation.go
@@ -8,9 +8,17 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// evacuationTime is the estimated time from the stop of a long-running task until it
+// startUpEstimate is the estimated time from the end of a stopped long-running task until
+// it is at work on another worker.
+const startUpEstimate = 1300 * time.Millisecond
+
+// arrivalTime is how long a long-running task that was started and is not at work yet is
+// not moved again.
+const arrivalTime = 1500 * time.Millisecond
+
+// evacuationTime returns the estimated time from the stop of a long-running task until it
 // is at work on another worker, when the next one of its step may be stopped.
-const evacuationTime = 1500 * time.Millisecond
+func (l Limits) evacuationTime() time.Duration { return startUpEstimate + l.StopTimeout }
 
 // evacuation chooses the VMs of a wave whose long-running tasks leave already while
 // their pools are busy, because a step's disruption budget lets them leave only a
@@ -19,14 +27,16 @@
 	// due is set if some step's tasks need the rest of the time until the deadline.
 	due   bool
 	usage *usage
+	// perTask is how long one task of a step takes to leave.
+	perTask time.Duration
 	// admitted counts the tasks of each step on the VMs that were admitted.
 	admitted map[workload.StepID]int
 }
 
 // newEvacuation returns the evacuation of the VMs of a wave that wait for their
 // maintenance.
-func newEvacuation(u *usage, waiting []maintenanceVM, remaining time.Duration) *evacuation {
-	e := &evacuation{usage: u, admitted: map[workload.StepID]int{}}
+func newEvacuation(u *usage, waiting []maintenanceVM, remaining, perTask time.Duration) *evacuation {
+	e := &evacuation{usage: u, perTask: perTask, admitted: map[workload.StepID]int{}}
 	e.due = remaining < e.duration(waiting)+drainTime+deadlineReserve
 	return e
 }
@@ -40,7 +50,7 @@
 		for _, t := range e.tasksOn(&waiting[i]) {
 			counts[t.Step]++
 			rounds := (counts[t.Step] + t.atOnce() - 1) / t.atOnce()
-			longest = max(longest, time.Duration(rounds)*evacuationTime)
+			longest = max(longest, time.Duration(rounds)*e.perTask)
 		}
 	}
 	return longest
@@ -107,7 +117,7 @@
 // isArriving reports whether the task has been started a moment ago. It is not moved
 // again before it is at work.
 func (t *longRunningTask) isArriving(r *run, now time.Time) bool {
-	return !t.atWork && now.Sub(r.since) < evacuationTime
+	return !t.atWork && now.Sub(r.since) < arrivalTime
 }
 
 // atOnce returns how many tasks of the step may leave their workers at a time.
--- a/internal/process/scheduler/wavepressure.go
+++ b/internal/process/scheduler/wavepressure.go
@@ -56,7 +56,7 @@
 		waveRound: r,
 		overdue:   overdue,
 		urgent:    remaining < time.Duration(batches)*maintenanceRound+deadlineReserve,
-		pressing:  remaining < returnEstimate+evacuationTime,
-		leaving:   newEvacuation(u, r.waiting, remaining),
+		pressing:  remaining < returnEstimate+l.Limits.evacuationTime(),
+		leaving:   newEvacuation(u, r.waiting, remaining, l.Limits.evacuationTime()),
 	}
 }
