integration: the capacity measurement compiles again

Cause: largeFleet is also a fleet load of hosted_load_test.go, so that go vet -tags capacity fails with a redeclaration. Change: the function of the measurement is called largeFleetDocument. Result: go vet ./integration is clean with and without the tag.

--- a/integration/capacity_measure_test.go
+++ b/integration/capacity_measure_test.go
@@ -78,10 +78,10 @@
 	return s
 }
 
-// largeFleet returns a fleet document with the given number of VMs in 7 zones.
+// largeFleetDocument returns a fleet document with the given number of VMs in 7 zones.
 // Documents of different revisions differ in the deployment's name and the
 // deadline of one service.
-func largeFleet(vms, revision int) string {
+func largeFleetDocument(vms, revision int) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, `{"schema": 1, "deployment": "large-%d", "weights": {"buffer": 1, "rollout": 1, "moves": 1}, "zones": [`, revision)
 	for z := range zonesAtTarget {
@@ -160,7 +160,7 @@
 		}
 		entries = append(entries, d.addEntry(fmt.Sprintf("entry-%d", z), fmt.Sprintf("z%d", z), link))
 	}
-	d.apply(largeFleet(size, 0))
+	d.apply(largeFleetDocument(size, 0))
 	d.waitInForce(20 * time.Second)
 	pools := max(5, size*217/2000)
 	for v := range size {
@@ -209,7 +209,7 @@
 	slowest := time.Duration(0)
 	for revision := range changes {
 		submitted := time.Now()
-		d.apply(largeFleet(size, revision+1))
+		d.apply(largeFleetDocument(size, revision+1))
 		d.waitInForce(10 * time.Second)
 		slowest = max(slowest, time.Since(submitted))
 	}
