workcall: the answer of the chosen relay counts as contact to the leader

Cause: an entry that had learned the leader from another member's hello answer, and then chose its relay, had no recorded contact until its next check. If the relay froze before that, a submission counted as cut off: its hello call ended after 150 ms (maxLeaderWaitCutOff) and it was refused 210 ms after it began, before the leader was called itself. TestEntryWithoutItsRelayIsServed failed by this whenever the relay froze before the first check and no call had been answered by the leader's own hello, 2 of 24 runs with -race. Change: the hello answer by which a relay is chosen is recorded with the time of its arrival, unless a later contact is known. Result: TestEntryThatHasJustChosenItsRelayIsServed failed 5 of 5 before, and passes 30 of 30 with -race after, as does TestEntryWithoutItsRelayIsServed, which is unchanged.

--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -174,6 +174,14 @@
 	c.answeredBy, c.answeredAt = address, time.Now()
 }
 
+// recordEarlierAnswer records that the leader or relay at an address answered a call at
+// a time, unless a later answer is known. c.mu must be held.
+func (c *Client) recordEarlierAnswer(address string, at time.Time) {
+	if at.After(c.answeredAt) {
+		c.answeredBy, c.answeredAt = address, at
+	}
+}
+
 // CatalogVersion returns the newest version of the catalog that a leader has
 // reported.
 func (c *Client) CatalogVersion() int64 { return c.catalogVersion.Load() }
--- a/internal/connection/workcall/leader.go
+++ b/internal/connection/workcall/leader.go
@@ -38,6 +38,8 @@
 	from  string
 	hello HelloResponse
 	err   error
+	// at is when the answer or the error arrived.
+	at time.Time
 }
 
 // findLeader asks some members or seeds at once for the leader and takes the
@@ -77,7 +79,7 @@
 	for _, address := range addresses {
 		go func() {
 			hello, err := c.hello(ctx, address)
-			answers <- memberAnswer{address, hello, err}
+			answers <- memberAnswer{from: address, hello: hello, err: err, at: time.Now()}
 		}()
 	}
 	return answers
--- a/internal/connection/workcall/relay.go
+++ b/internal/connection/workcall/relay.go
@@ -162,10 +162,16 @@
 	if !due {
 		return
 	}
-	chosen := c.preferred(c.askMembers(ctx, candidates), leader)
+	answers := c.askMembers(ctx, candidates)
+	chosen := c.preferred(answers, leader)
 	c.mu.Lock()
 	former := c.relays.chosen
 	c.relays.chosen, c.relays.chosenAt = chosen, time.Now()
+	for i := range answers {
+		if answers[i].from == chosen {
+			c.recordEarlierAnswer(chosen, answers[i].at)
+		}
+	}
 	c.mu.Unlock()
 	if chosen != former {
 		c.log.Info("relay chosen", "from", former, "to", chosen, "leader", leader, "candidates", len(candidates))
--- a/internal/connection/workcall/relay_test.go
+++ b/internal/connection/workcall/relay_test.go
@@ -150,6 +150,23 @@
 	d.awaitContact(t, d.relays[1].node.Address())
 }
 
+// TestEntryThatHasJustChosenItsRelayIsServed guards against entries that count as cut off, and give a submission up after maxLeaderWaitCutOff, although the relay that froze had just told them that it hears the leader.
+func TestEntryThatHasJustChosenItsRelayIsServed(t *testing.T) {
+	d := startRelayed(t, "a", "b")
+	c := startClient(t, d.relays[1])
+	c.UseRelays("a")
+	c.findLeader(t.Context())
+	c.chooseRelayIfDue(t.Context())
+	if got, want := c.contact(c.Leader()).address, d.relays[0].node.Address(); got != want {
+		t.Fatalf("calls are sent to %q, want %q", got, want)
+	}
+	d.relays[0].frozen.Store(true)
+	time.Sleep(2 * confirmedAge)
+	if err := submit(t, c); err != nil {
+		t.Errorf("error %v", err)
+	}
+}
+
 // TestRelayThatHasLostTheLeaderIsNotUsed guards against entries that are refused by a relay that is cut off although the leader can be reached.
 func TestRelayThatHasLostTheLeaderIsNotUsed(t *testing.T) {
 	d := startRelayed(t, "a", "b")
