scheduler: a restarted worker does not keep the labels of its former incarnation

Cause: registerRestart registered the next incarnation with the labels of the former one, and sameWorker did not compare labels, so that no heartbeat of a worker that had restarted as another kind corrected them: tasks with a required label started on a worker without it.

--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -187,12 +187,14 @@
 
 // registerRestart registers a new incarnation of a worker that has restarted
 // under the same id. Until its first heartbeat it is taken for like the former one,
-// but it does not drain, and if it starts whatever it is told, it has no capacity.
+// but it does not drain, it has no labels, since it may be of another kind, and if it
+// starts whatever it is told, it has no capacity.
 func (l *loop) registerRestart(w *worker, incarnation int64) {
 	reg := w.reg
 	reg.Incarnation = incarnation
 	reg.Sequence = 0
 	reg.Draining = false
+	reg.Labels = nil
 	l.Machine.Read(func(v *workstate.View) {
 		if !serviceEnforces(v, reg.Service) {
 			reg.Capacity = workload.Resources{}
