integration: the test of a rejoined voter waits for the removal of the killed one

Cause: the removed voter may rejoin before the learner on standby is promoted. Its promotion was then in the logs before the first kill, the wait for it ended at once, and the second kill left one voter and the learner. Change: within the same 6 s, the test waits until the survivors have logged the removal of the killed voter, which cannot precede the kill, and the promotions of both the rejoined voter and the learner.

--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -226,7 +226,14 @@
 	// one after the other.
 	h.controls[leader].kill()
 	h.submit(jobID(1), 3, 100*time.Millisecond)
-	h.awaitMemberChange(removed, "promoted to voter", 6*time.Second, removed, other, 3)
+	// Either of the learner on standby and the rejoined voter may have been promoted
+	// before the kill; only the removal of the killed voter shows that its place was
+	// filled since.
+	const limit = 6 * time.Second
+	killed := time.Now()
+	h.awaitMemberChange(leader, "removed", limit, removed, other, 3)
+	h.awaitMemberChange(removed, "promoted to voter", limit-time.Since(killed), removed, other, 3)
+	h.awaitMemberChange(3, "promoted to voter", limit-time.Since(killed), other, 3)
 	h.controls[h.leader()].kill()
 	h.submit(jobID(2), 3, 100*time.Millisecond)
 	h.awaitState(jobID(2), "succeeded", 20*time.Second)
