--- a/internal/version/fairshare/fairshare_test.go
+++ b/internal/version/fairshare/fairshare_test.go
@@ -68,3 +68,19 @@
 		}
 	}
 }
+
+// TestOneJobOfASmallAccountIsNotAboveItsShare guards against small accounts among many
+// large ones whose second job waits for all others.
+func TestOneJobOfASmallAccountIsNotAboveItsShare(t *testing.T) {
+	a := New([]catalog.Account{{Name: "small", Weight: 1}, {Name: "large", Weight: 199}})
+	a.HasCapacity("p", cores(1000))
+	a.Occupies("large", "p", cores(500))
+	a.Occupies("small", "p", cores(40))
+	if a.AboveShare("small", "p") {
+		t.Error("an account with a 25th of the pool is above its share")
+	}
+	a.Starts("small", "p", cores(1), cores(1), 1)
+	if !a.AboveShare("small", "p") {
+		t.Error("an account with more than a 25th of the pool and a 200th of the weights is not above its share")
+	}
+}
--- a/internal/version/fairshare/share.go
+++ b/internal/version/fairshare/share.go
@@ -6,6 +6,10 @@
 // others.
 const shareFactor = 1
 
+// smallShare is the part of a pool up to which no account is above its share. The share of a
+// small account among many is less than one of its jobs takes.
+const smallShare = 0.04
+
 // Part is an amount of one resource and the total of which it is a part.
 type Part struct{ Amount, Total float64 }
 
@@ -65,7 +69,7 @@
 }
 
 // AboveShare reports whether the dominant share of an account in a pool is above its
-// weight's part of the weights of all accounts that execute or wait there.
+// weight's part of the weights of all accounts that execute or wait there, and not small.
 func (a *Accounts) AboveShare(name, poolName string) bool {
 	p := a.pool(poolName)
 	used, c := p.use[name], p.capacity
@@ -74,7 +78,7 @@
 		Part{float64(used.MemoryMB), float64(c.MemoryMB)},
 		Part{float64(used.GPU), float64(c.GPU)},
 	)
-	return share*p.weights > shareFactor*a.of(name).effectiveWeight()
+	return share > smallShare && share*p.weights > shareFactor*a.of(name).effectiveWeight()
 }
 
 // Passed counts a group of an account that comes after those of others by its share.
