--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/process/scheduler/progresslog"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -228,7 +229,7 @@
 		attrs = append(attrs, "vm", successor.VM, "successor", successor.ID, "successor_incarnation", successor.Incarnation)
 	}
 	slices.Sort(lost.names)
-	l.Log.Warn("worker crashed with runs", append(attrs, "suspects", lost.names[:min(len(lost.names), maxRunsPerLine)],
+	l.Log.Warn("worker crashed with runs", append(attrs, "suspects", lost.names[:min(len(lost.names), progresslog.MaxRunsPerLine)],
 		"suspect_count", len(lost.names), "alone", c.alone, "settled_count", lost.settled)...)
 }
 
--- a/internal/process/scheduler/progress.go
+++ b/internal/process/scheduler/progress.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusward.example/arbutusward/internal/process/scheduler/progresslog"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -42,7 +43,7 @@
 		l.dropEnd(runKey{end.Task, end.Run})
 	}
 	endedRuns.Add(len(progress.Ends))
-	l.logProgress(progress, result.Started)
+	progresslog.Write(l.Log, progress, result.Started)
 	l.Machine.Read(func(v *workstate.View) {
 		l.logGivenUp(v, progress.Ends)
 		l.dropCommittedEnds(progress.Ends)
--- a/internal/process/scheduler/progresslog.go
+++ b/internal/process/scheduler/progresslog/progresslog.go
@@ -1,4 +1,6 @@
-package scheduler
+// Package progresslog writes the starts and ends of runs that a commit has recorded to
+// the log: one line for each step and kind of progress.
+package progresslog
 
 import (
 	"log/slog"
@@ -8,9 +10,9 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// maxRunsPerLine bounds the runs that one log line names, so that the line stays
+// MaxRunsPerLine bounds the runs that one log line names, so that the line stays
 // short enough to be written at once.
-const maxRunsPerLine = 64
+const MaxRunsPerLine = 64
 
 // progressLines collects the runs of one commit for the log: a line for each
 // step and kind of progress, or several for a step of many tasks.
@@ -32,9 +34,10 @@
 	count int
 }
 
-// logProgress logs the starts and ends of runs.
-func (l *loop) logProgress(p *workstate.Progress, started []bool) {
-	lines := progressLines{log: l.Log, lines: map[progressKey]*progressLine{}}
+// Write logs the starts and ends of runs. A start that the state did not take is told
+// apart by started.
+func Write(log *slog.Logger, p *workstate.Progress, started []bool) {
+	lines := progressLines{log: log, lines: map[progressKey]*progressLine{}}
 	for i := range p.Ends {
 		e := &p.Ends[i]
 		lines.add(endMessage(e.Kind), e.Task, e.Run, "")
@@ -74,7 +77,7 @@
 		p.lines[key] = line
 	}
 	line.add(task.Index, run, worker)
-	if line.count == maxRunsPerLine {
+	if line.count == MaxRunsPerLine {
 		p.write(key, line)
 		delete(p.lines, key)
 	}
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -14,6 +14,7 @@
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/scheduler/admit"
 	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
+	"arbutusward.example/arbutusward/internal/process/scheduler/proposals"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -40,7 +41,7 @@
 	// admission decides whether jobs are accepted.
 	admission admit.Control
 	// proposals tracks the configurations that are being proposed.
-	proposals proposalGate
+	proposals proposals.Gate
 }
 
 var _ workcall.LocalControl = (*Server)(nil)
--- a/internal/process/scheduler/suspects.go
+++ b/internal/process/scheduler/suspects.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/process/scheduler/progresslog"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -115,7 +116,7 @@
 		}
 		crashes := v.Job(p.Group.Job).Task(workload.TaskID{Job: p.Group.Job, Occurrence: p.Group.Occurrence, Step: p.Group.Step, Index: p.Index}).Crashes
 		k := key{p.Group, p.Worker}
-		if len(tasks[k]) < maxRunsPerLine {
+		if len(tasks[k]) < progresslog.MaxRunsPerLine {
 			tasks[k] = append(tasks[k], fmt.Sprintf("%d(%d)", p.Index, crashes))
 		}
 	}
