scheduler: a heartbeat that states another zone is news

Cause: sameWorker compares the registration field by field. Change: the zone is compared; a test looks at each field that a heartbeat states, so that a new one can't be forgotten. Result: TestEachFieldOfAHeartbeatIsNews failed before (Zone) and passes now.

--- a/internal/process/scheduler/restartlabels_test.go
+++ b/internal/process/scheduler/restartlabels_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"reflect"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -63,3 +64,37 @@
 		})
 	})
 }
+
+// TestEachFieldOfAHeartbeatIsNews guards against a registration that no later heartbeat corrects, since a field that the heartbeat states is not compared: labels were not, nor was the zone.
+func TestEachFieldOfAHeartbeatIsNews(t *testing.T) {
+	// The leader sets these itself, or orders heartbeats by them.
+	ignored := []string{"ID", "Restarted", "Sequence", "Leaving", "EndsByOrder"}
+	fields := reflect.TypeFor[workstate.Worker]()
+	for i := range fields.NumField() {
+		field := fields.Field(i)
+		if slices.Contains(ignored, field.Name) {
+			continue
+		}
+		t.Run(field.Name, func(t *testing.T) {
+			registered := workstate.Worker{ID: "w1", Labels: []string{"a"}}
+			heartbeat := registered
+			switch value := reflect.ValueOf(&heartbeat).Elem().Field(i).Addr().Interface().(type) {
+			case *string:
+				*value = "other"
+			case *int64:
+				*value = 7
+			case *bool:
+				*value = true
+			case *[]string:
+				*value = []string{"b"}
+			case *workload.Resources:
+				value.MilliCPU = 7
+			default:
+				t.Fatalf("no other value of type %T", value)
+			}
+			if sameWorker(&registered, &heartbeat) {
+				t.Error("a heartbeat with another value has no news")
+			}
+		})
+	}
+}
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -119,6 +119,6 @@
 
 // sameWorker reports whether a heartbeat has no new information about a worker.
 func sameWorker(a, b *workstate.Worker) bool {
-	return a.Address == b.Address && a.Service == b.Service && a.VM == b.VM && a.Incarnation == b.Incarnation &&
+	return a.Address == b.Address && a.Service == b.Service && a.Zone == b.Zone && a.VM == b.VM && a.Incarnation == b.Incarnation &&
 		a.Capacity == b.Capacity && a.Draining == b.Draining && slices.Equal(a.Labels, b.Labels)
 }
