workstate: the queue of an ended job is kept as long as the job

Callers saw: with access control, GET and DELETE of a job that was submitted without a key and has ended were answered 404 once its route was removed, although the state of the job is kept for status_s. Removed queues were kept for active jobs only, so that nothing told that the queue had been open. Change: removed queues are kept for all jobs of the state. TestRemovedQueueApplies... asked that the queue is gone once its job has ended; it now asks that it stays with the ended job and is gone after the job was purged.

--- a/internal/process/scheduler/server_access_test.go
+++ b/internal/process/scheduler/server_access_test.go
@@ -103,3 +103,33 @@
 		}
 	}
 }
+
+// TestEndedJobIsReadAfterItsQueueWasRemoved guards against a 404 for a job whose state is still kept: it was submitted without a key, has ended, and its queue was removed.
+func TestEndedJobIsReadAfterItsQueueWasRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		open := catalogWithAccounts(2, "a")
+		open.Queues[0].Anonymous = true
+		f.commit(&workstate.Command{Catalog: open})
+		at := workcall.Location{Host: "host", Path: "/q/" + jobA}
+		spec := workload.Spec{Steps: []workload.Step{step(1)}}
+		if answer, err := s.Submit(t.Context(), workcall.SubmitRequest{Location: at, Spec: spec}); err != nil || answer.Status != workcall.OK {
+			t.Fatalf("submission: %+v, %v", answer, err)
+		}
+		if answer, err := s.Cancel(t.Context(), workcall.JobRequest{Location: at}); err != nil || answer.Status != workcall.OK {
+			t.Fatalf("cancellation: %+v, %v", answer, err)
+		}
+		for version := range int64(2) {
+			removed := catalogWithAccounts(3+version, "a")
+			removed.Queues = nil
+			f.commit(&workstate.Command{Catalog: removed})
+			if answer, err := s.Job(t.Context(), workcall.JobRequest{Location: at}); err != nil || answer.Status != workcall.OK || answer.Outcome != workstate.Cancelled {
+				t.Errorf("read: %+v, %v", answer, err)
+			}
+			if answer, err := s.Cancel(t.Context(), workcall.JobRequest{Location: at}); err != nil || answer.Status != workcall.OK {
+				t.Errorf("repeated cancellation: %+v, %v", answer, err)
+			}
+		}
+	})
+}
--- a/internal/process/workstate/queues.go
+++ b/internal/process/workstate/queues.go
@@ -23,11 +23,11 @@
 	}
 }
 
-// removedQueues returns the queues of the active jobs that the next catalog does not
-// have, as last known.
+// removedQueues returns the queues of all jobs that the next catalog does not have, as
+// last known. Those of ended jobs tell who may read them.
 func (m *Machine) removedQueues(next *catalog.Catalog) map[string]catalog.Queue {
 	removed := map[string]catalog.Queue{}
-	for _, job := range m.active {
+	for _, job := range m.data.Jobs {
 		if queue := m.queues[job.Queue]; queue != nil {
 			removed[job.Queue] = *queue
 		}
--- a/internal/process/workstate/queues_test.go
+++ b/internal/process/workstate/queues_test.go
@@ -127,6 +127,11 @@
 	}
 	apply(t, m, Command{Cancel: &Cancel{ID: testJob}})
 	apply(t, m, Command{Catalog: catalogWithoutQueue(5)})
+	if len(m.data.Removed) != 1 {
+		t.Errorf("%d queues are kept, expected that of the ended job", len(m.data.Removed))
+	}
+	apply(t, m, Command{PurgeJobs: &PurgeJobs{EndedBeforeMS: m.data.ClockMS + 1}})
+	apply(t, m, Command{Catalog: catalogWithoutQueue(6)})
 	if len(m.data.Removed) > 0 {
 		t.Errorf("%d queues without jobs are kept", len(m.data.Removed))
 	}
