A job id of another queue is not a repetition

Callers saw: a submission to one route was answered 200, and never ran, if a job of another route had its id. Change: a job is known at the location of its submission only. Another location is answered 400, also if the command is applied after the other job's.

--- a/internal/process/scheduler/admit/control.go
+++ b/internal/process/scheduler/admit/control.go
@@ -124,11 +124,12 @@
 	return true, inFlight.response, inFlight.err
 }
 
-// mayRepeat reports whether the submission's key allows it to repeat that of a job that the
-// state has.
+// mayRepeat reports whether the submission repeats that of a job that the state has, and
+// its key allows that.
 func mayRepeat(l Leader, s Submission) (allowed bool) {
 	l.Machine.Read(func(v *workstate.View) {
-		allowed = v.Job(s.ID) != nil && v.RepetitionAccess(s.ID, s.Key) == access.Allowed
+		job := v.Job(s.ID)
+		allowed = job != nil && job.AcceptedAt(s.Host, s.Path) && v.RepetitionAccess(s.ID, s.Key) == access.Allowed
 	})
 	return allowed
 }
--- a/internal/process/scheduler/server_access.go
+++ b/internal/process/scheduler/server_access.go
@@ -105,6 +105,8 @@
 		return workcall.Unauthorized
 	case workstate.Forbidden:
 		return workcall.Forbidden
+	case workstate.OtherJob:
+		return workcall.Invalid
 	}
 	return workcall.UnknownJob
 }
--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -50,8 +50,9 @@
 // known also if its route has been changed or removed since.
 func examine(v *workstate.View, r workcall.SubmitRequest) submission {
 	queue, rest := v.Catalog().Match(r.Host, r.Path)
-	found := submission{id: rest, known: v.Job(rest) != nil}
-	if job := findJob(v, r.Location); job != nil && job.Queue+job.ID == r.Host+r.Path {
+	found := submission{id: rest}
+	job := findJob(v, r.Location)
+	if job != nil && job.AcceptedAt(r.Host, r.Path) {
 		found.id, found.known = job.ID, true
 	}
 	switch {
@@ -61,6 +62,8 @@
 		found.refusal.Status = workcall.UnknownQueue
 	case !validJobID(rest):
 		found.refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
+	case job != nil && !found.known:
+		found.refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "a job of another queue has the id"}
 	}
 	found.checkAccess(v, &r)
 	return found
--- a/internal/process/scheduler/server_test.go
+++ b/internal/process/scheduler/server_test.go
@@ -89,3 +89,30 @@
 		})
 	}
 }
+
+// TestJobIDOfAnotherQueueIsNotARepetition guards against a submission that is answered as accepted, and never runs, since a job of another queue has its id.
+func TestJobIDOfAnotherQueueIsNotARepetition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		next := testCatalog()
+		next.Version = 2
+		next.Queues = append(next.Queues, catalog.Queue{Name: "o", Host: "host", PathPrefix: "/o/", Service: "svc"})
+		f.commit(&workstate.Command{Catalog: next})
+		spec := workload.Spec{Steps: []workload.Step{step(1)}}
+		for _, c := range []struct {
+			path string
+			want workcall.Status
+		}{{"/q/", workcall.OK}, {"/o/", workcall.Invalid}, {"/q/", workcall.OK}} {
+			answer, err := s.Submit(t.Context(), workcall.SubmitRequest{Location: workcall.Location{Host: "host", Path: c.path + jobA}, Spec: spec})
+			if err != nil || answer.Status != c.want {
+				t.Errorf("submission to %s: %+v, %v, expected status %d", c.path, answer, err, c.want)
+			}
+		}
+		// The leader has proposed the other job before it knew of the first one.
+		late := &workstate.Command{Submit: &workstate.Submit{ID: jobA, Host: "host", Path: "/o/" + jobA, Spec: spec}}
+		if result := f.commit(late); result.Code != workstate.OtherJob {
+			t.Errorf("command of a job whose id is taken: %+v", result)
+		}
+	})
+}
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -158,6 +158,8 @@
 	Unauthorized
 	// Forbidden means that the job belongs to another account.
 	Forbidden
+	// OtherJob means that a job of another queue has the id.
+	OtherJob
 )
 
 // Result is the result of applying a command.
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -23,10 +23,13 @@
 	return Result{Code: OK, Version: c.Version}
 }
 
-// applySubmit accepts a job. A job with a known id is a repetition. The key is checked
-// against the catalog in force now, which may be newer than that of the proposer.
+// applySubmit accepts a job. One with a known id at the same location is a repetition. The
+// key is checked against the catalog in force now, which may be newer than that of the proposer.
 func (m *Machine) applySubmit(s *Submit) Result {
 	if job := m.data.Jobs[s.ID]; job != nil {
+		if !job.AcceptedAt(s.Host, s.Path) {
+			return Result{Code: OtherJob}
+		}
 		return Result{Code: codeOf(m.repetitionAccess(job, s.Key)), Repeated: true}
 	}
 	decision := m.access.Queue(s.Host, s.Path, s.Key)
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -129,6 +129,10 @@
 	OverRate bool `cbor:"13,keyasint,omitempty"`
 }
 
+// AcceptedAt reports whether the job was submitted at a location. A submission with the
+// same id at another one is not a repetition.
+func (j *Job) AcceptedAt(host, path string) bool { return j.Queue+j.ID == host+path }
+
 // Worker is a registered incarnation of a worker, which represents a VM in a
 // pool.
 type Worker struct {
