workcall: a test of each later answer after an answer was lost

The test shows for each refusal that it is passed on only if the leader does not know the job, and that the result is unknown otherwise.

--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -279,3 +279,24 @@
 		}
 	}
 }
+
+// TestRefusalAfterALostAnswerIsPassedOnOnlyIfTheJobIsNotKnown guards against an answer that says that a job was not accepted, whatever the reason, after an earlier copy of its submission was.
+func TestRefusalAfterALostAnswerIsPassedOnOnlyIfTheJobIsNotKnown(t *testing.T) {
+	for _, status := range []Status{UnknownQueue, Invalid, NotReady, Overloaded, Unauthorized, Forbidden} {
+		for _, known := range []bool{true, false} {
+			leader := startMember(t)
+			client := startClient(t, leader)
+			go client.Run(t.Context())
+			waitForLeader(t, client, leader.node.Address())
+			leader.refusal.Store(&SubmitResponse{Status: status, Known: known})
+			leader.losing.Store(true)
+			time.AfterFunc(50*time.Millisecond, func() { leader.losing.Store(false) })
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			answer, err := client.Submit(ctx, SubmitRequest{})
+			cancel()
+			if unknown := errors.Is(err, ErrUnknown); unknown != known || !unknown && answer.Status != status {
+				t.Errorf("status %d, known %t: answer %+v, error %v", status, known, answer, err)
+			}
+		}
+	}
+}
