workstate: a state of any size is decoded

Change: the decoder has no limits of its own; the limits of jobs bound the state. Result: TestLargeStateIsRestored failed before ("exceeded max number of key-value pairs 131072") and passes now.

--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,6 +13,18 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
+// stateDecoder decodes snapshots. The limits of jobs bound the state, and one that has been
+// accepted must be decoded whatever its size.
+var stateDecoder = mustDecoder(cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32})
+
+func mustDecoder(o cbor.DecOptions) cbor.DecMode {
+	mode, err := o.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("decoder of the state: %v", err))
+	}
+	return mode
+}
+
 // Machine is the replicated state machine. Apply, Snapshot and Restore must be
 // called by a single goroutine. Read is safe for concurrent use but must not be
 // called within another Read: a waiting Apply between the two would deadlock
@@ -125,7 +138,7 @@
 // replica.StateMachine.
 func (m *Machine) Restore(_ uint64, snapshot []byte) error {
 	restored := emptyData()
-	if err := cbor.Unmarshal(snapshot, &restored); err != nil {
+	if err := stateDecoder.Unmarshal(snapshot, &restored); err != nil {
 		return fmt.Errorf("decode state snapshot: %w", err)
 	}
 	m.mu.Lock()
--- a/internal/process/workstate/machine_test.go
+++ b/internal/process/workstate/machine_test.go
@@ -355,3 +355,25 @@
 		t.Error("the next incarnation is not registered")
 	}
 }
+
+// TestLargeStateIsRestored guards against a state that no process can start with again: the decoder's own limits of maps and arrays are below what the state may hold.
+func TestLargeStateIsRestored(t *testing.T) {
+	const count = 140_000
+	m := newTestMachine(t)
+	for i := range count {
+		id := fmt.Sprintf("%016x", i)
+		m.data.Jobs[id] = &Job{ID: id, Outcome: Succeeded}
+	}
+	m.data.Jobs[testJob].ensureOccurrence(count - 1)
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewMachine()
+	if err := restored.Restore(1, snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(restored.data.Jobs[testJob].Occurrences); len(restored.data.Jobs) != len(m.data.Jobs) || got != count {
+		t.Errorf("%d jobs, %d occurrences", len(restored.data.Jobs), got)
+	}
+}
