placement: the objective of a job and the time that it is of use stand once

Change: overload and admit call placement.LatencyObjective and placement.Useful; behaviour as before.

--- a/internal/process/scheduler/admit/survey.go
+++ b/internal/process/scheduler/admit/survey.go
@@ -125,7 +125,7 @@
 	weight := accountWeight(s.view, job.Account)
 	for k := job.OccurrencesDone; k < job.Spec.Occurrences() && job.Spec.DueMS(k) <= s.wallMS; k++ {
 		age := time.Duration(s.wallMS-max(job.AcceptedMS, job.Spec.DueMS(k))) * time.Millisecond
-		if assessed.Objective > 0 && age > overload.Useful(assessed.Objective) {
+		if assessed.Objective > 0 && age > placement.Useful(assessed.Objective) {
 			continue
 		}
 		if !job.OverRate {
--- a/internal/version/overload/assess.go
+++ b/internal/version/overload/assess.go
@@ -35,7 +35,7 @@
 	// The caller's objective follows from the true durations, of which the longer
 	// chain is the one in favor of accepting.
 	chain := max(j.Chain, placement.LongestChain(estimates, dependsOn))
-	j.Objective = time.Duration(queue.Stretch*float64(chain)) + queue.TargetLatency
+	j.Objective = placement.LatencyObjective(queue.Stretch, queue.TargetLatency, chain)
 }
 
 // StepWork returns the expected work of a number of tasks of a step in dominant core
--- a/internal/version/overload/decide.go
+++ b/internal/version/overload/decide.go
@@ -4,6 +4,8 @@
 	"hash/fnv"
 	"math"
 	"time"
+
+	"arbutusward.example/arbutusward/internal/version/placement"
 )
 
 const (
@@ -12,8 +14,6 @@
 	// fullRatio is the share of the room in use from which on waiting tasks are taken to
 	// wait for room.
 	fullRatio = 0.6
-	// usefulObjectives is the number of objectives after which a job is of no use.
-	usefulObjectives = 3
 	// lateMargin is the ratio by which the estimated end of a job must exceed its last
 	// useful moment before the job is refused, because estimates are poor.
 	lateMargin = 1.25
@@ -44,9 +44,6 @@
 	Objective time.Duration
 }
 
-// Useful returns how long after its submission a job with an objective is of use.
-func Useful(objective time.Duration) time.Duration { return usefulObjectives * objective }
-
 // Reason tells why a job is refused.
 type Reason string
 
@@ -80,10 +77,10 @@
 		return p.decideOverRate(j)
 	}
 	verdict := p.verdict(p.ownBacklog(j))
-	late := p.end(j, verdict.Wait) - Useful(j.Objective)
-	if p.end(j, verdict.Wait) > time.Duration(lateMargin*float64(Useful(j.Objective))) {
+	late := p.end(j, verdict.Wait) - placement.Useful(j.Objective)
+	if p.end(j, verdict.Wait) > time.Duration(lateMargin*float64(placement.Useful(j.Objective))) {
 		verdict.Refused = TooLate
-		verdict.RetryAfter = retryAfter(j, late, Useful(j.Objective)-j.Objective)
+		verdict.RetryAfter = retryAfter(j, late, placement.Useful(j.Objective)-j.Objective)
 	}
 	return verdict
 }
@@ -97,7 +94,7 @@
 	// Owed jobs that are yet to come leave a share of the room to the others.
 	verdict.Backlog += overRate
 	verdict.Wait += time.Duration(float64(p.timeFor(overRate)) / p.drainShare())
-	late = max(late, p.end(j, verdict.Wait)-Useful(j.Objective))
+	late = max(late, p.end(j, verdict.Wait)-placement.Useful(j.Objective))
 	if late > 0 {
 		verdict.Refused = OverRate
 		verdict.RetryAfter = retryAfter(j, late, j.Objective)
@@ -164,7 +161,7 @@
 // worked off enough, spread over an interval by the job's id. It is never later than
 // the job would be of use.
 func retryAfter(j *Job, earliest, interval time.Duration) time.Duration {
-	useful := Useful(j.Objective)
+	useful := placement.Useful(j.Objective)
 	earliest = max(earliest, minRetryAfter)
 	if earliest+interval > useful {
 		// The callers return over at least the last third of the time.
--- a/internal/version/overload/load_test.go
+++ b/internal/version/overload/load_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"arbutusward.example/arbutusward/internal/version/placement"
 )
 
 // sizes are the tasks of each step of a job, skewed up to 4 times.
@@ -57,7 +59,7 @@
 		case !of(j):
 		case j.accepted < 0:
 			r.refused++
-		case j.ended < 0 || took > Useful(j.objective):
+		case j.ended < 0 || took > placement.Useful(j.objective):
 			r.noUse++
 		case took > j.objective:
 			r.late++
--- a/internal/version/overload/model_test.go
+++ b/internal/version/overload/model_test.go
@@ -9,6 +9,7 @@
 
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/durations"
+	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -133,7 +134,7 @@
 		p.Running += Remaining(m.durations.Predict(r.job.spec.Steps[r.step].Estimate), m.now-r.began).Seconds()
 	}
 	for _, j := range m.jobs {
-		if j.accepted < 0 || j.ended >= 0 || m.now-j.accepted > Useful(j.Objective) {
+		if j.accepted < 0 || j.ended >= 0 || m.now-j.accepted > placement.Useful(j.Objective) {
 			continue
 		}
 		p.WaitingTasks += j.waiting()
@@ -177,7 +178,7 @@
 func (m *model) class(j *modelJob) int {
 	age := m.now - j.accepted
 	switch {
-	case age > Useful(j.Objective):
+	case age > placement.Useful(j.Objective):
 		return 3
 	case j.OverRate:
 		return 2
--- a/internal/version/overload/overload_test.go
+++ b/internal/version/overload/overload_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -72,7 +73,7 @@
 	p, j := fullPool(), shortJob()
 	for _, overRate := range []bool{false, true} {
 		j.OverRate = overRate
-		if after := Decide(p, &j).RetryAfter; after < time.Second || after > Useful(j.Objective) {
+		if after := Decide(p, &j).RetryAfter; after < time.Second || after > placement.Useful(j.Objective) {
 			t.Errorf("over rate %t: return after %s", overRate, after)
 		}
 	}
--- a/internal/version/overload/pool.go
+++ b/internal/version/overload/pool.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -65,7 +66,7 @@
 	if !limited || account == j.Account {
 		return work
 	}
-	return min(work, limit*Useful(j.Objective).Seconds())
+	return min(work, limit*placement.Useful(j.Objective).Seconds())
 }
 
 // cores returns the dominant cores that work off the backlog.
--- a/internal/version/placement/accounts_test.go
+++ b/internal/version/placement/accounts_test.go
@@ -127,7 +127,7 @@
 type rules struct{ tiers, marks, shares bool }
 
 // worths returns the mean worth of the jobs of each account: 1 within the objective,
-// falling to 0 at lateFactor times it.
+// falling to 0 at usefulObjectives times it.
 func (sim *simulation) worths(loads []accountLoad, r rules) map[string]float64 {
 	accountOf, marked := sim.submit(loads)
 	byID := map[string]*Worker{}
@@ -176,7 +176,7 @@
 	}
 	allowed := simulatedStretch*j.chain(0, actual).Seconds() + simulatedTargetLatency.Seconds()
 	late := j.ended.Sub(j.accepted).Seconds()/allowed - 1
-	return min(1, max(0, 1-late/(lateFactor-1)))
+	return min(1, max(0, 1-late/(usefulObjectives-1)))
 }
 
 // submit draws the jobs of all accounts. It returns the account of each job, and the jobs
--- a/internal/version/placement/rank.go
+++ b/internal/version/placement/rank.go
@@ -40,9 +40,18 @@
 // objective. It ranks them behind all jobs that can.
 const missedObjectiveRank = 1e9
 
-// lateFactor is the multiple of its objective up to which the result of a job is still of
+// usefulObjectives is the number of objectives up to which the result of a job is still of
 // some use to its caller. Callers of the deployments give it no worth after that.
-const lateFactor = 3
+const usefulObjectives = 3
+
+// Useful returns how long after its submission a job with an objective is of use.
+func Useful(objective time.Duration) time.Duration { return usefulObjectives * objective }
+
+// LatencyObjective returns the latency that meets the objective of a queue for a job with a
+// chain of steps.
+func LatencyObjective(stretch float64, target, chain time.Duration) time.Duration {
+	return time.Duration(stretch*float64(chain)) + target
+}
 
 // Tier is the class of a job by what it is still worth to serve it soon. Lower tiers of a
 // priority are served first.
@@ -63,7 +72,7 @@
 func (o *Objective) TierAt(now time.Time, overRate bool) Tier {
 	end, allowed := o.expectedLatency(now), o.allowed()
 	switch {
-	case allowed > 0 && end > lateFactor*allowed:
+	case allowed > 0 && end > Useful(allowed):
 		return Useless
 	case overRate:
 		return OverRate
@@ -75,7 +84,7 @@
 
 // allowed returns the latency that meets the objective.
 func (o *Objective) allowed() time.Duration {
-	return time.Duration(o.Stretch*float64(o.Chain)) + o.TargetLatency
+	return LatencyObjective(o.Stretch, o.TargetLatency, o.Chain)
 }
 
 // expectedLatency returns the latency of the job if all its open steps start as soon as
