Accepted jobs have a limit of memory

Callers saw: clients who submit whole legal jobs fill the state that each control process keeps, until control ends or loses its leader, and again at each start; all callers then get 503 and 504. One job of 100 bytes asked for 100,000 occurrences: 40 of them took 1008 MB. Cause: admission looked at the load only.

Change: the leader counts an upper estimate of what a job takes in a control process, by its steps, tasks, occurrences and texts, and refuses at once (429, Retry-After 5 s) what would exceed a fifth of the memory of the smallest control process; a quarter of that is kept for small jobs, and accounts keep to their shares once half is taken. Jobs in flight count. A job that never fits is answered 400. The state drops the progress of jobs that have ended. The tests of jobmemory, admit and workstate pass.

--- a/internal/connection/workcall/types.go
+++ b/internal/connection/workcall/types.go
@@ -269,4 +269,6 @@
 	Admin string `cbor:"3,keyasint"`
 	// Format is the newest format of commands that the process can read.
 	Format int `cbor:"4,keyasint,omitempty"`
+	// JobMemory is the memory that the process has for jobs, in bytes.
+	JobMemory int64 `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -22,6 +22,7 @@
 	"arbutusward.example/arbutusward/internal/process/scheduler"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/jobmemory"
 	"arbutusward.example/arbutusward/platform"
 )
 
@@ -160,7 +161,7 @@
 		Limits: scheduler.Limits{
 			StopTimeout: s.Limits.StopTimeout, LongestLease: s.Limits.LongestLease, FencingEnforced: s.Limits.FencingEnforced, HolderLease: s.Limits.HolderLease,
 			HeartbeatInterval: s.Limits.HeartbeatInterval, CapacityGrace: s.Limits.CapacityGrace,
-			Retention: s.Limits.Retention, ActionRate: s.ActionRate,
+			Retention: s.Limits.Retention, ActionRate: s.ActionRate, JobMemory: jobmemory.Limit(s.MemoryMB),
 		},
 	}
 	if s.PlatformAddress != "" {
@@ -217,7 +218,7 @@
 func (c *Control) join(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	return c.client.Join(ctx, workcall.JoinRequest{ID: c.member.ID, Link: c.settings.LinkAddress, Admin: c.settings.ControlAddress, Format: workstate.NewestFormat})
+	return c.client.Join(ctx, workcall.JoinRequest{ID: c.member.ID, Link: c.settings.LinkAddress, Admin: c.settings.ControlAddress, Format: workstate.NewestFormat, JobMemory: jobmemory.Limit(c.settings.MemoryMB)})
 }
 
 // logJoinFailure logs why a request to join failed, unless this process is a
--- a/internal/process/scheduler/admit/control.go
+++ b/internal/process/scheduler/admit/control.go
@@ -28,10 +28,11 @@
 const lateCopyRetryAfter = time.Second
 
 // Control decides about the submissions that reach a process. The zero value knows no
-// load and accepts all jobs.
+// load and no limit of memory, and accepts all jobs.
 type Control struct {
-	Load Board
-	gate gate
+	Load   Board
+	Memory Memory
+	gate   gate
 }
 
 // Leader is what a decision needs of the leader's process.
@@ -60,18 +61,40 @@
 	age time.Duration
 }
 
+// refused is the refusal of a job.
+type refused struct {
+	response workcall.SubmitResponse
+	// record logs and counts the refusal.
+	record func(*slog.Logger)
+}
+
+// judge claims the memory of a job, or refuses the job by the newest load or for lack of
+// memory.
+func (c *Control) judge(l Leader, s *Submission) (*claim, *refused) {
+	if e := c.estimate(l, *s); e.Refused != "" {
+		return nil, e.refusal(s)
+	}
+	claimed, verdict := c.Memory.claim(l.Machine, s, time.Now())
+	if verdict.Refused != "" {
+		return nil, memoryRefusal(verdict, s)
+	}
+	return claimed, nil
+}
+
 // Admit decides whether a job that the state does not have is proposed, under the
 // returned proposal, or answered at once. A job that is refused never runs from this
 // submission. The error is that of Leader.Read, or a *link.Fault.
 func (c *Control) Admit(ctx context.Context, l Leader, s Submission) (*Proposal, workcall.SubmitResponse, error) {
-	verdict := c.estimate(l, s)
+	claimed, refused := c.judge(l, &s)
 	lateCopy := c.gate.wasRefused(s.Attempt, time.Now())
-	if verdict.Refused == "" && !lateCopy {
+	if refused == nil && !lateCopy {
 		if proposal := c.gate.begin(s.ID, s.Attempt, time.Now()); proposal != nil {
+			proposal.claim = claimed
 			return proposal, workcall.SubmitResponse{}, nil
 		}
 		lateCopy = true
 	}
+	claimed.release()
 	has := false
 	look := func(v *workstate.View) { has = v.Job(s.ID) != nil }
 	known := func() bool {
@@ -83,7 +106,7 @@
 		if err := l.Read(ctx, look); err != nil {
 			return nil, workcall.SubmitResponse{}, err
 		}
-		if lateCopy && !has {
+		if !has && (lateCopy || refused == nil) {
 			refusedAgain.Inc()
 			l.Log.Info("job refused", "job", s.ID, "path", s.Path, "reason", "the attempt was refused before")
 			return nil, refusal("the call was refused before", lateCopyRetryAfter), nil
@@ -100,8 +123,8 @@
 			return nil, response, err
 		}
 	}
-	verdict.record(l, s)
-	return nil, refusal(fmt.Sprintf("%s, the estimated wait is %d ms", verdict.Refused, verdict.Wait.Milliseconds()), verdict.RetryAfter), nil
+	refused.record(l.Log)
+	return nil, refused.response, nil
 }
 
 func refusal(reason string, after time.Duration) workcall.SubmitResponse {
@@ -160,15 +183,21 @@
 	return e
 }
 
+// refusal returns the refusal of a job by its estimate.
+func (e *estimate) refusal(s *Submission) *refused {
+	reason := fmt.Sprintf("%s, the estimated wait is %d ms", e.Refused, e.Wait.Milliseconds())
+	return &refused{response: refusal(reason, e.RetryAfter), record: func(log *slog.Logger) { e.record(log, s) }}
+}
+
 // record logs and counts a refusal.
-func (e *estimate) record(l Leader, s Submission) {
+func (e *estimate) record(log *slog.Logger, s *Submission) {
 	switch e.Refused {
 	case overload.OverRate:
 		refusedOverRate.Inc()
 	default:
 		refusedTooLate.Inc()
 	}
-	l.Log.Info("job refused", "job", s.ID, "path", s.Path, "account", s.Account, "reason", e.Refused,
+	log.Info("job refused", "job", s.ID, "path", s.Path, "account", s.Account, "reason", e.Refused,
 		"priority", e.job.Priority, "over_rate", e.job.OverRate, "backlog_core_s", e.Backlog, "work_core_s", e.job.Work,
 		"capacity_mcpu", e.pool.Room.MilliCPU, "planned_mcpu", e.pool.Planned.MilliCPU, "wait_ms", e.Wait.Milliseconds(),
 		"chain_ms", e.job.Chain.Milliseconds(), "objective_ms", e.job.Objective.Milliseconds(),
--- a/internal/process/scheduler/admit/gate.go
+++ b/internal/process/scheduler/admit/gate.go
@@ -34,7 +34,9 @@
 type Proposal struct {
 	gate *gate
 	id   string
-	done chan struct{}
+	// claim is the memory of the job, or nil.
+	claim *claim
+	done  chan struct{}
 	// response and err are set when done is closed.
 	response workcall.SubmitResponse
 	err      error
@@ -59,6 +61,7 @@
 // End records the answer to a proposal, which may take effect later if the error does
 // not say otherwise.
 func (p *Proposal) End(response workcall.SubmitResponse, err error, now time.Time) {
+	p.claim.release()
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
 	if err != nil && !certainlyRefused(err) {
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -256,7 +256,7 @@
 			continue
 		}
 		task := job.Task(e.Task)
-		if !task.GivenUp(&job.Spec.Steps[e.Task.Step], e.Alone) {
+		if task == nil || !task.GivenUp(&job.Spec.Steps[e.Task.Step], e.Alone) {
 			continue
 		}
 		logged[job.ID] = true
--- a/internal/process/scheduler/loadlog/loadlog.go
+++ b/internal/process/scheduler/loadlog/loadlog.go
@@ -50,6 +50,8 @@
 	// StepsWaiting and TasksWaiting are those that wait for capacity, TasksExecuting
 	// the recorded runs.
 	StepsWaiting, TasksWaiting, TasksExecuting int
+	// JobBytes is the memory that the jobs of the state are counted for.
+	JobBytes int64
 	// EventsQueued is the number of events that wait for the loop.
 	EventsQueued int
 	// OldestReport is the age of the oldest report that the next plan uses.
@@ -150,7 +152,7 @@
 			"link_calls", newest.linkCalls-s.last.linkCalls, "link_served", newest.linkServed-s.last.linkServed,
 			"messages_sent", newest.sent-s.last.sent, "messages_received", newest.received-s.last.received, "batches", newest.batches-s.last.batches,
 			"confirmations", newest.reads-s.last.reads, "handled", newest.handledSince(&s.last), "collections", newest.collections-s.last.collections,
-			"events_queued", state.EventsQueued, "oldest_report_ms", state.OldestReport.Milliseconds())
+			"job_bytes", state.JobBytes, "events_queued", state.EventsQueued, "oldest_report_ms", state.OldestReport.Milliseconds())
 	}
 	*s = Log{loggedAt: now, last: newest}
 }
--- a/internal/process/scheduler/options.go
+++ b/internal/process/scheduler/options.go
@@ -53,6 +53,8 @@
 	HolderLease time.Duration
 	// Retention is how long jobs are kept after they have ended.
 	Retention time.Duration
+	// JobMemory is the memory that this process has for jobs, in bytes; 0 means no limit.
+	JobMemory int64
 	// ActionRate is the number of orders for VMs per second that the platform
 	// accepts from all processes together.
 	ActionRate float64
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -29,6 +29,7 @@
 		replica: options.Replica, machine: options.Machine, log: options.Log, address: address, zone: options.Zone, directWorkers: options.DirectWorkers,
 		wake: s.wake, onHeartbeats: s.heartbeatsReceived, onJobAccepted: s.jobAccepted, now: options.Now,
 	}
+	s.server.admission.Memory.SetOwn(options.Limits.JobMemory)
 	workcall.Register(node, s.server)
 	link.Handle(node, workcall.HelloKind, func(context.Context, link.Peer, workcall.HelloRequest) (workcall.HelloResponse, error) {
 		return s.server.Hello(), nil
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -43,6 +43,7 @@
 	}
 	m.data.Jobs[s.ID] = job
 	m.active[s.ID] = job
+	m.charge(job)
 	return Result{Code: OK}
 }
 
@@ -71,17 +72,23 @@
 // deactivateEnded removes a job from the active jobs if it has ended and none of
 // its tasks is executing.
 func (m *Machine) deactivateEnded(job *Job) {
-	if job.Outcome != Open && job.Executing == 0 {
+	if job.ended() {
 		delete(m.active, job.ID)
-		job.Spec.Payload = ""
+		m.release(job)
 	}
 }
 
-// applyPurgeJobs removes the jobs that ended before a time.
+// applyPurgeJobs removes the jobs that ended before a time, and drops the progress of the
+// failed ones that are kept.
 func (m *Machine) applyPurgeJobs(p *PurgeJobs) Result {
-	for id, job := range m.data.Jobs {
-		if job.Outcome != Open && job.Executing == 0 && job.EndedMS < p.EndedBeforeMS {
-			delete(m.data.Jobs, id)
+	for _, job := range m.data.Jobs {
+		switch {
+		case !job.ended():
+		case job.EndedMS < p.EndedBeforeMS:
+			m.forget(job)
+		case job.Occurrences != nil:
+			job.Occurrences = nil
+			m.charge(job)
 		}
 	}
 	return Result{Code: OK}
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -41,6 +41,8 @@
 	executing executingRuns
 	// accountUse holds what each client account has executing.
 	accountUse accountUse
+	// memory holds the memory that the jobs take.
+	memory memoryUse
 	// queues holds the catalog's queues and the removed ones by key.
 	queues map[string]*catalog.Queue
 	// access finds the accounts of keys.
@@ -62,16 +64,19 @@
 func (m *Machine) derive() {
 	m.workersVersion++
 	m.active = map[string]*Job{}
-	m.executing, m.accountUse = executingRuns{}, accountUse{}
-	for id, job := range m.data.Jobs {
-		if job.Outcome == Open || job.Executing > 0 {
-			m.active[id] = job
-			job.countRunning()
-			job.EachExecuting(func(id workload.TaskID, task *Task) {
-				m.executing.add(task.Worker, task.Incarnation)
-				m.accountUse.add(job.Account, job.Spec.Steps[id.Step].Need)
-			})
+	m.executing, m.accountUse, m.memory = executingRuns{}, accountUse{}, memoryUse{}
+	for _, job := range m.data.Jobs {
+		if job.ended() {
+			m.release(job)
+			continue
 		}
+		m.active[job.ID] = job
+		m.charge(job)
+		job.countRunning()
+		job.EachExecuting(func(id workload.TaskID, task *Task) {
+			m.executing.add(task.Worker, task.Incarnation)
+			m.accountUse.add(job.Account, job.Spec.Steps[id.Step].Need)
+		})
 	}
 	m.indexQueues()
 	m.access = access.NewIndex(&m.data.Catalog)
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -127,6 +127,8 @@
 	// OverRate is set if the account had submitted more jobs than its weight allows
 	// when this one was accepted.
 	OverRate bool `cbor:"13,keyasint,omitempty"`
+	// charged is the memory in bytes that the state counts for the job.
+	charged int64
 }
 
 // AcceptedAt reports whether the job was submitted at a location. A submission with the
