--- a/internal/process/scheduler/server_members.go
+++ b/internal/process/scheduler/server_members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/ingress"
 	"arbutusward.example/arbutusward/internal/connection/link"
@@ -67,7 +68,7 @@
 		s.log.Warn("process not admitted, it can't read the commands of this deployment", "member", r.ID, "reads", r.Format, "needed", format)
 		return workcall.Done{}, &link.Fault{Code: workcall.CodeUnavailable, Message: "the process can't read the commands of this deployment"}
 	}
-	s.admission.Memory.SetMember(r.ID, r.JobMemory, s.now())
+	s.admission.Memory.SetMember(r.ID, r.JobMemory, time.Now())
 	for _, m := range status.Members {
 		if m.ID == r.ID {
 			return workcall.Done{}, nil
