explain: a job for which there is no memory is told so

Cause: explain judged a new job by the load only, and said that a job is accepted which the leader would refuse for lack of memory. Change: the decision by the memory is asked without a claim. The lock of the state is taken before that of the claims, here and when a job is proposed. Result: TestExplanationTellsOfTheMemory failed without the call (accepted in place of refused) and passes with it.

--- a/internal/process/scheduler/admit/memory.go
+++ b/internal/process/scheduler/admit/memory.go
@@ -11,15 +11,16 @@
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/jobmemory"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 // memberAge is the time after which the memory of a member that has not been heard again
 // no longer counts: several requests to join, which each member sends once a second.
 const memberAge = 10 * time.Second
 
-// memoryRetryAfter is the Retry-After of a job for which there is no memory. Jobs that have
+// MemoryRetryAfter is the Retry-After of a job for which there is no memory. Jobs that have
 // ended are kept for minutes.
-const memoryRetryAfter = 5 * time.Second
+const MemoryRetryAfter = 5 * time.Second
 
 // Refusals for lack of memory, by reason.
 var refusedForMemory = map[jobmemory.Reason]*metrics.Counter{
@@ -85,27 +86,39 @@
 }
 
 // claim claims the memory of a job, or returns why it is refused.
-func (m *Memory) claim(machine *workstate.Machine, s *Submission, now time.Time) (*claim, jobmemory.Verdict) {
+func (m *Memory) claim(machine *workstate.Machine, s *Submission, now time.Time) (claimed *claim, verdict jobmemory.Verdict) {
+	machine.Read(func(v *workstate.View) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		verdict = m.decide(v, &s.Spec, s.Account, now)
+		if verdict.Refused == "" && verdict.Limit > 0 {
+			m.add(s.Account, verdict.Need)
+			claimed = &claim{memory: m, account: s.Account, bytes: verdict.Need}
+		}
+	})
+	return claimed, verdict
+}
+
+// Decide decides about a job of an account, or of none, without a claim.
+func (m *Memory) Decide(v *workstate.View, spec *workload.Spec, account string, now time.Time) jobmemory.Verdict {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.decide(v, spec, account, now)
+}
+
+// decide is Decide while the caller holds m.mu. The lock of the state is taken before m.mu,
+// never after it.
+func (m *Memory) decide(v *workstate.View, spec *workload.Spec, account string, now time.Time) jobmemory.Verdict {
 	limit := m.limit(now)
 	if limit <= 0 {
-		return nil, jobmemory.Verdict{}
+		return jobmemory.Verdict{}
 	}
-	use := jobmemory.Use{Limit: limit, Need: workstate.Footprint(&s.Spec), Taken: m.claimed, OfAccount: m.claimedByAccount[s.Account]}
-	machine.Read(func(v *workstate.View) {
-		use.Taken += v.JobMemory()
-		if s.Account != "" {
-			use.OfAccount += v.AccountMemory(s.Account)
-			use.Share = shareOf(v.Catalog(), s.Account)
-		}
-	})
-	verdict := jobmemory.Decide(&use)
-	if verdict.Refused != "" {
-		return nil, verdict
+	use := jobmemory.Use{Limit: limit, Need: workstate.Footprint(spec), Taken: v.JobMemory() + m.claimed}
+	if account != "" {
+		use.OfAccount = v.AccountMemory(account) + m.claimedByAccount[account]
+		use.Share = shareOf(v.Catalog(), account)
 	}
-	m.add(s.Account, use.Need)
-	return &claim{memory: m, account: s.Account, bytes: use.Need}, verdict
+	return jobmemory.Decide(&use)
 }
 
 // add adds to what is claimed. The caller holds m.mu.
@@ -147,7 +160,7 @@
 
 // memoryRefusal returns the refusal of a job for which there is no memory.
 func memoryRefusal(verdict jobmemory.Verdict, s *Submission) *refused {
-	response := refusal(string(verdict.Refused), memoryRetryAfter)
+	response := refusal(string(verdict.Refused), MemoryRetryAfter)
 	if verdict.Refused == jobmemory.TooLarge {
 		response = workcall.SubmitResponse{Status: workcall.Invalid, Reason: string(verdict.Refused)}
 	}
--- a/internal/process/scheduler/explain.go
+++ b/internal/process/scheduler/explain.go
@@ -58,6 +58,9 @@
 		if job := s.Candidate(at.wallMS); job != nil {
 			s.Groups = l.appendWaiting(s.Groups, v, job, 0, at)
 		}
+		if s.Spec != nil && l.admission.memory != nil {
+			s.Memory = l.admission.memory.Decide(v, s.Spec, s.AccountName(), now)
+		}
 		u := &usage{round: l.roundNumber}
 		l.countStarting(v, u)
 		s.Accounts = l.accounts(v, u, s.Groups, now)
--- a/internal/process/scheduler/explain/explain.go
+++ b/internal/process/scheduler/explain/explain.go
@@ -10,6 +10,7 @@
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/access"
 	"arbutusward.example/arbutusward/internal/version/fairshare"
+	"arbutusward.example/arbutusward/internal/version/jobmemory"
 	"arbutusward.example/arbutusward/internal/version/overload"
 	"arbutusward.example/arbutusward/internal/version/placement"
 )
@@ -34,6 +35,8 @@
 	Accounts *fairshare.Accounts
 	// Load is the load by which jobs are refused, or nil.
 	Load *admit.Snapshot
+	// Memory is the verdict by the memory of jobs.
+	Memory jobmemory.Verdict
 	// Advised is set if an adviser restricts the queue's tasks to some workers.
 	Advised bool
 }
@@ -133,6 +136,9 @@
 	if s.Malformed {
 		return &Admission{Outcome: Refused, Reason: "the id is not 16 hexadecimal digits", LoadAgeMS: -1}
 	}
+	if s.Memory.Refused != "" {
+		return s.memoryRefusal()
+	}
 	if s.Spec.Repeat > 0 && s.Candidate(s.At.UnixMilli()) == nil {
 		a.Outcome = Scheduled
 	}
@@ -140,7 +146,7 @@
 		return a
 	}
 	pool := s.Load.Pools[s.Queue.Service]
-	job := overload.Job{ID: s.ID, Account: s.accountName(), Weight: 1, Priority: s.Queue.Priority, OverRate: s.OverRate}
+	job := overload.Job{ID: s.ID, Account: s.AccountName(), Weight: 1, Priority: s.Queue.Priority, OverRate: s.OverRate}
 	if s.Account != nil && s.Account.Weight > 0 {
 		job.Weight = s.Account.Weight
 	}
@@ -154,6 +160,15 @@
 	return a
 }
 
+// memoryRefusal tells that there is no memory for the job.
+func (s *Snapshot) memoryRefusal() *Admission {
+	a := &Admission{Outcome: Refused, Reason: string(s.Memory.Refused), LoadAgeMS: -1}
+	if s.Memory.Refused != jobmemory.TooLarge {
+		a.RetryAfterMS = admit.MemoryRetryAfter.Milliseconds()
+	}
+	return a
+}
+
 // steps tells about the steps of the query's job.
 func (s *Snapshot) steps() []Step {
 	steps := s.progress()
--- a/internal/process/scheduler/explain/subject.go
+++ b/internal/process/scheduler/explain/subject.go
@@ -115,11 +115,12 @@
 	}
 	return &workstate.Job{
 		ID: s.ID, Queue: s.Queue.Key(), Service: s.Queue.Service, Spec: *s.Spec, AcceptedMS: nowMS,
-		Account: s.accountName(), OverRate: s.OverRate,
+		Account: s.AccountName(), OverRate: s.OverRate,
 	}
 }
 
-func (s *Subject) accountName() string {
+// AccountName returns the name of the caller's account, or "".
+func (s *Subject) AccountName() string {
 	if s.Account == nil {
 		return ""
 	}
--- a/internal/process/scheduler/explain_test.go
+++ b/internal/process/scheduler/explain_test.go
@@ -5,11 +5,40 @@
 	"testing/synctest"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/process/scheduler/admit"
 	"arbutusward.example/arbutusward/internal/process/scheduler/explain"
 	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/jobmemory"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
+// TestExplanationTellsOfTheMemory guards against a job that is said to be accepted now, and is refused for lack of memory.
+func TestExplanationTellsOfTheMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 20*time.Second)
+		f.addWorker("w1", 2000)
+		f.leadWithJob(step(2))
+		time.Sleep(300 * time.Millisecond)
+		var memory admit.Memory
+		spec := workload.Spec{Steps: []workload.Step{step(1)}}
+		for _, c := range []struct {
+			bytes int64
+			want  string
+		}{{jobmemory.MiB, explain.Accepted}, {3 * workstate.Footprint(&spec) / 2, explain.Refused}, {1, explain.Refused}} {
+			memory.SetOwn(c.bytes)
+			answers := make(chan *explain.Answer, 1)
+			f.loop.post(func(l *loop) {
+				l.admission.memory = &memory
+				answers <- explain.Explain(l.explainSnapshot(explain.Query{Host: "host", Path: "/q/" + jobB, Spec: &spec}, time.Now()))
+			})
+			if a := <-answers; a.Admission == nil || a.Admission.Outcome != c.want {
+				t.Errorf("%d bytes: %+v, expected %s", c.bytes, a.Admission, c.want)
+			}
+		}
+		f.depose()
+	})
+}
+
 // TestExplanationIsWhatTheNextRoundDoes guards against explanations by an older use of
 // the workers than that of the tasks that wait, and against a worker that is left out
 // without a reason.
--- a/internal/process/scheduler/poolload.go
+++ b/internal/process/scheduler/poolload.go
@@ -14,6 +14,8 @@
 type admissionState struct {
 	// board is where the load is published; nil if nobody reads it.
 	board *admit.Board
+	// memory limits the memory of jobs; nil if nobody is refused.
+	memory *admit.Memory
 	// pools are those of the newest plan of the fleet.
 	pools []rebalance.Pool
 	// publishedAt is when the load was last published.
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := newLoop(ctx, s.options, s.options.Replica.Status().Term)
 	l.heard = &s.server.heard
-	l.admission.board = &s.server.admission.Load
+	l.admission.board, l.admission.memory = &s.server.admission.Load, &s.server.admission.Memory
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
