--- a/internal/process/scheduler/admit/memory.go
+++ b/internal/process/scheduler/admit/memory.go
@@ -38,8 +38,7 @@
 	// members holds what the other control processes have, by member id.
 	members map[string]memberMemory
 	// claimed holds what the jobs that are being proposed take.
-	claimed          int64
-	claimedByAccount map[string]int64
+	claimed jobmemory.Tally
 }
 
 type memberMemory struct {
@@ -92,7 +91,7 @@
 		defer m.mu.Unlock()
 		verdict = m.decide(v, &s.Spec, s.Account, now)
 		if verdict.Refused == "" && verdict.Limit > 0 {
-			m.add(s.Account, verdict.Need)
+			m.claimed.Add(s.Account, verdict.Need)
 			claimed = &claim{memory: m, account: s.Account, bytes: verdict.Need}
 		}
 	})
@@ -113,29 +112,14 @@
 	if limit <= 0 {
 		return jobmemory.Verdict{}
 	}
-	use := jobmemory.Use{Limit: limit, Need: workstate.Footprint(spec), Taken: v.JobMemory() + m.claimed}
+	use := jobmemory.Use{Limit: limit, Need: workstate.Footprint(spec), Taken: v.JobMemory() + m.claimed.Total}
 	if account != "" {
-		use.OfAccount = v.AccountMemory(account) + m.claimedByAccount[account]
+		use.OfAccount = v.AccountMemory(account) + m.claimed.Of(account)
 		use.Share = shareOf(v.Catalog(), account)
 	}
 	return jobmemory.Decide(&use)
 }
 
-// add adds to what is claimed. The caller holds m.mu.
-func (m *Memory) add(account string, bytes int64) {
-	m.claimed += bytes
-	if account == "" {
-		return
-	}
-	if m.claimedByAccount == nil {
-		m.claimedByAccount = map[string]int64{}
-	}
-	m.claimedByAccount[account] += bytes
-	if m.claimedByAccount[account] == 0 {
-		delete(m.claimedByAccount, account)
-	}
-}
-
 // release gives the memory back. It has no effect on nil.
 func (c *claim) release() {
 	if c == nil {
@@ -143,7 +127,7 @@
 	}
 	c.memory.mu.Lock()
 	defer c.memory.mu.Unlock()
-	c.memory.add(c.account, -c.bytes)
+	c.memory.claimed.Add(c.account, -c.bytes)
 }
 
 // shareOf returns the part of an account in the weights of all accounts.
--- a/internal/process/workstate/footprint.go
+++ b/internal/process/workstate/footprint.go
@@ -46,40 +46,16 @@
 	return bytes
 }
 
-// memoryUse is the memory that the jobs of the state take, in bytes. It is derived from
-// the jobs.
-type memoryUse struct {
-	total int64
-	// byAccount holds what the jobs of each client account take. Jobs without an account
-	// are only part of the total.
-	byAccount map[string]int64
-}
-
-// add adds the memory of a job of an account, which is negative if it takes less.
-func (u *memoryUse) add(account string, bytes int64) {
-	u.total += bytes
-	if account == "" {
-		return
-	}
-	if u.byAccount == nil {
-		u.byAccount = map[string]int64{}
-	}
-	u.byAccount[account] += bytes
-	if u.byAccount[account] == 0 {
-		delete(u.byAccount, account)
-	}
-}
-
 // JobMemory returns the memory that all jobs take, in bytes.
-func (v *View) JobMemory() int64 { return v.m.memory.total }
+func (v *View) JobMemory() int64 { return v.m.memory.Total }
 
 // AccountMemory returns the memory that the jobs of a client account take, in bytes.
-func (v *View) AccountMemory(account string) int64 { return v.m.memory.byAccount[account] }
+func (v *View) AccountMemory(account string) int64 { return v.m.memory.Of(account) }
 
 // charge updates what a job counts for.
 func (m *Machine) charge(job *Job) {
 	bytes := job.footprint()
-	m.memory.add(job.Account, bytes-job.charged)
+	m.memory.Add(job.Account, bytes-job.charged)
 	job.charged = bytes
 }
 
@@ -107,5 +83,5 @@
 // forget removes a job.
 func (m *Machine) forget(job *Job) {
 	delete(m.data.Jobs, job.ID)
-	m.memory.add(job.Account, -job.charged)
+	m.memory.Add(job.Account, -job.charged)
 }
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -10,6 +10,7 @@
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/version/access"
 	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/jobmemory"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -42,7 +43,7 @@
 	// accountUse holds what each client account has executing.
 	accountUse accountUse
 	// memory holds the memory that the jobs take.
-	memory memoryUse
+	memory jobmemory.Tally
 	// queues holds the catalog's queues and the removed ones by key.
 	queues map[string]*catalog.Queue
 	// access finds the accounts of keys.
@@ -64,7 +65,7 @@
 func (m *Machine) derive() {
 	m.workersVersion++
 	m.active = map[string]*Job{}
-	m.executing, m.accountUse, m.memory = executingRuns{}, accountUse{}, memoryUse{}
+	m.executing, m.accountUse, m.memory = executingRuns{}, accountUse{}, jobmemory.Tally{}
 	for _, job := range m.data.Jobs {
 		if job.ended() {
 			m.release(job)
