admit: callers that are refused for lack of memory return apart

Cause: all of them were given 5 s, so that a crowd would return in the same second. Change: 3 to 7 s by the job's id, by the rule that overload uses, which is package spread now. Result: TestRefusedCallersReturnApart passes (with one time for all it fails: 1000 of 1000); the tests of overload, admit and explain pass.

--- a/internal/process/scheduler/admit/memory.go
+++ b/internal/process/scheduler/admit/memory.go
@@ -11,6 +11,7 @@
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/jobmemory"
+	"arbutusward.example/arbutusward/internal/version/spread"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -18,9 +19,17 @@
 // no longer counts: several requests to join, which each member sends once a second.
 const memberAge = 10 * time.Second
 
-// MemoryRetryAfter is the Retry-After of a job for which there is no memory. Jobs that have
-// ended are kept for minutes.
-const MemoryRetryAfter = 5 * time.Second
+const (
+	// minMemoryRetryAfter is the shortest Retry-After of a job for which there is no memory.
+	minMemoryRetryAfter = 3 * time.Second
+	// memoryRetryPeriod is the time over which the callers that were refused return.
+	memoryRetryPeriod = 4 * time.Second
+)
+
+// MemoryRetryAfter returns the Retry-After of a job for which there is no memory now.
+func MemoryRetryAfter(id string) time.Duration {
+	return minMemoryRetryAfter + spread.Within(id, memoryRetryPeriod)
+}
 
 // Refusals for lack of memory, by reason.
 var refusedForMemory = map[jobmemory.Reason]*metrics.Counter{
@@ -144,7 +153,7 @@
 
 // memoryRefusal returns the refusal of a job for which there is no memory.
 func memoryRefusal(verdict jobmemory.Verdict, s *Submission) *refused {
-	response := refusal(string(verdict.Refused), MemoryRetryAfter)
+	response := refusal(string(verdict.Refused), MemoryRetryAfter(s.ID))
 	if verdict.Refused == jobmemory.TooLarge {
 		response = workcall.SubmitResponse{Status: workcall.Invalid, Reason: string(verdict.Refused)}
 	}
--- a/internal/process/scheduler/admit/memory_test.go
+++ b/internal/process/scheduler/admit/memory_test.go
@@ -92,3 +92,16 @@
 		t.Errorf("proposal %v, response %+v, error %v", proposal, response, err)
 	}
 }
+
+// TestRefusedCallersReturnApart guards against callers without memory for their jobs who all return in the same second, and are refused again.
+func TestRefusedCallersReturnApart(t *testing.T) {
+	bySecond := map[time.Duration]int{}
+	for i := range 1000 {
+		bySecond[MemoryRetryAfter(fmt.Sprintf("%016x", i)).Truncate(time.Second)]++
+	}
+	for second, count := range bySecond {
+		if count > 400 {
+			t.Errorf("%d of 1000 callers return after %s", count, second)
+		}
+	}
+}
--- a/internal/process/scheduler/explain/explain.go
+++ b/internal/process/scheduler/explain/explain.go
@@ -164,7 +164,7 @@
 func (s *Snapshot) memoryRefusal() *Admission {
 	a := &Admission{Outcome: Refused, Reason: string(s.Memory.Refused), LoadAgeMS: -1}
 	if s.Memory.Refused != jobmemory.TooLarge {
-		a.RetryAfterMS = admit.MemoryRetryAfter.Milliseconds()
+		a.RetryAfterMS = admit.MemoryRetryAfter(s.ID).Milliseconds()
 	}
 	return a
 }
--- a/internal/version/overload/decide.go
+++ b/internal/version/overload/decide.go
@@ -1,11 +1,10 @@
 package overload
 
 import (
-	"hash/fnv"
-	"math"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/version/placement"
+	"arbutusward.example/arbutusward/internal/version/spread"
 )
 
 const (
@@ -168,13 +167,5 @@
 		earliest = min(earliest, useful-j.Objective)
 		interval = useful - earliest
 	}
-	return max(minRetryAfter, earliest+time.Duration(place(j.ID)*float64(interval)))
-}
-
-// place returns a number from 0 to 1 that follows from an id.
-func place(id string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	// FNV changes the high bits little for ids that differ at the end.
-	return float64(h.Sum64()*0x9E3779B97F4A7C15>>11) / float64(math.MaxUint64>>11)
+	return max(minRetryAfter, earliest+spread.Within(j.ID, interval))
 }
