--- a/integration/hosted_crowd_jobs_test.go
+++ b/integration/hosted_crowd_jobs_test.go
@@ -22,6 +22,9 @@
 	crowdTasks       = 100_000
 	crowdOccurrences = 100_000
 	crowdPayload     = 3900
+	crowdText        = 250_000
+	// crowdDependencies are those of each step.
+	crowdDependencies = 90
 	// crowdIncarnations is how often a process is started with the state that a crowd has left.
 	crowdIncarnations = 2
 )
@@ -30,6 +33,8 @@
 	{name: "many steps", body: jobBody("x", strings.Repeat(crowdStep+",", crowdSteps-1)+crowdStep, ""), connections: crowdSize, each: 10},
 	{name: "chained steps", body: jobBody("x", crowdStep+strings.Repeat(`,{"count":1,"cpu":1000000,"mem_mb":1,"depends_on":[0]}`, crowdSteps-1), ""), connections: crowdSize, each: 10},
 	{name: "long payloads", body: jobBody(strings.Repeat("x", crowdPayload), crowdStep, ""), connections: crowdSize, each: 40},
+	{name: "long texts", body: jobBody("x", fmt.Sprintf(`{"count":1,"cpu":1000000,"mem_mb":1,"image":%q}`, strings.Repeat("x", crowdText)), ""), connections: crowdSize, each: 4},
+	{name: "many dependencies", body: jobBody("x", crowdStep+strings.Repeat(`,{"count":1,"cpu":1000000,"mem_mb":1,"depends_on":[0`+strings.Repeat(",0", crowdDependencies-1)+`]}`, crowdSteps-1), ""), connections: crowdSize, each: 4},
 	{name: "many tasks", body: jobBody("x", fmt.Sprintf(`{"count":%d,"cpu":1000000,"mem_mb":1}`, crowdTasks), ""), connections: crowdSize, each: 4},
 	{name: "many occurrences", body: jobBody("x", crowdStep, fmt.Sprintf(`,"repeat_count":%d,"start_at_ms":1,"interval_ms":1`, crowdOccurrences)), connections: 40, each: 1},
 }
