--- a/internal/process/hosted/control.go
+++ b/internal/process/hosted/control.go
@@ -218,7 +218,10 @@
 func (c *Control) join(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	return c.client.Join(ctx, workcall.JoinRequest{ID: c.member.ID, Link: c.settings.LinkAddress, Admin: c.settings.ControlAddress, Format: workstate.NewestFormat, JobMemory: jobmemory.Limit(c.settings.MemoryMB)})
+	return c.client.Join(ctx, workcall.JoinRequest{
+		ID: c.member.ID, Link: c.settings.LinkAddress, Admin: c.settings.ControlAddress,
+		Format: workstate.NewestFormat, JobMemory: jobmemory.Limit(c.settings.MemoryMB),
+	})
 }
 
 // logJoinFailure logs why a request to join failed, unless this process is a
--- a/internal/process/scheduler/admit/control.go
+++ b/internal/process/scheduler/admit/control.go
@@ -61,22 +61,22 @@
 	age time.Duration
 }
 
-// refused is the refusal of a job.
-type refused struct {
+// rejection is the answer to a job that is refused.
+type rejection struct {
 	response workcall.SubmitResponse
-	// record logs and counts the refusal.
+	// record logs and counts it.
 	record func(*slog.Logger)
 }
 
 // judge claims the memory of a job, or refuses the job by the newest load or for lack of
 // memory.
-func (c *Control) judge(l Leader, s *Submission) (*claim, *refused) {
+func (c *Control) judge(l Leader, s *Submission) (*claim, *rejection) {
 	if e := c.estimate(l, *s); e.Refused != "" {
-		return nil, e.refusal(s)
+		return nil, e.rejection(s)
 	}
 	claimed, verdict := c.Memory.claim(l.Machine, s, time.Now())
 	if verdict.Refused != "" {
-		return nil, memoryRefusal(verdict, s)
+		return nil, memoryRejection(verdict, s)
 	}
 	return claimed, nil
 }
@@ -85,9 +85,9 @@
 // returned proposal, or answered at once. A job that is refused never runs from this
 // submission. The error is that of Leader.Read, or a *link.Fault.
 func (c *Control) Admit(ctx context.Context, l Leader, s Submission) (*Proposal, workcall.SubmitResponse, error) {
-	claimed, refused := c.judge(l, &s)
+	claimed, rejected := c.judge(l, &s)
 	lateCopy := c.gate.wasRefused(s.Attempt, time.Now())
-	if refused == nil && !lateCopy {
+	if rejected == nil && !lateCopy {
 		if proposal := c.gate.begin(s.ID, s.Attempt, time.Now()); proposal != nil {
 			proposal.claim = claimed
 			return proposal, workcall.SubmitResponse{}, nil
@@ -106,7 +106,7 @@
 		if err := l.Read(ctx, look); err != nil {
 			return nil, workcall.SubmitResponse{}, err
 		}
-		if !has && (lateCopy || refused == nil) {
+		if !has && (lateCopy || rejected == nil) {
 			refusedAgain.Inc()
 			l.Log.Info("job refused", "job", s.ID, "path", s.Path, "reason", "the attempt was refused before")
 			return nil, refusal("the call was refused before", lateCopyRetryAfter), nil
@@ -123,8 +123,8 @@
 			return nil, response, err
 		}
 	}
-	refused.record(l.Log)
-	return nil, refused.response, nil
+	rejected.record(l.Log)
+	return nil, rejected.response, nil
 }
 
 func refusal(reason string, after time.Duration) workcall.SubmitResponse {
@@ -183,10 +183,10 @@
 	return e
 }
 
-// refusal returns the refusal of a job by its estimate.
-func (e *estimate) refusal(s *Submission) *refused {
+// rejection returns the answer to a job that is refused by its estimate.
+func (e *estimate) rejection(s *Submission) *rejection {
 	reason := fmt.Sprintf("%s, the estimated wait is %d ms", e.Refused, e.Wait.Milliseconds())
-	return &refused{response: refusal(reason, e.RetryAfter), record: func(log *slog.Logger) { e.record(log, s) }}
+	return &rejection{response: refusal(reason, e.RetryAfter), record: func(log *slog.Logger) { e.record(log, s) }}
 }
 
 // record logs and counts a refusal.
--- a/internal/process/scheduler/admit/memory.go
+++ b/internal/process/scheduler/admit/memory.go
@@ -15,11 +15,10 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// memberAge is the time after which the memory of a member that has not been heard again
-// no longer counts: several requests to join, which each member sends once a second.
-const memberAge = 10 * time.Second
-
 const (
+	// memberAge is the time after which the memory of a member that has not been heard
+	// again no longer counts: several requests to join, of which each sends one a second.
+	memberAge = 10 * time.Second
 	// minMemoryRetryAfter is the shortest Retry-After of a job for which there is no memory.
 	minMemoryRetryAfter = 3 * time.Second
 	// memoryRetryPeriod is the time over which the callers that were refused return.
@@ -151,8 +150,8 @@
 	return 0
 }
 
-// memoryRefusal returns the refusal of a job for which there is no memory.
-func memoryRefusal(verdict jobmemory.Verdict, s *Submission) *refused {
+// memoryRejection returns the answer to a job for which there is no memory.
+func memoryRejection(verdict jobmemory.Verdict, s *Submission) *rejection {
 	response := refusal(string(verdict.Refused), MemoryRetryAfter(s.ID))
 	if verdict.Refused == jobmemory.TooLarge {
 		response = workcall.SubmitResponse{Status: workcall.Invalid, Reason: string(verdict.Refused)}
@@ -163,5 +162,5 @@
 			"need_bytes", verdict.Need, "taken_bytes", verdict.Taken, "limit_bytes", verdict.Limit,
 			"account_bytes", verdict.OfAccount, "share", verdict.Share, "retry_after_ms", response.RetryAfterMS)
 	}
-	return &refused{response: response, record: record}
+	return &rejection{response: response, record: record}
 }
--- a/internal/process/scheduler/submission/submission.go
+++ b/internal/process/scheduler/submission/submission.go
@@ -50,7 +50,11 @@
 func Examine(v *workstate.View, r *workcall.SubmitRequest) Finding {
 	queue, rest := v.Catalog().Match(r.Host, r.Path)
 	f := Finding{ID: rest}
-	job := FindJob(v, r.Location)
+	job := v.Job(rest)
+	if job == nil {
+		// No route matches any more, or another one with a shorter prefix.
+		job = FindJob(v, r.Location)
+	}
 	if job != nil && job.AcceptedAt(r.Host, r.Path) {
 		f.ID, f.Known = job.ID, true
 	}
