explain: an ended job is not said to have done nothing

Found by reading the change once more: since the state drops the progress of jobs that have ended, so that explain told an operator "3 tasks, 0 done" of a job that has succeeded. Change: all tasks of a succeeded job are done; the steps of one that has ended otherwise after it had started are left out, since what is done of them is not known any more. Result: TestEndedJobIsNotSaidToHaveDoneNothing failed before (0 done; steps that are not known) and passes now, with the other tests of explain and arbutusctl.

--- a/internal/process/scheduler/explain/subject.go
+++ b/internal/process/scheduler/explain/subject.go
@@ -93,10 +93,21 @@
 	return s
 }
 
+// describeJob describes a job of the state. What is done of a job that has ended without
+// success is not known any more, and its steps are left out.
 func describeJob(job *workstate.Job, nowMS int64) *KnownJob {
 	known := &KnownJob{Outcome: job.Outcome, Started: job.Started, OverRate: job.OverRate, Age: time.Duration(nowMS-job.AcceptedMS) * time.Millisecond}
+	// The state drops the progress of jobs that have ended.
+	dropped := job.Started && job.Occurrences == nil
+	if dropped && job.Outcome != workstate.Succeeded {
+		return known
+	}
 	for i := range job.Spec.Steps {
-		known.Steps = append(known.Steps, KnownStep{Tasks: job.Spec.Steps[i].Count, DependsOn: job.Spec.Steps[i].DependsOn, Executing: map[string]int{}})
+		step := KnownStep{Tasks: job.Spec.Steps[i].Count, DependsOn: job.Spec.Steps[i].DependsOn, Executing: map[string]int{}}
+		if dropped {
+			step.Done = step.Tasks
+		}
+		known.Steps = append(known.Steps, step)
 	}
 	if k := min(job.OccurrencesDone, len(job.Occurrences)-1); k >= 0 {
 		for i := range job.Occurrences[k].Steps {
