integration: the three tests of crowds share their set-up

The grants and limits of a crowd stood in three tests; newCrowded has them once. Crowds, bounds and checks are the same; TestHostedAcceptedJobsDoNotExhaustAProcess passes.

--- a/integration/hosted_crowd_jobs_test.go
+++ b/integration/hosted_crowd_jobs_test.go
@@ -50,11 +50,7 @@
 func TestHostedAcceptedJobsDoNotExhaustAProcess(t *testing.T) {
 	for _, shape := range crowdJobs {
 		t.Run(shape.name, func(t *testing.T) {
-			h := newHosted(t, 1, 1, func(h *hosted) {
-				h.entryGrant, h.controlGrant = crowdEntryGrant, crowdControlGrant
-				h.limits = crowdLimits
-			})
-			h.configure()
+			h := newCrowded(t)
 			h.awaitServed(t, 0)
 			entry := watchDescriptors(h.entries[0].cmd.Process.Pid)
 			control := watchDescriptors(h.controls[0].cmd.Process.Pid)
--- a/integration/hosted_crowd_registrations_test.go
+++ b/integration/hosted_crowd_registrations_test.go
@@ -45,11 +45,7 @@
 func TestHostedRegistrationsDoNotExhaustAProcess(t *testing.T) {
 	for _, shape := range crowdRegistrations {
 		t.Run(shape.name, func(t *testing.T) {
-			h := newHosted(t, 1, 1, func(h *hosted) {
-				h.entryGrant, h.controlGrant = crowdEntryGrant, crowdControlGrant
-				h.limits = crowdLimits
-			})
-			h.configure()
+			h := newCrowded(t)
 			h.awaitServed(t, 0)
 			control := watchDescriptors(h.controls[0].cmd.Process.Pid)
 			h.sendRegistrations(t, shape)
--- a/integration/hosted_crowd_test.go
+++ b/integration/hosted_crowd_test.go
@@ -260,16 +260,24 @@
 // crowdLimits replaces the limits of the configuration of the tests.
 const crowdLimits = `"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}`
 
-// TestHostedCrowdDoesNotExhaustAProcess guards against the loss of a process by
-// clients that exceed the limits or stop just before the end of a request: each
-// used up to a megabyte and a descriptor. It fails if the process ends, exceeds
-// the memory or the descriptors of its settings file, or no longer serves.
-func TestHostedCrowdDoesNotExhaustAProcess(t *testing.T) {
+// newCrowded starts a control process and an entry with the grants that a crowd must not
+// exceed, and configures them.
+func newCrowded(t *testing.T) *hosted {
+	t.Helper()
 	h := newHosted(t, 1, 1, func(h *hosted) {
 		h.entryGrant, h.controlGrant = crowdEntryGrant, crowdControlGrant
 		h.limits = crowdLimits
 	})
 	h.configure()
+	return h
+}
+
+// TestHostedCrowdDoesNotExhaustAProcess guards against the loss of a process by
+// clients that exceed the limits or stop just before the end of a request: each
+// used up to a megabyte and a descriptor. It fails if the process ends, exceeds
+// the memory or the descriptors of its settings file, or no longer serves.
+func TestHostedCrowdDoesNotExhaustAProcess(t *testing.T) {
+	h := newCrowded(t)
 	h.submit(jobID(1<<40), 1, 50*time.Millisecond)
 	for _, target := range h.crowdTargets() {
 		for number, shape := range crowdShapes {
