review: case 14 with three jobs, and a stand-in that leaves no process

Cause: with one wide job case 14 held once of one on a busy machine; the stand-in could start a process again while it ended, and once left one running.

--- a/review/rig3/deployment.go
+++ b/review/rig3/deployment.go
@@ -79,14 +79,17 @@
 	ownEnds int
 }
 
+// running holds the processes of the case. After ending is set none is started any more.
 var running struct {
-	mu   sync.Mutex
-	list []*process
+	mu     sync.Mutex
+	list   []*process
+	ending bool
 }
 
 // stopAll kills all processes that the case has started and waits for their ends.
 func stopAll() {
 	running.mu.Lock()
+	running.ending = true
 	list := append([]*process{}, running.list...)
 	running.mu.Unlock()
 	for _, p := range list {
@@ -224,6 +227,11 @@
 	cmd := exec.Command(filepath.Join(p.d.programs, p.program), "--platform")
 	cmd.Env = []string{"ARBUTUSWARD_BOOT=" + p.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + p.d.dir, "LANG=C"}
 	cmd.Stdout, cmd.Stderr = p.log, p.log
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	if running.ending {
+		return fmt.Errorf("start %s: the case has ended", p.name)
+	}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
--- a/review/rig3/plays.go
+++ b/review/rig3/plays.go
@@ -134,40 +134,46 @@
 	return version < d.version || state != "queued", nil
 }
 
-// wideJob is the path of a job of many small tasks.
+// wideJob is the path of a job of many small tasks. Others differ in the last digit.
 const wideJob = "/naplo/00000000000000b1"
 
+// wideJobID is what the ids of such jobs begin with.
+const wideJobID = "00000000000000b"
+
 // playWide submits one job of one step with many small tasks, among ordinary jobs of
 // other clients.
 func playWide(d *deployment, trouble bool) (bool, error) {
-	return d.playWideJob(trouble, 45_000, 10*time.Second, false)
+	return d.playWideJobs(trouble, 1, 45_000, 10*time.Second, false)
 }
 
-// playMemory is playWide with fewer tasks. The platform kills a process that uses more
-// than its memory, and starts it again.
+// playMemory is playWide with three jobs of fewer tasks each. The platform kills a process
+// that uses more than its memory, and starts it again.
 func playMemory(d *deployment, trouble bool) (bool, error) {
-	return d.playWideJob(trouble, 43_000, 25*time.Second, true)
+	return d.playWideJobs(trouble, 3, 40_000, 25*time.Second, true)
 }
 
 // calmTasks is the width of the wide job without the disruption.
 const calmTasks = 1000
 
-// playWideJob submits a job of one step with many small tasks, and ordinary jobs for some
+// playWideJobs submits jobs of one step with many small tasks, and ordinary jobs for some
 // time. The rule is broken if an ordinary job is lost, or if processes of half of the core
 // end by themselves too often.
-func (d *deployment) playWideJob(trouble bool, tasks int, traffic time.Duration, memory bool) (bool, error) {
+func (d *deployment) playWideJobs(trouble bool, jobs, tasks int, traffic time.Duration, memory bool) (bool, error) {
 	if err := startSmall(d, 2); err != nil {
 		return false, err
 	}
 	if !trouble {
 		tasks = calmTasks
 	}
-	d.silent.Store(wideJob[strings.LastIndexByte(wideJob, '/')+1:])
+	d.silent.Store(wideJobID)
 	if memory {
 		d.limitMemory()
 	}
-	if !d.submit(wideJob, job(tasks, 1, 1, 800)) {
-		return false, fmt.Errorf("the wide job is not accepted")
+	for i := range jobs {
+		path := fmt.Sprintf("/naplo/%s%d", wideJobID, i+1)
+		if !d.submit(path, job(tasks, 1, 1, 800)) && i == 0 {
+			return false, fmt.Errorf("the wide job is not accepted")
+		}
 	}
 	var accepted []string
 	begin := time.Now()
@@ -280,7 +286,7 @@
 	if trouble {
 		size = 25_000
 	}
-	d.silent.Store(wideJob[strings.LastIndexByte(wideJob, '/')+1:])
+	d.silent.Store(wideJobID)
 	body := fmt.Sprintf(`{"spec":"{\"ms\":%d,\"cpu\":1,\"mem\":1,\"gang\":%d}","steps":[{"count":%d,"cpu":1,"mem_mb":1,"estimate_ms":%d,"gang":true}]}`,
 		gangWorks.Milliseconds(), size, size, gangWorks.Milliseconds())
 	if !d.submit(wideJob, body) {
