--- a/internal/process/scheduler/admit/control.go
+++ b/internal/process/scheduler/admit/control.go
@@ -96,7 +96,7 @@
 	}
 	claimed.release()
 	has := false
-	look := func(v *workstate.View) { has = v.Job(s.ID) != nil }
+	look := func(v *workstate.View) { has = v.JobAt(s.Host, s.Path) != nil }
 	known := func() bool {
 		l.Machine.Read(look)
 		return has
@@ -151,8 +151,8 @@
 // its key allows that.
 func mayRepeat(l Leader, s Submission) (allowed bool) {
 	l.Machine.Read(func(v *workstate.View) {
-		job := v.Job(s.ID)
-		allowed = job != nil && job.AcceptedAt(s.Host, s.Path) && v.RepetitionAccess(s.ID, s.Key) == access.Allowed
+		job := v.JobAt(s.Host, s.Path)
+		allowed = job != nil && v.RepetitionAccess(job, s.Key) == access.Allowed
 	})
 	return allowed
 }
--- a/internal/process/scheduler/explain.go
+++ b/internal/process/scheduler/explain.go
@@ -8,7 +8,6 @@
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/scheduler/admit"
 	"arbutusward.example/arbutusward/internal/process/scheduler/explain"
-	"arbutusward.example/arbutusward/internal/process/scheduler/submission"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/access"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -51,7 +50,7 @@
 	l.Machine.Read(func(v *workstate.View) {
 		at := planTime{now: now, wallMS: l.Now().UnixMilli()}
 		s.Subject = explain.Examine(v, q, at.wallMS)
-		s.Malformed = s.ID != "" && !submission.ValidID(s.ID)
+		s.Malformed = s.ID != "" && !workload.ValidJobID(s.ID)
 		if s.Denied != access.Allowed || s.Queue == nil {
 			return
 		}
--- a/internal/process/scheduler/explain/explain.go
+++ b/internal/process/scheduler/explain/explain.go
@@ -136,6 +136,9 @@
 	if s.Malformed {
 		return &Admission{Outcome: Refused, Reason: "the id is not 16 hexadecimal digits", LoadAgeMS: -1}
 	}
+	if s.IDInUse {
+		return &Admission{Outcome: Refused, Reason: "a job at another location has the id", LoadAgeMS: -1}
+	}
 	if s.Memory.Refused != "" {
 		return s.memoryRefusal()
 	}
--- a/internal/process/scheduler/explain/subject.go
+++ b/internal/process/scheduler/explain/subject.go
@@ -1,7 +1,6 @@
 package explain
 
 import (
-	"strings"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/workstate"
@@ -30,6 +29,8 @@
 	// is set if no job may have it.
 	ID        string
 	Malformed bool
+	// IDInUse is set if a job at another location has the ID.
+	IDInUse bool
 	// OverRate is set if a job submitted now would exceed the account's rate, and Use is
 	// what the account has executing according to the state.
 	OverRate bool
@@ -65,14 +66,13 @@
 	decision := v.Access().Queue(q.Host, q.Path, q.Key)
 	s := Subject{CatalogVersion: v.Catalog().Version, Denied: decision.Reason, ID: decision.Rest}
 	queue := decision.Queue
-	id := q.Path[strings.LastIndexByte(q.Path, '/')+1:]
-	job := v.Job(id)
+	job := v.JobAt(q.Host, q.Path)
 	if job != nil {
-		s.Denied = v.JobAccess(q.Host, q.Path, id, q.Key)
+		s.Denied = v.JobAccess(q.Host, q.Path, q.Key)
 	}
 	if job != nil && s.Denied == access.Allowed {
-		// The queue of a known job counts, not the path by which it is called.
-		s.ID, queue = id, v.Queue(job.Queue)
+		// The job's queue may have been removed, or be covered by one with a longer prefix.
+		s.ID, queue = job.ID, v.Queue(job.Queue)
 	}
 	if queue != nil {
 		copied := *queue
@@ -86,6 +86,7 @@
 		s.Account, s.OverRate, s.Use = &account, v.ExceedsRate(&account), v.AccountUse()[account.Name]
 	}
 	if job == nil {
+		s.IDInUse = v.Job(s.ID) != nil
 		s.Spec = q.Spec
 		return s
 	}
--- a/internal/process/scheduler/server_access.go
+++ b/internal/process/scheduler/server_access.go
@@ -6,7 +6,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"arbutusward.example/arbutusward/internal/connection/workcall"
-	"arbutusward.example/arbutusward/internal/process/scheduler/submission"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/access"
 )
@@ -19,18 +18,6 @@
 	access.OtherAccount: metrics.NewCounter(`arbutus_access_refused_total{reason="other_account"}`),
 }
 
-// denied tells whether a call for a job is refused for its key. A refusal is confirmed
-// by a state that includes all that was committed before the call; a call that is
-// allowed here is checked again when its command is applied.
-func (s *Server) denied(ctx context.Context, r workcall.JobRequest) (reason access.Reason, err error) {
-	look := func(v *workstate.View) { reason = v.JobAccess(r.Host, r.Path, submission.JobID(r.Location), r.Key) }
-	s.machine.Read(look)
-	if reason != access.Allowed {
-		err = s.read(ctx, look)
-	}
-	return reason, err
-}
-
 // logDenied logs and counts a call that is refused for its key.
 func (s *Server) logDenied(location workcall.Location, reason access.Reason) {
 	counter := deniedCalls[reason]
--- a/internal/process/scheduler/server_jobs.go
+++ b/internal/process/scheduler/server_jobs.go
@@ -10,6 +10,7 @@
 	"arbutusward.example/arbutusward/internal/process/scheduler/submission"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/access"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 // maxQuorumSilence is the time without contact to a majority after which the
@@ -56,7 +57,7 @@
 	if result.Code == workstate.OK && !result.Repeated {
 		s.onJobAccepted(id)
 	}
-	return workcall.SubmitResponse{Status: submission.StatusOf(result.Code), Known: result.Repeated}, nil
+	return submission.ResponseTo(result), nil
 }
 
 // Job returns the state of a job.
@@ -68,12 +69,12 @@
 			response.Status = workcall.NotReady
 			return
 		}
-		denied = v.JobAccess(r.Host, r.Path, submission.JobID(r.Location), r.Key)
+		denied = v.JobAccess(r.Host, r.Path, r.Key)
 		if denied != access.Allowed {
 			response.Status = submission.StatusOfReason(denied)
 			return
 		}
-		if job := submission.FindJob(v, r.Location); job != nil {
+		if job := v.JobAt(r.Host, r.Path); job != nil {
 			response = workcall.JobResponse{Status: workcall.OK, Outcome: job.Outcome, Started: job.Started}
 		}
 	})
@@ -83,23 +84,52 @@
 
 // Cancel cancels a job. Its executing tasks are stopped afterwards.
 func (s *Server) Cancel(ctx context.Context, r workcall.JobRequest) (workcall.CancelResponse, error) {
-	id := submission.JobID(r.Location)
-	denied, err := s.denied(ctx, r)
+	refused, err := s.cancelRefused(ctx, r)
 	if err != nil {
 		return workcall.CancelResponse{}, err
 	}
-	if denied != access.Allowed {
-		s.logDenied(r.Location, denied)
-		return workcall.CancelResponse{Status: submission.StatusOfReason(denied)}, nil
+	if refused != 0 {
+		return workcall.CancelResponse{Status: refused}, nil
 	}
+	id := workload.JobIDAt(r.Path)
 	result, err := s.propose(ctx, &workstate.Command{Cancel: &workstate.Cancel{ID: id, Host: r.Host, Path: r.Path, Key: r.Key}})
 	if err != nil {
 		return workcall.CancelResponse{}, err
 	}
-	s.log.Info("job cancelled", "job", id, "result", result.Code, "repeated", result.Repeated)
+	s.log.Info("job cancelled", "job", id, "path", r.Path, "result", result.Code, "repeated", result.Repeated)
 	return workcall.CancelResponse{Status: submission.StatusOf(result.Code)}, nil
 }
 
+// cancelRefused returns the status of a cancellation that must be refused, or 0. A refusal
+// is confirmed by a state that includes all that was committed before the call; a call that
+// is allowed here is checked again when its command is applied. One for a job that is not
+// known is proposed, since the job's submission may be in flight.
+func (s *Server) cancelRefused(ctx context.Context, r workcall.JobRequest) (status workcall.Status, err error) {
+	var denied access.Reason
+	look := func(v *workstate.View) {
+		status = 0
+		denied = v.JobAccess(r.Host, r.Path, r.Key)
+		switch {
+		case denied != access.Allowed:
+			status = submission.StatusOfReason(denied)
+		case v.JobAt(r.Host, r.Path) == nil && v.Job(workload.JobIDAt(r.Path)) != nil:
+			status = workcall.UnknownJob
+		}
+	}
+	s.machine.Read(look)
+	if status == 0 {
+		return 0, nil
+	}
+	if err := s.read(ctx, look); err != nil {
+		return 0, err
+	}
+	s.logDenied(r.Location, denied)
+	if status == workcall.UnknownJob {
+		s.log.Info("job not cancelled, the job with the id is at another location", "host", r.Host, "path", r.Path)
+	}
+	return status, nil
+}
+
 // Pending returns the number of a queue's jobs of which no task has started.
 func (s *Server) Pending(ctx context.Context, r workcall.PendingRequest) (workcall.PendingResponse, error) {
 	response := workcall.PendingResponse{Status: workcall.UnknownQueue}
--- a/internal/process/scheduler/submission/status.go
+++ b/internal/process/scheduler/submission/status.go
@@ -31,8 +31,19 @@
 		return workcall.Unauthorized
 	case workstate.Forbidden:
 		return workcall.Forbidden
-	case workstate.OtherJob:
-		return workcall.Invalid
 	}
 	return workcall.UnknownJob
 }
+
+// ResponseTo returns the answer to a submission with the result of its command.
+func ResponseTo(result workstate.Result) workcall.SubmitResponse {
+	if result.Code == workstate.OtherJob {
+		return idInUse()
+	}
+	return workcall.SubmitResponse{Status: StatusOf(result.Code), Known: result.Repeated}
+}
+
+// idInUse refuses a job whose id a job at another location has.
+func idInUse() workcall.SubmitResponse {
+	return workcall.SubmitResponse{Status: workcall.Invalid, Reason: "a job at another location has the id"}
+}
--- a/internal/process/scheduler/submission/submission.go
+++ b/internal/process/scheduler/submission/submission.go
@@ -2,32 +2,14 @@
 
 import (
 	"errors"
-	"strings"
 
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/access"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// idLength is the length of a job id in hexadecimal digits.
-const idLength = 16
-
-// ValidID reports whether a string is a valid job id.
-func ValidID(id string) bool {
-	return len(id) == idLength && strings.Trim(id, "0123456789abcdefABCDEF") == ""
-}
-
-// JobID returns the id of the job that a location names.
-func JobID(location workcall.Location) string {
-	return location.Path[strings.LastIndexByte(location.Path, '/')+1:]
-}
-
-// FindJob returns the job that a location names, or nil.
-func FindJob(v *workstate.View, location workcall.Location) *workstate.Job {
-	return v.Job(JobID(location))
-}
-
 // Finding is what a state says of a submission.
 type Finding struct {
 	ID string
@@ -50,12 +32,8 @@
 func Examine(v *workstate.View, r *workcall.SubmitRequest) Finding {
 	queue, rest := v.Catalog().Match(r.Host, r.Path)
 	f := Finding{ID: rest}
-	job := v.Job(rest)
-	if job == nil {
-		// No route matches any more, or another one with a shorter prefix.
-		job = FindJob(v, r.Location)
-	}
-	if job != nil && job.AcceptedAt(r.Host, r.Path) {
+	job := v.JobAt(r.Host, r.Path)
+	if job != nil {
 		f.ID, f.Known = job.ID, true
 	}
 	switch {
@@ -63,26 +41,26 @@
 		f.Refusal.Status = workcall.NotReady
 	case queue == nil:
 		f.Refusal.Status = workcall.UnknownQueue
-	case !ValidID(rest):
+	case !workload.ValidJobID(rest):
 		f.Refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
-	case job != nil && !f.Known:
-		f.Refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "a job of another queue has the id"}
+	case job == nil && v.Job(rest) != nil:
+		f.Refusal = idInUse()
 	}
-	f.checkAccess(v, r)
+	f.checkAccess(v, job, r)
 	return f
 }
 
 // checkAccess refuses a submission that its key does not allow. A location without a
-// queue is left to Examine.
-func (f *Finding) checkAccess(v *workstate.View, r *workcall.SubmitRequest) {
+// queue is left to Examine. The job is nil unless it was accepted at this location.
+func (f *Finding) checkAccess(v *workstate.View, job *workstate.Job, r *workcall.SubmitRequest) {
 	f.accessControl = v.Access().On()
 	if !f.accessControl {
 		return
 	}
 	decision := v.Access().Queue(r.Host, r.Path, r.Key)
 	switch {
-	case f.Known:
-		f.Denied = v.RepetitionAccess(f.ID, r.Key)
+	case job != nil:
+		f.Denied = v.RepetitionAccess(job, r.Key)
 	case decision.Reason != access.UnknownQueue:
 		f.Denied = decision.Reason
 	}
--- a/internal/process/workstate/access.go
+++ b/internal/process/workstate/access.go
@@ -10,14 +10,14 @@
 // Access returns the index by which calls are checked against the catalog in force.
 func (v *View) Access() *access.Index { return v.m.access }
 
-// JobAccess decides about a call for the job with an id at a location. The job need not
-// be known. The key is nil if the call has none.
-func (v *View) JobAccess(host, path, id string, key *catalog.KeyDigest) access.Reason {
-	return v.m.jobAccess(host, path, id, key)
+// JobAccess decides about a call for the job at a location, which need not be known. The
+// key is nil if the call has none.
+func (v *View) JobAccess(host, path string, key *catalog.KeyDigest) access.Reason {
+	return v.m.jobAccess(v.m.jobAt(host, path), host, path, key)
 }
 
-func (m *Machine) jobAccess(host, path, id string, key *catalog.KeyDigest) access.Reason {
-	job := m.data.Jobs[id]
+// jobAccess decides about a call for a job, or for an unknown one, which is nil.
+func (m *Machine) jobAccess(job *Job, host, path string, key *catalog.KeyDigest) access.Reason {
 	if job == nil {
 		return m.access.UnknownJob(host, path, key)
 	}
@@ -25,8 +25,8 @@
 }
 
 // RepetitionAccess decides about the repeated submission of a job that the state has.
-func (v *View) RepetitionAccess(id string, key *catalog.KeyDigest) access.Reason {
-	return v.m.repetitionAccess(v.m.data.Jobs[id], key)
+func (v *View) RepetitionAccess(job *Job, key *catalog.KeyDigest) access.Reason {
+	return v.m.repetitionAccess(job, key)
 }
 
 // repetitionAccess allows the repetition of a job of which no queue is known any more. It
--- a/internal/process/workstate/command.go
+++ b/internal/process/workstate/command.go
@@ -158,7 +158,7 @@
 	Unauthorized
 	// Forbidden means that the job belongs to another account.
 	Forbidden
-	// OtherJob means that a job of another queue has the id.
+	// OtherJob means that a job at another location has the id.
 	OtherJob
 )
 
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -27,7 +27,7 @@
 // key is checked against the catalog in force now, which may be newer than that of the proposer.
 func (m *Machine) applySubmit(s *Submit) Result {
 	if job := m.data.Jobs[s.ID]; job != nil {
-		if !job.AcceptedAt(s.Host, s.Path) {
+		if !job.acceptedAt(s.Host, s.Path) {
 			return Result{Code: OtherJob}
 		}
 		return Result{Code: codeOf(m.repetitionAccess(job, s.Key)), Repeated: true}
@@ -49,10 +49,10 @@
 
 // applyCancel cancels a job. The scheduler stops its executing tasks afterwards.
 func (m *Machine) applyCancel(c *Cancel) Result {
-	if code := codeOf(m.jobAccess(c.Host, c.Path, c.ID, c.Key)); code != OK {
+	job := m.cancelledJob(c)
+	if code := codeOf(m.jobAccess(job, c.Host, c.Path, c.Key)); code != OK {
 		return Result{Code: code}
 	}
-	job := m.data.Jobs[c.ID]
 	if job == nil {
 		return Result{Code: UnknownJob}
 	}
@@ -63,6 +63,15 @@
 	return Result{Code: OK}
 }
 
+// cancelledJob returns the job that a command cancels, or nil. Members of earlier versions
+// apply commands below FormatJobLocation, and must do so alike.
+func (m *Machine) cancelledJob(c *Cancel) *Job {
+	if m.data.Format < FormatJobLocation {
+		return m.data.Jobs[c.ID]
+	}
+	return m.jobAt(c.Host, c.Path)
+}
+
 func (m *Machine) endJob(job *Job, outcome Outcome) {
 	job.Outcome = outcome
 	job.EndedMS = m.data.ClockMS
--- a/internal/process/workstate/packed.go
+++ b/internal/process/workstate/packed.go
@@ -12,8 +12,11 @@
 	FormatPlain = 0
 	// FormatPacked has PackedProgress.
 	FormatPacked = 1
+	// FormatJobLocation has no new command. From it on a Cancel names its job by
+	// host and path; below it by the id alone.
+	FormatJobLocation = 2
 	// NewestFormat is the newest one that this version reads.
-	NewestFormat = FormatPacked
+	NewestFormat = FormatJobLocation
 )
 
 // RaiseFormat allows commands of a newer format. It is proposed once all members can
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -131,9 +131,9 @@
 	charged int64
 }
 
-// AcceptedAt reports whether the job was submitted at a location. A submission with the
-// same id at another one is not a repetition.
-func (j *Job) AcceptedAt(host, path string) bool { return j.Queue+j.ID == host+path }
+// acceptedAt reports whether the job was submitted at a location. A call with the same id
+// at another one is not for the job.
+func (j *Job) acceptedAt(host, path string) bool { return j.Queue+j.ID == host+path }
 
 // Worker is a registered incarnation of a worker, which represents a VM in a
 // pool.
--- a/internal/process/workstate/view.go
+++ b/internal/process/workstate/view.go
@@ -1,6 +1,9 @@
 package workstate
 
-import "arbutusward.example/arbutusward/internal/version/catalog"
+import (
+	"arbutusward.example/arbutusward/internal/version/catalog"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
 
 // View gives read access to the state.
 type View struct{ m *Machine }
@@ -15,9 +18,21 @@
 // removed while jobs used it, as it was last known. It returns nil if neither is known.
 func (v *View) Queue(key string) *catalog.Queue { return v.m.queues[key] }
 
-// Job returns the job with the given id, or nil.
+// Job returns the job with the given id, or nil. Calls name a job by its location, which
+// JobAt finds.
 func (v *View) Job(id string) *Job { return v.m.data.Jobs[id] }
 
+// JobAt returns the job that was accepted at a location, or nil.
+func (v *View) JobAt(host, path string) *Job { return v.m.jobAt(host, path) }
+
+func (m *Machine) jobAt(host, path string) *Job {
+	job := m.data.Jobs[workload.JobIDAt(path)]
+	if job == nil || !job.acceptedAt(host, path) {
+		return nil
+	}
+	return job
+}
+
 // Active returns the jobs that are open or have tasks executing, by id.
 func (v *View) Active() map[string]*Job { return v.m.active }
 
