A submission whose id is in use elsewhere is refused with 429

Callers saw: 400, which says that the submission can never be accepted. The same call is accepted once the other job has been purged.

Now 429, which promises that the job never runs from this call, with Retry-After 60 s and a reason that names another id as the way out. It no longer says that a job of another queue has the id.

TestJobIDOfAnotherQueueIsNotARepetition expected 400; it now expects 429 with a time to retry after, and that the same submission is accepted once the other job is purged.

--- a/internal/process/scheduler/server_test.go
+++ b/internal/process/scheduler/server_test.go
@@ -103,16 +103,26 @@
 		for _, c := range []struct {
 			path string
 			want workcall.Status
-		}{{"/q/", workcall.OK}, {"/o/", workcall.Invalid}, {"/q/", workcall.OK}} {
+		}{{"/q/", workcall.OK}, {"/o/", workcall.Overloaded}, {"/q/", workcall.OK}} {
 			answer, err := s.Submit(t.Context(), workcall.SubmitRequest{Location: workcall.Location{Host: "host", Path: c.path + jobA}, Spec: spec})
 			if err != nil || answer.Status != c.want {
 				t.Errorf("submission to %s: %+v, %v, expected status %d", c.path, answer, err, c.want)
 			}
+			if c.want == workcall.Overloaded && (answer.RetryAfterMS <= 0 || answer.Known) {
+				t.Errorf("submission to %s: %+v, expected a time to retry after", c.path, answer)
+			}
 		}
 		// The leader has proposed the other job before it knew of the first one.
 		late := &workstate.Command{Submit: &workstate.Submit{ID: jobA, Host: "host", Path: "/o/" + jobA, Spec: spec}}
 		if result := f.commit(late); result.Code != workstate.OtherJob {
 			t.Errorf("command of a job whose id is taken: %+v", result)
 		}
+		// Once the first job is gone, the same submission is accepted.
+		f.commit(&workstate.Command{Cancel: &workstate.Cancel{ID: jobA, Host: "host", Path: "/q/" + jobA}})
+		f.commit(&workstate.Command{AtMS: time.Now().UnixMilli(), PurgeJobs: &workstate.PurgeJobs{EndedBeforeMS: time.Now().Add(time.Hour).UnixMilli()}})
+		answer, err := s.Submit(t.Context(), workcall.SubmitRequest{Location: workcall.Location{Host: "host", Path: "/o/" + jobA}, Spec: spec})
+		if err != nil || answer.Status != workcall.OK {
+			t.Errorf("submission after the other job was purged: %+v, %v", answer, err)
+		}
 	})
 }
--- a/internal/process/scheduler/submission/status.go
+++ b/internal/process/scheduler/submission/status.go
@@ -1,6 +1,8 @@
 package submission
 
 import (
+	"time"
+
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/access"
@@ -43,7 +45,14 @@
 	return workcall.SubmitResponse{Status: StatusOf(result.Code), Known: result.Repeated}
 }
 
-// idInUse refuses a job whose id a job at another location has.
+// idRetryAfter is the time after which a job may be submitted again whose id is in use.
+const idRetryAfter = time.Minute
+
+// idInUse refuses a job whose id a job at another location has, until that is purged.
+// Workers know a task by the id without its queue. The reason does not say whose job it is.
 func idInUse() workcall.SubmitResponse {
-	return workcall.SubmitResponse{Status: workcall.Invalid, Reason: "a job at another location has the id"}
+	return workcall.SubmitResponse{
+		Status: workcall.Overloaded, RetryAfterMS: idRetryAfter.Milliseconds(),
+		Reason: "the id can't be used at present, another one can",
+	}
 }
