--- a/internal/process/scheduler/progress.go
+++ b/internal/process/scheduler/progress.go
@@ -1,53 +1,83 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"arbutusward.example/arbutusward/internal/process/scheduler/progresslog"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
-// commit proposes progress to the replicated log. The result returns as an event.
+// commit proposes progress to the replicated log, in one command or, if it names many runs,
+// in several. The result returns as an event.
 func (l *loop) commit(progress *workstate.Progress) {
 	l.committing = true
 	packs := l.format >= workstate.FormatPacked
 	go func() {
 		start := time.Now()
-		command := &workstate.Command{Progress: progress}
-		if packs {
-			command = &workstate.Command{Packed: workstate.Pack(progress)}
-			// The result tells of the starts in this order.
-			progress = command.Packed.Unpack()
-		}
-		result, err := propose(l.ctx, l.Replica, command, l.Now())
+		done, err := l.proposeProgress(progress, packs)
 		commitSeconds.UpdateDuration(start)
 		l.post(func(l *loop) {
 			l.lastCommit = time.Since(start)
 			l.loadLog.RecordCommit(l.lastCommit)
-			l.committed(progress, start, result, err)
+			l.committed(done, start)
+			if err != nil {
+				l.Log.Warn("commit of progress not confirmed", "runs", progress.Runs()-done.Runs(), "confirmed", done.Runs(), "error", err.Error())
+				l.awaitOutcome()
+			}
 		})
 	}()
 }
 
-// committed handles the result of a commit that was proposed at plannedAt, and sends the
-// start orders of the runs that were recorded.
-func (l *loop) committed(progress *workstate.Progress, plannedAt time.Time, result workstate.Result, err error) {
+// committedProgress is the progress that was committed. started tells for each of its starts
+// whether the run was recorded.
+type committedProgress struct {
+	workstate.Progress
+	started []bool
+}
+
+// proposeProgress commits progress in commands of limited size, one after the other. It
+// returns what is confirmed. After an error the rest may be committed too.
+func (l *loop) proposeProgress(progress *workstate.Progress, packs bool) (done committedProgress, err error) {
+	for _, part := range progress.Split() {
+		command := &workstate.Command{Progress: part}
+		if packs {
+			command = &workstate.Command{Packed: workstate.Pack(part)}
+			// The result tells of the starts in this order.
+			part = command.Packed.Unpack()
+		}
+		result, err := propose(l.ctx, l.Replica, command, l.Now())
+		if err != nil {
+			return done, err
+		}
+		if len(result.Started) != len(part.Starts) {
+			return done, fmt.Errorf("%w: it tells of %d of %d starts", errUnexpectedResult, len(result.Started), len(part.Starts))
+		}
+		done.Survivals = append(done.Survivals, part.Survivals...)
+		done.Ends = append(done.Ends, part.Ends...)
+		done.Starts = append(done.Starts, part.Starts...)
+		done.started = append(done.started, result.Started...)
+	}
+	return done, nil
+}
+
+// committed handles progress that was committed and had been planned at a time, and sends
+// the start orders of the runs that were recorded.
+func (l *loop) committed(progress committedProgress, plannedAt time.Time) {
 	l.committing = false
 	l.dirty = true
-	if err != nil {
-		l.Log.Warn("commit of progress not confirmed", "starts", len(progress.Starts), "ends", len(progress.Ends), "error", err.Error())
-		l.awaitOutcome()
+	if progress.Runs() == 0 {
 		return
 	}
 	for _, end := range progress.Ends {
 		l.dropEnd(runKey{end.Task, end.Run})
 	}
 	endedRuns.Add(len(progress.Ends))
-	progresslog.Write(l.Log, progress, result.Started)
+	progresslog.Write(l.Log, &progress.Progress, progress.started)
 	l.Machine.Read(func(v *workstate.View) {
 		l.logGivenUp(v, progress.Ends)
 		l.dropCommittedEnds(progress.Ends)
-		for i, ok := range result.Started {
+		for i, ok := range progress.started {
 			if ok {
 				l.startRun(v, &progress.Starts[i], plannedAt)
 			}
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -7,8 +7,7 @@
 	"log/slog"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/replica"
@@ -56,10 +55,12 @@
 	return result, nil
 }
 
-// propose commits a command through the replica and returns its result.
+// propose commits a command through the replica and returns its result. It fails with
+// codec.ErrTooLarge if the members could not read the command, and with errUnexpectedResult if
+// their result can't be used.
 func propose(ctx context.Context, r replica.Replica, c *workstate.Command, now time.Time) (workstate.Result, error) {
 	c.AtMS = now.UnixMilli()
-	encoded, err := cbor.Marshal(c)
+	encoded, err := codec.Marshal(c)
 	if err != nil {
 		return workstate.Result{}, fmt.Errorf("encode command: %w", err)
 	}
@@ -68,8 +69,8 @@
 		return workstate.Result{}, err
 	}
 	var result workstate.Result
-	if err := cbor.Unmarshal(answer, &result); err != nil {
-		return result, fmt.Errorf("decode result: %w", err)
+	if err := codec.Unmarshal(answer, &result); err != nil {
+		return result, fmt.Errorf("%w: %w", errUnexpectedResult, err)
 	}
 	return result, nil
 }
@@ -80,7 +81,7 @@
 	switch {
 	case errors.As(err, &other):
 		return &link.Fault{Code: link.CodeNotLeader, Message: err.Error(), Leader: other.Link}
-	case errors.Is(err, replica.ErrUnknownResult):
+	case errors.Is(err, replica.ErrUnknownResult), errors.Is(err, errUnexpectedResult):
 		return &link.Fault{Code: workcall.CodeUnknown, Message: err.Error()}
 	}
 	return &link.Fault{Code: workcall.CodeUnavailable, Message: err.Error()}
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"math"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/version/access"
 	"arbutusward.example/arbutusward/internal/version/catalog"
@@ -14,18 +12,6 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// stateDecoder decodes snapshots. The limits of jobs bound the state, and one that has been
-// accepted must be decoded whatever its size.
-var stateDecoder = mustDecoder(cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32})
-
-func mustDecoder(o cbor.DecOptions) cbor.DecMode {
-	mode, err := o.DecMode()
-	if err != nil {
-		panic(fmt.Sprintf("decoder of the state: %v", err))
-	}
-	return mode
-}
-
 // Machine is the replicated state machine. Apply, Snapshot and Restore must be
 // called by a single goroutine. Read is safe for concurrent use but must not be
 // called within another Read: a waiting Apply between the two would deadlock
@@ -88,7 +74,7 @@
 func (m *Machine) Apply(_ uint64, entry []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	encoded, err := cbor.Marshal(m.apply(entry))
+	encoded, err := codec.Marshal(m.apply(entry))
 	if err != nil {
 		panic(fmt.Sprintf("result does not marshal: %v", err))
 	}
@@ -97,7 +83,7 @@
 
 func (m *Machine) apply(entry []byte) Result {
 	var c Command
-	if err := cbor.Unmarshal(entry, &c); err != nil {
+	if err := codec.Unmarshal(entry, &c); err != nil {
 		return Result{Code: Malformed}
 	}
 	m.data.ClockMS = max(m.data.ClockMS, c.AtMS)
@@ -133,7 +119,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	encoded, err := cbor.Marshal(m.data)
+	encoded, err := codec.MarshalStored(m.data)
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
 	}
@@ -144,7 +130,7 @@
 // replica.StateMachine.
 func (m *Machine) Restore(_ uint64, snapshot []byte) error {
 	restored := emptyData()
-	if err := stateDecoder.Unmarshal(snapshot, &restored); err != nil {
+	if err := codec.UnmarshalStored(snapshot, &restored); err != nil {
 		return fmt.Errorf("decode state snapshot: %w", err)
 	}
 	m.mu.Lock()
