A command that the members have not read is not taken for one that took effect

Callers saw: POST /wave-start of 131,073 machines, legal by its size, was answered 200, and the wave was never recorded.

Cause: an answer that is not OK is taken for one that is. The state machine answers Malformed to what it can't decode; of the callers of propose only submissions, cancellations and deregistrations looked at the code.

Change: propose fails with an error for Malformed and counts it, so that no caller can miss it; the maintenance of a VM is not ordered, and a failed record is logged, if the state refuses it.

Evidence: TestUnreadableCommitDoesNotEndTheLeader panicked on, TestCommandThatMembersCannotReadIsNotAcknowledged failed in its three checks (acknowledged, in the log, no error).

--- a/internal/process/scheduler/fakereplica_test.go
+++ b/internal/process/scheduler/fakereplica_test.go
@@ -86,3 +86,10 @@
 func (f *fakeReplica) RemoveMember(context.Context, string) error      { return nil }
 func (f *fakeReplica) LeaderChanges() <-chan bool                      { return nil }
 func (f *fakeReplica) Stop() error                                     { return nil }
+
+// unreadableReplica commits commands that its members can't read.
+type unreadableReplica struct{ *fakeReplica }
+
+func (f *unreadableReplica) Propose(ctx context.Context, _ []byte) ([]byte, error) {
+	return f.fakeReplica.Propose(ctx, []byte{0xff})
+}
--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -35,15 +35,16 @@
 
 // Metrics of the scheduler.
 var (
-	startedRuns   = metrics.NewCounter(`arbutus_runs_started_total`)
-	endedRuns     = metrics.NewCounter(`arbutus_runs_ended_total`)
-	refusedOrders = metrics.NewCounter(`arbutus_orders_refused_total`)
-	lostOrders    = metrics.NewCounter(`arbutus_orders_unanswered_total`)
-	planSeconds   = metrics.NewHistogram(`arbutus_plan_seconds`)
-	commitSeconds = metrics.NewHistogram(`arbutus_progress_commit_seconds`)
-	workerCrashes = metrics.NewCounter(`arbutus_worker_crashes_total`)
-	jobsGivenUp   = metrics.NewCounter(`arbutus_jobs_given_up_total`)
-	watchCalls    = metrics.NewCounter(`arbutus_worker_watches_total`)
+	startedRuns       = metrics.NewCounter(`arbutus_runs_started_total`)
+	endedRuns         = metrics.NewCounter(`arbutus_runs_ended_total`)
+	refusedOrders     = metrics.NewCounter(`arbutus_orders_refused_total`)
+	lostOrders        = metrics.NewCounter(`arbutus_orders_unanswered_total`)
+	planSeconds       = metrics.NewHistogram(`arbutus_plan_seconds`)
+	commitSeconds     = metrics.NewHistogram(`arbutus_progress_commit_seconds`)
+	workerCrashes     = metrics.NewCounter(`arbutus_worker_crashes_total`)
+	malformedCommands = metrics.NewCounter(`arbutus_commands_malformed_total`)
+	jobsGivenUp       = metrics.NewCounter(`arbutus_jobs_given_up_total`)
+	watchCalls        = metrics.NewCounter(`arbutus_worker_watches_total`)
 )
 
 // event is a function that updates the state of the loop. It is called on the
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -56,8 +56,8 @@
 }
 
 // propose commits a command through the replica and returns its result. It fails with
-// codec.ErrTooLarge if the members could not read the command, and with errUnexpectedResult if
-// their result can't be used.
+// codec.ErrTooLarge or errMalformedCommand if the command has no effect since the members
+// can't read it, and with errUnexpectedResult if the members' result can't be used.
 func propose(ctx context.Context, r replica.Replica, c *workstate.Command, now time.Time) (workstate.Result, error) {
 	c.AtMS = now.UnixMilli()
 	encoded, err := codec.Marshal(c)
@@ -72,6 +72,10 @@
 	if err := codec.Unmarshal(answer, &result); err != nil {
 		return result, fmt.Errorf("%w: %w", errUnexpectedResult, err)
 	}
+	if result.Code == workstate.Malformed {
+		malformedCommands.Inc()
+		return result, errMalformedCommand
+	}
 	return result, nil
 }
 
--- a/internal/process/scheduler/vmorders.go
+++ b/internal/process/scheduler/vmorders.go
@@ -69,7 +69,11 @@
 	if order.pool == "" {
 		// The maintenance is recorded before the VM may go down.
 		maintenance := &workstate.Maintenance{Wave: order.wave, VM: id}
-		if _, err := propose(ctx, l.Replica, &workstate.Command{Maintenance: maintenance}, l.Now()); err != nil {
+		result, err := propose(ctx, l.Replica, &workstate.Command{Maintenance: maintenance}, l.Now())
+		if err == nil && result.Code != workstate.OK {
+			err = errUnknownWave
+		}
+		if err != nil {
 			return execution.VMOverloaded, fmt.Errorf("%w: %w", errNotSent, err)
 		}
 	}
--- a/internal/process/scheduler/vms.go
+++ b/internal/process/scheduler/vms.go
@@ -241,9 +241,9 @@
 // ordered again.
 func (l *loop) proposeAsync(c *workstate.Command, failure string) {
 	go func() {
-		_, err := propose(l.ctx, l.Replica, c, l.Now())
-		if err != nil && l.ctx.Err() == nil {
-			l.Log.Warn(failure, "error", err.Error())
+		result, err := propose(l.ctx, l.Replica, c, l.Now())
+		if l.ctx.Err() == nil && (err != nil || result.Code != workstate.OK) {
+			l.Log.Warn(failure, "result", result.Code, "error", errorText(err))
 		}
 		l.post(func(l *loop) { l.dirty = true })
 	}()
--- a/internal/process/scheduler/widejob_test.go
+++ b/internal/process/scheduler/widejob_test.go
@@ -1,10 +1,14 @@
 package scheduler
 
 import (
+	"errors"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"arbutusward.example/arbutusward/internal/codec"
+	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -59,3 +63,34 @@
 		})
 	}
 }
+
+// TestUnreadableCommitDoesNotEndTheLeader guards against a panic of a leader whose commit the members have not read.
+func TestUnreadableCommitDoesNotEndTheLeader(t *testing.T) {
+	l, machine, starts := wideJob(t, workstate.NewestFormat)
+	l.Replica = &unreadableReplica{&fakeReplica{machine: machine}}
+	l.commit(&workstate.Progress{Starts: starts[:1]})
+	(<-l.events)(l)
+	if !l.unconfirmed {
+		t.Error("the leader goes on as if the commit had taken effect")
+	}
+}
+
+// TestCommandThatMembersCannotReadIsNotAcknowledged guards against an operator's order or a registration that is acknowledged though the state has not taken it.
+func TestCommandThatMembersCannotReadIsNotAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, time.Second)
+		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		index := f.replica.index
+		vms := make([]string, codec.MaxElements+1)
+		if _, err := s.StartWave(t.Context(), workcall.WaveRequest{Number: 7, VMs: vms, Cap: 1}); err == nil {
+			t.Error("a wave that the state can't have is acknowledged")
+		}
+		if f.replica.index != index {
+			t.Error("a command that no member can read is in the log")
+		}
+		// A process of another version has proposed what this one can't read.
+		if _, err := propose(t.Context(), &unreadableReplica{f.replica}, &workstate.Command{PurgeJobs: &workstate.PurgeJobs{}}, time.Now()); !errors.Is(err, errMalformedCommand) {
+			t.Errorf("a command that was not read: %v", err)
+		}
+	})
+}
