--- a/internal/process/replica/driver/advance.go
+++ b/internal/process/replica/driver/advance.go
@@ -30,7 +30,7 @@
 // for the sync.
 func (l *loop) store(ready *core.Ready) {
 	for i := range ready.Entries {
-		l.bytesSinceSnapshot += len(ready.Entries[i].Data) + 1
+		l.sinceSnapshot.add(&ready.Entries[i])
 	}
 	if ready.State == nil && len(ready.Entries) == 0 && len(ready.AfterSync) == 0 {
 		return
--- a/internal/process/replica/driver/apply.go
+++ b/internal/process/replica/driver/apply.go
@@ -26,7 +26,7 @@
 	}
 	l.applied = meta.Last.Index
 	l.unapplied = nil
-	l.bytesSinceSnapshot = 0
+	l.sinceSnapshot = logGrowth{}
 	return nil
 }
 
@@ -110,11 +110,29 @@
 	return l.transport.sendSnapshot(address, envelope, snapshot.Split(transfer, encoded))
 }
 
+// logGrowth is the size of entries of the log.
+type logGrowth struct {
+	// bytes are those of the commands.
+	bytes   int
+	entries int
+}
+
+func (g *logGrowth) add(e *core.Entry) {
+	g.bytes += len(e.Data) + 1
+	g.entries++
+}
+
+// exceeds reports whether the entries have more bytes than a limit, or are so many that they
+// take much memory however small they are.
+func (g *logGrowth) exceeds(maxBytes, maxEntries int) bool {
+	return g.bytes >= maxBytes || g.entries >= maxEntries
+}
+
 // snapshotIfDue takes a snapshot once the log has grown by twice the size of
 // the last one, so that the cost stays proportional to the traffic.
 func (l *loop) snapshotIfDue() error {
 	limit := max(minLogBytes, 2*l.snapshotBytes)
-	if l.bytesSinceSnapshot < limit || l.snapshotPending || len(l.unapplied) > 0 {
+	if !l.sinceSnapshot.exceeds(limit, maxLogEntries) || l.snapshotPending || len(l.unapplied) > 0 {
 		return nil
 	}
 	encoded, err := l.encodeSnapshot()
@@ -123,7 +141,7 @@
 	}
 	base, entries := l.core.Tail(l.compactIndex(limit / 2))
 	l.jobs = append(l.jobs, diskJob{snapshot: encoded, base: base, entries: entries, localSnapshot: true})
-	l.bytesSinceSnapshot = 0
+	l.sinceSnapshot = logGrowth{}
 	l.snapshotPending = true
 	return nil
 }
@@ -141,14 +159,14 @@
 }
 
 // compactIndex returns the index up to which the log can be dropped. It keeps
-// keepBytes of entries, so that members that are slightly behind need no
+// keepBytes of entries, and half of maxLogEntries at most, so that members that are slightly behind need no
 // snapshot.
 func (l *loop) compactIndex(keepBytes int) uint64 {
 	index := l.applied
 	_, entries := l.core.Tail(l.core.Base().Index)
-	kept := 0
-	for index > l.core.Base().Index && kept < keepBytes {
-		kept += len(entries[index-l.core.Base().Index-1].Data) + 1
+	var kept logGrowth
+	for index > l.core.Base().Index && !kept.exceeds(keepBytes, maxLogEntries/2) {
+		kept.add(&entries[index-l.core.Base().Index-1])
 		index--
 	}
 	return index
--- a/internal/process/replica/driver/loop.go
+++ b/internal/process/replica/driver/loop.go
@@ -56,12 +56,12 @@
 
 	// lastTick is the reading of the clock up to which the core was advanced.
 	lastTick time.Duration
-	// bytesSinceSnapshot is the growth of the log since the last snapshot.
-	bytesSinceSnapshot int
-	snapshotPending    bool
-	snapshotBytes      int
-	logBytes           int64
-	lastTransfer       uint64
+	// sinceSnapshot is the growth of the log since the last snapshot.
+	sinceSnapshot   logGrowth
+	snapshotPending bool
+	snapshotBytes   int
+	logBytes        int64
+	lastTransfer    uint64
 	// transferDeadline ends the leadership transfer while the replica is
 	// stopping.
 	transferDeadline time.Time
@@ -80,7 +80,7 @@
 	}
 	for i := range d.storage.contents.Entries {
 		if e := &d.storage.contents.Entries[i]; e.Index > l.applied {
-			l.bytesSinceSnapshot += len(e.Data) + 1
+			l.sinceSnapshot.add(e)
 		}
 	}
 	l.members = l.core.Members()
--- a/internal/process/replica/driver/options.go
+++ b/internal/process/replica/driver/options.go
@@ -44,6 +44,9 @@
 	maxFrameEntriesBytes = 16 << 20
 	// minLogBytes is the minimum growth of the log between two snapshots.
 	minLogBytes = 1 << 20
+	// maxLogEntries limits the entries between two snapshots. An entry takes about 100
+	// bytes of memory beside its command.
+	maxLogEntries = 131_072
 	// maxMessages limits the messages that wait for one member.
 	maxMessages = 64
 	inboxLength = 1024
--- a/internal/process/replica/wal/frame.go
+++ b/internal/process/replica/wal/frame.go
@@ -7,13 +7,19 @@
 	"fmt"
 	"hash/crc32"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/process/replica/core"
 )
 
-// MaxFrameBytes limits the payload of one frame.
-const MaxFrameBytes = 64 << 20
+// Limits of one frame.
+const (
+	// MaxFrameBytes limits the payload.
+	MaxFrameBytes = 64 << 20
+	// maxFrameEntries and maxEntriesBytes limit the entries; a single entry may be larger.
+	// More are written as several frames.
+	maxFrameEntries = 65_536
+	maxEntriesBytes = 16 << 20
+)
 
 // headerBytes is the size of a frame's magic, length and checksum.
 const headerBytes = 12
@@ -26,7 +32,7 @@
 	errBadFrame = errors.New("no whole frame")
 )
 
-// Frame is the data that one sync makes durable.
+// Frame is the data of an Append, which one sync makes durable unless there are many entries.
 type Frame struct {
 	// Base starts the log after this position. Only the first frame of a
 	// rewritten log has it.
@@ -40,7 +46,7 @@
 
 // encodeFrame returns the encoded frame with its header.
 func encodeFrame(frame *Frame) ([]byte, error) {
-	payload, err := cbor.Marshal(frame)
+	payload, err := codec.MarshalStored(frame)
 	if err != nil {
 		return nil, fmt.Errorf("encode frame: %w", err)
 	}
@@ -59,15 +65,34 @@
 	return crc32.Update(crc32.Checksum(length, castagnoli), castagnoli, payload)
 }
 
-// decodeFrame decodes the frame at the start of data and returns its size.
+// split returns frames that hold the same data in order.
+func (f *Frame) split() []*Frame {
+	frames := []*Frame{{Base: f.Base, State: f.State}}
+	last, bytes := frames[0], 0
+	for i := range f.Entries {
+		size := core.EntriesSize(f.Entries[i : i+1])
+		if len(last.Entries) == maxFrameEntries || len(last.Entries) > 0 && bytes+size > maxEntriesBytes {
+			last, bytes = &Frame{}, 0
+			frames = append(frames, last)
+		}
+		first := i - len(last.Entries)
+		last.Entries = f.Entries[first : i+1]
+		bytes += size
+	}
+	return frames
+}
+
+// decodeFrame decodes the frame at the start of data and returns its size. The error is
+// errBadFrame for a frame that is not whole, and wraps ErrUnreadable for a whole one that can't
+// be decoded. Frames of former versions may hold any number of entries.
 func decodeFrame(data []byte) (*Frame, int, error) {
 	payload, err := framePayload(data)
 	if err != nil {
 		return nil, 0, err
 	}
 	var frame Frame
-	if err := cbor.Unmarshal(payload, &frame); err != nil {
-		return nil, 0, fmt.Errorf("%w: %w", errBadFrame, err)
+	if err := codec.UnmarshalStored(payload, &frame); err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	return &frame, headerBytes + len(payload), nil
 }
--- a/internal/process/replica/wal/wal.go
+++ b/internal/process/replica/wal/wal.go
@@ -79,6 +79,9 @@
 	offset := 0
 	for offset < len(data) {
 		frame, size, err := decodeFrame(data[offset:])
+		if errors.Is(err, ErrUnreadable) {
+			return nil, 0, fmt.Errorf("%w: byte %d", err, offset)
+		}
 		if err != nil {
 			if containsFrame(data[offset+1:]) {
 				return nil, 0, fmt.Errorf("%w: byte %d", ErrCorrupt, offset)
@@ -117,8 +120,18 @@
 	return nil
 }
 
-// Append writes and syncs one frame.
+// Append writes and syncs a frame, or several one after the other if there are many entries.
 func (l *Log) Append(frame *Frame) error {
+	l.syncTime = 0
+	for _, part := range frame.split() {
+		if err := l.appendFrame(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Log) appendFrame(frame *Frame) error {
 	data, err := encodeFrame(frame)
 	if err != nil {
 		return err
@@ -131,7 +144,7 @@
 	if err := l.file.Sync(); err != nil {
 		return logging.Wrap(err, "sync log", l.file.Name())
 	}
-	l.syncTime = time.Since(start)
+	l.syncTime += time.Since(start)
 	l.size += int64(len(data))
 	if frame.State != nil {
 		l.state = *frame.State
@@ -143,9 +156,14 @@
 // covers base must have been synced before.
 func (l *Log) Rewrite(base core.Position, entries []core.Entry) error {
 	state := l.state
-	data, err := encodeFrame(&Frame{Base: &base, State: &state, Entries: entries})
-	if err != nil {
-		return err
+	whole := &Frame{Base: &base, State: &state, Entries: entries}
+	var data []byte
+	for _, part := range whole.split() {
+		encoded, err := encodeFrame(part)
+		if err != nil {
+			return err
+		}
+		data = append(data, encoded...)
 	}
 	path := filepath.Join(l.dir, FileName)
 	if err := datadir.Replace(path, data); err != nil {
--- a/internal/process/replica/wal/wal_test.go
+++ b/internal/process/replica/wal/wal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"os"
 	"path/filepath"
@@ -113,6 +114,72 @@
 	}
 }
 
+// smallEntries returns more entries than the default decoder of the CBOR library reads in one list.
+func smallEntries() []core.Entry {
+	entries := make([]core.Entry, 140_000)
+	for i := range entries {
+		entries[i] = core.Entry{Index: uint64(i) + 1, Term: 1, Data: []byte{byte(i)}}
+	}
+	return entries
+}
+
+// TestLogOfManySmallEntriesIsRead guards against a log that can be written and not read again, or whose last frame is cut off with the term and the vote.
+func TestLogOfManySmallEntriesIsRead(t *testing.T) {
+	entries, state := smallEntries(), core.HardState{Term: 3, Vote: "b"}
+	for name, write := range map[string]func(*Log) error{
+		"rewritten": func(l *Log) error {
+			if err := l.Append(&Frame{State: &state}); err != nil {
+				return err
+			}
+			return l.Rewrite(core.Position{}, entries)
+		},
+		"appended": func(l *Log) error { return l.Append(&Frame{State: &state, Entries: entries}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			log, _ := open(t, dir)
+			if err := write(log); err != nil {
+				t.Fatal(err)
+			}
+			for range 2 {
+				reopened, contents := open(t, dir)
+				if len(contents.Entries) != len(entries) || contents.State != state || contents.TornBytes != 0 {
+					t.Fatalf("%d entries, state %+v, %d torn bytes", len(contents.Entries), contents.State, contents.TornBytes)
+				}
+				next := core.Entry{Index: uint64(len(entries)) + 1, Term: 3}
+				appendEntries(t, reopened, next)
+				entries = append(entries[:len(entries):len(entries)], next)
+			}
+			entries = smallEntries()
+		})
+	}
+}
+
+// TestLogOfAFormerVersionIsRead guards against an upgraded process that does not start, since its log has all entries in one frame.
+func TestLogOfAFormerVersionIsRead(t *testing.T) {
+	data, err := encodeFrame(&Frame{Base: &core.Position{}, Entries: smallEntries()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	contents, size, err := Decode(data)
+	if err != nil || size != len(data) || len(contents.Entries) != len(smallEntries()) {
+		t.Errorf("%d of %d bytes are read: %v", size, len(data), err)
+	}
+}
+
+// TestUndecodableFrameIsNoTornTail guards against synced entries, the term and the vote that are cut off since this version can't decode them.
+func TestUndecodableFrameIsNoTornTail(t *testing.T) {
+	_, data := threeFrames(t)
+	payload := []byte{0xff}
+	frame := make([]byte, headerBytes)
+	copy(frame, magic[:])
+	binary.LittleEndian.PutUint32(frame[4:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(frame[8:], checksum(frame[4:8], payload))
+	if _, _, err := Decode(append(data, append(frame, payload...)...)); !errors.Is(err, ErrUnreadable) {
+		t.Errorf("error %v", err)
+	}
+}
+
 // FuzzDecode checks that Decode neither panics nor returns entries with a
 // gap.
 func FuzzDecode(f *testing.F) {
