State and messages have one limit for what is written and read

Calls between processes and commands of the product's log are refused when they are written, with codec.ErrTooLarge. Their readers keep the limit, so that a corrupt or hostile length does not allocate memory.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -2,9 +2,9 @@
 // store on their disks.
 //
 // What is written must be readable. A message has one limit for both directions: Marshal
-// refuses what Unmarshal would. Stored data has no limit of its own, since it was accepted
-// before it was stored; its file or its checksum bounds it, and UnmarshalStored reads all
-// that MarshalStored writes.
+// refuses what Unmarshal would. Stored data, and results that stay within a process, have no
+// limit of their own: what they hold was accepted before, and UnmarshalStored reads all that
+// MarshalStored writes.
 package codec
 
 import (
--- a/internal/connection/link/batched.go
+++ b/internal/connection/link/batched.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/connection/batcher"
 	"arbutusward.example/arbutusward/internal/process/logging"
 )
@@ -109,7 +110,7 @@
 	if peer.protocol != batchedProtocol {
 		return n.call(ctx, address, kind, req)
 	}
-	body, err := cbor.Marshal(req)
+	body, err := codec.Marshal(req)
 	if err != nil {
 		return nil, fmt.Errorf("encode request: %w", err)
 	}
--- a/internal/connection/link/call.go
+++ b/internal/connection/link/call.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/timeline"
 )
@@ -94,7 +95,7 @@
 	n.handlers[kind] = func(ctx context.Context, peer Peer, body []byte) (any, error) {
 		count.Inc()
 		var req Req
-		if err := cbor.Unmarshal(body, &req); err != nil {
+		if err := codec.Unmarshal(body, &req); err != nil {
 			return nil, &Fault{Code: CodeMalformed, Message: err.Error()}
 		}
 		return serve(ctx, peer, req)
@@ -116,7 +117,7 @@
 	if err != nil {
 		return resp, logging.Wrap(err, string(kind), address)
 	}
-	if err := cbor.Unmarshal(body, &resp); err != nil {
+	if err := codec.Unmarshal(body, &resp); err != nil {
 		return resp, logging.Wrap(fmt.Errorf("decode answer: %w", err), string(kind), address)
 	}
 	return resp, nil
@@ -181,7 +182,7 @@
 		return ErrTooLarge
 	}
 	receivedBytes.Add(len(data))
-	return cbor.Unmarshal(data, into)
+	return codec.Unmarshal(data, into)
 }
 
 // acceptConnections accepts connections until the node is closed.
@@ -242,7 +243,7 @@
 // answer sends the response to a call.
 func (n *Node) answer(stream *quic.Stream, peer Peer, kind Kind, r response) {
 	r.Stamp = n.recorder.Now()
-	message, err := cbor.Marshal(r)
+	message, err := codec.Marshal(r)
 	if err != nil {
 		n.log.Error("link answer not encoded", "kind", kind, logging.Err(err))
 		stream.CancelWrite(abortedCode)
@@ -285,7 +286,7 @@
 		}
 		return response{Fault: &Fault{Code: CodeInternal, Message: err.Error()}}
 	}
-	body, err := cbor.Marshal(value)
+	body, err := codec.Marshal(value)
 	if err != nil {
 		return response{Fault: &Fault{Code: CodeInternal, Message: err.Error()}}
 	}
--- a/internal/connection/link/frames.go
+++ b/internal/connection/link/frames.go
@@ -9,9 +9,9 @@
 	"io"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/process/logging"
 )
 
@@ -106,5 +106,5 @@
 		return req, err
 	}
 	receivedBytes.Add(size)
-	return req, cbor.Unmarshal(data, &req)
+	return req, codec.Unmarshal(data, &req)
 }
--- a/internal/connection/link/send.go
+++ b/internal/connection/link/send.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/process/logging"
 )
 
@@ -99,11 +99,11 @@
 
 // encodeRequest encodes the request of a Call or a Send.
 func (n *Node) encodeRequest(kind Kind, req any) ([]byte, error) {
-	body, err := cbor.Marshal(req)
+	body, err := codec.Marshal(req)
 	if err != nil {
 		return nil, fmt.Errorf("encode request: %w", err)
 	}
-	message, err := cbor.Marshal(request{Kind: kind, Stamp: n.recorder.Now(), Body: body})
+	message, err := codec.Marshal(request{Kind: kind, Stamp: n.recorder.Now(), Body: body})
 	if err != nil {
 		return nil, fmt.Errorf("encode request: %w", err)
 	}
--- a/internal/process/entry/viewfile.go
+++ b/internal/process/entry/viewfile.go
@@ -9,8 +9,7 @@
 	"os"
 	"path/filepath"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/version/view"
 )
 
@@ -31,7 +30,7 @@
 	if f.dir == "" {
 		return nil
 	}
-	body, err := cbor.Marshal(fullDelta(v))
+	body, err := codec.MarshalStored(fullDelta(v))
 	if err != nil {
 		return fmt.Errorf("encode view: %w", err)
 	}
@@ -66,7 +65,7 @@
 		return view.Empty(), errChecksum
 	}
 	var delta view.Delta
-	if err := cbor.Unmarshal(content[checksumSize:], &delta); err != nil {
+	if err := codec.UnmarshalStored(content[checksumSize:], &delta); err != nil {
 		return view.Empty(), fmt.Errorf("decode view file: %w", err)
 	}
 	loaded, _ := view.Empty().Apply(delta)
--- a/internal/process/replica/snapshot/snapshot.go
+++ b/internal/process/replica/snapshot/snapshot.go
@@ -9,8 +9,7 @@
 	"os"
 	"path/filepath"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/process/logging"
 	"arbutusward.example/arbutusward/internal/process/replica/core"
 	"arbutusward.example/arbutusward/internal/process/replica/datadir"
@@ -35,7 +34,7 @@
 
 // Encode returns the content of the snapshot file.
 func Encode(s *Snapshot) ([]byte, error) {
-	body, err := cbor.Marshal(s)
+	body, err := codec.MarshalStored(s)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -55,7 +54,7 @@
 		return nil, ErrCorrupt
 	}
 	var s Snapshot
-	if err := cbor.Unmarshal(body, &s); err != nil {
+	if err := codec.UnmarshalStored(body, &s); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
 	}
 	return &s, nil
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -69,7 +69,7 @@
 		return workstate.Result{}, err
 	}
 	var result workstate.Result
-	if err := codec.Unmarshal(answer, &result); err != nil {
+	if err := codec.UnmarshalStored(answer, &result); err != nil {
 		return result, fmt.Errorf("%w: %w", errUnexpectedResult, err)
 	}
 	if result.Code == workstate.Malformed {
--- a/internal/process/state/command.go
+++ b/internal/process/state/command.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"arbutusward.example/arbutusward/internal/codec"
 )
 
 // Kind identifies the kind of a command.
@@ -88,11 +90,11 @@
 
 // Encode returns the log entry of a command.
 func Encode(kind Kind, atMS int64, body any) ([]byte, error) {
-	raw, err := cbor.Marshal(body)
+	raw, err := codec.Marshal(body)
 	if err != nil {
 		return nil, fmt.Errorf("encode %s: %w", kind, err)
 	}
-	return cbor.Marshal(Command{Kind: kind, AtMS: atMS, Body: raw})
+	return codec.Marshal(Command{Kind: kind, AtMS: atMS, Body: raw})
 }
 
 // Code is the result code of a command.
@@ -127,11 +129,11 @@
 func DecodeResult[T any](data []byte) (T, error) {
 	var value T
 	var result Result
-	if err := cbor.Unmarshal(data, &result); err != nil {
+	if err := codec.UnmarshalStored(data, &result); err != nil {
 		return value, fmt.Errorf("decode result: %w", err)
 	}
 	if len(result.Body) > 0 {
-		if err := cbor.Unmarshal(result.Body, &value); err != nil {
+		if err := codec.UnmarshalStored(result.Body, &value); err != nil {
 			return value, fmt.Errorf("decode result body: %w", err)
 		}
 	}
@@ -151,7 +153,7 @@
 }
 
 func withBody(result Result, body any) Result {
-	raw, err := cbor.Marshal(body)
+	raw, err := codec.MarshalStored(body)
 	if err != nil {
 		return refuse(Malformed, "encode result: %v", err)
 	}
@@ -163,7 +165,7 @@
 func typed[T any](apply func(*Machine, position, T) Result) applier {
 	return func(m *Machine, pos position, body []byte) Result {
 		var value T
-		if err := cbor.Unmarshal(body, &value); err != nil {
+		if err := codec.Unmarshal(body, &value); err != nil {
 			return refuse(Malformed, "decode command: %v", err)
 		}
 		return apply(m, pos, value)
--- a/internal/process/state/machine.go
+++ b/internal/process/state/machine.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/version/fleet"
 )
 
@@ -70,7 +71,7 @@
 	if m.data.Fleet.Revision == index {
 		m.publish()
 	}
-	encoded, err := cbor.Marshal(result)
+	encoded, err := codec.MarshalStored(result)
 	if err != nil {
 		panic(fmt.Sprintf("result does not marshal: %v", err))
 	}
@@ -79,7 +80,7 @@
 
 func (m *Machine) apply(index uint64, entry []byte) Result {
 	var command Command
-	if err := cbor.Unmarshal(entry, &command); err != nil {
+	if err := codec.Unmarshal(entry, &command); err != nil {
 		return refuse(Malformed, "decode command: %v", err)
 	}
 	apply, known := m.appliers[command.Kind]
@@ -109,7 +110,7 @@
 // Restore replaces the whole state by a snapshot.
 func (m *Machine) Restore(_ uint64, snapshot []byte) error {
 	restored := emptyData()
-	if err := cbor.Unmarshal(snapshot, &restored); err != nil {
+	if err := codec.UnmarshalStored(snapshot, &restored); err != nil {
 		return fmt.Errorf("decode state snapshot: %w", err)
 	}
 	if err := restored.Fleet.reparse(); err != nil {
--- a/internal/process/workstate/machine.go
+++ b/internal/process/workstate/machine.go
@@ -74,7 +74,7 @@
 func (m *Machine) Apply(_ uint64, entry []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	encoded, err := codec.Marshal(m.apply(entry))
+	encoded, err := codec.MarshalStored(m.apply(entry))
 	if err != nil {
 		panic(fmt.Sprintf("result does not marshal: %v", err))
 	}
