--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -83,6 +83,7 @@
 	runs          *runtable.Table[run]
 	// dueStarts lists the runs of a round whose start orders are due.
 	dueStarts []dueStart
+	orders    orderWindow
 	// ends holds the ends of runs that wait for the next commit.
 	ends map[runKey]workstate.End
 	// survivals holds the survivals that the current round has found, to be committed.
--- /dev/null
+++ b/internal/process/scheduler/orders.go
@@ -0,0 +1,58 @@
+package scheduler
+
+// Limits of the orders in flight. Each waits for one of a few connections to its worker and
+// takes memory meanwhile: one of the largest size, with a call that this process makes
+// itself, some 20 KB.
+const (
+	// maxOrdersPerWorker is a multiple of what the connections to one worker carry at the
+	// same time. One that does not answer holds up no more.
+	maxOrdersPerWorker = 128
+	maxOrders          = 2048
+)
+
+// orderWindow counts the orders in flight of a leader.
+type orderWindow struct {
+	inFlight int
+	// heldBack is set if an order was not sent for lack of room. It is due in a later round.
+	heldBack bool
+}
+
+// mayOrder reports whether one more order may be sent to a worker now.
+func (l *loop) mayOrder(w *worker) bool {
+	if l.orders.inFlight < maxOrders && w.ordersInFlight < maxOrdersPerWorker {
+		return true
+	}
+	l.orders.heldBack = true
+	return false
+}
+
+// beginOrder counts an order that is sent.
+func (l *loop) beginOrder(w *worker) {
+	l.orders.inFlight++
+	w.ordersInFlight++
+}
+
+// endOrder counts the outcome of an order. If others were held back, the next round sends
+// them.
+func (l *loop) endOrder(w *worker) {
+	l.orders.inFlight--
+	w.ordersInFlight--
+	if l.orders.heldBack {
+		l.orders.heldBack = false
+		l.dirty = true
+	}
+}
+
+// startsLeft returns how many starts a round may plan on a worker. Those that were recorded
+// and held back go before.
+func (w *worker) startsLeft() int { return maxOrdersPerWorker - w.ordersInFlight - w.heldStarts }
+
+// roundStarts returns how many starts a round may plan, but for those of gangs, which start as
+// a whole.
+func (l *loop) roundStarts() int {
+	left := maxOrders - l.orders.inFlight
+	for _, w := range l.workerList {
+		left -= w.heldStarts
+	}
+	return max(0, left)
+}
--- a/internal/process/scheduler/orphans.go
+++ b/internal/process/scheduler/orphans.go
@@ -31,7 +31,7 @@
 // stopOrphan stops a run that a worker reports but that is not recorded as the
 // task's newest run.
 func (l *loop) stopOrphan(w *worker, key runKey, now time.Time) {
-	if last, known := l.orphans[key]; known && now.Sub(last) < callTimeout {
+	if last, known := l.orphans[key]; known && now.Sub(last) < callTimeout || !l.mayOrder(w) {
 		return
 	}
 	l.orphans[key] = now
@@ -41,6 +41,9 @@
 		if err != nil {
 			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", id, "error", err.Error())
 		}
-		l.post(func(l *loop) { l.recordRefusal(w, "stop", answer.Refusal) })
+		l.post(func(l *loop) {
+			l.endOrder(w)
+			l.recordRefusal(w, "stop", answer.Refusal)
+		})
 	})
 }
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -23,7 +23,7 @@
 		l.countStarting(v, u)
 	}
 	accounts := l.accounts(v, u, groups, now)
-	placed := placement.PlanForAccounts(groups, l.schedulableWorkers(u, now), accounts)
+	placed := placement.PlanStarts(groups, l.schedulableWorkers(u, now), accounts, l.roundStarts())
 	l.logSuspects(v, placed)
 	l.accountLog.Report(l.Log, accounts, now)
 	starts := make([]workstate.Start, 0, len(placed))
@@ -62,12 +62,13 @@
 func (l *loop) schedulableWorkers(u *usage, now time.Time) []*placement.Worker {
 	all := slices.Grow(l.schedulable[:0], len(l.workerList))
 	for _, w := range l.workerList {
-		if !w.schedulable(now) || !l.capacityKnown(w, now) || l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM] {
+		starts := w.startsLeft()
+		if starts <= 0 || !w.schedulable(now) || !l.capacityKnown(w, now) || l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM] {
 			continue
 		}
 		all = append(all, placement.Worker{
 			ID: w.reg.ID, Service: w.reg.Service, Zone: w.reg.Zone, Rack: w.rack, Labels: w.reg.Labels,
-			Free: w.reg.Capacity.Sub(u.usedOn(w)), DrainPending: l.maintenance.due[w.reg.VM],
+			Free: w.reg.Capacity.Sub(u.usedOn(w)), MaxStarts: starts, DrainPending: l.maintenance.due[w.reg.VM],
 		})
 		if u.starting != nil {
 			l.describeForSuspects(&all[len(all)-1], u, w, now)
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -136,6 +136,7 @@
 			l.countUnrecorded(v, u, w)
 		}
 		w.overCapacity = !w.reg.Capacity.Fits(u.usedOn(w))
+		w.heldStarts = 0
 	}
 	l.sendDueStarts(v, now)
 	return u
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -19,7 +19,7 @@
 }
 
 // sendStart sends the start order of a run, also again, unless the worker may get
-// none any more.
+// none any more. Without room for it the order stays due.
 func (l *loop) sendStart(v *workstate.View, id workload.TaskID, r *run, now time.Time) {
 	w := l.workers[r.worker]
 	if w == nil {
@@ -30,6 +30,10 @@
 		r.enter(runStopping, time.Time{})
 		return
 	}
+	if !l.mayOrder(w) {
+		w.heldStarts++
+		return
+	}
 	switch known := l.capacityKnown(w, now); {
 	case w.overCapacity, !known && now.Sub(w.knownSince) > l.Limits.maxCapacityAge():
 		l.withdrawStart(r, w)
@@ -52,6 +56,7 @@
 	order.Ticket = l.ticketFor(id, r.worker)
 	r.enter(runOrdering, now)
 	r.calling, r.sent = true, true
+	l.beginOrder(w)
 	execution.StartInBackground(l.ctx, l.Workers, w.address(), order, callTimeout, func(answer execution.Answer, err error) {
 		l.post(func(l *loop) { l.handleStartAnswer(id, r, w, answer, err) })
 	})
@@ -100,6 +105,7 @@
 func (l *loop) handleStartAnswer(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
 	now := time.Now()
 	r.calling = false
+	l.endOrder(w)
 	l.recordRefusal(w, "start", answer.Refusal)
 	if l.runs.Get(id) != r {
 		return
--- a/internal/process/scheduler/stops.go
+++ b/internal/process/scheduler/stops.go
@@ -15,6 +15,11 @@
 	if w == nil || r.calling {
 		return
 	}
+	if !l.mayOrder(w) {
+		// The stop order stays due.
+		r.enter(runStopping, time.Time{})
+		return
+	}
 	r.enter(runStopping, now)
 	r.calling = true
 	l.stopInBackground(w, runKey{id, r.number}, func(answer execution.Answer, err error) {
@@ -23,8 +28,9 @@
 }
 
 // stopInBackground orders a worker to end a run and passes the outcome to a function, on
-// another goroutine.
+// another goroutine. The loop then calls endOrder.
 func (l *loop) stopInBackground(w *worker, key runKey, then func(execution.Answer, error)) {
+	l.beginOrder(w)
 	address, token := w.address(), uint64(w.token)
 	execution.InBackground(l.ctx, callTimeout, func(ctx context.Context) (execution.Answer, error) {
 		return l.Workers.Stop(ctx, address, key.task, key.run, token)
@@ -34,6 +40,7 @@
 func (l *loop) handleStopAnswer(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
 	now := time.Now()
 	r.calling = false
+	l.endOrder(w)
 	l.dirty = true
 	l.recordRefusal(w, "stop", answer.Refusal)
 	if l.runs.Get(id) != r {
--- a/internal/process/scheduler/throttle.go
+++ b/internal/process/scheduler/throttle.go
@@ -82,11 +82,12 @@
 // setSpeed orders a new speed of a best-effort task unless it has that speed.
 func (l *loop) setSpeed(w *worker, id workload.TaskID, now time.Time) {
 	r := l.runs.Get(id)
-	if r == nil || r.phase != runOrdered || r.settingSpeed || r.speed == w.speed || now.Sub(r.speedSetAt) < orderRetry {
+	if r == nil || r.phase != runOrdered || r.settingSpeed || r.speed == w.speed || now.Sub(r.speedSetAt) < orderRetry || !l.mayOrder(w) {
 		return
 	}
 	speed, number := w.speed, r.number
 	r.settingSpeed, r.speedSetAt = true, now
+	l.beginOrder(w)
 	address, token := w.address(), uint64(w.token)
 	execution.InBackground(l.ctx, callTimeout, func(ctx context.Context) (execution.Answer, error) {
 		return l.Workers.Throttle(ctx, address, id, number, speed, token)
@@ -97,6 +98,7 @@
 
 func (l *loop) handleSpeedAnswer(id workload.TaskID, r *run, w *worker, speed int, answer execution.Answer, err error) {
 	r.settingSpeed = false
+	l.endOrder(w)
 	l.recordRefusal(w, "throttle", answer.Refusal)
 	if err != nil || answer.Refusal != execution.Accepted {
 		l.Log.Warn("speed order failed or refused", "task", id.String(), "run", r.number, "worker", r.worker, "percent", speed, "refusal", answer.Refusal, "error", errorText(err))
--- a/internal/process/scheduler/widejob_test.go
+++ b/internal/process/scheduler/widejob_test.go
@@ -20,7 +20,7 @@
 // the starts of all tasks.
 func wideJob(t *testing.T, format int) (*loop, *workstate.Machine, []workstate.Start) {
 	machine := workstate.NewMachine()
-	replica := &fakeReplica{machine: machine}
+	replica := &fakeReplica{machine: machine, term: 1}
 	l := newLoop(t.Context(), Options{Replica: replica, Machine: machine, Log: slog.New(slog.DiscardHandler), Now: time.Now}, 1)
 	l.format = format
 	commitTo(t, machine, &workstate.Command{Catalog: testCatalog()})
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -105,6 +105,9 @@
 	// reportClockMS is the worker's clock in the newest report that names this
 	// incarnation; 0 if there was none.
 	reportClockMS int64
+	// ordersInFlight counts the orders whose outcome is awaited, heldStarts the recorded runs
+	// whose start order was held back since the last round began.
+	ordersInFlight, heldStarts int
 	// watching is set while a watch is in flight. The next one is not sent
 	// before nextWatch.
 	watching  bool
--- a/internal/version/placement/placement.go
+++ b/internal/version/placement/placement.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"arbutusward.example/arbutusward/internal/version/fairshare"
@@ -20,6 +21,9 @@
 	Labels []string
 	// Free is the capacity that executing tasks leave.
 	Free workload.Resources
+	// MaxStarts limits the tasks that a plan starts on the worker, but for those of gangs; 0
+	// means no limit. started counts them.
+	MaxStarts, started int
 	// Penalty is higher for workers that the caller prefers not to use. The
 	// scheduler does not set it.
 	Penalty int
@@ -103,8 +107,14 @@
 // PlanForAccounts is Plan within the quotas of client accounts, and with regard to their
 // shares. It counts what it starts. Without accounts there are no quotas.
 func PlanForAccounts(groups []*Group, workers []*Worker, accounts *fairshare.Accounts) []Placement {
+	return PlanStarts(groups, workers, accounts, math.MaxInt)
+}
+
+// PlanStarts is PlanForAccounts with a limit of the starts. Gangs, which start as a whole or not
+// at all, may exceed it.
+func PlanStarts(groups []*Group, workers []*Worker, accounts *fairshare.Accounts, maxStarts int) []Placement {
 	slices.SortFunc(groups, compareGroups)
-	p := &planner{pools: map[string]*pool{}, accounts: accounts}
+	p := &planner{pools: map[string]*pool{}, accounts: accounts, maxStarts: maxStarts}
 	for _, w := range workers {
 		p.poolOf(w.Service).add(w)
 	}
@@ -187,7 +197,7 @@
 		if w == nil {
 			break
 		}
-		w.Free = w.Free.Sub(g.Charge)
+		w.start(g)
 		placed[w.ID]++
 		plan = append(plan, Placement{Group: g, Index: index, Worker: w.ID})
 	}
@@ -203,7 +213,7 @@
 	for _, p := range plan {
 		for _, w := range pool {
 			if w.ID == p.Worker {
-				w.Free = w.Free.Add(p.Group.Charge)
+				w.undoStart(p.Group)
 			}
 		}
 	}
@@ -228,7 +238,24 @@
 // eligible reports whether the worker may take one more task of the group,
 // given the tasks of the group that this plan has placed by worker.
 func eligible(g *Group, w *Worker, placed map[string]int) bool {
-	return w.Free.Fits(g.Charge) && suitable(g, w, placed)
+	return w.Free.Fits(g.Charge) && w.mayStart(g) && suitable(g, w, placed)
+}
+
+// mayStart reports whether the plan may start one more task of the group on the worker.
+func (w *Worker) mayStart(g *Group) bool {
+	return g.Gang || w.MaxStarts == 0 || w.started < w.MaxStarts
+}
+
+// start places one task of the group on the worker.
+func (w *Worker) start(g *Group) {
+	w.Free = w.Free.Sub(g.Charge)
+	w.started++
+}
+
+// undoStart takes one task of the group back.
+func (w *Worker) undoStart(g *Group) {
+	w.Free = w.Free.Add(g.Charge)
+	w.started--
 }
 
 // suitable is eligible without regard to the worker's capacity.
--- a/internal/version/placement/placement_test.go
+++ b/internal/version/placement/placement_test.go
@@ -171,3 +171,28 @@
 	}
 	return list
 }
+
+// TestPlanKeepsToTheLimitsOfStarts guards against a plan with more starts than there may be orders in flight, and against a gang that never starts for it.
+func TestPlanKeepsToTheLimitsOfStarts(t *testing.T) {
+	indexes := make([]int, 100)
+	for i := range indexes {
+		indexes[i] = i
+	}
+	for _, c := range []struct {
+		gang                    bool
+		label                   string
+		maxStarts, limit, wants int
+	}{
+		{false, "", 10, 1000, 20}, {false, "a", 10, 1000, 20}, {false, "", 0, 1000, 100}, {false, "", 0, 30, 30}, {false, "", 10, 15, 15}, {false, "", 0, 0, 0}, {true, "", 10, 15, 100},
+	} {
+		workers := []*Worker{}
+		for _, id := range []string{"w0", "w1"} {
+			workers = append(workers, &Worker{ID: id, Service: "s", Labels: []string{"a"}, Free: workload.Resources{MilliCPU: 1000}, MaxStarts: c.maxStarts})
+		}
+		group := &Group{Job: "j", Service: "s", Indexes: indexes, Total: len(indexes), Charge: workload.Resources{MilliCPU: 1}, Gang: c.gang, Label: c.label}
+		plan := PlanStarts([]*Group{group}, workers, nil, c.limit)
+		if len(plan) != c.wants || len(group.Indexes) != len(indexes) {
+			t.Errorf("%+v: %d starts, %d tasks in the group", c, len(plan), len(group.Indexes))
+		}
+	}
+}
--- a/internal/version/placement/planner.go
+++ b/internal/version/placement/planner.go
@@ -10,6 +10,8 @@
 	// reserved holds the groups before which nothing else of their accounts starts.
 	reserved map[string]*Group
 	plan     []Placement
+	// maxStarts limits the starts, but for those of gangs.
+	maxStarts int
 }
 
 func (p *planner) poolOf(service string) *pool {
@@ -70,6 +72,9 @@
 	if p.accounts != nil {
 		g.Indexes = waiting[:p.startable(g)]
 	}
+	if left := max(0, p.maxStarts-len(p.plan)); !g.Gang && len(g.Indexes) > left {
+		g.Indexes = g.Indexes[:left]
+	}
 	placed := p.placeStartable(pool, g)
 	g.Indexes = waiting
 	if p.accounts != nil {
--- a/internal/version/placement/pool.go
+++ b/internal/version/placement/pool.go
@@ -120,16 +120,16 @@
 	home := p.homeZone(g)
 	plan := make([]Placement, 0, len(g.Indexes))
 	for _, index := range g.Indexes {
-		at := p.bestFit(g.Charge, home)
+		at := p.bestFit(g, home)
 		if at < 0 && home != "" {
 			home = ""
-			at = p.bestFit(g.Charge, home)
+			at = p.bestFit(g, home)
 		}
 		if at < 0 {
 			break
 		}
 		w := p.byFree[at]
-		w.Free = w.Free.Sub(g.Charge)
+		w.start(g)
 		p.moveDown(at)
 		plan = append(plan, Placement{Group: g, Index: index, Worker: w.ID})
 	}
@@ -174,10 +174,10 @@
 }
 
 // bestFit returns the position of the first worker of a zone, or of any if the zone
-// is "", with enough free capacity, or -1.
-func (p *pool) bestFit(charge workload.Resources, zone string) int {
-	for i := p.firstWithCPU(charge.MilliCPU); i < len(p.byFree); i++ {
-		if w := p.byFree[i]; w.Free.Fits(charge) && (zone == "" || w.Zone == zone) {
+// is "", with enough free capacity for a task that may start there, or -1.
+func (p *pool) bestFit(g *Group, zone string) int {
+	for i := p.firstWithCPU(g.Charge.MilliCPU); i < len(p.byFree); i++ {
+		if w := p.byFree[i]; w.Free.Fits(g.Charge) && w.mayStart(g) && (zone == "" || w.Zone == zone) {
 			return i
 		}
 	}
