--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 )
 
@@ -44,3 +49,26 @@
 		}
 	}
 }
+
+// TestOnlyThisPackageHasDecoders guards against a reader with another limit than its writer.
+func TestOnlyThisPackageHasDecoders(t *testing.T) {
+	decoder := regexp.MustCompile(`cbor\.(Unmarshal\(|NewDecoder|DecOptions)`)
+	err := filepath.WalkDir("../..", func(path string, entry fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case entry.IsDir() && (entry.Name() == "review" || entry.Name() == "codec"):
+			return fs.SkipDir
+		case !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go"):
+			return nil
+		}
+		source, err := os.ReadFile(path)
+		if decoder.Match(source) {
+			t.Errorf("%s decodes without package codec", path)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/process/keys/token.go
+++ b/internal/process/keys/token.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"arbutusward.example/arbutusward/internal/codec"
 )
 
 // Role determines what the bearer of a token may do.
@@ -55,7 +55,7 @@
 	if err != nil {
 		return "", err
 	}
-	body, err := cbor.Marshal(claims)
+	body, err := codec.Marshal(claims)
 	if err != nil {
 		return "", fmt.Errorf("encode token: %w", err)
 	}
@@ -100,7 +100,7 @@
 		return Claims{}, ErrTokenSignature
 	}
 	var claims Claims
-	if err := cbor.Unmarshal(body, &claims); err != nil {
+	if err := codec.Unmarshal(body, &claims); err != nil {
 		return Claims{}, ErrTokenMalformed
 	}
 	if m.verifiedCount.Add(1) <= maxVerified {
--- a/internal/process/scheduler/admission_test.go
+++ b/internal/process/scheduler/admission_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,7 +46,7 @@
 	f := &admissionFixture{fixture: newFixture(t, time.Second)}
 	f.useAccessControl()
 	f.replica = &readReplica{fakeReplica: f.fixture.replica, onBarrier: func() {}}
-	f.server = &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+	f.server = f.newServer()
 	return f
 }
 
--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -54,6 +54,11 @@
 	return f
 }
 
+// newServer returns a server of the process that leads.
+func (f *fixture) newServer() *Server {
+	return &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+}
+
 // commitUnseen commits a command of which the loop is not told.
 func (f *fixture) commitUnseen(c *workstate.Command) workstate.Result {
 	f.t.Helper()
--- a/internal/process/scheduler/joblocation_test.go
+++ b/internal/process/scheduler/joblocation_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +18,7 @@
 			t.Run(name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f := newFixture(t, time.Second)
-					s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+					s := f.newServer()
 					c := testCatalog()
 					owner := key
 					if key != nil {
@@ -64,7 +63,7 @@
 func TestJobOfAQueueWhosePrefixEndsInNoSlashIsFound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		s := f.newServer()
 		c := testCatalog()
 		c.Version, c.Queues[0].PathPrefix = 2, "/v1-"
 		f.commit(&workstate.Command{Catalog: c})
--- a/internal/process/scheduler/server_access_test.go
+++ b/internal/process/scheduler/server_access_test.go
@@ -33,7 +33,7 @@
 func TestCallsAreCheckedByTheLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		s := f.newServer()
 		f.commit(&workstate.Command{Catalog: catalogWithAccounts(2, "a", "b")})
 		at := workcall.Location{Host: "host", Path: "/q/" + jobA}
 		spec := workload.Spec{Steps: []workload.Step{step(1)}}
@@ -108,7 +108,7 @@
 func TestEndedJobIsReadAfterItsQueueWasRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		s := f.newServer()
 		open := catalogWithAccounts(2, "a")
 		open.Queues[0].Anonymous = true
 		f.commit(&workstate.Command{Catalog: open})
--- a/internal/process/scheduler/server_test.go
+++ b/internal/process/scheduler/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +17,7 @@
 func TestKnownJobIsAcceptedAgainWithoutALogEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		s := f.newServer()
 		request := workcall.SubmitRequest{Location: workcall.Location{Host: "host", Path: "/q/" + jobA}, Spec: workload.Spec{Steps: []workload.Step{step(1)}}}
 		for range 3 {
 			if answer, err := s.Submit(context.Background(), request); err != nil || answer.Status != workcall.OK {
@@ -49,7 +48,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, time.Second)
-				s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+				s := f.newServer()
 				next := testCatalog()
 				next.Version, next.AccessControl, next.Queues[0].Anonymous = 2, c.accessControl, true
 				f.commit(&workstate.Command{Catalog: next})
@@ -94,7 +93,7 @@
 func TestJobIDOfAnotherQueueIsNotARepetition(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		s := f.newServer()
 		next := testCatalog()
 		next.Version = 2
 		next.Queues = append(next.Queues, catalog.Queue{Name: "o", Host: "host", PathPrefix: "/o/", Service: "svc"})
--- a/internal/process/scheduler/widejob_test.go
+++ b/internal/process/scheduler/widejob_test.go
@@ -79,7 +79,7 @@
 func TestCommandThatMembersCannotReadIsNotAcknowledged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, time.Second)
-		s := &Server{replica: f.replica, machine: f.machine, log: slog.New(slog.DiscardHandler), wake: func() {}, onJobAccepted: func(string) {}, now: time.Now}
+		s := f.newServer()
 		index := f.replica.index
 		vms := make([]string, codec.MaxElements+1)
 		if _, err := s.StartWave(t.Context(), workcall.WaveRequest{Number: 7, VMs: vms, Cap: 1}); err == nil {
