--- a/internal/process/scheduler/admission_test.go
+++ b/internal/process/scheduler/admission_test.go
@@ -47,8 +47,8 @@
 	f.useAccessControl()
 	f.replica = &readReplica{fakeReplica: f.fixture.replica, onBarrier: func() {}}
 	f.server = f.newServer()
-	f.server = f.newServer()
 	f.server.replica = f.replica
+	return f
 }
 
 func (f *fixture) useAccessControl() {
