--- a/internal/process/replica/driver/apply.go
+++ b/internal/process/replica/driver/apply.go
@@ -159,8 +159,8 @@
 }
 
 // compactIndex returns the index up to which the log can be dropped. It keeps
-// keepBytes of entries, and half of maxLogEntries at most, so that members that are slightly behind need no
-// snapshot.
+// keepBytes of entries, and half of maxLogEntries at most, so that members that
+// are slightly behind need no snapshot.
 func (l *loop) compactIndex(keepBytes int) uint64 {
 	index := l.applied
 	_, entries := l.core.Tail(l.core.Base().Index)
--- a/internal/process/scheduler/orders.go
+++ b/internal/process/scheduler/orders.go
@@ -1,11 +1,10 @@
 package scheduler
 
-// Limits of the orders in flight. Each waits for one of a few connections to its worker and
-// takes memory meanwhile: one of the largest size, with a call that this process makes
-// itself, some 20 KB.
+// Limits of the orders in flight. Each waits for one of a few connections to its worker, and
+// takes the memory of a call meanwhile.
 const (
-	// maxOrdersPerWorker is a multiple of what the connections to one worker carry at the
-	// same time. One that does not answer holds up no more.
+	// maxOrdersPerWorker limits those to one worker, so that one that does not answer holds up
+	// few others. Its connections carry a small part of them at the same time.
 	maxOrdersPerWorker = 128
 	maxOrders          = 2048
 )
