--- a/internal/process/scheduler/orders.go
+++ b/internal/process/scheduler/orders.go
@@ -1,5 +1,10 @@
 package scheduler
 
+import "github.com/VictoriaMetrics/metrics"
+
+// fullWindows counts the times from which on orders were held back.
+var fullWindows = metrics.NewCounter(`arbutus_order_window_full_total`)
+
 // Limits of the orders in flight. Each waits for one of a few connections to its worker, and
 // takes the memory of a call meanwhile.
 const (
@@ -21,7 +26,10 @@
 	if l.orders.inFlight < maxOrders && w.ordersInFlight < maxOrdersPerWorker {
 		return true
 	}
-	l.orders.heldBack = true
+	if !l.orders.heldBack {
+		l.orders.heldBack = true
+		fullWindows.Inc()
+	}
 	return false
 }
 
