--- a/integration/hosted_accounts_test.go
+++ b/integration/hosted_accounts_test.go
@@ -202,7 +202,7 @@
 	if job == "" {
 		return
 	}
-	path := "/q/" + job
+	path := s.pathOf(job)
 	if status, _ := s.requestWith(soakOtherKey, entry, http.MethodGet, path, ""); status == http.StatusOK || status == http.StatusUnauthorized {
 		s.t.Errorf("the key of another account is answered %d", status)
 	}
--- a/integration/hosted_harness_test.go
+++ b/integration/hosted_harness_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,9 +17,11 @@
 // hosted is a deployment on the platform, simulated on loopback addresses. Each
 // process has an address of its own; the ports are the same on all addresses.
 type hosted struct {
-	t      *testing.T
-	dir    string
-	subnet string
+	// jobPaths holds the paths, by id, of the jobs that are not of the queue "/q/".
+	jobPaths sync.Map
+	t        *testing.T
+	dir      string
+	subnet   string
 	// controls holds core-1, core-2, ...; entries holds edge-1, edge-2, ...
 	controls, entries []*process
 	ledger            *hostedLedger
@@ -281,7 +284,7 @@
 // state returns the state of a job, "gone" for an unknown job, and "" if there
 // was no answer.
 func (h *hosted) state(entry int, id string) string {
-	status, body := h.request(entry, http.MethodGet, "/q/"+id, "")
+	status, body := h.request(entry, http.MethodGet, h.pathOf(id), "")
 	var answer struct{ State string }
 	if status == http.StatusGone {
 		return "gone"
@@ -292,6 +295,14 @@
 	return answer.State
 }
 
+// pathOf returns the path at which a job was submitted.
+func (h *hosted) pathOf(id string) string {
+	if path, known := h.jobPaths.Load(id); known {
+		return path.(string)
+	}
+	return "/q/" + id
+}
+
 // awaitState waits until a job is in the wanted state.
 func (h *hosted) awaitState(id, wanted string, limit time.Duration) {
 	h.t.Helper()
--- a/integration/hosted_soak_test.go
+++ b/integration/hosted_soak_test.go
@@ -149,9 +149,10 @@
 // deadlyJobs has a task that crashes its workers, except towards the end. One in
 // four is for the workers that do not enforce their capacity.
 func (s *soak) submitOne(i int) {
-	id, path, count, spec := jobID(i), "/q/", 3, fmt.Sprintf("%dms", 100+i%5*150)
+	id, count, spec := jobID(i), 3, fmt.Sprintf("%dms", 100+i%5*150)
 	if i%4 == 1 {
-		path, count = "/o/", 8
+		s.jobPaths.Store(id, "/o/"+id)
+		count = 8
 	}
 	steps := fmt.Sprintf(`{"count":%d,"cpu":1000,"mem_mb":1,"estimate_ms":300},{"count":2,"cpu":1000,"mem_mb":1,"estimate_ms":300,"depends_on":[0]}`, count)
 	deadly := i%deadlyJobs == 5 && time.Since(s.startedAt) < *soakLength*2/3
@@ -159,7 +160,7 @@
 		spec = fmt.Sprintf("%s%dms", deadlySpec, 5+(s.seed+uint64(i))%120)
 		steps = `{"count":1,"cpu":1000,"mem_mb":1,"estimate_ms":300},{"count":2,"cpu":1000,"mem_mb":1,"estimate_ms":300}`
 	}
-	status, _ := s.request(i%len(s.entries), http.MethodPost, path+id, fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, spec, steps))
+	status, _ := s.request(i%len(s.entries), http.MethodPost, s.pathOf(id), fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, spec, steps))
 	cancel := i%7 == 0 && !deadly && status == http.StatusOK
 	s.mu.Lock()
 	if status == http.StatusOK {
@@ -170,7 +171,7 @@
 	}
 	s.mu.Unlock()
 	if cancel {
-		s.request((i+1)%len(s.entries), http.MethodDelete, "/q/"+id, "")
+		s.request((i+1)%len(s.entries), http.MethodDelete, s.pathOf(id), "")
 	}
 	time.Sleep(100 * time.Millisecond)
 }
