integration: a job is read only where it was submitted

TestHostedJobIsServed expected 200 for the job at a path of no queue, with the remark that a job is found by its ID alone. It now expects 410 there and at another queue, and 200 at the job's own path.

--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -28,9 +28,10 @@
 	h.addWorker("w1", 4000)
 	h.submit(jobID(1), 6, 100*time.Millisecond)
 	h.awaitState(jobID(1), "succeeded", 10*time.Second)
-	if status, _ := h.request(0, http.MethodGet, "/other/"+jobID(1), ""); status != http.StatusOK {
-		// The path of the read does not matter: a job is found by its ID alone.
-		t.Errorf("status %d", status)
+	for path, want := range map[string]int{"/q/": http.StatusOK, "/o/": http.StatusGone, "/other/": http.StatusGone} {
+		if status, _ := h.request(0, http.MethodGet, path+jobID(1), ""); status != want {
+			t.Errorf("the job is read at %s: status %d, expected %d", path, status, want)
+		}
 	}
 	if status, _ := h.request(0, http.MethodPost, "/other/"+jobID(2), `{"steps":[{"count":1}]}`); status != http.StatusNotFound {
 		t.Errorf("submission to an unknown queue: %d", status)
