--- a/internal/process/scheduler/orders_test.go
+++ b/internal/process/scheduler/orders_test.go
@@ -71,7 +71,6 @@
 			}
 			synctest.Wait()
 			l.drainEvents()
-			// The outcome of the round's commit is an event.
 			machine.Read(func(v *workstate.View) { l.reconcile(v, capacityInUse, time.Now()) })
 		}
 		l.commit(&workstate.Progress{Starts: starts})
