scheduler, replica: one piece counts orders, one limit cuts frames

Nothing changes in behaviour. Four calls counted an order where they sent it and again in the handler of its outcome; countOrder does both for all of them, so that no new call can miss one. A reason of explain stands in its switch.

--- a/internal/process/replica/driver/disk.go
+++ b/internal/process/replica/driver/disk.go
@@ -69,12 +69,10 @@
 func (d *disk) perform(batch []diskJob) diskResult {
 	var result diskResult
 	var frame wal.Frame
-	size := 0
 	for i := range batch {
 		job := &batch[i]
-		if job.snapshot != nil || size > maxFrameEntriesBytes {
+		if job.snapshot != nil {
 			result.err = d.sync(&frame)
-			size = 0
 		}
 		if result.err == nil && job.snapshot != nil {
 			result.err = d.saveSnapshot(job, &result)
@@ -83,7 +81,7 @@
 			return result
 		}
 		if job.snapshot == nil {
-			size += addToFrame(&frame, job)
+			addToFrame(&frame, job)
 		}
 		result.messages = append(result.messages, job.messages...)
 	}
@@ -92,17 +90,12 @@
 	return result
 }
 
-// addToFrame adds a job to a frame and returns the size of its commands.
-func addToFrame(frame *wal.Frame, job *diskJob) int {
+// addToFrame adds a job to a frame.
+func addToFrame(frame *wal.Frame, job *diskJob) {
 	if job.state != nil {
 		frame.State = job.state
 	}
 	frame.Entries = append(frame.Entries, job.entries...)
-	size := 0
-	for i := range job.entries {
-		size += len(job.entries[i].Data)
-	}
-	return size
 }
 
 // sync writes the frame durably and empties it.
--- a/internal/process/replica/driver/options.go
+++ b/internal/process/replica/driver/options.go
@@ -40,8 +40,6 @@
 	// maxPendingBytes limits the commands that wait for a majority; further
 	// ones wait before they enter the log.
 	maxPendingBytes = 16 << 20
-	// maxFrameEntriesBytes limits the entries that one sync writes.
-	maxFrameEntriesBytes = 16 << 20
 	// minLogBytes is the minimum growth of the log between two snapshots.
 	minLogBytes = 1 << 20
 	// maxLogEntries limits the entries between two snapshots. An entry takes about 100
--- a/internal/process/scheduler/explain.go
+++ b/internal/process/scheduler/explain.go
@@ -121,8 +121,7 @@
 		return "await a move of their VM"
 	case !l.capacityKnown(w, now):
 		return "have not stated their capacity lately"
-	}
-	if w.startsLeft() <= 0 {
+	case w.startsLeft() <= 0:
 		return "have as many orders in flight as they may"
 	}
 	return "paused after a refusal"
--- a/internal/process/scheduler/orders.go
+++ b/internal/process/scheduler/orders.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+)
 
 // fullWindows counts the times from which on orders were held back.
 var fullWindows = metrics.NewCounter(`arbutus_order_window_full_total`)
@@ -33,10 +37,17 @@
 	return false
 }
 
-// beginOrder counts an order that is sent.
-func (l *loop) beginOrder(w *worker) {
+// countOrder counts an order to a worker as in flight until the returned function is called
+// with its outcome, which passes that to the loop.
+func (l *loop) countOrder(w *worker, then func(*loop, execution.Answer, error)) func(execution.Answer, error) {
 	l.orders.inFlight++
 	w.ordersInFlight++
+	return func(answer execution.Answer, err error) {
+		l.post(func(l *loop) {
+			l.endOrder(w)
+			then(l, answer, err)
+		})
+	}
 }
 
 // endOrder counts the outcome of an order. If others were held back, the next round sends
--- a/internal/process/scheduler/orphans.go
+++ b/internal/process/scheduler/orphans.go
@@ -37,13 +37,10 @@
 	l.orphans[key] = now
 	l.Log.Info("stopping unrecorded run", "task", key.task.String(), "run", key.run, "worker", w.reg.ID)
 	id := w.reg.ID
-	l.stopInBackground(w, key, func(answer execution.Answer, err error) {
+	l.stopInBackground(w, key, func(l *loop, answer execution.Answer, err error) {
 		if err != nil {
 			l.Log.Warn("stop order unanswered", "task", key.task.String(), "run", key.run, "worker", id, "error", err.Error())
 		}
-		l.post(func(l *loop) {
-			l.endOrder(w)
-			l.recordRefusal(w, "stop", answer.Refusal)
-		})
+		l.recordRefusal(w, "stop", answer.Refusal)
 	})
 }
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -56,10 +56,9 @@
 	order.Ticket = l.ticketFor(id, r.worker)
 	r.enter(runOrdering, now)
 	r.calling, r.sent = true, true
-	l.beginOrder(w)
-	execution.StartInBackground(l.ctx, l.Workers, w.address(), order, callTimeout, func(answer execution.Answer, err error) {
-		l.post(func(l *loop) { l.handleStartAnswer(id, r, w, answer, err) })
-	})
+	execution.StartInBackground(l.ctx, l.Workers, w.address(), order, callTimeout, l.countOrder(w, func(l *loop, answer execution.Answer, err error) {
+		l.handleStartAnswer(id, r, w, answer, err)
+	}))
 }
 
 // withdrawStart stops a run whose start order must not be sent because its worker's
@@ -105,7 +104,6 @@
 func (l *loop) handleStartAnswer(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
 	now := time.Now()
 	r.calling = false
-	l.endOrder(w)
 	l.recordRefusal(w, "start", answer.Refusal)
 	if l.runs.Get(id) != r {
 		return
--- a/internal/process/scheduler/stops.go
+++ b/internal/process/scheduler/stops.go
@@ -22,25 +22,23 @@
 	}
 	r.enter(runStopping, now)
 	r.calling = true
-	l.stopInBackground(w, runKey{id, r.number}, func(answer execution.Answer, err error) {
-		l.post(func(l *loop) { l.handleStopAnswer(id, r, w, answer, err) })
+	l.stopInBackground(w, runKey{id, r.number}, func(l *loop, answer execution.Answer, err error) {
+		l.handleStopAnswer(id, r, w, answer, err)
 	})
 }
 
-// stopInBackground orders a worker to end a run and passes the outcome to a function, on
-// another goroutine. The loop then calls endOrder.
-func (l *loop) stopInBackground(w *worker, key runKey, then func(execution.Answer, error)) {
-	l.beginOrder(w)
+// stopInBackground orders a worker to end a run and passes the outcome to a function of
+// the loop.
+func (l *loop) stopInBackground(w *worker, key runKey, then func(*loop, execution.Answer, error)) {
 	address, token := w.address(), uint64(w.token)
 	execution.InBackground(l.ctx, callTimeout, func(ctx context.Context) (execution.Answer, error) {
 		return l.Workers.Stop(ctx, address, key.task, key.run, token)
-	}, then)
+	}, l.countOrder(w, then))
 }
 
 func (l *loop) handleStopAnswer(id workload.TaskID, r *run, w *worker, answer execution.Answer, err error) {
 	now := time.Now()
 	r.calling = false
-	l.endOrder(w)
 	l.dirty = true
 	l.recordRefusal(w, "stop", answer.Refusal)
 	if l.runs.Get(id) != r {
--- a/internal/process/scheduler/throttle.go
+++ b/internal/process/scheduler/throttle.go
@@ -87,18 +87,16 @@
 	}
 	speed, number := w.speed, r.number
 	r.settingSpeed, r.speedSetAt = true, now
-	l.beginOrder(w)
 	address, token := w.address(), uint64(w.token)
 	execution.InBackground(l.ctx, callTimeout, func(ctx context.Context) (execution.Answer, error) {
 		return l.Workers.Throttle(ctx, address, id, number, speed, token)
-	}, func(answer execution.Answer, err error) {
-		l.post(func(l *loop) { l.handleSpeedAnswer(id, r, w, speed, answer, err) })
-	})
+	}, l.countOrder(w, func(l *loop, answer execution.Answer, err error) {
+		l.handleSpeedAnswer(id, r, w, speed, answer, err)
+	}))
 }
 
 func (l *loop) handleSpeedAnswer(id workload.TaskID, r *run, w *worker, speed int, answer execution.Answer, err error) {
 	r.settingSpeed = false
-	l.endOrder(w)
 	l.recordRefusal(w, "throttle", answer.Refusal)
 	if err != nil || answer.Refusal != execution.Accepted {
 		l.Log.Warn("speed order failed or refused", "task", id.String(), "run", r.number, "worker", r.worker, "percent", speed, "refusal", answer.Refusal, "error", errorText(err))
