scheduler: a stop that the former incarnation accepted is ordered again

Callers would see a task of a cancelled job that runs on, a lasting one for good: its worker accepts the stop and crashes before the end is read, starts again under its id and, before the leader's first call, carries out a copy of the start that had got no answer. The run then is in the phase "stopped", in which the leader only waits until a report leaves it out.

Cause: the phase outlives the incarnation that accepted the order; what one incarnation was told was taken as known to the next.

Evidence: TestStopThatTheFormerIncarnationAcceptedIsOrderedAgain, without this change "the task of a cancelled job executes" 3 s after the registration of the next incarnation; with it the run is stopped.

Why it works: where a run gets another incarnation as its worker, an accepted stop is due again, also one whose answer comes after that. A worker that has not got the start rejects it from then on. The end of such a run is recorded later by the stop timeout and a report.

--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -95,9 +95,14 @@
 	return r
 }
 
-// workerOf returns the worker of a run, or nil if it is not registered any more.
+// workerOf returns the worker of a run, or nil if it is not registered any more. A stop
+// order that an earlier incarnation accepted is due again: the start order may still
+// arrive at the present one.
 func (l *loop) workerOf(r *run) *worker {
 	if r.on == nil || r.on.removed {
+		if r.on != nil && r.phase == runStopped {
+			r.enter(runStopping, time.Time{})
+		}
 		r.on = l.workers[r.worker]
 	}
 	return r.on
