scheduler: heartbeats are ordered within an incarnation of the registered worker

Callers would see tasks on a worker that is about to end: a worker is lost and removed, and starts again under its id with a lower `born`. It is registered, but the table of heartbeats still has one of the removed incarnation, which counts as the newest for good. Each later heartbeat is taken for late: that the worker drains is acknowledged and ignored (DRAIN, Acks), and where workers do not enforce their capacity it gets no starts, since no capacity is known.

Cause: heartbeats of two incarnations were ordered by their starts, a time of day, although the registration had decided which one counts. ForgetOthers forgets ids that are not registered once a second, but the next heartbeat comes half a second after the removal.

Evidence: TestHeartbeatsOfAWorkerRestartedWithAnEarlierClockCount, without this change Draining stays false and the newest heartbeat is of the removed incarnation.

Why it works: late means late within the incarnation; a heartbeat of another one is judged by the registration alone. Heartbeats of incarnations that are not registered are forgotten once a second. capacityage_test.go follows the new parameter of ForgetOthers and checks the same.

--- a/internal/process/scheduler/capacityage_test.go
+++ b/internal/process/scheduler/capacityage_test.go
@@ -79,7 +79,7 @@
 			}
 			f.addWorker("w1", 1000)
 			if enforces {
-				f.heard.ForgetOthers(func(string) bool { return false })
+				f.heard.ForgetOthers(func(string, int64) bool { return false })
 			}
 			time.Sleep(time.Second)
 			f.submit(jobA, step(1))
--- a/internal/process/scheduler/heard.go
+++ b/internal/process/scheduler/heard.go
@@ -31,7 +31,10 @@
 
 func (s *Server) relayHeardOnce(ctx context.Context, node *link.Node) {
 	s.machine.Read(func(v *workstate.View) {
-		s.heard.ForgetOthers(func(id string) bool { return v.Workers()[id] != nil })
+		s.heard.ForgetOthers(func(id string, incarnation int64) bool {
+			w := v.Workers()[id]
+			return w != nil && w.Incarnation == incarnation
+		})
 	})
 	leader, status := s.Hello().Leader, s.replica.Status()
 	if leader == "" || status.Leader == status.ID {
--- a/internal/process/scheduler/heard_test.go
+++ b/internal/process/scheduler/heard_test.go
@@ -101,3 +101,29 @@
 		}
 	})
 }
+
+// TestHeartbeatsOfAWorkerRestartedWithAnEarlierClockCount guards against a drain that is acknowledged and ignored, and a worker without starts: a heartbeat of the former, removed incarnation counts as the newest for good.
+func TestHeartbeatsOfAWorkerRestartedWithAnEarlierClockCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m, w := startMember(t, replica.Status{ID: "c1", Leader: "c1"})
+		beat(t, s, w, 9, 8000)
+		sequence := int64(9)
+		if _, err := propose(t.Context(), m, &workstate.Command{Deregister: &workstate.Deregister{ID: "w1", Incarnation: w.Incarnation, Sequence: &sequence}}, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		w.Incarnation--
+		beat(t, s, w, 1, 2000)
+		w.Draining = true
+		beat(t, s, w, 2, 2000)
+		s.machine.Read(func(v *workstate.View) {
+			if known := v.Workers()["w1"]; known == nil || !known.Draining {
+				t.Errorf("%+v is registered after the heartbeat of a draining worker", known)
+			}
+		})
+		s.relayHeardOnce(t.Context(), nil)
+		beat(t, s, w, 3, 2000)
+		if newest, known := s.heard.NewestOf("w1"); !known || newest.Incarnation != w.Incarnation {
+			t.Errorf("the newest heartbeat is %+v", newest)
+		}
+	})
+}
--- a/internal/process/scheduler/heartbeats/table.go
+++ b/internal/process/scheduler/heartbeats/table.go
@@ -65,12 +65,14 @@
 	return heartbeat, known
 }
 
-// IsLate reports whether a newer heartbeat of the worker is known.
+// IsLate reports whether a newer heartbeat of the worker's incarnation is known. Which
+// incarnation counts is up to the registration: the one that was heard last may have been
+// removed, and its successor have the earlier start.
 func (h *Table) IsLate(heartbeat workcall.HeardHeartbeat) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	known, ok := h.newest[heartbeat.Worker]
-	return ok && known.Newer(heartbeat)
+	return ok && known.Incarnation == heartbeat.Incarnation && known.Newer(heartbeat)
 }
 
 // Take returns the heartbeats of which a leader was not told yet: all of them, if it
@@ -88,12 +90,12 @@
 	return heartbeats
 }
 
-// ForgetOthers forgets the workers that are not registered.
-func (h *Table) ForgetOthers(registered func(id string) bool) {
+// ForgetOthers forgets the heartbeats of incarnations that are not registered.
+func (h *Table) ForgetOthers(registered func(id string, incarnation int64) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for id := range h.newest {
-		if !registered(id) {
+	for id, heartbeat := range h.newest {
+		if !registered(id, heartbeat.Incarnation) {
 			delete(h.newest, id)
 		}
 	}
