workstate: a failing test: a worker that has left and starts again with an earlier clock

Callers would miss the capacity of a worker: after its announced end it starts again under its id with a lower `born`. LeftWorker.covers takes its heartbeats for late ones of an earlier incarnation, so that they are acknowledged and have no effect until another worker leaves more than 60 s later, which is when the memory is cleared.

Not mended: "A status report that was delayed by a partition may still arrive after its sender has crashed", and such a report of the incarnation before the one that has left looks the same. It would register a worker that is gone, for 25 s.

--- a/internal/process/workstate/machine_test.go
+++ b/internal/process/workstate/machine_test.go
@@ -349,6 +349,17 @@
 	}
 }
 
+// TestWorkerThatHasLeftStartsAgainWithAnEarlierClock guards against a worker whose heartbeats are acknowledged and that never gets a task.
+func TestWorkerThatHasLeftStartsAgainWithAnEarlierClock(t *testing.T) {
+	m := newTestMachine(t)
+	next := *m.data.Workers["w0"]
+	apply(t, m, Command{Deregister: &Deregister{ID: "w0", Incarnation: next.Incarnation, Announced: true}})
+	next.Incarnation--
+	if apply(t, m, Command{Register: &next}); m.data.Workers["w0"] == nil {
+		t.Error("the next incarnation is not registered")
+	}
+}
+
 // TestLargeStateIsRestored guards against a state that no process can start with again: the decoder's own limits of maps and arrays are below what the state may hold.
 func TestLargeStateIsRestored(t *testing.T) {
 	const count = 140_000
