scheduler: an acceptance below a report of the former incarnation clears no run

Callers would see one more worker crash under a deadly task: its run counts as settled, so that the crash is not counted. The worker restarts and answers two starts as the former incarnation's. The first answer's clock is rejected as below the known one, but becomes the known one (recordClock), so that the second is accepted; the reports of the former incarnation then seem to have been sent long after that start.

Cause: recordAcceptance compared with the last clock of any answer and with heartbeats, but not with reports, by which settleByClock judges.

--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -162,6 +162,20 @@
 	}
 }
 
+// TestSecondAcceptanceByTheNextIncarnationClearsNoRun guards against a deadly task whose crash is not counted: the clock of its start is below a report of the former incarnation.
+func TestSecondAcceptanceByTheNextIncarnationClearsNoRun(t *testing.T) {
+	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}, clockMS: 9000, reportClockMS: 9000}
+	first, second := &run{}, &run{}
+	first.recordAcceptance(w, 1000)
+	w.recordClock(1000, time.Now())
+	second.recordAcceptance(w, 1010)
+	for _, r := range []*run{first, second} {
+		if r.settleByClock(w, &workstate.Task{Worker: "w1", Incarnation: 7}); r.settled || r.outlived {
+			t.Errorf("a run accepted at %d counts as settled", r.acceptedClockMS)
+		}
+	}
+}
+
 // TestDrainOfTheNextIncarnationHidesNoCrash guards against a deadly task that is started once too often because the worker, back under its id, drains before the crash is recorded.
 func TestDrainOfTheNextIncarnationHidesNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
