scheduler: a run that ends on the next incarnation teaches no duration

Callers could see jobs refused or ranked as too late: a worker restarts and carries out a copy of a start that its former incarnation had accepted; the run ends "done" there. The leader takes the difference of the new clock and of the former one at the start, any number of hours, for the time that the run took. One run among 24 prior ones counts little, and a prediction is at most 16 times the estimate.

Cause: learnDuration did not ask which incarnation had accepted the start.

--- a/internal/process/scheduler/learning_test.go
+++ b/internal/process/scheduler/learning_test.go
@@ -28,3 +28,22 @@
 		}
 	})
 }
+
+// TestRunThatEndsOnTheNextIncarnationTeachesNoDuration guards against jobs that are refused as too late: a duration is the difference of the clocks of two incarnations.
+func TestRunThatEndsOnTheNextIncarnationTeachesNoDuration(t *testing.T) {
+	const estimate = time.Second
+	for incarnation, want := range map[int64]bool{1: true, 2: false} {
+		l := newLoop(t.Context(), Options{}, 1)
+		id := workload.TaskID{Job: jobA}
+		job := &workstate.Job{
+			ID: jobA, Queue: "q", Spec: workload.Spec{Steps: []workload.Step{{Count: 1, Estimate: estimate}}},
+			Occurrences: []workstate.Occurrence{{Steps: []workstate.StepProgress{{Tasks: []workstate.Task{{Run: 1, Worker: "w1", Incarnation: 1}}}}}},
+		}
+		l.runs.Set(id, &run{number: 1, worker: "w1", plannedAt: time.Now(), acceptedClockMS: 5000})
+		w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: incarnation}, reportClockMS: 8_000_000}
+		l.learnDuration(job, w, runKey{id, 1}, time.Now())
+		if learned := l.predict("q", &job.Spec.Steps[0]) != estimate; learned != want {
+			t.Errorf("ended on incarnation %d: learned %v", incarnation, learned)
+		}
+	}
+}
