scheduler: a run listed by the next incarnation has not survived the former one

Callers would see more workers crash under a deadly task: it crashes its worker, which starts again under its id and carries out a late copy of the start. The next incarnation's first report lists the run as executing, over 300 ms after the former one accepted the order, so that the run counts as settled: the crash is not counted, and a Survival forgets those before.

Cause: settle compares the time at which one incarnation accepted the order with a report of another.

Evidence: TestRunListedByTheNextIncarnationHasNotSurvivedTheFormerOne, without this change "lost true: survived true".

--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -176,6 +176,24 @@
 	}
 }
 
+// TestRunListedByTheNextIncarnationHasNotSurvivedTheFormerOne guards against a deadly task whose crash is not counted, and those before are forgotten: a late copy of its start executes on the worker that it has crashed.
+func TestRunListedByTheNextIncarnationHasNotSurvivedTheFormerOne(t *testing.T) {
+	id := workload.TaskID{Job: jobA}
+	for _, lost := range []bool{false, true} {
+		r := &run{number: 1, worker: "w1", sent: true, orderedAt: time.Now().Add(-time.Second), lost: lost}
+		if lost {
+			r.blame = &crash{}
+		}
+		next := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 8}}
+		next.report = newReportView(time.Now(), &execution.Report{Incarnation: 8, Running: []execution.RunningTask{{Task: id, Run: 1}}})
+		r.observe(next, runKey{id, 1})
+		end := workstate.End{Task: id, Run: 1, Kind: workstate.EndInterrupted}
+		if r.judge(&end); end.Survived == lost {
+			t.Errorf("lost %v: survived %v", lost, end.Survived)
+		}
+	}
+}
+
 // TestDrainOfTheNextIncarnationHidesNoCrash guards against a deadly task that is started once too often because the worker, back under its id, drains before the crash is recorded.
 func TestDrainOfTheNextIncarnationHidesNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -36,9 +36,10 @@
 }
 
 // settle marks the run as settled if the report that was looked at last shows
-// that its worker has survived its start.
+// that its worker has survived its start. One of a later incarnation does not: it may
+// have executed a copy of the start just now.
 func (r *run) settle() {
-	if r.running && !r.orderedAt.IsZero() && !r.report.sentAt.Before(r.orderedAt.Add(settleTime)) {
+	if r.running && !r.lost && !r.orderedAt.IsZero() && !r.report.sentAt.Before(r.orderedAt.Add(settleTime)) {
 		r.settled = true
 	}
 }
