workcall: the age of the last hello call is measured on the monotonic clock

Callers would see requests judged by the limits of an older configuration (CONFIG) on a machine whose clock was set back: a busy entry asks the leader for the limits once a second, but not before its wall clock has passed the time of the last call again, for as long as other calls are answered.

Cause: the time was kept in Unix nanoseconds, without the reading of the monotonic clock, and compared with time.Since.

Evidence: TestClientWhoseClockIsSetBackLearnsLimits, without this change "has no reading of the monotonic clock"; a step of the clock was not played. The other tests of the package pass.

Why it works: the time is kept as it was read, so that time.Since uses the monotonic clock.

--- a/internal/connection/workcall/client.go
+++ b/internal/connection/workcall/client.go
@@ -74,8 +74,9 @@
 
 	catalogVersion atomic.Int64
 	// lastHello is when checkContact last made a hello call, or the newest answer to
-	// one was applied, in Unix ns.
-	lastHello atomic.Int64
+	// one was applied; nil before. Its reading of the monotonic clock is kept, since the
+	// wall clock may be set.
+	lastHello atomic.Pointer[time.Time]
 	// onLimits is nil unless something enforces the catalog's limits.
 	onLimits func(ingress.Limits)
 
--- a/internal/connection/workcall/client_test.go
+++ b/internal/connection/workcall/client_test.go
@@ -156,6 +156,17 @@
 	}
 }
 
+// TestClientWhoseClockIsSetBackLearnsLimits guards against limits of an older catalog that a busy entry enforces until its clock has caught up: the time of the last hello call is compared with the wall clock.
+func TestClientWhoseClockIsSetBackLearnsLimits(t *testing.T) {
+	leader := startMember(t)
+	c := startClient(t, leader)
+	go c.Run(t.Context())
+	waitForLeader(t, c, leader.node.Address())
+	if at := c.helloAt(); at == at.Round(0) {
+		t.Errorf("%s has no reading of the monotonic clock", at)
+	}
+}
+
 // TestSubmissionThatWasNotSentIsNotUnknown guards against a caller who cannot
 // submit again, since its job may run, although it reached no control process.
 func TestSubmissionThatWasNotSentIsNotUnknown(t *testing.T) {
--- a/internal/connection/workcall/leader.go
+++ b/internal/connection/workcall/leader.go
@@ -17,7 +17,7 @@
 	if c.sinceAnswer(to.address) <= quietAge && time.Since(c.helloAt()) <= helloAge {
 		return
 	}
-	c.lastHello.Store(time.Now().UnixNano())
+	c.recordHello()
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	answer, err := c.hello(ctx, to.address)
@@ -158,14 +158,25 @@
 		return
 	}
 	c.catalogVersion.Store(answer.CatalogVersion)
-	c.lastHello.Store(time.Now().UnixNano())
+	c.recordHello()
 	if c.onLimits != nil {
 		c.onLimits(answer.Limits)
 	}
 }
 
-// helloAt returns when a hello call was last made by checkContact, or its answer applied.
-func (c *Client) helloAt() time.Time { return time.Unix(0, c.lastHello.Load()) }
+// recordHello records that a hello call is made by checkContact, or its answer applied.
+func (c *Client) recordHello() {
+	now := time.Now()
+	c.lastHello.Store(&now)
+}
+
+// helloAt returns when recordHello was last called, or the zero time.
+func (c *Client) helloAt() time.Time {
+	if at := c.lastHello.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
 
 func (c *Client) setLeader(address string) {
 	c.mu.Lock()
