entry: the age of the last watch is measured on the monotonic clock

Operators would see an entry with an old view, while peers of its zone have a newer one: its clock was set back, control can't be reached, and it does not find that it is cut off until its wall clock has passed the time of the last watch again. Only entries that follow views do this, not the hosted ones.

Cause: the time was kept in Unix nanoseconds and compared with the wall clock.

Evidence: TestEntryWhoseClockIsSetBackFindsThatItIsCutOff; with the reading taken by way of Unix nanoseconds, as before, "has no reading of the monotonic clock". A step of the clock was not played. The tests of the package pass.

Why it works: time.Since uses the monotonic clock where the time has it.

--- a/internal/process/entry/follower.go
+++ b/internal/process/entry/follower.go
@@ -56,8 +56,9 @@
 	current atomic.Pointer[view.View]
 	// registered is set once a view has listed this incarnation of the entry.
 	registered atomic.Bool
-	// watchedAt is when control last answered a watch, in Unix nanoseconds.
-	watchedAt atomic.Int64
+	// watchedAt is when control last answered a watch; nil before. Its reading of the
+	// monotonic clock is kept, since the wall clock may be set.
+	watchedAt atomic.Pointer[time.Time]
 	// watched is the index of the control process that is watched.
 	watched int
 	// failedAt is when a watch last failed.
@@ -92,7 +93,14 @@
 // CutOff reports whether no control process has answered a watch for the given
 // time.
 func (f *Follower) CutOff(limit time.Duration) bool {
-	return time.Now().UnixNano()-f.watchedAt.Load() > int64(limit)
+	at := f.watchedAt.Load()
+	return at == nil || time.Since(*at) > limit
+}
+
+// recordWatch records that control has answered a watch.
+func (f *Follower) recordWatch() {
+	now := time.Now()
+	f.watchedAt.Store(&now)
 }
 
 // Run watches the control processes until the context ends.
@@ -121,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	f.watchedAt.Store(time.Now().UnixNano())
+	f.recordWatch()
 	f.advance(answer.Delta, answer.Confirmed)
 	if !f.isTrusted() {
 		// The process could not confirm that it leads, and answered without
