scheduler: the log tells which lease bound ended a run

"worker contacted" takes the place of "worker responsive" at the first contact and has both. "leases of worker expired", once for each silence, has what the leader went by; the line of the run has the worker's incarnation, that for which the run was started, and the same basis: own, inherited or stray. "worker unresponsive" has the reading of the clock to which lease_ms is relative, and its age; what a worker never answered has no answered_ms_ago. "worker registered" has the clock and whether it is a restart, lines of start orders the incarnation, those of answers the token too. Two counters. No decision changes.

--- a/internal/process/scheduler/lease.go
+++ b/internal/process/scheduler/lease.go
@@ -60,13 +60,21 @@
 // slow. Before the first contact, a lease may have been granted by a former
 // leader, or by an order to an earlier incarnation that arrived at this one.
 func (w *worker) leasesExpired(now time.Time, longest time.Duration) bool {
-	if !w.contacted || w.clockMS == 0 {
-		bound := max(inheritedLease, w.maxStrayLease(longest))
-		return now.Sub(w.knownSince) > time.Duration(float64(bound)*(1+clockDrift))
+	if !w.knowsClock() {
+		return now.Sub(w.knownSince) > w.boundWithoutClock(longest)
 	}
 	return w.slowestClockMS(now) > w.leaseMS
 }
 
+// knowsClock reports whether leases are counted on the worker's clock.
+func (w *worker) knowsClock() bool { return w.contacted && w.clockMS != 0 }
+
+// boundWithoutClock returns how long after knownSince leases may last while
+// knowsClock is false.
+func (w *worker) boundWithoutClock(longest time.Duration) time.Duration {
+	return time.Duration(float64(max(inheritedLease, w.maxStrayLease(longest))) * (1 + clockDrift))
+}
+
 // lost reports whether the worker has neither answered nor sent a heartbeat for
 // so long that it is considered lost.
 func (w *worker) lost(now time.Time, longestLease time.Duration) bool {
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -119,7 +119,7 @@
 		return
 	}
 	if w.unresponsive && w.leasesExpired(now, l.Limits.LongestLease) {
-		l.Log.Info("run ended with the lease of its worker", "task", id.String(), "run", task.Run, "worker", task.Worker, "settled", r.settled)
+		l.logLeaseEnd(id, task, r, w, now)
 		r.suspectUnheard(w.failedAt)
 		l.queueUnreportedEnd(id, task.Run, w)
 		return
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -30,8 +30,7 @@
 		if err != nil {
 			return response, err
 		}
-		s.log.Info("worker registered", "worker", r.Worker.ID, "incarnation", r.Worker.Incarnation, "vm", r.Worker.VM, "address", r.Worker.Address,
-			"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
+		s.logRegistered(&r, result)
 	}
 	heard := []workcall.HeardHeartbeat{heardFrom(&r)}
 	s.heard.AddAll(heard)
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -48,7 +48,7 @@
 	}
 	order.FencingToken = uint64(w.token)
 	if !l.inContact() {
-		l.Log.Warn("start order held back, no contact to a majority", "task", id.String(), "run", r.number, "worker", r.worker)
+		l.Log.Warn("start order held back, no contact to a majority", "task", id.String(), "run", r.number, "worker", r.worker, "incarnation", w.reg.Incarnation)
 		r.enter(runRetrying, now)
 		return
 	}
@@ -117,7 +117,7 @@
 	l.dirty = true
 	if err != nil {
 		lostOrders.Inc()
-		l.Log.Warn("start order unanswered", "task", id.String(), "run", r.number, "worker", r.worker, "error", err.Error())
+		l.Log.Warn("start order unanswered", "task", id.String(), "run", r.number, "worker", r.worker, "incarnation", w.reg.Incarnation, "token", uint64(w.token), "error", err.Error())
 		r.unconfirmed = true
 		r.enter(runRetrying, now)
 		return
@@ -131,7 +131,7 @@
 // had no effect, but an earlier one without an answer may still arrive.
 func (l *loop) handleStartRefusal(id workload.TaskID, r *run, w *worker, refusal execution.Refusal, now time.Time) {
 	refusedOrders.Inc()
-	l.Log.Info("start order refused", "task", id.String(), "run", r.number, "worker", r.worker, "reason", refusal, "repeated", r.unconfirmed)
+	l.Log.Info("start order refused", "task", id.String(), "run", r.number, "worker", r.worker, "incarnation", w.reg.Incarnation, "token", uint64(w.token), "reason", refusal, "repeated", r.unconfirmed)
 	switch refusal {
 	case execution.RefusedStaleRun:
 		// The run has ended. The reported ends tell how.
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -65,7 +65,7 @@
 func (l *loop) watchWorkers(now time.Time) {
 	for _, w := range l.workerList {
 		if w.unresponsive && !w.deregistering && w.lost(now, l.Limits.LongestLease) {
-			l.Log.Warn("worker lost", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "answered_ms_ago", now.Sub(w.answeredAt).Milliseconds())
+			l.logLost(w, now)
 			l.deregister(workerIncarnation{w.reg.ID, w.reg.Incarnation})
 		}
 		if w.watching || now.Before(w.nextWatch) || w.reportedEnd > w.ackedEnd {
@@ -126,9 +126,12 @@
 		l.handleWatchFailure(w, now, execution.RefusedOtherWorker, nil)
 		return
 	}
+	first := !w.contacted && report.Incarnation <= w.reg.Incarnation
 	if !w.answering() {
 		l.dirty = true
-		l.Log.Info("worker responsive", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "running", len(report.Running), "ended", len(report.Ended))
+		if !first {
+			l.Log.Info("worker responsive", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "running", len(report.Running), "ended", len(report.Ended))
+		}
 	}
 	w.unresponsive, w.listedEnded = false, false
 	w.answeredAt = now
@@ -141,9 +144,12 @@
 	if report.Incarnation == w.reg.Incarnation {
 		w.reportClockMS = max(w.reportClockMS, report.ClockMS)
 	}
-	if !w.contacted {
+	if first {
 		w.contacted = true
-		w.leaseMS = max(w.leaseMS, w.maxInitialLease(l.Limits.LongestLease))
+		w.contactLeaseMS = w.maxInitialLease(l.Limits.LongestLease)
+		w.strayBound = w.contactLeaseMS > w.clockMS+leaseTime.Milliseconds()
+		w.leaseMS = max(w.leaseMS, w.contactLeaseMS)
+		l.logContact(w, &report, now)
 	}
 	if report.UnreadableRows != w.unreadableRows {
 		l.Log.Warn("rows of a report left out, they can't be read", "worker", w.reg.ID, "rows", report.UnreadableRows, "before", w.unreadableRows)
@@ -173,8 +179,7 @@
 		w.nextWatch = now.Add(listIntervalBusy)
 	}
 	if !w.unresponsive && !expected {
-		l.Log.Warn("worker unresponsive", "worker", w.reg.ID, "refusal", refusal, "error", errorText(err),
-			"answered_ms_ago", now.Sub(w.answeredAt).Milliseconds(), "lease_ms", w.leaseMS-w.clockMS)
+		l.logUnresponsive(w, now, refusal, err)
 	}
 	if !w.unresponsive {
 		w.failedAt = now
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -84,6 +84,10 @@
 	// leaseMS is the latest end of any lease that may have been granted, on the
 	// worker's clock.
 	leaseMS int64
+	// contactLeaseMS is the bound of earlier leases at the first contact. strayBound is
+	// set if calls to an earlier incarnation decide it.
+	contactLeaseMS int64
+	strayBound     bool
 	// reportedEnd is the number of the newest end that the worker has reported.
 	// All that follows from the ends up to ackedEnd is committed.
 	reportedEnd, ackedEnd int64
@@ -93,6 +97,8 @@
 	unresponsive bool
 	// failedAt is when the first watch since the last answer failed.
 	failedAt time.Time
+	// expiryLoggedFor is the failedAt of the silence whose end of leases was logged.
+	expiryLoggedFor time.Time
 	// listedEnded is set if a list of VMs has shown that the incarnation has ended,
 	// and it has not answered since.
 	listedEnded bool
--- /dev/null
+++ b/internal/process/scheduler/workerlog.go
@@ -0,0 +1,117 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/workstate"
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
+
+// leaseBasis tells which leases decide until when a worker may execute runs.
+type leaseBasis string
+
+const (
+	// ownLease is a lease that this leader has granted since the first contact.
+	ownLease leaseBasis = "own"
+	// formerLease is a lease of a former leader.
+	formerLease leaseBasis = "inherited"
+	// strayLease is a lease of a call to an earlier incarnation.
+	strayLease leaseBasis = "stray"
+)
+
+var (
+	leaseEnds = map[leaseBasis]*metrics.Counter{
+		ownLease:    metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="own"}`),
+		formerLease: metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="inherited"}`),
+		strayLease:  metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="stray"}`),
+	}
+	strayLeaseContacts = metrics.NewCounter(`arbutus_stray_lease_contacts_total`)
+)
+
+// leaseBasis returns which leases decide what leasesExpired reports.
+func (w *worker) leaseBasis(longest time.Duration) leaseBasis {
+	stray := w.strayBound
+	switch {
+	case !w.knowsClock():
+		stray = w.maxStrayLease(longest) > inheritedLease
+	case w.leaseMS > w.contactLeaseMS:
+		return ownLease
+	}
+	if stray {
+		return strayLease
+	}
+	return formerLease
+}
+
+// leaseAttrs returns what the leader knows about the leases of a worker. The clock is
+// that of the last reading, to which lease_ms is relative.
+func (w *worker) leaseAttrs(now time.Time, longest time.Duration) []any {
+	attrs := []any{"worker", w.reg.ID, "incarnation", w.reg.Incarnation, "token", uint64(w.token), "known_ms", now.Sub(w.knownSince).Milliseconds(),
+		"contacted", w.contacted, "basis", w.leaseBasis(longest)}
+	if !w.knowsClock() {
+		return append(attrs, "bound_ms", w.boundWithoutClock(longest).Milliseconds())
+	}
+	return append(attrs, "clock_ms", w.clockMS, "clock_age_ms", now.Sub(w.clockAt).Milliseconds(), "lease_ms", w.leaseMS-w.clockMS, "until_ms", w.leaseMS)
+}
+
+// answerAge returns how long ago the worker answered, if it ever did.
+func (w *worker) answerAge(now time.Time) []any {
+	if w.answeredAt.IsZero() {
+		return nil
+	}
+	return []any{"answered_ms_ago", now.Sub(w.answeredAt).Milliseconds()}
+}
+
+// logContact logs the first answer of a worker.
+func (l *loop) logContact(w *worker, report *execution.Report, now time.Time) {
+	if w.mayHoldStrayLease() {
+		strayLeaseContacts.Inc()
+	}
+	l.Log.Info("worker contacted", append(w.leaseAttrs(now, l.Limits.LongestLease), "restarted", w.reg.Restarted, "registered_before", w.registeredBefore,
+		"running", len(report.Running), "ended", len(report.Ended))...)
+}
+
+// logUnresponsive logs that a worker does not answer, or refuses a watch.
+func (l *loop) logUnresponsive(w *worker, now time.Time, refusal execution.Refusal, err error) {
+	attrs := append(w.leaseAttrs(now, l.Limits.LongestLease), "refusal", refusal, "error", errorText(err))
+	l.Log.Warn("worker unresponsive", append(attrs, w.answerAge(now)...)...)
+}
+
+// logLost logs that a worker is considered lost.
+func (l *loop) logLost(w *worker, now time.Time) {
+	attrs := []any{"worker", w.reg.ID, "incarnation", w.reg.Incarnation, "known_ms", now.Sub(w.knownSince).Milliseconds()}
+	l.Log.Warn("worker lost", append(attrs, w.answerAge(now)...)...)
+}
+
+// logLeaseEnd logs and counts a run that ends with the lease of its worker, and once
+// for each silence of the worker what the leader went by.
+func (l *loop) logLeaseEnd(id workload.TaskID, task *workstate.Task, r *run, w *worker, now time.Time) {
+	basis := w.leaseBasis(l.Limits.LongestLease)
+	leaseEnds[basis].Inc()
+	if !w.expiryLoggedFor.Equal(w.failedAt) {
+		w.expiryLoggedFor = w.failedAt
+		attrs := append(w.leaseAttrs(now, l.Limits.LongestLease), "silent_ms", now.Sub(w.failedAt).Milliseconds())
+		if w.knowsClock() {
+			attrs = append(attrs, "slowest_clock_ms", w.slowestClockMS(now))
+		}
+		l.Log.Info("leases of worker expired", append(attrs, w.answerAge(now)...)...)
+	}
+	l.Log.Info("run ended with the lease of its worker", "task", id.String(), "run", task.Run, "worker", task.Worker, "incarnation", w.reg.Incarnation,
+		"run_incarnation", task.Incarnation, "basis", basis, "settled", r.settled)
+}
+
+// logRegistered logs a registration that was committed.
+func (s *Server) logRegistered(r *workcall.HeartbeatRequest, result workstate.Result) {
+	attrs := []any{"worker", r.Worker.ID, "incarnation", r.Worker.Incarnation, "vm", r.Worker.VM, "address", r.Worker.Address,
+		"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence, "clock_ms", r.ClockMS}
+	s.machine.Read(func(v *workstate.View) {
+		if known := v.Workers()[r.Worker.ID]; known != nil && known.Incarnation == r.Worker.Incarnation {
+			attrs = append(attrs, "restarted", known.Restarted)
+		}
+	})
+	s.log.Info("worker registered", attrs...)
+}
