scheduler: the leases of a worker's incarnation are bounded in a package of their own

The clock of a worker, the leases granted by it and what may have been granted before stood in five fields of worker and six of its methods, which any file of the scheduler could read and set.

--- a/internal/process/scheduler/accounts.go
+++ b/internal/process/scheduler/accounts.go
@@ -41,7 +41,7 @@
 		if w.report == nil || len(w.report.running) <= u.load(w).listed {
 			continue
 		}
-		if w.left() || w.unresponsive && w.leasesExpired(now, l.Limits.LongestLease) {
+		if w.left() || w.unresponsive && w.lease.Expired(now, l.Limits.LongestLease) {
 			continue
 		}
 		for key := range w.report.running {
--- a/internal/process/scheduler/capacity.go
+++ b/internal/process/scheduler/capacity.go
@@ -35,10 +35,11 @@
 // sentAt returns when a heartbeat of a worker was sent, by the worker's clock if that
 // is known. It was sent before it was known here.
 func sentAt(h *heartbeats.Known, w *worker) time.Time {
-	if h.ClockMS == 0 || w.clockMS == 0 {
+	reading := w.lease.Reading()
+	if h.ClockMS == 0 || reading.MS == 0 {
 		return h.KnownAt
 	}
-	byClock := w.clockAt.Add(time.Duration(h.ClockMS-w.clockMS) * time.Millisecond)
+	byClock := reading.At.Add(time.Duration(h.ClockMS-reading.MS) * time.Millisecond)
 	if byClock.Before(h.KnownAt) {
 		return byClock
 	}
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -46,7 +46,7 @@
 // recordAcceptance records the worker's clock in the answer that accepts the start
 // order. One that is behind a known reading may be another incarnation's.
 func (r *run) recordAcceptance(w *worker, clockMS int64) {
-	if clockMS >= max(w.clockMS, w.heartbeatClockMS) {
+	if clockMS >= max(w.lease.Reading().MS, w.heartbeatClockMS) {
 		r.acceptedClockMS = clockMS
 	}
 }
--- a/internal/process/scheduler/deregistration.go
+++ b/internal/process/scheduler/deregistration.go
@@ -15,7 +15,7 @@
 // its end and a list that was requested later shows the VM without it.
 func (l *loop) recordLeft(vm execution.VM, requestedAt time.Time) {
 	w := l.workersByVM()[vm.ID]
-	if w == nil || !w.endUnconfirmed() || !requestedAt.After(w.knownSince) || !vm.State.Known() {
+	if w == nil || !w.endUnconfirmed() || !requestedAt.After(w.lease.KnownSince()) || !vm.State.Known() {
 		return
 	}
 	if vm.State == execution.VMUp && (vm.Worker == w.reg.ID || vm.Worker == "") {
--- /dev/null
+++ b/internal/process/scheduler/lease/lease.go
@@ -0,0 +1,165 @@
+// Package lease bounds the leases that one incarnation of a worker may hold, so that a
+// leader that does not reach it knows when its runs have ended.
+//
+// A lease ends at a time on the worker's clock, which is steady and may be slow by Drift.
+package lease
+
+import "time"
+
+const (
+	// Duration is that of the lease that each call of a leader grants. It outlasts an
+	// election of up to 1.2 s and the first calls of the new leader.
+	Duration = 4 * time.Second
+	// Drift is the maximum ratio by which a worker's clock may be slow.
+	Drift = 0.02
+	// inheritedTime bounds the leases that former leaders may have granted, counted from when
+	// a leader learns of a worker. It covers their Duration, replica.MaxUnconfirmed, and some
+	// slack.
+	inheritedTime = Duration + 2*time.Second
+	// StaleCallTime is the time after a worker's restart by which all calls to its former
+	// incarnation have arrived or failed. A call that got no answer may be executed seconds
+	// later; the platform gives no limit.
+	StaleCallTime = 15 * time.Second
+)
+
+// Origin tells what may have granted leases to an incarnation before the leader's first
+// contact with it, beside former leaders.
+type Origin struct {
+	// IDReused is set if an earlier incarnation had the worker's id, so that late calls to
+	// that one reach this one. They carry times on another clock, so that only the worker's
+	// own limit bounds the leases that they grant.
+	IDReused bool
+}
+
+// Reading is what a worker's clock showed at a local time.
+type Reading struct {
+	MS int64
+	At time.Time
+}
+
+// Bound holds the latest end of any lease of one incarnation, on its clock.
+type Bound struct {
+	origin Origin
+	// knownSince is when this leader learned of the incarnation.
+	knownSince time.Time
+	// reading is the newest reading of the clock; its MS is 0 while the clock is unknown.
+	reading Reading
+	// untilMS is the latest end, contactMS that of the leases granted before the first
+	// contact. Both are 0 until then, and while the clock is unknown.
+	untilMS, contactMS int64
+	// strayContact is set if a call to an earlier incarnation decides contactMS.
+	strayContact bool
+}
+
+// Basis tells which leases decide a bound.
+type Basis string
+
+const (
+	// Own is a lease that this leader has granted since the first contact.
+	Own Basis = "own"
+	// Inherited is a lease of a former leader.
+	Inherited Basis = "inherited"
+	// Stray is a lease of a call to an earlier incarnation.
+	Stray Basis = "stray"
+)
+
+// NewBound returns the bound of an incarnation that this leader has just learned of.
+func NewBound(origin Origin, now time.Time) Bound {
+	return Bound{origin: origin, knownSince: now}
+}
+
+// IDReused reports whether an earlier incarnation had the worker's id.
+func (b *Bound) IDReused() bool { return b.origin.IDReused }
+
+// KnownSince returns when this leader learned of the incarnation.
+func (b *Bound) KnownSince() time.Time { return b.knownSince }
+
+// Reading returns the newest reading of the clock. Its MS is 0 while the clock is unknown.
+func (b *Bound) Reading() Reading { return b.reading }
+
+// Record records the clock from an answer that names the incarnation.
+func (b *Bound) Record(clockMS int64, now time.Time) {
+	if clockMS > 0 {
+		b.reading = Reading{clockMS, now}
+	}
+}
+
+// SlowestMS returns what the clock shows at least.
+func (b *Bound) SlowestMS(now time.Time) int64 {
+	elapsed := time.Duration(float64(now.Sub(b.reading.At)) * (1 - Drift))
+	return b.reading.MS + elapsed.Milliseconds()
+}
+
+// Contacted reports whether leases are counted on the worker's clock.
+func (b *Bound) Contacted() bool { return b.untilMS > 0 }
+
+// UntilMS returns the latest end of any lease on the clock, or 0 before the first contact.
+func (b *Bound) UntilMS() int64 { return b.untilMS }
+
+// Contact records the first answer of the incarnation to this leader, whose clock was
+// recorded. From then on it refuses the calls of former leaders and those to earlier
+// incarnations. longest is the limit that workers set to their leases.
+func (b *Bound) Contact(longest time.Duration) {
+	if b.reading.MS == 0 {
+		return
+	}
+	own := b.reading.MS + Duration.Milliseconds()
+	b.contactMS = max(own, b.strayMS(longest))
+	b.strayContact = b.contactMS > own
+	b.untilMS = max(b.untilMS, b.contactMS)
+}
+
+// strayMS returns the latest end of a lease that a late call to an earlier incarnation has
+// granted before the first contact, or 0.
+func (b *Bound) strayMS(longest time.Duration) int64 {
+	if !b.origin.IDReused {
+		return 0
+	}
+	granted := min(b.reading.MS, StaleCallTime.Milliseconds())
+	return granted + longest.Milliseconds()
+}
+
+// Grant returns the end of a lease that starts now, on the worker's clock, and records
+// that it may have been granted. It returns 0 while the clock is unknown.
+func (b *Bound) Grant(now time.Time) int64 {
+	if b.reading.MS == 0 {
+		return 0
+	}
+	until := b.SlowestMS(now) + Duration.Milliseconds()
+	b.untilMS = max(b.untilMS, until)
+	return until
+}
+
+// Expired reports whether every lease that may have been granted has certainly expired,
+// although the worker does not answer and its clock may be slow.
+func (b *Bound) Expired(now time.Time, longest time.Duration) bool {
+	if !b.Contacted() {
+		return now.Sub(b.knownSince) > b.MaxUncontacted(longest)
+	}
+	return b.SlowestMS(now) > b.untilMS
+}
+
+// MaxUncontacted returns the time since this leader learned of the incarnation after which
+// every lease has expired if there was no contact.
+func (b *Bound) MaxUncontacted(longest time.Duration) time.Duration {
+	bound := inheritedTime
+	if b.origin.IDReused {
+		bound = max(bound, StaleCallTime+longest)
+	}
+	return time.Duration(float64(bound) * (1 + Drift))
+}
+
+// Basis returns which leases decide what Expired reports.
+func (b *Bound) Basis(longest time.Duration) Basis {
+	stray := b.origin.IDReused && StaleCallTime+longest > inheritedTime
+	if b.Contacted() {
+		if b.untilMS > b.contactMS {
+			return Own
+		}
+		stray = b.strayContact
+	}
+	if stray {
+		return Stray
+	}
+	return Inherited
+}
--- a/internal/process/scheduler/reconcile.go
+++ b/internal/process/scheduler/reconcile.go
@@ -118,7 +118,7 @@
 		l.queueUnreportedEnd(id, task.Run, w)
 		return
 	}
-	if w.unresponsive && w.leasesExpired(now, l.Limits.LongestLease) {
+	if w.unresponsive && w.lease.Expired(now, l.Limits.LongestLease) {
 		l.logLeaseEnd(id, task, r, w, now)
 		r.suspectUnheard(w.failedAt)
 		l.queueUnreportedEnd(id, task.Run, w)
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -35,7 +35,7 @@
 		return
 	}
 	switch known := l.capacityKnown(w, now); {
-	case w.overCapacity, !known && now.Sub(w.knownSince) > l.Limits.maxCapacityAge():
+	case w.overCapacity, !known && now.Sub(w.lease.KnownSince()) > l.Limits.maxCapacityAge():
 		l.withdrawStart(r, w)
 		return
 	case !known:
@@ -52,7 +52,7 @@
 		r.enter(runRetrying, now)
 		return
 	}
-	order.LeaseUntilMS = w.grantLease(now)
+	order.LeaseUntilMS = w.lease.Grant(now)
 	order.Ticket = l.ticketFor(id, r.worker)
 	r.enter(runOrdering, now)
 	r.calling, r.sent = true, true
@@ -110,7 +110,7 @@
 	}
 	if err == nil && answer.Refusal == execution.Accepted {
 		r.recordAcceptance(w, answer.ClockMS)
-		w.recordClock(answer.ClockMS, now)
+		w.lease.Record(answer.ClockMS, now)
 		r.enter(runOrdered, now)
 		return
 	}
@@ -122,7 +122,7 @@
 		r.enter(runRetrying, now)
 		return
 	}
-	w.recordClock(answer.ClockMS, now)
+	w.lease.Record(answer.ClockMS, now)
 	r.unconfirmed = r.unconfirmed || answer.Repeated || answer.Refusal == execution.RefusedOther
 	l.handleStartRefusal(id, r, w, answer.Refusal, now)
 }
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -10,6 +10,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
+	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/pacing"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -32,7 +33,7 @@
 			if w != nil {
 				w.removed = true
 			}
-			l.addWorker(&worker{reg: *reg, speed: pacing.Full, knownSince: time.Now()})
+			l.addWorker(&worker{reg: *reg, speed: pacing.Full}, time.Now())
 			continue
 		}
 		w.reg = *reg
@@ -51,10 +52,12 @@
 	}
 }
 
-// addWorker adds a worker to the table and to the list.
-func (l *loop) addWorker(w *worker) {
+// addWorker adds a worker that this leader has just learned of to the table and to the
+// list.
+func (l *loop) addWorker(w *worker, now time.Time) {
 	generation := l.generations.Next(w.reg.ID)
-	w.token, w.registeredBefore = fencing.NewToken(l.term, generation), generation > 0
+	w.token = fencing.NewToken(l.term, generation)
+	w.lease = lease.NewBound(lease.Origin{IDReused: w.reg.Restarted || generation > 0}, now)
 	l.workers[w.reg.ID] = w
 	at, _ := slices.BinarySearchFunc(l.workerList, w.reg.ID, func(listed *worker, id string) int { return cmp.Compare(listed.reg.ID, id) })
 	l.workerList = slices.Insert(l.workerList, at, w)
@@ -83,7 +86,7 @@
 	// restarted, in which case the ends of the new incarnation must not be
 	// acknowledged.
 	if w.inTouch() && l.inContact() {
-		request.LeaseUntilMS = w.grantLease(now)
+		request.LeaseUntilMS = w.lease.Grant(now)
 		request.AckedEnd = w.ackedEnd
 		request.WaitMS = int(l.watchWait(w).Milliseconds())
 	}
@@ -140,15 +143,13 @@
 		l.registerRestart(w, report.Incarnation)
 		return
 	}
-	w.recordClock(report.ClockMS, now)
+	w.lease.Record(report.ClockMS, now)
 	if report.Incarnation == w.reg.Incarnation {
 		w.reportClockMS = max(w.reportClockMS, report.ClockMS)
 	}
 	if first {
 		w.contacted = true
-		w.contactLeaseMS = w.maxInitialLease(l.Limits.LongestLease)
-		w.strayBound = w.contactLeaseMS > w.clockMS+leaseTime.Milliseconds()
-		w.leaseMS = max(w.leaseMS, w.contactLeaseMS)
+		w.lease.Contact(l.Limits.LongestLease)
 		l.logContact(w, &report, now)
 	}
 	if report.UnreadableRows != w.unreadableRows {
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -5,27 +5,14 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
+	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/health"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// Times of leases and of calls to workers.
+// Times of calls to workers.
 const (
-	// leaseTime is the duration of the lease that each call grants to a worker.
-	// It outlasts an election of up to 1.2 s and the first calls of the new
-	// leader.
-	leaseTime = 4 * time.Second
-	// clockDrift is the maximum ratio by which a worker's clock may be slow.
-	clockDrift = 0.02
-	// inheritedLease bounds the leases that former leaders may have granted,
-	// counted from when a leader learns of a worker. It covers their leaseTime,
-	// replica.MaxUnconfirmed, and some slack.
-	inheritedLease = leaseTime + 2*time.Second
-	// staleCallTime is the time after a worker's restart by which all calls to
-	// its former incarnation have arrived or failed. A call that got no answer
-	// may be executed seconds later; the platform gives no limit.
-	staleCallTime = 15 * time.Second
 	// busyWatchWait is how long a worker that executes runs delays a report that
 	// has no new ends: the reports also tell the progress of its runs.
 	// idleWatchWait is the same for a worker without runs.
@@ -62,9 +49,6 @@
 	reg workstate.Worker
 	// token is the fencing token of all calls for the incarnation.
 	token fencing.Token
-	// registeredBefore is set if this leader has called a worker with the id
-	// before, maybe an earlier incarnation.
-	registeredBefore bool
 	// removed is set once the loop's table holds the incarnation no longer.
 	removed bool
 	// load is the load in the last round that looked at it.
@@ -73,21 +57,11 @@
 	rack string
 	// enforcesCapacity is set if the worker refuses what does not fit.
 	enforcesCapacity bool
-	// knownSince is when this leader learned of the incarnation.
-	knownSince time.Time
 	// contacted is set if the worker has answered this leader, after which it
 	// accepts no calls of former leaders, nor late ones for former incarnations.
 	contacted bool
-	// clockMS is the worker's clock at the local time clockAt.
-	clockMS int64
-	clockAt time.Time
-	// leaseMS is the latest end of any lease that may have been granted, on the
-	// worker's clock.
-	leaseMS int64
-	// contactLeaseMS is the bound of earlier leases at the first contact. strayBound is
-	// set if calls to an earlier incarnation decide it.
-	contactLeaseMS int64
-	strayBound     bool
+	// lease bounds the leases that the incarnation may hold.
+	lease lease.Bound
 	// reportedEnd is the number of the newest end that the worker has reported.
 	// All that follows from the ends up to ackedEnd is committed.
 	reportedEnd, ackedEnd int64
@@ -259,3 +233,15 @@
 func (w *worker) endUnconfirmed() bool {
 	return w.reg.Leaving && w.unresponsive && !w.listedEnded
 }
+
+// lost reports whether the worker has neither answered nor sent a heartbeat for
+// so long that it is considered lost.
+func (w *worker) lost(now time.Time, longestLease time.Duration) bool {
+	last := w.lease.KnownSince()
+	for _, at := range []time.Time{w.answeredAt, w.heartbeatAt} {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return w.unresponsive && now.Sub(last) > lostAfter && w.lease.Expired(now, longestLease)
+}
--- a/internal/process/scheduler/workerlog.go
+++ b/internal/process/scheduler/workerlog.go
@@ -7,55 +7,30 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// leaseBasis tells which leases decide until when a worker may execute runs.
-type leaseBasis string
-
-const (
-	// ownLease is a lease that this leader has granted since the first contact.
-	ownLease leaseBasis = "own"
-	// formerLease is a lease of a former leader.
-	formerLease leaseBasis = "inherited"
-	// strayLease is a lease of a call to an earlier incarnation.
-	strayLease leaseBasis = "stray"
-)
-
 var (
-	leaseEnds = map[leaseBasis]*metrics.Counter{
-		ownLease:    metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="own"}`),
-		formerLease: metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="inherited"}`),
-		strayLease:  metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="stray"}`),
+	leaseEnds = map[lease.Basis]*metrics.Counter{
+		lease.Own:       metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="own"}`),
+		lease.Inherited: metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="inherited"}`),
+		lease.Stray:     metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="stray"}`),
 	}
 	strayLeaseContacts = metrics.NewCounter(`arbutus_stray_lease_contacts_total`)
 )
 
-// leaseBasis returns which leases decide what leasesExpired reports.
-func (w *worker) leaseBasis(longest time.Duration) leaseBasis {
-	stray := w.strayBound
-	switch {
-	case !w.knowsClock():
-		stray = w.maxStrayLease(longest) > inheritedLease
-	case w.leaseMS > w.contactLeaseMS:
-		return ownLease
-	}
-	if stray {
-		return strayLease
-	}
-	return formerLease
-}
-
 // leaseAttrs returns what the leader knows about the leases of a worker. The clock is
 // that of the last reading, to which lease_ms is relative.
 func (w *worker) leaseAttrs(now time.Time, longest time.Duration) []any {
-	attrs := []any{"worker", w.reg.ID, "incarnation", w.reg.Incarnation, "token", uint64(w.token), "known_ms", now.Sub(w.knownSince).Milliseconds(),
-		"contacted", w.contacted, "basis", w.leaseBasis(longest)}
-	if !w.knowsClock() {
-		return append(attrs, "bound_ms", w.boundWithoutClock(longest).Milliseconds())
+	attrs := []any{"worker", w.reg.ID, "incarnation", w.reg.Incarnation, "token", uint64(w.token), "known_ms", now.Sub(w.lease.KnownSince()).Milliseconds(),
+		"contacted", w.contacted, "basis", w.lease.Basis(longest)}
+	if !w.lease.Contacted() {
+		return append(attrs, "bound_ms", w.lease.MaxUncontacted(longest).Milliseconds())
 	}
-	return append(attrs, "clock_ms", w.clockMS, "clock_age_ms", now.Sub(w.clockAt).Milliseconds(), "lease_ms", w.leaseMS-w.clockMS, "until_ms", w.leaseMS)
+	reading, until := w.lease.Reading(), w.lease.UntilMS()
+	return append(attrs, "clock_ms", reading.MS, "clock_age_ms", now.Sub(reading.At).Milliseconds(), "lease_ms", until-reading.MS, "until_ms", until)
 }
 
 // answerAge returns how long ago the worker answered, if it ever did.
@@ -68,10 +43,10 @@
 
 // logContact logs the first answer of a worker.
 func (l *loop) logContact(w *worker, report *execution.Report, now time.Time) {
-	if w.mayHoldStrayLease() {
+	if w.lease.IDReused() {
 		strayLeaseContacts.Inc()
 	}
-	l.Log.Info("worker contacted", append(w.leaseAttrs(now, l.Limits.LongestLease), "restarted", w.reg.Restarted, "registered_before", w.registeredBefore,
+	l.Log.Info("worker contacted", append(w.leaseAttrs(now, l.Limits.LongestLease), "restarted", w.reg.Restarted, "id_reused", w.lease.IDReused(),
 		"running", len(report.Running), "ended", len(report.Ended))...)
 }
 
@@ -83,20 +58,20 @@
 
 // logLost logs that a worker is considered lost.
 func (l *loop) logLost(w *worker, now time.Time) {
-	attrs := []any{"worker", w.reg.ID, "incarnation", w.reg.Incarnation, "known_ms", now.Sub(w.knownSince).Milliseconds()}
+	attrs := []any{"worker", w.reg.ID, "incarnation", w.reg.Incarnation, "known_ms", now.Sub(w.lease.KnownSince()).Milliseconds()}
 	l.Log.Warn("worker lost", append(attrs, w.answerAge(now)...)...)
 }
 
 // logLeaseEnd logs and counts a run that ends with the lease of its worker, and once
 // for each silence of the worker what the leader went by.
 func (l *loop) logLeaseEnd(id workload.TaskID, task *workstate.Task, r *run, w *worker, now time.Time) {
-	basis := w.leaseBasis(l.Limits.LongestLease)
+	basis := w.lease.Basis(l.Limits.LongestLease)
 	leaseEnds[basis].Inc()
 	if !w.expiryLoggedFor.Equal(w.failedAt) {
 		w.expiryLoggedFor = w.failedAt
 		attrs := append(w.leaseAttrs(now, l.Limits.LongestLease), "silent_ms", now.Sub(w.failedAt).Milliseconds())
-		if w.knowsClock() {
-			attrs = append(attrs, "slowest_clock_ms", w.slowestClockMS(now))
+		if w.lease.Contacted() {
+			attrs = append(attrs, "slowest_clock_ms", w.lease.SlowestMS(now))
 		}
 		l.Log.Info("leases of worker expired", append(attrs, w.answerAge(now)...)...)
 	}
