scheduler: a lease in the next incarnation is bounded from its own clock

Cause: a call to the former incarnation, which carries a time far ahead on another clock, grants the next one the longest lease (10 s). The bound at the first contact allowed for that by min(clock, 15 s) + longest, which takes the worker's clock for the time since its start. A clock begins anywhere in each incarnation, so that only the leader's own 4 s were left.

Change: readings are compared with readings of the same incarnation only. The registration keeps the first known reading of the incarnation's clock, from the heartbeat or the report that registers it; calls to the former incarnation arrive until 15 s after that on the same clock, and none after the contact. Without a first reading the bound is the clock at the contact and the longest lease. A worker that restarted long ago is bounded by 4 s again, also by a later leader.

A member of an earlier version keeps no first reading: bounds are then longer, never shorter.

--- a/internal/process/scheduler/lease/lease.go
+++ b/internal/process/scheduler/lease/lease.go
@@ -1,7 +1,9 @@
 // Package lease bounds the leases that one incarnation of a worker may hold, so that a
 // leader that does not reach it knows when its runs have ended.
 //
-// A lease ends at a time on the worker's clock, which is steady and may be slow by Drift.
+// A lease ends at a time on the worker's clock, which is steady, may be slow by Drift, and
+// begins at any value in each incarnation. So a reading is compared only with other readings
+// of the same incarnation, and never with a duration.
 package lease
 
 import "time"
@@ -29,6 +31,8 @@
 	// that one reach this one. They carry times on another clock, so that only the worker's
 	// own limit bounds the leases that they grant.
 	IDReused bool
+	// FirstClockMS is the first known reading of the incarnation's clock, or 0.
+	FirstClockMS int64
 }
 
 // Reading is what a worker's clock showed at a local time.
@@ -115,7 +119,10 @@
 	if !b.origin.IDReused {
 		return 0
 	}
-	granted := min(b.reading.MS, StaleCallTime.Milliseconds())
+	granted := b.reading.MS
+	if b.origin.FirstClockMS > 0 {
+		granted = min(granted, b.origin.FirstClockMS+StaleCallTime.Milliseconds())
+	}
 	return granted + longest.Milliseconds()
 }
 
--- a/internal/process/scheduler/restartlabels_test.go
+++ b/internal/process/scheduler/restartlabels_test.go
@@ -68,7 +68,7 @@
 // TestEachFieldOfAHeartbeatIsNews guards against a registration that no later heartbeat corrects, since a field that the heartbeat states is not compared: labels were not, nor was the zone.
 func TestEachFieldOfAHeartbeatIsNews(t *testing.T) {
 	// The leader sets these itself, or orders heartbeats by them.
-	ignored := []string{"ID", "Restarted", "Sequence", "Leaving", "EndsByOrder"}
+	ignored := []string{"ID", "Restarted", "Sequence", "Leaving", "EndsByOrder", "FirstClockMS"}
 	fields := reflect.TypeFor[workstate.Worker]()
 	for i := range fields.NumField() {
 		field := fields.Field(i)
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -19,7 +19,7 @@
 		return workcall.HeartbeatResponse{}, s.fault(notLeader(status))
 	}
 	response := workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.heartbeatAddress(r.Worker.ID, status)}
-	r.Worker.Sequence = r.Sequence
+	r.Worker.Sequence, r.Worker.FirstClockMS = r.Sequence, r.ClockMS
 	change := s.compareHeartbeat(&r)
 	if change == unknownService {
 		response.Status = workcall.Invalid
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -57,7 +57,7 @@
 func (l *loop) addWorker(w *worker, now time.Time) {
 	generation := l.generations.Next(w.reg.ID)
 	w.token = fencing.NewToken(l.term, generation)
-	w.lease = lease.NewBound(lease.Origin{IDReused: w.reg.Restarted || generation > 0}, now)
+	w.lease = lease.NewBound(lease.Origin{IDReused: w.reg.Restarted || generation > 0, FirstClockMS: w.reg.FirstClockMS}, now)
 	l.workers[w.reg.ID] = w
 	at, _ := slices.BinarySearchFunc(l.workerList, w.reg.ID, func(listed *worker, id string) int { return cmp.Compare(listed.reg.ID, id) })
 	l.workerList = slices.Insert(l.workerList, at, w)
@@ -140,7 +140,7 @@
 	w.answeredAt = now
 	if report.Incarnation > w.reg.Incarnation {
 		w.superseded = true
-		l.registerRestart(w, report.Incarnation)
+		l.registerRestart(w, &report)
 		return
 	}
 	w.lease.Record(report.ClockMS, now)
@@ -191,13 +191,14 @@
 	}
 }
 
-// registerRestart registers a new incarnation of a worker that has restarted
-// under the same id. Until its first heartbeat it is taken for like the former one,
+// registerRestart registers the incarnation that has sent a report, as a worker that has
+// restarted under the same id. Until its first heartbeat it is taken for like the former one,
 // but it does not drain, it has no labels, since it may be of another kind, and if it
 // starts whatever it is told, it has no capacity.
-func (l *loop) registerRestart(w *worker, incarnation int64) {
+func (l *loop) registerRestart(w *worker, report *execution.Report) {
 	reg := w.reg
-	reg.Incarnation = incarnation
+	reg.Incarnation = report.Incarnation
+	reg.FirstClockMS = report.ClockMS
 	reg.Sequence = 0
 	reg.Draining = false
 	reg.Labels = nil
@@ -207,7 +208,7 @@
 		}
 	})
 	w.nextWatch = time.Now().Add(watchRetry)
-	l.Log.Info("worker restarted", "worker", reg.ID, "from", w.reg.Incarnation, "to", incarnation)
+	l.Log.Info("worker restarted", "worker", reg.ID, "from", w.reg.Incarnation, "to", report.Incarnation, "clock_ms", report.ClockMS)
 	go func() {
 		_, err := propose(l.ctx, l.Replica, &workstate.Command{Register: &reg}, l.Now())
 		if err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/process/scheduler/workerlog.go
+++ b/internal/process/scheduler/workerlog.go
@@ -46,7 +46,7 @@
 	if w.lease.IDReused() {
 		strayLeaseContacts.Inc()
 	}
-	l.Log.Info("worker contacted", append(w.leaseAttrs(now, l.Limits.LongestLease), "restarted", w.reg.Restarted, "id_reused", w.lease.IDReused(),
+	l.Log.Info("worker contacted", append(w.leaseAttrs(now, l.Limits.LongestLease), "restarted", w.reg.Restarted, "id_reused", w.lease.IDReused(), "first_clock_ms", w.reg.FirstClockMS,
 		"running", len(report.Running), "ended", len(report.Ended))...)
 }
 
--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -167,6 +167,8 @@
 	// without a crash: by draining, maintenance or a change of service. It is 0
 	// if there was none, and again once the worker gets a task after all.
 	EndsByOrder int64 `cbor:"13,keyasint,omitempty"`
+	// FirstClockMS is the first known reading of the incarnation's clock, or 0.
+	FirstClockMS int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Order returns the place of the registration among the heartbeats of the worker.
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -1,6 +1,10 @@
 package workstate
 
-import "arbutusward.example/arbutusward/internal/version/workload"
+import (
+	"cmp"
+
+	"arbutusward.example/arbutusward/internal/version/workload"
+)
 
 // applyRegister records a worker. If another worker has the same VM or address,
 // the later incarnation replaces the earlier one, whose runs have ended with it.
@@ -36,6 +40,9 @@
 	registered.Leaving = known != nil && known.Leaving && known.Incarnation == w.Incarnation
 	registered.Restarted = known != nil && (known.Restarted || known.Incarnation < w.Incarnation)
 	registered.EndsByOrder = newestOrderedEnd(known, w)
+	if known != nil && known.Incarnation == w.Incarnation {
+		registered.FirstClockMS = cmp.Or(known.FirstClockMS, w.FirstClockMS)
+	}
 	m.data.Workers[w.ID] = &registered
 	m.workersVersion++
 	return Result{Code: OK}
