--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -163,6 +163,39 @@
 	}
 }
 
+// TestSecondAcceptanceByTheNextIncarnationClearsNoRun guards against a deadly task whose crash is not counted: the clock of its start is below a report of the former incarnation.
+func TestSecondAcceptanceByTheNextIncarnationClearsNoRun(t *testing.T) {
+	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}, reportClockMS: 9000}
+	w.lease.Record(9000, time.Now())
+	first, second := &run{}, &run{}
+	first.recordAcceptance(w, 1000)
+	w.lease.Record(1000, time.Now())
+	second.recordAcceptance(w, 1010)
+	for _, r := range []*run{first, second} {
+		if r.settleByClock(w, &workstate.Task{Worker: "w1", Incarnation: 7}); r.settled || r.outlived {
+			t.Errorf("a run accepted at %d counts as settled", r.acceptedClockMS)
+		}
+	}
+}
+
+// TestRunListedByTheNextIncarnationHasNotSurvivedTheFormerOne guards against a deadly task whose crash is not counted, and those before are forgotten: a late copy of its start executes on the worker that it has crashed.
+func TestRunListedByTheNextIncarnationHasNotSurvivedTheFormerOne(t *testing.T) {
+	id := workload.TaskID{Job: jobA}
+	for _, lost := range []bool{false, true} {
+		r := &run{number: 1, worker: "w1", sent: true, orderedAt: time.Now().Add(-time.Second), lost: lost}
+		if lost {
+			r.blame = &crash{}
+		}
+		next := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 8}}
+		next.report = newReportView(time.Now(), &execution.Report{Incarnation: 8, Running: []execution.RunningTask{{Task: id, Run: 1}}})
+		r.observe(next, runKey{id, 1})
+		end := workstate.End{Task: id, Run: 1, Kind: workstate.EndInterrupted}
+		if r.judge(&end); end.Survived == lost {
+			t.Errorf("lost %v: survived %v", lost, end.Survived)
+		}
+	}
+}
+
 // TestDrainOfTheNextIncarnationHidesNoCrash guards against a deadly task that is started once too often because the worker, back under its id, drains before the crash is recorded.
 func TestDrainOfTheNextIncarnationHidesNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -36,9 +36,10 @@
 }
 
 // settle marks the run as settled if the report that was looked at last shows
-// that its worker has survived its start.
+// that its worker has survived its start. One of a later incarnation does not: it may
+// have executed a copy of the start just now.
 func (r *run) settle() {
-	if r.running && !r.orderedAt.IsZero() && !r.report.sentAt.Before(r.orderedAt.Add(settleTime)) {
+	if r.running && !r.lost && !r.orderedAt.IsZero() && !r.report.sentAt.Before(r.orderedAt.Add(settleTime)) {
 		r.settled = true
 	}
 }
@@ -46,7 +47,7 @@
 // recordAcceptance records the worker's clock in the answer that accepts the start
 // order. One that is behind a known reading may be another incarnation's.
 func (r *run) recordAcceptance(w *worker, clockMS int64) {
-	if clockMS >= max(w.lease.Reading().MS, w.heartbeatClockMS) {
+	if clockMS >= max(w.lease.Reading().MS, w.heartbeatClockMS, w.reportClockMS) {
 		r.acceptedClockMS = clockMS
 	}
 }
