--- a/internal/process/scheduler/blame_test.go
+++ b/internal/process/scheduler/blame_test.go
@@ -136,7 +136,8 @@
 // TestHeartbeatOfAnotherIncarnationClearsNoRun guards against a run that is cleared by a heartbeat whose clock is that of a former incarnation with the same id.
 func TestHeartbeatOfAnotherIncarnationClearsNoRun(t *testing.T) {
 	l := newLoop(t.Context(), Options{}, 1)
-	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}, clockMS: 1000}
+	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}}
+	w.lease.Record(1000, time.Now())
 	l.workers["w1"] = w
 	task := &workstate.Task{Worker: "w1", Incarnation: 7}
 	cases := []struct {
@@ -164,10 +165,11 @@
 
 // TestSecondAcceptanceByTheNextIncarnationClearsNoRun guards against a deadly task whose crash is not counted: the clock of its start is below a report of the former incarnation.
 func TestSecondAcceptanceByTheNextIncarnationClearsNoRun(t *testing.T) {
-	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}, clockMS: 9000, reportClockMS: 9000}
+	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}, reportClockMS: 9000}
+	w.lease.Record(9000, time.Now())
 	first, second := &run{}, &run{}
 	first.recordAcceptance(w, 1000)
-	w.recordClock(1000, time.Now())
+	w.lease.Record(1000, time.Now())
 	second.recordAcceptance(w, 1010)
 	for _, r := range []*run{first, second} {
 		if r.settleByClock(w, &workstate.Task{Worker: "w1", Incarnation: 7}); r.settled || r.outlived {
--- a/internal/process/scheduler/crash.go
+++ b/internal/process/scheduler/crash.go
@@ -47,7 +47,7 @@
 // recordAcceptance records the worker's clock in the answer that accepts the start
 // order. One that is behind a known reading may be another incarnation's.
 func (r *run) recordAcceptance(w *worker, clockMS int64) {
-	if clockMS >= max(w.clockMS, w.heartbeatClockMS, w.reportClockMS) {
+	if clockMS >= max(w.lease.Reading().MS, w.heartbeatClockMS, w.reportClockMS) {
 		r.acceptedClockMS = clockMS
 	}
 }
--- a/internal/process/scheduler/server_workers.go
+++ b/internal/process/scheduler/server_workers.go
@@ -19,7 +19,7 @@
 		return workcall.HeartbeatResponse{}, s.fault(notLeader(status))
 	}
 	response := workcall.HeartbeatResponse{Status: workcall.OK, NextAddress: s.heartbeatAddress(r.Worker.ID, status)}
-	r.Worker.Sequence = r.Sequence
+	r.Worker.Sequence, r.Worker.FirstClockMS = r.Sequence, r.ClockMS
 	change := s.compareHeartbeat(&r)
 	if change == unknownService {
 		response.Status = workcall.Invalid
@@ -30,8 +30,7 @@
 		if err != nil {
 			return response, err
 		}
-		s.log.Info("worker registered", "worker", r.Worker.ID, "incarnation", r.Worker.Incarnation, "vm", r.Worker.VM, "address", r.Worker.Address,
-			"service", r.Worker.Service, "draining", r.Worker.Draining, "stale", result.Repeated, "sequence", r.Sequence)
+		s.logRegistered(&r, result)
 	}
 	heard := []workcall.HeardHeartbeat{heardFrom(&r)}
 	s.heard.AddAll(heard)
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -35,7 +35,7 @@
 		return
 	}
 	switch known := l.capacityKnown(w, now); {
-	case w.overCapacity, !known && now.Sub(w.knownSince) > l.Limits.maxCapacityAge():
+	case w.overCapacity, !known && now.Sub(w.lease.KnownSince()) > l.Limits.maxCapacityAge():
 		l.withdrawStart(r, w)
 		return
 	case !known:
@@ -48,11 +48,11 @@
 	}
 	order.FencingToken = uint64(w.token)
 	if !l.inContact() {
-		l.Log.Warn("start order held back, no contact to a majority", "task", id.String(), "run", r.number, "worker", r.worker)
+		l.Log.Warn("start order held back, no contact to a majority", "task", id.String(), "run", r.number, "worker", r.worker, "incarnation", w.reg.Incarnation)
 		r.enter(runRetrying, now)
 		return
 	}
-	order.LeaseUntilMS = w.grantLease(now)
+	order.LeaseUntilMS = w.lease.Grant(now)
 	order.Ticket = l.ticketFor(id, r.worker)
 	r.enter(runOrdering, now)
 	r.calling, r.sent = true, true
@@ -110,19 +110,19 @@
 	}
 	if err == nil && answer.Refusal == execution.Accepted {
 		r.recordAcceptance(w, answer.ClockMS)
-		w.recordClock(answer.ClockMS, now)
+		w.lease.Record(answer.ClockMS, now)
 		r.enter(runOrdered, now)
 		return
 	}
 	l.dirty = true
 	if err != nil {
 		lostOrders.Inc()
-		l.Log.Warn("start order unanswered", "task", id.String(), "run", r.number, "worker", r.worker, "error", err.Error())
+		l.Log.Warn("start order unanswered", "task", id.String(), "run", r.number, "worker", r.worker, "incarnation", w.reg.Incarnation, "token", uint64(w.token), "error", err.Error())
 		r.unconfirmed = true
 		r.enter(runRetrying, now)
 		return
 	}
-	w.recordClock(answer.ClockMS, now)
+	w.lease.Record(answer.ClockMS, now)
 	r.unconfirmed = r.unconfirmed || answer.Repeated || answer.Refusal == execution.RefusedOther
 	l.handleStartRefusal(id, r, w, answer.Refusal, now)
 }
@@ -131,7 +131,7 @@
 // had no effect, but an earlier one without an answer may still arrive.
 func (l *loop) handleStartRefusal(id workload.TaskID, r *run, w *worker, refusal execution.Refusal, now time.Time) {
 	refusedOrders.Inc()
-	l.Log.Info("start order refused", "task", id.String(), "run", r.number, "worker", r.worker, "reason", refusal, "repeated", r.unconfirmed)
+	l.Log.Info("start order refused", "task", id.String(), "run", r.number, "worker", r.worker, "incarnation", w.reg.Incarnation, "token", uint64(w.token), "reason", refusal, "repeated", r.unconfirmed)
 	switch refusal {
 	case execution.RefusedStaleRun:
 		// The run has ended. The reported ends tell how.
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -10,6 +10,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
+	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/pacing"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -32,7 +33,7 @@
 			if w != nil {
 				w.removed = true
 			}
-			l.addWorker(&worker{reg: *reg, speed: pacing.Full, knownSince: time.Now()})
+			l.addWorker(&worker{reg: *reg, speed: pacing.Full}, time.Now())
 			continue
 		}
 		w.reg = *reg
@@ -51,10 +52,12 @@
 	}
 }
 
-// addWorker adds a worker to the table and to the list.
-func (l *loop) addWorker(w *worker) {
+// addWorker adds a worker that this leader has just learned of to the table and to the
+// list.
+func (l *loop) addWorker(w *worker, now time.Time) {
 	generation := l.generations.Next(w.reg.ID)
-	w.token, w.registeredBefore = fencing.NewToken(l.term, generation), generation > 0
+	w.token = fencing.NewToken(l.term, generation)
+	w.lease = lease.NewBound(lease.Origin{IDReused: w.reg.Restarted || generation > 0, FirstClockMS: w.reg.FirstClockMS}, now)
 	l.workers[w.reg.ID] = w
 	at, _ := slices.BinarySearchFunc(l.workerList, w.reg.ID, func(listed *worker, id string) int { return cmp.Compare(listed.reg.ID, id) })
 	l.workerList = slices.Insert(l.workerList, at, w)
@@ -65,7 +68,7 @@
 func (l *loop) watchWorkers(now time.Time) {
 	for _, w := range l.workerList {
 		if w.unresponsive && !w.deregistering && w.lost(now, l.Limits.LongestLease) {
-			l.Log.Warn("worker lost", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "answered_ms_ago", now.Sub(w.answeredAt).Milliseconds())
+			l.logLost(w, now)
 			l.deregister(workerIncarnation{w.reg.ID, w.reg.Incarnation})
 		}
 		if w.watching || now.Before(w.nextWatch) || w.reportedEnd > w.ackedEnd {
@@ -83,7 +86,7 @@
 	// restarted, in which case the ends of the new incarnation must not be
 	// acknowledged.
 	if w.inTouch() && l.inContact() {
-		request.LeaseUntilMS = w.grantLease(now)
+		request.LeaseUntilMS = w.lease.Grant(now)
 		request.AckedEnd = w.ackedEnd
 		request.WaitMS = int(l.watchWait(w).Milliseconds())
 	}
@@ -126,24 +129,28 @@
 		l.handleWatchFailure(w, now, execution.RefusedOtherWorker, nil)
 		return
 	}
+	first := !w.contacted && report.Incarnation <= w.reg.Incarnation
 	if !w.answering() {
 		l.dirty = true
-		l.Log.Info("worker responsive", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "running", len(report.Running), "ended", len(report.Ended))
+		if !first {
+			l.Log.Info("worker responsive", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "running", len(report.Running), "ended", len(report.Ended))
+		}
 	}
 	w.unresponsive, w.listedEnded = false, false
 	w.answeredAt = now
 	if report.Incarnation > w.reg.Incarnation {
 		w.superseded = true
-		l.registerRestart(w, report.Incarnation)
+		l.registerRestart(w, &report)
 		return
 	}
-	w.recordClock(report.ClockMS, now)
+	w.lease.Record(report.ClockMS, now)
 	if report.Incarnation == w.reg.Incarnation {
 		w.reportClockMS = max(w.reportClockMS, report.ClockMS)
 	}
-	if !w.contacted {
+	if first {
 		w.contacted = true
-		w.leaseMS = max(w.leaseMS, w.maxInitialLease(l.Limits.LongestLease))
+		w.lease.Contact(l.Limits.LongestLease)
+		l.logContact(w, &report, now)
 	}
 	if report.UnreadableRows != w.unreadableRows {
 		l.Log.Warn("rows of a report left out, they can't be read", "worker", w.reg.ID, "rows", report.UnreadableRows, "before", w.unreadableRows)
@@ -173,8 +180,7 @@
 		w.nextWatch = now.Add(listIntervalBusy)
 	}
 	if !w.unresponsive && !expected {
-		l.Log.Warn("worker unresponsive", "worker", w.reg.ID, "refusal", refusal, "error", errorText(err),
-			"answered_ms_ago", now.Sub(w.answeredAt).Milliseconds(), "lease_ms", w.leaseMS-w.clockMS)
+		l.logUnresponsive(w, now, refusal, err)
 	}
 	if !w.unresponsive {
 		w.failedAt = now
@@ -185,13 +191,14 @@
 	}
 }
 
-// registerRestart registers a new incarnation of a worker that has restarted
-// under the same id. Until its first heartbeat it is taken for like the former one,
+// registerRestart registers the incarnation that has sent a report, as a worker that has
+// restarted under the same id. Until its first heartbeat it is taken for like the former one,
 // but it does not drain, it has no labels, since it may be of another kind, and if it
 // starts whatever it is told, it has no capacity.
-func (l *loop) registerRestart(w *worker, incarnation int64) {
+func (l *loop) registerRestart(w *worker, report *execution.Report) {
 	reg := w.reg
-	reg.Incarnation = incarnation
+	reg.Incarnation = report.Incarnation
+	reg.FirstClockMS = report.ClockMS
 	reg.Sequence = 0
 	reg.Draining = false
 	reg.Labels = nil
@@ -201,7 +208,7 @@
 		}
 	})
 	w.nextWatch = time.Now().Add(watchRetry)
-	l.Log.Info("worker restarted", "worker", reg.ID, "from", w.reg.Incarnation, "to", incarnation)
+	l.Log.Info("worker restarted", "worker", reg.ID, "from", w.reg.Incarnation, "to", report.Incarnation, "clock_ms", report.ClockMS)
 	go func() {
 		_, err := propose(l.ctx, l.Replica, &workstate.Command{Register: &reg}, l.Now())
 		if err != nil && !errors.Is(err, context.Canceled) {
