scheduler: an answer of another incarnation is told by its clock

Callers would see a task that waits for minutes or hours with nothing running, or two runs of it: a worker restarts and answers a start order as its former incarnation, and is cut off before a heartbeat or a report names the new one.

Cause: the answer to a start names no incarnation, and its clock was recorded as the former one's. Leases granted on the one clock were then compared with the other: with a lower clock they seemed to last until that had caught up. A lower incarnation (its time of day was set back) answers watches for as long as it can't be registered; its lease from a start for the former one was covered by nothing, and the task started elsewhere after 4 s.

Change: a clock that does not continue the last reading, within the longest delay of an answer, is another incarnation's. It is not recorded, the bound covers the longest lease from then on, and a watch goes out at once, whose report names the incarnation. The same at the first report of a lower one.

--- a/internal/process/scheduler/lease/lease.go
+++ b/internal/process/scheduler/lease/lease.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// Continues reports whether a clock in an answer that names no incarnation may be this
+// incarnation's: it agrees with the newest reading. Each may have been read up to delay before
+// it was known here.
+func (b *Bound) Continues(clockMS int64, now time.Time, delay time.Duration) bool {
+	if clockMS == 0 || b.reading.MS == 0 {
+		return true
+	}
+	earliest := b.SlowestMS(now) - delay.Milliseconds()
+	latest := b.reading.MS + (now.Sub(b.reading.At) + delay).Milliseconds()
+	return earliest <= clockMS && clockMS <= latest
+}
+
+// CoverOther extends the bound to the lease that an incarnation which has answered in this
+// one's place may hold, since it takes calls to this one.
+func (b *Bound) CoverOther(now time.Time, longest time.Duration) {
+	if b.Contacted() {
+		b.untilMS = max(b.untilMS, b.SlowestMS(now)+longest.Milliseconds())
+	}
+}
+
 // SlowestMS returns what the clock shows at least.
 func (b *Bound) SlowestMS(now time.Time) int64 {
 	elapsed := time.Duration(float64(now.Sub(b.reading.At)) * (1 - Drift))
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -105,6 +105,10 @@
 	now := time.Now()
 	r.calling = false
 	l.recordRefusal(w, "start", answer.Refusal)
+	if err == nil && !w.lease.Continues(answer.ClockMS, now, maxAnswerAge) {
+		l.coverOther(w, answer.ClockMS, now)
+		answer.ClockMS = 0
+	}
 	if l.runs.Get(id) != r {
 		return
 	}
@@ -127,6 +131,14 @@
 	l.handleStartRefusal(id, r, w, answer.Refusal, now)
 }
 
+// coverOther handles the answer of another incarnation to a call for a worker. The next
+// report tells which one it is.
+func (l *loop) coverOther(w *worker, clockMS int64, now time.Time) {
+	l.Log.Info("another incarnation has answered a call", "worker", w.reg.ID, "incarnation", w.reg.Incarnation, "clock_ms", clockMS, "slowest_clock_ms", w.lease.SlowestMS(now))
+	w.lease.CoverOther(now, l.Limits.LongestLease)
+	w.nextWatch = now
+}
+
 // handleStartRefusal handles the refusal of a start order. The refused order
 // had no effect, but an earlier one without an answer may still arrive.
 func (l *loop) handleStartRefusal(id workload.TaskID, r *run, w *worker, refusal execution.Refusal, now time.Time) {
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -123,9 +123,7 @@
 		return
 	}
 	if report.Incarnation > 0 && report.Incarnation < w.reg.Incarnation {
-		if !w.unresponsive {
-			l.Log.Warn("worker restarted with an earlier clock, no use of its reports until it is registered", "worker", w.reg.ID, "registered", w.reg.Incarnation, "answers", report.Incarnation)
-		}
+		l.noteUnregistered(w, report.Incarnation, now)
 		l.handleWatchFailure(w, now, execution.RefusedOtherWorker, nil)
 		return
 	}
@@ -170,6 +168,17 @@
 	}
 }
 
+// noteUnregistered notes that an incarnation answers which can't be registered in the place of
+// the present one before that is found lost, since it is the lower one.
+func (l *loop) noteUnregistered(w *worker, incarnation int64, now time.Time) {
+	if w.unregistered == incarnation {
+		return
+	}
+	w.unregistered = incarnation
+	l.Log.Warn("worker restarted with an earlier clock, no use of its reports until it is registered", "worker", w.reg.ID, "registered", w.reg.Incarnation, "answers", incarnation)
+	w.lease.CoverOther(now, l.Limits.LongestLease)
+}
+
 // handleWatchFailure handles a failed or refused watch. The worker keeps its
 // runs until its lease expires. The failure is expected if the worker's VM was
 // ordered away: the next list of VMs then tells whether the worker has ended.
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -99,6 +99,8 @@
 	// superseded is set once a later incarnation has answered in this one's place.
 	// Until that is registered, it gets no orders for this one.
 	superseded bool
+	// unregistered is a lower incarnation that has answered in this one's place, or 0.
+	unregistered int64
 	// report is the newest report that lists what the worker executes, with the
 	// ends of later reports; nil before the first one.
 	report *reportView
