workstate: an incarnation that registers again keeps its origin

Callers would see two runs of one task: a restarted worker is found lost, its same incarnation registers again, and the leader changes. The next leader expected no lease of calls to the earlier incarnation, since the flag had gone with the registration. The same leader would have waited 10 s in place of 4 s for a worker that had registered again long after its start, since the first reading of its clock was lost too.

Cause: what is known of an incarnation's start was kept in the registration only, which a deregistration removes.

Change: the state's memory of removed workers holds both, and one function sets them for each registration, whether the id is registered or removed.

Evidence: TestIncarnationRegisteredAgainKeepsItsOrigin, before "restarted false, expected true; first reading 20000", expected 700.

--- a/internal/process/workstate/types.go
+++ b/internal/process/workstate/types.go
@@ -238,6 +238,9 @@
 	// again by a heartbeat after the one numbered Sequence.
 	Lost     bool  `cbor:"3,keyasint,omitempty"`
 	Sequence int64 `cbor:"4,keyasint,omitempty"`
+	// Restarted and FirstClockMS are those of its last registration.
+	Restarted    bool  `cbor:"5,keyasint,omitempty"`
+	FirstClockMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // covers reports whether a registration is from before the removal. That of a lower
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -13,8 +13,7 @@
 // heartbeat older than the known one, of an incarnation that has left or has a
 // successor, or sent before its incarnation was found lost, has no effect.
 func (m *Machine) applyRegister(w *Worker) Result {
-	left, removed := m.data.Left[w.ID]
-	if removed && left.covers(w) {
+	if left, removed := m.data.Left[w.ID]; removed && left.covers(w) {
 		return Result{Code: OK, Repeated: true}
 	}
 	known := m.data.Workers[w.ID]
@@ -39,20 +38,32 @@
 		registered.Draining = true
 	}
 	registered.Leaving = known != nil && known.Leaving && known.Incarnation == w.Incarnation
-	if known != nil {
-		registered.Restarted = known.Restarted || known.Incarnation < w.Incarnation
-	} else {
-		registered.Restarted = removed && left.Incarnation != w.Incarnation
-	}
 	registered.EndsByOrder = newestOrderedEnd(known, w)
-	if known != nil && known.Incarnation == w.Incarnation {
-		registered.FirstClockMS = cmp.Or(known.FirstClockMS, w.FirstClockMS)
-	}
+	registered.setOrigin(m.lastIncarnation(w.ID))
 	m.data.Workers[w.ID] = &registered
 	m.workersVersion++
 	return Result{Code: OK}
 }
 
+// lastIncarnation returns the last known incarnation with an id, which may be removed.
+func (m *Machine) lastIncarnation(id string) (last LeftWorker, known bool) {
+	if w := m.data.Workers[id]; w != nil {
+		return LeftWorker{Incarnation: w.Incarnation, Restarted: w.Restarted, FirstClockMS: w.FirstClockMS}, true
+	}
+	last, known = m.data.Left[id]
+	return last, known
+}
+
+// setOrigin completes a registration with what is known of the last incarnation with the id.
+func (w *Worker) setOrigin(last LeftWorker, known bool) {
+	if !known || last.Incarnation != w.Incarnation {
+		w.Restarted = known
+		return
+	}
+	w.Restarted = last.Restarted
+	w.FirstClockMS = cmp.Or(last.FirstClockMS, w.FirstClockMS)
+}
+
 // succeeds reports whether a registered worker has got runs in the place of a lost
 // one, so that it has answered there since. Its incarnation is the later one then,
 // also if clocks were set and it is the lower one.
@@ -80,11 +91,13 @@
 		return Result{Code: Busy}
 	}
 	m.removeWorker(worker)
+	left := LeftWorker{Incarnation: worker.Incarnation, Restarted: worker.Restarted, FirstClockMS: worker.FirstClockMS}
 	switch {
 	case d.Announced:
-		m.recordLeft(worker.ID, LeftWorker{Incarnation: worker.Incarnation})
+		m.recordLeft(worker.ID, left)
 	case d.Sequence != nil:
-		m.recordLeft(worker.ID, LeftWorker{Incarnation: worker.Incarnation, Lost: true, Sequence: *d.Sequence})
+		left.Lost, left.Sequence = true, *d.Sequence
+		m.recordLeft(worker.ID, left)
 	}
 	return Result{Code: OK}
 }
