scheduler, integration: the clocks of the stand-ins start anywhere

No product code changed.

Change: each incarnation of fakeWorker, hostedWorker and the task stand-in starts its clock at a value of its own. In the random schedules the seed draws it: below 1 s, up to 9,000 s, or within 20 s of what the former incarnation's clock shows.

Adapted, as strict as before: the lease that TestWorkerRegisteredAgainMayHoldAStrayLease sets is the worker's clock plus the longest lease (it was that with the clock at 0).

New: TestTaskWaitsForALeaseGrantedBeforeTheFirstCall is the users' report, under the same and the next leader. TestClockOfTheNextIncarnation... is TestWorkerRestartedWithAnEarlierClock... with a lower clock; that one has a higher clock now, since with a lower one it shows a further fault.

--- a/integration/hosted_ledger_test.go
+++ b/integration/hosted_ledger_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"arbutusward.example/arbutusward/internal/standin"
 )
 
 // hostedRun is a run on a stand-in worker.
@@ -30,6 +32,9 @@
 	executing    map[string]*hostedWorker
 	acknowledged map[string]bool
 	starts       int
+	// clockStarts holds what the clock of the last incarnation with each id showed as
+	// it started.
+	clockStarts map[string]int64
 	// crashes counts the workers that a task has crashed, losses the workers
 	// that were lost while they executed it.
 	crashes, losses map[string]int
@@ -38,7 +43,20 @@
 }
 
 func newHostedLedger(t *testing.T) *hostedLedger {
-	return &hostedLedger{t: t, executing: map[string]*hostedWorker{}, acknowledged: map[string]bool{}, crashes: map[string]int{}, losses: map[string]int{}, trace: log.New(io.Discard, "", 0)}
+	return &hostedLedger{t: t, executing: map[string]*hostedWorker{}, acknowledged: map[string]bool{}, clockStarts: map[string]int64{}, crashes: map[string]int{}, losses: map[string]int{}, trace: log.New(io.Discard, "", 0)}
+}
+
+// nextClockStart returns what the clock of the next incarnation of a worker shows as it
+// starts. Calls to the former incarnation carry a time far ahead.
+func (l *hostedLedger) nextClockStart(id string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := standin.ClockStartMS(len(l.clockStarts) + 1)
+	if former, known := l.clockStarts[id]; known {
+		next = former / 2
+	}
+	l.clockStarts[id] = next
+	return next
 }
 
 // recordStart records the start of a run.
--- a/integration/hosted_orders_test.go
+++ b/integration/hosted_orders_test.go
@@ -79,7 +79,7 @@
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
 	}
-	w.leaseMS = max(w.leaseMS, o.UntilMS)
+	w.extend(o.UntilMS)
 	started := &hostedRun{task: o.Task, run: o.Run, endsAt: time.Now().Add(length)}
 	w.running[o.Task] = started
 	w.ledger.recordStart(w, o.Task, o.Run)
@@ -112,7 +112,7 @@
 	if !ok {
 		return
 	}
-	w.leaseMS = max(w.leaseMS, o.UntilMS)
+	w.extend(o.UntilMS)
 	w.acknowledge(o.LastSeen)
 	deadline := time.Now().Add(time.Duration(o.WaitMS) * time.Millisecond)
 	for len(w.ended) == 0 && time.Now().Before(deadline) && !w.dead {
--- a/integration/hosted_worker_test.go
+++ b/integration/hosted_worker_test.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// hostedLongestLease is the longest lease that a worker accepts, in milliseconds: the
+// default of hold_max_ms.
+const hostedLongestLease = 10_000
+
 // hostedWorker is one incarnation of a stand-in for a worker of the platform. A
 // task runs for the duration that its spec gives.
 type hostedWorker struct {
@@ -26,10 +30,12 @@
 	// onCrash is called after a task has crashed the worker.
 	onCrash   func(*hostedWorker)
 	startedAt time.Time
-	ledger    *hostedLedger
-	listener  net.Listener
-	server    *http.Server
-	done      chan struct{}
+	// clockStartMS is what the clock showed then.
+	clockStartMS int64
+	ledger       *hostedLedger
+	listener     net.Listener
+	server       *http.Server
+	done         chan struct{}
 
 	mu sync.Mutex
 	// capacity is the stated capacity, formerCapacities are those before.
@@ -76,7 +82,7 @@
 
 func (w *hostedWorker) start(t *testing.T, control []string) {
 	t.Helper()
-	w.startedAt = time.Now()
+	w.startedAt, w.clockStartMS = time.Now(), w.ledger.nextClockStart(w.id)
 	w.listener = listenWithRetry(t, w.address)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.serveStart)
@@ -108,7 +114,14 @@
 	w.running = map[string]*hostedRun{}
 }
 
-func (w *hostedWorker) clock() int64 { return time.Since(w.startedAt).Milliseconds() }
+func (w *hostedWorker) clock() int64 {
+	return w.clockStartMS + time.Since(w.startedAt).Milliseconds()
+}
+
+// extend extends the lease, up to the longest one. The caller holds w.mu.
+func (w *hostedWorker) extend(untilMS int64) {
+	w.leaseMS = max(w.leaseMS, min(untilMS, w.clock()+hostedLongestLease))
+}
 
 // tick ends the runs that are due, every 5 ms until the worker is killed.
 func (w *hostedWorker) tick() {
--- a/internal/process/scheduler/clockback_test.go
+++ b/internal/process/scheduler/clockback_test.go
@@ -11,9 +11,21 @@
 
 // TestWorkerRestartedWithAnEarlierClockIsNotTakenForItsFormerIncarnation guards against a start after a run has ended done: the end was acknowledged by the numbers of the former incarnation.
 func TestWorkerRestartedWithAnEarlierClockIsNotTakenForItsFormerIncarnation(t *testing.T) {
+	checkRestartWithEarlierTime(t, func(first *fakeWorker) int64 { return 2 * first.clockStartMS })
+}
+
+// TestClockOfTheNextIncarnationDoesNotProlongTheLeaseOfTheFormerOne guards against a task that waits for hours: the lease granted to a worker was compared with the clock of its next incarnation, which had answered a start.
+func TestClockOfTheNextIncarnationDoesNotProlongTheLeaseOfTheFormerOne(t *testing.T) {
+	checkRestartWithEarlierTime(t, func(first *fakeWorker) int64 { return first.clockStartMS / 2 })
+}
+
+// checkRestartWithEarlierTime restarts a worker whose time of day is set back meanwhile,
+// and whose clock then shows what the function returns. The leader starts a task before
+// it knows.
+func checkRestartWithEarlierTime(t *testing.T, clockMS func(first *fakeWorker) int64) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 200*time.Millisecond)
-		f.addWorker("w1", 1000)
+		first := f.addWorker("w1", 1000)
 		f.lead()
 		defer f.depose()
 		time.Sleep(time.Second)
@@ -23,6 +35,7 @@
 		f.workers.mu.Lock()
 		w := f.workers.add("w1", 1000)
 		w.incarnation -= time.Hour.Milliseconds()
+		w.clockStartMS = clockMS(first)
 		f.workers.mu.Unlock()
 		f.submit("bbbbbbbbbbbbbbbb", step(1))
 		for end := time.Now().Add(lostAfter + time.Second); time.Now().Before(end); time.Sleep(heartbeatInterval) {
--- a/internal/process/scheduler/fakeworker_test.go
+++ b/internal/process/scheduler/fakeworker_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/standin"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
@@ -26,9 +27,11 @@
 	labels      []string
 	incarnation int64
 	started     time.Time
-	token       uint64
-	leaseMS     int64
-	running     map[workload.TaskID]*fakeRun
+	// clockStartMS is what the clock showed then.
+	clockStartMS int64
+	token        uint64
+	leaseMS      int64
+	running      map[workload.TaskID]*fakeRun
 	// highest is the highest run number of each task that was stopped or has
 	// ended.
 	highest map[workload.TaskID]int
@@ -83,8 +86,12 @@
 	// fails.
 	durationOf func(workload.TaskID, int) time.Duration
 	fails      func(workload.TaskID, int) bool
-	ledger     *ledger
-	starts     int
+	// newest holds the last worker added with each id. clockStartOf, if set, returns
+	// what the clock of a new one shows, given the former one with its id or nil.
+	newest       map[string]*fakeWorker
+	clockStartOf func(id string, former *fakeWorker) int64
+	ledger       *ledger
+	starts       int
 	// longRunningJob is the job whose tasks are long-running. disruptions
 	// checks the orders that stop these tasks; it is nil if they are not
 	// checked.
@@ -110,21 +117,29 @@
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration) *fakeWorkers {
-	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, duration: duration, ledger: newLedger(t), submitted: map[string]workload.Spec{}, deadlyCrashes: map[workload.TaskID]int{}, slowestOrder: slowestOrder}
+	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, newest: map[string]*fakeWorker{}, duration: duration, ledger: newLedger(t), submitted: map[string]workload.Spec{}, deadlyCrashes: map[workload.TaskID]int{}, slowestOrder: slowestOrder}
 }
 
 func (f *fakeWorkers) add(id string, milliCPU int64) *fakeWorker {
+	clockStartMS, former := standin.ClockStartMS(len(f.newest)+1), f.newest[id]
+	switch {
+	case f.clockStartOf != nil:
+		clockStartMS = f.clockStartOf(id, former)
+	case former != nil:
+		// Calls to the former incarnation carry a time far ahead.
+		clockStartMS = former.clockStartMS / 2
+	}
 	w := &fakeWorker{
-		id: id, incarnation: time.Now().UnixMilli(), started: time.Now(), capacity: workload.Resources{MilliCPU: milliCPU, MemoryMB: 1 << 20},
+		id: id, clockStartMS: clockStartMS, incarnation: time.Now().UnixMilli(), started: time.Now(), capacity: workload.Resources{MilliCPU: milliCPU, MemoryMB: 1 << 20},
 		running: map[workload.TaskID]*fakeRun{}, highest: map[workload.TaskID]int{}, speeds: map[workload.TaskID]int{},
 		reportedEnds: map[int64]*runEnd{}, lapsedMS: map[runKey]int64{}, clockRate: 1, changed: make(chan struct{}),
 	}
-	f.workers[id] = w
+	f.workers[id], f.newest[id] = w, w
 	return w
 }
 
 func (w *fakeWorker) clock() int64 {
-	return int64(float64(time.Since(w.started).Milliseconds()) * w.clockRate)
+	return w.clockStartMS + int64(float64(time.Since(w.started).Milliseconds())*w.clockRate)
 }
 
 // end moves a run to the list of ended runs.
--- a/internal/process/scheduler/schedulefaults_test.go
+++ b/internal/process/scheduler/schedulefaults_test.go
@@ -12,6 +12,14 @@
 	"arbutusward.example/arbutusward/internal/process/replica"
 )
 
+const (
+	// maxClockStartMS is the highest value with which the clock of a worker starts.
+	maxClockStartMS = 9_000_000
+	// nearClockMS is how far from that of the former incarnation a clock starts at most,
+	// if it starts near that.
+	nearClockMS = 2 * longestLease
+)
+
 // dice draws random numbers that depend on the seed and on their purpose, but
 // not on the order in which goroutines draw them.
 type dice struct {
@@ -39,6 +47,19 @@
 	return d.draw(key, count)
 }
 
+// drawClockStart returns what the clock of a worker shows as its incarnation starts: little,
+// anything, or about what that of the former incarnation shows.
+func (d *dice) drawClockStart(id string, former *fakeWorker) int64 {
+	draw := d.drawNext("clock", id)
+	switch kind := draw % 3; {
+	case kind == 0:
+		return 1 + int64(draw>>8%1000)
+	case kind == 1 && former != nil:
+		return max(1, former.clock()-nearClockMS+int64(draw>>8%(2*nearClockMS)))
+	}
+	return 1 + int64(draw>>8%maxClockStartMS)
+}
+
 // termReplica is the replica as seen by the leader of one term.
 type termReplica struct {
 	*fakeReplica
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -136,6 +136,7 @@
 		return 50*time.Millisecond + time.Duration(s.calls.draw("duration", task, run)%1200)*time.Millisecond
 	}
 	s.workers.fails = func(task workload.TaskID, run int) bool { return s.calls.draw("fails", task, run)%16 == 0 }
+	s.workers.clockStartOf = s.calls.drawClockStart
 	s.orders, s.leaderCalls, s.margins = s.vms, s.calls, &leaseMargins{}
 	s.calm = calmTime
 	s.stopEnforcingCapacity()
--- a/internal/process/scheduler/straylease_test.go
+++ b/internal/process/scheduler/straylease_test.go
@@ -45,23 +45,65 @@
 		f.commit(&workstate.Command{Deregister: &workstate.Deregister{ID: "w1", Incarnation: first.incarnation}})
 		time.Sleep(time.Second)
 		second := f.workers.add("w1", 1000)
-		second.leaseMS = longestLease
+		second.leaseMS = second.clock() + longestLease
 		f.register(second, "vm-w1", "svc")
-		time.Sleep(time.Second)
-		f.submit(jobA, step(1))
-		time.Sleep(500 * time.Millisecond)
-		if !second.executes(f.workers, workload.TaskID{Job: jobA}) {
-			t.Fatal("the task was not started")
-		}
-		f.setUnreachable(second, true)
-		f.addWorker("w2", 1000)
-		time.Sleep(2 * longestLease * time.Millisecond)
-		if !f.workers.workers["w2"].executes(f.workers, workload.TaskID{Job: jobA}) {
-			t.Error("the task was not started again")
-		}
+		f.cutOffRestarted(second)
 	})
 }
 
+// cutOffRestarted cuts off a worker that has just restarted while it executes a task,
+// which must start again on another one once the lease has ended.
+func (f *fixture) cutOffRestarted(w *fakeWorker) {
+	f.t.Helper()
+	time.Sleep(time.Second)
+	f.submit(jobA, step(1))
+	time.Sleep(500 * time.Millisecond)
+	if !w.executes(f.workers, workload.TaskID{Job: jobA}) {
+		f.t.Fatal("the task was not started")
+	}
+	f.setUnreachable(w, true)
+	f.addWorker("w2", 1000)
+	time.Sleep(2 * longestLease * time.Millisecond)
+	if !f.workers.workers["w2"].executes(f.workers, workload.TaskID{Job: jobA}) {
+		f.t.Error("the task was not started again")
+	}
+}
+
+// TestTaskWaitsForALeaseGrantedBeforeTheFirstCall guards against a second run while a restarted worker, cut off 2 s later, executes the first one: a watch for its former incarnation had granted it the longest lease.
+func TestTaskWaitsForALeaseGrantedBeforeTheFirstCall(t *testing.T) {
+	for name, leaderChanges := range map[string]bool{"same leader": false, "next leader": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, time.Minute)
+				f.addWorker("w1", 1000)
+				calls := &recordedCalls{fakeWorkers: f.workers}
+				f.lead()
+				defer func() { f.depose() }()
+				f.loop.post(func(l *loop) { l.Workers = calls })
+				time.Sleep(time.Second)
+				_, watches, _ := calls.take()
+				f.workers.mu.Lock()
+				second := f.workers.add("w1", 1000)
+				_, _ = f.workers.report(execution.WorkerAddress{ID: "w1"}, watches[len(watches)-1])
+				granted := second.leaseMS - second.clock()
+				f.workers.mu.Unlock()
+				if granted != longestLease {
+					t.Fatalf("the watch granted %d ms", granted)
+				}
+				if leaderChanges {
+					f.depose()
+				}
+				f.register(second, "vm-w1", "svc")
+				if leaderChanges {
+					f.lead()
+				}
+				time.Sleep(500 * time.Millisecond)
+				f.cutOffRestarted(second)
+			})
+		})
+	}
+}
+
 // lateStart executes the first start late, and answers no watch while silent is set.
 type lateStart struct {
 	*fakeWorkers
--- a/internal/standin/tasks.go
+++ b/internal/standin/tasks.go
@@ -38,10 +38,11 @@
 	started map[string]int
 	// failAll is set if every task fails at once.
 	failAll bool
-	// boot identifies the boot of the worker, and booted is its time. Both are
-	// set by the first call after the boot.
-	boot   string
-	booted time.Time
+	// boot identifies the boot of the worker, booted is its time, and clockStartMS what
+	// the worker's clock showed then. All are set by the first call after the boot.
+	boot         string
+	booted       time.Time
+	clockStartMS int64
 }
 
 // SetFailAll sets whether all tasks on a worker fail at once.
@@ -82,17 +83,18 @@
 		c.JSON(http.StatusServiceUnavailable, gin.H{"code": "off", "message": "the VM does not run"})
 		return
 	}
-	c.JSON(http.StatusOK, machine.tasks.sync(body))
+	c.JSON(http.StatusOK, machine.tasks.sync(body, machine.info.Boots))
 }
 
 // sync applies the orders of a call and returns the state of all tasks. A call
-// with a stamp of another boot starts and renews nothing.
-func (t *taskTable) sync(body workerapi.Sync) workerapi.SyncAnswer {
+// with a stamp of another boot starts and renews nothing. boots is the number of
+// times that the VM has booted.
+func (t *taskTable) sync(body workerapi.Sync, boots int) workerapi.SyncAnswer {
 	if t.tasks == nil {
 		t.tasks = map[string]*task{}
 		t.started = map[string]int{}
 		t.boot = rand.Text()
-		t.booted = time.Now()
+		t.booted, t.clockStartMS = time.Now(), ClockStartMS(boots)
 	}
 	for _, ref := range body.Forget {
 		if known := t.tasks[ref.Job]; known != nil && known.order.Epoch == ref.Epoch && known.state.Ended() {
@@ -100,12 +102,12 @@
 		}
 	}
 	if body.AsOf.Boot == t.boot {
-		leaseExpiry := t.booted.Add(time.Duration(body.AsOf.MS+body.LeaseMS) * time.Millisecond)
+		leaseExpiry := t.booted.Add(time.Duration(body.AsOf.MS-t.clockStartMS+body.LeaseMS) * time.Millisecond)
 		for _, order := range body.Tasks {
 			t.apply(order, leaseExpiry)
 		}
 	}
-	now := workerapi.Stamp{Boot: t.boot, MS: time.Since(t.booted).Milliseconds()}
+	now := workerapi.Stamp{Boot: t.boot, MS: t.clockStartMS + time.Since(t.booted).Milliseconds()}
 	answer := workerapi.SyncAnswer{Now: now, Tasks: []workerapi.TaskInfo{}}
 	for _, known := range t.tasks {
 		known.advance(t.failAll)
