scheduler: schedules of stray leases before the leader's first call

Change: TestRandomSchedulesOfStrayLeases restarts workers under their ids. 0 to 20 ms after the start the last watch sent to the former incarnation, or the lease of the last start, arrives; 0.5 to 3 s later the worker is cut off for 9 to 18 s. A third of these restarts has a change of the leader. The stand-ins now take the lease of a start that is refused as old, and hostedWorker also of one without room, as the platform's page says. No product code changed.

The integration tests are vetted, not run since the change to refused starts.

--- a/integration/hosted_orders_test.go
+++ b/integration/hosted_orders_test.go
@@ -64,12 +64,14 @@
 	}
 	switch {
 	case o.Run <= w.highestRun[o.Task] || w.running[o.Task] != nil:
+		w.extend(o.UntilMS)
 		w.refuse(rw, "old")
 		return
 	case o.UntilMS < w.clock():
 		w.refuse(rw, "late")
 		return
 	case !w.overcommits && int64(len(w.running))*hostedTaskCPU >= w.capacity:
+		w.extend(o.UntilMS)
 		w.refuse(rw, "room")
 		return
 	}
--- a/internal/process/scheduler/fakecalls_test.go
+++ b/internal/process/scheduler/fakecalls_test.go
@@ -26,6 +26,7 @@
 		return execution.Answer{ClockMS: w.clock()}, nil
 	}
 	if o.Run <= w.highest[o.Task] {
+		w.extend(o.LeaseUntilMS)
 		return execution.Answer{Refusal: execution.RefusedStaleRun, ClockMS: w.clock()}, nil
 	}
 	if f.ticket != nil && !f.ticket(w, o) {
--- a/internal/process/scheduler/faulty_test.go
+++ b/internal/process/scheduler/faulty_test.go
@@ -29,6 +29,14 @@
 	onReport func(to execution.WorkerAddress, sentAt time.Time, report execution.Report)
 	// copies is set if calls may be executed a second time, seconds later.
 	copies bool
+	// kept, if set, holds the last calls to each worker that grant a lease.
+	kept map[string]keptCalls
+}
+
+// keptCalls are the last start and the last watch that grant a worker a lease.
+type keptCalls struct {
+	start execution.StartOrder
+	watch execution.Watch
 }
 
 // callFault is the fault of one call.
@@ -90,6 +98,7 @@
 // startHeld makes a start order that was held up on its way, so that its sender may
 // wait no longer.
 func (f *faultyCalls) startHeld(ctx context.Context, to execution.WorkerAddress, o execution.StartOrder, held bool) (execution.Answer, error) {
+	f.keep(to.ID, o.LeaseUntilMS, func(c *keptCalls) { c.start = o })
 	fault, delay := f.fault("start", to.ID, o.Task, o.Run)
 	if fault == callRefused {
 		return execution.Answer{Refusal: execution.RefusedUnhealthy}, nil
@@ -121,6 +130,7 @@
 
 // Watch implements execution.Workers.
 func (f *faultyCalls) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
+	f.keep(to.ID, q.LeaseUntilMS, func(c *keptCalls) { c.watch = q })
 	fault, delay := f.fault("watch", to.ID)
 	arrives, sentAt := f.arrival(to.ID), time.Now()
 	report, err := callWithFault(ctx, fault, delay, func(late bool) (execution.Report, error) {
@@ -147,6 +157,37 @@
 	return f.report(to, q)
 }
 
+// keep keeps a call if it grants a lease.
+func (f *faultyCalls) keep(id string, leaseMS int64, set func(c *keptCalls)) {
+	f.fakeWorkers.mu.Lock()
+	defer f.fakeWorkers.mu.Unlock()
+	if f.kept != nil && leaseMS > 0 {
+		c := f.kept[id]
+		set(&c)
+		f.kept[id] = c
+	}
+}
+
+// takeKept returns the calls that were kept for a worker.
+func (f *faultyCalls) takeKept(id string) keptCalls {
+	f.fakeWorkers.mu.Lock()
+	defer f.fakeWorkers.mu.Unlock()
+	return f.kept[id]
+}
+
+// grantStray lets a call to a worker's former incarnation arrive at the present one: the
+// watch, or the start, which is refused there but grants its lease.
+func (f *faultyCalls) grantStray(id string, c keptCalls, byStart bool) {
+	f.fakeWorkers.mu.Lock()
+	defer f.fakeWorkers.mu.Unlock()
+	to := execution.WorkerAddress{ID: id, Address: id}
+	if !byStart {
+		_, _ = f.report(to, c.watch)
+	} else if w, refusal, err := f.reach(to, c.start.FencingToken); err == nil && refusal == execution.Accepted {
+		w.extend(c.start.LeaseUntilMS)
+	}
+}
+
 // repeatLater executes some calls that were not refused a second time, late.
 func (f *faultyCalls) repeatLater(arrives func() bool, refusal execution.Refusal, call func(), purpose ...any) {
 	if !f.copies || refusal != execution.Accepted {
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -356,7 +356,10 @@
 
 // cutOff makes a worker unreachable for a while. It continues its runs.
 func (s *schedule) cutOff(vm int, span time.Duration) {
-	w := s.current[vm]
+	s.cutOffWorker(s.current[vm], span)
+}
+
+func (s *schedule) cutOffWorker(w *fakeWorker, span time.Duration) {
 	s.workers.mu.Lock()
 	w.unreachable = true
 	s.workers.mu.Unlock()
