--- a/internal/process/scheduler/fakeworker_test.go
+++ b/internal/process/scheduler/fakeworker_test.go
@@ -86,9 +86,9 @@
 	// fails.
 	durationOf func(workload.TaskID, int) time.Duration
 	fails      func(workload.TaskID, int) bool
-	// incarnations counts the workers that were added. clockStartOf, if set, returns
+	// newest holds the last worker added with each id. clockStartOf, if set, returns
 	// what the clock of a new one shows, given the former one with its id or nil.
-	incarnations int
+	newest       map[string]*fakeWorker
 	clockStartOf func(id string, former *fakeWorker) int64
 	ledger       *ledger
 	starts       int
@@ -117,12 +117,11 @@
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration) *fakeWorkers {
-	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, duration: duration, ledger: newLedger(t), submitted: map[string]workload.Spec{}, deadlyCrashes: map[workload.TaskID]int{}, slowestOrder: slowestOrder}
+	return &fakeWorkers{t: t, workers: map[string]*fakeWorker{}, newest: map[string]*fakeWorker{}, duration: duration, ledger: newLedger(t), submitted: map[string]workload.Spec{}, deadlyCrashes: map[workload.TaskID]int{}, slowestOrder: slowestOrder}
 }
 
 func (f *fakeWorkers) add(id string, milliCPU int64) *fakeWorker {
-	f.incarnations++
-	clockStartMS, former := standin.ClockStartMS(f.incarnations), f.workers[id]
+	clockStartMS, former := standin.ClockStartMS(len(f.newest)+1), f.newest[id]
 	switch {
 	case f.clockStartOf != nil:
 		clockStartMS = f.clockStartOf(id, former)
@@ -135,7 +134,7 @@
 		running: map[workload.TaskID]*fakeRun{}, highest: map[workload.TaskID]int{}, speeds: map[workload.TaskID]int{},
 		reportedEnds: map[int64]*runEnd{}, lapsedMS: map[runKey]int64{}, clockRate: 1, changed: make(chan struct{}),
 	}
-	f.workers[id] = w
+	f.workers[id], f.newest[id] = w, w
 	return w
 }
 
