--- a/internal/process/scheduler/orphans.go
+++ b/internal/process/scheduler/orphans.go
@@ -35,7 +35,7 @@
 		return
 	}
 	l.orphans[key] = now
-	l.Log.Info("stopping unrecorded run", "task", key.task.String(), "run", key.run, "worker", w.reg.ID)
+	l.Log.Info("stopping unrecorded run", "task", key.task.String(), "run", key.run, "worker", w.reg.ID, "incarnation", w.reg.Incarnation)
 	id := w.reg.ID
 	l.stopInBackground(w, key, func(l *loop, answer execution.Answer, err error) {
 		if err != nil {
--- a/internal/process/scheduler/workerlog_test.go
+++ b/internal/process/scheduler/workerlog_test.go
@@ -164,3 +164,14 @@
 		expectLine(t, &out, message, map[string]any{"task": id.String(), "worker": "w1", "incarnation": 7.0, "token": float64(w.token)})
 	}
 }
+
+// TestLogOfAnUnrecordedRunNamesItsIncarnation guards against an operator who can't tell which incarnation still executes a run that was ended.
+func TestLogOfAnUnrecordedRunNamesItsIncarnation(t *testing.T) {
+	var out bytes.Buffer
+	l := newLoop(t.Context(), Options{Log: slog.New(slog.NewJSONHandler(&out, nil)), Workers: newFakeWorkers(t, time.Minute)}, 1)
+	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}}
+	l.addWorker(w)
+	key := runKey{workload.TaskID{Job: jobA}, 1}
+	l.stopOrphan(w, key, time.Now())
+	expectLine(t, &out, "stopping unrecorded run", map[string]any{"task": key.task.String(), "run": 1.0, "worker": "w1", "incarnation": 7.0})
+}
