--- a/internal/process/scheduler/workerlog_test.go
+++ b/internal/process/scheduler/workerlog_test.go
@@ -171,7 +171,7 @@
 	var out bytes.Buffer
 	l := newLoop(t.Context(), Options{Log: slog.New(slog.NewJSONHandler(&out, nil)), Workers: newFakeWorkers(t, time.Minute)}, 1)
 	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}}
-	l.addWorker(w)
+	l.addWorker(w, time.Now())
 	key := runKey{workload.TaskID{Job: jobA}, 1}
 	l.stopOrphan(w, key, time.Now())
 	expectLine(t, &out, "stopping unrecorded run", map[string]any{"task": key.task.String(), "run": 1.0, "worker": "w1", "incarnation": 7.0})
