scheduler: a call without an answer raises the token of later calls

What callers saw: a task starts again though it is done, or a start brings a worker over its capacity, when a worker restarts under its id.

Cause: the token rose only with the registration of the next incarnation. Until then an order from before the restart carried the same token as the probe that the next incarnation had answered, and was carried out there. A late copy of a start was carried out by the same incarnation too.

Evidence: TestFirstAnswerAfterASilenceProtectsTheNextIncarnation on: "starts though it is done".

Fix: as soon as an order, or a watch with a lease or an acknowledgement, gets no answer, the later calls to the worker carry a higher token. The first one that is answered protects whatever answers it against all earlier calls. Calls in flight together raise it once, probes do not, and half of the generations of a term stay for incarnations. A call of ours that is overtaken is refused and repeated; it is not logged as that of a newer leader.

--- a/internal/process/scheduler/fencing/fencing.go
+++ b/internal/process/scheduler/fencing/fencing.go
@@ -7,6 +7,8 @@
 const (
 	generationBits = 16
 	maxGeneration  = 1<<generationBits - 1
+	// maxRaised is the generation from which on Raise leaves the others to Next.
+	maxRaised = maxGeneration / 2
 )
 
 // Token orders the calls to the workers of one id: by the leader's term, and
@@ -22,8 +24,8 @@
 }
 
 // Generations numbers the incarnations of each worker id that a leader has learned
-// of in its term, from 0. The ids are kept until the term ends: one that is removed
-// may be registered again.
+// of in its term, from 0, and the times that it got no answer from one. The ids are
+// kept until the term ends: one that is removed may be registered again.
 type Generations map[string]uint64
 
 // Next returns the generation of a newly learned incarnation, which may be one that
@@ -36,3 +38,15 @@
 	g[id] = generation
 	return generation
 }
+
+// Raise returns the token of the calls that follow one with the given token, which got
+// no answer and may arrive after them, at the same incarnation or at the next one.
+// Whatever answers a later call then refuses it. The result is the present token if that is
+// higher already, or if too few generations are left.
+func (g Generations) Raise(id string, present, unanswered Token) Token {
+	if unanswered < present || g[id] >= maxRaised {
+		return present
+	}
+	g[id]++
+	return present + 1
+}
--- a/internal/process/scheduler/formercalls_test.go
+++ b/internal/process/scheduler/formercalls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,3 +129,122 @@
 		f.await("cccccccccccccccc", workstate.Succeeded, 2*time.Second)
 	})
 }
+
+// strayStart answers no watch that would extend a lease, from armed on until it has
+// answered another one, after which a start order arrives late.
+type strayStart struct {
+	*recordedCalls
+	armed   atomic.Bool
+	order   execution.StartOrder
+	refusal atomic.Pointer[execution.Refusal]
+}
+
+func (c *strayStart) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
+	if c.armed.Load() && q.LeaseUntilMS > 0 {
+		<-ctx.Done()
+		return execution.Report{}, execution.ErrNoAnswer
+	}
+	report, err := c.recordedCalls.Watch(ctx, to, q)
+	if err == nil && c.armed.CompareAndSwap(true, false) {
+		answer, _ := c.recordedCalls.Start(ctx, to, c.order)
+		c.refusal.Store(&answer.Refusal)
+	}
+	return report, err
+}
+
+// TestFirstAnswerAfterASilenceProtectsTheNextIncarnation guards against a late start that the next incarnation carries out between its first answer and its registration.
+func TestFirstAnswerAfterASilenceProtectsTheNextIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 200*time.Millisecond)
+		_, recorded := f.leadRecorded()
+		defer f.depose()
+		starts, _, _ := recorded.take()
+		calls := &strayStart{recordedCalls: recorded, order: starts[0]}
+		f.loop.post(func(l *loop) { l.Workers = calls })
+		f.workers.mu.Lock()
+		f.workers.add("w1", 4000)
+		f.workers.mu.Unlock()
+		calls.armed.Store(true)
+		time.Sleep(5 * time.Second)
+		if refusal := calls.refusal.Load(); refusal == nil || *refusal != execution.RefusedFencingToken {
+			t.Errorf("late start of %s after the first answer: %v", starts[0].Task, refusal)
+		}
+	})
+}
+
+// TestLateCopyOfAnUnansweredStartIsRefused guards against a copy of a start that a worker carries out after it has answered later calls, when its capacity may have shrunk.
+func TestLateCopyOfAnUnansweredStartIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 200*time.Millisecond)
+		w, calls := f.leadRecorded()
+		defer f.depose()
+		f.workers.mu.Lock()
+		w.loseStarts = 1
+		f.workers.mu.Unlock()
+		calls.take()
+		f.submit("cccccccccccccccc", step(1))
+		f.await("cccccccccccccccc", workstate.Succeeded, 2*time.Second)
+		time.Sleep(2 * time.Second)
+		starts, _, _ := calls.take()
+		answer, err := f.workers.Start(context.Background(), execution.WorkerAddress{ID: "w1", Address: "w1"}, starts[0])
+		if err != nil || answer.Refusal != execution.RefusedFencingToken {
+			t.Errorf("late start of %s: %+v, %v", starts[0].Task, answer, err)
+		}
+	})
+}
+
+// overtakenWatch carries a watch out only after the next start, which is sent after one
+// without an answer.
+type overtakenWatch struct {
+	*recordedCalls
+	armed    atomic.Bool
+	overtook chan struct{}
+	refused  atomic.Int64
+}
+
+func (c *overtakenWatch) Watch(ctx context.Context, to execution.WorkerAddress, q execution.Watch) (execution.Report, error) {
+	if c.armed.CompareAndSwap(true, false) {
+		<-c.overtook
+	}
+	report, err := c.recordedCalls.Watch(ctx, to, q)
+	if report.Refusal == execution.RefusedFencingToken {
+		c.refused.Add(1)
+	}
+	return report, err
+}
+
+func (c *overtakenWatch) Start(ctx context.Context, to execution.WorkerAddress, o execution.StartOrder) (execution.Answer, error) {
+	answer, err := c.recordedCalls.Start(ctx, to, o)
+	if err == nil {
+		select {
+		case c.overtook <- struct{}{}:
+		default:
+		}
+	}
+	return answer, err
+}
+
+// TestOwnOlderCallThatIsRefusedIsRepeated guards against a task that waits since a call with the raised token has overtaken a watch.
+func TestOwnOlderCallThatIsRefusedIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 200*time.Millisecond)
+		w, recorded := f.leadRecorded()
+		defer f.depose()
+		calls := &overtakenWatch{recordedCalls: recorded, overtook: make(chan struct{})}
+		f.loop.post(func(l *loop) { l.Workers = calls })
+		calls.armed.Store(true)
+		for calls.armed.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		f.workers.mu.Lock()
+		w.loseStarts = 1
+		f.workers.mu.Unlock()
+		f.submit("cccccccccccccccc", step(1))
+		f.await("cccccccccccccccc", workstate.Succeeded, 2*time.Second)
+		f.submit("dddddddddddddddd", step(1))
+		f.await("dddddddddddddddd", workstate.Succeeded, 2*time.Second)
+		if calls.refused.Load() != 1 {
+			t.Errorf("%d watches were refused", calls.refused.Load())
+		}
+	})
+}
--- a/internal/process/scheduler/orders.go
+++ b/internal/process/scheduler/orders.go
@@ -42,9 +42,11 @@
 func (l *loop) countOrder(w *worker, then func(*loop, execution.Answer, error)) func(execution.Answer, error) {
 	l.orders.inFlight++
 	w.ordersInFlight++
+	token := w.token
 	return func(answer execution.Answer, err error) {
 		l.post(func(l *loop) {
 			l.endOrder(w)
+			l.fenceOff(w, token, err != nil || answer.Repeated)
 			then(l, answer, err)
 		})
 	}
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -87,6 +87,7 @@
 		request.AckedEnd = w.ackedEnd
 		request.WaitMS = int(l.watchWait(w).Milliseconds())
 	}
+	w.watchToken = w.token
 	request.EndsOnly = w.report != nil && now.Sub(w.report.sentAt) < rowsAge
 	request.Prompt = request.WaitMS == 0 || w.ackedEnd > w.requestedAck
 	w.requestedAck = w.ackedEnd
@@ -94,10 +95,22 @@
 	watchCalls.Inc()
 	timeout := time.Duration(request.WaitMS)*time.Millisecond + callTimeout
 	execution.WatchInBackground(l.ctx, l.Workers, w.address(), request, timeout, func(report execution.Report, err error) {
-		l.post(func(l *loop) { l.handleReport(w, now, report, err) })
+		l.post(func(l *loop) {
+			hasEffect := request.LeaseUntilMS > 0 || request.AckedEnd > 0
+			l.fenceOff(w, fencing.Token(request.FencingToken), hasEffect && err != nil)
+			l.handleReport(w, now, report, err)
+		})
 	})
 }
 
+// fenceOff raises the token of a worker's later calls if one with the given token may
+// still have an effect, since it got no answer.
+func (l *loop) fenceOff(w *worker, called fencing.Token, open bool) {
+	if open && !w.removed {
+		w.token = l.generations.Raise(w.reg.ID, w.token, called)
+	}
+}
+
 // inContact reports whether this process still leads in the loop's term and a
 // majority has answered what it sent recently, so that no other process can have led
 // for long. The loop ends a moment after its leadership.
@@ -180,7 +193,7 @@
 		w.failedAt = now
 	}
 	w.unresponsive = true
-	if refusal == execution.RefusedFencingToken {
+	if refusal == execution.RefusedFencingToken && w.watchToken == w.token {
 		l.Log.Error("fencing token refused, a newer leader has called the worker", "worker", w.reg.ID, "term", l.term)
 	}
 }
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -60,8 +60,9 @@
 // worker is what the leader knows about one incarnation of a worker.
 type worker struct {
 	reg workstate.Worker
-	// token is the fencing token of all calls for the incarnation.
-	token fencing.Token
+	// token is the fencing token of the calls for the incarnation from now on, watchToken
+	// that of the last watch.
+	token, watchToken fencing.Token
 	// registeredBefore is set if this leader has called a worker with the id
 	// before, maybe an earlier incarnation.
 	registeredBefore bool
