--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -47,8 +47,9 @@
 // worker is what the leader knows about one incarnation of a worker.
 type worker struct {
 	reg workstate.Worker
-	// token is the fencing token of all calls for the incarnation.
-	token fencing.Token
+	// token is the fencing token of the calls for the incarnation from now on, watchToken
+	// that of the last watch.
+	token, watchToken fencing.Token
 	// removed is set once the loop's table holds the incarnation no longer.
 	removed bool
 	// load is the load in the last round that looked at it.
