scheduler: an acknowledgement that was answered is not sent again

What callers saw: a task that is done starts again after its worker restarted under its id, since a late watch for the former incarnation took note of the end that nobody had read (TestStrayAcknowledgement, red since 4 December).

Cause: every watch carried the number of the newest acknowledged end, for as long as the worker lived, so that each unanswered watch could drop ends of the next incarnation, whose numbers begin at 1 again.

Fix: a watch carries the acknowledgement until one that carries it was answered by the incarnation, which has forgotten those ends by then. Nothing else needs it.

--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -84,7 +84,9 @@
 	// acknowledged.
 	if w.inTouch() && l.inContact() {
 		request.LeaseUntilMS = w.grantLease(now)
-		request.AckedEnd = w.ackedEnd
+		if w.ackedEnd > w.confirmedAck {
+			request.AckedEnd = w.ackedEnd
+		}
 		request.WaitMS = int(l.watchWait(w).Milliseconds())
 	}
 	w.watchToken = w.token
@@ -98,6 +100,9 @@
 		l.post(func(l *loop) {
 			hasEffect := request.LeaseUntilMS > 0 || request.AckedEnd > 0
 			l.fenceOff(w, fencing.Token(request.FencingToken), hasEffect && err != nil)
+			if err == nil && report.Refusal == execution.Accepted && report.Incarnation == w.reg.Incarnation {
+				w.confirmedAck = max(w.confirmedAck, request.AckedEnd)
+			}
 			l.handleReport(w, now, report, err)
 		})
 	})
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -88,8 +88,10 @@
 	// reportedEnd is the number of the newest end that the worker has reported.
 	// All that follows from the ends up to ackedEnd is committed.
 	reportedEnd, ackedEnd int64
-	// requestedAck is the ackedEnd that the last watch carried.
-	requestedAck int64
+	// requestedAck is the ackedEnd as of the last watch, confirmedAck that of the last
+	// watch that carried it and was answered. It is not sent again: a late watch could
+	// take note of ends of the next incarnation.
+	requestedAck, confirmedAck int64
 	// unresponsive is set if the last watch failed or was refused.
 	unresponsive bool
 	// failedAt is when the first watch since the last answer failed.
