--- a/internal/process/scheduler/orders.go
+++ b/internal/process/scheduler/orders.go
@@ -46,8 +46,8 @@
 	return func(answer execution.Answer, err error) {
 		l.post(func(l *loop) {
 			l.endOrder(w)
-			l.fenceOff(w, token, err != nil || answer.Repeated)
 			then(l, answer, err)
+			l.fenceOff(w, token, err != nil || answer.Repeated)
 		})
 	}
 }
