heartbeats: the table of known heartbeats moves beside the scheduler

It runs without the loop, uses nothing of the scheduler, and serves followers as well as the leader.

No line of it changes.

Run: go vet ./...; the tests of heartbeats passed.

--- a/internal/process/scheduler/capacity.go
+++ b/internal/process/scheduler/capacity.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
+	"arbutusward.example/arbutusward/internal/process/heartbeats"
 )
 
 // maxCapacityAge returns the age of the newest heartbeat of a worker up to which the
--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -10,8 +10,8 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/heartbeats"
 	"arbutusward.example/arbutusward/internal/process/replica"
-	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/catalog"
 	"arbutusward.example/arbutusward/internal/version/workload"
--- a/internal/process/scheduler/server.go
+++ b/internal/process/scheduler/server.go
@@ -10,9 +10,9 @@
 	"arbutusward.example/arbutusward/internal/codec"
 	"arbutusward.example/arbutusward/internal/connection/link"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
+	"arbutusward.example/arbutusward/internal/process/heartbeats"
 	"arbutusward.example/arbutusward/internal/process/replica"
 	"arbutusward.example/arbutusward/internal/process/scheduler/admit"
-	"arbutusward.example/arbutusward/internal/process/scheduler/heartbeats"
 	"arbutusward.example/arbutusward/internal/process/scheduler/proposals"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
