workerlease: the bound of a worker's leases moves beside the scheduler

Cause: package lease stood below the scheduler although it runs without the loop and uses nothing of it; its name said neither whose leases it bounds nor told it from those of targets, jobs and VMs.

Of its own lines only the package clauses and the first line of the comment change.

--- a/internal/process/scheduler/clockback_test.go
+++ b/internal/process/scheduler/clockback_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/workcall"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -40,7 +40,7 @@
 		f.workers.mu.Unlock()
 		f.submit("bbbbbbbbbbbbbbbb", step(1))
 		// The start gave the new incarnation the longest lease, and a watch shows it later.
-		leaseEnd := time.Duration(float64(longestLease*time.Millisecond)*(1+lease.Drift)) + idleWatchWait
+		leaseEnd := time.Duration(float64(longestLease*time.Millisecond)*(1+workerlease.Drift)) + idleWatchWait
 		for end := time.Now().Add(max(lostAfter, leaseEnd) + time.Second); time.Now().Before(end); time.Sleep(heartbeatInterval) {
 			f.register(w, "vm-w1", "svc")
 			heard := w.heard()
--- a/internal/process/scheduler/endedruns_test.go
+++ b/internal/process/scheduler/endedruns_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -38,7 +38,7 @@
 	further := s.furtherEvent
 	s.furtherEvent = func() {
 		if s.random.IntN(longCutInterval) == 0 {
-			s.cutOff(s.random.IntN(scheduleVMs), lease.Duration+time.Duration(s.random.Int64N(int64(longestRun-lease.Duration))))
+			s.cutOff(s.random.IntN(scheduleVMs), workerlease.Duration+time.Duration(s.random.Int64N(int64(longestRun-workerlease.Duration))))
 		}
 		if further != nil {
 			further()
--- a/internal/process/scheduler/leaving_test.go
+++ b/internal/process/scheduler/leaving_test.go
@@ -9,7 +9,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -96,7 +96,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	_, err := f.leadingServer().Deregister(ctx, workcall.DeregisterRequest{ID: leaving.id, Incarnation: leaving.incarnation})
-	if err != nil && limit > lease.Duration {
+	if err != nil && limit > workerlease.Duration {
 		t.Errorf("the worker may not leave: %v", err)
 	}
 	f.await(jobA, workstate.Succeeded, 12*time.Second)
--- a/internal/process/scheduler/orphans.go
+++ b/internal/process/scheduler/orphans.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 )
 
 // stopOrphans stops runs that workers execute without a record in the state. A
@@ -23,7 +23,7 @@
 		}
 	}
 	for key, at := range l.orphans {
-		if now.Sub(at) > lease.Duration {
+		if now.Sub(at) > workerlease.Duration {
 			delete(l.orphans, key)
 		}
 	}
--- a/internal/process/scheduler/orphans_test.go
+++ b/internal/process/scheduler/orphans_test.go
@@ -9,7 +9,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -105,7 +105,7 @@
 		w, workers := f.leadWithUnrecordedRun()
 		defer f.depose()
 		workers.silent.Store(true)
-		time.Sleep(foundSilent + lease.Duration)
+		time.Sleep(foundSilent + workerlease.Duration)
 		if w.executes(f.workers, workload.TaskID{Job: jobA}) {
 			t.Error("the run outlives the lease of its worker")
 		}
--- a/internal/process/scheduler/runs_test.go
+++ b/internal/process/scheduler/runs_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -76,7 +76,7 @@
 		defer f.depose()
 		f.addWorker("w2", 4000)
 		w1.unreachable = true
-		f.await(jobA, workstate.Succeeded, lease.Duration+10*time.Second)
+		f.await(jobA, workstate.Succeeded, workerlease.Duration+10*time.Second)
 		if f.workers.starts != 8 {
 			t.Errorf("%d starts, expected 4 on each worker", f.workers.starts)
 		}
--- a/internal/process/scheduler/schedules_test.go
+++ b/internal/process/scheduler/schedules_test.go
@@ -17,7 +17,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/replica"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -45,7 +45,7 @@
 	// deadlyTime is the further time in which the job of such a task must end. Its
 	// workers are silent for longer than a lease, so that each of its runs may
 	// take that long.
-	deadlyTime = 4 * (lease.Duration + time.Second)
+	deadlyTime = 4 * (workerlease.Duration + time.Second)
 )
 
 // TestRandomSchedulesOfRuns injects random faults of calls, workers and
@@ -156,9 +156,9 @@
 	s.workers.mu.Lock()
 	w := s.workers.add(id, workerMilliCPU)
 	w.stopTime = time.Duration(s.random.IntN(200)) * time.Millisecond
-	w.clockRate = 1 - lease.Drift*s.random.Float64()
+	w.clockRate = 1 - workerlease.Drift*s.random.Float64()
 	if s.slowestClocks && s.workersStarted%2 == 0 {
-		w.clockRate = 1 - lease.Drift
+		w.clockRate = 1 - workerlease.Drift
 	}
 	s.workers.mu.Unlock()
 	s.current[vm] = w
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -10,7 +10,7 @@
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/pacing"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -57,7 +57,7 @@
 func (l *loop) addWorker(w *worker, now time.Time) {
 	generation := l.generations.Next(w.reg.ID)
 	w.token = fencing.NewToken(l.term, generation)
-	w.lease = lease.NewBound(lease.Origin{IDReused: w.reg.Restarted || generation > 0, FirstClockMS: w.reg.FirstClockMS}, now)
+	w.lease = workerlease.NewBound(workerlease.Origin{IDReused: w.reg.Restarted || generation > 0, FirstClockMS: w.reg.FirstClockMS}, now)
 	l.workers[w.reg.ID] = w
 	at, _ := slices.BinarySearchFunc(l.workerList, w.reg.ID, func(listed *worker, id string) int { return cmp.Compare(listed.reg.ID, id) })
 	l.workerList = slices.Insert(l.workerList, at, w)
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -5,7 +5,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/health"
 	"arbutusward.example/arbutusward/internal/version/workload"
@@ -61,7 +61,7 @@
 	// accepts no calls of former leaders, nor late ones for former incarnations.
 	contacted bool
 	// lease bounds the leases that the incarnation may hold.
-	lease lease.Bound
+	lease workerlease.Bound
 	// reportedEnd is the number of the newest end that the worker has reported.
 	// All that follows from the ends up to ackedEnd is committed.
 	reportedEnd, ackedEnd int64
--- a/internal/process/scheduler/workerlog.go
+++ b/internal/process/scheduler/workerlog.go
@@ -7,16 +7,16 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 var (
-	leaseEnds = map[lease.Basis]*metrics.Counter{
-		lease.Own:       metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="own"}`),
-		lease.Inherited: metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="inherited"}`),
-		lease.Stray:     metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="stray"}`),
+	leaseEnds = map[workerlease.Basis]*metrics.Counter{
+		workerlease.Own:       metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="own"}`),
+		workerlease.Inherited: metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="inherited"}`),
+		workerlease.Stray:     metrics.NewCounter(`arbutus_runs_ended_by_lease_total{basis="stray"}`),
 	}
 	strayLeaseContacts = metrics.NewCounter(`arbutus_stray_lease_contacts_total`)
 )
--- a/internal/process/scheduler/workerlog_test.go
+++ b/internal/process/scheduler/workerlog_test.go
@@ -10,7 +10,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -65,7 +65,7 @@
 			knownSince := time.Now().Add(-2 * time.Second)
 			w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7, Restarted: c.restarted}}
 			l.addWorker(w, knownSince)
-			contacts, ends := strayLeaseContacts.Get(), leaseEnds[lease.Basis(c.basis)].Get()
+			contacts, ends := strayLeaseContacts.Get(), leaseEnds[workerlease.Basis(c.basis)].Get()
 			if c.contacted {
 				l.handleReport(w, time.Now(), execution.Report{Incarnation: 7, ClockMS: 1000}, nil)
 				c.contact["clock_ms"], c.contact["incarnation"], c.contact["restarted"], c.contact["token"] = 1000.0, 7.0, c.restarted, float64(w.token)
@@ -97,7 +97,7 @@
 					t.Errorf("the line of a run is %v", line)
 				}
 			}
-			if counted := leaseEnds[lease.Basis(c.basis)].Get() - ends; counted != 2 {
+			if counted := leaseEnds[workerlease.Basis(c.basis)].Get() - ends; counted != 2 {
 				t.Errorf("%d ended runs counted", counted)
 			}
 			if counted := strayLeaseContacts.Get() - contacts; counted == 1 != (c.restarted && c.contacted) {
--- a/internal/process/scheduler/lease/lease.go
+++ b/internal/process/workerlease/lease.go
@@ -1,10 +1,10 @@
-// Package lease bounds the leases that one incarnation of a worker may hold, so that a
+// Package workerlease bounds the leases that one incarnation of a worker may hold, so that a
 // leader that does not reach it knows when its runs have ended.
 //
 // A lease ends at a time on the worker's clock, which is steady, may be slow by Drift, and
 // begins at any value in each incarnation. So a reading is compared only with other readings
 // of the same incarnation, and never with a duration.
-package lease
+package workerlease
 
 import "time"
 
--- a/internal/process/scheduler/lease/slowclock_test.go
+++ b/internal/process/workerlease/slowclock_test.go
@@ -1,4 +1,4 @@
-package lease
+package workerlease
 
 import (
 	"testing"
