--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -47,8 +47,9 @@
 // worker is what the leader knows about one incarnation of a worker.
 type worker struct {
 	reg workstate.Worker
-	// token is the fencing token of all calls for the incarnation.
-	token fencing.Token
+	// token is the fencing token of the calls for the incarnation from now on, watchToken
+	// that of the last watch.
+	token, watchToken fencing.Token
 	// removed is set once the loop's table holds the incarnation no longer.
 	removed bool
 	// load is the load in the last round that looked at it.
@@ -65,8 +66,10 @@
 	// reportedEnd is the number of the newest end that the worker has reported.
 	// All that follows from the ends up to ackedEnd is committed.
 	reportedEnd, ackedEnd int64
-	// requestedAck is the ackedEnd that the last watch carried.
-	requestedAck int64
+	// requestedAck is the ackedEnd as of the last watch, confirmedAck that of the last
+	// watch that carried it and was answered. It is not sent again: a late watch could
+	// take note of ends of the next incarnation.
+	requestedAck, confirmedAck int64
 	// unresponsive is set if the last watch failed or was refused.
 	unresponsive bool
 	// failedAt is when the first watch since the last answer failed.
