workload: the share of a VM that can be packed is stated once

Cause: the plan of moves, the plan of the workers that close and the admission of jobs each had a packingRatio of 0.85 of their own. They judge the same room, and a change of one would let the admission promise what the pools don't hold.

Change: workload.PackingRatio, beside Resources. The figure is as before.

--- a/internal/process/scheduler/moves.go
+++ b/internal/process/scheduler/moves.go
@@ -12,12 +12,10 @@
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/placement"
 	"arbutusward.example/arbutusward/internal/version/rebalance"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 const (
-	// packingRatio is the share of a VM's capacity that can be filled with
-	// tasks of up to a third of it.
-	packingRatio = 0.85
 	// minPoolVMs is the minimum number of VMs in each pool, so that a new job
 	// finds a VM at once and another one if that VM fails.
 	minPoolVMs = 2
@@ -131,8 +129,8 @@
 			load := demand.Total()
 			predicted := f.Predict(now, load)
 			demand[rebalance.InTime] += predicted - load
-			pool.Demand = demand.Scale(1 / packingRatio)
-			pool.ForLoad = int(math.Ceil(float64(predicted) / packingRatio))
+			pool.Demand = demand.Scale(1 / workload.PackingRatio)
+			pool.ForLoad = int(math.Ceil(float64(predicted) / workload.PackingRatio))
 			pool.Least = max(minPoolVMs, spread[service.Name])
 			pool.Desired = max(pool.Least, pool.ForLoad)
 			pool.Retain = f.RecentPeak(now, pool.Desired)
--- a/internal/version/overload/decide.go
+++ b/internal/version/overload/decide.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// packingRatio is the share of the room that tasks can fill.
-	packingRatio = 0.85
 	// fullRatio is the share of the room in use from which on waiting tasks are taken to
 	// wait for room.
 	fullRatio = 0.6
--- a/internal/version/overload/pool.go
+++ b/internal/version/overload/pool.go
@@ -70,7 +70,7 @@
 }
 
 // cores returns the dominant cores that work off the backlog.
-func (p *Pool) cores() float64 { return packingRatio * float64(p.Planned.MilliCPU) / 1000 }
+func (p *Pool) cores() float64 { return workload.PackingRatio * float64(p.Planned.MilliCPU) / 1000 }
 
 // full reports whether tasks wait because the pool has no room. Tasks of an account
 // that has used up its quota wait in a pool that has room.
--- a/internal/version/relocation/plan.go
+++ b/internal/version/relocation/plan.go
@@ -7,10 +7,6 @@
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
-// packingRatio is the share of the capacity of open workers that can be filled with
-// tasks of up to a third of a worker.
-const packingRatio = 0.85
-
 // Plan tells which workers close, and holds a place for each long-running task that
 // has to leave one or that waits.
 type Plan struct {
@@ -187,7 +183,7 @@
 	if size <= 1 {
 		return 0
 	}
-	needed := max(1, int(math.Ceil(p.Load/packingRatio)))
+	needed := max(1, int(math.Ceil(p.Load/workload.PackingRatio)))
 	switch {
 	case pressure >= Urgent:
 		return min(needed, size/2)
--- a/internal/version/workload/spec.go
+++ b/internal/version/workload/spec.go
@@ -43,6 +43,10 @@
 	return need.MilliCPU <= r.MilliCPU && need.MemoryMB <= r.MemoryMB && need.GPU <= r.GPU
 }
 
+// PackingRatio is the share of the capacity of workers that can be filled with tasks of up
+// to a third of a worker.
+const PackingRatio = 0.85
+
 // Step is a set of equal tasks.
 type Step struct {
 	// Count is the number of tasks, Need the resources that each of them needs.
