catalog: the weight of an account without one is known in one place

Cause: the admission of jobs and its explanation each said that a job without an account, or of an account without a weight, weighs 1. An explanation that counts otherwise than the admission would tell callers wrong answers.

Change: Account.ShareWeight, also of a nil account, serves both.

--- a/internal/process/scheduler/admit/control.go
+++ b/internal/process/scheduler/admit/control.go
@@ -173,7 +173,7 @@
 		}
 		known = true
 		e.pool = *snapshot.Pools[queue.Service]
-		e.job.Priority, e.job.Weight = queue.Priority, accountWeight(v, s.Account)
+		e.job.Priority, e.job.Weight = queue.Priority, v.Catalog().Account(s.Account).ShareWeight()
 		e.job.Assess(&s.Spec, queue, snapshot.Durations[queue.Key()], e.pool.Room)
 	})
 	if known {
--- a/internal/process/scheduler/admit/survey.go
+++ b/internal/process/scheduler/admit/survey.go
@@ -122,7 +122,7 @@
 	}
 	var assessed overload.Job
 	assessed.Assess(&job.Spec, queue, model, pool.Room)
-	weight := accountWeight(s.view, job.Account)
+	weight := s.view.Catalog().Account(job.Account).ShareWeight()
 	for k := job.OccurrencesDone; k < job.Spec.Occurrences() && job.Spec.DueMS(k) <= s.wallMS; k++ {
 		age := time.Duration(s.wallMS-max(job.AcceptedMS, job.Spec.DueMS(k))) * time.Millisecond
 		if assessed.Objective > 0 && age > placement.Useful(assessed.Objective) {
@@ -166,11 +166,3 @@
 	}
 	return work
 }
-
-// accountWeight returns the weight of an account, which is 1 for jobs without one.
-func accountWeight(v *workstate.View, account string) float64 {
-	if a := v.Catalog().Account(account); a != nil && a.Weight > 0 {
-		return a.Weight
-	}
-	return 1
-}
--- a/internal/process/scheduler/explain/admission.go
+++ b/internal/process/scheduler/explain/admission.go
@@ -31,10 +31,7 @@
 		return a
 	}
 	pool := s.Load.Pools[s.Queue.Service]
-	job := overload.Job{ID: s.ID, Account: s.AccountName(), Weight: 1, Priority: s.Queue.Priority, OverRate: s.OverRate}
-	if s.Account != nil && s.Account.Weight > 0 {
-		job.Weight = s.Account.Weight
-	}
+	job := overload.Job{ID: s.ID, Account: s.AccountName(), Weight: s.Account.ShareWeight(), Priority: s.Queue.Priority, OverRate: s.OverRate}
 	job.Assess(s.Spec, s.Queue, s.Load.Durations[s.Queue.Key()], pool.Room)
 	verdict := overload.Decide(pool, &job)
 	if verdict.Refused != "" {
--- a/internal/version/catalog/account.go
+++ b/internal/version/catalog/account.go
@@ -34,6 +34,15 @@
 	Limit workload.Resources `cbor:"5,keyasint"`
 }
 
+// ShareWeight returns the weight of an account in a fair share, which is 1 for jobs without
+// an account and for accounts without a weight.
+func (a *Account) ShareWeight() float64 {
+	if a != nil && a.Weight > 0 {
+		return a.Weight
+	}
+	return 1
+}
+
 // Account returns the account with the given name, or nil.
 func (c *Catalog) Account(name string) *Account {
 	for i := range c.Accounts {
