workerlease: a first contact without a reading is made up for

Callers would see two runs of one task: the first answer of a restarted worker states no clock (0), so that the leases granted before the contact were left out of the bound, and the next call to it set one of the leader's own 4 s.

Cause: the bound of earlier leases was computed at the contact only.

Change: it is computed at the first reading since the contact.

--- a/internal/process/scheduler/workerlog.go
+++ b/internal/process/scheduler/workerlog.go
@@ -26,7 +26,7 @@
 func (w *worker) leaseAttrs(now time.Time, longest time.Duration) []any {
 	attrs := []any{"worker", w.reg.ID, "incarnation", w.reg.Incarnation, "token", uint64(w.token), "known_ms", now.Sub(w.lease.KnownSince()).Milliseconds(),
 		"contacted", w.contacted, "basis", w.lease.Basis(longest)}
-	if !w.lease.Contacted() {
+	if !w.lease.OnClock() {
 		return append(attrs, "bound_ms", w.lease.MaxUncontacted(longest).Milliseconds())
 	}
 	reading, until := w.lease.Reading(), w.lease.UntilMS()
@@ -70,7 +70,7 @@
 	if !w.expiryLoggedFor.Equal(w.failedAt) {
 		w.expiryLoggedFor = w.failedAt
 		attrs := append(w.leaseAttrs(now, l.Limits.LongestLease), "silent_ms", now.Sub(w.failedAt).Milliseconds())
-		if w.lease.Contacted() {
+		if w.lease.OnClock() {
 			attrs = append(attrs, "slowest_clock_ms", w.lease.SlowestMS(now))
 		}
 		l.Log.Info("leases of worker expired", append(attrs, w.answerAge(now)...)...)
--- a/internal/process/workerlease/lease.go
+++ b/internal/process/workerlease/lease.go
@@ -51,6 +51,10 @@
 	// untilMS is the latest end, contactMS that of the leases granted before the first
 	// contact. Both are 0 until then, and while the clock is unknown.
 	untilMS, contactMS int64
+	// contacted is set once the incarnation has answered, and longest is the limit that
+	// workers set to their leases then. coversEarlier is set once contactMS is known.
+	contacted, coversEarlier bool
+	longest                  time.Duration
 	// strayContact is set if a call to an earlier incarnation decides contactMS.
 	strayContact bool
 }
@@ -81,11 +85,13 @@
 // Reading returns the newest reading of the clock. Its MS is 0 while the clock is unknown.
 func (b *Bound) Reading() Reading { return b.reading }
 
-// Record records the clock from an answer that names the incarnation.
+// Record records the clock from an answer of the incarnation.
 func (b *Bound) Record(clockMS int64, now time.Time) {
-	if clockMS > 0 {
-		b.reading = Reading{clockMS, now}
+	if clockMS == 0 {
+		return
 	}
+	b.reading = Reading{clockMS, now}
+	b.coverEarlier()
 }
 
 // Continues reports whether a clock in an answer that names no incarnation may be this
@@ -103,7 +109,7 @@
 // CoverOther extends the bound to the lease that an incarnation which has answered in this
 // one's place may hold, since it takes calls to this one.
 func (b *Bound) CoverOther(now time.Time, longest time.Duration) {
-	if b.Contacted() {
+	if b.OnClock() {
 		b.untilMS = max(b.untilMS, b.SlowestMS(now)+longest.Milliseconds())
 	}
 }
@@ -114,23 +120,31 @@
 	return b.reading.MS + elapsed.Milliseconds()
 }
 
-// Contacted reports whether leases are counted on the worker's clock.
-func (b *Bound) Contacted() bool { return b.untilMS > 0 }
+// OnClock reports whether leases are counted on the worker's clock.
+func (b *Bound) OnClock() bool { return b.untilMS > 0 }
 
 // UntilMS returns the latest end of any lease on the clock, or 0 before the first contact.
 func (b *Bound) UntilMS() int64 { return b.untilMS }
 
-// Contact records the first answer of the incarnation to this leader, whose clock was
-// recorded. From then on it refuses the calls of former leaders and those to earlier
-// incarnations. longest is the limit that workers set to their leases.
+// Contact records the first answer of the incarnation to this leader. From then on it refuses
+// the calls of former leaders and those to earlier incarnations. longest is the limit that
+// workers set to their leases.
 func (b *Bound) Contact(longest time.Duration) {
-	if b.reading.MS == 0 {
+	b.contacted, b.longest = true, longest
+	b.coverEarlier()
+}
+
+// coverEarlier extends the bound, at the first reading since the contact, to the leases that
+// were granted before the contact.
+func (b *Bound) coverEarlier() {
+	if !b.contacted || b.coversEarlier || b.reading.MS == 0 {
 		return
 	}
 	own := b.reading.MS + Duration.Milliseconds()
-	b.contactMS = max(own, b.strayMS(longest))
+	b.contactMS = max(own, b.strayMS(b.longest))
 	b.strayContact = b.contactMS > own
 	b.untilMS = max(b.untilMS, b.contactMS)
+	b.coversEarlier = true
 }
 
 // strayMS returns the latest end of a lease that a late call to an earlier incarnation has
@@ -160,7 +174,7 @@
 // Expired reports whether every lease that may have been granted has certainly expired,
 // although the worker does not answer and its clock may be slow.
 func (b *Bound) Expired(now time.Time, longest time.Duration) bool {
-	if !b.Contacted() {
+	if !b.OnClock() {
 		return now.Sub(b.knownSince) > b.MaxUncontacted(longest)
 	}
 	return b.SlowestMS(now) > b.untilMS
@@ -179,7 +193,7 @@
 // Basis returns which leases decide what Expired reports.
 func (b *Bound) Basis(longest time.Duration) Basis {
 	stray := b.origin.IDReused && StaleCallTime+longest > inheritedTime
-	if b.Contacted() {
+	if b.OnClock() {
 		if b.untilMS > b.contactMS {
 			return Own
 		}
