--- a/internal/process/scheduler/deregistered_test.go
+++ b/internal/process/scheduler/deregistered_test.go
@@ -154,6 +154,9 @@
 				time.Sleep(time.Second)
 				second := f.workers.add("w1", 1000)
 				second.leaseMS = longestLease
+				if granted := second.leaseMS - second.clock(); granted != longestLease {
+					t.Errorf("the stray lease is %d ms long", granted)
+				}
 				f.register(second, "vm-w1", "svc")
 				f.depose()
 				f.lead()
