--- a/internal/process/scheduler/deregistered_test.go
+++ b/internal/process/scheduler/deregistered_test.go
@@ -153,7 +153,7 @@
 				f.commit(&workstate.Command{Deregister: &d})
 				time.Sleep(time.Second)
 				second := f.workers.add("w1", 1000)
-				second.leaseMS = longestLease
+				second.leaseMS = second.clock() + longestLease
 				if granted := second.leaseMS - second.clock(); granted != longestLease {
 					t.Errorf("the stray lease is %d ms long", granted)
 				}
