workerlease: the lease of another incarnation is covered before a contact too

Callers would see two runs of one task: a lower incarnation carries out a start under the longest lease, the leader changes, and the next leader, which that one answers, counts 6 s from its first knowledge. The log and the metric named the leader's own lease as what had decided where another incarnation's did.

Cause: the other incarnation's lease was added to the bound on the clock of the present one, which a leader without a contact does not know.

Change: it is counted in local time beside the bound, with or without contact, and decides the basis "stray" where it ends last.

--- a/internal/process/workerlease/lease.go
+++ b/internal/process/workerlease/lease.go
@@ -55,6 +55,9 @@
 	// workers set to their leases then. coversEarlier is set once contactMS is known.
 	contacted, coversEarlier bool
 	longest                  time.Duration
+	// otherUntil is until when an incarnation that has answered in this one's place may hold
+	// a lease.
+	otherUntil time.Time
 	// strayContact is set if a call to an earlier incarnation decides contactMS.
 	strayContact bool
 }
@@ -107,10 +110,10 @@
 }
 
 // CoverOther extends the bound to the lease that an incarnation which has answered in this
-// one's place may hold, since it takes calls to this one.
+// one's place may hold, since it takes calls to this one. Its clock is not that of the bound.
 func (b *Bound) CoverOther(now time.Time, longest time.Duration) {
-	if b.OnClock() {
-		b.untilMS = max(b.untilMS, b.SlowestMS(now)+longest.Milliseconds())
+	if until := now.Add(slowed(longest)); until.After(b.otherUntil) {
+		b.otherUntil = until
 	}
 }
 
@@ -174,6 +177,9 @@
 // Expired reports whether every lease that may have been granted has certainly expired,
 // although the worker does not answer and its clock may be slow.
 func (b *Bound) Expired(now time.Time, longest time.Duration) bool {
+	if now.Before(b.otherUntil) {
+		return false
+	}
 	if !b.OnClock() {
 		return now.Sub(b.knownSince) > b.MaxUncontacted(longest)
 	}
@@ -187,20 +193,29 @@
 	if b.origin.IDReused {
 		bound = max(bound, StaleCallTime+longest)
 	}
-	return time.Duration(float64(bound) * (1 + Drift))
+	return slowed(bound)
 }
 
+// slowed returns how long a duration on a worker's clock takes at most.
+func slowed(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + Drift)) }
+
 // Basis returns which leases decide what Expired reports.
 func (b *Bound) Basis(longest time.Duration) Basis {
-	stray := b.origin.IDReused && StaleCallTime+longest > inheritedTime
-	if b.OnClock() {
-		if b.untilMS > b.contactMS {
-			return Own
-		}
-		stray = b.strayContact
-	}
-	if stray {
+	switch {
+	case b.otherDecides(longest):
+		return Stray
+	case b.OnClock() && b.untilMS > b.contactMS:
+		return Own
+	case b.OnClock() && b.strayContact, !b.OnClock() && b.origin.IDReused && StaleCallTime+longest > inheritedTime:
 		return Stray
 	}
 	return Inherited
 }
+
+// otherDecides reports whether the lease of another incarnation is the last to expire.
+func (b *Bound) otherDecides(longest time.Duration) bool {
+	if b.OnClock() {
+		return b.SlowestMS(b.otherUntil) > b.untilMS
+	}
+	return b.otherUntil.Sub(b.knownSince) > b.MaxUncontacted(longest)
+}
