scheduler: the clock of a worker with another id prolongs no bound

Callers would see tasks that wait 10 s in place of 4 s: another worker answers a start at the address of one that is gone with 421 and its own clock. Since that counted as the answer of another incarnation, although a worker with another id does nothing of what it is told.

Change: the clock of such an answer is not used.

Evidence: TestClockOfAnotherWorkerProlongsNoLease, red before. It compared the bound on the worker's clock, of which another incarnation's lease is no part any more; it now asks whether the leases have expired 5 s later.

--- a/internal/process/scheduler/otherworker_test.go
+++ b/internal/process/scheduler/otherworker_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/workload"
 )
@@ -17,12 +18,12 @@
 	w := &worker{reg: workstate.Worker{ID: "w1", Incarnation: 7}}
 	l.addWorker(w, now)
 	l.handleReport(w, now, execution.Report{ClockMS: 1_000_000, Incarnation: 7}, nil)
-	before := w.lease.UntilMS()
+	expiry := now.Add(workerlease.Duration + time.Second)
 	id := workload.TaskID{Job: jobA}
 	r := &run{number: 1, worker: "w1", sent: true}
 	l.runs.Set(id, r)
 	l.handleStartAnswer(id, r, w, execution.Answer{Refusal: execution.RefusedOtherWorker, ClockMS: 5000}, nil)
-	if after := w.lease.UntilMS(); after != before {
-		t.Errorf("the bound is %d ms longer", after-before)
+	if !w.lease.Expired(expiry, longestLease*time.Millisecond) {
+		t.Errorf("the bound lasts beyond %s", workerlease.Duration+time.Second)
 	}
 }
--- a/internal/process/scheduler/starts.go
+++ b/internal/process/scheduler/starts.go
@@ -105,7 +105,11 @@
 	now := time.Now()
 	r.calling = false
 	l.recordRefusal(w, "start", answer.Refusal)
-	if err == nil && !w.lease.Continues(answer.ClockMS, now, maxAnswerAge) {
+	switch {
+	case answer.Refusal == execution.RefusedOtherWorker:
+		// The clock is that of a worker with another id, which does nothing of what it is told.
+		answer.ClockMS = 0
+	case err == nil && !w.lease.Continues(answer.ClockMS, now, maxAnswerAge):
 		l.coverOther(w, answer.ClockMS, now)
 		answer.ClockMS = 0
 	}
