workerlease: a heartbeat ends the wait for calls to an earlier incarnation

Callers would see a task that waits 25 s in place of 6 s: its worker restarted an hour ago and is cut off as the leader changes. Without a contact the next leader allowed for late calls to the earlier incarnation for good.

Change: such leases have expired once a heartbeat shows a clock beyond the first known reading, 15 s and the longest lease.

Evidence: TestNextLeaderWaitsForNoStrayLeaseOfARestartLongAgo, red before. The fixture's registrations now state the clock, as those of the server do, so that the schedules play bounds with a first reading.

--- a/internal/process/scheduler/fixture_test.go
+++ b/internal/process/scheduler/fixture_test.go
@@ -97,7 +97,7 @@
 func (f *fixture) heartbeat(w *fakeWorker, vm, service string) *workstate.Worker {
 	f.workers.mu.Lock()
 	defer f.workers.mu.Unlock()
-	return &workstate.Worker{ID: w.id, Address: w.id, Service: service, VM: vm, Incarnation: w.incarnation, Capacity: w.capacity, Labels: w.labels, Sequence: w.announce()}
+	return &workstate.Worker{ID: w.id, Address: w.id, Service: service, VM: vm, Incarnation: w.incarnation, Capacity: w.capacity, Labels: w.labels, Sequence: w.announce(), FirstClockMS: w.clock()}
 }
 
 // leadWithJob starts a leader and submits jobA. Its tasks execute half a second later,
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -58,6 +58,9 @@
 	generation := l.generations.Next(w.reg.ID)
 	w.token = fencing.NewToken(l.term, generation)
 	w.lease = workerlease.NewBound(workerlease.Origin{IDReused: w.reg.Restarted || generation > 0, FirstClockMS: w.reg.FirstClockMS}, now)
+	if heartbeat, known := l.heard.NewestOf(w.reg.ID); known && heartbeat.Incarnation == w.reg.Incarnation {
+		w.lease.Heard(heartbeat.ClockMS)
+	}
 	l.workers[w.reg.ID] = w
 	at, _ := slices.BinarySearchFunc(l.workerList, w.reg.ID, func(listed *worker, id string) int { return cmp.Compare(listed.reg.ID, id) })
 	l.workerList = slices.Insert(l.workerList, at, w)
@@ -260,6 +263,7 @@
 		w.heartbeatAt = now
 		if heartbeat.Incarnation != 0 {
 			w.heartbeatClockMS = max(w.heartbeatClockMS, heartbeat.ClockMS)
+			w.lease.Heard(heartbeat.ClockMS)
 		}
 	}
 }
--- a/internal/process/workerlease/lease.go
+++ b/internal/process/workerlease/lease.go
@@ -48,6 +48,8 @@
 	knownSince time.Time
 	// reading is the newest reading of the clock; its MS is 0 while the clock is unknown.
 	reading Reading
+	// heardMS is the highest clock in a heartbeat, or 0.
+	heardMS int64
 	// untilMS is the latest end, contactMS that of the leases granted before the first
 	// contact. Both are 0 until then, and while the clock is unknown.
 	untilMS, contactMS int64
@@ -117,6 +119,10 @@
 	}
 }
 
+// Heard records the clock in a heartbeat of the incarnation, which may be known before the
+// first contact.
+func (b *Bound) Heard(clockMS int64) { b.heardMS = max(b.heardMS, clockMS) }
+
 // SlowestMS returns what the clock shows at least.
 func (b *Bound) SlowestMS(now time.Time) int64 {
 	elapsed := time.Duration(float64(now.Sub(b.reading.At)) * (1 - Drift))
@@ -190,12 +196,19 @@
 // every lease has expired if there was no contact.
 func (b *Bound) MaxUncontacted(longest time.Duration) time.Duration {
 	bound := inheritedTime
-	if b.origin.IDReused {
+	if b.mayHoldStray(longest) {
 		bound = max(bound, StaleCallTime+longest)
 	}
 	return slowed(bound)
 }
 
+// mayHoldStray reports whether a late call to an earlier incarnation may have granted a lease
+// that has not expired by the newest heartbeat.
+func (b *Bound) mayHoldStray(longest time.Duration) bool {
+	last := b.origin.FirstClockMS + (StaleCallTime + longest).Milliseconds()
+	return b.origin.IDReused && (b.origin.FirstClockMS == 0 || b.heardMS <= last)
+}
+
 // slowed returns how long a duration on a worker's clock takes at most.
 func slowed(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + Drift)) }
 
@@ -206,7 +219,7 @@
 		return Stray
 	case b.OnClock() && b.untilMS > b.contactMS:
 		return Own
-	case b.OnClock() && b.strayContact, !b.OnClock() && b.origin.IDReused && StaleCallTime+longest > inheritedTime:
+	case b.OnClock() && b.strayContact, !b.OnClock() && b.mayHoldStray(longest) && StaleCallTime+longest > inheritedTime:
 		return Stray
 	}
 	return Inherited
