scheduler: whether a VM is about to leave is decided in one place

Cause: the plan of starts and the published load each listed the three reasons for which the worker of a VM gets no new tasks.

Change: isLeaving holds them. explain.go keeps its list, since it names each.

--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -63,7 +63,7 @@
 	all := slices.Grow(l.schedulable[:0], len(l.workerList))
 	for _, w := range l.workerList {
 		starts := w.startsLeft()
-		if starts <= 0 || !w.schedulable(now) || !l.capacityKnown(w, now) || l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM] {
+		if starts <= 0 || !w.schedulable(now) || !l.capacityKnown(w, now) || l.isLeaving(w.reg.VM) {
 			continue
 		}
 		all = append(all, placement.Worker{
@@ -96,6 +96,12 @@
 	return e != nil && e.order != nil
 }
 
+// isLeaving reports whether a VM is about to be maintained or moved, so that its worker gets
+// no new tasks.
+func (l *loop) isLeaving(vm string) bool {
+	return l.maintenance.isCordoned(vm) || l.hasOpenOrder(vm) || l.draining[vm]
+}
+
 // rackOf returns the label that names the rack. If several labels have the
 // prefix, it is by convention the last one.
 func rackOf(labels []string) string {
--- a/internal/process/scheduler/poolload.go
+++ b/internal/process/scheduler/poolload.go
@@ -35,8 +35,7 @@
 	survey := admit.NewSurvey(v, l.demand.durations.Copy(), now, l.Now().UnixMilli())
 	for _, w := range l.workerList {
 		// A worker that a new leader has not reached yet is most likely at work.
-		leaving := l.maintenance.isCordoned(w.reg.VM) || l.hasOpenOrder(w.reg.VM) || l.draining[w.reg.VM]
-		if !w.unresponsive && w.mayGetStarts(&w.reg) && !leaving {
+		if !w.unresponsive && w.mayGetStarts(&w.reg) && !l.isLeaving(w.reg.VM) {
 			survey.AddWorker(w.reg.Service, w.reg.Capacity)
 		}
 	}
