workstate: a job tells when an occurrence has arrived

Cause: the order of waiting steps and the load of the admission both computed the arrival of an occurrence, the later of its acceptance and its due time.

Change: Job.ArrivedMS serves both.

--- a/internal/process/scheduler/admit/survey.go
+++ b/internal/process/scheduler/admit/survey.go
@@ -124,7 +124,7 @@
 	assessed.Assess(&job.Spec, queue, model, pool.Room)
 	weight := s.view.Catalog().Account(job.Account).ShareWeight()
 	for k := job.OccurrencesDone; k < job.Spec.Occurrences() && job.Spec.DueMS(k) <= s.wallMS; k++ {
-		age := time.Duration(s.wallMS-max(job.AcceptedMS, job.Spec.DueMS(k))) * time.Millisecond
+		age := time.Duration(s.wallMS-job.ArrivedMS(k)) * time.Millisecond
 		if assessed.Objective > 0 && age > placement.Useful(assessed.Objective) {
 			continue
 		}
--- a/internal/process/scheduler/plan.go
+++ b/internal/process/scheduler/plan.go
@@ -224,8 +224,7 @@
 // arrivalTime returns when an occurrence was accepted or due, on the local
 // clock.
 func (t planTime) arrivalTime(job *workstate.Job, k int) time.Time {
-	arrivedMS := max(job.AcceptedMS, job.Spec.DueMS(k))
-	return t.now.Add(-time.Duration(t.wallMS-arrivedMS) * time.Millisecond)
+	return t.now.Add(-time.Duration(t.wallMS-job.ArrivedMS(k)) * time.Millisecond)
 }
 
 // waitingGroup returns the waiting tasks of a step, or nil if there are none.
--- a/internal/process/workstate/jobs.go
+++ b/internal/process/workstate/jobs.go
@@ -281,6 +281,12 @@
 	return job, job.Task(id)
 }
 
+// ArrivedMS returns when an occurrence of the job was accepted or due, whichever is later, on
+// the state's clock.
+func (j *Job) ArrivedMS(occurrence int) int64 {
+	return max(j.AcceptedMS, j.Spec.DueMS(occurrence))
+}
+
 // Task returns the progress of a task, or nil if its occurrence has not started.
 func (j *Job) Task(id workload.TaskID) *Task {
 	if id.Occurrence >= len(j.Occurrences) || id.Step >= len(j.Spec.Steps) || id.Index >= j.Spec.Steps[id.Step].Count {
