workload: the reason for an invalid job id is worded once

Cause: the answer to a submission and its explanation each had the sentence, and the explanation is to tell what the caller would be told.

Run: go vet ./internal/process/...; the tests of explain and arbutusctl passed.

--- a/internal/process/scheduler/explain/admission.go
+++ b/internal/process/scheduler/explain/admission.go
@@ -4,6 +4,7 @@
 	"arbutusward.example/arbutusward/internal/process/scheduler/admit"
 	"arbutusward.example/arbutusward/internal/version/jobmemory"
 	"arbutusward.example/arbutusward/internal/version/overload"
+	"arbutusward.example/arbutusward/internal/version/workload"
 )
 
 // admission tells what a submission would be answered, or nil if no job was given.
@@ -16,7 +17,7 @@
 	}
 	a := &Admission{Outcome: Accepted, LoadAgeMS: -1}
 	if s.Malformed {
-		return &Admission{Outcome: Refused, Reason: "the id is not 16 hexadecimal digits", LoadAgeMS: -1}
+		return &Admission{Outcome: Refused, Reason: workload.InvalidJobID, LoadAgeMS: -1}
 	}
 	if s.IDInUse {
 		return &Admission{Outcome: Refused, Reason: "a job at another location has the id", LoadAgeMS: -1}
--- a/internal/process/scheduler/submission/submission.go
+++ b/internal/process/scheduler/submission/submission.go
@@ -42,7 +42,7 @@
 	case queue == nil:
 		f.Refusal.Status = workcall.UnknownQueue
 	case !workload.ValidJobID(rest):
-		f.Refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: "the id is not 16 hexadecimal digits"}
+		f.Refusal = workcall.SubmitResponse{Status: workcall.Invalid, Reason: workload.InvalidJobID}
 	case job == nil && v.Job(rest) != nil:
 		f.Refusal = idInUse()
 	}
