explain: the age of a load that is not known has a name

Cause: five answers were made with a bare -1.

Change: noLoad, beside Admission. The figure on the wire is as before.

--- a/internal/process/scheduler/explain/admission.go
+++ b/internal/process/scheduler/explain/admission.go
@@ -10,17 +10,17 @@
 // admission tells what a submission would be answered, or nil if no job was given.
 func (s *Snapshot) admission() *Admission {
 	if s.Known != nil {
-		return &Admission{Outcome: AcceptedAgain, LoadAgeMS: -1}
+		return &Admission{Outcome: AcceptedAgain, LoadAgeMS: noLoad}
 	}
 	if s.Spec == nil {
 		return nil
 	}
-	a := &Admission{Outcome: Accepted, LoadAgeMS: -1}
+	a := &Admission{Outcome: Accepted, LoadAgeMS: noLoad}
 	if s.Malformed {
-		return &Admission{Outcome: Refused, Reason: workload.InvalidJobID, LoadAgeMS: -1}
+		return &Admission{Outcome: Refused, Reason: workload.InvalidJobID, LoadAgeMS: noLoad}
 	}
 	if s.IDInUse {
-		return &Admission{Outcome: Refused, Reason: "a job at another location has the id", LoadAgeMS: -1}
+		return &Admission{Outcome: Refused, Reason: "a job at another location has the id", LoadAgeMS: noLoad}
 	}
 	if s.Memory.Refused != "" {
 		return s.memoryRefusal()
@@ -45,7 +45,7 @@
 
 // memoryRefusal tells that there is no memory for the job.
 func (s *Snapshot) memoryRefusal() *Admission {
-	a := &Admission{Outcome: Refused, Reason: string(s.Memory.Refused), LoadAgeMS: -1}
+	a := &Admission{Outcome: Refused, Reason: string(s.Memory.Refused), LoadAgeMS: noLoad}
 	if s.Memory.Refused != jobmemory.TooLarge {
 		a.RetryAfterMS = admit.MemoryRetryAfter(s.ID).Milliseconds()
 	}
--- a/internal/process/scheduler/explain/answer.go
+++ b/internal/process/scheduler/explain/answer.go
@@ -72,6 +72,9 @@
 	Scheduled     = "accepted, due later"
 )
 
+// noLoad is the LoadAgeMS of an answer that no load has decided.
+const noLoad = -1
+
 // Admission is the answer that a submission would get.
 type Admission struct {
 	Outcome string `json:"outcome"`
@@ -83,7 +86,7 @@
 	BacklogCoreS float64 `json:"backlog_core_s"`
 	WaitMS       int64   `json:"wait_ms"`
 	ObjectiveMS  int64   `json:"objective_ms"`
-	// LoadAgeMS is the age of the load by which is decided; -1 if none is known.
+	// LoadAgeMS is the age of the load by which is decided, or noLoad (-1).
 	LoadAgeMS int64 `json:"load_age_ms"`
 }
 
