workload: thousandths of a core have a named unit

Cause: the work of jobs and the cores of pools were computed with a bare 1000.

Change: workload.MilliPerCore, beside Resources. The order of the operations stays, so that no result is rounded otherwise.

--- a/internal/process/scheduler/demand.go
+++ b/internal/process/scheduler/demand.go
@@ -74,7 +74,7 @@
 // stepWork returns the work of a number of tasks of a step, each of which takes a
 // duration, in core seconds.
 func stepWork(step *workload.Step, tasks int, duration time.Duration) float64 {
-	return float64(tasks) * float64(step.Need.MilliCPU) / 1000 * duration.Seconds()
+	return float64(tasks) * float64(step.Need.MilliCPU) / workload.MilliPerCore * duration.Seconds()
 }
 
 // meanWeight is the weight of the newest job in the mean work of a queue, which
--- a/internal/version/overload/pool.go
+++ b/internal/version/overload/pool.go
@@ -39,11 +39,11 @@
 // DominantCores returns how many cores of a room a need takes: those that it names, or
 // as many as have its share of the memory if that is more.
 func DominantCores(need, room workload.Resources) float64 {
-	cores := float64(need.MilliCPU) / 1000
+	cores := float64(need.MilliCPU) / workload.MilliPerCore
 	if room.MemoryMB <= 0 {
 		return cores
 	}
-	return max(cores, float64(need.MemoryMB)/float64(room.MemoryMB)*float64(room.MilliCPU)/1000)
+	return max(cores, float64(need.MemoryMB)/float64(room.MemoryMB)*float64(room.MilliCPU)/workload.MilliPerCore)
 }
 
 // LimitAccount records the quota of an account, of which a figure of 0 means no limit. Its
@@ -70,12 +70,14 @@
 }
 
 // cores returns the dominant cores that work off the backlog.
-func (p *Pool) cores() float64 { return workload.PackingRatio * float64(p.Planned.MilliCPU) / 1000 }
+func (p *Pool) cores() float64 {
+	return workload.PackingRatio * float64(p.Planned.MilliCPU) / workload.MilliPerCore
+}
 
 // full reports whether tasks wait because the pool has no room. Tasks of an account
 // that has used up its quota wait in a pool that has room.
 func (p *Pool) full() bool {
-	return p.WaitingTasks > 0 && p.InUse >= fullRatio*float64(p.Room.MilliCPU)/1000
+	return p.WaitingTasks > 0 && p.InUse >= fullRatio*float64(p.Room.MilliCPU)/workload.MilliPerCore
 }
 
 // drainShare returns the share of the room that works off the backlog, if owed jobs keep
--- a/internal/version/workload/spec.go
+++ b/internal/version/workload/spec.go
@@ -43,6 +43,9 @@
 	return need.MilliCPU <= r.MilliCPU && need.MemoryMB <= r.MemoryMB && need.GPU <= r.GPU
 }
 
+// MilliPerCore is the number of thousandths of a core, in which CPU is counted.
+const MilliPerCore = 1000
+
 // PackingRatio is the share of the capacity of workers that can be filled with tasks of up
 // to a third of a worker.
 const PackingRatio = 0.85
