integration: a stray lease and a cut in the compiled programs

In the soak the seed draws with what the clocks of the workers start: up to 9,000 s, half of the next incarnations with an id below 1 s. No product code changed.

Not taken: restarts under the id with a cut within seconds as a further fault of the soak.

--- a/integration/hosted_ledger_test.go
+++ b/integration/hosted_ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -33,8 +34,9 @@
 	acknowledged map[string]bool
 	starts       int
 	// clockStarts holds what the clock of the last incarnation with each id showed as
-	// it started.
+	// it started. random, if set, draws it.
 	clockStarts map[string]int64
+	random      *rand.Rand
 	// crashes counts the workers that a task has crashed, losses the workers
 	// that were lost while they executed it.
 	crashes, losses map[string]int
@@ -55,6 +57,15 @@
 	if former, known := l.clockStarts[id]; known {
 		next = former / 2
 	}
+	if l.random != nil {
+		// Half of the next incarnations start below 1 s, so that most calls to the former
+		// ones carry times ahead.
+		most := int64(9_000_000)
+		if _, known := l.clockStarts[id]; known && l.random.IntN(2) == 0 {
+			most = 1000
+		}
+		next = 1 + l.random.Int64N(most)
+	}
 	l.clockStarts[id] = next
 	return next
 }
--- a/integration/hosted_soak_test.go
+++ b/integration/hosted_soak_test.go
@@ -103,6 +103,7 @@
 		hosted: newHosted(t, *soakControls, *soakEntries, directWorkers(*soakWorkers/4), keepLogs(seed)), seed: seed, random: rand.New(rand.NewPCG(seed, 7)),
 		accepted: map[string]bool{}, cancelled: map[string]bool{}, deadly: map[string]bool{},
 	}
+	s.ledger.random = rand.New(rand.NewPCG(seed, 10))
 	s.useAccounts()
 	s.configure()
 	s.acked, s.ackedAt, s.attempted = s.version, time.Now(), s.version
--- a/integration/hosted_worker_test.go
+++ b/integration/hosted_worker_test.go
@@ -47,6 +47,8 @@
 	deregistered bool
 	fencingToken uint64
 	leaseMS      int64
+	// strayUntilMS is a lease that the worker accepts as it starts; 0 without one.
+	strayUntilMS int64
 	running      map[string]*hostedRun
 	// highestRun is the highest run of each task that has ended or was stopped.
 	highestRun map[string]int
@@ -83,6 +85,7 @@
 func (w *hostedWorker) start(t *testing.T, control []string) {
 	t.Helper()
 	w.startedAt, w.clockStartMS = time.Now(), w.ledger.nextClockStart(w.id)
+	w.extend(w.strayUntilMS)
 	w.listener = listenWithRetry(t, w.address)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.serveStart)
