scheduler, workerlease: the test of the first reading names the package; comments

firstclock_test.go, merged from the review, imported the package by its former path. No code changed.

--- a/internal/process/scheduler/firstclock_test.go
+++ b/internal/process/scheduler/firstclock_test.go
@@ -7,7 +7,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/workcall"
 	"arbutusward.example/arbutusward/internal/process/replica"
-	"arbutusward.example/arbutusward/internal/process/scheduler/lease"
+	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 )
 
@@ -52,7 +52,7 @@
 		time.Sleep(50 * time.Millisecond)
 		f.loop.post(func(l *loop) {
 			w := l.workers["w1"]
-			if bound := w.lease.UntilMS() - w.lease.Reading().MS; bound > (lease.Duration + time.Second).Milliseconds() {
+			if bound := w.lease.UntilMS() - w.lease.Reading().MS; bound > (workerlease.Duration + time.Second).Milliseconds() {
 				t.Errorf("the next leader's bound is %d ms", bound)
 			}
 		})
--- a/internal/process/scheduler/stops.go
+++ b/internal/process/scheduler/stops.go
@@ -50,7 +50,7 @@
 		l.Log.Warn("stop order unanswered", "task", id.String(), "run", r.number, "worker", r.worker, "error", err.Error())
 		r.enter(runStopping, now)
 	case w.removed && answer.Refusal != execution.RefusedOtherWorker:
-		// Another incarnation has been registered since.
+		// The worker that has answered is registered no more, or at another address.
 		r.enter(runStopping, time.Time{})
 	case answer.Refusal == execution.Accepted || answer.Refusal == execution.RefusedStaleRun:
 		r.enter(runStopped, now)
--- a/internal/process/workerlease/lease.go
+++ b/internal/process/workerlease/lease.go
@@ -2,8 +2,9 @@
 // leader that does not reach it knows when its runs have ended.
 //
 // A lease ends at a time on the worker's clock, which is steady, may be slow by Drift, and
-// begins at any value in each incarnation. So a reading is compared only with other readings
-// of the same incarnation, and never with a duration.
+// begins at any value in each incarnation. So only readings of one incarnation make up a
+// bound, and none is compared with a duration; one that does not continue the others is of
+// another incarnation.
 package workerlease
 
 import "time"
--- a/internal/process/workstate/workers.go
+++ b/internal/process/workstate/workers.go
@@ -45,7 +45,8 @@
 	return Result{Code: OK}
 }
 
-// lastIncarnation returns the last known incarnation with an id, which may be removed.
+// lastIncarnation returns what is known of the last incarnation with an id, which may be
+// registered or removed.
 func (m *Machine) lastIncarnation(id string) (last LeftWorker, known bool) {
 	if w := m.data.Workers[id]; w != nil {
 		return LeftWorker{Incarnation: w.Incarnation, Restarted: w.Restarted, FirstClockMS: w.FirstClockMS}, true
@@ -54,7 +55,8 @@
 	return last, known
 }
 
-// setOrigin completes a registration with what is known of the last incarnation with the id.
+// setOrigin completes a registration with what is known of the last incarnation with the id,
+// if one is known: another one than the worker's has restarted since.
 func (w *Worker) setOrigin(last LeftWorker, known bool) {
 	if !known || last.Incarnation != w.Incarnation {
 		w.Restarted = known
