scheduler: the handler of reports in three functions

Recording the clock, with the first contact, and recording what a report lists are functions of their own.

--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -165,6 +165,13 @@
 	if !w.otherAnsweredAt.IsZero() && sentAt.After(w.otherAnsweredAt) {
 		w.superseded = false
 	}
+	l.recordClock(w, &report, first, now)
+	l.recordReport(w, sentAt, &report)
+}
+
+// recordClock records the worker's clock from a report of its incarnation, which may be the
+// first contact with that.
+func (l *loop) recordClock(w *worker, report *execution.Report, first bool, now time.Time) {
 	w.lease.Record(report.ClockMS, now)
 	if report.Incarnation == w.reg.Incarnation {
 		w.reportClockMS = max(w.reportClockMS, report.ClockMS)
@@ -172,19 +179,23 @@
 	if first {
 		w.contacted = true
 		w.lease.Contact(l.Limits.LongestLease)
-		l.logContact(w, &report, now)
+		l.logContact(w, report, now)
 	}
+}
+
+// recordReport records what a report, which was requested at sentAt, lists.
+func (l *loop) recordReport(w *worker, sentAt time.Time, report *execution.Report) {
 	if report.UnreadableRows != w.unreadableRows {
 		l.Log.Warn("rows of a report left out, they can't be read", "worker", w.reg.ID, "rows", report.UnreadableRows, "before", w.unreadableRows)
 		w.unreadableRows = report.UnreadableRows
 	}
 	w.endsOnly = report.EndsOnly
 	if report.EndsOnly && w.report != nil {
-		w.report.addEnds(&report)
+		w.report.addEnds(report)
 	} else {
-		w.report = newReportView(sentAt, &report)
+		w.report = newReportView(sentAt, report)
 	}
-	if end := newestEnd(&report); end > w.reportedEnd {
+	if end := newestEnd(report); end > w.reportedEnd {
 		// The ends free capacity. Anything else in a report can wait for the
 		// next tick.
 		w.reportedEnd = end
--- a/internal/process/scheduler/workerlog.go
+++ b/internal/process/scheduler/workerlog.go
@@ -46,8 +46,9 @@
 	if w.lease.IDReused() {
 		strayLeaseContacts.Inc()
 	}
-	l.Log.Info("worker contacted", append(w.leaseAttrs(now, l.Limits.LongestLease), "restarted", w.reg.Restarted, "id_reused", w.lease.IDReused(), "first_clock_ms", w.reg.FirstClockMS,
-		"running", len(report.Running), "ended", len(report.Ended))...)
+	attrs := append(w.leaseAttrs(now, l.Limits.LongestLease), "restarted", w.reg.Restarted, "id_reused", w.lease.IDReused())
+	attrs = append(attrs, "first_clock_ms", w.reg.FirstClockMS, "running", len(report.Running), "ended", len(report.Ended))
+	l.Log.Info("worker contacted", attrs...)
 }
 
 // logUnresponsive logs that a worker does not answer, or refuses a watch.
