--- a/internal/process/scheduler/loop.go
+++ b/internal/process/scheduler/loop.go
@@ -9,8 +9,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"arbutusward.example/arbutusward/internal/process/fencing"
 	"arbutusward.example/arbutusward/internal/process/heartbeats"
-	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
 	"arbutusward.example/arbutusward/internal/process/scheduler/loadlog"
 	"arbutusward.example/arbutusward/internal/process/scheduler/quota"
 	"arbutusward.example/arbutusward/internal/process/scheduler/rounds"
--- a/internal/process/scheduler/watch.go
+++ b/internal/process/scheduler/watch.go
@@ -9,7 +9,7 @@
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
 	"arbutusward.example/arbutusward/internal/connection/workcall"
-	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
+	"arbutusward.example/arbutusward/internal/process/fencing"
 	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/pacing"
--- a/internal/process/scheduler/worker.go
+++ b/internal/process/scheduler/worker.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"arbutusward.example/arbutusward/internal/connection/execution"
-	"arbutusward.example/arbutusward/internal/process/scheduler/fencing"
+	"arbutusward.example/arbutusward/internal/process/fencing"
 	"arbutusward.example/arbutusward/internal/process/workerlease"
 	"arbutusward.example/arbutusward/internal/process/workstate"
 	"arbutusward.example/arbutusward/internal/version/health"
